--- /dev/null
+++ b/internal/coordination/escrow/holder.go
@@ -0,0 +1,590 @@
+package escrow
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/state/accounts"
+)
+
+const (
+	// DefaultHorizon is how much expected demand a node holds ahead.
+	DefaultHorizon = 10 * time.Second
+	// DefaultAnswerTimeout is how long the root may take before a node tries
+	// its neighbours.
+	DefaultAnswerTimeout = 1500 * time.Millisecond
+	// loanTimeout is how long neighbours may take.
+	loanTimeout = 300 * time.Millisecond
+	// reportInterval is the time between reports of use without a request.
+	reportInterval = time.Second
+	// resendInterval is the time after which an unanswered report is repeated.
+	resendInterval = 300 * time.Millisecond
+	// surplusFactor is how many horizons of demand are kept before the rest is
+	// given back.
+	surplusFactor = 2
+	// demandHalfLife is the half-life of the smoothed demand.
+	demandHalfLife = 10 * time.Second
+)
+
+// Errors of reservations.
+var (
+	// ErrExhausted says that the budget does not hold enough for the request.
+	ErrExhausted = errors.New("escrow: the budget does not hold enough")
+	// ErrUnreachable says that the parts of the budget that could be reached do
+	// not hold enough.
+	ErrUnreachable = errors.New("escrow: not enough of the budget can be reached")
+	// ErrUnknownBudget says that the root knows no such budget.
+	ErrUnknownBudget = errors.New("escrow: no such budget")
+	// ErrClosed says that this life's accounts are fenced.
+	ErrClosed = errors.New("escrow: this life of the node is fenced")
+)
+
+// Policy is how a budget's grants are asked for.
+type Policy struct {
+	Horizon time.Duration
+}
+
+// Reservation is the worst case of one request, in tokens.
+type Reservation struct {
+	Budget string
+	// Sequence numbers the reservations of a budget, from 1.
+	Sequence uint64
+	Amount   uint64
+}
+
+// HolderOptions set up a Holder.
+type HolderOptions struct {
+	ID accounts.HolderID
+	// AnswerTimeout of the root; 0 means the default.
+	AnswerTimeout time.Duration
+	// Lenders are the nodes to borrow from when the root does not answer.
+	Lenders []string
+}
+
+// Holder is a node's part of all budgets. It is a pure step and not safe for
+// concurrent use.
+type Holder struct {
+	options  HolderOptions
+	accounts map[string]*account
+	recalled []RecallMessage
+	loans    []OutgoingLoan
+	closed   bool
+}
+
+// OutgoingLoan is a lending message and its receiver.
+type OutgoingLoan struct {
+	To      string
+	Message LendMessage
+}
+
+// account is the holder's part of one budget, in tokens.
+type account struct {
+	name     string
+	policy   Policy
+	granted  uint64
+	returned uint64
+	settled  uint64
+	reserved uint64
+	// borrowed and lent are cumulative, by the other holder.
+	borrowed map[accounts.HolderID]uint64
+	lent     map[accounts.HolderID]uint64
+	// open are the reservations not settled yet; ahead are the uses of settled
+	// ones behind an open one.
+	open             map[uint64]uint64
+	ahead            map[uint64]uint64
+	sequence         uint64
+	watermark        uint64
+	watermarkSettled uint64
+	// durableWatermark is the watermark that the root has in its log.
+	durableWatermark uint64
+
+	waiters []waiter
+	request uint64
+	// requested is set while a request is unanswered; reportedAt is when the
+	// last report was sent.
+	requested   bool
+	requestedAt time.Duration
+	reportedAt  time.Duration
+	changed     bool
+	loanAskedAt time.Duration
+	loanAsked   bool
+
+	// demand is the smoothed use, in tokens a second.
+	demand   float64
+	demandAt time.Duration
+}
+
+type waiter struct {
+	amount   uint64
+	deadline time.Duration
+	done     func(Reservation, error)
+}
+
+// NewHolder makes a holder with nothing granted.
+func NewHolder(options HolderOptions) *Holder {
+	if options.AnswerTimeout == 0 {
+		options.AnswerTimeout = DefaultAnswerTimeout
+	}
+	return &Holder{options: options, accounts: map[string]*account{}}
+}
+
+// ID returns the holder's life.
+func (h *Holder) ID() accounts.HolderID { return h.options.ID }
+
+// Closed tells whether the root has fenced this life.
+func (h *Holder) Closed() bool { return h.closed }
+
+// Free is what the node could reserve now, in tokens.
+func (h *Holder) Free(budget string) uint64 {
+	if found := h.accounts[budget]; found != nil {
+		return found.free()
+	}
+	return 0
+}
+
+// Held is what the node may spend in all: free and reserved, in tokens.
+func (h *Holder) Held(budget string) uint64 {
+	if found := h.accounts[budget]; found != nil {
+		return found.free() + found.reserved
+	}
+	return 0
+}
+
+func (h *Holder) account(budget string) *account {
+	found := h.accounts[budget]
+	if found == nil {
+		found = &account{
+			name: budget, policy: Policy{Horizon: DefaultHorizon},
+			borrowed: map[accounts.HolderID]uint64{}, lent: map[accounts.HolderID]uint64{},
+			open: map[uint64]uint64{}, ahead: map[uint64]uint64{},
+		}
+		h.accounts[budget] = found
+	}
+	return found
+}
+
+// free never counts what was lent, returned or reserved.
+func (a *account) free() uint64 {
+	have := a.granted + sum(a.borrowed)
+	gone := a.returned + a.settled + a.reserved + sum(a.lent)
+	if gone > have {
+		return 0
+	}
+	return have - gone
+}
+
+func sum(amounts map[accounts.HolderID]uint64) uint64 {
+	var total uint64
+	for _, amount := range amounts {
+		total += amount
+	}
+	return total
+}
+
+// Reserve sets the worst case of a request aside; done is called once, maybe
+// at once.
+func (h *Holder) Reserve(now, deadline time.Duration, budget string, amount uint64, policy Policy, done func(Reservation, error)) {
+	if h.closed {
+		done(Reservation{}, ErrClosed)
+		return
+	}
+	found := h.account(budget)
+	if policy.Horizon > 0 {
+		found.policy = policy
+	}
+	found.noteDemand(now, amount)
+	found.waiters = append(found.waiters, waiter{amount: amount, deadline: deadline, done: done})
+	h.serve(now, found)
+}
+
+// serve gives waiters what is free, in order, and asks for what lacks.
+func (h *Holder) serve(now time.Duration, found *account) {
+	for len(found.waiters) > 0 && found.waiters[0].amount <= found.free() {
+		next := found.waiters[0]
+		found.waiters = found.waiters[1:]
+		next.done(found.reserve(next.amount), nil)
+	}
+	if len(found.waiters) > 0 && !found.requested {
+		found.startRequest(now)
+	}
+}
+
+func (a *account) startRequest(now time.Duration) {
+	a.request++
+	a.requested = true
+	a.requestedAt = now
+	a.reportedAt = 0
+	a.loanAsked = false
+	a.changed = true
+}
+
+func (a *account) reserve(amount uint64) Reservation {
+	a.sequence++
+	a.reserved += amount
+	a.open[a.sequence] = amount
+	return Reservation{Budget: a.name, Sequence: a.sequence, Amount: amount}
+}
+
+// Settle ends a reservation with its use; the rest is free again. Use beyond
+// the reservation can't happen: the engine was given the bound. If it does, it
+// is cut to the reservation and reported by the caller.
+func (h *Holder) Settle(now time.Duration, reservation Reservation, used uint64) {
+	found := h.accounts[reservation.Budget]
+	if found == nil {
+		return
+	}
+	amount, open := found.open[reservation.Sequence]
+	if !open {
+		return
+	}
+	used = min(used, amount)
+	delete(found.open, reservation.Sequence)
+	found.reserved -= amount
+	found.settled += used
+	found.ahead[reservation.Sequence] = used
+	for {
+		next, settled := found.ahead[found.watermark+1]
+		if !settled {
+			break
+		}
+		found.watermark++
+		found.watermarkSettled += next
+		delete(found.ahead, found.watermark)
+	}
+	found.changed = true
+	h.serve(now, found)
+}
+
+// OpenReservations is the number of reservations not settled yet.
+func (h *Holder) OpenReservations() int {
+	count := 0
+	for _, found := range h.accounts {
+		count += len(found.open)
+	}
+	return count
+}
+
+// noteDemand smooths the demand with an exponential decay.
+func (a *account) noteDemand(now time.Duration, amount uint64) {
+	a.decayDemand(now)
+	a.demand += float64(amount) / demandHalfLife.Seconds() * ln2
+}
+
+const ln2 = 0.6931471805599453
+
+func (a *account) decayDemand(now time.Duration) {
+	elapsed := now - a.demandAt
+	a.demandAt = now
+	if elapsed > 0 {
+		a.demand *= halfPower(float64(elapsed) / float64(demandHalfLife))
+	}
+}
+
+// ahead of demand: what the node should hold, in tokens.
+func (a *account) target(now time.Duration) uint64 {
+	a.decayDemand(now)
+	return uint64(a.demand * a.policy.Horizon.Seconds())
+}
+
+// Tick moves time: it gives up on waiters, borrows when the root is silent,
+// and gives back what is no longer needed.
+func (h *Holder) Tick(now time.Duration) {
+	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
+		found := h.accounts[name]
+		h.expire(now, found)
+		h.borrow(now, found)
+		found.returnSurplus(now)
+		found.topUp(now)
+	}
+}
+
+func (h *Holder) expire(now time.Duration, found *account) {
+	kept := found.waiters[:0]
+	var expired []waiter
+	for _, one := range found.waiters {
+		if now >= one.deadline {
+			expired = append(expired, one)
+			continue
+		}
+		kept = append(kept, one)
+	}
+	found.waiters = kept
+	for _, one := range expired {
+		one.done(Reservation{}, ErrUnreachable)
+	}
+}
+
+// borrow asks the neighbours once the root has been silent for too long, and
+// refuses once they were silent too.
+func (h *Holder) borrow(now time.Duration, found *account) {
+	if len(found.waiters) == 0 || !found.requested || now-found.requestedAt < h.options.AnswerTimeout {
+		return
+	}
+	if !found.loanAsked {
+		found.loanAsked, found.loanAskedAt = true, now
+		for _, lender := range h.options.Lenders {
+			request := &LoanRequest{Borrower: h.options.ID, Budget: found.name, Need: found.lack()}
+			h.loans = append(h.loans, OutgoingLoan{To: lender, Message: LendMessage{Request: request}})
+		}
+		return
+	}
+	if now-found.loanAskedAt >= loanTimeout {
+		found.loanAsked = false
+		h.refuseFirst(now, found, ErrUnreachable)
+	}
+}
+
+// lack is what the first waiter needs beyond what is free.
+func (a *account) lack() uint64 {
+	if len(a.waiters) == 0 {
+		return 0
+	}
+	if free := a.free(); a.waiters[0].amount > free {
+		return a.waiters[0].amount - free
+	}
+	return 0
+}
+
+// waiting is what all waiters need, in tokens.
+func (a *account) waiting() uint64 {
+	var total uint64
+	for _, one := range a.waiters {
+		total += one.amount
+	}
+	return total
+}
+
+func (h *Holder) refuseFirst(now time.Duration, found *account, err error) {
+	first := found.waiters[0]
+	found.waiters = found.waiters[1:]
+	first.done(Reservation{}, err)
+	h.serve(now, found)
+}
+
+func (a *account) returnSurplus(now time.Duration) {
+	keep := a.target(now) * surplusFactor
+	free := a.free()
+	if len(a.waiters) > 0 || free <= keep || free-keep <= keep/4 {
+		return
+	}
+	a.returned += free - keep
+	a.changed = true
+}
+
+// topUp asks ahead of demand, so that requests rarely wait for the root.
+func (a *account) topUp(now time.Duration) {
+	if a.requested || len(a.waiters) > 0 {
+		return
+	}
+	if target := a.target(now); target > 0 && a.free() < target/2 {
+		a.startRequest(now)
+	}
+}
+
+// Report returns what the root should be told now, or nothing.
+func (h *Holder) Report(now time.Duration) (ReportMessage, bool) {
+	message := ReportMessage{Holder: h.options.ID, Recalled: h.recalled}
+	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
+		found := h.accounts[name]
+		if found.reportDue(now) || h.isRecalled(name) {
+			message.Reports = append(message.Reports, found.report(now))
+		}
+	}
+	h.recalled = nil
+	return message, len(message.Reports) > 0
+}
+
+func (h *Holder) isRecalled(budget string) bool {
+	return slices.ContainsFunc(h.recalled, func(recall RecallMessage) bool { return recall.Budget == budget })
+}
+
+func (a *account) reportDue(now time.Duration) bool {
+	if a.reportedAt == 0 {
+		return a.changed
+	}
+	if a.requested {
+		return now-a.reportedAt >= resendInterval
+	}
+	return a.changed && now-a.reportedAt >= reportInterval
+}
+
+func (a *account) report(now time.Duration) accounts.Report {
+	a.reportedAt = now
+	a.changed = false
+	report := accounts.Report{
+		Budget: a.name, Settled: a.settled, Returned: a.returned,
+		Watermark: a.watermark, WatermarkSettled: a.watermarkSettled,
+	}
+	if a.requested {
+		report.Request = a.request
+		report.Need = a.lack()
+		wanted := max(a.target(now), a.waiting())
+		report.Want = report.Need
+		if free := a.free(); wanted > free {
+			report.Want = max(report.Need, wanted-free)
+		}
+	}
+	return report
+}
+
+// Take applies the root's answers. It returns the watermarks that are durable
+// now, for forgetting claims.
+func (h *Holder) Take(now time.Duration, message AnswerMessage) []accounts.Answer {
+	if message.Holder != h.options.ID {
+		return nil
+	}
+	var advanced []accounts.Answer
+	for _, answer := range message.Answers {
+		found := h.accounts[answer.Budget]
+		if found == nil {
+			continue
+		}
+		found.granted = max(found.granted, answer.Granted)
+		if answer.Watermark > found.durableWatermark {
+			found.durableWatermark = answer.Watermark
+			advanced = append(advanced, answer.Answer)
+		}
+		h.takeAnswer(now, found, answer)
+	}
+	return advanced
+}
+
+func (h *Holder) takeAnswer(now time.Duration, found *account, answer Answer) {
+	switch {
+	case answer.Closed:
+		h.close()
+		return
+	case answer.Unknown:
+		found.requested = false
+		h.refuseAll(found, ErrUnknownBudget)
+		return
+	}
+	if answer.Request == found.request {
+		found.requested = false
+		if answer.Short && found.lack() > 0 {
+			h.refuseFirst(now, found, refusalOf(answer))
+			return
+		}
+	}
+	h.serve(now, found)
+}
+
+func refusalOf(answer Answer) error {
+	if answer.Unreached > 0 {
+		return fmt.Errorf("%w: %d nodes that hold a part of it do not answer", ErrUnreachable, answer.Unreached)
+	}
+	return fmt.Errorf("%w: %d tokens are left", ErrExhausted, answer.Left)
+}
+
+func (h *Holder) close() {
+	h.closed = true
+	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
+		h.refuseAll(h.accounts[name], ErrClosed)
+	}
+}
+
+func (h *Holder) refuseAll(found *account, err error) {
+	waiters := found.waiters
+	found.waiters = nil
+	for _, one := range waiters {
+		one.done(Reservation{}, err)
+	}
+}
+
+// Recall returns everything that is free of a budget; the next Report says so.
+func (h *Holder) Recall(recall RecallMessage) {
+	found := h.account(recall.Budget)
+	if len(found.waiters) == 0 {
+		found.returned += found.free()
+	}
+	found.changed = true
+	h.recalled = append(h.recalled, recall)
+}
+
+// ReturnAll gives back everything that is free, for a planned stop.
+func (h *Holder) ReturnAll() {
+	for _, found := range h.accounts {
+		if free := found.free(); free > 0 {
+			found.returned += free
+			found.changed = true
+			found.reportedAt = 0
+		}
+	}
+}
+
+// Unreported tells whether the root lacks a report, for a planned stop.
+func (h *Holder) Unreported() bool {
+	for _, found := range h.accounts {
+		if found.changed || found.watermark > found.durableWatermark {
+			return true
+		}
+	}
+	return false
+}
+
+// ReportAgain makes the next Report repeat everything that the root has not
+// confirmed, for a planned stop.
+func (h *Holder) ReportAgain() {
+	for _, found := range h.accounts {
+		if found.watermark > found.durableWatermark {
+			found.changed = true
+			found.reportedAt = 0
+		}
+	}
+}
+
+// Lend answers a request of another holder: half of what is free, or what it
+// needs if that is less. It is subtracted before the answer leaves.
+func (h *Holder) Lend(request LoanRequest) (Loan, bool) {
+	found := h.accounts[request.Budget]
+	if found == nil || h.closed || request.Borrower.Node == h.options.ID.Node {
+		return Loan{}, false
+	}
+	lend := min(request.Need, found.free()/2)
+	if request.Need <= found.free() {
+		lend = request.Need
+	}
+	if len(found.waiters) == 0 {
+		found.lent[request.Borrower] += lend
+	}
+	total := found.lent[request.Borrower]
+	return Loan{Lender: h.options.ID, Borrower: request.Borrower, Budget: request.Budget, Total: total}, total > 0
+}
+
+// TakeLoan adds what another holder has lent.
+func (h *Holder) TakeLoan(now time.Duration, loan Loan, fenced func(accounts.HolderID) bool) {
+	if loan.Borrower != h.options.ID || h.closed || fenced(loan.Lender) {
+		return
+	}
+	found := h.account(loan.Budget)
+	if loan.Total <= found.borrowed[loan.Lender] {
+		return
+	}
+	found.borrowed[loan.Lender] = loan.Total
+	h.serve(now, found)
+}
+
+// Loans takes the lending messages that wait to be sent.
+func (h *Holder) Loans() []OutgoingLoan {
+	loans := h.loans
+	h.loans = nil
+	return loans
+}
+
+// LoansWith returns, by budget, what this holder has lent to and borrowed from
+// another one, for closing that one's accounts.
+func (h *Holder) LoansWith(other accounts.HolderID) []accounts.FinalUse {
+	var uses []accounts.FinalUse
+	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
+		found := h.accounts[name]
+		// To the other one, what this holder lent is borrowed.
+		use := accounts.FinalUse{Budget: name, Borrowed: found.lent[other], Lent: found.borrowed[other]}
+		if use.Borrowed > 0 || use.Lent > 0 {
+			uses = append(uses, use)
+		}
+	}
+	return uses
+}
--- /dev/null
+++ b/internal/coordination/escrow/root.go
@@ -0,0 +1,178 @@
+package escrow
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/state/accounts"
+	"github.com/ravenway/ravenway/internal/state/machine"
+)
+
+const (
+	// recallTimeout is how long holders may take to answer a recall.
+	recallTimeout = 600 * time.Millisecond
+	// maximumBatch bounds the reports of one command.
+	maximumBatch = 512
+)
+
+// RootOptions set up a Root.
+type RootOptions struct {
+	// HoldersOf returns the holders that hold a part of a budget.
+	HoldersOf func(budget string) []accounts.HolderID
+	// Reply and Recall hand messages to the transport.
+	Reply  func(to string, message AnswerMessage)
+	Recall func(to string, message RecallMessage)
+	// WithoutRecall is a deliberate defect for the simulation: refusals are
+	// given at once.
+	WithoutRecall bool
+}
+
+// Root is the leader's side of the escrow: it batches the holders' reports
+// into commands, and recalls unused grants before it lets a refusal out. It
+// holds nothing that must survive: a new leader starts with an empty one.
+type Root struct {
+	options RootOptions
+	queue   []pendingReport
+	recalls map[string]*recall
+	number  uint64
+}
+
+// pendingReport is one holder's report on its way through the log.
+type pendingReport struct {
+	message ReportMessage
+	// afterRecall: the budgets in it were recalled; a refusal now is final.
+	afterRecall bool
+	unreached   int
+}
+
+// recall is one budget's recall in progress.
+type recall struct {
+	number   uint64
+	deadline time.Duration
+	waiting  map[accounts.HolderID]struct{}
+	short    []pendingReport
+}
+
+// NewRoot makes a root side.
+func NewRoot(options RootOptions) *Root {
+	return &Root{options: options, recalls: map[string]*recall{}}
+}
+
+// Take queues a holder's report.
+func (r *Root) Take(message ReportMessage) {
+	r.queue = append(r.queue, pendingReport{message: message})
+}
+
+// Batch is a command's worth of reports.
+type Batch struct {
+	Command machine.Command
+	pending []pendingReport
+}
+
+// Batch takes waiting reports to be proposed as one command, or false.
+func (r *Root) Batch() (Batch, bool) {
+	count := min(len(r.queue), maximumBatch)
+	if count == 0 {
+		return Batch{}, false
+	}
+	batch := Batch{pending: r.queue[:count:count]}
+	r.queue = slices.Clone(r.queue[count:])
+	for _, pending := range batch.pending {
+		batch.Command.Reports = append(batch.Command.Reports, machine.HolderReports{
+			Holder: pending.message.Holder, Reports: pending.message.Reports,
+		})
+	}
+	return batch, true
+}
+
+// Applied takes the result of a batch that was committed, answers the holders
+// and starts recalls.
+func (r *Root) Applied(now time.Duration, batch Batch, answers [][]accounts.Answer) {
+	for position, pending := range batch.pending {
+		r.answer(now, pending, answers[position])
+		for _, done := range pending.message.Recalled {
+			r.recallAnswered(done, pending.message.Holder)
+		}
+	}
+}
+
+func (r *Root) answer(now time.Duration, pending pendingReport, answers []accounts.Answer) {
+	reply := AnswerMessage{Holder: pending.message.Holder}
+	for position, answer := range answers {
+		if answer.Short && !pending.afterRecall && !r.options.WithoutRecall {
+			report := pending.message.Reports[position]
+			if r.startRecall(now, pending.message.Holder, report) {
+				continue
+			}
+		}
+		reply.Answers = append(reply.Answers, Answer{Answer: answer, Unreached: pending.unreached})
+	}
+	if len(reply.Answers) > 0 {
+		r.options.Reply(pending.message.Holder.Node, reply)
+	}
+}
+
+// startRecall keeps a report that fell short until the other holders have
+// returned what they do not use. It returns false if nobody holds anything.
+func (r *Root) startRecall(now time.Duration, holder accounts.HolderID, report accounts.Report) bool {
+	short := pendingReport{
+		message:     ReportMessage{Holder: holder, Reports: []accounts.Report{report}},
+		afterRecall: true,
+	}
+	if running := r.recalls[report.Budget]; running != nil {
+		running.short = append(running.short, short)
+		return true
+	}
+	others := r.options.HoldersOf(report.Budget)
+	others = slices.DeleteFunc(others, func(other accounts.HolderID) bool { return other == holder })
+	if len(others) == 0 {
+		return false
+	}
+	r.number++
+	started := &recall{number: r.number, deadline: now + recallTimeout, waiting: map[accounts.HolderID]struct{}{}}
+	started.short = append(started.short, short)
+	r.recalls[report.Budget] = started
+	for _, other := range others {
+		started.waiting[other] = struct{}{}
+		r.options.Recall(other.Node, RecallMessage{Budget: report.Budget, Number: r.number})
+	}
+	return true
+}
+
+// RecallAll asks every holder of a budget for its unused grant, before a limit
+// is lowered.
+func (r *Root) RecallAll(budget string) {
+	for _, holder := range r.options.HoldersOf(budget) {
+		r.number++
+		r.options.Recall(holder.Node, RecallMessage{Budget: budget, Number: r.number})
+	}
+}
+
+func (r *Root) recallAnswered(message RecallMessage, holder accounts.HolderID) {
+	running := r.recalls[message.Budget]
+	if running == nil || running.number != message.Number {
+		return
+	}
+	delete(running.waiting, holder)
+	if len(running.waiting) == 0 {
+		r.endRecall(message.Budget, running)
+	}
+}
+
+// endRecall decides again what fell short.
+func (r *Root) endRecall(budget string, ended *recall) {
+	delete(r.recalls, budget)
+	for _, short := range ended.short {
+		short.unreached = len(ended.waiting)
+		r.queue = append(r.queue, short)
+	}
+}
+
+// Tick ends recalls whose time is over.
+func (r *Root) Tick(now time.Duration) {
+	for budget, running := range r.recalls {
+		if now >= running.deadline {
+			r.endRecall(budget, running)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/queueing/queue.go
@@ -0,0 +1,184 @@
+// Package queueing keeps the requests of one service that wait for a back end.
+//
+// Classes come first, with ageing: a request's class counts less the longer it
+// has waited, so that a batch request waits calmly but not forever. Within a
+// class, tenants share by weight: the next request is the oldest one of the
+// tenant that has been given the fewest tokens for its weight. The queue is
+// bounded, and what can't be served by its deadline is given up at once.
+package queueing
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"time"
+)
+
+// DefaultAgeing is the waiting time that makes up for one class.
+const DefaultAgeing = 20 * time.Second
+
+// ErrFull says that the queue holds as many requests as it may.
+var ErrFull = errors.New("queueing: the queue is full")
+
+// Class is a priority class; lower ones are more urgent.
+type Class int
+
+// Classes.
+const (
+	Urgent Class = iota
+	Normal
+	Batch
+)
+
+// Item is one waiting request.
+type Item[T any] struct {
+	ID     string
+	Tenant string
+	// Weight is the tenant's share; 0 means 1.
+	Weight uint32
+	Class  Class
+	// Cost is the most it can use, in tokens.
+	Cost uint64
+	// Arrived and Deadline are on the queue's clock.
+	Arrived  time.Duration
+	Deadline time.Duration
+	Value    T
+}
+
+// Queue is a pure step: no clock, no goroutine. It is not safe for concurrent
+// use.
+type Queue[T any] struct {
+	capacity int
+	ageing   time.Duration
+	length   int
+	tenants  map[string]*tenantQueue[T]
+	// virtual is the virtual time of the tenant served last: a tenant that
+	// comes back starts there and can't save up a share.
+	virtual float64
+}
+
+// tenantQueue holds one tenant's requests by class, oldest first.
+type tenantQueue[T any] struct {
+	name    string
+	classes [Batch + 1][]*Item[T]
+	// served is the tokens given so far over the weight.
+	served float64
+	length int
+}
+
+// New makes a queue for a number of requests.
+func New[T any](capacity int, ageing time.Duration) *Queue[T] {
+	return &Queue[T]{capacity: capacity, ageing: cmp.Or(ageing, DefaultAgeing), tenants: map[string]*tenantQueue[T]{}}
+}
+
+// Length is the number of waiting requests.
+func (q *Queue[T]) Length() int { return q.length }
+
+// Push adds a request, or refuses it with ErrFull.
+func (q *Queue[T]) Push(item *Item[T]) error {
+	if q.length >= q.capacity {
+		return ErrFull
+	}
+	tenant := q.tenants[item.Tenant]
+	if tenant == nil {
+		tenant = &tenantQueue[T]{name: item.Tenant, served: q.virtual}
+		q.tenants[item.Tenant] = tenant
+	}
+	if tenant.length == 0 {
+		tenant.served = max(tenant.served, q.virtual)
+	}
+	tenant.classes[item.Class] = append(tenant.classes[item.Class], item)
+	tenant.length++
+	q.length++
+	return nil
+}
+
+// head is the oldest request of one tenant and class.
+type head[T any] struct {
+	item *Item[T]
+	// class is what is left of the request's class after ageing.
+	class  Class
+	served float64
+}
+
+// Candidates returns the waiting requests in the order in which they should be
+// served, one a tenant and class, so that a request that no back end can take
+// now does not hold up the others.
+func (q *Queue[T]) Candidates(now time.Duration) []*Item[T] {
+	var heads []head[T]
+	for _, tenant := range q.tenants {
+		for _, waiting := range tenant.classes {
+			if len(waiting) > 0 {
+				heads = append(heads, head[T]{item: waiting[0], class: q.agedClass(now, waiting[0]), served: tenant.served})
+			}
+		}
+	}
+	slices.SortFunc(heads, func(a, b head[T]) int {
+		return cmp.Or(
+			cmp.Compare(a.class, b.class),
+			cmp.Compare(a.served, b.served),
+			cmp.Compare(a.item.Arrived, b.item.Arrived),
+			cmp.Compare(a.item.ID, b.item.ID),
+		)
+	})
+	items := make([]*Item[T], len(heads))
+	for position := range heads {
+		items[position] = heads[position].item
+	}
+	return items
+}
+
+// agedClass lowers a request's class by one for each ageing time waited.
+func (q *Queue[T]) agedClass(now time.Duration, item *Item[T]) Class {
+	steps := Class((now - item.Arrived) / q.ageing)
+	return max(Urgent, item.Class-steps)
+}
+
+// Take removes a request that is served and charges its tenant's share.
+func (q *Queue[T]) Take(item *Item[T]) {
+	if !q.Remove(item) {
+		return
+	}
+	tenant := q.tenants[item.Tenant]
+	q.virtual = max(q.virtual, tenant.served)
+	tenant.served += float64(item.Cost) / float64(max(1, item.Weight))
+}
+
+// Remove takes out a request that is given up on, and tells whether it waited.
+func (q *Queue[T]) Remove(item *Item[T]) bool {
+	tenant := q.tenants[item.Tenant]
+	if tenant == nil {
+		return false
+	}
+	position := slices.Index(tenant.classes[item.Class], item)
+	if position < 0 {
+		return false
+	}
+	tenant.classes[item.Class] = slices.Delete(tenant.classes[item.Class], position, position+1)
+	tenant.length--
+	q.length--
+	return true
+}
+
+// Expire removes and returns the requests whose deadline has passed, and
+// forgets tenants that have long had none waiting.
+func (q *Queue[T]) Expire(now time.Duration) []*Item[T] {
+	var expired []*Item[T]
+	for name, tenant := range q.tenants {
+		for _, waiting := range tenant.classes {
+			for _, item := range waiting {
+				if now >= item.Deadline {
+					expired = append(expired, item)
+				}
+			}
+		}
+		if tenant.length == 0 && tenant.served <= q.virtual {
+			delete(q.tenants, name)
+		}
+	}
+	for _, item := range expired {
+		q.Remove(item)
+	}
+	slices.SortFunc(expired, func(a, b *Item[T]) int { return cmp.Compare(a.ID, b.ID) })
+	return expired
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,148 @@
+// Package daemon runs a node as a process: it reads the settings and secrets,
+// opens the listeners and the data folder, and turns signals into a planned
+// stop.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"github.com/ravenway/ravenway/internal/node"
+	"github.com/ravenway/ravenway/internal/settings"
+	"github.com/ravenway/ravenway/internal/state/disk"
+)
+
+// Run runs the daemon until a planned stop ends or the node fails.
+func Run(ctx context.Context, path string) error {
+	loaded, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	options, err := prepare(loaded)
+	if err != nil {
+		return err
+	}
+	started, err := node.New(options)
+	if err != nil {
+		return fmt.Errorf("starting node %s: %w", loaded.Node.Name, err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		planStop(ctx, started, loaded, signals)
+		cancel()
+	}()
+	return started.Run(ctx)
+}
+
+// planStop waits for every stream. A second signal says what would be cut; a
+// third one cuts it.
+func planStop(ctx context.Context, stopping *node.Node, loaded *settings.Settings, signals <-chan os.Signal) {
+	ctx, cancel := context.WithTimeout(ctx, loaded.Limits.StopTimeout)
+	defer cancel()
+	go func() {
+		<-signals
+		fmt.Fprintf(os.Stderr, "ravenwayd: %d requests are in progress and would be cut; signal once more to cut them\n", stopping.ActiveStreams())
+		<-signals
+		cancel()
+	}()
+	if cut := stopping.Stop(ctx); cut > 0 {
+		fmt.Fprintf(os.Stderr, "ravenwayd: %d requests were cut\n", cut)
+	}
+}
+
+func prepare(loaded *settings.Settings) (node.Options, error) {
+	options := node.Options{Settings: loaded, Logger: newLogger(loaded)}
+	var err error
+	if options.PeerKey, err = settings.ReadSecret(loaded.Security.PeerKeyFile); err != nil {
+		return options, err
+	}
+	if file := loaded.Security.OperatorTokenFile; file != "" {
+		if options.OperatorToken, err = settings.ReadSecret(file); err != nil {
+			return options, err
+		}
+	}
+	if options.PeerTLS, options.OperatorTLS, err = loadTLS(loaded.Security); err != nil {
+		return options, err
+	}
+	if loaded.HasRole(settings.RoleControl) {
+		folder, err := disk.NewOS(loaded.Control.DataDir)
+		if err != nil {
+			return options, fmt.Errorf("opening the data folder: %w", err)
+		}
+		options.FileSystem = folder
+	}
+	options.Listeners, err = openListeners(loaded)
+	return options, err
+}
+
+// openListeners opens all listeners and reports all that can't be opened.
+func openListeners(loaded *settings.Settings) (node.Listeners, error) {
+	var problems []error
+	open := func(key, address string) net.Listener {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			problems = append(problems, fmt.Errorf("%s: %w", key, err))
+			return nil
+		}
+		return listener
+	}
+	var opened node.Listeners
+	if loaded.HasRole(settings.RoleEntry) {
+		opened.Callers = open("listen.callers", loaded.Listen.Callers)
+	}
+	opened.Operators = open("listen.operators", loaded.Listen.Operators)
+	opened.Peers = open("listen.peers", loaded.Listen.Peers)
+	opened.Health = open("listen.health", loaded.Listen.Health)
+	return opened, errors.Join(problems...)
+}
+
+// loadTLS returns the settings of the peer and operator listeners, nil without
+// certificates. Peers prove who they are with certificates; operators with
+// their token.
+func loadTLS(security settings.Security) (peer, operators *tls.Config, err error) {
+	if security.TLSCertificateFile == "" {
+		return nil, nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(security.TLSCertificateFile, security.TLSKeyFile)
+	if err != nil {
+		return nil, nil, fmt.Errorf("loading the TLS certificate: %w", err)
+	}
+	authority, err := os.ReadFile(security.TLSAuthorityFile)
+	if err != nil {
+		return nil, nil, fmt.Errorf("loading the TLS authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, nil, fmt.Errorf("loading the TLS authority: %s holds no certificate", security.TLSAuthorityFile)
+	}
+	peer = &tls.Config{
+		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{certificate},
+		RootCAs: pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert,
+	}
+	operators = &tls.Config{
+		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{certificate}, NextProtos: []string{"h2", "http/1.1"},
+	}
+	return peer, operators, nil
+}
+
+// newLogger writes one line of key=value pairs an event.
+func newLogger(loaded *settings.Settings) zerolog.Logger {
+	level, err := zerolog.ParseLevel(loaded.Log.Level)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	return zerolog.New(newKeyValueWriter(os.Stderr)).Level(level).With().Timestamp().Str("node", loaded.Node.Name).Logger()
+}
--- /dev/null
+++ b/internal/lab/emulator/cache.go
@@ -0,0 +1,99 @@
+package emulator
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/protocol/engine"
+)
+
+// eventsKept bounds the cache events that can still be asked for.
+const eventsKept = 8192
+
+// prefixCache is a bounded cache of prompt blocks that publishes what enters
+// and leaves it, late and with gaps.
+type prefixCache struct {
+	options EngineOptions
+	order   *list.List
+	blocks  map[uint64]*list.Element
+	events  []timedEvent
+	next    uint64
+}
+
+type timedEvent struct {
+	at    time.Time
+	event engine.CacheEvent
+}
+
+func newPrefixCache(options EngineOptions) *prefixCache {
+	return &prefixCache{options: options, order: list.New(), blocks: map[uint64]*list.Element{}, next: 1}
+}
+
+func (c *prefixCache) length() int { return c.order.Len() }
+
+// use returns how many leading blocks of a prompt are cached, and caches all.
+func (c *prefixCache) use(prompt string) uint64 {
+	var hits uint64
+	missed := false
+	for _, block := range engine.PrefixBlocks(prompt) {
+		if element, found := c.blocks[block]; found {
+			c.order.MoveToFront(element)
+			if !missed {
+				hits++
+			}
+			continue
+		}
+		missed = true
+		c.insert(block)
+	}
+	return hits
+}
+
+func (c *prefixCache) insert(block uint64) {
+	c.blocks[block] = c.order.PushFront(block)
+	c.publish(engine.CacheEvent{Block: block})
+	for c.order.Len() > c.options.CacheBlocks {
+		oldest := c.order.Back()
+		evicted := c.order.Remove(oldest).(uint64)
+		delete(c.blocks, evicted)
+		c.publish(engine.CacheEvent{Block: evicted, Evicted: true})
+	}
+}
+
+func (c *prefixCache) publish(event engine.CacheEvent) {
+	event.Sequence = c.next
+	c.next++
+	if c.options.EventGap > 0 && event.Sequence%c.options.EventGap == 0 {
+		return
+	}
+	c.events = append(c.events, timedEvent{at: time.Now(), event: event})
+	if len(c.events) > eventsKept {
+		c.events = c.events[len(c.events)-eventsKept:]
+	}
+}
+
+// since returns the events from a sequence on that are old enough to be seen.
+func (c *prefixCache) since(from uint64) engine.CacheEvents {
+	page := engine.CacheEvents{Next: from}
+	limit := time.Now().Add(-c.options.EventLag)
+	for _, one := range c.events {
+		if one.event.Sequence < from || one.at.After(limit) {
+			continue
+		}
+		page.Events = append(page.Events, one.event)
+		page.Next = one.event.Sequence + 1
+	}
+	return page
+}
+
+// cached returns a prompt's blocks that are here.
+func (c *prefixCache) cached(prompt string) []uint64 {
+	var blocks []uint64
+	for _, block := range engine.PrefixBlocks(prompt) {
+		if _, found := c.blocks[block]; !found {
+			break
+		}
+		blocks = append(blocks, block)
+	}
+	return blocks
+}
--- /dev/null
+++ b/internal/lab/emulator/engine.go
@@ -0,0 +1,370 @@
+package emulator
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ravenway/ravenway/internal/protocol/engine"
+)
+
+const (
+	// bytesPerToken of the emulated tokenizer.
+	bytesPerToken = 4
+	// blockTokens is the size of a cached block in tokens.
+	blockTokens = engine.PrefixBlockBytes / bytesPerToken
+	// retainedRequests bounds the finished requests kept for resuming.
+	retainedRequests = 4096
+	// prefillChunk is the most prompt tokens of one sequence in one step.
+	prefillChunk = 2048
+)
+
+// EngineOptions set up an Engine.
+type EngineOptions struct {
+	Name  string
+	Model string
+	// Capacity is how many sequences run in one batch; twice as many may wait.
+	Capacity int
+	// StepBase, StepPerSequence and StepPerPrefillToken make up a step's time.
+	StepBase            time.Duration
+	StepPerSequence     time.Duration
+	StepPerPrefillToken time.Duration
+	// CacheBlocks bounds the prefix cache.
+	CacheBlocks int
+	// EventLag delays cache events and load reports; EventGap is the share of
+	// cache events lost, as one in so many (0: none).
+	EventLag time.Duration
+	EventGap uint64
+	// ChecksFence: orders with a lower fence are refused.
+	ChecksFence bool
+	// LoadTime is how long an order takes.
+	LoadTime time.Duration
+	Truth    *Truth
+}
+
+// withDefaults fills in a mid-sized engine.
+func (o EngineOptions) withDefaults() EngineOptions {
+	o.Capacity = cmp.Or(o.Capacity, 16)
+	o.StepBase = cmp.Or(o.StepBase, 8*time.Millisecond)
+	o.StepPerSequence = cmp.Or(o.StepPerSequence, 400*time.Microsecond)
+	o.StepPerPrefillToken = cmp.Or(o.StepPerPrefillToken, 10*time.Microsecond)
+	o.CacheBlocks = cmp.Or(o.CacheBlocks, 4096)
+	o.EventLag = cmp.Or(o.EventLag, 500*time.Millisecond)
+	o.LoadTime = cmp.Or(o.LoadTime, 500*time.Millisecond)
+	return o
+}
+
+// sequence is one request in the engine.
+type sequence struct {
+	request   engine.GenerateRequest
+	state     engine.RequestState
+	arrived   uint64
+	prompt    uint64
+	cached    uint64
+	prefilled uint64
+	output    uint64
+	target    uint64
+	// progress is closed and replaced at each change.
+	progress chan struct{}
+}
+
+func (s *sequence) ended() bool {
+	return s.state == engine.StateFinished || s.state == engine.StateCancelled
+}
+
+func (s *sequence) usage() engine.Usage {
+	return engine.Usage{Prompt: s.prompt, Cached: s.cached, Completion: s.output}
+}
+
+func (s *sequence) status() engine.RequestStatus {
+	return engine.RequestStatus{RequestID: s.request.RequestID, State: s.state, Usage: s.usage()}
+}
+
+// Engine batches continuously: each step advances every running sequence by
+// one token or one chunk of its prompt.
+type Engine struct {
+	options EngineOptions
+
+	mutex     sync.Mutex
+	sequences map[string]*sequence
+	// waiting and running are in order of arrival; ended ones are forgotten
+	// oldest first.
+	waiting  []*sequence
+	running  []*sequence
+	finished []string
+	arrivals uint64
+	wake     chan struct{}
+	cache    *prefixCache
+	loads    []timedLoad
+	order    engine.OrderState
+	orderAt  time.Time
+	leaving  bool
+	// slowdown multiplies step times; 1 is healthy.
+	slowdown int
+}
+
+type timedLoad struct {
+	at   time.Time
+	load engine.Load
+}
+
+// NewEngine makes an engine; Run drives it.
+func NewEngine(options EngineOptions) *Engine {
+	options = options.withDefaults()
+	return &Engine{
+		options: options, sequences: map[string]*sequence{}, wake: make(chan struct{}, 1),
+		cache: newPrefixCache(options), slowdown: 1,
+	}
+}
+
+// Run steps the engine until the context ends.
+func (e *Engine) Run(ctx context.Context) {
+	for {
+		duration := e.step()
+		if duration == 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-e.wake:
+				continue
+			}
+		}
+		timer := time.NewTimer(duration)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+			e.complete()
+		}
+	}
+}
+
+// step plans the next batch and returns how long it takes, 0 if idle.
+func (e *Engine) step() time.Duration {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.admit()
+	e.noteLoad()
+	if len(e.running) == 0 {
+		return 0
+	}
+	duration := e.options.StepBase + time.Duration(len(e.running))*e.options.StepPerSequence
+	for _, one := range e.running {
+		duration += time.Duration(one.nextPrefill()) * e.options.StepPerPrefillToken
+	}
+	return duration * time.Duration(e.slowdown)
+}
+
+func (s *sequence) nextPrefill() uint64 {
+	return min(s.prompt-s.prefilled, prefillChunk)
+}
+
+// complete applies the step that was planned.
+func (e *Engine) complete() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, one := range e.running {
+		if chunk := one.nextPrefill(); chunk > 0 {
+			one.prefilled += chunk
+		} else {
+			one.output++
+		}
+		if one.prefilled == one.prompt && one.output >= one.target {
+			e.end(one, engine.StateFinished)
+		}
+		one.announce()
+	}
+	e.running = slices.DeleteFunc(e.running, (*sequence).ended)
+}
+
+func (s *sequence) announce() {
+	close(s.progress)
+	s.progress = make(chan struct{})
+}
+
+// admit moves waiting sequences into the batch, higher priorities first.
+func (e *Engine) admit() {
+	slices.SortStableFunc(e.waiting, func(a, b *sequence) int {
+		if a.request.Priority != b.request.Priority {
+			return cmp.Compare(b.request.Priority, a.request.Priority)
+		}
+		return cmp.Compare(a.arrived, b.arrived)
+	})
+	for len(e.waiting) > 0 && len(e.running) < e.options.Capacity {
+		next := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		next.state = engine.StateRunning
+		next.cached = min(e.cache.use(next.request.Prompt)*blockTokens, next.prompt)
+		next.prefilled = next.cached
+		e.running = append(e.running, next)
+	}
+}
+
+func (e *Engine) end(ended *sequence, state engine.RequestState) {
+	ended.state = state
+	kind := TruthFinished
+	if state == engine.StateCancelled {
+		kind = TruthCancelled
+	}
+	e.options.Truth.Add(TruthEvent{
+		Backend: e.options.Name, RequestID: ended.request.RequestID, Tenant: ended.request.Tenant,
+		Kind: kind, Tokens: ended.usage().Total(),
+	})
+	e.finished = append(e.finished, ended.request.RequestID)
+	if len(e.finished) > retainedRequests {
+		delete(e.sequences, e.finished[0])
+		e.finished = e.finished[1:]
+	}
+}
+
+// CountTokens is the emulated tokenizer.
+func CountTokens(text string) uint64 {
+	return uint64((len(text) + bytesPerToken - 1) / bytesPerToken)
+}
+
+// OutputTokens is how many tokens a request's answer has: between half of its
+// bound and the whole, decided by its id.
+func OutputTokens(requestID string, maximum uint64) uint64 {
+	half := maximum / 2
+	return max(1, half+xxhash.Sum64String(requestID)%(maximum-half+1))
+}
+
+// TokenText is one token of a request's answer: it depends on the request's id
+// and the position only, so that a mixed-up answer is noticed.
+func TokenText(requestID string, position uint64) string {
+	return fmt.Sprintf("%06x ", xxhash.Sum64String(fmt.Sprintf("%s#%d", requestID, position))&0xffffff)
+}
+
+// submitError is why a request was not taken.
+type submitError struct {
+	code string
+}
+
+func (s *submitError) Error() string { return s.code }
+
+// submit takes a request; a known id joins the one that is there.
+func (e *Engine) submit(request engine.GenerateRequest) (*sequence, error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if known := e.sequences[request.RequestID]; known != nil {
+		return known, nil
+	}
+	if e.leaving {
+		return nil, &submitError{code: "leaving"}
+	}
+	if len(e.waiting) >= 2*e.options.Capacity {
+		return nil, &submitError{code: "overloaded"}
+	}
+	e.arrivals++
+	taken := &sequence{
+		request: request, state: engine.StateQueued, arrived: e.arrivals, prompt: CountTokens(request.Prompt),
+		target: OutputTokens(request.RequestID, request.MaxTokens), progress: make(chan struct{}),
+	}
+	e.sequences[request.RequestID] = taken
+	e.waiting = append(e.waiting, taken)
+	e.wakeUp()
+	return taken, nil
+}
+
+func (e *Engine) wakeUp() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Engine) find(requestID string) *sequence {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.sequences[requestID]
+}
+
+// cancel ends a request if it has not ended.
+func (e *Engine) cancel(requestID string) (engine.RequestStatus, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	found := e.sequences[requestID]
+	if found == nil {
+		return engine.RequestStatus{}, false
+	}
+	if !found.ended() {
+		if found.state == engine.StateQueued {
+			// Nothing of it was worked off.
+			found.prompt = 0
+		} else {
+			found.prompt = found.prefilled
+		}
+		e.end(found, engine.StateCancelled)
+		found.announce()
+		e.waiting = slices.DeleteFunc(e.waiting, (*sequence).ended)
+		e.running = slices.DeleteFunc(e.running, (*sequence).ended)
+	}
+	return found.status(), true
+}
+
+// noteLoad remembers the load now, to be reported with a lag.
+func (e *Engine) noteLoad() {
+	now := time.Now()
+	if count := len(e.loads); count > 0 && now.Sub(e.loads[count-1].at) < e.options.EventLag/4 {
+		return
+	}
+	load := engine.Load{
+		Running: len(e.running), Queued: len(e.waiting), Capacity: e.options.Capacity, Leaving: e.leaving,
+		AtMillis: now.UnixMilli(), Model: e.options.Model, CacheUsed: uint64(e.cache.length() * blockTokens),
+	}
+	e.loads = append(e.loads, timedLoad{at: now, load: load})
+}
+
+// reportedLoad is the load as it was a lag ago.
+func (e *Engine) reportedLoad() engine.Load {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.noteLoad()
+	limit := time.Now().Add(-e.options.EventLag)
+	for len(e.loads) > 1 && !e.loads[1].at.After(limit) {
+		e.loads = e.loads[1:]
+	}
+	return e.loads[0].load
+}
+
+// SetLeaving makes the engine refuse new work.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.leaving = leaving
+}
+
+// SetSlowdown multiplies the time of each step.
+func (e *Engine) SetSlowdown(factor int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.slowdown = max(1, factor)
+}
+
+// giveOrder starts an order, or refuses a lower fence if the engine checks.
+func (e *Engine) giveOrder(order engine.Order) (engine.OrderState, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.options.ChecksFence && order.Fence < e.order.Fence {
+		return e.order, false
+	}
+	if order.Fence != e.order.Fence {
+		e.options.Truth.Add(TruthEvent{Backend: e.options.Name, Kind: TruthOrder, Fence: order.Fence, Path: order.Kind + " " + order.Target})
+		e.order = engine.OrderState{Fence: order.Fence, Kind: order.Kind, Target: order.Target, Version: order.Version}
+		e.orderAt = time.Now()
+	}
+	return e.orderState(), true
+}
+
+// orderState must be called with the mutex held.
+func (e *Engine) orderState() engine.OrderState {
+	state := e.order
+	state.Loaded = state.Fence != 0 && time.Since(e.orderAt) >= e.options.LoadTime
+	return state
+}
--- /dev/null
+++ b/internal/lab/labcli/labcli.go
@@ -0,0 +1,168 @@
+// Package labcli is the command line of ravenway-lab.
+package labcli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/ravenway/ravenway/internal/lab/deployment"
+	"github.com/ravenway/ravenway/internal/lab/emulator"
+	"github.com/ravenway/ravenway/internal/lab/load"
+	"github.com/ravenway/ravenway/internal/operatorcli"
+)
+
+// Command is the whole command line.
+func Command(out io.Writer) *cli.Command {
+	planFlag := &cli.StringFlag{Name: "deployment", Value: "zameen-haq", Usage: "zameen-haq or drukwacht"}
+	return &cli.Command{
+		Name:  "ravenway-lab",
+		Usage: "stand-ins and experiments for ravenway",
+		Commands: []*cli.Command{
+			{Name: "generate", Usage: "write a deployment's settings, keys and catalog", ArgsUsage: "FOLDER", Flags: []cli.Flag{planFlag}, Action: generate},
+			{Name: "emulate", Usage: "emulate the back ends of a catalog and the platform", ArgsUsage: "CATALOG",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "admin", Required: true, Usage: "host:port of the platform's list, the truth log and the switches"},
+					&cli.StringFlag{Name: "truth", Usage: "file that gets one line for each thing that ran"},
+				}, Action: emulate},
+			{Name: "load", Usage: "send a deployment's mix and report what callers see",
+				Flags: []cli.Flag{planFlag,
+					&cli.Float64Flag{Name: "rate", Value: 40, Usage: "requests a second"},
+					&cli.DurationFlag{Name: "duration", Value: 10 * time.Second},
+					&cli.Uint64Flag{Name: "seed", Value: 1},
+					&cli.BoolFlag{Name: "retry", Usage: "send cut requests again through another entry node"},
+					&cli.StringFlag{Name: "report", Usage: "file for the report as JSON"},
+				},
+				Action: func(ctx context.Context, command *cli.Command) error { return runLoad(ctx, out, command) }},
+			{Name: "verify", Usage: "compare what was billed with what the engines ran",
+				Flags: []cli.Flag{planFlag,
+					&cli.DurationFlag{Name: "patience", Value: 30 * time.Second, Usage: "time for settlements to arrive"}},
+				Action: func(ctx context.Context, command *cli.Command) error { return verify(ctx, out, command) }},
+		},
+	}
+}
+
+func planOf(command *cli.Command) (deployment.Plan, error) {
+	return deployment.ByName(command.String("deployment"))
+}
+
+func generate(_ context.Context, command *cli.Command) error {
+	plan, err := planOf(command)
+	if err != nil {
+		return err
+	}
+	if command.Args().Len() != 1 {
+		return fmt.Errorf("generate needs one argument: the folder")
+	}
+	folder, err := filepath.Abs(command.Args().First())
+	if err != nil {
+		return err
+	}
+	random := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0))
+	secret := func() string {
+		return fmt.Sprintf("%016x%016x%016x", random.Uint64(), random.Uint64(), random.Uint64())
+	}
+	return plan.Write(folder, secret(), secret())
+}
+
+func emulate(ctx context.Context, command *cli.Command) error {
+	if command.Args().Len() != 1 {
+		return fmt.Errorf("emulate needs one argument: the catalog file")
+	}
+	document, err := operatorcli.ReadDocument(command.Args().First())
+	if err != nil {
+		return err
+	}
+	var writer io.Writer
+	if path := command.String("truth"); path != "" {
+		file, err := os.Create(path)
+		if err != nil {
+			return fmt.Errorf("creating the truth log: %w", err)
+		}
+		defer file.Close()
+		writer = file
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	world := emulator.NewWorld(document, emulator.EngineOptions{EventGap: 50}, emulator.NewTruth(writer))
+	return world.Serve(ctx, command.String("admin"))
+}
+
+// NewLoadClient makes a client with room for many connections.
+func NewLoadClient() *load.Client {
+	return &load.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}}
+}
+
+// MixOf is a deployment's mix.
+func MixOf(plan deployment.Plan, seed uint64) load.Mix {
+	var tenants []load.Tenant
+	for _, name := range plan.TenantNames() {
+		share := 1
+		if plan.IsLarge(name) {
+			share = 5
+		}
+		tenants = append(tenants, load.Tenant{Name: name, APIKey: plan.APIKey(name), Share: share})
+	}
+	return load.NewMix(tenants, plan.Model, plan.PlainPrefix, rand.New(rand.NewPCG(seed, 1)))
+}
+
+func runLoad(ctx context.Context, out io.Writer, command *cli.Command) error {
+	plan, err := planOf(command)
+	if err != nil {
+		return err
+	}
+	var entries []string
+	for _, node := range plan.Nodes() {
+		entries = append(entries, node.Address(deployment.CallersPort))
+	}
+	seed := command.Uint64("seed")
+	report, err := load.Run(ctx, load.Options{
+		Entries: entries, Mix: MixOf(plan, seed), Rate: command.Float64("rate"), Duration: command.Duration("duration"),
+		Seed: seed, Client: NewLoadClient(), Retry: command.Bool("retry"),
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprint(out, report)
+	if path := command.String("report"); path != "" {
+		encoded, err := json.MarshalIndent(report, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(path, encoded, 0o600); err != nil {
+			return fmt.Errorf("writing the report: %w", err)
+		}
+	}
+	if bad := report.Outcomes[load.Wrong] + report.Outcomes[load.Cut]; bad > 0 {
+		return fmt.Errorf("%d requests got a wrong answer or were cut", bad)
+	}
+	return nil
+}
+
+// fetchTruth reads an emulator's truth log.
+func fetchTruth(ctx context.Context, admin string) ([]emulator.TruthEvent, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+emulator.PathTruth, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("reading the truth log: %w", err)
+	}
+	defer response.Body.Close()
+	var events []emulator.TruthEvent
+	if err := json.NewDecoder(response.Body).Decode(&events); err != nil {
+		return nil, fmt.Errorf("reading the truth log: %w", err)
+	}
+	return events, nil
+}
--- /dev/null
+++ b/internal/lab/load/run.go
@@ -0,0 +1,204 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// maximumMillis bounds the histograms.
+	maximumMillis = 10 * 60 * 1000
+	// maximumTries bounds the tries of one request.
+	maximumTries = 6
+	retryPause   = 300 * time.Millisecond
+)
+
+// Options set up a run.
+type Options struct {
+	Entries []string
+	Mix     Mix
+	// Rate in requests a second; arrivals are a Poisson process that does not
+	// wait for answers.
+	Rate     float64
+	Duration time.Duration
+	Seed     uint64
+	Client   *Client
+	// Retry sends a request that was cut again, with its key, to another entry.
+	Retry bool
+	// Done is told each request's last answer; it may be nil.
+	Done func(Request, Answer, int)
+}
+
+// Report is what callers saw.
+type Report struct {
+	Sent     int             `json:"sent"`
+	Outcomes map[Outcome]int `json:"outcomes"`
+	Codes    map[string]int  `json:"codes"`
+	// Retries are further tries after a cut; CutTries the tries that were cut.
+	Retries  int `json:"retries"`
+	CutTries int `json:"cut_tries"`
+	// Tokens told to callers of whole answers, by tenant.
+	Tokens map[string]uint64 `json:"tokens"`
+	// FirstToken and Gap are in milliseconds, by kind.
+	FirstToken map[Kind]Quantiles `json:"first_token_ms"`
+	Gap        map[Kind]Quantiles `json:"gap_ms"`
+	Details    []string           `json:"details,omitempty"`
+}
+
+// Quantiles of a histogram.
+type Quantiles struct {
+	P50   int64 `json:"p50"`
+	P95   int64 `json:"p95"`
+	P99   int64 `json:"p99"`
+	Count int64 `json:"count"`
+}
+
+// collector gathers answers from many goroutines.
+type collector struct {
+	mutex      sync.Mutex
+	report     Report
+	firstToken map[Kind]*hdrhistogram.Histogram
+	gaps       map[Kind]*hdrhistogram.Histogram
+}
+
+// maximumDetails bounds the details kept of bad answers.
+const maximumDetails = 20
+
+// Run sends the load and waits for all answers.
+func Run(ctx context.Context, options Options) (Report, error) {
+	if len(options.Entries) == 0 {
+		return Report{}, ErrNoEntries
+	}
+	random := rand.New(rand.NewPCG(options.Seed, 0xda942042e4dd58b5))
+	gathered := &collector{
+		report:     Report{Outcomes: map[Outcome]int{}, Codes: map[string]int{}, Tokens: map[string]uint64{}},
+		firstToken: map[Kind]*hdrhistogram.Histogram{}, gaps: map[Kind]*hdrhistogram.Histogram{},
+	}
+	var sending sync.WaitGroup
+	started := time.Now()
+	due := time.Duration(0)
+	for number := 0; ; number++ {
+		due += time.Duration(random.ExpFloat64() / options.Rate * float64(time.Second))
+		if due >= options.Duration || !waitUntil(ctx, started.Add(due)) {
+			break
+		}
+		drawn := options.Mix.Draw(random, number)
+		first := random.IntN(len(options.Entries))
+		sending.Go(func() { gathered.send(ctx, options, drawn, first) })
+	}
+	sending.Wait()
+	return gathered.finish(), ctx.Err()
+}
+
+func waitUntil(ctx context.Context, due time.Time) bool {
+	timer := time.NewTimer(time.Until(due))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// send tries a request until it has an end, like a caller that retries.
+func (c *collector) send(ctx context.Context, options Options, wanted Request, first int) {
+	var answer Answer
+	tries := 0
+	for tries < maximumTries {
+		answer = options.Client.Send(ctx, options.Entries[(first+tries)%len(options.Entries)], wanted)
+		tries++
+		if answer.Outcome != Cut && answer.Code != "in_progress" && answer.Code != "outcome_unknown" {
+			break
+		}
+		if !options.Retry || wanted.Key == "" || !waitUntil(ctx, time.Now().Add(retryPause)) {
+			break
+		}
+		c.noteCut(answer)
+	}
+	c.add(wanted, answer, tries)
+	if options.Done != nil {
+		options.Done(wanted, answer, tries)
+	}
+}
+
+func (c *collector) noteCut(answer Answer) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if answer.Outcome == Cut {
+		c.report.CutTries++
+	}
+	c.report.Retries++
+}
+
+func (c *collector) add(wanted Request, answer Answer, tries int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.report.Sent++
+	c.report.Outcomes[answer.Outcome]++
+	if answer.Code != "" {
+		c.report.Codes[string(answer.Code)]++
+	}
+	if answer.Outcome != Whole {
+		if answer.Outcome != Refused && len(c.report.Details) < maximumDetails {
+			c.report.Details = append(c.report.Details, fmt.Sprintf("%s %s after %d tries: %s %s", wanted.Kind, answer.Outcome, tries, answer.Code, answer.Detail))
+		}
+		return
+	}
+	c.report.Tokens[wanted.Tenant] += answer.Tokens
+	record(c.firstToken, wanted.Kind, answer.FirstToken)
+	for _, gap := range answer.Gaps {
+		record(c.gaps, wanted.Kind, gap)
+	}
+}
+
+func record(histograms map[Kind]*hdrhistogram.Histogram, kind Kind, value time.Duration) {
+	if histograms[kind] == nil {
+		histograms[kind] = hdrhistogram.New(1, maximumMillis, 3)
+	}
+	_ = histograms[kind].RecordValue(max(1, value.Milliseconds()))
+}
+
+func (c *collector) finish() Report {
+	c.report.FirstToken = quantiles(c.firstToken)
+	c.report.Gap = quantiles(c.gaps)
+	return c.report
+}
+
+func quantiles(histograms map[Kind]*hdrhistogram.Histogram) map[Kind]Quantiles {
+	result := map[Kind]Quantiles{}
+	for kind, histogram := range histograms {
+		result[kind] = Quantiles{
+			P50: histogram.ValueAtQuantile(50), P95: histogram.ValueAtQuantile(95),
+			P99: histogram.ValueAtQuantile(99), Count: histogram.TotalCount(),
+		}
+	}
+	return result
+}
+
+// String is the report as text.
+func (r Report) String() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "sent %d, outcomes %v, codes %v, retries %d, cut tries %d\n", r.Sent, r.Outcomes, r.Codes, r.Retries, r.CutTries)
+	kinds := make([]string, 0, len(r.FirstToken))
+	for kind := range r.FirstToken {
+		kinds = append(kinds, string(kind))
+	}
+	sort.Strings(kinds)
+	for _, name := range kinds {
+		first, gap := r.FirstToken[Kind(name)], r.Gap[Kind(name)]
+		fmt.Fprintf(&text, "%-6s first part p50 %d ms, p95 %d ms, p99 %d ms (%d); between parts p50 %d ms, p95 %d ms\n",
+			name, first.P50, first.P95, first.P99, first.Count, gap.P50, gap.P95)
+	}
+	for _, detail := range r.Details {
+		fmt.Fprintln(&text, "  "+detail)
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/node/backends.go
@@ -0,0 +1,318 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+	"github.com/ravenway/ravenway/internal/coordination/queueing"
+	"github.com/ravenway/ravenway/internal/coordination/routing"
+	"github.com/ravenway/ravenway/internal/protocol/engine"
+	"github.com/ravenway/ravenway/internal/protocol/platform"
+)
+
+const (
+	backendsTick = 20 * time.Millisecond
+	// reportInterval is the time between questions to each back end, and
+	// platformInterval that between readings of the platform's list. Both are
+	// well under the 2 s in which a leaving back end gets nothing new.
+	reportInterval   = 500 * time.Millisecond
+	platformInterval = 500 * time.Millisecond
+	pollTimeout      = time.Second
+	// pollLanes bounds the questions under way at once.
+	pollLanes        = 32
+	defaultMaxQueue  = 1000
+	deadlineForQueue = "its deadline passed while it waited"
+)
+
+// Errors of acquiring a back end.
+var (
+	errNoBackend = errors.New("no back end of the service can be used")
+	errDeadline  = errors.New(deadlineForQueue)
+)
+
+// placement is what a request needs of a back end.
+type placement struct {
+	requestID string
+	tenant    string
+	weight    uint32
+	class     queueing.Class
+	cost      uint64
+	route     routing.Request
+	// answer is called once with the placed back end or an error.
+	answer func(placed)
+}
+
+// placed is a back end given to a request.
+type placed struct {
+	backend routing.Backend
+	choice  routing.Choice
+	wait    time.Duration
+	err     error
+}
+
+// backendsDuty owns the table of back ends and the queues before them.
+type backendsDuty struct {
+	node   *Node
+	duty   *duty
+	table  *routing.Table
+	queues map[string]*queueing.Queue[*placement]
+	limits map[string]int
+
+	// targets is what the pollers ask, readable from their goroutines.
+	mutex   sync.RWMutex
+	targets []routing.Backend
+	kinds   map[string]ravenwayv1.ServiceKind
+}
+
+func newBackendsDuty(node *Node) *backendsDuty {
+	owner := &backendsDuty{
+		node: node, duty: newDuty("backends", backendsTick), table: routing.NewTable(node.zone, newRandom()),
+		queues: map[string]*queueing.Queue[*placement]{}, limits: map[string]int{}, kinds: map[string]ravenwayv1.ServiceKind{},
+	}
+	owner.duty.tick = owner.expire
+	owner.duty.flush = owner.place
+	return owner
+}
+
+// setCatalog takes over the back ends and services of a new revision.
+func (b *backendsDuty) setCatalog(view *catalogView) {
+	var backends []routing.Backend
+	for _, backend := range view.backends {
+		backends = append(backends, routing.Backend{
+			Name: backend.GetName(), Service: backend.GetService(), Zone: backend.GetZone(),
+			Address: backend.GetAddress(), Capacity: int(backend.GetCapacity()), Draining: backend.GetDraining(),
+		})
+	}
+	kinds := map[string]ravenwayv1.ServiceKind{}
+	limits := map[string]int{}
+	for name, service := range view.services {
+		kinds[name] = service.GetKind()
+		limits[name] = cmp.Or(int(service.GetMaxQueue()), defaultMaxQueue)
+	}
+	b.mutex.Lock()
+	b.targets, b.kinds = backends, kinds
+	b.mutex.Unlock()
+	_ = b.duty.do(context.Background(), func() {
+		b.table.SetBackends(backends)
+		b.limits = limits
+	})
+}
+
+// acquire waits for a back end. The caller must release what it was given.
+func (b *backendsDuty) acquire(ctx context.Context, wanted placement) (placed, error) {
+	answers := make(chan placed, 1)
+	wanted.answer = func(given placed) { answers <- given }
+	deadline := b.node.now() + 24*time.Hour
+	if limit, found := ctx.Deadline(); found {
+		deadline = b.node.now() + time.Until(limit)
+	}
+	item := &queueing.Item[*placement]{
+		ID: wanted.requestID, Tenant: wanted.tenant, Weight: wanted.weight, Class: wanted.class, Cost: wanted.cost,
+		Arrived: b.node.now(), Deadline: deadline, Value: &wanted,
+	}
+	if err := b.duty.do(ctx, func() { b.enqueue(item) }); err != nil {
+		return placed{}, err
+	}
+	select {
+	case given := <-answers:
+		return given, given.err
+	case <-ctx.Done():
+	}
+	// The caller went away: its request leaves the queue at once. It may have
+	// been placed just before; then it is given back.
+	_ = b.duty.do(context.Background(), func() {
+		if b.queue(wanted.route.Service).Remove(item) {
+			return
+		}
+		select {
+		case given := <-answers:
+			if given.err == nil {
+				b.table.End(b.node.now(), given.backend.Name, routing.Neutral)
+			}
+		default:
+		}
+	})
+	return placed{}, context.Cause(ctx)
+}
+
+func (b *backendsDuty) queue(service string) *queueing.Queue[*placement] {
+	queue := b.queues[service]
+	if queue == nil {
+		queue = queueing.New[*placement](cmp.Or(b.limits[service], defaultMaxQueue), queueing.DefaultAgeing)
+		b.queues[service] = queue
+	}
+	return queue
+}
+
+func (b *backendsDuty) enqueue(item *queueing.Item[*placement]) {
+	if err := b.queue(item.Value.route.Service).Push(item); err != nil {
+		item.Value.answer(placed{err: err})
+	}
+}
+
+// place gives waiting requests to back ends that can take them now.
+func (b *backendsDuty) place() {
+	now := b.node.now()
+	for _, queue := range b.queues {
+		for b.placeOne(now, queue) {
+		}
+	}
+}
+
+// placeOne places the first request that any back end can take.
+func (b *backendsDuty) placeOne(now time.Duration, queue *queueing.Queue[*placement]) bool {
+	for _, item := range queue.Candidates(now) {
+		choice, found := b.table.Choose(now, item.Value.route)
+		if !found {
+			continue
+		}
+		queue.Take(item)
+		b.table.Begin(now, choice.Backend.Name, item.Value.route.Blocks)
+		item.Value.answer(placed{backend: choice.Backend, choice: choice, wait: now - item.Arrived})
+		return true
+	}
+	return false
+}
+
+// expire gives up on requests whose deadline has passed, at that moment.
+func (b *backendsDuty) expire() {
+	for _, queue := range b.queues {
+		for _, item := range queue.Expire(b.node.now()) {
+			item.Value.answer(placed{err: errDeadline})
+		}
+	}
+}
+
+// release notes how a request ended at the back end that it was given.
+func (b *backendsDuty) release(name string, result routing.Result) {
+	_ = b.duty.do(context.Background(), func() { b.table.End(b.node.now(), name, result) })
+}
+
+// markLeaving notes a back end's own answer that it is leaving.
+func (b *backendsDuty) markLeaving(name string) {
+	_ = b.duty.do(context.Background(), func() { b.table.MarkLeaving(name) })
+}
+
+// stillUsable checks again at the moment of dispatch that a back end is not
+// leaving.
+func (b *backendsDuty) stillUsable(ctx context.Context, name string) (bool, string) {
+	type verdict struct {
+		usable bool
+		why    string
+	}
+	found, err := ask(ctx, b.duty, func(answer func(verdict)) {
+		usable, why := b.table.Usable(b.node.now(), name)
+		// The request itself may have made it full.
+		answer(verdict{usable: usable || why == "full", why: why})
+	})
+	return err == nil && found.usable, found.why
+}
+
+// backend returns a back end of the catalog in force.
+func (b *backendsDuty) backend(name string) (routing.Backend, bool) {
+	b.mutex.RLock()
+	defer b.mutex.RUnlock()
+	for _, target := range b.targets {
+		if target.Name == name {
+			return target, true
+		}
+	}
+	return routing.Backend{}, false
+}
+
+func (b *backendsDuty) engines() []routing.Backend {
+	b.mutex.RLock()
+	defer b.mutex.RUnlock()
+	var engines []routing.Backend
+	for _, target := range b.targets {
+		if b.kinds[target.Service] == ravenwayv1.ServiceKind_SERVICE_KIND_ENGINE {
+			engines = append(engines, target)
+		}
+	}
+	return engines
+}
+
+// pollReports asks the engines for their load and cache events.
+func (b *backendsDuty) pollReports(ctx context.Context) {
+	for pause(ctx, reportInterval) {
+		var questions sync.WaitGroup
+		lanes := make(chan struct{}, pollLanes)
+		for _, target := range b.engines() {
+			lanes <- struct{}{}
+			questions.Go(func() {
+				defer func() { <-lanes }()
+				b.pollEngine(ctx, target)
+			})
+		}
+		questions.Wait()
+	}
+}
+
+func (b *backendsDuty) pollEngine(ctx context.Context, target routing.Backend) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	ownInFlight, err := ask(ctx, b.duty, func(answer func(int)) { answer(b.table.InFlight(target.Name)) })
+	if err != nil {
+		return
+	}
+	load, err := b.node.engines.Load(ctx, target.Address)
+	if err != nil {
+		return
+	}
+	report := routing.Report{Running: load.Running, Queued: load.Queued, Leaving: load.Leaving, OwnInFlight: ownInFlight}
+	from, err := ask(ctx, b.duty, func(answer func(uint64)) {
+		b.table.TakeReport(b.node.now(), target.Name, report)
+		answer(b.table.NextCacheEvent(target.Name))
+	})
+	if err != nil {
+		return
+	}
+	page, err := b.node.engines.CacheEvents(ctx, target.Address, from)
+	if err != nil || len(page.Events) == 0 {
+		return
+	}
+	_ = b.duty.do(ctx, func() { b.table.TakeCacheEvents(target.Name, cacheEvents(page)) })
+}
+
+func cacheEvents(page engine.CacheEvents) []routing.CacheEvent {
+	events := make([]routing.CacheEvent, len(page.Events))
+	for position, event := range page.Events {
+		events[position] = routing.CacheEvent{Sequence: event.Sequence, Block: event.Block, Evicted: event.Evicted}
+	}
+	return events
+}
+
+// pollPlatform reads the platform's list of live and leaving machines.
+func (b *backendsDuty) pollPlatform(ctx context.Context) {
+	url := b.node.settings.Platform.MachinesURL
+	if url == "" {
+		return
+	}
+	client := &http.Client{Transport: b.node.backendHTTP, Timeout: pollTimeout}
+	known := ""
+	for pause(ctx, platformInterval) {
+		list, err := platform.Fetch(ctx, client, url)
+		if err != nil {
+			continue
+		}
+		var leaving []string
+		for _, machine := range list.Machines {
+			if machine.State == platform.MachineLeaving {
+				leaving = append(leaving, machine.Name)
+			}
+		}
+		slices.Sort(leaving)
+		if text := fmt.Sprint(leaving); text != known {
+			known = text
+			b.node.log.Info().Str("event", "platform_leaving").Strs("backends", leaving).Send()
+		}
+		_ = b.duty.do(ctx, func() { b.table.SetLeaving(leaving) })
+	}
+}
--- /dev/null
+++ b/internal/node/billed.go
@@ -0,0 +1,346 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/claims"
+	"github.com/ravenway/ravenway/internal/coordination/queueing"
+	"github.com/ravenway/ravenway/internal/coordination/routing"
+	"github.com/ravenway/ravenway/internal/protocol/caller"
+	"github.com/ravenway/ravenway/internal/protocol/engine"
+)
+
+const (
+	// maximumAttempts bounds the back ends tried for one request.
+	maximumAttempts = 4
+	// resumeAttempts bounds the tries to resume a broken stream, resumePause
+	// apart.
+	resumeAttempts = 10
+	resumePause    = 200 * time.Millisecond
+	// settleRetry is the pause before a settlement is tried again.
+	settleRetry = time.Second
+	// joinPause is the pause before a request in progress elsewhere is looked
+	// at again.
+	joinPause = 200 * time.Millisecond
+	// ownerGrace is how long a live owner has to reach its back end.
+	ownerGrace = 2 * time.Second
+)
+
+// run is one billed request on its way.
+type run struct {
+	node *Node
+	of   *completion
+	// held pays for it.
+	held  reserved
+	scope string
+	// answer takes the events; callerGone is done when the caller has left.
+	answer     *completionWriter
+	callerGone context.Context
+	tried      []string
+	attempts   int
+	// delivered is the number of tokens given to the caller.
+	delivered uint64
+}
+
+// runCompletion serves a completion: it reserves, claims, dispatches, streams
+// and settles. ctx ends at the deadline for the first byte.
+func (n *Node) runCompletion(ctx, callerGone context.Context, of *completion, answer *completionWriter) *refusal {
+	amount, refused := n.worstCase(ctx, of)
+	if refused != nil {
+		return refused
+	}
+	held, refused := n.reserve(ctx, of.request, amount)
+	if refused != nil {
+		return refused
+	}
+	started := &run{node: n, of: of, held: held, scope: n.scope(of.request), answer: answer, callerGone: callerGone}
+	return started.attempt(ctx)
+}
+
+// worstCase is what a request can use at most, in tokens: a token has at least
+// one byte.
+func (n *Node) worstCase(ctx context.Context, of *completion) (uint64, *refusal) {
+	bound := uint64(len(of.prompt)) + of.bound
+	if !of.budget.GetExactCount() {
+		return bound, nil
+	}
+	// A tight budget: an engine tells the exact size of the prompt.
+	for _, backend := range n.backends.engines() {
+		if backend.Service != of.service.GetName() {
+			continue
+		}
+		if tokens, err := n.engines.Count(ctx, backend.Address, of.prompt); err == nil {
+			return tokens + of.bound, nil
+		}
+	}
+	return bound, nil
+}
+
+// attempt tries back ends until one runs the request or none is left. The
+// reservation is settled on every way out.
+func (r *run) attempt(ctx context.Context) *refusal {
+	for {
+		given, err := r.acquire(ctx)
+		if err != nil {
+			r.abandon()
+			return r.refusePlacement(err)
+		}
+		done, refused := r.dispatch(ctx, given)
+		if done {
+			return refused
+		}
+		r.tried = append(r.tried, given.backend.Name)
+		r.attempts++
+		if r.attempts >= maximumAttempts {
+			r.abandon()
+			return refuseNotRun(http.StatusServiceUnavailable, caller.CodeNoBackend, retrySoon, "%d back ends refused the request", r.attempts)
+		}
+	}
+}
+
+func (r *run) acquire(ctx context.Context) (placed, error) {
+	of := r.of
+	given, err := r.node.backends.acquire(ctx, placement{
+		requestID: of.id, tenant: of.tenant.GetName(), weight: of.tenant.GetWeight(), class: of.class,
+		cost: r.held.reservation.Amount,
+		route: routing.Request{
+			Service: of.service.GetName(), Blocks: engine.PrefixBlocks(of.prompt),
+			PromptTokens: r.held.reservation.Amount - of.bound, Exclude: r.tried,
+		},
+	})
+	made := decision{
+		RequestID: of.id, Tenant: of.tenant.GetName(), Service: of.service.GetName(), Kind: "dispatch",
+		Backend: given.backend.Name, Candidate: given.choice.Candidates, Wait: given.wait,
+	}
+	if err != nil {
+		made.Kind, made.Detail = "give up", err.Error()
+	}
+	r.node.decisions.add(made)
+	return given, err
+}
+
+func (r *run) refusePlacement(err error) *refusal {
+	switch {
+	case errors.Is(err, queueing.ErrFull):
+		return refuseNotRun(http.StatusTooManyRequests, caller.CodeQueueFull, retrySoon, "the queue of service %q is full", r.of.service.GetName())
+	case errors.Is(err, errDeadline), errors.Is(err, context.DeadlineExceeded):
+		return refuseNotRun(http.StatusServiceUnavailable, caller.CodeDeadline, retryLong, "no back end was free before the deadline")
+	}
+	return refuseNotRun(http.StatusServiceUnavailable, caller.CodeNoBackend, retrySoon, "%v", err)
+}
+
+// requestID is the engine's name of the request. It stays the same when
+// another router takes the claim over, so that an engine runs it once.
+func (r *run) requestID() string {
+	return fmt.Sprintf("%s-%d", r.of.key, r.attempts)
+}
+
+// dispatch claims the request for a back end and runs it there. done is false
+// if another back end should be tried.
+func (r *run) dispatch(ctx context.Context, given placed) (done bool, refused *refusal) {
+	n := r.node
+	mine := &claims.Claim{
+		State: claims.Dispatched, Owner: r.held.owner, Budget: r.of.budget.GetName(), Sequence: r.held.reservation.Sequence,
+		Reserved: r.held.reservation.Amount, Backend: given.backend.Name, RequestID: r.requestID(),
+		Fingerprint: r.of.fingerprint, CallerKey: r.of.callerKey, NotRepeatable: r.of.notRepeatable,
+	}
+	outcome, err := n.claims.change(ctx, r.scope, r.of.key, r.claimChange(mine))
+	if errors.Is(err, claims.ErrUnreachable) && r.fallBack() {
+		outcome, err = n.claims.change(ctx, r.scope, r.of.key, r.claimChange(mine))
+	}
+	if err != nil {
+		n.backends.release(given.backend.Name, routing.Neutral)
+		r.abandon()
+		return true, r.refuseClaim(err)
+	}
+	if !outcome.Changed {
+		n.backends.release(given.backend.Name, routing.Neutral)
+		return true, r.existing(ctx, outcome.Claim)
+	}
+	// Checked again now: a back end that began to leave gets nothing new.
+	if usable, why := n.backends.stillUsable(ctx, given.backend.Name); !usable {
+		n.backends.release(given.backend.Name, routing.Neutral)
+		n.decisions.add(decision{RequestID: r.of.id, Tenant: r.of.tenant.GetName(), Service: r.of.service.GetName(),
+			Kind: "place again", Backend: given.backend.Name, Detail: why})
+		return false, nil
+	}
+	return r.generate(ctx, given, mine)
+}
+
+// fallBack moves a request whose home zone can't be reached into this zone.
+func (r *run) fallBack() bool {
+	if r.of.notRepeatable || r.scope == r.node.zone {
+		return false
+	}
+	r.scope = r.node.zone
+	r.node.log.Info().Str("event", "claim_fallback").Str("request", r.of.id).Str("zone", r.scope).Send()
+	return true
+}
+
+// claimChange takes the claim if it is free, if it was not run, or if it is
+// this run's own from an earlier attempt.
+func (r *run) claimChange(mine *claims.Claim) claims.Change {
+	return func(current *claims.Claim) *claims.Claim {
+		free := current == nil || (current.State == claims.Settled && current.Result == claims.NotRun)
+		own := current != nil && current.State == claims.Dispatched && current.Owner == mine.Owner &&
+			current.Sequence == mine.Sequence && current.Budget == mine.Budget
+		if free || own {
+			return mine
+		}
+		return nil
+	}
+}
+
+func (r *run) refuseClaim(err error) *refusal {
+	if errors.Is(err, claims.ErrForgotten) {
+		return &refusal{status: http.StatusConflict, code: caller.CodeAlreadyDone, detail: "the request was done and billed long ago"}
+	}
+	return refuseNotRun(http.StatusServiceUnavailable, caller.CodeHoldersUnreached, retryLong,
+		"too few of the nodes that guard against double billing can be reached: %v", err)
+}
+
+// generate offers the request to the engine and streams its answer.
+func (r *run) generate(ctx context.Context, given placed, mine *claims.Claim) (done bool, refused *refusal) {
+	n := r.node
+	// The engine's work outlives the caller's deadline for the first byte.
+	streamCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	stream, err := n.engines.Generate(streamCtx, given.backend.Address, engine.GenerateRequest{
+		RequestID: mine.RequestID, Model: r.of.body.Model, Prompt: r.of.prompt, MaxTokens: r.of.bound,
+		Priority: engine.Priority(queueing.Batch - r.of.class), Tenant: r.of.tenant.GetName(),
+	})
+	if err != nil {
+		if r.notRun(streamCtx, given, mine, err) {
+			return false, nil
+		}
+		stream = nil
+	}
+	return true, r.follow(streamCtx, given, mine, stream)
+}
+
+// notRun tells whether a failed offer certainly did not run, so that another
+// back end can be tried.
+func (r *run) notRun(ctx context.Context, given placed, mine *claims.Claim, err error) bool {
+	n := r.node
+	var refused *engine.RefusedError
+	if errors.As(err, &refused) && refused.Body.NotRun {
+		n.backends.release(given.backend.Name, routing.Overloaded)
+		if refused.Body.Code == "leaving" {
+			n.backends.markLeaving(given.backend.Name)
+		}
+		return true
+	}
+	var lost *engine.TransportError
+	if errors.As(err, &lost) && !lost.Offered {
+		n.backends.release(given.backend.Name, routing.Failed)
+		return true
+	}
+	// It may have arrived: the engine's word decides.
+	asking, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	if _, statusErr := n.engines.Status(asking, given.backend.Address, mine.RequestID); errors.Is(statusErr, engine.ErrUnknownRequest) {
+		n.backends.release(given.backend.Name, routing.Failed)
+		return true
+	}
+	return false
+}
+
+// follow passes the stream on to its end, resuming where it breaks, and
+// settles. A nil stream is resumed from its start.
+func (r *run) follow(ctx context.Context, given placed, mine *claims.Claim, stream *engine.Stream) *refusal {
+	r.answer.backendRequestID(mine.RequestID)
+	final, err := r.deliver(ctx, given.backend.Address, mine.RequestID, stream)
+	switch {
+	case err == nil:
+		r.node.backends.release(given.backend.Name, routing.Succeeded)
+		r.settle(claims.Completed, final.Usage.Total())
+		return nil
+	case errors.Is(err, errCallerGone):
+		r.node.backends.release(given.backend.Name, routing.Neutral)
+		r.leave(given, mine)
+		return nil
+	}
+	r.node.backends.release(given.backend.Name, routing.Failed)
+	r.settleLater(given.backend.Name, mine.RequestID)
+	return &refusal{status: http.StatusBadGateway, code: caller.CodeOutcomeUnknown, retryAfter: retrySoon,
+		detail: fmt.Sprintf("the back end was lost: %v; the same %s gets the answer once it is back", err, caller.HeaderIdempotencyKey)}
+}
+
+// errCallerGone says that the caller went away.
+var errCallerGone = errors.New("the caller went away")
+
+// deliver passes events on until the end mark.
+func (r *run) deliver(ctx context.Context, address, requestID string, stream *engine.Stream) (engine.Event, error) {
+	failures := 0
+	for {
+		if stream == nil {
+			resumed, err := r.node.engines.Resume(ctx, address, requestID, r.delivered)
+			if err != nil {
+				if failures++; failures > resumeAttempts || errors.Is(err, engine.ErrUnknownRequest) {
+					return engine.Event{}, err
+				}
+				if !r.pauseWithCaller(resumePause) {
+					return engine.Event{}, errCallerGone
+				}
+				continue
+			}
+			stream = resumed
+		}
+		final, err := r.pump(stream)
+		stream.Close()
+		stream = nil
+		if err == nil || errors.Is(err, errCallerGone) {
+			return final, err
+		}
+		if failures++; failures > resumeAttempts {
+			return engine.Event{}, err
+		}
+		r.node.log.Info().Str("event", "stream_resumed").Str("request", r.of.id).Uint64("offset", r.delivered).Err(err).Send()
+	}
+}
+
+// pump passes the events of one stream on.
+func (r *run) pump(stream *engine.Stream) (engine.Event, error) {
+	stopWatching := context.AfterFunc(r.callerGone, stream.Close)
+	defer stopWatching()
+	for {
+		event, err := stream.Next()
+		if r.callerGone.Err() != nil {
+			return engine.Event{}, errCallerGone
+		}
+		if err != nil {
+			return engine.Event{}, err
+		}
+		if err := r.answer.event(event); err != nil {
+			return engine.Event{}, errCallerGone
+		}
+		r.delivered = stream.Offset()
+		if event.Done {
+			return event, nil
+		}
+	}
+}
+
+func (r *run) pauseWithCaller(duration time.Duration) bool { return pause(r.callerGone, duration) }
+
+// leave ends a request whose caller went away. One with a caller's key runs
+// on, so that the retry gets its answer; any other is cancelled and billed for
+// what ran.
+func (r *run) leave(given placed, mine *claims.Claim) {
+	if r.of.callerKey {
+		r.settleLater(given.backend.Name, mine.RequestID)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	status, err := r.node.engines.Cancel(ctx, given.backend.Address, mine.RequestID)
+	if err != nil {
+		r.settleLater(given.backend.Name, mine.RequestID)
+		return
+	}
+	r.settle(claims.Cancelled, status.Usage.Total())
+}
--- /dev/null
+++ b/internal/node/escrow.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/claims"
+	"github.com/ravenway/ravenway/internal/coordination/escrow"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+	"github.com/ravenway/ravenway/internal/state/accounts"
+)
+
+const escrowTick = 50 * time.Millisecond
+
+// escrowDuty owns the node's part of the budgets.
+type escrowDuty struct {
+	node   *Node
+	duty   *duty
+	holder *escrow.Holder
+	// id is the life that the holder stands for; it changes when the node
+	// finds itself fenced.
+	id atomic.Pointer[accounts.HolderID]
+}
+
+func newEscrowDuty(node *Node) *escrowDuty {
+	owner := &escrowDuty{node: node, duty: newDuty("escrow", escrowTick)}
+	owner.begin(node.incarnation)
+	owner.duty.tick = func() { owner.holder.Tick(node.now()) }
+	owner.duty.flush = owner.flush
+	return owner
+}
+
+// begin starts a life with nothing granted.
+func (e *escrowDuty) begin(incarnation uint64) {
+	id := accounts.HolderID{Node: e.node.name, Incarnation: incarnation}
+	var lenders []string
+	for _, name := range e.node.pool.InZone(e.node.zone) {
+		if name != e.node.name {
+			lenders = append(lenders, name)
+		}
+	}
+	e.holder = escrow.NewHolder(escrow.HolderOptions{ID: id, Lenders: lenders})
+	e.id.Store(&id)
+}
+
+// flush sends reports and loans, and takes a new life if this one is fenced.
+func (e *escrowDuty) flush() {
+	if e.holder.Closed() {
+		e.takeNewLife()
+		return
+	}
+	now := e.node.now()
+	if report, due := e.holder.Report(now); due {
+		if leader := e.node.leader(); leader != "" {
+			e.node.send(leader, peer.KindAccounts, &accountsMessage{Report: &report})
+		}
+	}
+	for _, loan := range e.holder.Loans() {
+		e.node.send(loan.To, peer.KindLend, &loan.Message)
+	}
+}
+
+// takeNewLife goes on after this life was fenced: its claims are settled by
+// those who fenced it, and nothing more is spent or billed under it.
+func (e *escrowDuty) takeNewLife() {
+	incarnation := max(e.holder.ID().Incarnation+1, uint64(time.Now().UnixNano()))
+	e.node.log.Warn().Str("event", "life_fenced").Stringer("old", e.holder.ID()).Uint64("incarnation", incarnation).Send()
+	e.begin(incarnation)
+	e.node.claims.takeNewLife(accounts.HolderID{Node: e.node.name, Incarnation: incarnation})
+}
+
+// reserved is the end of a reservation.
+type reserved struct {
+	reservation escrow.Reservation
+	owner       accounts.HolderID
+	err         error
+}
+
+// reserve sets tokens aside; it waits for the root if needed.
+func (e *escrowDuty) reserve(ctx context.Context, budget string, amount uint64, policy escrow.Policy) (reserved, error) {
+	deadline := e.node.now() + 24*time.Hour
+	if limit, found := ctx.Deadline(); found {
+		deadline = e.node.now() + time.Until(limit)
+	}
+	ended, err := ask(ctx, e.duty, func(answer func(reserved)) {
+		owner := e.holder.ID()
+		e.holder.Reserve(e.node.now(), deadline, budget, amount, policy, func(reservation escrow.Reservation, err error) {
+			if err == nil && ctx.Err() != nil {
+				// Nobody waits for it any more.
+				e.holder.Settle(e.node.now(), reservation, 0)
+			}
+			answer(reserved{reservation: reservation, owner: owner, err: err})
+		})
+	})
+	if err != nil {
+		return reserved{}, err
+	}
+	return ended, ended.err
+}
+
+// settle ends a reservation. One of an earlier life is settled by its fence.
+func (e *escrowDuty) settle(held reserved, used uint64) {
+	_ = e.duty.do(context.Background(), func() {
+		if e.holder.ID() == held.owner {
+			e.holder.Settle(e.node.now(), held.reservation, used)
+		}
+	})
+}
+
+func (e *escrowDuty) takeAnswer(message escrow.AnswerMessage) {
+	e.duty.offer(func() {
+		advanced := e.holder.Take(e.node.now(), message)
+		if len(advanced) == 0 {
+			return
+		}
+		var marks []claims.Watermark
+		for _, answer := range advanced {
+			marks = append(marks, claims.Watermark{Owner: message.Holder, Budget: answer.Budget, Sequence: answer.Watermark})
+		}
+		e.node.claims.announceWatermarks(marks)
+	})
+}
+
+func (e *escrowDuty) takeRecall(message escrow.RecallMessage) {
+	e.duty.offer(func() { e.holder.Recall(message) })
+}
+
+func (e *escrowDuty) takeLend(from string, message escrow.LendMessage) {
+	e.duty.offer(func() {
+		switch {
+		case message.Request != nil:
+			if loan, given := e.holder.Lend(*message.Request); given {
+				e.node.log.Info().Str("event", "loan_given").Str("borrower", from).Str("budget", loan.Budget).Uint64("total", loan.Total).Send()
+				e.node.send(from, peer.KindLend, &escrow.LendMessage{Loan: &loan})
+			}
+		case message.Loan != nil:
+			e.holder.TakeLoan(e.node.now(), *message.Loan, e.node.claims.fencedHere)
+		}
+	})
+}
+
+// returnAll gives back the node's unused grant and waits until the root has
+// every settlement, for a planned stop.
+func (e *escrowDuty) returnAll(ctx context.Context) error {
+	if err := e.duty.do(ctx, func() { e.holder.ReturnAll() }); err != nil {
+		return err
+	}
+	for {
+		unreported, err := ask(ctx, e.duty, func(answer func(bool)) {
+			e.holder.ReportAgain()
+			answer(e.holder.Unreported())
+		})
+		if err != nil || !unreported {
+			return err
+		}
+		if !pause(ctx, 2*escrowTick) {
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// loansWith returns what was lent to and borrowed from a fenced life.
+func (e *escrowDuty) loansWith(ctx context.Context, other accounts.HolderID) ([]accounts.FinalUse, error) {
+	return ask(ctx, e.duty, func(answer func([]accounts.FinalUse)) {
+		answer(slices.Clone(e.holder.LoansWith(other)))
+	})
+}
--- /dev/null
+++ b/internal/node/fleet.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+)
+
+const (
+	heartbeatInterval = 500 * time.Millisecond
+	// silentAfter is the silence after which a node is not relied on.
+	silentAfter = 3 * time.Second
+)
+
+// fleetView is what this node has heard of the others.
+type fleetView struct {
+	node  *Node
+	mutex sync.RWMutex
+	nodes map[string]heardStatus
+}
+
+type heardStatus struct {
+	peer.Status
+	at time.Time
+}
+
+func newFleetView(node *Node) *fleetView {
+	return &fleetView{node: node, nodes: map[string]heardStatus{}}
+}
+
+// take notes a heartbeat. One of an earlier life is ignored.
+func (f *fleetView) take(status peer.Status) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if known, found := f.nodes[status.Node]; found && known.Incarnation > status.Incarnation {
+		return
+	}
+	f.nodes[status.Node] = heardStatus{Status: status, at: time.Now()}
+}
+
+// heard returns a node's last heartbeat and its age.
+func (f *fleetView) heard(name string) (peer.Status, time.Duration, bool) {
+	f.mutex.RLock()
+	defer f.mutex.RUnlock()
+	known, found := f.nodes[name]
+	return known.Status, time.Since(known.at), found
+}
+
+// alive tells whether a node was heard from lately.
+func (f *fleetView) alive(name string) bool {
+	_, age, found := f.heard(name)
+	return name == f.node.name || (found && age < silentAfter)
+}
+
+// all returns the last heartbeats by name.
+func (f *fleetView) all() []heardStatus {
+	f.mutex.RLock()
+	defer f.mutex.RUnlock()
+	statuses := make([]heardStatus, 0, len(f.nodes))
+	for _, status := range f.nodes {
+		statuses = append(statuses, status)
+	}
+	sort.Slice(statuses, func(i, j int) bool { return statuses[i].Node < statuses[j].Node })
+	return statuses
+}
+
+// leader returns the control node that the newest term says leads, or "".
+func (f *fleetView) leader() string {
+	f.mutex.RLock()
+	defer f.mutex.RUnlock()
+	leader, term := "", uint64(0)
+	for _, status := range f.nodes {
+		if status.Leader != "" && status.Term >= term && time.Since(status.at) < silentAfter {
+			leader, term = status.Leader, status.Term
+		}
+	}
+	return leader
+}
+
+// status is this node's own heartbeat.
+func (n *Node) status() peer.Status {
+	status := peer.Status{
+		Node: n.name, Zone: n.zone, Incarnation: n.incarnation,
+		OwnerIncarnation: n.escrow.id.Load().Incarnation,
+		Revision:         n.view.Load().revision, Stopping: n.stopping.Load(),
+	}
+	if n.replica != nil {
+		n.replica.describe(&status)
+	}
+	return status
+}
+
+// runHeartbeats tells the control nodes and the zone that this node is alive.
+func (n *Node) runHeartbeats(ctx context.Context) {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for {
+		status := n.status()
+		for name, other := range n.peers {
+			// Control nodes tell everyone, so that all know the leader.
+			if name == n.name || other.Control || other.Zone == n.zone || n.replica != nil {
+				n.send(name, peer.KindStatus, &status)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/members.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/consensus"
+)
+
+const membershipInterval = 500 * time.Millisecond
+
+// runMembership founds the group once, and on the leader keeps its members in
+// step with the control nodes: a new identity becomes a learner, gets its vote
+// once its disk holds the log, and the old identity of the same node goes.
+func (n *Node) runMembership(ctx context.Context) {
+	for pause(ctx, membershipInterval) {
+		view := n.replica.shared.Load()
+		switch {
+		case !view.hasGroup && n.settings.Control.Bootstrap:
+			n.bootstrapIfAllEmpty(ctx)
+		case view.leading:
+			_ = n.replica.duty.do(ctx, n.replica.manageMembers)
+		}
+	}
+}
+
+// bootstrapIfAllEmpty founds the group if every control node is heard from and
+// none has one. A node that lost its disk finds the others' group instead and
+// joins it.
+func (n *Node) bootstrapIfAllEmpty(ctx context.Context) {
+	for name, other := range n.peers {
+		if !other.Control || name == n.name {
+			continue
+		}
+		status, age, found := n.fleet.heard(name)
+		if !found || age > silentAfter || status.HasGroup || status.Replica == 0 {
+			return
+		}
+	}
+	_ = n.replica.duty.do(ctx, n.replica.bootstrap)
+}
+
+// bootstrap makes this replica the first voter of a new group.
+func (r *replicaDuty) bootstrap() {
+	if len(r.replica.Core().Configuration().Members) > 0 {
+		return
+	}
+	if err := r.replica.Close(); err != nil {
+		r.node.fail(err)
+		return
+	}
+	founded, err := r.open(&consensus.Member{ID: r.id, Node: r.node.name})
+	if err != nil {
+		r.node.fail(err)
+		return
+	}
+	r.replica = founded
+	r.node.log.Info().Str("event", "group_founded").Uint64("replica", uint64(r.id)).Send()
+}
+
+// manageMembers makes at most one change; the next interval makes the next.
+func (r *replicaDuty) manageMembers() {
+	core := r.replica.Core()
+	if !r.leading() {
+		return
+	}
+	for name, other := range r.node.peers {
+		status, age, found := r.node.fleet.heard(name)
+		if !other.Control || name == r.node.name || !found || age > silentAfter || status.Replica == 0 {
+			continue
+		}
+		if r.changeMember(core, name, consensus.ReplicaID(status.Replica)) {
+			return
+		}
+	}
+}
+
+// changeMember makes the next change that one control node needs.
+func (r *replicaDuty) changeMember(core *consensus.Core, name string, id consensus.ReplicaID) bool {
+	current, isMember := core.Configuration().Member(id)
+	if isMember && !current.Learner {
+		return false
+	}
+	for _, member := range core.Configuration().Members {
+		if member.Node == name && member.ID != id {
+			r.noteMember("member_removed", name, member.ID, core.RemoveMember(member.ID))
+			return true
+		}
+	}
+	if !isMember {
+		r.noteMember("learner_added", name, id, core.AddLearner(consensus.Member{ID: id, Node: name}))
+		return true
+	}
+	if err := core.Promote(id); !errors.Is(err, consensus.ErrNotCaughtUp) {
+		r.noteMember("voter_added", name, id, err)
+	}
+	return true
+}
+
+func (r *replicaDuty) noteMember(event, name string, id consensus.ReplicaID, err error) {
+	if errors.Is(err, consensus.ErrChangePending) {
+		return
+	}
+	r.node.log.Info().Str("event", event).Str("node", name).Uint64("replica", uint64(id)).AnErr("error", err).Send()
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,257 @@
+// Package node wires a daemon together: its duties, the listeners, and the
+// links to the fleet's other daemons.
+//
+// Each duty is a goroutine that owns one part of the state (the replica, the
+// catalog's distribution, the escrow, the claims, the back ends) and reads one
+// bounded ring. Requests of callers run in their own goroutines and ask the
+// duties.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/ravenway/ravenway/internal/coordination/membership"
+	"github.com/ravenway/ravenway/internal/protocol/engine"
+	"github.com/ravenway/ravenway/internal/settings"
+	"github.com/ravenway/ravenway/internal/state/disk"
+	"github.com/ravenway/ravenway/internal/transport"
+)
+
+// Listeners are a daemon's open listeners. Callers may be nil without the
+// entry role.
+type Listeners struct {
+	Callers   net.Listener
+	Operators net.Listener
+	Peers     net.Listener
+	Health    net.Listener
+}
+
+// Options set up a Node.
+type Options struct {
+	Settings      *settings.Settings
+	PeerKey       []byte
+	OperatorToken []byte
+	// PeerTLS and OperatorTLS are nil for plain TCP.
+	PeerTLS     *tls.Config
+	OperatorTLS *tls.Config
+	Listeners   Listeners
+	// DialPeer is nil for TCP.
+	DialPeer func(ctx context.Context, address string) (net.Conn, error)
+	// BackendTransport is nil for HTTP over TCP.
+	BackendTransport http.RoundTripper
+	// FileSystem is the data folder; needed by the control role.
+	FileSystem disk.FileSystem
+	Logger     zerolog.Logger
+}
+
+// Node is one daemon.
+type Node struct {
+	options     Options
+	settings    *settings.Settings
+	name        string
+	zone        string
+	started     time.Time
+	incarnation uint64
+	pool        *membership.Pool
+	peers       map[string]settings.Peer
+	log         zerolog.Logger
+	engines     *engine.Client
+	backendHTTP http.RoundTripper
+
+	mesh      *transport.Mesh
+	calls     *callTable
+	fleet     *fleetView
+	catalog   *catalogDuty
+	replica   *replicaDuty
+	escrow    *escrowDuty
+	claims    *claimsDuty
+	backends  *backendsDuty
+	decisions *decisionLog
+	answers   *answerStore
+
+	// view is the catalog in force, indexed for requests.
+	view     atomic.Pointer[catalogView]
+	stopping atomic.Bool
+	streams  streamTracker
+	// life ends with Run; work that outlives its request ends with it.
+	life    context.Context
+	endLife context.CancelCauseFunc
+	// background counts settlements that outlive their request.
+	background sync.WaitGroup
+	failure    chan error
+}
+
+// New makes a node. Its listeners are served by Run.
+func New(options Options) (*Node, error) {
+	node := &Node{
+		options: options, settings: options.Settings,
+		name: options.Settings.Node.Name, zone: options.Settings.Node.Zone,
+		started: time.Now(), incarnation: uint64(time.Now().UnixNano()),
+		peers: map[string]settings.Peer{}, log: options.Logger, failure: make(chan error, 1),
+	}
+	node.life, node.endLife = context.WithCancelCause(context.Background())
+	node.backendHTTP = options.BackendTransport
+	if node.backendHTTP == nil {
+		node.backendHTTP = newBackendTransport()
+	}
+	node.engines = engine.NewClient(node.backendHTTP)
+	members := make([]membership.Node, 0, len(node.settings.Peers))
+	addresses := map[string]string{}
+	for _, peer := range node.settings.Peers {
+		node.peers[peer.Name] = peer
+		addresses[peer.Name] = peer.Address
+		members = append(members, membership.Node{Name: peer.Name, Zone: peer.Zone})
+	}
+	node.pool = membership.NewPool(members)
+	node.mesh = transport.NewMesh(transport.Options{
+		Self: node.name, Peers: addresses, Key: options.PeerKey, TLS: options.PeerTLS,
+		Listener: options.Listeners.Peers, Dial: options.DialPeer, Handle: node.handleFrame, Logger: node.log,
+	})
+	node.calls = newCallTable()
+	node.fleet = newFleetView(node)
+	node.decisions = newDecisionLog(node.log)
+	node.answers = newAnswerStore(node.settings.Limits.AnswerStoreBytes)
+	node.catalog = newCatalogDuty(node)
+	node.escrow = newEscrowDuty(node)
+	node.claims = newClaimsDuty(node)
+	node.backends = newBackendsDuty(node)
+	node.view.Store(emptyView())
+	if node.settings.HasRole(settings.RoleControl) {
+		replica, err := newReplicaDuty(node)
+		if err != nil {
+			return nil, err
+		}
+		node.replica = replica
+	}
+	return node, nil
+}
+
+// newBackendTransport keeps enough idle connections for a busy engine.
+func newBackendTransport() http.RoundTripper {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: backendDialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     90 * time.Second,
+		DisableCompression:  true,
+	}
+}
+
+// errStopped ends what still runs when the node stops.
+var errStopped = errors.New("the node has stopped")
+
+const backendDialTimeout = time.Second
+
+// now is the time since the node started, the clock of all duties.
+func (n *Node) now() time.Duration { return time.Since(n.started) }
+
+// newRandom makes a random source for one duty.
+func newRandom() *mathrand.Rand {
+	var seed [16]byte
+	// crypto/rand.Read never fails: it ends the process instead.
+	_, _ = rand.Read(seed[:])
+	return mathrand.New(mathrand.NewPCG(binary.BigEndian.Uint64(seed[:8]), binary.BigEndian.Uint64(seed[8:])))
+}
+
+// Run serves until the context ends or the node fails. Use Stop for a planned
+// stop before that.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var duties sync.WaitGroup
+	duties.Go(func() { n.mesh.Run(ctx) })
+	duties.Go(func() { n.catalog.duty.run(ctx) })
+	duties.Go(func() { n.escrow.duty.run(ctx) })
+	duties.Go(func() { n.claims.duty.run(ctx) })
+	duties.Go(func() { n.backends.duty.run(ctx) })
+	duties.Go(func() { n.backends.pollReports(ctx) })
+	duties.Go(func() { n.backends.pollPlatform(ctx) })
+	duties.Go(func() { n.runHeartbeats(ctx) })
+	if n.replica != nil {
+		duties.Go(func() { n.replica.duty.run(ctx) })
+		duties.Go(func() { n.runMembership(ctx) })
+		duties.Go(func() { n.runReclaim(ctx) })
+		duties.Go(func() { n.runOrders(ctx) })
+	}
+	servers := n.serve(&duties)
+	n.log.Info().Str("event", "started").Str("node", n.name).Str("zone", n.zone).
+		Strs("roles", n.settings.Node.Roles).Uint64("incarnation", n.incarnation).Send()
+	var failure error
+	select {
+	case <-ctx.Done():
+	case failure = <-n.failure:
+		n.log.Error().Str("event", "failed").Err(failure).Send()
+	}
+	cancel(failure)
+	n.endLife(errStopped)
+	for _, server := range servers {
+		_ = server.Close()
+	}
+	duties.Wait()
+	n.background.Wait()
+	if n.replica != nil {
+		failure = errors.Join(failure, n.replica.close())
+	}
+	return failure
+}
+
+// fail ends the node because it can't keep its promises any more.
+func (n *Node) fail(err error) {
+	select {
+	case n.failure <- err:
+	default:
+	}
+}
+
+// serve starts the HTTP servers.
+func (n *Node) serve(duties *sync.WaitGroup) []*http.Server {
+	var servers []*http.Server
+	start := func(listener net.Listener, handler http.Handler, security *tls.Config) {
+		if listener == nil {
+			return
+		}
+		server := newServer(handler)
+		if security != nil {
+			listener = tls.NewListener(listener, security)
+		}
+		servers = append(servers, server)
+		duties.Go(func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				n.fail(fmt.Errorf("serving %s: %w", listener.Addr(), err))
+			}
+		})
+	}
+	start(n.options.Listeners.Callers, n.callerHandler(), nil)
+	start(n.options.Listeners.Operators, n.operatorHandler(), n.options.OperatorTLS)
+	start(n.options.Listeners.Health, n.healthHandler(), nil)
+	return servers
+}
+
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+)
+
+func newServer(handler http.Handler) *http.Server {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetHTTP2(true)
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, Protocols: protocols,
+	}
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,221 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ravenway/ravenway/internal/coordination/claims"
+	"github.com/ravenway/ravenway/internal/coordination/consensus"
+	"github.com/ravenway/ravenway/internal/coordination/escrow"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+	"github.com/ravenway/ravenway/internal/state/catalog"
+)
+
+// errNoLeader says that no leader of the control group is known.
+var errNoLeader = errors.New("no leader of the control group is known")
+
+// send encodes and sends a message to another node, or handles it here.
+func (n *Node) send(to string, kind peer.Kind, body any) {
+	frame, err := peer.Encode(kind, body)
+	if err != nil {
+		n.log.Error().Str("event", "peer_encode_failed").Err(err).Send()
+		return
+	}
+	if to == n.name {
+		n.handleFrame(n.name, frame)
+		return
+	}
+	n.mesh.Send(to, frame)
+}
+
+// handleFrame hands a frame to the duty that it is for.
+func (n *Node) handleFrame(from string, frame []byte) {
+	envelope, err := peer.Decode(frame)
+	if err == nil {
+		err = n.dispatch(from, envelope)
+	}
+	if err != nil {
+		n.log.Warn().Str("event", "peer_message_refused").Str("peer", from).Err(err).Send()
+	}
+}
+
+func (n *Node) dispatch(from string, envelope peer.Envelope) error {
+	switch envelope.Kind {
+	case peer.KindConsensus:
+		return handle(envelope, func(message consensus.Message) { n.takeConsensus(message) })
+	case peer.KindCall:
+		return handle(envelope, func(call peer.Call) { go n.serveCall(from, call) })
+	case peer.KindReply:
+		return handle(envelope, n.calls.answered)
+	case peer.KindStatus:
+		return handle(envelope, n.fleet.take)
+	case peer.KindClaims:
+		return handle(envelope, n.claims.take)
+	case peer.KindCatalog:
+		return handle(envelope, func(delta catalog.Delta) { n.catalog.takeDelta(from, delta) })
+	case peer.KindCatalogFollow:
+		return handle(envelope, func(follow peer.CatalogFollow) { n.catalog.takeFollow(from, follow) })
+	case peer.KindAccounts:
+		return handle(envelope, func(message accountsMessage) { n.takeAccounts(message) })
+	case peer.KindLend:
+		return handle(envelope, func(message escrow.LendMessage) { n.escrow.takeLend(from, message) })
+	}
+	return fmt.Errorf("kind %d has no duty", envelope.Kind)
+}
+
+func handle[T any](envelope peer.Envelope, take func(T)) error {
+	message, err := peer.DecodeBody[T](envelope)
+	if err != nil {
+		return err
+	}
+	take(message)
+	return nil
+}
+
+func (n *Node) takeConsensus(message consensus.Message) {
+	if n.replica != nil {
+		n.replica.take(message)
+	}
+}
+
+// accountsMessage is a message between a holder and the root: one field is set.
+type accountsMessage struct {
+	Report *escrow.ReportMessage `msgpack:"r,omitempty"`
+	Answer *escrow.AnswerMessage `msgpack:"a,omitempty"`
+	Recall *escrow.RecallMessage `msgpack:"c,omitempty"`
+}
+
+func (n *Node) takeAccounts(message accountsMessage) {
+	switch {
+	case message.Report != nil && n.replica != nil:
+		n.replica.takeReport(*message.Report)
+	case message.Answer != nil:
+		n.escrow.takeAnswer(*message.Answer)
+	case message.Recall != nil:
+		n.escrow.takeRecall(*message.Recall)
+	}
+}
+
+// claimsBatch is all claim messages to one node of one flush.
+type claimsBatch struct {
+	Messages []claims.Message `msgpack:"m"`
+}
+
+// callTable matches replies to the calls that wait for them.
+type callTable struct {
+	mutex   sync.Mutex
+	next    uint64
+	waiting map[uint64]chan peer.Reply
+}
+
+func newCallTable() *callTable {
+	return &callTable{waiting: map[uint64]chan peer.Reply{}}
+}
+
+func (c *callTable) begin() (uint64, chan peer.Reply) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.next++
+	answer := make(chan peer.Reply, 1)
+	c.waiting[c.next] = answer
+	return c.next, answer
+}
+
+func (c *callTable) end(id uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.waiting, id)
+}
+
+func (c *callTable) answered(reply peer.Reply) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if answer := c.waiting[reply.ID]; answer != nil {
+		delete(c.waiting, reply.ID)
+		answer <- reply
+	}
+}
+
+// callNode asks another node and decodes its answer. An error is a
+// *peer.ReplyError if the other node answered.
+func callNode[T any](ctx context.Context, n *Node, to string, method peer.Method, question any) (T, error) {
+	var answer T
+	body, err := msgpack.Marshal(question)
+	if err != nil {
+		return answer, fmt.Errorf("encoding call %s: %w", method, err)
+	}
+	id, replies := n.calls.begin()
+	defer n.calls.end(id)
+	n.send(to, peer.KindCall, &peer.Call{ID: id, Method: method, Body: body})
+	select {
+	case <-ctx.Done():
+		return answer, fmt.Errorf("calling %s on %s: %w", method, to, context.Cause(ctx))
+	case reply := <-replies:
+		if reply.Code != "" {
+			return answer, &peer.ReplyError{Code: reply.Code, Detail: reply.Detail}
+		}
+		if err := msgpack.Unmarshal(reply.Body, &answer); err != nil {
+			return answer, fmt.Errorf("decoding the answer to call %s: %w", method, err)
+		}
+		return answer, nil
+	}
+}
+
+// callTimeout bounds the work on another node's call.
+const callTimeout = 10 * time.Second
+
+// serveCall answers another node's call.
+func (n *Node) serveCall(from string, call peer.Call) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	answer, err := n.executeCall(ctx, call)
+	reply := peer.Reply{ID: call.ID}
+	if err == nil {
+		reply.Body, err = msgpack.Marshal(answer)
+	}
+	if err != nil {
+		reply.Code, reply.Detail = errorCode(err), err.Error()
+	}
+	n.send(from, peer.KindReply, &reply)
+}
+
+func errorCode(err error) peer.ErrorCode {
+	switch {
+	case errors.Is(err, consensus.ErrNotLeader), errors.Is(err, errNoLeader):
+		return peer.CodeNotLeader
+	case errors.Is(err, consensus.ErrOutcomeUnknown), errors.Is(err, context.DeadlineExceeded):
+		return peer.CodeUnknownOutcome
+	}
+	return peer.CodeRefused
+}
+
+func (n *Node) executeCall(ctx context.Context, call peer.Call) (any, error) {
+	switch call.Method {
+	case peer.MethodPropose:
+		return decodeAnd(call, func(question proposeQuestion) (any, error) { return n.proposeHere(ctx, question.Command) })
+	case peer.MethodRead:
+		return decodeAnd(call, func(question readQuestion) (any, error) { return n.readHere(ctx, question) })
+	case peer.MethodExplain:
+		return decodeAnd(call, func(question explainQuestion) (any, error) { return n.decisions.explain(question.RequestID), nil })
+	case peer.MethodAnswer:
+		return decodeAnd(call, func(question answerQuestion) (any, error) { return n.answers.find(question.RequestID), nil })
+	case peer.MethodRecall:
+		return decodeAnd(call, func(question recallQuestion) (any, error) { return n.recallHere(ctx, question) })
+	case peer.MethodFence:
+		return decodeAnd(call, func(question fenceQuestion) (any, error) { return n.fenceHere(ctx, question) })
+	}
+	return nil, fmt.Errorf("method %q is not known here", call.Method)
+}
+
+func decodeAnd[T any](call peer.Call, execute func(T) (any, error)) (any, error) {
+	var question T
+	if err := msgpack.Unmarshal(call.Body, &question); err != nil {
+		return nil, fmt.Errorf("decoding call %s: %w", call.Method, err)
+	}
+	return execute(question)
+}
--- /dev/null
+++ b/internal/node/reclaim.go
@@ -0,0 +1,246 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/claims"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+	"github.com/ravenway/ravenway/internal/state/accounts"
+	"github.com/ravenway/ravenway/internal/state/machine"
+)
+
+const reclaimInterval = time.Second
+
+// fenceQuestion asks a claim holder to acknowledge nothing more of a life.
+type fenceQuestion struct {
+	Owner accounts.HolderID `msgpack:"o"`
+}
+
+// fenceAnswer is what the holder knows of that life.
+type fenceAnswer struct {
+	// Recovering holders don't know all their claims yet: ask again.
+	Recovering bool                `msgpack:"w"`
+	Records    []claims.Record     `msgpack:"r"`
+	Loans      []accounts.FinalUse `msgpack:"l"`
+}
+
+func (n *Node) fenceHere(ctx context.Context, question fenceQuestion) (fenceAnswer, error) {
+	answer, err := n.claims.fence(ctx, question.Owner)
+	if err != nil {
+		return answer, err
+	}
+	answer.Loans, err = n.escrow.loansWith(ctx, question.Owner)
+	return answer, err
+}
+
+// runReclaim runs on the leader: it brings back what lost nodes held.
+func (n *Node) runReclaim(ctx context.Context) {
+	for pause(ctx, reclaimInterval) {
+		if !n.replica.shared.Load().leading {
+			continue
+		}
+		lost, err := atLeader(ctx, n, func(state *machine.Machine) []accounts.HolderID { return state.Accounts().Holders() })
+		if err != nil {
+			continue
+		}
+		for _, holder := range lost {
+			if !n.isLost(holder) {
+				continue
+			}
+			if err := n.reclaim(ctx, holder); err != nil {
+				n.log.Info().Str("event", "reclaim_waits").Stringer("holder", holder).Err(err).Send()
+			}
+		}
+	}
+}
+
+// isLost tells whether a life is over, or silent for so long that its grant
+// should be used elsewhere. A wrong guess is safe: a fenced node that is alive
+// takes a new life.
+func (n *Node) isLost(holder accounts.HolderID) bool {
+	if holder.Node == n.name {
+		return holder.Incarnation < n.escrow.id.Load().Incarnation
+	}
+	status, age, heard := n.fleet.heard(holder.Node)
+	if !heard {
+		return n.now() > n.settings.Control.DeadAfter
+	}
+	return age > n.settings.Control.DeadAfter || status.OwnerIncarnation > holder.Incarnation
+}
+
+// reclaim fences a life everywhere, settles what it left open, and closes its
+// accounts. It may be begun again at any point, by any leader.
+func (n *Node) reclaim(ctx context.Context, holder accounts.HolderID) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := n.propose(ctx, machine.Command{Fence: &machine.FenceCommand{Holder: holder}}); err != nil {
+		return fmt.Errorf("committing the fence: %w", err)
+	}
+	collected, err := n.collectClaims(ctx, holder)
+	if err != nil {
+		return err
+	}
+	uses, err := n.resolveClaims(ctx, holder, collected)
+	if err != nil {
+		return err
+	}
+	result, err := n.propose(ctx, machine.Command{Close: &machine.CloseCommand{Holder: holder, Uses: uses}})
+	if err != nil {
+		return fmt.Errorf("committing the close: %w", err)
+	}
+	n.log.Info().Str("event", "reclaimed").Stringer("holder", holder).Int("claims", len(collected.records)).Str("refused", result.Refused).Send()
+	return nil
+}
+
+// collected is everything that the other nodes know of a life.
+type collected struct {
+	records map[claims.Key]claims.Record
+	loans   map[string]accounts.FinalUse
+}
+
+// collectClaims fences a life at every other node. Only when all have answered
+// is it certain that no claim of it is missing and none can be added. The
+// lost node's own machine counts only once it has a new life.
+func (n *Node) collectClaims(ctx context.Context, holder accounts.HolderID) (collected, error) {
+	found := collected{records: map[claims.Key]claims.Record{}, loans: map[string]accounts.FinalUse{}}
+	for _, member := range n.pool.Nodes() {
+		if member.Name == holder.Node && !n.hasNewLife(holder) {
+			continue
+		}
+		answer, err := n.askFence(ctx, member.Name, holder)
+		if err != nil {
+			return found, fmt.Errorf("node %s has not fenced it: %w", member.Name, err)
+		}
+		if answer.Recovering {
+			return found, fmt.Errorf("node %s is still recovering its claims", member.Name)
+		}
+		found.add(answer)
+	}
+	return found, nil
+}
+
+func (n *Node) hasNewLife(holder accounts.HolderID) bool {
+	if holder.Node == n.name {
+		return true
+	}
+	status, age, heard := n.fleet.heard(holder.Node)
+	return heard && age < silentAfter && status.OwnerIncarnation > holder.Incarnation
+}
+
+func (n *Node) askFence(ctx context.Context, name string, holder accounts.HolderID) (fenceAnswer, error) {
+	question := fenceQuestion{Owner: holder}
+	if name == n.name {
+		return n.fenceHere(ctx, question)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout/4)
+	defer cancel()
+	return callNode[fenceAnswer](ctx, n, name, peer.MethodFence, &question)
+}
+
+func (c *collected) add(answer fenceAnswer) {
+	for _, record := range answer.Records {
+		c.records[record.Key] = record
+	}
+	for _, loan := range answer.Loans {
+		total := c.loans[loan.Budget]
+		total.Budget = loan.Budget
+		total.Borrowed += loan.Borrowed
+		total.Lent += loan.Lent
+		c.loans[loan.Budget] = total
+	}
+}
+
+// resolveClaims agrees an end for each claim behind the root's watermark, and
+// sums up the use.
+func (n *Node) resolveClaims(ctx context.Context, holder accounts.HolderID, found collected) ([]accounts.FinalUse, error) {
+	watermarks, err := atLeader(ctx, n, func(state *machine.Machine) map[string]uint64 {
+		marks := map[string]uint64{}
+		for _, name := range state.Accounts().Names() {
+			if account := state.Accounts().Budget(name).Holders[holder]; account != nil {
+				marks[name] = account.Watermark
+			}
+		}
+		return marks
+	})
+	if err != nil {
+		return nil, err
+	}
+	for key, record := range found.records {
+		claim := record.Claim
+		if claim.Budget == "" || claim.Sequence <= watermarks[claim.Budget] {
+			continue
+		}
+		ended, err := n.resolveClaim(ctx, key, record)
+		if err != nil {
+			return nil, err
+		}
+		if ended == nil || ended.Owner != holder {
+			continue
+		}
+		use := found.loans[ended.Budget]
+		use.Budget = ended.Budget
+		use.BehindWatermark += ended.Used
+		found.loans[ended.Budget] = use
+	}
+	var uses []accounts.FinalUse
+	for _, use := range found.loans {
+		uses = append(uses, use)
+	}
+	return uses, nil
+}
+
+// resolveClaim settles an open claim with what its back end says.
+func (n *Node) resolveClaim(ctx context.Context, key claims.Key, record claims.Record) (*claims.Claim, error) {
+	outcome, err := n.claims.change(ctx, record.Scope, key, func(*claims.Claim) *claims.Claim { return nil })
+	if err != nil {
+		return nil, fmt.Errorf("reading claim %s: %w", key, err)
+	}
+	open := outcome.Claim
+	if open == nil || open.State == claims.Settled || open.Owner != record.Claim.Owner {
+		return open, nil
+	}
+	result, used := n.findOutcome(ctx, open.Backend, open.RequestID, open.Reserved)
+	if result == 0 {
+		return nil, fmt.Errorf("back end %s does not say what became of %s", open.Backend, open.RequestID)
+	}
+	outcome, err = n.claims.change(ctx, record.Scope, key, func(current *claims.Claim) *claims.Claim {
+		if current == nil || *current != *open {
+			return nil
+		}
+		current.State, current.Result, current.Used = claims.Settled, result, used
+		return current
+	})
+	if err != nil {
+		return nil, fmt.Errorf("settling claim %s: %w", key, err)
+	}
+	return outcome.Claim, nil
+}
+
+// recallBudget has the leader recall a budget's unused grants.
+func (n *Node) recallBudget(ctx context.Context, budget string) error {
+	leader := n.leader()
+	switch leader {
+	case "":
+		return errNoLeader
+	case n.name:
+		_, err := n.recallHere(ctx, recallQuestion{Budget: budget})
+		return err
+	}
+	_, err := callNode[bool](ctx, n, leader, peer.MethodRecall, &recallQuestion{Budget: budget})
+	return err
+}
+
+// recallQuestion asks the leader to recall a budget's unused grants.
+type recallQuestion struct {
+	Budget string `msgpack:"b"`
+}
+
+func (n *Node) recallHere(ctx context.Context, question recallQuestion) (bool, error) {
+	if n.replica == nil {
+		return false, errNoLeader
+	}
+	err := n.replica.duty.do(ctx, func() { n.replica.root.RecallAll(question.Budget) })
+	return err == nil, err
+}
--- /dev/null
+++ b/internal/node/settle.go
@@ -0,0 +1,246 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/ravenway/ravenway/internal/coordination/claims"
+	"github.com/ravenway/ravenway/internal/coordination/routing"
+	"github.com/ravenway/ravenway/internal/protocol/caller"
+	"github.com/ravenway/ravenway/internal/protocol/engine"
+)
+
+// settle agrees the use of this run's claim, then releases its reservation. It
+// goes on in the background: the caller need not wait for it.
+func (r *run) settle(result claims.Result, used uint64) {
+	n := r.node
+	n.background.Go(func() {
+		change := func(current *claims.Claim) *claims.Claim {
+			if !r.owns(current) || current.State == claims.Settled {
+				return nil
+			}
+			current.State, current.Result, current.Used = claims.Settled, result, used
+			return current
+		}
+		claim, err := r.changeUntilDone(change)
+		r.release(claim, err)
+	})
+}
+
+// abandon settles a claim that was perhaps written but never offered.
+func (r *run) abandon() { r.settle(claims.NotRun, 0) }
+
+// owns tells whether a claim is paid for by this run's reservation.
+func (r *run) owns(claim *claims.Claim) bool {
+	return claim != nil && claim.Owner == r.held.owner && claim.Budget == r.held.reservation.Budget &&
+		claim.Sequence == r.held.reservation.Sequence
+}
+
+// changeUntilDone repeats a change while the holders can't be reached: the
+// reservation stays aside until the settlement is agreed.
+func (r *run) changeUntilDone(change claims.Change) (*claims.Claim, error) {
+	for {
+		outcome, err := r.node.claims.change(r.node.life, r.scope, r.of.key, change)
+		if !errors.Is(err, claims.ErrUnreachable) || !pause(r.node.life, settleRetry) {
+			return outcome.Claim, err
+		}
+	}
+}
+
+// release returns what the agreed claim says was not used. After ErrFenced the
+// reservation belongs to a life that is settled by its fence.
+func (r *run) release(claim *claims.Claim, err error) {
+	if errors.Is(err, claims.ErrFenced) || r.node.life.Err() != nil {
+		return
+	}
+	var used uint64
+	if r.owns(claim) {
+		used = claim.Used
+	}
+	r.node.log.Info().Str("event", "settled").Str("request", r.of.id).Str("tenant", r.of.tenant.GetName()).
+		Str("budget", r.held.reservation.Budget).Uint64("tokens", used).AnErr("error", err).Send()
+	countSettled(r.of.tenant.GetName(), used)
+	r.node.escrow.settle(r.held, used)
+}
+
+// settleLater finds out what became of a request and settles it.
+func (r *run) settleLater(backend, requestID string) {
+	r.node.background.Go(func() {
+		result, used := r.node.findOutcome(r.node.life, backend, requestID, r.held.reservation.Amount)
+		if result != 0 {
+			r.settle(result, used)
+		}
+	})
+}
+
+// findOutcome asks an engine until it says what became of a request. A back
+// end that was removed can't say: the whole reservation is charged then, since
+// it may have run to its bound.
+func (n *Node) findOutcome(ctx context.Context, backend, requestID string, reservedTokens uint64) (claims.Result, uint64) {
+	for {
+		target, found := n.backends.backend(backend)
+		if !found {
+			n.log.Warn().Str("event", "outcome_unknown").Str("backend", backend).Str("engine_request", requestID).Send()
+			return claims.OutcomeUnknown, reservedTokens
+		}
+		asking, cancel := context.WithTimeout(ctx, pollTimeout)
+		status, err := n.engines.Status(asking, target.Address, requestID)
+		cancel()
+		switch {
+		case errors.Is(err, engine.ErrUnknownRequest):
+			return claims.NotRun, 0
+		case err == nil && status.State == engine.StateFinished:
+			return claims.Completed, status.Usage.Total()
+		case err == nil && status.State == engine.StateCancelled:
+			return claims.Cancelled, status.Usage.Total()
+		}
+		if !pause(ctx, settleRetry) {
+			return 0, 0
+		}
+	}
+}
+
+// existing answers a request whose key is claimed already: it gets the same
+// answer, and is billed no second time.
+func (r *run) existing(ctx context.Context, claim *claims.Claim) *refusal {
+	n := r.node
+	if claim.Fingerprint != r.of.fingerprint {
+		r.node.escrow.settle(r.held, 0)
+		return refuseNotRun(http.StatusUnprocessableEntity, caller.CodeKeyReused, 0, "%s was used for another request", caller.HeaderIdempotencyKey)
+	}
+	n.decisions.add(decision{RequestID: r.of.id, Tenant: r.of.tenant.GetName(), Service: r.of.service.GetName(), Kind: "join",
+		Backend: claim.Backend, Detail: "claimed by " + claim.Owner.String() + ", " + claim.State.String()})
+	for {
+		refused, again := r.join(ctx, claim)
+		if !again {
+			return refused
+		}
+		outcome, err := n.claims.change(ctx, r.scope, r.of.key, func(*claims.Claim) *claims.Claim { return nil })
+		if err != nil {
+			n.escrow.settle(r.held, 0)
+			return r.refuseClaim(err)
+		}
+		if outcome.Claim == nil || outcome.Claim.Result == claims.NotRun {
+			// It was not run after all: this request runs it.
+			return r.attempt(ctx)
+		}
+		claim = outcome.Claim
+	}
+}
+
+// join resumes the claimed request's stream from its start. again tells that
+// the claim should be looked at once more.
+func (r *run) join(ctx context.Context, claim *claims.Claim) (refused *refusal, again bool) {
+	n := r.node
+	target, found := n.backends.backend(claim.Backend)
+	if !found {
+		n.escrow.settle(r.held, 0)
+		return outcomeUnknown("its back end %q was removed", claim.Backend), false
+	}
+	streamCtx := context.WithoutCancel(ctx)
+	stream, err := n.engines.Resume(streamCtx, target.Address, claim.RequestID, 0)
+	if errors.Is(err, engine.ErrUnknownRequest) {
+		return r.joinUnknown(ctx, claim, target)
+	}
+	if err != nil {
+		if ctx.Err() != nil || !pause(ctx, joinPause) {
+			n.escrow.settle(r.held, 0)
+			return outcomeUnknown("its back end %q does not answer", claim.Backend), false
+		}
+		return nil, true
+	}
+	n.escrow.settle(r.held, 0)
+	r.answer.backendRequestID(claim.RequestID)
+	final, err := r.deliver(streamCtx, target.Address, claim.RequestID, stream)
+	switch {
+	case errors.Is(err, errCallerGone):
+		return nil, false
+	case err != nil:
+		return outcomeUnknown("its stream broke: %v", err), false
+	}
+	r.settleForOwner(claim, final)
+	return nil, false
+}
+
+func outcomeUnknown(format string, arguments ...any) *refusal {
+	cause := refuseNotRun(http.StatusConflict, caller.CodeOutcomeUnknown, retryLong, "the request was offered to a back end before; "+format, arguments...)
+	cause.notRun = false
+	return cause
+}
+
+// joinUnknown handles a claimed request that its engine does not know: it was
+// done and forgotten, its owner has yet to reach the engine, or its owner died
+// before that.
+func (r *run) joinUnknown(ctx context.Context, claim *claims.Claim, target routing.Backend) (*refusal, bool) {
+	n := r.node
+	if claim.State == claims.Settled {
+		n.escrow.settle(r.held, 0)
+		return &refusal{status: http.StatusConflict, code: caller.CodeAlreadyDone, detail: "the request was done and billed; its answer is no longer kept"}, false
+	}
+	status, age, heard := n.fleet.heard(claim.Owner.Node)
+	alive := claim.Owner.Node == n.name || (heard && age < silentAfter && status.OwnerIncarnation <= claim.Owner.Incarnation)
+	if alive {
+		if !pause(ctx, joinPause) {
+			n.escrow.settle(r.held, 0)
+			return &refusal{status: http.StatusConflict, code: caller.CodeInProgress, retryAfter: retrySoon, detail: "the request is in progress through another node"}, false
+		}
+		return nil, true
+	}
+	if claim.NotRepeatable {
+		n.escrow.settle(r.held, 0)
+		return outcomeUnknown("it may not be repeated"), false
+	}
+	return r.takeOver(ctx, claim, target)
+}
+
+// takeOver runs a dead owner's request under the same name at the same engine,
+// so that even a late offer of the old owner joins this one there.
+func (r *run) takeOver(ctx context.Context, claim *claims.Claim, target routing.Backend) (*refusal, bool) {
+	n := r.node
+	mine := *claim
+	mine.Owner, mine.Sequence, mine.Reserved = r.held.owner, r.held.reservation.Sequence, r.held.reservation.Amount
+	mine.Budget = r.held.reservation.Budget
+	outcome, err := n.claims.change(ctx, r.scope, r.of.key, func(current *claims.Claim) *claims.Claim {
+		if current == nil || *current != *claim {
+			return nil
+		}
+		return &mine
+	})
+	if err != nil {
+		r.abandon()
+		return r.refuseClaim(err), false
+	}
+	if !outcome.Changed {
+		return nil, true
+	}
+	n.decisions.add(decision{RequestID: r.of.id, Tenant: r.of.tenant.GetName(), Service: r.of.service.GetName(), Kind: "take over",
+		Backend: claim.Backend, Detail: "owner " + claim.Owner.String() + " is gone and the engine does not know the request"})
+	done, refused := r.generate(ctx, placed{backend: target}, &mine)
+	if !done {
+		r.tried = append(r.tried, target.Name)
+		return r.attempt(ctx), false
+	}
+	return refused, false
+}
+
+// settleForOwner settles a claim whose owner may be dead; if it is alive, it
+// settles the same use.
+func (r *run) settleForOwner(claim *claims.Claim, final engine.Event) {
+	if claim.State == claims.Settled {
+		return
+	}
+	n := r.node
+	n.background.Go(func() {
+		change := func(current *claims.Claim) *claims.Claim {
+			if current == nil || current.State == claims.Settled || current.RequestID != claim.RequestID {
+				return nil
+			}
+			current.State, current.Result, current.Used = claims.Settled, claims.Completed, final.Usage.Total()
+			return current
+		}
+		if _, err := n.claims.change(n.life, r.scope, r.of.key, change); err != nil {
+			n.log.Info().Str("event", "settle_left_to_owner").Str("request", r.of.id).Err(err).Send()
+		}
+	})
+}
--- /dev/null
+++ b/internal/operatorcli/client.go
@@ -0,0 +1,172 @@
+// Package operatorcli is the operators' command line.
+//
+// Exit codes: 0 done; 1 refused or failed; 2 wrong usage; 3 conflict with
+// another operator's change; 4 the outcome is not known (run the printed
+// command again with the same operation id).
+package operatorcli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ravenway/ravenway/api/ravenway/v1/ravenwayv1connect"
+)
+
+// Exit codes.
+const (
+	ExitFailed         = 1
+	ExitUsage          = 2
+	ExitConflict       = 3
+	ExitUnknownOutcome = 4
+)
+
+// exitError is an error with its exit code.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+func (e *exitError) Unwrap() error { return e.err }
+
+func exitWith(code int, format string, arguments ...any) error {
+	return &exitError{code: code, err: fmt.Errorf(format, arguments...)}
+}
+
+// ExitCode returns the process's exit code for an error of the command.
+func ExitCode(err error) int {
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	return ExitFailed
+}
+
+// session is what a command works with.
+type session struct {
+	out     io.Writer
+	json    bool
+	clients []namedClient
+}
+
+type namedClient struct {
+	address string
+	client  ravenwayv1connect.OperatorServiceClient
+}
+
+// requestTimeout bounds one call to one daemon.
+const requestTimeout = 15 * time.Second
+
+func newSession(out io.Writer, command *cli.Command) (*session, error) {
+	opened := &session{out: out, json: command.String("output") == "json"}
+	var token string
+	if path := command.String("token-file"); path != "" {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return nil, exitWith(ExitUsage, "reading the operator token: %w", err)
+		}
+		token = strings.TrimSpace(string(content))
+	}
+	httpClient := &http.Client{Timeout: requestTimeout, Transport: &tokenTransport{token: token, next: http.DefaultTransport}}
+	for _, address := range command.StringSlice("server") {
+		if !strings.Contains(address, "://") {
+			address = "http://" + address
+		}
+		opened.clients = append(opened.clients, namedClient{
+			address: address, client: ravenwayv1connect.NewOperatorServiceClient(httpClient, address),
+		})
+	}
+	return opened, nil
+}
+
+// tokenTransport adds the operator's token.
+type tokenTransport struct {
+	token string
+	next  http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *tokenTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	if t.token != "" {
+		request = request.Clone(request.Context())
+		request.Header.Set("Authorization", "Bearer "+t.token)
+	}
+	return t.next.RoundTrip(request)
+}
+
+// operationID returns the id given on the command line, or a new one.
+func operationID(command *cli.Command) string {
+	if id := command.String("operation-id"); id != "" {
+		return id
+	}
+	return uuid.NewString()
+}
+
+// call asks each server in turn until one answers. A change whose answer was
+// lost is sent again to the next server with the same operation id, which is
+// safe.
+func call[Q, A any](ctx context.Context, s *session, ask func(ravenwayv1connect.OperatorServiceClient) func(context.Context, *connect.Request[Q]) (*connect.Response[A], error), question *Q) (*A, error) {
+	var problems []string
+	unknown := false
+	for _, one := range s.clients {
+		answer, err := ask(one.client)(ctx, connect.NewRequest(question))
+		if err == nil {
+			return answer.Msg, nil
+		}
+		switch connect.CodeOf(err) {
+		case connect.CodeUnavailable, connect.CodeUnknown:
+		case connect.CodeDeadlineExceeded:
+			unknown = true
+		default:
+			return nil, exitWith(ExitFailed, "%s: %w", one.address, err)
+		}
+		problems = append(problems, fmt.Sprintf("%s: %v", one.address, err))
+	}
+	if unknown {
+		return nil, exitWith(ExitUnknownOutcome, "the outcome is not known:\n%s", strings.Join(problems, "\n"))
+	}
+	return nil, exitWith(ExitFailed, "no server answered:\n%s", strings.Join(problems, "\n"))
+}
+
+// show prints a message as JSON if asked to, or else runs the table.
+func (s *session) show(message proto.Message, table func()) error {
+	if !s.json {
+		table()
+		return nil
+	}
+	encoded, err := protojson.MarshalOptions{Indent: "  ", EmitUnpopulated: true, UseProtoNames: true}.Marshal(message)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(s.out, string(encoded))
+	return err
+}
+
+// NewClient makes a client of one daemon's operator listener.
+func NewClient(address, token string) ravenwayv1connect.OperatorServiceClient {
+	httpClient := &http.Client{Timeout: requestTimeout, Transport: &tokenTransport{token: token, next: http.DefaultTransport}}
+	return ravenwayv1connect.NewOperatorServiceClient(httpClient, "http://"+address)
+}
+
+// TokenFromEnvironment reads the operator token from the file that
+// RAVENWAY_TOKEN_FILE names, or returns "".
+func TokenFromEnvironment() string {
+	content, err := os.ReadFile(os.Getenv("RAVENWAY_TOKEN_FILE"))
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(content))
+}
--- /dev/null
+++ b/internal/operatorcli/commands.go
@@ -0,0 +1,468 @@
+package operatorcli
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/urfave/cli/v3"
+
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+	"github.com/ravenway/ravenway/api/ravenway/v1/ravenwayv1connect"
+)
+
+// Client methods, named for call.
+type client = ravenwayv1connect.OperatorServiceClient
+
+// Command is the whole command line.
+func Command(out io.Writer) *cli.Command {
+	action := func(run func(context.Context, *session, *cli.Command) error) cli.ActionFunc {
+		return func(ctx context.Context, command *cli.Command) error {
+			opened, err := newSession(out, command)
+			if err != nil {
+				return err
+			}
+			return run(ctx, opened, command)
+		}
+	}
+	operation := &cli.StringFlag{Name: "operation-id", Usage: "repeat an earlier operation safely by its id"}
+	return &cli.Command{
+		Name:                  "ravenway",
+		Usage:                 "operate a ravenway fleet",
+		EnableShellCompletion: true,
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "server", Value: []string{"127.0.0.1:7102"}, Sources: cli.EnvVars("RAVENWAY_SERVER"), Usage: "operator listener of a daemon; more than one are tried in turn"},
+			&cli.StringFlag{Name: "token-file", Sources: cli.EnvVars("RAVENWAY_TOKEN_FILE"), Usage: "file with the operator token"},
+			&cli.StringFlag{Name: "output", Value: "table", Usage: "table or json"},
+		},
+		Commands: []*cli.Command{
+			{Name: "apply", Usage: "change the catalog to what a TOML or JSON file says", ArgsUsage: "FILE",
+				Flags: []cli.Flag{operation,
+					&cli.Uint64Flag{Name: "base", Usage: "revision that the change was made from (default: the current one)"},
+					&cli.BoolFlag{Name: "wait", Usage: "return when it is in force on every reachable node"},
+					&cli.DurationFlag{Name: "wait-timeout", Value: 10 * time.Second, Usage: "longest wait"}},
+				Action: action(apply)},
+			{Name: "delete", Usage: "delete one catalog object", ArgsUsage: "KIND NAME", Flags: []cli.Flag{operation}, Action: action(deleteObject)},
+			{Name: "get", Usage: "show the catalog", Action: action(getCatalog)},
+			{Name: "status", Usage: "show the fleet as the first server sees it", Action: action(getStatus)},
+			{Name: "budget", Usage: "show and change prepaid budgets", Commands: []*cli.Command{
+				{Name: "get", Usage: "show one budget or all", ArgsUsage: "[BUDGET]", Action: action(getBudgets)},
+				{Name: "top-up", Usage: "add tokens to a limit", ArgsUsage: "BUDGET TOKENS", Flags: []cli.Flag{operation}, Action: action(topUpBudget)},
+				{Name: "lower", Usage: "take tokens off a limit", ArgsUsage: "BUDGET TOKENS", Flags: []cli.Flag{operation}, Action: action(lowerBudget)},
+			}},
+			{Name: "tenant", Usage: "tenants' keys", Commands: []*cli.Command{
+				{Name: "key", Usage: "make a new API key and print it with its hash", Action: action(makeKey)},
+			}},
+			{Name: "backend", Usage: "back ends", Commands: []*cli.Command{
+				{Name: "drain", Usage: "give a back end no new work", ArgsUsage: "BACKEND", Flags: []cli.Flag{operation}, Action: action(drainTo(true))},
+				{Name: "resume", Usage: "give a drained back end work again", ArgsUsage: "BACKEND", Flags: []cli.Flag{operation}, Action: action(drainTo(false))},
+				{Name: "order", Usage: "order a back end to load a model or adapter, or to change role", ArgsUsage: "BACKEND load-model|load-adapter|change-role TARGET [VERSION]", Flags: []cli.Flag{operation}, Action: action(order)},
+				{Name: "orders", Usage: "show orders and what became of them", Action: action(getOrders)},
+			}},
+			{Name: "explain", Usage: "show how a request was routed", ArgsUsage: "REQUEST", Action: action(explain)},
+			{Name: "snapshot", Usage: "make a control node write a snapshot now", Action: action(snapshot)},
+		},
+	}
+}
+
+func arguments(command *cli.Command, least, most int) ([]string, error) {
+	given := command.Args().Slice()
+	if len(given) < least || len(given) > most {
+		return nil, exitWith(ExitUsage, "usage: %s %s", command.FullName(), command.ArgsUsage)
+	}
+	return given, nil
+}
+
+func apply(ctx context.Context, s *session, command *cli.Command) error {
+	given, err := arguments(command, 1, 1)
+	if err != nil {
+		return err
+	}
+	document, err := ReadDocument(given[0])
+	if err != nil {
+		return exitWith(ExitUsage, "%w", err)
+	}
+	request := &ravenwayv1.ApplyRequest{OperationId: operationID(command), Put: document, BaseRevision: command.Uint64("base")}
+	if !command.IsSet("base") {
+		if request.BaseRevision, err = currentRevision(ctx, s); err != nil {
+			return err
+		}
+	}
+	return s.change(ctx, command, request)
+}
+
+func currentRevision(ctx context.Context, s *session) (uint64, error) {
+	answer, err := call(ctx, s, func(c client) func(context.Context, *connect.Request[ravenwayv1.GetCatalogRequest]) (*connect.Response[ravenwayv1.GetCatalogResponse], error) {
+		return c.GetCatalog
+	}, &ravenwayv1.GetCatalogRequest{})
+	return answer.GetRevision(), err
+}
+
+// change sends a catalog change and says what became of it.
+func (s *session) change(ctx context.Context, command *cli.Command, request *ravenwayv1.ApplyRequest) error {
+	answer, err := call(ctx, s, func(c client) func(context.Context, *connect.Request[ravenwayv1.ApplyRequest]) (*connect.Response[ravenwayv1.ApplyResponse], error) {
+		return c.Apply
+	}, request)
+	if ExitCode(err) == ExitUnknownOutcome {
+		return exitWith(ExitUnknownOutcome, "%w\nrun again with --operation-id %s --base %d", err, request.GetOperationId(), request.GetBaseRevision())
+	}
+	if err != nil {
+		return err
+	}
+	if answer.GetConflictRevision() > 0 || answer.GetConflictOperationId() != "" {
+		return exitWith(ExitConflict, "conflict: operation %s won with revision %d; nothing was changed",
+			answer.GetConflictOperationId(), answer.GetConflictRevision())
+	}
+	if findings := answer.GetFindings(); len(findings) > 0 {
+		lines := make([]string, len(findings))
+		for position, finding := range findings {
+			lines[position] = fmt.Sprintf("%s: %s", finding.GetPlace(), finding.GetProblem())
+		}
+		return exitWith(ExitFailed, "nothing was changed; %d findings:\n%s", len(findings), strings.Join(lines, "\n"))
+	}
+	if err := s.show(answer, func() {
+		fmt.Fprintf(s.out, "revision %d (operation %s)\n", answer.GetRevision(), request.GetOperationId())
+	}); err != nil || !command.Bool("wait") {
+		return err
+	}
+	return s.waitInForce(ctx, answer.GetRevision(), command.Duration("wait-timeout"))
+}
+
+const (
+	// reachableSilence is the silence after which a node is not waited for.
+	reachableSilence = 3 * time.Second
+	waitPoll         = 200 * time.Millisecond
+)
+
+// waitInForce waits until a revision is in force on every reachable node, and
+// names the ones that are not reached.
+func (s *session) waitInForce(ctx context.Context, revision uint64, timeout time.Duration) error {
+	deadline := time.Now().Add(timeout)
+	for {
+		status, err := s.status(ctx)
+		if err != nil {
+			return err
+		}
+		var behind, unreached []string
+		for _, node := range status.GetNodes() {
+			switch {
+			case time.Duration(node.GetSilentMilliseconds())*time.Millisecond > reachableSilence:
+				unreached = append(unreached, node.GetName())
+			case node.GetRevision() < revision:
+				behind = append(behind, node.GetName())
+			}
+		}
+		if len(behind) == 0 {
+			fmt.Fprintf(s.out, "in force on %d nodes; not reached: %s\n", len(status.GetNodes())-len(unreached), orNone(unreached))
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return exitWith(ExitFailed, "revision %d is committed, but not yet in force on: %s; not reached: %s",
+				revision, strings.Join(behind, ", "), orNone(unreached))
+		}
+		time.Sleep(waitPoll)
+	}
+}
+
+func orNone(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
+
+func deleteObject(ctx context.Context, s *session, command *cli.Command) error {
+	given, err := arguments(command, 2, 2)
+	if err != nil {
+		return err
+	}
+	base, err := currentRevision(ctx, s)
+	if err != nil {
+		return err
+	}
+	return s.change(ctx, command, &ravenwayv1.ApplyRequest{
+		OperationId: operationID(command), BaseRevision: base,
+		Delete: []*ravenwayv1.ObjectReference{{Kind: given[0], Name: given[1]}},
+	})
+}
+
+func (s *session) catalog(ctx context.Context) (*ravenwayv1.GetCatalogResponse, error) {
+	return call(ctx, s, func(c client) func(context.Context, *connect.Request[ravenwayv1.GetCatalogRequest]) (*connect.Response[ravenwayv1.GetCatalogResponse], error) {
+		return c.GetCatalog
+	}, &ravenwayv1.GetCatalogRequest{})
+}
+
+func getCatalog(ctx context.Context, s *session, _ *cli.Command) error {
+	answer, err := s.catalog(ctx)
+	if err != nil {
+		return err
+	}
+	return s.show(answer, func() {
+		document := answer.GetCatalog()
+		fmt.Fprintf(s.out, "revision %d\n", answer.GetRevision())
+		s.table("KIND\tNAME\tDETAIL", func(row func(...any)) {
+			for _, tenant := range document.GetTenants() {
+				row("tenant", tenant.GetName(), fmt.Sprintf("weight %d, default budget %s, %d keys", tenant.GetWeight(), tenant.GetDefaultBudget(), len(tenant.GetApiKeyHashes())))
+			}
+			for _, budget := range document.GetBudgets() {
+				row("budget", budget.GetName(), "tenant "+budget.GetTenant())
+			}
+			for _, service := range document.GetServices() {
+				row("service", service.GetName(), strings.TrimSpace(service.GetKind().String()+" "+strings.Join(service.GetModels(), ",")))
+			}
+			for _, route := range document.GetRoutes() {
+				row("route", route.GetName(), fmt.Sprintf("%s to %s, not repeatable: %s", route.GetPathPrefix(), route.GetService(), orNone(route.GetNotRepeatableMethods())))
+			}
+			for _, backend := range document.GetBackends() {
+				row("backend", backend.GetName(), fmt.Sprintf("%s in %s at %s, draining %v", backend.GetService(), backend.GetZone(), backend.GetAddress(), backend.GetDraining()))
+			}
+		})
+	})
+}
+
+func (s *session) table(header string, fill func(row func(...any))) {
+	writer := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(writer, header)
+	fill(func(columns ...any) {
+		texts := make([]string, len(columns))
+		for position, column := range columns {
+			texts[position] = fmt.Sprint(column)
+		}
+		fmt.Fprintln(writer, strings.Join(texts, "\t"))
+	})
+	_ = writer.Flush()
+}
+
+func (s *session) status(ctx context.Context) (*ravenwayv1.GetStatusResponse, error) {
+	return call(ctx, s, func(c client) func(context.Context, *connect.Request[ravenwayv1.GetStatusRequest]) (*connect.Response[ravenwayv1.GetStatusResponse], error) {
+		return c.GetStatus
+	}, &ravenwayv1.GetStatusRequest{})
+}
+
+func getStatus(ctx context.Context, s *session, _ *cli.Command) error {
+	answer, err := s.status(ctx)
+	if err != nil {
+		return err
+	}
+	return s.show(answer, func() {
+		leader := answer.GetLeader()
+		if leader == "" {
+			leader = "unknown"
+		}
+		quorumAge := time.Duration(answer.GetQuorumAgeMilliseconds()) * time.Millisecond
+		fmt.Fprintf(s.out, "as seen by %s: leader %s, term %d, commit %d, revision %d, last word of a quorum %v ago\n",
+			answer.GetNode(), leader, answer.GetTerm(), answer.GetCommitIndex(), answer.GetRevision(), quorumAge)
+		s.table("NODE\tZONE\tCONTROL\tLEADER\tREVISION\tSILENT\tSTATE", func(row func(...any)) {
+			for _, node := range answer.GetNodes() {
+				silent := time.Duration(node.GetSilentMilliseconds()) * time.Millisecond
+				state := "live"
+				if node.GetStopping() {
+					state = "stopping"
+				}
+				if silent > reachableSilence {
+					state = "not heard from"
+				}
+				row(node.GetName(), node.GetZone(), node.GetControl(), node.GetLeader(), node.GetRevision(), silent.Round(100*time.Millisecond), state)
+			}
+		})
+	})
+}
+
+func getBudgets(ctx context.Context, s *session, command *cli.Command) error {
+	given, err := arguments(command, 0, 1)
+	if err != nil {
+		return err
+	}
+	answer, err := call(ctx, s, func(c client) func(context.Context, *connect.Request[ravenwayv1.GetBudgetsRequest]) (*connect.Response[ravenwayv1.GetBudgetsResponse], error) {
+		return c.GetBudgets
+	}, &ravenwayv1.GetBudgetsRequest{Budget: strings.Join(given, "")})
+	if err != nil {
+		return err
+	}
+	if len(given) == 1 && len(answer.GetBudgets()) == 0 {
+		return exitWith(ExitFailed, "budget %q does not exist", given[0])
+	}
+	return s.show(answer, func() {
+		s.table("BUDGET\tTENANT\tLIMIT\tSETTLED\tOUTSTANDING\tLEFT", func(row func(...any)) {
+			for _, budget := range answer.GetBudgets() {
+				row(budget.GetBudget(), budget.GetTenant(), budget.GetLimit(), budget.GetSettled(), budget.GetOutstanding(),
+					budget.GetLimit()-budget.GetSettled()-budget.GetOutstanding())
+			}
+		})
+	})
+}
+
+func topUpBudget(ctx context.Context, s *session, command *cli.Command) error {
+	budget, tokens, err := budgetArguments(command)
+	if err != nil {
+		return err
+	}
+	id := operationID(command)
+	answer, err := call(ctx, s, func(c client) func(context.Context, *connect.Request[ravenwayv1.TopUpBudgetRequest]) (*connect.Response[ravenwayv1.BudgetChangeResponse], error) {
+		return c.TopUpBudget
+	}, &ravenwayv1.TopUpBudgetRequest{OperationId: id, Budget: budget, Tokens: tokens})
+	return s.budgetChanged(id, answer, err)
+}
+
+func lowerBudget(ctx context.Context, s *session, command *cli.Command) error {
+	budget, tokens, err := budgetArguments(command)
+	if err != nil {
+		return err
+	}
+	id := operationID(command)
+	answer, err := call(ctx, s, func(c client) func(context.Context, *connect.Request[ravenwayv1.LowerBudgetRequest]) (*connect.Response[ravenwayv1.BudgetChangeResponse], error) {
+		return c.LowerBudget
+	}, &ravenwayv1.LowerBudgetRequest{OperationId: id, Budget: budget, Tokens: tokens})
+	return s.budgetChanged(id, answer, err)
+}
+
+func budgetArguments(command *cli.Command) (string, uint64, error) {
+	given, err := arguments(command, 2, 2)
+	if err != nil {
+		return "", 0, err
+	}
+	var tokens uint64
+	if _, err := fmt.Sscanf(given[1], "%d", &tokens); err != nil || fmt.Sprint(tokens) != given[1] || tokens == 0 {
+		return "", 0, exitWith(ExitUsage, "TOKENS: %q is not a whole number above 0", given[1])
+	}
+	return given[0], tokens, nil
+}
+
+func (s *session) budgetChanged(id string, answer *ravenwayv1.BudgetChangeResponse, err error) error {
+	if ExitCode(err) == ExitUnknownOutcome {
+		return exitWith(ExitUnknownOutcome, "%w\nrun again with --operation-id %s", err, id)
+	}
+	if err != nil {
+		return err
+	}
+	if answer.GetRefused() != "" {
+		return exitWith(ExitFailed, "refused: %s", answer.GetRefused())
+	}
+	return s.show(answer, func() {
+		status := answer.GetStatus()
+		fmt.Fprintf(s.out, "budget %s: limit %d, settled %d, outstanding %d (operation %s)\n",
+			status.GetBudget(), status.GetLimit(), status.GetSettled(), status.GetOutstanding(), id)
+	})
+}
+
+// keyBytes is the length of a new API key.
+const keyBytes = 24
+
+func makeKey(_ context.Context, s *session, _ *cli.Command) error {
+	secret := make([]byte, keyBytes)
+	_, _ = rand.Read(secret)
+	key := "rw-" + hex.EncodeToString(secret)
+	digest := sha256.Sum256([]byte(key))
+	fmt.Fprintf(s.out, "key:  %s\nhash: %s\n", key, hex.EncodeToString(digest[:]))
+	return nil
+}
+
+// drainTo sets a back end's draining mark and leaves the rest as it is.
+func drainTo(draining bool) func(context.Context, *session, *cli.Command) error {
+	return func(ctx context.Context, s *session, command *cli.Command) error {
+		given, err := arguments(command, 1, 1)
+		if err != nil {
+			return err
+		}
+		current, err := s.catalog(ctx)
+		if err != nil {
+			return err
+		}
+		for _, backend := range current.GetCatalog().GetBackends() {
+			if backend.GetName() != given[0] {
+				continue
+			}
+			backend.Draining = draining
+			return s.change(ctx, command, &ravenwayv1.ApplyRequest{
+				OperationId: operationID(command), BaseRevision: current.GetRevision(),
+				Put: &ravenwayv1.CatalogDocument{Backends: []*ravenwayv1.Backend{backend}},
+			})
+		}
+		return exitWith(ExitFailed, "back end %q does not exist", given[0])
+	}
+}
+
+var orderKinds = map[string]ravenwayv1.OrderKind{
+	"load-model":   ravenwayv1.OrderKind_ORDER_KIND_LOAD_MODEL,
+	"load-adapter": ravenwayv1.OrderKind_ORDER_KIND_LOAD_ADAPTER,
+	"change-role":  ravenwayv1.OrderKind_ORDER_KIND_CHANGE_ROLE,
+}
+
+func order(ctx context.Context, s *session, command *cli.Command) error {
+	given, err := arguments(command, 3, 4)
+	if err != nil {
+		return err
+	}
+	kind, known := orderKinds[given[1]]
+	if !known {
+		return exitWith(ExitUsage, "%q is none of load-model, load-adapter, change-role", given[1])
+	}
+	request := &ravenwayv1.OrderRequest{OperationId: operationID(command), Backend: given[0], Kind: kind, Target: given[2]}
+	if len(given) == 4 {
+		request.Version = given[3]
+	}
+	answer, err := call(ctx, s, func(c client) func(context.Context, *connect.Request[ravenwayv1.OrderRequest]) (*connect.Response[ravenwayv1.OrderResponse], error) {
+		return c.Order
+	}, request)
+	if err != nil {
+		return err
+	}
+	if answer.GetRefused() != "" {
+		return exitWith(ExitFailed, "refused: %s", answer.GetRefused())
+	}
+	return s.show(answer, func() {
+		fmt.Fprintf(s.out, "order %d to %s is %s (operation %s)\n", answer.GetStatus().GetFence(), given[0], answer.GetStatus().GetState(), request.GetOperationId())
+	})
+}
+
+func getOrders(ctx context.Context, s *session, _ *cli.Command) error {
+	answer, err := call(ctx, s, func(c client) func(context.Context, *connect.Request[ravenwayv1.GetOrdersRequest]) (*connect.Response[ravenwayv1.GetOrdersResponse], error) {
+		return c.GetOrders
+	}, &ravenwayv1.GetOrdersRequest{})
+	if err != nil {
+		return err
+	}
+	return s.show(answer, func() {
+		s.table("FENCE\tBACKEND\tKIND\tTARGET\tVERSION\tSTATE\tDETAIL", func(row func(...any)) {
+			for _, one := range answer.GetOrders() {
+				row(one.GetFence(), one.GetBackend(), one.GetKind(), one.GetTarget(), one.GetVersion(), one.GetState(), one.GetDetail())
+			}
+		})
+	})
+}
+
+func explain(ctx context.Context, s *session, command *cli.Command) error {
+	given, err := arguments(command, 1, 1)
+	if err != nil {
+		return err
+	}
+	answer, err := call(ctx, s, func(c client) func(context.Context, *connect.Request[ravenwayv1.ExplainRequest]) (*connect.Response[ravenwayv1.ExplainResponse], error) {
+		return c.Explain
+	}, &ravenwayv1.ExplainRequest{RequestId: given[0]})
+	if err != nil {
+		return err
+	}
+	return s.show(answer, func() {
+		fmt.Fprintf(s.out, "node %s decided:\n", answer.GetNode())
+		for _, line := range answer.GetDecisions() {
+			fmt.Fprintln(s.out, "  "+line)
+		}
+	})
+}
+
+func snapshot(ctx context.Context, s *session, _ *cli.Command) error {
+	answer, err := call(ctx, s, func(c client) func(context.Context, *connect.Request[ravenwayv1.SnapshotRequest]) (*connect.Response[ravenwayv1.SnapshotResponse], error) {
+		return c.Snapshot
+	}, &ravenwayv1.SnapshotRequest{})
+	if err != nil {
+		return err
+	}
+	return s.show(answer, func() { fmt.Fprintf(s.out, "snapshot at entry %d\n", answer.GetIndex()) })
+}
--- /dev/null
+++ b/internal/operatorcli/document.go
@@ -0,0 +1,36 @@
+package operatorcli
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/pelletier/go-toml/v2"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+)
+
+// ReadDocument reads a catalog file, TOML or (by its ending) JSON, in the
+// schema's own field names.
+func ReadDocument(path string) (*ravenwayv1.CatalogDocument, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the catalog: %w", err)
+	}
+	if filepath.Ext(path) != ".json" {
+		var raw map[string]any
+		if err := toml.Unmarshal(content, &raw); err != nil {
+			return nil, fmt.Errorf("reading the catalog %s: %w", path, err)
+		}
+		if content, err = json.Marshal(raw); err != nil {
+			return nil, fmt.Errorf("reading the catalog %s: %w", path, err)
+		}
+	}
+	document := &ravenwayv1.CatalogDocument{}
+	if err := protojson.Unmarshal(content, document); err != nil {
+		return nil, fmt.Errorf("reading the catalog %s: %w", path, err)
+	}
+	return document, nil
+}
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -147,6 +147,9 @@
 	Node        string `msgpack:"n"`
 	Zone        string `msgpack:"z"`
 	Incarnation uint64 `msgpack:"i"`
+	// OwnerIncarnation is the life under which the node spends and claims. It
+	// is later than Incarnation if the node was fenced while alive.
+	OwnerIncarnation uint64 `msgpack:"o"`
 	// Revision is the catalog revision in force there.
 	Revision uint64 `msgpack:"r"`
 	Stopping bool   `msgpack:"s,omitempty"`
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,202 @@
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strings"
+)
+
+// minimumPeerKeyBytes is the least length of the shared peer key.
+const minimumPeerKeyBytes = 32
+
+var (
+	allRoles    = []string{RoleEntry, RoleControl}
+	allProfiles = []string{ProfileDevelopment, ProfileProduction}
+	allLevels   = []string{"debug", "info", "warn", "error"}
+)
+
+func (s *Settings) setDefaults() {
+	s.Node.Profile = cmp.Or(s.Node.Profile, ProfileDevelopment)
+	s.Log.Level = cmp.Or(s.Log.Level, "info")
+	s.Control.DeadAfter = cmp.Or(s.Control.DeadAfter, DefaultDeadAfter)
+	s.Limits.MaxBodyBytes = cmp.Or(s.Limits.MaxBodyBytes, DefaultMaxBodyBytes)
+	s.Limits.BodyTimeout = cmp.Or(s.Limits.BodyTimeout, DefaultBodyTimeout)
+	s.Limits.MaxStreams = cmp.Or(s.Limits.MaxStreams, DefaultMaxStreams)
+	s.Limits.AnswerStoreBytes = cmp.Or(s.Limits.AnswerStoreBytes, DefaultAnswerStoreBytes)
+	s.Limits.RequestDeadline = cmp.Or(s.Limits.RequestDeadline, DefaultRequestDeadline)
+	s.Limits.StopTimeout = cmp.Or(s.Limits.StopTimeout, DefaultStopTimeout)
+}
+
+// check looks at what the types can't say.
+func (p *parser) check(s *Settings) {
+	p.checkNode(s)
+	p.checkListen(s)
+	p.checkControl(s)
+	p.checkPeers(s)
+	p.checkSecurity(s)
+	p.checkLimits(s)
+	p.oneOf("log.level", s.Log.Level, allLevels)
+}
+
+func (p *parser) require(key, value string) bool {
+	if value == "" {
+		p.find(key, "is missing")
+		return false
+	}
+	return true
+}
+
+func (p *parser) oneOf(key, value string, allowed []string) {
+	if !slices.Contains(allowed, value) {
+		p.find(key, "%q is none of %s", value, strings.Join(allowed, ", "))
+	}
+}
+
+func (p *parser) checkNode(s *Settings) {
+	p.require("node.name", s.Node.Name)
+	p.require("node.zone", s.Node.Zone)
+	p.oneOf("node.profile", s.Node.Profile, allProfiles)
+	if len(s.Node.Roles) == 0 {
+		p.find("node.roles", "is missing; allowed: %s", strings.Join(allRoles, ", "))
+	}
+	for _, role := range s.Node.Roles {
+		p.oneOf("node.roles", role, allRoles)
+	}
+}
+
+func (p *parser) checkListen(s *Settings) {
+	if s.HasRole(RoleEntry) {
+		p.require("listen.callers", s.Listen.Callers)
+	}
+	p.require("listen.operators", s.Listen.Operators)
+	p.require("listen.peers", s.Listen.Peers)
+	p.require("listen.health", s.Listen.Health)
+	p.address("listen.callers", s.Listen.Callers)
+	p.address("listen.operators", s.Listen.Operators)
+	p.address("listen.peers", s.Listen.Peers)
+	p.address("listen.health", s.Listen.Health)
+	if s.Node.Profile != ProfileProduction {
+		return
+	}
+	if !isLoopback(s.Listen.Operators) && s.Security.OperatorTokenFile == "" {
+		p.find("listen.operators", "profile production needs security.operator_token_file for an address that is not loopback")
+	}
+	if !isLoopback(s.Listen.Peers) && s.Security.TLSCertificateFile == "" {
+		p.find("listen.peers", "profile production needs security.tls_certificate_file for an address that is not loopback")
+	}
+}
+
+func (p *parser) address(key, address string) {
+	if address == "" {
+		return
+	}
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || port == "" {
+		p.find(key, "%q is not host:port", address)
+		return
+	}
+	if net.ParseIP(host) == nil {
+		p.find(key, "%q: the host must be an IP number", address)
+	}
+}
+
+func isLoopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
+
+func (p *parser) checkControl(s *Settings) {
+	if s.HasRole(RoleControl) {
+		p.require("control.data_dir", s.Control.DataDir)
+		return
+	}
+	if s.Control.DataDir != "" || s.Control.Bootstrap {
+		p.find("control", "is only for role %q", RoleControl)
+	}
+}
+
+func (p *parser) checkPeers(s *Settings) {
+	seen := map[string]int{}
+	controls := 0
+	for position, peer := range s.Peers {
+		key := fmt.Sprintf("peers[%d]", position)
+		p.require(key+".name", peer.Name)
+		p.require(key+".zone", peer.Zone)
+		if p.require(key+".address", peer.Address) {
+			p.address(key+".address", peer.Address)
+		}
+		if first, doubled := seen[peer.Name]; doubled && peer.Name != "" {
+			p.find(key+".name", "%q stands at peers[%d] already", peer.Name, first)
+		}
+		seen[peer.Name] = position
+		if peer.Control {
+			controls++
+		}
+		p.checkSelf(s, key, peer)
+	}
+	if _, found := seen[s.Node.Name]; !found {
+		p.find("peers", "does not list this node, %q", s.Node.Name)
+	}
+	if controls == 0 {
+		p.find("peers", "lists no control node")
+	}
+}
+
+// checkSelf holds this node's own entry to the rest of the file.
+func (p *parser) checkSelf(s *Settings, key string, peer Peer) {
+	if peer.Name != s.Node.Name {
+		return
+	}
+	if peer.Zone != s.Node.Zone {
+		p.find(key+".zone", "%q is not node.zone, %q", peer.Zone, s.Node.Zone)
+	}
+	if peer.Control != s.HasRole(RoleControl) {
+		p.find(key+".control", "%v does not agree with node.roles", peer.Control)
+	}
+}
+
+func (p *parser) checkSecurity(s *Settings) {
+	if p.require("security.peer_key_file", s.Security.PeerKeyFile) {
+		p.secret("security.peer_key_file", s.Security.PeerKeyFile, minimumPeerKeyBytes)
+	}
+	if s.Security.OperatorTokenFile != "" {
+		p.secret("security.operator_token_file", s.Security.OperatorTokenFile, 1)
+	}
+	files := []string{s.Security.TLSCertificateFile, s.Security.TLSKeyFile, s.Security.TLSAuthorityFile}
+	if slices.Contains(files, "") && strings.Join(files, "") != "" {
+		p.find("security", "tls_certificate_file, tls_key_file and tls_authority_file are needed together")
+	}
+}
+
+func (p *parser) secret(key, path string, minimum int) {
+	secret, err := ReadSecret(path)
+	if err != nil {
+		p.find(key, "%v", err)
+		return
+	}
+	if len(secret) < minimum {
+		p.find(key, "the secret in %s has %d bytes; at least %d are needed", path, len(secret), minimum)
+	}
+	if info, err := os.Stat(path); err == nil && info.Mode().Perm()&0o077 != 0 && p.isProduction {
+		p.find(key, "%s can be read by others; its mode must be 0600", path)
+	}
+}
+
+func (p *parser) checkLimits(s *Settings) {
+	if s.Limits.MaxBodyBytes < 0 {
+		p.find("limits.max_body_bytes", "must be above 0")
+	}
+	if s.Limits.MaxStreams < 0 {
+		p.find("limits.max_streams", "must be above 0")
+	}
+	if s.Limits.AnswerStoreBytes < 0 {
+		p.find("limits.answer_store_bytes", "must be above 0")
+	}
+}
--- /dev/null
+++ b/internal/settings/parse.go
@@ -0,0 +1,199 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Finding is one thing wrong with a settings file.
+type Finding struct {
+	File string
+	// Line is 0 if the finding is about something that is missing.
+	Line    int
+	Key     string
+	Problem string
+}
+
+// String returns "file:line: key: problem".
+func (f Finding) String() string {
+	place := f.File
+	if f.Line > 0 {
+		place = fmt.Sprintf("%s:%d", f.File, f.Line)
+	}
+	if f.Key == "" {
+		return fmt.Sprintf("%s: %s", place, f.Problem)
+	}
+	return fmt.Sprintf("%s: %s: %s", place, f.Key, f.Problem)
+}
+
+// Findings are all that is wrong with a file.
+type Findings []Finding
+
+// Error implements error: one line a finding.
+func (f Findings) Error() string {
+	lines := make([]string, len(f))
+	for position, finding := range f {
+		lines[position] = finding.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Parse checks a file's content and returns the settings with defaults filled
+// in. The error is Findings.
+func Parse(file string, content []byte) (*Settings, error) {
+	var raw map[string]any
+	if err := toml.Unmarshal(content, &raw); err != nil {
+		finding := Finding{File: file, Problem: err.Error()}
+		var syntax *toml.DecodeError
+		if errors.As(err, &syntax) {
+			finding.Line, _ = syntax.Position()
+		}
+		return nil, Findings{finding}
+	}
+	settings := &Settings{}
+	parser := &parser{file: file, lines: indexLines(content)}
+	parser.table("", raw, reflect.ValueOf(settings).Elem())
+	settings.setDefaults()
+	parser.isProduction = settings.Node.Profile == ProfileProduction
+	parser.check(settings)
+	if len(parser.findings) > 0 {
+		slices.SortStableFunc(parser.findings, func(a, b Finding) int { return a.Line - b.Line })
+		return nil, parser.findings
+	}
+	return settings, nil
+}
+
+// parser fills in settings and collects findings.
+type parser struct {
+	file         string
+	lines        map[string]int
+	isProduction bool
+	findings     Findings
+}
+
+func (p *parser) find(key, format string, arguments ...any) {
+	p.findings = append(p.findings, Finding{File: p.file, Line: p.lines[key], Key: key, Problem: fmt.Sprintf(format, arguments...)})
+}
+
+// table fills a struct from a TOML table.
+func (p *parser) table(prefix string, raw map[string]any, target reflect.Value) {
+	fields := map[string]reflect.Value{}
+	for position := range target.NumField() {
+		fields[target.Type().Field(position).Tag.Get("toml")] = target.Field(position)
+	}
+	for _, name := range slices.Sorted(maps.Keys(raw)) {
+		key := joinKey(prefix, name)
+		field, known := fields[name]
+		if !known {
+			p.find(key, "is not a setting; allowed here: %s", strings.Join(slices.Sorted(maps.Keys(fields)), ", "))
+			continue
+		}
+		p.value(key, raw[name], field)
+	}
+}
+
+func (p *parser) value(key string, raw any, target reflect.Value) {
+	if target.Type() == reflect.TypeFor[time.Duration]() {
+		p.duration(key, raw, target)
+		return
+	}
+	switch target.Kind() {
+	case reflect.Struct:
+		if table, isTable := raw.(map[string]any); isTable {
+			p.table(key, table, target)
+			return
+		}
+	case reflect.Slice:
+		if list, isList := raw.([]any); isList {
+			p.list(key, list, target)
+			return
+		}
+	case reflect.String:
+		if text, isText := raw.(string); isText {
+			target.SetString(text)
+			return
+		}
+	case reflect.Bool:
+		if truth, isTruth := raw.(bool); isTruth {
+			target.SetBool(truth)
+			return
+		}
+	case reflect.Int, reflect.Int64:
+		if number, isNumber := raw.(int64); isNumber {
+			target.SetInt(number)
+			return
+		}
+	}
+	p.find(key, "must be a %s, not %v", kindName(target.Kind()), raw)
+}
+
+func (p *parser) duration(key string, raw any, target reflect.Value) {
+	text, isText := raw.(string)
+	duration, err := time.ParseDuration(text)
+	if !isText || err != nil || duration <= 0 {
+		p.find(key, `must be a duration above 0 such as "30s", not %v`, raw)
+		return
+	}
+	target.SetInt(int64(duration))
+}
+
+func (p *parser) list(key string, raw []any, target reflect.Value) {
+	list := reflect.MakeSlice(target.Type(), len(raw), len(raw))
+	for position, element := range raw {
+		p.value(fmt.Sprintf("%s[%d]", key, position), element, list.Index(position))
+	}
+	target.Set(list)
+}
+
+func kindName(kind reflect.Kind) string {
+	switch kind {
+	case reflect.Struct:
+		return "table"
+	case reflect.Slice:
+		return "list"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.String:
+		return "text"
+	}
+	return "whole number"
+}
+
+func joinKey(prefix, name string) string {
+	if prefix == "" {
+		return name
+	}
+	return prefix + "." + name
+}
+
+// indexLines notes the line of each key, with lists of tables counted from 0.
+func indexLines(content []byte) map[string]int {
+	lines := map[string]int{}
+	counts := map[string]int{}
+	prefix := ""
+	for number, line := range strings.Split(string(content), "\n") {
+		line = strings.TrimSpace(line)
+		switch {
+		case strings.HasPrefix(line, "[["):
+			name := strings.Trim(line, "[] ")
+			prefix = fmt.Sprintf("%s[%d]", name, counts[name])
+			counts[name]++
+			lines[prefix] = number + 1
+		case strings.HasPrefix(line, "["):
+			prefix = strings.Trim(line, "[] ")
+			lines[prefix] = number + 1
+		default:
+			if name, _, found := strings.Cut(line, "="); found && !strings.HasPrefix(line, "#") {
+				lines[joinKey(prefix, strings.Trim(strings.TrimSpace(name), `"`))] = number + 1
+			}
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,34 @@
+#!/usr/bin/env bash
+# Everything that CI runs: formatter, vet, linter, build, tests with the race
+# detector. Tests listed in KNOWN-RED.txt are printed and passed over.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+staticcheck_version=2026.1
+tools="$(go env GOPATH)/bin"
+if ! "$tools/staticcheck" --version 2>/dev/null | grep -q "$staticcheck_version"; then
+  go install "honnef.co/go/tools/cmd/staticcheck@$staticcheck_version"
+fi
+
+echo "gofmt"
+unformatted=$(gofmt -l .)
+if [ -n "$unformatted" ]; then
+  echo "not formatted: $unformatted" >&2
+  exit 1
+fi
+echo "go vet"
+go vet ./...
+echo "staticcheck"
+"$tools/staticcheck" ./...
+echo "go build"
+mkdir -p bin
+go build -o bin/ ./cmd/...
+
+skip=""
+if [ -s KNOWN-RED.txt ]; then
+  echo "known red, passed over:"
+  cat KNOWN-RED.txt
+  skip=$(cut -d' ' -f1 KNOWN-RED.txt | paste -sd'|')
+fi
+echo "go test -race"
+go test -race -timeout 8m ${skip:+-skip "$skip"} ./...
