--- a/internal/coordination/claims/holder.go
+++ b/internal/coordination/claims/holder.go
@@ -297,12 +297,12 @@
 }
 
 // Fence makes a life of a node change nothing more here, and returns the
-// claims that it owns.
+// claims that it owns and the loans that it was given.
 func (h *Holder) Fence(owner accounts.HolderID) []Record {
 	h.fenced[owner.Node] = max(h.fenced[owner.Node], owner.Incarnation)
 	var owned []Record
 	for _, record := range h.sortedRecords() {
-		if record.Claim != nil && record.Claim.Owner == owner {
+		if record.Claim != nil && (record.Claim.Owner == owner || record.Claim.Borrower == owner) {
 			owned = append(owned, record.Record)
 		}
 	}
--- a/internal/coordination/claims/types.go
+++ b/internal/coordination/claims/types.go
@@ -50,14 +50,18 @@
 	Dispatched State = iota + 1
 	// Settled: it ended, and its use is known.
 	Settled
+	// Lent: not a request, but what the owner has lent the borrower in all of
+	// a budget (in Reserved). It is kept until both lives are over.
+	Lent
 )
 
 // String returns the state's name.
 func (s State) String() string {
-	if s == Settled {
-		return "settled"
+	names := [...]string{"none", "dispatched", "settled", "lent"}
+	if int(s) < len(names) {
+		return names[s]
 	}
-	return "dispatched"
+	return "unknown"
 }
 
 // Result is how a settled request ended.
@@ -95,6 +99,8 @@
 	// CallerKey tells that the key was the caller's and not minted by a node.
 	CallerKey     bool `msgpack:"c,omitempty"`
 	NotRepeatable bool `msgpack:"n,omitempty"`
+	// Borrower is the other side of a loan.
+	Borrower accounts.HolderID `msgpack:"w,omitempty"`
 	// Used and Result are known once it is settled, Used in tokens.
 	Used   uint64 `msgpack:"u,omitempty"`
 	Result Result `msgpack:"t,omitempty"`
--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -90,7 +90,7 @@
 	reserved uint64
 	// borrowed and lent are cumulative, by the other holder.
 	borrowed map[accounts.HolderID]uint64
-	lent     map[accounts.HolderID]uint64
+	lent     map[accounts.HolderID]*givenLoan
 	// open are the reservations not settled yet; ahead are the uses of settled
 	// ones behind an open one.
 	open             map[uint64]uint64
@@ -158,7 +158,7 @@
 	if found == nil {
 		found = &account{
 			name: budget, policy: Policy{Horizon: DefaultHorizon},
-			borrowed: map[accounts.HolderID]uint64{}, lent: map[accounts.HolderID]uint64{},
+			borrowed: map[accounts.HolderID]uint64{}, lent: map[accounts.HolderID]*givenLoan{},
 			open: map[uint64]uint64{}, ahead: map[uint64]uint64{},
 		}
 		h.accounts[budget] = found
@@ -169,7 +169,7 @@
 // free never counts what was lent, returned or reserved.
 func (a *account) free() uint64 {
 	have := a.granted + sum(a.borrowed)
-	gone := a.returned + a.settled + a.reserved + sum(a.lent)
+	gone := a.returned + a.settled + a.reserved + a.lentTotal()
 	if gone > have {
 		return 0
 	}
@@ -296,6 +296,7 @@
 		found := h.accounts[name]
 		h.expire(now, found)
 		h.borrow(now, found)
+		h.tellLoansAgain(now, found)
 		found.returnSurplus(now)
 		found.topUp(now)
 	}
@@ -495,11 +496,15 @@
 }
 
 // Recall returns everything that is free of a budget; the next Report says so.
+// What waits here is asked for with that report: the root then decides with
+// everything unused in its hands.
 func (h *Holder) Recall(recall RecallMessage) {
-	found := h.account(recall.Budget)
-	if len(found.waiters) == 0 {
-		found.returned += found.free()
+	if recall.Holder != h.options.ID {
+		return
 	}
+	found := h.account(recall.Budget)
+	found.granted = max(found.granted, recall.Granted)
+	found.returned += found.free()
 	found.changed = true
 	h.recalled = append(h.recalled, recall)
 }
@@ -536,55 +541,9 @@
 	}
 }
 
-// Lend answers a request of another holder: half of what is free, or what it
-// needs if that is less. It is subtracted before the answer leaves.
-func (h *Holder) Lend(request LoanRequest) (Loan, bool) {
-	found := h.accounts[request.Budget]
-	if found == nil || h.closed || request.Borrower.Node == h.options.ID.Node {
-		return Loan{}, false
-	}
-	lend := min(request.Need, found.free()/2)
-	if request.Need <= found.free() {
-		lend = request.Need
-	}
-	if len(found.waiters) == 0 {
-		found.lent[request.Borrower] += lend
-	}
-	total := found.lent[request.Borrower]
-	return Loan{Lender: h.options.ID, Borrower: request.Borrower, Budget: request.Budget, Total: total}, total > 0
-}
-
-// TakeLoan adds what another holder has lent.
-func (h *Holder) TakeLoan(now time.Duration, loan Loan, fenced func(accounts.HolderID) bool) {
-	if loan.Borrower != h.options.ID || h.closed || fenced(loan.Lender) {
-		return
-	}
-	found := h.account(loan.Budget)
-	if loan.Total <= found.borrowed[loan.Lender] {
-		return
-	}
-	found.borrowed[loan.Lender] = loan.Total
-	h.serve(now, found)
-}
-
 // Loans takes the lending messages that wait to be sent.
 func (h *Holder) Loans() []OutgoingLoan {
 	loans := h.loans
 	h.loans = nil
 	return loans
 }
-
-// LoansWith returns, by budget, what this holder has lent to and borrowed from
-// another one, for closing that one's accounts.
-func (h *Holder) LoansWith(other accounts.HolderID) []accounts.FinalUse {
-	var uses []accounts.FinalUse
-	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
-		found := h.accounts[name]
-		// To the other one, what this holder lent is borrowed.
-		use := accounts.FinalUse{Budget: name, Borrowed: found.lent[other], Lent: found.borrowed[other]}
-		if use.Borrowed > 0 || use.Lent > 0 {
-			uses = append(uses, use)
-		}
-	}
-	return uses
-}
--- /dev/null
+++ b/internal/coordination/escrow/loans.go
@@ -0,0 +1,139 @@
+package escrow
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/state/accounts"
+)
+
+// loanResend is the time after which a loan that its borrower has not
+// confirmed is told again.
+const loanResend = 2 * time.Second
+
+// givenLoan is what a holder has lent another one of a budget.
+type givenLoan struct {
+	// total was subtracted, agreed is agreed in the claim register, taken is
+	// confirmed by the borrower. All are cumulative.
+	total, agreed, taken uint64
+	toldAt               time.Duration
+}
+
+// Lend subtracts a loan for another holder: half of what is free, or what it
+// needs if that is there. The caller has the loan agreed and then calls Agreed.
+func (h *Holder) Lend(request LoanRequest, fenced func(accounts.HolderID) bool) (accounts.Loan, bool) {
+	found := h.accounts[request.Budget]
+	if found == nil || h.closed || request.Borrower.Node == h.options.ID.Node || fenced(request.Borrower) {
+		return accounts.Loan{}, false
+	}
+	given := found.lent[request.Borrower]
+	if given == nil {
+		given = &givenLoan{}
+		found.lent[request.Borrower] = given
+	}
+	if len(found.waiters) == 0 {
+		lend := min(request.Need, found.free()/2)
+		if request.Need <= found.free() {
+			lend = request.Need
+		}
+		given.total += lend
+	}
+	loan := accounts.Loan{Lender: h.options.ID, Borrower: request.Borrower, Budget: request.Budget, Total: given.total}
+	return loan, given.total > given.agreed
+}
+
+// Agreed notes that a loan is in its register, and tells the borrower.
+func (h *Holder) Agreed(now time.Duration, loan accounts.Loan) {
+	found := h.accounts[loan.Budget]
+	if loan.Lender != h.options.ID || found == nil || found.lent[loan.Borrower] == nil {
+		return
+	}
+	given := found.lent[loan.Borrower]
+	given.agreed = max(given.agreed, loan.Total)
+	h.tellLoan(now, found, loan.Borrower, given)
+}
+
+func (h *Holder) tellLoan(now time.Duration, found *account, borrower accounts.HolderID, given *givenLoan) {
+	given.toldAt = now
+	loan := accounts.Loan{Lender: h.options.ID, Borrower: borrower, Budget: found.name, Total: given.agreed}
+	h.loans = append(h.loans, OutgoingLoan{To: borrower.Node, Message: LendMessage{Given: &loan}})
+}
+
+// tellLoansAgain repeats what a borrower has not confirmed.
+func (h *Holder) tellLoansAgain(now time.Duration, found *account) {
+	for borrower, given := range found.lent {
+		if given.agreed > given.taken && now-given.toldAt >= loanResend {
+			h.tellLoan(now, found, borrower, given)
+		}
+	}
+}
+
+// LoanTaken notes a borrower's confirmation.
+func (h *Holder) LoanTaken(loan accounts.Loan) {
+	found := h.accounts[loan.Budget]
+	if loan.Lender != h.options.ID || found == nil || found.lent[loan.Borrower] == nil {
+		return
+	}
+	given := found.lent[loan.Borrower]
+	given.taken = max(given.taken, loan.Total)
+}
+
+// TakeLoan adds what another holder has lent, and confirms it. One of a life
+// that is fenced here is not taken: what this node told of it was final.
+func (h *Holder) TakeLoan(now time.Duration, loan accounts.Loan, fenced func(accounts.HolderID) bool) {
+	if loan.Borrower != h.options.ID || h.closed || fenced(loan.Lender) {
+		return
+	}
+	found := h.account(loan.Budget)
+	found.borrowed[loan.Lender] = max(found.borrowed[loan.Lender], loan.Total)
+	h.loans = append(h.loans, OutgoingLoan{To: loan.Lender.Node, Message: LendMessage{Taken: &loan}})
+	h.serve(now, found)
+}
+
+// LoansWith returns this holder's own loans from and to a life that is fenced
+// here. Its word on them is final.
+func (h *Holder) LoansWith(other accounts.HolderID) []accounts.Loan {
+	var loans []accounts.Loan
+	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
+		found := h.accounts[name]
+		if given := found.lent[other]; given != nil {
+			loans = append(loans, accounts.Loan{Lender: h.options.ID, Borrower: other, Budget: name, Total: given.total})
+		}
+		// Also when it is nothing: a loan on its way will not be taken any more.
+		loans = append(loans, accounts.Loan{Lender: other, Borrower: h.options.ID, Budget: name, Total: found.borrowed[other]})
+	}
+	return loans
+}
+
+// loanKey names one direction between two holders in one budget.
+type loanKey struct {
+	pair   accounts.LoanPair
+	budget string
+}
+
+// MergeLoans combines what is known of a fenced life's loans: the other side's
+// own word where it is alive, else what was agreed in the register.
+func MergeLoans(registered, own []accounts.Loan) []accounts.Loan {
+	merged := map[loanKey]accounts.Loan{}
+	for _, known := range [][]accounts.Loan{registered, own} {
+		for _, loan := range known {
+			merged[loanKey{pair: loan.Pair(), budget: loan.Budget}] = loan
+		}
+	}
+	loans := slices.Collect(maps.Values(merged))
+	loans = slices.DeleteFunc(loans, func(loan accounts.Loan) bool { return loan.Total == 0 })
+	slices.SortFunc(loans, func(a, b accounts.Loan) int {
+		return cmp.Or(cmp.Compare(a.Budget, b.Budget), cmp.Compare(a.Lender.String(), b.Lender.String()), cmp.Compare(a.Borrower.String(), b.Borrower.String()))
+	})
+	return loans
+}
+
+func (a *account) lentTotal() uint64 {
+	var total uint64
+	for _, given := range a.lent {
+		total += given.total
+	}
+	return total
+}
--- a/internal/coordination/escrow/messages.go
+++ b/internal/coordination/escrow/messages.go
@@ -28,8 +28,13 @@
 
 // RecallMessage asks a holder to return its unused grant of a budget.
 type RecallMessage struct {
-	Budget string `msgpack:"b"`
-	Number uint64 `msgpack:"n"`
+	// Holder is the life that is asked; a later one ignores it.
+	Holder accounts.HolderID `msgpack:"h"`
+	Budget string            `msgpack:"b"`
+	Number uint64            `msgpack:"n"`
+	// Granted is the holder's cumulative grant: the recall may overtake the
+	// answer that carried the last part of it.
+	Granted uint64 `msgpack:"g"`
 }
 
 // LoanRequest asks another holder for a part of its unused grant.
@@ -39,18 +44,12 @@
 	Need     uint64            `msgpack:"n"`
 }
 
-// Loan says how much a holder has lent another one in all: the lender has
-// subtracted it before this is sent.
-type Loan struct {
-	Lender accounts.HolderID `msgpack:"l"`
-	// Borrower is the life that the loan was given to.
-	Borrower accounts.HolderID `msgpack:"h"`
-	Budget   string            `msgpack:"b"`
-	Total    uint64            `msgpack:"t"`
-}
-
-// LendMessage carries either.
+// LendMessage is one step of a loan: one field is set. The borrower asks; the
+// lender subtracts, has the loan agreed in a claim register of the zone, and
+// only then tells the borrower, again and again until it has answered. So a
+// loan is still known when both sides are lost together.
 type LendMessage struct {
-	Request *LoanRequest `msgpack:"q,omitempty"`
-	Loan    *Loan        `msgpack:"l,omitempty"`
+	Request *LoanRequest   `msgpack:"q,omitempty"`
+	Given   *accounts.Loan `msgpack:"g,omitempty"`
+	Taken   *accounts.Loan `msgpack:"t,omitempty"`
 }
--- a/internal/coordination/escrow/root.go
+++ b/internal/coordination/escrow/root.go
@@ -18,7 +18,7 @@
 // RootOptions set up a Root.
 type RootOptions struct {
 	// HoldersOf returns the holders that hold a part of a budget.
-	HoldersOf func(budget string) []accounts.HolderID
+	HoldersOf func(budget string) []accounts.Holder
 	// Reply and Recall hand messages to the transport.
 	Reply  func(to string, message AnswerMessage)
 	Recall func(to string, message RecallMessage)
@@ -50,7 +50,20 @@
 	number   uint64
 	deadline time.Duration
 	waiting  map[accounts.HolderID]struct{}
-	short    []pendingReport
+	// short are the newest reports that fell short, one a holder, in the order
+	// in which the holders first did.
+	short []pendingReport
+}
+
+// keepShort notes a report that fell short in place of the holder's earlier one.
+func (r *recall) keepShort(short pendingReport) {
+	for position := range r.short {
+		if r.short[position].message.Holder == short.message.Holder {
+			r.short[position] = short
+			return
+		}
+	}
+	r.short = append(r.short, short)
 }
 
 // NewRoot makes a root side.
@@ -78,6 +91,7 @@
 	batch := Batch{pending: r.queue[:count:count]}
 	r.queue = slices.Clone(r.queue[count:])
 	for _, pending := range batch.pending {
+		r.holdBackTopUps(pending)
 		batch.Command.Reports = append(batch.Command.Reports, machine.HolderReports{
 			Holder: pending.message.Holder, Reports: pending.message.Reports,
 		})
@@ -85,11 +99,27 @@
 	return batch, true
 }
 
+// holdBackTopUps grants nothing ahead of demand while a budget is recalled:
+// what comes back is for requests at hand. The holder asks again.
+func (r *Root) holdBackTopUps(pending pendingReport) {
+	for position, report := range pending.message.Reports {
+		if r.recalls[report.Budget] == nil && !pending.afterRecall {
+			continue
+		}
+		pending.message.Reports[position].Want = report.Need
+		if report.Need == 0 {
+			pending.message.Reports[position].Request = 0
+		}
+	}
+}
+
 // Applied takes the result of a batch that was committed, answers the holders
 // and starts recalls.
 func (r *Root) Applied(now time.Duration, batch Batch, answers [][]accounts.Answer) {
 	for position, pending := range batch.pending {
 		r.answer(now, pending, answers[position])
+	}
+	for _, pending := range batch.pending {
 		for _, done := range pending.message.Recalled {
 			r.recallAnswered(done, pending.message.Holder)
 		}
@@ -120,21 +150,21 @@
 		afterRecall: true,
 	}
 	if running := r.recalls[report.Budget]; running != nil {
-		running.short = append(running.short, short)
+		running.keepShort(short)
 		return true
 	}
-	others := r.options.HoldersOf(report.Budget)
-	others = slices.DeleteFunc(others, func(other accounts.HolderID) bool { return other == holder })
-	if len(others) == 0 {
+	// The asking holder is asked too: it may hold a part that another one lacks.
+	holders := r.options.HoldersOf(report.Budget)
+	if len(holders) == 0 {
 		return false
 	}
 	r.number++
 	started := &recall{number: r.number, deadline: now + recallTimeout, waiting: map[accounts.HolderID]struct{}{}}
-	started.short = append(started.short, short)
+	started.keepShort(short)
 	r.recalls[report.Budget] = started
-	for _, other := range others {
-		started.waiting[other] = struct{}{}
-		r.options.Recall(other.Node, RecallMessage{Budget: report.Budget, Number: r.number})
+	for _, one := range holders {
+		started.waiting[one.ID] = struct{}{}
+		r.recallFrom(report.Budget, one)
 	}
 	return true
 }
@@ -144,10 +174,14 @@
 func (r *Root) RecallAll(budget string) {
 	for _, holder := range r.options.HoldersOf(budget) {
 		r.number++
-		r.options.Recall(holder.Node, RecallMessage{Budget: budget, Number: r.number})
+		r.recallFrom(budget, holder)
 	}
 }
 
+func (r *Root) recallFrom(budget string, holder accounts.Holder) {
+	r.options.Recall(holder.ID.Node, RecallMessage{Holder: holder.ID, Budget: budget, Number: r.number, Granted: holder.Granted})
+}
+
 func (r *Root) recallAnswered(message RecallMessage, holder accounts.HolderID) {
 	running := r.recalls[message.Budget]
 	if running == nil || running.number != message.Number {
@@ -162,10 +196,11 @@
 // endRecall decides again what fell short.
 func (r *Root) endRecall(budget string, ended *recall) {
 	delete(r.recalls, budget)
-	for _, short := range ended.short {
-		short.unreached = len(ended.waiting)
-		r.queue = append(r.queue, short)
+	for position := range ended.short {
+		ended.short[position].unreached = len(ended.waiting)
 	}
+	// Before all others: what was recalled is for them.
+	r.queue = append(ended.short, r.queue...)
 }
 
 // Tick ends recalls whose time is over.
--- /dev/null
+++ b/internal/lab/simulate/budgets.go
@@ -0,0 +1,543 @@
+package simulate
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/escrow"
+	"github.com/ravenway/ravenway/internal/state/accounts"
+)
+
+// BudgetPolicy is a way to spend a budget from many nodes.
+type BudgetPolicy int
+
+// Policies: the product's own and the two that it is compared with.
+const (
+	// PolicyEscrow is the product's.
+	PolicyEscrow BudgetPolicy = iota
+	// PolicyStaticSplit gives each node an equal part once and for all.
+	PolicyStaticSplit
+	// PolicyCentralCheck asks the root for every request.
+	PolicyCentralCheck
+	// PolicyNoRecall is the escrow without recalling unused grants.
+	PolicyNoRecall
+	// PolicyGrantOnTimeout is a deliberate defect: a silent holder's grant is
+	// taken for unspent after a while.
+	PolicyGrantOnTimeout
+)
+
+// BudgetOptions set up a run.
+type BudgetOptions struct {
+	Seed   uint64
+	Policy BudgetPolicy
+	// Limit of the one budget that all zones draw from, in tokens.
+	Limit uint64
+	// TopUp is added in the middle of the run, in two racing parts.
+	TopUp uint64
+	// Faults brings about cuts, restarts and lost messages.
+	Faults bool
+	// Rate of requests a second in the whole fleet.
+	Rate float64
+	// Tight requests ask for large parts of what is left.
+	Tight bool
+}
+
+// BudgetResult is what a run came to.
+type BudgetResult struct {
+	World    *World
+	Requests int
+	Served   int
+	// Used is what ran, in tokens; Limit the final limit.
+	Used, Limit uint64
+	// FalseConnected and FalseCut count refusals although the budget held
+	// enough, without and during a cut of the node's zone.
+	FalseConnected, FalseCut int
+	TrueRefusals             int
+	Messages                 int
+}
+
+const (
+	budgetName     = "prepaid"
+	budgetRunTime  = 60 * time.Second
+	budgetRestTime = 60 * time.Second
+	budgetTick     = 50 * time.Millisecond
+	budgetPatience = 5 * time.Second
+	rootName       = "root"
+)
+
+// budgetNode is one simulated entry node.
+type budgetNode struct {
+	name   string
+	zone   string
+	holder *escrow.Holder
+	life   int
+	down   bool
+	// running are the requests that its reservations pay for.
+	running map[uint64]*runningRequest
+	// part is what a static split left it.
+	part uint64
+}
+
+// runningRequest is at an engine; it goes on when its node dies.
+type runningRequest struct {
+	reservation escrow.Reservation
+	used        uint64
+	ended       bool
+}
+
+// lostLife is a life whose accounts are to be closed.
+type lostLife struct {
+	id      accounts.HolderID
+	running map[uint64]*runningRequest
+}
+
+// BudgetSimulation has 8 nodes of three zones draw on one budget.
+type BudgetSimulation struct {
+	options  BudgetOptions
+	result   BudgetResult
+	world    *World
+	network  *Network
+	accounts *accounts.Accounts
+	root     *escrow.Root
+	nodes    map[string]*budgetNode
+	names    []string
+	lost     []lostLife
+	cutZone  string
+	// disturbed is until when a refusal may be due to a fault just ended.
+	disturbed time.Duration
+	reserved  uint64
+	central   uint64
+	resting   bool
+	// registered are the loans that the claim registers hold.
+	registered map[registeredLoan]uint64
+	pending    map[*pendingRequest]struct{}
+}
+
+// registeredLoan names a loan's register.
+type registeredLoan struct{ pair accounts.LoanPair }
+
+// pendingRequest waits for its reservation.
+type pendingRequest struct {
+	node   *budgetNode
+	amount uint64
+	// everShort tells that the budget as a whole lacked it at some moment.
+	everShort bool
+}
+
+// RunBudgets runs one seed.
+func RunBudgets(options BudgetOptions) BudgetResult {
+	s := &BudgetSimulation{options: options, world: NewWorld(options.Seed), accounts: accounts.New(), nodes: map[string]*budgetNode{},
+		registered: map[registeredLoan]uint64{}, pending: map[*pendingRequest]struct{}{}}
+	s.result.World = s.world
+	s.network = NewNetwork(s.world)
+	if options.Faults {
+		s.network.Loss, s.network.Duplication = 0.02, 0.02
+	}
+	s.accounts.Ensure(budgetName)
+	s.check(s.accounts.TopUp(budgetName, options.Limit))
+	s.startRoot()
+	for zone, count := range map[string]int{"a": 3, "b": 3, "c": 2} {
+		for number := range count {
+			name := fmt.Sprintf("%s-%d", zone, number+1)
+			s.names = append(s.names, name)
+			s.nodes[name] = &budgetNode{name: name, zone: zone, part: options.Limit / 8}
+		}
+	}
+	sortNames(s.names)
+	for _, name := range s.names {
+		s.boot(s.nodes[name])
+	}
+	s.world.After(time.Second, s.arrive)
+	if options.Faults {
+		s.world.After(5*time.Second, s.injectFault)
+	}
+	if options.TopUp > 0 {
+		for range 2 {
+			s.world.After(budgetRunTime/2, func() { s.check(s.accounts.TopUp(budgetName, options.TopUp/2)) })
+		}
+	}
+	s.world.RunUntil(budgetRunTime)
+	s.rest()
+	s.world.RunUntil(budgetRunTime + budgetRestTime)
+	s.checkAtRest()
+	s.result.Limit = s.accounts.Budget(budgetName).Limit
+	s.result.Messages = s.network.Messages
+	return s.result
+}
+
+func (s *BudgetSimulation) check(err error) { s.world.Check(err) }
+
+func (s *BudgetSimulation) startRoot() {
+	s.root = escrow.NewRoot(escrow.RootOptions{
+		HoldersOf: func(budget string) []accounts.Holder {
+			var holders []accounts.Holder
+			for _, holder := range s.accounts.Budget(budget).OpenHolders() {
+				if holder.Outstanding() > 0 && !s.accounts.Fenced(holder.ID) {
+					holders = append(holders, *holder)
+				}
+			}
+			return holders
+		},
+		Reply: func(to string, message escrow.AnswerMessage) {
+			s.network.Send(rootName, to, func() { s.withHolder(to, func(holder *escrow.Holder) { holder.Take(s.world.Now, message) }) })
+		},
+		Recall: func(to string, message escrow.RecallMessage) {
+			s.network.Send(rootName, to, func() { s.withHolder(to, func(holder *escrow.Holder) { holder.Recall(message) }) })
+		},
+		WithoutRecall: s.options.Policy == PolicyNoRecall,
+	})
+	s.world.Every(10*time.Millisecond, func() bool {
+		s.root.Tick(s.world.Now)
+		s.commit()
+		s.closeLost()
+		return true
+	})
+}
+
+// commit applies waiting reports, as the replicated log does.
+func (s *BudgetSimulation) commit() {
+	batch, found := s.root.Batch()
+	if !found {
+		return
+	}
+	answers := make([][]accounts.Answer, len(batch.Command.Reports))
+	for position, reports := range batch.Command.Reports {
+		for _, report := range reports.Reports {
+			answers[position] = append(answers[position], s.accounts.Take(reports.Holder, report, 0))
+		}
+	}
+	s.check(s.accounts.Budget(budgetName).Check())
+	s.root.Applied(s.world.Now, batch, answers)
+}
+
+func (s *BudgetSimulation) withHolder(name string, act func(*escrow.Holder)) {
+	node := s.nodes[name]
+	if node.down {
+		return
+	}
+	act(node.holder)
+	s.flush(node)
+}
+
+func (s *BudgetSimulation) boot(node *budgetNode) {
+	node.life++
+	life := node.life
+	node.down = false
+	node.running = map[uint64]*runningRequest{}
+	var lenders []string
+	for _, name := range s.names {
+		if name != node.name && s.nodes[name].zone == node.zone {
+			lenders = append(lenders, name)
+		}
+	}
+	node.holder = escrow.NewHolder(escrow.HolderOptions{
+		ID: accounts.HolderID{Node: node.name, Incarnation: uint64(s.world.Now) + 1}, Lenders: lenders,
+	})
+	s.world.Every(budgetTick, func() bool {
+		if node.life != life {
+			return false
+		}
+		node.holder.Tick(s.world.Now)
+		s.flush(node)
+		return true
+	})
+}
+
+// flush sends what a node's holder has to say.
+func (s *BudgetSimulation) flush(node *budgetNode) {
+	if report, due := node.holder.Report(s.world.Now); due {
+		s.network.Send(node.name, rootName, func() { s.root.Take(report) })
+	}
+	for _, loan := range node.holder.Loans() {
+		s.sendLend(node.name, loan.To, loan.Message)
+	}
+}
+
+func (s *BudgetSimulation) sendLend(from, to string, message escrow.LendMessage) {
+	s.network.Send(from, to, func() {
+		s.withHolder(to, func(holder *escrow.Holder) {
+			switch {
+			case message.Request != nil:
+				if loan, given := holder.Lend(*message.Request, s.accounts.Fenced); given {
+					s.agreeLoan(to, loan)
+				}
+			case message.Given != nil:
+				s.world.Fault("loan")
+				holder.TakeLoan(s.world.Now, *message.Given, s.accounts.Fenced)
+			case message.Taken != nil:
+				holder.LoanTaken(*message.Taken)
+			}
+		})
+	})
+}
+
+// agreeLoan puts a loan into its register, which claims keep under faults (see
+// RunClaims): later, or never if the lender is fenced by then.
+func (s *BudgetSimulation) agreeLoan(lender string, loan accounts.Loan) {
+	s.world.After(s.world.Between(time.Millisecond, 20*time.Millisecond), func() {
+		if s.accounts.Fenced(loan.Lender) {
+			return
+		}
+		key := registeredLoan{pair: loan.Pair()}
+		s.registered[key] = max(s.registered[key], loan.Total)
+		s.withHolder(lender, func(holder *escrow.Holder) { holder.Agreed(s.world.Now, loan) })
+	})
+}
+
+// loansOf lists the registered loans from and to a life.
+func (s *BudgetSimulation) loansOf(id accounts.HolderID) []accounts.Loan {
+	var loans []accounts.Loan
+	for key, total := range s.registered {
+		if key.pair.Lender == id || key.pair.Borrower == id {
+			loans = append(loans, accounts.Loan{Lender: key.pair.Lender, Borrower: key.pair.Borrower, Budget: budgetName, Total: total})
+		}
+	}
+	return loans
+}
+
+// arrive lets one request arrive at a random node.
+func (s *BudgetSimulation) arrive() {
+	if s.resting {
+		return
+	}
+	s.world.After(time.Duration(s.world.Random.ExpFloat64()/s.options.Rate*float64(time.Second)), s.arrive)
+	node := s.nodes[s.names[s.world.Random.IntN(len(s.names))]]
+	if node.down {
+		return
+	}
+	amount := 200 + s.world.Random.Uint64N(800)
+	if s.options.Tight {
+		amount = 1 + s.world.Random.Uint64N(s.options.Limit/20)
+	}
+	s.result.Requests++
+	request := &pendingRequest{node: node, amount: amount}
+	s.pending[request] = struct{}{}
+	s.noteShort()
+	s.reserve(request)
+}
+
+// noteShort marks the waiting requests if the budget as a whole does not hold
+// enough now for all that waits: one of them must be refused then.
+func (s *BudgetSimulation) noteShort() {
+	wanted := s.result.Used + s.reserved
+	for request := range s.pending {
+		wanted += request.amount
+	}
+	if wanted <= s.accounts.Budget(budgetName).Limit {
+		return
+	}
+	for request := range s.pending {
+		request.everShort = true
+	}
+}
+
+func (s *BudgetSimulation) reserve(request *pendingRequest) {
+	node, amount := request.node, request.amount
+	switch s.options.Policy {
+	case PolicyStaticSplit:
+		if node.part < amount {
+			s.refused(request)
+			return
+		}
+		node.part -= amount
+		s.run(request, func(used uint64) { node.part += amount - used })
+	case PolicyCentralCheck:
+		limit := s.accounts.Budget(budgetName).Limit
+		if s.cutZone == node.zone || s.central+amount > limit {
+			s.refused(request)
+			return
+		}
+		s.central += amount
+		s.run(request, func(used uint64) { s.central -= amount - used })
+	default:
+		s.reserveFromEscrow(request)
+	}
+}
+
+func (s *BudgetSimulation) reserveFromEscrow(wanted *pendingRequest) {
+	node, life := wanted.node, wanted.node.life
+	node.holder.Reserve(s.world.Now, s.world.Now+budgetPatience, budgetName, wanted.amount, escrow.Policy{}, func(reservation escrow.Reservation, err error) {
+		if err != nil {
+			s.refused(wanted)
+			return
+		}
+		request := &runningRequest{reservation: reservation}
+		node.running[reservation.Sequence] = request
+		s.run(wanted, func(used uint64) {
+			request.used, request.ended = used, true
+			if node.life == life && !node.down {
+				node.holder.Settle(s.world.Now, reservation, used)
+				s.flush(node)
+			}
+		})
+	})
+	s.flush(node)
+}
+
+// run lets a reserved request use a part of its bound at an engine.
+func (s *BudgetSimulation) run(request *pendingRequest, ended func(used uint64)) {
+	amount := request.amount
+	delete(s.pending, request)
+	s.result.Served++
+	s.reserved += amount
+	s.noteShort()
+	used := amount/2 + s.world.Random.Uint64N(amount-amount/2+1)
+	s.world.After(s.world.Between(100*time.Millisecond, 3*time.Second), func() {
+		s.reserved -= amount
+		s.result.Used += used
+		if limit := s.accounts.Budget(budgetName).Limit; s.result.Used > limit {
+			s.check(fmt.Errorf("overspent: %d tokens ran, the limit is %d", s.result.Used, limit))
+		}
+		ended(used)
+	})
+}
+
+// refused counts a refusal as false if the budget as a whole held enough all
+// the time that the request waited.
+func (s *BudgetSimulation) refused(request *pendingRequest) {
+	delete(s.pending, request)
+	switch {
+	case request.everShort:
+		s.result.TrueRefusals++
+	case s.cutZone == request.node.zone:
+		s.result.FalseCut++
+	case s.world.Now < s.disturbed || len(s.lost) > 0:
+		// A part is held by a lost or cut-off node: true for lack of reach.
+		s.result.FalseCut++
+	default:
+		s.result.FalseConnected++
+	}
+}
+
+func (s *BudgetSimulation) injectFault() {
+	if s.resting {
+		return
+	}
+	s.world.After(s.world.Between(3*time.Second, 8*time.Second), s.injectFault)
+	if s.world.Chance(0.5) {
+		s.cutOff()
+		return
+	}
+	node := s.nodes[s.names[s.world.Random.IntN(len(s.names))]]
+	if node.down {
+		return
+	}
+	s.world.Fault("restart")
+	s.kill(node)
+	s.world.After(s.world.Between(100*time.Millisecond, 3*time.Second), func() { s.boot(node) })
+}
+
+// cutOff separates one zone from the others and from the root.
+func (s *BudgetSimulation) cutOff() {
+	if s.cutZone != "" {
+		return
+	}
+	s.world.Fault("zone cut")
+	s.cutZone = []string{"a", "b", "c"}[s.world.Random.IntN(3)]
+	var inside, outside []string
+	for _, name := range s.names {
+		if s.nodes[name].zone == s.cutZone {
+			inside = append(inside, name)
+		} else {
+			outside = append(outside, name)
+		}
+	}
+	s.network.CutBetween(inside, append(outside, rootName))
+	duration := s.world.Between(2*time.Second, 15*time.Second)
+	s.disturbed = s.world.Now + duration + 5*time.Second
+	s.world.After(duration, s.healCut)
+	if s.options.Policy == PolicyGrantOnTimeout {
+		s.world.After(time.Second, func() { s.returnSilentGrants(inside) })
+	}
+}
+
+// returnSilentGrants is the deliberate defect of PolicyGrantOnTimeout.
+func (s *BudgetSimulation) returnSilentGrants(silent []string) {
+	budget := s.accounts.Budget(budgetName)
+	for _, holder := range budget.OpenHolders() {
+		for _, name := range silent {
+			if holder.ID.Node == name && holder.Outstanding() > 0 {
+				budget.Returned += holder.Outstanding()
+				holder.Returned += holder.Outstanding()
+			}
+		}
+	}
+}
+
+func (s *BudgetSimulation) healCut() {
+	s.cutZone = ""
+	s.network.Heal()
+}
+
+func (s *BudgetSimulation) kill(node *budgetNode) {
+	node.life++
+	node.down = true
+	s.lost = append(s.lost, lostLife{id: node.holder.ID(), running: node.running})
+	s.disturbed = max(s.disturbed, s.world.Now+8*time.Second)
+}
+
+// closeLost fences lost lives and closes their accounts once their requests
+// have ended and every other node has answered, as the daemon's reclaim does.
+func (s *BudgetSimulation) closeLost() {
+	kept := s.lost[:0]
+	for _, lost := range s.lost {
+		s.accounts.Fence(lost.id)
+		if s.cutZone != "" || !s.tryClose(lost) {
+			kept = append(kept, lost)
+		}
+	}
+	s.lost = kept
+}
+
+func (s *BudgetSimulation) tryClose(lost lostLife) bool {
+	use := accounts.FinalUse{Budget: budgetName}
+	var loans []accounts.Loan
+	for _, name := range s.names {
+		node := s.nodes[name]
+		if node.down {
+			return false
+		}
+		loans = append(loans, node.holder.LoansWith(lost.id)...)
+	}
+	var watermark uint64
+	if account := s.accounts.Budget(budgetName).Holders[lost.id]; account != nil {
+		watermark = account.Watermark
+	}
+	for sequence, request := range lost.running {
+		if !request.ended {
+			return false
+		}
+		if sequence > watermark {
+			use.Tokens += request.used
+		}
+	}
+	s.check(s.accounts.Close(lost.id, []accounts.FinalUse{use}, escrow.MergeLoans(s.loansOf(lost.id), loans), false))
+	return true
+}
+
+// rest stops the load and heals everything.
+func (s *BudgetSimulation) rest() {
+	s.resting = true
+	s.healCut()
+	s.network.Loss = 0
+	for _, name := range s.names {
+		if s.nodes[name].down {
+			s.boot(s.nodes[name])
+		}
+	}
+}
+
+// checkAtRest: everything that ran is billed, once, and nothing is stuck.
+func (s *BudgetSimulation) checkAtRest() {
+	if s.world.Broken != nil || (s.options.Policy != PolicyEscrow && s.options.Policy != PolicyNoRecall) {
+		return
+	}
+	budget := s.accounts.Budget(budgetName)
+	if budget.Settled() != s.result.Used {
+		s.check(fmt.Errorf("%d tokens ran, %d are billed", s.result.Used, budget.Settled()))
+	}
+	if budget.Outstanding() > budget.Limit/100 {
+		s.check(fmt.Errorf("%d tokens are still granted out long after the load ended", budget.Outstanding()))
+	}
+	s.check(budget.Check())
+}
--- /dev/null
+++ b/internal/lab/simulate/budgets_test.go
@@ -0,0 +1,62 @@
+package simulate
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// faultyBudget is a budget drawn on from every zone at once, running out in
+// the middle, topped up twice at the same moment.
+func faultyBudget(seed uint64, policy BudgetPolicy) BudgetOptions {
+	return BudgetOptions{Seed: seed, Policy: policy, Limit: 400_000, TopUp: 200_000, Faults: true, Rate: 25}
+}
+
+func TestNoOverspendAndNothingLostUnderFaults(t *testing.T) {
+	runSeeds(t, seedsInCI, func(seed uint64) *World { return RunBudgets(faultyBudget(seed, PolicyEscrow)).World })
+}
+
+func TestNoOverspendOfTinyTightBudget(t *testing.T) {
+	runSeeds(t, seedsInCI, func(seed uint64) *World {
+		return RunBudgets(BudgetOptions{Seed: seed, Limit: 2000, Faults: true, Tight: true, Rate: 10}).World
+	})
+}
+
+func TestSimulationNoticesGrantsThatExpireByTime(t *testing.T) {
+	broken := brokenSeed(t, 100, func(seed uint64) *World { return RunBudgets(faultyBudget(seed, PolicyGrantOnTimeout)).World })
+	assert.Assert(t, broken != nil)
+}
+
+// While connected, a refusal is true: recalling makes it so.
+func TestRefusalsAreTrueWhileConnected(t *testing.T) {
+	falseRefusals := map[BudgetPolicy]int{}
+	for _, policy := range []BudgetPolicy{PolicyEscrow, PolicyNoRecall, PolicyStaticSplit} {
+		for seed := range uint64(40) {
+			result := RunBudgets(BudgetOptions{Seed: seed, Policy: policy, Limit: 300_000, Rate: 20})
+			assert.NilError(t, result.World.Broken, "policy %d, seed %d", policy, seed)
+			falseRefusals[policy] += result.FalseConnected
+		}
+	}
+	t.Log("false refusals by policy:", falseRefusals)
+	assert.Equal(t, falseRefusals[PolicyEscrow], 0)
+	assert.Assert(t, falseRefusals[PolicyNoRecall] > 0)
+	assert.Assert(t, falseRefusals[PolicyStaticSplit] > 0)
+}
+
+// In a cut-off zone the escrow refuses fewer than a central check, which can
+// serve nothing there, and than a static split over a whole run.
+func TestCutZonesAreServedBetterThanByTheBaselines(t *testing.T) {
+	refusals := map[BudgetPolicy]int{}
+	for _, policy := range []BudgetPolicy{PolicyEscrow, PolicyCentralCheck, PolicyStaticSplit} {
+		for seed := range uint64(60) {
+			result := RunBudgets(faultyBudget(seed, policy))
+			assert.NilError(t, result.World.Broken, "policy %d, seed %d", policy, seed)
+			refusals[policy] += result.FalseCut + result.FalseConnected
+		}
+	}
+	t.Log(fmt.Sprintf("false refusals: escrow %d, central %d, static %d",
+		refusals[PolicyEscrow], refusals[PolicyCentralCheck], refusals[PolicyStaticSplit]))
+	assert.Assert(t, refusals[PolicyEscrow] < refusals[PolicyCentralCheck])
+	assert.Assert(t, refusals[PolicyEscrow] < refusals[PolicyStaticSplit])
+}
--- a/internal/lab/simulate/consensus.go
+++ b/internal/lab/simulate/consensus.go
@@ -48,8 +48,7 @@
 
 // registerMachine is the state machine of the consensus simulation.
 type registerMachine struct {
-	values  [consensusRegisters]uint64
-	applied []uint64
+	values [consensusRegisters]uint64
 }
 
 func (m *registerMachine) Apply(_ uint64, data []byte) any {
@@ -100,7 +99,6 @@
 
 type committedEntry struct {
 	term uint64
-	data string
 }
 
 // RunConsensus runs one seed and returns its world; Broken tells the outcome.
--- a/internal/lab/simulate/world.go
+++ b/internal/lab/simulate/world.go
@@ -190,3 +190,5 @@
 
 // Reachable tells whether messages from one node reach another.
 func (n *Network) Reachable(from, to string) bool { return !n.cut[link{from, to}] }
+
+func sortNames(names []string) { sort.Strings(names) }
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -26,16 +26,12 @@
 	platformInterval = 500 * time.Millisecond
 	pollTimeout      = time.Second
 	// pollLanes bounds the questions under way at once.
-	pollLanes        = 32
-	defaultMaxQueue  = 1000
-	deadlineForQueue = "its deadline passed while it waited"
+	pollLanes       = 32
+	defaultMaxQueue = 1000
 )
 
-// Errors of acquiring a back end.
-var (
-	errNoBackend = errors.New("no back end of the service can be used")
-	errDeadline  = errors.New(deadlineForQueue)
-)
+// errDeadline says that a request was given up on at its deadline.
+var errDeadline = errors.New("its deadline passed while it waited")
 
 // placement is what a request needs of a back end.
 type placement struct {
--- a/internal/node/billed.go
+++ b/internal/node/billed.go
@@ -26,8 +26,6 @@
 	// joinPause is the pause before a request in progress elsewhere is looked
 	// at again.
 	joinPause = 200 * time.Millisecond
-	// ownerGrace is how long a live owner has to reach its back end.
-	ownerGrace = 2 * time.Second
 )
 
 // run is one billed request on its way.
--- a/internal/node/escrow.go
+++ b/internal/node/escrow.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"slices"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -131,16 +131,37 @@
 	e.duty.offer(func() {
 		switch {
 		case message.Request != nil:
-			if loan, given := e.holder.Lend(*message.Request); given {
-				e.node.log.Info().Str("event", "loan_given").Str("borrower", from).Str("budget", loan.Budget).Uint64("total", loan.Total).Send()
-				e.node.send(from, peer.KindLend, &escrow.LendMessage{Loan: &loan})
+			e.node.log.Info().Str("event", "loan_asked").Str("borrower", from).Str("budget", message.Request.Budget).Uint64("need", message.Request.Need).Send()
+			if loan, given := e.holder.Lend(*message.Request, e.node.claims.fencedHere); given {
+				go e.agreeLoan(loan)
 			}
-		case message.Loan != nil:
-			e.holder.TakeLoan(e.node.now(), *message.Loan, e.node.claims.fencedHere)
+		case message.Given != nil:
+			e.holder.TakeLoan(e.node.now(), *message.Given, e.node.claims.fencedHere)
+		case message.Taken != nil:
+			e.holder.LoanTaken(*message.Taken)
 		}
 	})
 }
 
+// agreeLoan puts a loan into its claim register, so that it is still known
+// when both sides are lost together, and then tells the borrower.
+func (e *escrowDuty) agreeLoan(loan accounts.Loan) {
+	name := fmt.Sprintf("loan %s %s %s", loan.Lender, loan.Borrower, loan.Budget)
+	value := &claims.Claim{State: claims.Lent, Owner: loan.Lender, Borrower: loan.Borrower, Budget: loan.Budget, Reserved: loan.Total}
+	outcome, err := e.node.claims.change(e.node.life, e.node.zone, claims.NewKey("", name), func(current *claims.Claim) *claims.Claim {
+		if current != nil && current.Reserved >= loan.Total {
+			return nil
+		}
+		return value
+	})
+	if err != nil || outcome.Claim == nil {
+		// Not told, so not spent. The next request of the borrower tries again.
+		e.node.log.Info().Str("event", "loan_not_agreed").Str("borrower", loan.Borrower.Node).AnErr("error", err).Send()
+		return
+	}
+	_ = e.duty.do(e.node.life, func() { e.holder.Agreed(e.node.now(), loan) })
+}
+
 // returnAll gives back the node's unused grant and waits until the root has
 // every settlement, for a planned stop.
 func (e *escrowDuty) returnAll(ctx context.Context) error {
@@ -161,9 +182,7 @@
 	}
 }
 
-// loansWith returns what was lent to and borrowed from a fenced life.
-func (e *escrowDuty) loansWith(ctx context.Context, other accounts.HolderID) ([]accounts.FinalUse, error) {
-	return ask(ctx, e.duty, func(answer func([]accounts.FinalUse)) {
-		answer(slices.Clone(e.holder.LoansWith(other)))
-	})
+// loansWith returns what is known here of a fenced life's loans.
+func (e *escrowDuty) loansWith(ctx context.Context, other accounts.HolderID) ([]accounts.Loan, error) {
+	return ask(ctx, e.duty, func(answer func([]accounts.Loan)) { answer(e.holder.LoansWith(other)) })
 }
--- a/internal/node/reclaim.go
+++ b/internal/node/reclaim.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/claims"
+	"github.com/ravenway/ravenway/internal/coordination/escrow"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/accounts"
 	"github.com/ravenway/ravenway/internal/state/machine"
@@ -21,9 +22,9 @@
 // fenceAnswer is what the holder knows of that life.
 type fenceAnswer struct {
 	// Recovering holders don't know all their claims yet: ask again.
-	Recovering bool                `msgpack:"w"`
-	Records    []claims.Record     `msgpack:"r"`
-	Loans      []accounts.FinalUse `msgpack:"l"`
+	Recovering bool            `msgpack:"w"`
+	Records    []claims.Record `msgpack:"r"`
+	Loans      []accounts.Loan `msgpack:"l"`
 }
 
 func (n *Node) fenceHere(ctx context.Context, question fenceQuestion) (fenceAnswer, error) {
@@ -82,11 +83,13 @@
 	if err != nil {
 		return err
 	}
-	uses, err := n.resolveClaims(ctx, holder, collected)
+	uses, err := n.resolveClaims(ctx, holder, &collected)
 	if err != nil {
 		return err
 	}
-	result, err := n.propose(ctx, machine.Command{Close: &machine.CloseCommand{Holder: holder, Uses: uses}})
+	result, err := n.propose(ctx, machine.Command{Close: &machine.CloseCommand{
+		Holder: holder, Uses: uses, Loans: escrow.MergeLoans(collected.registered, collected.loans),
+	}})
 	if err != nil {
 		return fmt.Errorf("committing the close: %w", err)
 	}
@@ -97,14 +100,16 @@
 // collected is everything that the other nodes know of a life.
 type collected struct {
 	records map[claims.Key]claims.Record
-	loans   map[string]accounts.FinalUse
+	// loans are the other sides' own words, registered what the claims say.
+	loans      []accounts.Loan
+	registered []accounts.Loan
 }
 
 // collectClaims fences a life at every other node. Only when all have answered
 // is it certain that no claim of it is missing and none can be added. The
 // lost node's own machine counts only once it has a new life.
 func (n *Node) collectClaims(ctx context.Context, holder accounts.HolderID) (collected, error) {
-	found := collected{records: map[claims.Key]claims.Record{}, loans: map[string]accounts.FinalUse{}}
+	found := collected{records: map[claims.Key]claims.Record{}}
 	for _, member := range n.pool.Nodes() {
 		if member.Name == holder.Node && !n.hasNewLife(holder) {
 			continue
@@ -143,18 +148,12 @@
 	for _, record := range answer.Records {
 		c.records[record.Key] = record
 	}
-	for _, loan := range answer.Loans {
-		total := c.loans[loan.Budget]
-		total.Budget = loan.Budget
-		total.Borrowed += loan.Borrowed
-		total.Lent += loan.Lent
-		c.loans[loan.Budget] = total
-	}
+	c.loans = append(c.loans, answer.Loans...)
 }
 
 // resolveClaims agrees an end for each claim behind the root's watermark, and
 // sums up the use.
-func (n *Node) resolveClaims(ctx context.Context, holder accounts.HolderID, found collected) ([]accounts.FinalUse, error) {
+func (n *Node) resolveClaims(ctx context.Context, holder accounts.HolderID, found *collected) ([]accounts.FinalUse, error) {
 	watermarks, err := atLeader(ctx, n, func(state *machine.Machine) map[string]uint64 {
 		marks := map[string]uint64{}
 		for _, name := range state.Accounts().Names() {
@@ -167,8 +166,15 @@
 	if err != nil {
 		return nil, err
 	}
+	var uses []accounts.FinalUse
 	for key, record := range found.records {
 		claim := record.Claim
+		if claim.State == claims.Lent {
+			if err := n.readLoan(ctx, key, record, found); err != nil {
+				return nil, err
+			}
+			continue
+		}
 		if claim.Budget == "" || claim.Sequence <= watermarks[claim.Budget] {
 			continue
 		}
@@ -179,18 +185,25 @@
 		if ended == nil || ended.Owner != holder {
 			continue
 		}
-		use := found.loans[ended.Budget]
-		use.Budget = ended.Budget
-		use.BehindWatermark += ended.Used
-		found.loans[ended.Budget] = use
-	}
-	var uses []accounts.FinalUse
-	for _, use := range found.loans {
-		uses = append(uses, use)
+		uses = append(uses, accounts.FinalUse{Budget: ended.Budget, Tokens: ended.Used})
 	}
 	return uses, nil
 }
 
+// readLoan reads what was agreed of a loan.
+func (n *Node) readLoan(ctx context.Context, key claims.Key, record claims.Record, found *collected) error {
+	outcome, err := n.claims.change(ctx, record.Scope, key, func(*claims.Claim) *claims.Claim { return nil })
+	if err != nil {
+		return fmt.Errorf("reading loan %s: %w", key, err)
+	}
+	if agreed := outcome.Claim; agreed != nil {
+		found.registered = append(found.registered, accounts.Loan{
+			Lender: agreed.Owner, Borrower: agreed.Borrower, Budget: agreed.Budget, Total: agreed.Reserved,
+		})
+	}
+	return nil
+}
+
 // resolveClaim settles an open claim with what its back end says.
 func (n *Node) resolveClaim(ctx context.Context, key claims.Key, record claims.Record) (*claims.Claim, error) {
 	outcome, err := n.claims.change(ctx, record.Scope, key, func(*claims.Claim) *claims.Claim { return nil })
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -211,15 +211,15 @@
 	})
 }
 
-func (r *replicaDuty) holdersOf(budget string) []accounts.HolderID {
+func (r *replicaDuty) holdersOf(budget string) []accounts.Holder {
 	found := r.machine.Accounts().Budget(budget)
 	if found == nil {
 		return nil
 	}
-	var holders []accounts.HolderID
+	var holders []accounts.Holder
 	for _, holder := range found.OpenHolders() {
 		if holder.Outstanding() > 0 && !r.machine.Accounts().Fenced(holder.ID) {
-			holders = append(holders, holder.ID)
+			holders = append(holders, *holder)
 		}
 	}
 	return holders
--- a/internal/state/accounts/accounts.go
+++ b/internal/state/accounts/accounts.go
@@ -67,8 +67,28 @@
 	// ClosedSettled is the use of holders that were closed.
 	ClosedSettled uint64               `msgpack:"c"`
 	Holders       map[HolderID]*Holder `msgpack:"-"`
+	// Transfers are the loans in which one side's account is closed and the
+	// other's is still open.
+	Transfers map[LoanPair]uint64 `msgpack:"-"`
 }
 
+// LoanPair is one direction between two holders.
+type LoanPair struct {
+	Lender   HolderID `msgpack:"l"`
+	Borrower HolderID `msgpack:"b"`
+}
+
+// Loan is what one holder has lent another in all, in tokens.
+type Loan struct {
+	Lender   HolderID `msgpack:"l"`
+	Borrower HolderID `msgpack:"h"`
+	Budget   string   `msgpack:"b"`
+	Total    uint64   `msgpack:"t"`
+}
+
+// Pair returns the loan's direction.
+func (l Loan) Pair() LoanPair { return LoanPair{Lender: l.Lender, Borrower: l.Borrower} }
+
 // Settled is the use reported by all holders.
 func (b *Budget) Settled() uint64 {
 	settled := b.ClosedSettled
@@ -151,7 +171,7 @@
 func (a *Accounts) Ensure(name string) *Budget {
 	budget := a.budgets[name]
 	if budget == nil {
-		budget = &Budget{Name: name, Holders: map[HolderID]*Holder{}}
+		budget = &Budget{Name: name, Holders: map[HolderID]*Holder{}, Transfers: map[LoanPair]uint64{}}
 		a.budgets[name] = budget
 	}
 	return budget
@@ -237,45 +257,57 @@
 	return id.Incarnation <= a.closed[id.Node]
 }
 
-// FinalUse is what the claims and the other holders say of a fenced holder's
-// part of one budget.
+// FinalUse is the use of a fenced holder's claims behind the root's watermark.
 type FinalUse struct {
 	Budget string `msgpack:"b"`
-	// BehindWatermark is the use of its claims behind the root's watermark.
-	BehindWatermark uint64 `msgpack:"u"`
-	// Borrowed and Lent are what others lent to it and borrowed from it.
-	Borrowed uint64 `msgpack:"br"`
-	Lent     uint64 `msgpack:"ln"`
+	Tokens uint64 `msgpack:"u"`
 }
 
 // Close ends a fenced holder's accounts: what it did not use becomes grantable
-// again. forfeit charges everything it held instead, for when its claims can't
-// be known.
-func (a *Accounts) Close(id HolderID, uses []FinalUse, forfeit bool) error {
+// again. loans are the loans from and to it. forfeit charges everything it held
+// instead, for when its claims can't be known.
+func (a *Accounts) Close(id HolderID, uses []FinalUse, loans []Loan, forfeit bool) error {
 	if !a.Fenced(id) {
 		return fmt.Errorf("holder %s is not fenced", id)
 	}
 	if a.Closed(id) {
 		return nil
 	}
-	byBudget := map[string]FinalUse{}
+	for _, loan := range loans {
+		a.recordTransfer(loan)
+	}
+	behind := map[string]uint64{}
 	for _, use := range uses {
-		byBudget[use.Budget] = use
+		behind[use.Budget] += use.Tokens
 	}
+	a.closed[id.Node] = max(a.closed[id.Node], id.Incarnation)
 	for name, budget := range a.budgets {
-		use, mentioned := byBudget[name]
-		if budget.Holders[id] != nil || mentioned {
-			budget.close(id, use, forfeit)
-		}
+		budget.close(id, behind[name], forfeit)
+		budget.forgetTransfers(a.Closed)
 	}
-	a.closed[id.Node] = max(a.closed[id.Node], id.Incarnation)
 	return nil
 }
 
-func (b *Budget) close(id HolderID, use FinalUse, forfeit bool) {
+// recordTransfer keeps a loan for the account of its other side. One that was
+// recorded when the first side was closed stands: that side's word was final.
+func (a *Accounts) recordTransfer(loan Loan) {
+	budget := a.budgets[loan.Budget]
+	if budget == nil {
+		return
+	}
+	if _, known := budget.Transfers[loan.Pair()]; !known {
+		budget.Transfers[loan.Pair()] = loan.Total
+	}
+}
+
+func (b *Budget) close(id HolderID, behindWatermark uint64, forfeit bool) {
+	borrowed, lent := b.transferred(id)
+	if b.Holders[id] == nil && borrowed == 0 {
+		return
+	}
 	holder := b.holder(id)
-	held := saturatingSubtract(holder.Granted+use.Borrowed, holder.Returned+use.Lent)
-	settled := min(held, holder.WatermarkSettled+use.BehindWatermark)
+	held := saturatingSubtract(holder.Granted+borrowed, holder.Returned+lent)
+	settled := min(held, holder.WatermarkSettled+behindWatermark)
 	if forfeit {
 		settled = held
 	}
@@ -284,6 +316,27 @@
 	delete(b.Holders, id)
 }
 
+// transferred sums up the recorded loans to and from a holder.
+func (b *Budget) transferred(id HolderID) (borrowed, lent uint64) {
+	for pair, total := range b.Transfers {
+		if pair.Borrower == id {
+			borrowed += total
+		}
+		if pair.Lender == id {
+			lent += total
+		}
+	}
+	return borrowed, lent
+}
+
+func (b *Budget) forgetTransfers(closed func(HolderID) bool) {
+	for pair := range b.Transfers {
+		if closed(pair.Lender) && closed(pair.Borrower) {
+			delete(b.Transfers, pair)
+		}
+	}
+}
+
 // OpenHolders returns the open holders of a budget in order.
 func (b *Budget) OpenHolders() []*Holder {
 	holders := make([]*Holder, 0, len(b.Holders))
--- a/internal/state/accounts/snapshot.go
+++ b/internal/state/accounts/snapshot.go
@@ -11,6 +11,7 @@
 type storedBudget struct {
 	Budget  Budget   `msgpack:"b"`
 	Holders []Holder `msgpack:"h"`
+	Loans   []Loan   `msgpack:"l"`
 }
 
 // storedAccounts is the whole of a snapshot.
@@ -35,6 +36,10 @@
 		for _, holder := range budget.OpenHolders() {
 			entry.Holders = append(entry.Holders, *holder)
 		}
+		for pair, total := range budget.Transfers {
+			entry.Loans = append(entry.Loans, Loan{Lender: pair.Lender, Borrower: pair.Borrower, Budget: name, Total: total})
+		}
+		sort.Slice(entry.Loans, func(i, j int) bool { return entry.Loans[i].less(entry.Loans[j]) })
 		stored = append(stored, entry)
 	}
 	data, err := msgpack.Marshal(&storedAccounts{
@@ -55,9 +60,12 @@
 	accounts := New()
 	for position := range stored.Budgets {
 		budget := accounts.Ensure(stored.Budgets[position].Budget.Name)
-		holders := budget.Holders
+		holders, transfers := budget.Holders, budget.Transfers
 		*budget = stored.Budgets[position].Budget
-		budget.Holders = holders
+		budget.Holders, budget.Transfers = holders, transfers
+		for _, loan := range stored.Budgets[position].Loans {
+			transfers[loan.Pair()] = loan.Total
+		}
 		for _, holder := range stored.Budgets[position].Holders {
 			holders[holder.ID] = &holder
 		}
@@ -71,6 +79,13 @@
 	return accounts, nil
 }
 
+func (l Loan) less(other Loan) bool {
+	if l.Lender != other.Lender {
+		return l.Lender.Less(other.Lender)
+	}
+	return l.Borrower.Less(other.Borrower)
+}
+
 func sortedIncarnations(incarnations map[string]uint64) []storedIncarnation {
 	stored := make([]storedIncarnation, 0, len(incarnations))
 	for node, incarnation := range incarnations {
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -75,6 +75,7 @@
 type CloseCommand struct {
 	Holder accounts.HolderID   `msgpack:"h"`
 	Uses   []accounts.FinalUse `msgpack:"u"`
+	Loans  []accounts.Loan     `msgpack:"l"`
 	// Forfeit charges all that the holder held.
 	Forfeit bool `msgpack:"f"`
 }
@@ -220,7 +221,7 @@
 		m.accounts.Fence(command.Fence.Holder)
 		return Result{}
 	case command.Close != nil:
-		return refusal(m.accounts.Close(command.Close.Holder, command.Close.Uses, command.Close.Forfeit))
+		return refusal(m.accounts.Close(command.Close.Holder, command.Close.Uses, command.Close.Loans, command.Close.Forfeit))
 	case command.Node != nil:
 		m.applyNode(*command.Node)
 		return Result{}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,9 +4,9 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-staticcheck_version=2026.1
+staticcheck_version=v0.8.2
 tools="$(go env GOPATH)/bin"
-if ! "$tools/staticcheck" --version 2>/dev/null | grep -q "$staticcheck_version"; then
+if ! "$tools/staticcheck" --version 2>/dev/null | grep -qF "(${staticcheck_version#v})"; then
   go install "honnef.co/go/tools/cmd/staticcheck@$staticcheck_version"
 fi
 
