Fleet: real nodes in one process and in virtual time

Cause: the node's own code needs proofs under failure that are quick and do not depend on the machine's load. Change: an in-memory network with cuts, simulated disks, and real nodes with all their duties in a testing/synctest bubble; a ledger of what callers were told, compared with the back ends' truth.

--- /dev/null
+++ b/internal/lab/fleet/check.go
@@ -0,0 +1,114 @@
+package fleet
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/lab/emulator"
+	"github.com/ravenway/ravenway/internal/lab/load"
+)
+
+// Ledger gathers what callers were told, to be compared with the truth.
+type Ledger struct {
+	mutex   sync.Mutex
+	entries []ledgerEntry
+}
+
+type ledgerEntry struct {
+	request load.Request
+	answer  load.Answer
+	tries   int
+}
+
+// Note records one request's last answer.
+func (l *Ledger) Note(request load.Request, answer load.Answer, tries int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.entries = append(l.entries, ledgerEntry{request: request, answer: answer, tries: tries})
+}
+
+// Outcomes counts the answers by outcome.
+func (l *Ledger) Outcomes() map[load.Outcome]int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	counts := map[load.Outcome]int{}
+	for _, entry := range l.entries {
+		counts[entry.answer.Outcome]++
+	}
+	return counts
+}
+
+// Check compares what callers were told and what is billed with what the back
+// ends ran. It waits for late settlements.
+func (f *Fleet) Check(ledger *Ledger, patience time.Duration) error {
+	if err := f.checkAnswers(ledger); err != nil {
+		return err
+	}
+	var last error
+	err := f.WaitFor(patience, "bills that equal the truth", func() bool {
+		last = f.checkBills()
+		return last == nil
+	})
+	if err != nil {
+		return fmt.Errorf("%w: %w", err, last)
+	}
+	return nil
+}
+
+// checkAnswers holds the promises that show in single answers.
+func (f *Fleet) checkAnswers(ledger *Ledger) error {
+	ran := map[string]int{}
+	bodies := map[string]int{}
+	for _, event := range f.Emulator.Truth.Events() {
+		ran[event.RequestID]++
+		if event.Kind == emulator.TruthCall && event.Method == http.MethodPost {
+			bodies[event.Body]++
+		}
+	}
+	for body, count := range bodies {
+		if count > 1 {
+			return fmt.Errorf("a call that may not be repeated ran %d times: %q", count, body)
+		}
+	}
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	for _, entry := range ledger.entries {
+		switch entry.answer.Outcome {
+		case load.Wrong:
+			return fmt.Errorf("request %s got a wrong answer: %s", entry.request.Key, entry.answer.Detail)
+		case load.Refused:
+			if entry.request.Kind == load.KindAct && bodies[entry.request.Body] > 0 && entry.tries == 1 {
+				return fmt.Errorf("request %s was refused as not run (%s), but it ran", entry.request.Key, entry.answer.Code)
+			}
+		}
+	}
+	return nil
+}
+
+// checkBills compares each tenant's bill with what the engines ran for it. A
+// request that ran at two engines because the first was lost is billed once,
+// so the truth may be more than the bill, never less than what was answered.
+func (f *Fleet) checkBills() error {
+	budgets, err := f.Budgets()
+	if err != nil {
+		return err
+	}
+	ran := map[string]uint64{}
+	for _, event := range f.Emulator.Truth.Events() {
+		if event.Kind == emulator.TruthFinished || event.Kind == emulator.TruthCancelled {
+			ran[event.Tenant] += event.Tokens
+		}
+	}
+	for _, tenant := range f.Plan.TenantNames() {
+		budget := budgets[tenant]
+		if budget.GetSettled()+budget.GetOutstanding() > budget.GetLimit() {
+			return fmt.Errorf("%s: %d settled and %d outstanding of %d", tenant, budget.GetSettled(), budget.GetOutstanding(), budget.GetLimit())
+		}
+		if budget.GetSettled() != ran[tenant] {
+			return fmt.Errorf("%s: %d billed, %d ran", tenant, budget.GetSettled(), ran[tenant])
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/fleet/fleet.go
@@ -0,0 +1,326 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+	"github.com/ravenway/ravenway/api/ravenway/v1/ravenwayv1connect"
+	"github.com/ravenway/ravenway/internal/lab/deployment"
+	"github.com/ravenway/ravenway/internal/lab/emulator"
+	"github.com/ravenway/ravenway/internal/lab/load"
+	"github.com/ravenway/ravenway/internal/node"
+	"github.com/ravenway/ravenway/internal/settings"
+	"github.com/ravenway/ravenway/internal/state/disk"
+)
+
+const (
+	// callerMachine is where callers and operators sit; it is never cut off.
+	callerMachine = "caller"
+	peerKey       = "fleet-peer-key-of-at-least-32-bytes"
+)
+
+// Machine is one node's machine.
+type Machine struct {
+	deployment.Node
+	disk   *disk.Simulated
+	node   *node.Node
+	cancel context.CancelFunc
+	ended  chan struct{}
+	// transport carries the node's requests to back ends.
+	transport *http.Transport
+}
+
+// Fleet is a deployment in one process.
+type Fleet struct {
+	Plan     deployment.Plan
+	Network  *Network
+	Emulator *emulator.World
+	Logger   zerolog.Logger
+	machines map[string]*Machine
+	// Order lists the machines' names.
+	Order     []string
+	ctx       context.Context
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+	callers   *http.Transport
+	operators map[string]ravenwayv1connect.OperatorServiceClient
+	// DeadAfter is the silence after which a node's grants are reclaimed.
+	DeadAfter time.Duration
+}
+
+// New makes a fleet; nothing runs yet.
+func New(plan deployment.Plan, random *rand.Rand, engines emulator.EngineOptions) *Fleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	made := &Fleet{
+		Plan: plan, Network: NewNetwork(), Emulator: emulator.NewWorld(plan.Catalog(), engines, emulator.NewTruth(nil)),
+		Logger: zerolog.Nop(), machines: map[string]*Machine{}, ctx: ctx, cancel: cancel,
+		operators: map[string]ravenwayv1connect.OperatorServiceClient{}, DeadAfter: 8 * time.Second,
+	}
+	made.callers = &http.Transport{DialContext: made.Network.Dialer(callerMachine), MaxIdleConnsPerHost: 64}
+	for _, planned := range plan.Nodes() {
+		made.Order = append(made.Order, planned.Name)
+		made.machines[planned.Name] = &Machine{Node: planned, disk: disk.NewSimulated(rand.New(rand.NewPCG(random.Uint64(), 0)))}
+		client := &http.Client{Transport: made.callers, Timeout: 20 * time.Second}
+		made.operators[planned.Name] = ravenwayv1connect.NewOperatorServiceClient(client, "http://"+planned.Address(deployment.OperatorsPort))
+	}
+	return made
+}
+
+// zoneMachine is the machine that all back ends of a zone stand on.
+func zoneMachine(zone string) string { return "backends-" + zone }
+
+// Start starts the emulator and all nodes, and waits for a leader.
+func (f *Fleet) Start() error {
+	f.running.Go(func() { f.Emulator.RunEngines(f.ctx) })
+	for _, backend := range f.Plan.Catalog().GetBackends() {
+		handler := f.Emulator.Handlers()[backend.GetAddress()]
+		f.serve(zoneMachine(backend.GetZone()), backend.GetAddress(), handler)
+	}
+	f.serve("platform", f.Plan.AdminAddress(), f.Emulator.AdminHandler())
+	for _, name := range f.Order {
+		if err := f.Boot(name); err != nil {
+			return err
+		}
+	}
+	return f.WaitFor(30*time.Second, "a leader and all its voters", func() bool {
+		status, err := f.Status(f.Order[0])
+		return err == nil && status.GetLeader() != ""
+	})
+}
+
+func (f *Fleet) serve(machine, address string, handler http.Handler) {
+	server := &http.Server{Handler: handler}
+	listener := f.Network.Listen(machine, address)
+	f.running.Go(func() { _ = server.Serve(listener) })
+	f.running.Go(func() {
+		<-f.ctx.Done()
+		_ = server.Close()
+	})
+}
+
+// Boot starts a machine's node, on whatever its disk holds.
+func (f *Fleet) Boot(name string) error {
+	machine := f.machines[name]
+	machine.transport = &http.Transport{DialContext: f.Network.Dialer(name), MaxIdleConnsPerHost: 16, IdleConnTimeout: 10 * time.Second}
+	dial := f.Network.Dialer(name)
+	loaded := f.settings(machine.Node)
+	options := node.Options{
+		Settings: loaded, PeerKey: []byte(peerKey), FileSystem: machine.disk, Logger: f.Logger.With().Str("node", name).Logger(),
+		BackendTransport: machine.transport,
+		DialPeer: func(ctx context.Context, address string) (net.Conn, error) {
+			return dial(ctx, "memory", address)
+		},
+		Listeners: node.Listeners{
+			Callers:   f.Network.Listen(name, machine.Address(deployment.CallersPort)),
+			Operators: f.Network.Listen(name, machine.Address(deployment.OperatorsPort)),
+			Peers:     f.Network.Listen(name, machine.Address(deployment.PeersPort)),
+			Health:    f.Network.Listen(name, machine.Address(deployment.HealthPort)),
+		},
+	}
+	started, err := node.New(options)
+	if err != nil {
+		return fmt.Errorf("booting %s: %w", name, err)
+	}
+	ctx, cancel := context.WithCancel(f.ctx)
+	machine.node, machine.cancel, machine.ended = started, cancel, make(chan struct{})
+	ended := machine.ended
+	f.running.Go(func() {
+		defer close(ended)
+		_ = started.Run(ctx)
+	})
+	return nil
+}
+
+func (f *Fleet) settings(of deployment.Node) *settings.Settings {
+	roles := []string{settings.RoleEntry}
+	if of.Control {
+		roles = append(roles, settings.RoleControl)
+	}
+	loaded := &settings.Settings{
+		Node:     settings.Node{Name: of.Name, Zone: of.Zone, Roles: roles},
+		Control:  settings.Control{Bootstrap: of.Name == f.Order[0], DeadAfter: f.DeadAfter},
+		Platform: settings.Platform{MachinesURL: "http://" + f.Plan.AdminAddress()},
+		Limits: settings.Limits{
+			MaxBodyBytes: settings.DefaultMaxBodyBytes, BodyTimeout: settings.DefaultBodyTimeout, MaxStreams: settings.DefaultMaxStreams,
+			AnswerStoreBytes: settings.DefaultAnswerStoreBytes, RequestDeadline: settings.DefaultRequestDeadline,
+		},
+	}
+	for _, other := range f.Plan.Nodes() {
+		loaded.Peers = append(loaded.Peers, settings.Peer{
+			Name: other.Name, Zone: other.Zone, Address: other.Address(deployment.PeersPort), Control: other.Control,
+		})
+	}
+	return loaded
+}
+
+// Kill ends a machine at once: its connections break, and its disk loses what
+// was not synced.
+func (f *Fleet) Kill(name string) {
+	machine := f.machines[name]
+	f.Network.Break(name)
+	machine.disk.Crash()
+	machine.cancel()
+	<-machine.ended
+	machine.transport.CloseIdleConnections()
+	f.Network.Break(name)
+}
+
+// LoseDisk empties a killed machine's disk.
+func (f *Fleet) LoseDisk(name string) { f.machines[name].disk.Erase() }
+
+// StopPlanned stops a node as a signal would, and returns the streams cut.
+func (f *Fleet) StopPlanned(ctx context.Context, name string) int64 {
+	machine := f.machines[name]
+	cut := machine.node.Stop(ctx)
+	machine.cancel()
+	<-machine.ended
+	machine.transport.CloseIdleConnections()
+	f.Network.Break(name)
+	return cut
+}
+
+// Close ends everything.
+func (f *Fleet) Close() {
+	f.Network.Heal()
+	f.cancel()
+	f.callers.CloseIdleConnections()
+	for _, name := range f.Order {
+		f.machines[name].transport.CloseIdleConnections()
+		f.Network.Break(name)
+	}
+	f.running.Wait()
+	f.callers.CloseIdleConnections()
+}
+
+// ZoneMachines lists the nodes and back ends of a zone.
+func (f *Fleet) ZoneMachines(zone string) []string {
+	names := []string{zoneMachine(zone)}
+	for _, name := range f.Order {
+		if f.machines[name].Zone == zone {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// CutZone separates a zone's machines from all others but the callers.
+func (f *Fleet) CutZone(zone string) {
+	var others []string
+	for _, other := range f.Plan.Zones {
+		if other != zone {
+			others = append(others, f.ZoneMachines(other)...)
+		}
+	}
+	f.Network.CutBetween(f.ZoneMachines(zone), append(others, "platform"))
+}
+
+// WaitFor polls a condition.
+func (f *Fleet) WaitFor(patience time.Duration, what string, holds func() bool) error {
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+		if holds() {
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return fmt.Errorf("%s did not come within %v", what, patience)
+}
+
+// Status asks one node for its view.
+func (f *Fleet) Status(name string) (*ravenwayv1.GetStatusResponse, error) {
+	answer, err := f.operators[name].GetStatus(f.ctx, connect.NewRequest(&ravenwayv1.GetStatusRequest{}))
+	if err != nil {
+		return nil, err
+	}
+	return answer.Msg, nil
+}
+
+// Operator is a client of one node's operator listener.
+func (f *Fleet) Operator(name string) ravenwayv1connect.OperatorServiceClient { return f.operators[name] }
+
+// Provision applies the catalog, fills the budgets and waits until they are in
+// force everywhere.
+func (f *Fleet) Provision() error {
+	operator := f.operators[f.Order[0]]
+	applied, err := operator.Apply(f.ctx, connect.NewRequest(&ravenwayv1.ApplyRequest{Put: f.Plan.Catalog()}))
+	if err != nil {
+		return fmt.Errorf("applying the catalog: %w", err)
+	}
+	if len(applied.Msg.GetFindings()) > 0 {
+		return fmt.Errorf("applying the catalog: %v", applied.Msg.GetFindings())
+	}
+	for _, tenant := range f.Plan.TenantNames() {
+		request := &ravenwayv1.TopUpBudgetRequest{Budget: deployment.BudgetName(tenant), Tokens: f.Plan.TenantLimit(tenant)}
+		if _, err := operator.TopUpBudget(f.ctx, connect.NewRequest(request)); err != nil {
+			return fmt.Errorf("filling the budget of %s: %w", tenant, err)
+		}
+	}
+	return f.WaitInForce(applied.Msg.GetRevision(), f.Order)
+}
+
+// WaitInForce waits until nodes have a revision in force.
+func (f *Fleet) WaitInForce(revision uint64, names []string) error {
+	return f.WaitFor(20*time.Second, fmt.Sprintf("revision %d", revision), func() bool {
+		for _, name := range names {
+			status, err := f.Status(name)
+			if err != nil || status.GetRevision() < revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// LoadClient is a client for load.
+func (f *Fleet) LoadClient() *load.Client { return &load.Client{HTTP: &http.Client{Transport: f.callers}} }
+
+// Entry is a node's address for callers.
+func (f *Fleet) Entry(name string) string {
+	return f.machines[name].Address(deployment.CallersPort)
+}
+
+// Entries lists the addresses of the nodes that run.
+func (f *Fleet) Entries(names ...string) []string {
+	var entries []string
+	for _, name := range names {
+		entries = append(entries, f.Entry(name))
+	}
+	return entries
+}
+
+// Mix is the deployment's load.
+func (f *Fleet) Mix(seed uint64) load.Mix {
+	var tenants []load.Tenant
+	for _, name := range f.Plan.TenantNames() {
+		share := 1
+		if f.Plan.IsLarge(name) {
+			share = 5
+		}
+		tenants = append(tenants, load.Tenant{Name: name, APIKey: f.Plan.APIKey(name), Share: share})
+	}
+	return load.NewMix(tenants, f.Plan.Model, f.Plan.PlainPrefix, rand.New(rand.NewPCG(seed, 1)))
+}
+
+// Budgets returns the state of all budgets by tenant.
+func (f *Fleet) Budgets() (map[string]*ravenwayv1.BudgetStatus, error) {
+	for _, name := range f.Order {
+		answer, err := f.operators[name].GetBudgets(f.ctx, connect.NewRequest(&ravenwayv1.GetBudgetsRequest{}))
+		if err != nil {
+			continue
+		}
+		budgets := map[string]*ravenwayv1.BudgetStatus{}
+		for _, budget := range answer.Msg.GetBudgets() {
+			budgets[budget.GetTenant()] = budget
+		}
+		return budgets, nil
+	}
+	return nil, fmt.Errorf("no node returns the budgets")
+}
--- /dev/null
+++ b/internal/lab/fleet/fleet_test.go
@@ -0,0 +1,48 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/lab/deployment"
+	"github.com/ravenway/ravenway/internal/lab/emulator"
+	"github.com/ravenway/ravenway/internal/lab/load"
+)
+
+// inFleet runs a test against a provisioned fleet, in virtual time.
+func inFleet(t *testing.T, plan deployment.Plan, test func(t *testing.T, f *Fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := New(plan, rand.New(rand.NewPCG(1, 1)), emulator.EngineOptions{EventGap: 50})
+		if path := os.Getenv("FLEET_LOG"); path != "" {
+			file, err := os.Create(path)
+			assert.NilError(t, err)
+			defer file.Close()
+			f.Logger = zerolog.New(file).With().Timestamp().Logger()
+		}
+		defer f.Close()
+		assert.NilError(t, f.Start())
+		assert.NilError(t, f.Provision())
+		test(t, f)
+	})
+}
+
+func TestMixIsServedWholeAndBilledAsItRan(t *testing.T) {
+	inFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		ledger := &Ledger{}
+		report, err := load.Run(context.Background(), load.Options{
+			Entries: f.Entries(f.Order...), Mix: f.Mix(1), Rate: 30, Duration: 10 * time.Second, Seed: 1,
+			Client: f.LoadClient(), Done: ledger.Note,
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, report.Outcomes[load.Whole], report.Sent, "%s", report)
+		assert.NilError(t, f.Check(ledger, 20*time.Second))
+	})
+}
