Promises proved on real nodes under kills, cuts, lost disks and races

Cause: the node's wiring had no proof under failure, and the fleet showed faults that the single simulations could not.

--- a/internal/coordination/claims/claims_test.go
+++ b/internal/coordination/claims/claims_test.go
@@ -170,3 +170,26 @@
 	}
 	assert.Equal(t, holder.Step(0, late)[0].Message.Refusal, RefusedForgotten)
 }
+
+// A node that was fenced while alive owns claims under a later life than that
+// of its holder. Its proposals once made the others take its holder's answers
+// for stale, so that no claim it holds could be read any more.
+func TestLaterLifeAsOwnerDoesNotMakeItsHolderStale(t *testing.T) {
+	group := newTrio(false)
+	later := NewProposer(ProposerOptions{
+		ID: accounts.HolderID{Node: "h1", Incarnation: 9}, Incarnation: 1, Pool: group.pool, Random: rand.New(rand.NewPCG(1, 1)),
+	})
+	key := NewKey("tenant", "key")
+	later.Change(0, testDeadline, "z", key, claimFor("h1"), func(Outcome) {})
+	group.ask(later.Outgoing(), "h2")
+
+	reader := group.proposer("z")
+	read := false
+	reader.Change(0, testDeadline, "z", key, func(*Claim) *Claim { return nil }, func(outcome Outcome) { read = outcome.Err == nil })
+	questions := reader.Outgoing()
+	reader.Step(0, group.ask(questions, "h2"))
+	reader.Tick(time.Second / 2)
+	reader.Outgoing()
+	reader.Step(0, group.ask(questions, "h1"))
+	assert.Assert(t, read)
+}
--- a/internal/coordination/claims/holder.go
+++ b/internal/coordination/claims/holder.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -41,7 +42,7 @@
 	options HolderOptions
 	// incarnations is the newest known life of each node.
 	incarnations Vector
-	records      map[Key]*heldRecord
+	records      map[Register]*heldRecord
 	// fenced is, for each node, the newest life that may change nothing more.
 	fenced Vector
 	marks  map[markKey]uint64
@@ -68,7 +69,7 @@
 	}
 	holder := &Holder{
 		options: options, incarnations: Vector{options.Self: options.Incarnation},
-		records: map[Key]*heldRecord{}, fenced: Vector{}, marks: map[markKey]uint64{}, answered: map[string]bool{},
+		records: map[Register]*heldRecord{}, fenced: Vector{}, marks: map[markKey]uint64{}, answered: map[string]bool{},
 	}
 	if options.Fresh {
 		for _, node := range options.Pool.Nodes() {
@@ -245,10 +246,11 @@
 }
 
 func (h *Holder) record(scope string, key Key) *heldRecord {
-	record := h.records[key]
+	name := Register{Scope: scope, Key: key}
+	record := h.records[name]
 	if record == nil {
 		record = &heldRecord{Record: Record{Key: key, Scope: scope}}
-		h.records[key] = record
+		h.records[name] = record
 	}
 	return record
 }
@@ -271,7 +273,9 @@
 
 func (h *Holder) sortedRecords() []*heldRecord {
 	records := slices.Collect(maps.Values(h.records))
-	slices.SortFunc(records, func(a, b *heldRecord) int { return slices.Compare(a.Key[:], b.Key[:]) })
+	slices.SortFunc(records, func(a, b *heldRecord) int {
+		return cmp.Or(slices.Compare(a.Key[:], b.Key[:]), cmp.Compare(a.Scope, b.Scope))
+	})
 	return records
 }
 
--- a/internal/coordination/claims/proposer.go
+++ b/internal/coordination/claims/proposer.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"cmp"
 	"errors"
 	"math/rand/v2"
 	"slices"
@@ -45,7 +46,12 @@
 
 // ProposerOptions set up a Proposer.
 type ProposerOptions struct {
-	ID             accounts.HolderID
+	// ID is the life under which the node owns claims and proposes.
+	ID accounts.HolderID
+	// Incarnation is the life of the node's holder, which its messages carry. It
+	// is earlier than ID's if the node was fenced while alive: its memory of
+	// promises is older than its newest life as an owner. 0 means ID's.
+	Incarnation    uint64
 	Pool           *membership.Pool
 	Random         *rand.Rand
 	WithoutVectors bool
@@ -64,7 +70,7 @@
 	incarnations Vector
 	// owned are the ballots under which this node's own claims were accepted,
 	// with the incarnations that promised them.
-	owned map[Key]ownedBallot
+	owned map[Register]ownedBallot
 }
 
 type ownedBallot struct {
@@ -96,11 +102,14 @@
 	highest   Ballot
 }
 
+func (o *operation) register() Register { return Register{Scope: o.scope, Key: o.key} }
+
 // NewProposer makes a proposer.
 func NewProposer(options ProposerOptions) *Proposer {
+	options.Incarnation = cmp.Or(options.Incarnation, options.ID.Incarnation)
 	return &Proposer{
 		options: options, operations: map[uint64]*operation{}, incarnations: Vector{},
-		owned: map[Key]ownedBallot{},
+		owned: map[Register]ownedBallot{},
 	}
 }
 
@@ -127,7 +136,7 @@
 }
 
 // Forget drops the memory of an owned claim once it needs no more change.
-func (p *Proposer) Forget(key Key) { delete(p.owned, key) }
+func (p *Proposer) Forget(register Register) { delete(p.owned, register) }
 
 // InProgress is the number of changes in progress.
 func (p *Proposer) InProgress() int { return len(p.operations) }
@@ -136,7 +145,7 @@
 // nobody else can have changed it without a higher ballot, which the holders
 // would refuse this one for.
 func (p *Proposer) changeOwned(now time.Duration, started *operation) bool {
-	owned, found := p.owned[started.key]
+	owned, found := p.owned[started.register()]
 	if !found {
 		return false
 	}
@@ -158,7 +167,7 @@
 
 // begin starts the first round with a ballot above all seen.
 func (p *Proposer) begin(now time.Duration, started *operation) {
-	delete(p.owned, started.key)
+	delete(p.owned, started.register())
 	// A ballot stands for one operation only: rounds are never used again.
 	p.lastRound = max(p.lastRound, started.highest.Round) + 1
 	started.ballot = Ballot{Round: p.lastRound, Proposer: p.options.ID}
@@ -175,7 +184,7 @@
 	for holder, answer := range started.answers {
 		promised[holder] = answer.Incarnation
 	}
-	p.owned[started.key] = ownedBallot{ballot: started.ballot, vector: promised, claim: *started.value}
+	p.owned[started.register()] = ownedBallot{ballot: started.ballot, vector: promised, claim: *started.value}
 	started.answers = map[string]Message{}
 	started.refused = map[string]bool{}
 	p.ask(now, started)
@@ -189,7 +198,7 @@
 			continue
 		}
 		message := Message{
-			Kind: MessagePrepare, From: p.options.ID.Node, Incarnation: p.options.ID.Incarnation,
+			Kind: MessagePrepare, From: p.options.ID.Node, Incarnation: p.options.Incarnation,
 			Operation: started.id, Key: started.key, Scope: started.scope, Ballot: started.ballot,
 			Vector: p.vectorFor(started),
 		}
@@ -216,7 +225,7 @@
 // may accept too: under its newest known life it has forgotten nothing since.
 func (p *Proposer) acceptVector(started *operation, holder string) Vector {
 	vector := p.vectorFor(started)
-	if incarnation, promised := p.owned[started.key].vector[holder]; promised {
+	if incarnation, promised := p.owned[started.register()].vector[holder]; promised {
 		vector[holder] = incarnation
 	}
 	return vector
@@ -328,7 +337,7 @@
 	case RefusedStale:
 		// Only a promise that died with a life forces a new round. A holder that
 		// had not promised is asked again under its new life.
-		if _, promised := p.owned[started.key].vector[message.From]; promised {
+		if _, promised := p.owned[started.register()].vector[message.From]; promised {
 			p.restart(now, started)
 		}
 	case RefusedRecovering:
@@ -342,7 +351,7 @@
 	if started.highest.Less(started.ballot) {
 		started.highest = started.ballot
 	}
-	delete(p.owned, started.key)
+	delete(p.owned, started.register())
 	backoff := firstBackoff << min(started.restarts, maximumBackoffDoublings)
 	started.restarts++
 	started.restartAt = now + 1 + time.Duration(p.options.Random.Int64N(int64(backoff)))
@@ -352,7 +361,7 @@
 	delete(p.operations, started.id)
 	settled := outcome.Claim != nil && outcome.Claim.State == Settled
 	if outcome.Err != nil || settled || (outcome.Claim != nil && outcome.Claim.Owner != p.options.ID) {
-		delete(p.owned, started.key)
+		delete(p.owned, started.register())
 	}
 	started.done(outcome)
 }
--- a/internal/coordination/claims/types.go
+++ b/internal/coordination/claims/types.go
@@ -22,6 +22,13 @@
 // String returns the key in hex.
 func (k Key) String() string { return hex.EncodeToString(k[:]) }
 
+// Register names one register: the same key may be claimed in more than one
+// scope while zones are cut off from each other.
+type Register struct {
+	Scope string
+	Key   Key
+}
+
 // Ballot orders proposals for one key. Promises are given for a round and its
 // proposer; within them the proposer numbers its values by Step, so that one
 // ballot never stands for two values.
--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -212,7 +212,7 @@
 
 // SilentTicks returns the ticks since the leader heard from a member.
 func (c *Core) SilentTicks(id ReplicaID) int {
-	if follower, found := c.progress[id]; found {
+	if follower, found := c.progress[id]; found && id != c.options.ID {
 		return follower.silentTicks
 	}
 	return 0
--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -27,6 +27,12 @@
 	surplusFactor = 2
 	// demandHalfLife is the half-life of the smoothed demand.
 	demandHalfLife = 10 * time.Second
+	// largestMemory is how long the largest reservation counts.
+	largestMemory = 60 * time.Second
+	// topUpPause is the least time between requests ahead of demand.
+	topUpPause = 500 * time.Millisecond
+	// requestsAhead is how many requests like it a node holds ahead.
+	requestsAhead = 2
 )
 
 // Errors of reservations.
@@ -115,6 +121,11 @@
 	// demand is the smoothed use, in tokens a second.
 	demand   float64
 	demandAt time.Duration
+	// largest is the largest reservation of late, and largestAt its time.
+	largest   uint64
+	largestAt time.Duration
+	// nextTopUp is when the node may ask ahead of demand again.
+	nextTopUp time.Duration
 }
 
 type waiter struct {
@@ -258,6 +269,22 @@
 	h.serve(now, found)
 }
 
+// Shrink lowers a reservation to its known use without settling it: the rest is
+// free again, and the use may yet turn out to be billed elsewhere.
+func (h *Holder) Shrink(now time.Duration, reservation Reservation, used uint64) {
+	found := h.accounts[reservation.Budget]
+	if found == nil {
+		return
+	}
+	amount, open := found.open[reservation.Sequence]
+	if !open || used >= amount {
+		return
+	}
+	found.open[reservation.Sequence] = used
+	found.reserved -= amount - used
+	h.serve(now, found)
+}
+
 // OpenReservations is the number of reservations not settled yet.
 func (h *Holder) OpenReservations() int {
 	count := 0
@@ -271,6 +298,9 @@
 func (a *account) noteDemand(now time.Duration, amount uint64) {
 	a.decayDemand(now)
 	a.demand += float64(amount) / demandHalfLife.Seconds() * ln2
+	if amount >= a.largest || now-a.largestAt > largestMemory {
+		a.largest, a.largestAt = amount, now
+	}
 }
 
 const ln2 = 0.6931471805599453
@@ -283,10 +313,16 @@
 	}
 }
 
-// ahead of demand: what the node should hold, in tokens.
+// target is what the node should hold, in tokens: the demand of a horizon, and
+// while there is any demand enough for a few requests like the largest of late,
+// so that a cut-off node can go on serving a tenant that sends little.
 func (a *account) target(now time.Duration) uint64 {
 	a.decayDemand(now)
-	return uint64(a.demand * a.policy.Horizon.Seconds())
+	expected := uint64(a.demand * a.policy.Horizon.Seconds())
+	if a.largest > 0 && now-a.largestAt <= largestMemory {
+		return max(expected, requestsAhead*a.largest)
+	}
+	return expected
 }
 
 // Tick moves time: it gives up on waiters, borrows when the root is silent,
@@ -380,7 +416,9 @@
 	if a.requested || len(a.waiters) > 0 {
 		return
 	}
-	if target := a.target(now); target > 0 && a.free() < target/2 {
+	if target := a.target(now); target > 0 && a.free() < target/2 && now >= a.nextTopUp {
+		// A budget that is nearly spent can't fill it: not asked at every tick.
+		a.nextTopUp = now + topUpPause
 		a.startRequest(now)
 	}
 }
--- a/internal/coordination/escrow/loans.go
+++ b/internal/coordination/escrow/loans.go
@@ -114,16 +114,21 @@
 }
 
 // MergeLoans combines what is known of a fenced life's loans: the other side's
-// own word where it is alive, else what was agreed in the register.
+// own word where it is alive, else what was agreed in the register. A loan that
+// was agreed but never taken stays in the result with a total of 0, so that the
+// register is not believed when the other side is closed later.
 func MergeLoans(registered, own []accounts.Loan) []accounts.Loan {
 	merged := map[loanKey]accounts.Loan{}
-	for _, known := range [][]accounts.Loan{registered, own} {
-		for _, loan := range known {
-			merged[loanKey{pair: loan.Pair(), budget: loan.Budget}] = loan
+	for _, loan := range registered {
+		merged[loanKey{pair: loan.Pair(), budget: loan.Budget}] = loan
+	}
+	for _, loan := range own {
+		key := loanKey{pair: loan.Pair(), budget: loan.Budget}
+		if _, agreed := merged[key]; agreed || loan.Total > 0 {
+			merged[key] = loan
 		}
 	}
 	loans := slices.Collect(maps.Values(merged))
-	loans = slices.DeleteFunc(loans, func(loan accounts.Loan) bool { return loan.Total == 0 })
 	slices.SortFunc(loans, func(a, b accounts.Loan) int {
 		return cmp.Or(cmp.Compare(a.Budget, b.Budget), cmp.Compare(a.Lender.String(), b.Lender.String()), cmp.Compare(a.Borrower.String(), b.Borrower.String()))
 	})
--- a/internal/lab/emulator/engine.go
+++ b/internal/lab/emulator/engine.go
@@ -368,3 +368,10 @@
 	state.Loaded = state.Fence != 0 && time.Since(e.orderAt) >= e.options.LoadTime
 	return state
 }
+
+// Active is the number of requests waiting and running.
+func (e *Engine) Active() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return len(e.waiting) + len(e.running)
+}
--- /dev/null
+++ b/internal/lab/fleet/failure_test.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/lab/deployment"
+	"github.com/ravenway/ravenway/internal/lab/load"
+	"github.com/ravenway/ravenway/internal/protocol/caller"
+)
+
+// underLoad sends the mix while faults are brought about, and returns the
+// report and the ledger.
+func underLoad(t *testing.T, f *Fleet, options load.Options, faults func()) (load.Report, *Ledger) {
+	t.Helper()
+	ledger := &Ledger{}
+	options.Mix, options.Client, options.Done = f.Mix(options.Seed), f.LoadClient(), ledger.Note
+	if options.Entries == nil {
+		options.Entries = f.Entries(f.Order...)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		faults()
+	}()
+	report, err := load.Run(context.Background(), options)
+	assert.NilError(t, err)
+	<-done
+	return report, ledger
+}
+
+// One of eight routers dies with streams open; callers retry with their keys
+// through the others. Every retried request ends whole and is billed once.
+func TestKilledRouterUnderLoad(t *testing.T) {
+	inFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		report, ledger := underLoad(t, f, load.Options{Rate: 40, Duration: 15 * time.Second, Seed: 2, Retry: true}, func() {
+			time.Sleep(5 * time.Second)
+			f.Kill("lhr-a-2")
+			time.Sleep(4 * time.Second)
+			assert.NilError(t, f.Boot("lhr-a-2"))
+		})
+		t.Log(report)
+		assert.Assert(t, report.CutTries > 0, "no request was cut: the fault did not bite")
+		// A node that has just started says so; the balancer asks /readyz.
+		starting := report.Codes[string(caller.CodeStarting)]
+		assert.Equal(t, report.Outcomes[load.Whole]+starting, report.Sent, "%s", report)
+		assert.NilError(t, f.Check(ledger, 60*time.Second))
+	})
+}
+
+// A planned stop of any node under load cuts nothing.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	inFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		var cut int64
+		report, ledger := underLoad(t, f, load.Options{
+			Rate: 40, Duration: 15 * time.Second, Seed: 3, Entries: f.Entries("lhr-a-1", "lhr-b-2"),
+		}, func() {
+			// Requests already sent to a node that stops are served by it; the
+			// load keeps to two nodes that stay, and to one that is stopped
+			// while it streams.
+			time.Sleep(5 * time.Second)
+			cut = f.StopPlanned(context.Background(), "lhr-c-1")
+		})
+		assert.Equal(t, cut, int64(0))
+		assert.Equal(t, report.Outcomes[load.Whole], report.Sent, "%s", report)
+		assert.NilError(t, f.Check(ledger, 30*time.Second))
+	})
+}
+
+// A zone is cut off for a long time; callers reach every zone all the while.
+// The cut zone goes on serving what it can, and nothing is overspent.
+func TestZoneCutOffUnderLoad(t *testing.T) {
+	inFleet(t, deployment.Drukwacht(), func(t *testing.T, f *Fleet) {
+		report, ledger := underLoad(t, f, load.Options{Rate: 30, Duration: 40 * time.Second, Seed: 4, Retry: true}, func() {
+			time.Sleep(8 * time.Second)
+			f.CutZone("hall-c")
+			time.Sleep(20 * time.Second)
+			f.Network.Heal()
+		})
+		t.Log(report)
+		assert.Assert(t, report.Outcomes[load.Whole] > report.Sent*7/10, "%s", report)
+		assert.NilError(t, f.Check(ledger, 90*time.Second))
+	})
+}
+
+// A control node's disk comes back empty; right after its repair a second
+// control machine is lost. Budgets and catalog must survive, and the fleet
+// must go on accepting changes.
+func TestSecondControlMachineLostRightAfterRepair(t *testing.T) {
+	inFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		f.Kill("lhr-b-1")
+		f.LoseDisk("lhr-b-1")
+		time.Sleep(2 * time.Second)
+		assert.NilError(t, f.Boot("lhr-b-1"))
+		assert.NilError(t, f.WaitFor(30*time.Second, "the repair", func() bool { return f.Repaired() }))
+		f.Kill("lhr-a-1")
+		before, err := f.Budgets()
+		assert.NilError(t, err)
+		assert.Equal(t, before["tenant-01"].GetLimit(), f.Plan.TenantLimit("tenant-01"))
+		assert.NilError(t, f.TopUp("lhr-c-1", "tenant-01", 1000, "after-loss"))
+		assert.NilError(t, f.Boot("lhr-a-1"))
+		assert.NilError(t, f.WaitFor(30*time.Second, "the repair", func() bool { return f.Repaired() }))
+	})
+}
--- /dev/null
+++ b/internal/lab/fleet/promise_test.go
@@ -0,0 +1,265 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+	"github.com/ravenway/ravenway/internal/lab/deployment"
+	"github.com/ravenway/ravenway/internal/lab/load"
+	"github.com/ravenway/ravenway/internal/protocol/caller"
+)
+
+// draft is a billed request with a caller's key.
+func draft(f *Fleet, key string) load.Request {
+	return load.Request{
+		Kind: load.KindLong, Tenant: "tenant-04", APIKey: f.Plan.APIKey("tenant-04"), Key: key, Model: f.Plan.Model,
+		Prompt: strings.Repeat("khasra ", 100), MaxTokens: 200, Deadline: 20 * time.Second,
+	}
+}
+
+// acknowledgement is a plain call that may not be repeated.
+func acknowledgement(f *Fleet, key string) load.Request {
+	return load.Request{
+		Kind: load.KindAct, Tenant: "tenant-04", APIKey: f.Plan.APIKey("tenant-04"), Key: key,
+		Method: http.MethodPost, Path: f.Plan.PlainPrefix + "/acknowledge", Body: "alarm " + key,
+	}
+}
+
+// runsOf counts what the back ends ran for a tenant, and its tokens.
+func runsOf(f *Fleet, tenant string) (count int, tokens uint64) {
+	for _, event := range f.Emulator.Truth.Events() {
+		if event.Tenant == tenant {
+			count++
+			tokens += event.Tokens
+		}
+	}
+	return count, tokens
+}
+
+func callsWithBody(f *Fleet, body string) int {
+	count := 0
+	for _, event := range f.Emulator.Truth.Events() {
+		if event.Body == body {
+			count++
+		}
+	}
+	return count
+}
+
+// fewTokens may stay granted out: what a node keeps for the little demand that
+// it still remembers.
+const fewTokens = 10
+
+func waitSettled(t *testing.T, f *Fleet, tenant string, tokens uint64) {
+	t.Helper()
+	var last *ravenwayv1.BudgetStatus
+	err := f.WaitFor(90*time.Second, "the settlement", func() bool {
+		budgets, err := f.Budgets()
+		if err != nil {
+			return false
+		}
+		last = budgets[tenant]
+		return last.GetSettled() == tokens && last.GetOutstanding() < fewTokens
+	})
+	assert.NilError(t, err, "expected %d, last %v", tokens, last)
+}
+
+func TestSameKeyTwiceRunsAndBillsOnce(t *testing.T) {
+	inFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		first := f.LoadClient().Send(context.Background(), f.Entry("lhr-a-1"), draft(f, "same"))
+		again := f.LoadClient().Send(context.Background(), f.Entry("lhr-c-2"), draft(f, "same"))
+		assert.Equal(t, first.Outcome, load.Whole, first.Detail)
+		assert.Equal(t, again.Outcome, load.Whole, again.Detail)
+		assert.Equal(t, first.BackendRequestID, again.BackendRequestID)
+		count, tokens := runsOf(f, "tenant-04")
+		assert.Equal(t, count, 1)
+		waitSettled(t, f, "tenant-04", tokens)
+
+		other := draft(f, "same")
+		other.Prompt = "another request under the same key"
+		refused := f.LoadClient().Send(context.Background(), f.Entry("lhr-b-1"), other)
+		assert.Equal(t, refused.Code, caller.CodeKeyReused)
+		assert.Assert(t, refused.NotRun)
+	})
+}
+
+// The retry comes while the first try still streams through another router.
+func TestRetryJoinsRequestInProgress(t *testing.T) {
+	inFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		first := make(chan load.Answer, 1)
+		go func() { first <- f.LoadClient().Send(context.Background(), f.Entry("lhr-a-2"), draft(f, "joined")) }()
+		time.Sleep(300 * time.Millisecond)
+		second := f.LoadClient().Send(context.Background(), f.Entry("lhr-b-2"), draft(f, "joined"))
+		assert.Equal(t, second.Outcome, load.Whole, second.Detail)
+		assert.Equal(t, (<-first).Outcome, load.Whole)
+		count, tokens := runsOf(f, "tenant-04")
+		assert.Equal(t, count, 1)
+		waitSettled(t, f, "tenant-04", tokens)
+	})
+}
+
+// The router dies in the middle of its stream and never comes back; the retry
+// gets the whole answer, and the dead router's grant is reclaimed.
+func TestRetryAfterRouterDiedIsBilledOnceAndItsGrantComesBack(t *testing.T) {
+	inFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		first := make(chan load.Answer, 1)
+		go func() { first <- f.LoadClient().Send(context.Background(), f.Entry("lhr-a-2"), draft(f, "orphan")) }()
+		time.Sleep(300 * time.Millisecond)
+		f.Kill("lhr-a-2")
+		assert.Equal(t, (<-first).Outcome, load.Cut)
+		second := f.LoadClient().Send(context.Background(), f.Entry("lhr-b-2"), draft(f, "orphan"))
+		assert.Equal(t, second.Outcome, load.Whole, second.Detail)
+		count, tokens := runsOf(f, "tenant-04")
+		assert.Equal(t, count, 1)
+		waitSettled(t, f, "tenant-04", tokens)
+		assert.NilError(t, f.Boot("lhr-a-2"))
+	})
+}
+
+// The same request reaches two zones that are cut off from each other. Both
+// serve it; after they meet it is one charge.
+func TestRequestRunInTwoCutOffZonesIsOneCharge(t *testing.T) {
+	inFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		warmed := 0
+		// Fill the grants of both zones first, so that each can serve alone.
+		for _, name := range []string{"lhr-a-2", "lhr-c-2", "lhr-a-2", "lhr-c-2", "lhr-a-2", "lhr-c-2"} {
+			warmed++
+			assert.Equal(t, f.LoadClient().Send(context.Background(), f.Entry(name), draft(f, fmt.Sprint("warm-", warmed))).Outcome, load.Whole)
+		}
+		_, warm := runsOf(f, "tenant-04")
+		f.CutZone("lhr-a")
+		f.CutZone("lhr-c")
+		time.Sleep(time.Second)
+		left := f.LoadClient().Send(context.Background(), f.Entry("lhr-a-2"), draft(f, "doubled"))
+		right := f.LoadClient().Send(context.Background(), f.Entry("lhr-c-2"), draft(f, "doubled"))
+		assert.Equal(t, left.Outcome, load.Whole, left.Detail)
+		assert.Equal(t, right.Outcome, load.Whole, right.Detail)
+		count, all := runsOf(f, "tenant-04")
+		assert.Equal(t, count, warmed+2, "the request did not run in both zones")
+		time.Sleep(15 * time.Second)
+		f.Network.Heal()
+		waitSettled(t, f, "tenant-04", warm+(all-warm)/2)
+	})
+}
+
+// A call that may not be repeated reaches both sides of a cut. It runs at most
+// once, and the side that can't be sure refuses it as not run.
+func TestNotRepeatableCallInTwoCutOffZonesRunsOnce(t *testing.T) {
+	inFleet(t, deployment.Drukwacht(), func(t *testing.T, f *Fleet) {
+		f.CutZone("hall-a")
+		time.Sleep(time.Second)
+		inside := f.LoadClient().Send(context.Background(), f.Entry("hall-a-2"), acknowledgement(f, "duty-officer"))
+		outside := f.LoadClient().Send(context.Background(), f.Entry("hall-b-2"), acknowledgement(f, "duty-officer"))
+		assert.Equal(t, inside.Outcome, load.Refused, inside.Detail)
+		assert.Equal(t, inside.Code, caller.CodeHoldersUnreached)
+		assert.Assert(t, inside.RetryAfter != "")
+		assert.Equal(t, outside.Outcome, load.Whole, outside.Detail)
+		f.Network.Heal()
+		time.Sleep(8 * time.Second)
+		again := f.LoadClient().Send(context.Background(), f.Entry("hall-a-2"), acknowledgement(f, "duty-officer"))
+		assert.Equal(t, again.Outcome, load.Whole, again.Detail)
+		assert.Equal(t, callsWithBody(f, "alarm duty-officer"), 1)
+	})
+}
+
+// A back end that is leaving gets nothing new 2 s after it begins to.
+func TestLeavingBackendGetsNoNewWork(t *testing.T) {
+	inFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		const leaving = "qalam-llm-01"
+		var before int
+		ranThere := func() int {
+			count := 0
+			for _, event := range f.Emulator.Truth.Events() {
+				if event.Backend == leaving {
+					count++
+				}
+			}
+			return count + f.Emulator.Engine(leaving).Active()
+		}
+		report, ledger := underLoad(t, f, load.Options{Rate: 60, Duration: 12 * time.Second, Seed: 5}, func() {
+			time.Sleep(5 * time.Second)
+			f.Emulator.SetLeaving(leaving)
+			time.Sleep(2 * time.Second)
+			before = ranThere()
+		})
+		assert.Assert(t, before > 0, "the back end had no work to begin with")
+		assert.Equal(t, ranThere(), before)
+		assert.Equal(t, report.Outcomes[load.Whole], report.Sent, "%s", report)
+		assert.NilError(t, f.Check(ledger, 30*time.Second))
+	})
+}
+
+// Two operators change the same object from the same revision: one wins, the
+// other is told which. The winner's resend gets its first answer.
+func TestEqualRevisionsRacingHaveOneWinner(t *testing.T) {
+	inFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		change := func(through, id string, weight uint32) *ravenwayv1.ApplyResponse {
+			tenant := f.Plan.Catalog().GetTenants()[0]
+			tenant.Weight = weight
+			answer, err := f.Operator(through).Apply(context.Background(), connect.NewRequest(&ravenwayv1.ApplyRequest{
+				OperationId: id, BaseRevision: 1, Put: &ravenwayv1.CatalogDocument{Tenants: []*ravenwayv1.Tenant{tenant}},
+			}))
+			assert.NilError(t, err)
+			return answer.Msg
+		}
+		answers := make(chan *ravenwayv1.ApplyResponse, 2)
+		go func() { answers <- change("lhr-a-2", "first", 7) }()
+		go func() { answers <- change("lhr-c-2", "second", 9) }()
+		one, other := <-answers, <-answers
+		if one.GetConflictRevision() != 0 {
+			one, other = other, one
+		}
+		assert.Equal(t, one.GetRevision(), uint64(2))
+		assert.Equal(t, one.GetConflictRevision(), uint64(0))
+		assert.Equal(t, other.GetConflictRevision(), uint64(2))
+		winner, weight := other.GetConflictOperationId(), map[string]uint32{"first": 7, "second": 9}
+		assert.NilError(t, f.WaitInForce(2, f.Order))
+
+		// The answer was lost and the leader has changed: the resend changes
+		// nothing and gets the first answer.
+		f.Kill("lhr-a-1")
+		again := change("lhr-b-2", winner, weight[winner])
+		assert.Equal(t, again.GetRevision(), uint64(2))
+		assert.Equal(t, again.GetConflictRevision(), uint64(0))
+		assert.NilError(t, f.Boot("lhr-a-1"))
+	})
+}
+
+// A zone that was cut off for long catches up with hundreds of changes within
+// seconds of the heal, and a node restarted in it takes what its peers have.
+func TestCutOffZoneCatchesUpAndNeverReverts(t *testing.T) {
+	inFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		f.CutZone("lhr-c")
+		var revision uint64
+		for number := range 300 {
+			backend := f.Plan.Catalog().GetBackends()[0]
+			backend.Capacity = uint32(number + 1)
+			answer, err := f.Operator("lhr-b-1").Apply(context.Background(), connect.NewRequest(&ravenwayv1.ApplyRequest{
+				AnyRevision: true, Put: &ravenwayv1.CatalogDocument{Backends: []*ravenwayv1.Backend{backend}},
+			}))
+			assert.NilError(t, err)
+			revision = answer.Msg.GetRevision()
+		}
+		time.Sleep(3 * time.Second)
+		f.Kill("lhr-c-2")
+		assert.NilError(t, f.Boot("lhr-c-2"))
+		assert.NilError(t, f.WaitInForce(1, []string{"lhr-c-2"}))
+		status, err := f.Status("lhr-c-1")
+		assert.NilError(t, err)
+		assert.Equal(t, status.GetRevision(), uint64(1))
+		assert.Assert(t, status.GetQuorumAgeMilliseconds() > 2000, "a cut-off replica must say so")
+		healed := time.Now()
+		f.Network.Heal()
+		assert.NilError(t, f.WaitInForce(revision, f.Order))
+		assert.Assert(t, time.Since(healed) < 8*time.Second, "took %v", time.Since(healed))
+		t.Logf("300 changes in force on all nodes %v after the heal", time.Since(healed))
+	})
+}
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -14,6 +15,8 @@
 	claimsTick = 10 * time.Millisecond
 	// claimTimeout bounds one change of a claim.
 	claimTimeout = 2 * time.Second
+	// unreachedFor is how long a scope that could not be reached is passed over.
+	unreachedFor = 5 * time.Second
 )
 
 // claimsDuty owns the node's holder of claims and its proposer.
@@ -25,13 +28,17 @@
 	outgoing map[string][]claims.Message
 	wasReady bool
 
+	// unreached are the scopes that could not be reached lately, with the time.
+	scopesMutex sync.Mutex
+	unreached   map[string]time.Duration
+
 	// fenced is the holder's fences, readable from the escrow duty.
 	mutex  sync.RWMutex
 	fenced map[string]uint64
 }
 
 func newClaimsDuty(node *Node) *claimsDuty {
-	owner := &claimsDuty{node: node, duty: newDuty("claims", claimsTick), outgoing: map[string][]claims.Message{}, fenced: map[string]uint64{}}
+	owner := &claimsDuty{node: node, duty: newDuty("claims", claimsTick), outgoing: map[string][]claims.Message{}, fenced: map[string]uint64{}, unreached: map[string]time.Duration{}}
 	owner.holder = claims.NewHolder(claims.HolderOptions{
 		Self: node.name, Incarnation: node.incarnation, Pool: node.pool, Fresh: len(node.pool.Nodes()) == 1,
 	})
@@ -45,7 +52,7 @@
 }
 
 func (c *claimsDuty) begin(id accounts.HolderID) {
-	c.proposer = claims.NewProposer(claims.ProposerOptions{ID: id, Pool: c.node.pool, Random: newRandom()})
+	c.proposer = claims.NewProposer(claims.ProposerOptions{ID: id, Incarnation: c.node.incarnation, Pool: c.node.pool, Random: newRandom()})
 }
 
 // takeNewLife starts proposing under a new life after the old one was fenced.
@@ -107,9 +114,30 @@
 	if err != nil {
 		return claims.Outcome{}, err
 	}
+	c.noteReach(scope, outcome.Err)
 	return outcome, outcome.Err
 }
 
+// noteReach remembers for a while that a scope could not be reached, so that
+// not every request waits to find out.
+func (c *claimsDuty) noteReach(scope string, err error) {
+	c.scopesMutex.Lock()
+	defer c.scopesMutex.Unlock()
+	if errors.Is(err, claims.ErrUnreachable) {
+		c.unreached[scope] = c.node.now()
+		return
+	}
+	delete(c.unreached, scope)
+}
+
+// reachedLately tells whether a scope is worth trying.
+func (c *claimsDuty) reachedLately(scope string) bool {
+	c.scopesMutex.Lock()
+	defer c.scopesMutex.Unlock()
+	at, failed := c.unreached[scope]
+	return !failed || c.node.now()-at > unreachedFor
+}
+
 // announceWatermarks tells the holders which claims may be forgotten.
 func (c *claimsDuty) announceWatermarks(marks []claims.Watermark) {
 	c.duty.offer(func() {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -116,6 +116,9 @@
 }
 
 func (n *Node) readHeaders(httpRequest *http.Request, accepted *request) *refusal {
+	if n.view.Load().revision == 0 {
+		return refuseNotRun(http.StatusServiceUnavailable, caller.CodeStarting, retrySoon, "this node has no catalog yet")
+	}
 	key, found := strings.CutPrefix(httpRequest.Header.Get("Authorization"), bearerPrefix)
 	if !found || key == "" {
 		return refuseNotRun(http.StatusUnauthorized, caller.CodeUnauthorized, 0, "an API key is needed: Authorization: Bearer KEY")
@@ -184,11 +187,18 @@
 	case of.notRepeatable && of.callerKey:
 		return membership.ScopeGlobal
 	case of.callerKey:
-		return n.pool.ZonesFor(string(of.key[:]))[0]
+		if home := n.homeZone(of.key); n.claims.reachedLately(home) {
+			return home
+		}
 	}
 	return n.zone
 }
 
+// homeZone is where a caller's key is claimed while that zone can be reached.
+func (n *Node) homeZone(key claims.Key) string {
+	return n.pool.ZonesFor(string(key[:]))[0]
+}
+
 func badRequest(format string, arguments ...any) *refusal {
 	return refuseNotRun(http.StatusBadRequest, caller.CodeBadRequest, 0, format, arguments...)
 }
--- a/internal/node/escrow.go
+++ b/internal/node/escrow.go
@@ -109,6 +109,15 @@
 	})
 }
 
+// shrink lowers a reservation to its known use.
+func (e *escrowDuty) shrink(held reserved, used uint64) {
+	_ = e.duty.do(context.Background(), func() {
+		if e.holder.ID() == held.owner {
+			e.holder.Shrink(e.node.now(), held.reservation, used)
+		}
+	})
+}
+
 func (e *escrowDuty) takeAnswer(message escrow.AnswerMessage) {
 	e.duty.offer(func() {
 		advanced := e.holder.Take(e.node.now(), message)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -104,3 +104,12 @@
 	}
 	r.node.log.Info().Str("event", event).Str("node", name).Uint64("replica", uint64(id)).AnErr("error", err).Send()
 }
+
+// VotersIfLeading returns the number of voters that hold every committed entry
+// on disk, as the leader knows it; 0 on other nodes.
+func (n *Node) VotersIfLeading() int {
+	if n.replica == nil || !n.replica.shared.Load().leading {
+		return 0
+	}
+	return n.replica.shared.Load().caughtUpVoters
+}
--- /dev/null
+++ b/internal/node/merge.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/ravenway/ravenway/internal/coordination/claims"
+	"github.com/ravenway/ravenway/internal/coordination/membership"
+)
+
+// errHomeOpen says that another run of the same key is not settled yet.
+var errHomeOpen = errors.New("the key's claim in its home zone is not settled yet")
+
+// needsMerge tells whether a settled claim was made outside its key's home
+// zone, which could not be reached: the key may have been run there as well.
+func (n *Node) needsMerge(scope string, key claims.Key, claim *claims.Claim) bool {
+	return claim.CallerKey && claim.Used > 0 && scope != membership.ScopeGlobal && scope != n.homeZone(key)
+}
+
+// mergeWithHome settles a key that was run outside its home zone. The first
+// settlement to reach the home zone's register is the one that is charged;
+// any other is not. It may be repeated: a settlement knows itself again.
+func (n *Node) mergeWithHome(ctx context.Context, key claims.Key, mine *claims.Claim) (charged bool, err error) {
+	home := n.homeZone(key)
+	outcome, err := n.claims.change(ctx, home, key, func(current *claims.Claim) *claims.Claim {
+		free := current == nil || (current.State == claims.Settled && current.Result == claims.NotRun)
+		if free || (sameRun(current, mine) && current.State == claims.Dispatched) {
+			settled := *mine
+			return &settled
+		}
+		return nil
+	})
+	if err != nil {
+		return false, fmt.Errorf("merging key %s with zone %s: %w", key, home, err)
+	}
+	if sameRun(outcome.Claim, mine) {
+		return true, nil
+	}
+	if outcome.Claim.State != claims.Settled {
+		return false, errHomeOpen
+	}
+	n.log.Info().Str("event", "double_run_merged").Str("key", key.String()).Str("charged", outcome.Claim.Owner.String()).
+		Str("not_charged", mine.Owner.String()).Uint64("tokens", mine.Used).Send()
+	return false, nil
+}
+
+// sameRun tells whether two claims are paid for by the same reservation.
+func sameRun(a, b *claims.Claim) bool {
+	return a != nil && b != nil && a.Owner == b.Owner && a.Budget == b.Budget && a.Sequence == b.Sequence
+}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -178,7 +178,7 @@
 	case n.name:
 		return n.readHere(ctx, question)
 	}
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout/2)
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	return callNode[readAnswer](ctx, n, leader, peer.MethodRead, &question)
 }
@@ -241,6 +241,10 @@
 	if n.replica != nil {
 		view := n.replica.shared.Load()
 		answer.Term, answer.CommitIndex = view.term, view.commit
+		if view.leading {
+			answer.Voters = uint32(len(view.configuration.Voters()))
+			answer.CaughtUpVoters = uint32(view.caughtUpVoters)
+		}
 		answer.QuorumAgeMilliseconds = uint64(view.quorumSilence.Milliseconds())
 	}
 	for _, member := range n.pool.Nodes() {
--- a/internal/node/plain.go
+++ b/internal/node/plain.go
@@ -140,12 +140,17 @@
 		State: claims.Dispatched, Owner: p.owner, Backend: given.backend.Name, RequestID: p.of.id,
 		Fingerprint: p.of.fingerprint, CallerKey: true, NotRepeatable: p.of.notRepeatable,
 	}
-	outcome, err := p.node.claims.change(ctx, p.scope, p.of.key, func(current *claims.Claim) *claims.Claim {
+	change := func(current *claims.Claim) *claims.Claim {
 		if current == nil || current.Result == claims.NotRun || (current.RequestID == p.of.id && current.State == claims.Dispatched) {
 			return mine
 		}
 		return nil
-	})
+	}
+	outcome, err := p.node.claims.change(ctx, p.scope, p.of.key, change)
+	if errors.Is(err, claims.ErrUnreachable) && !p.of.notRepeatable && p.scope != p.node.zone {
+		p.scope = p.node.zone
+		outcome, err = p.node.claims.change(ctx, p.scope, p.of.key, change)
+	}
 	switch {
 	case err != nil:
 		p.settle(claims.NotRun, "")
--- a/internal/node/reclaim.go
+++ b/internal/node/reclaim.go
@@ -99,7 +99,7 @@
 
 // collected is everything that the other nodes know of a life.
 type collected struct {
-	records map[claims.Key]claims.Record
+	records map[claims.Register]claims.Record
 	// loans are the other sides' own words, registered what the claims say.
 	loans      []accounts.Loan
 	registered []accounts.Loan
@@ -109,7 +109,7 @@
 // is it certain that no claim of it is missing and none can be added. The
 // lost node's own machine counts only once it has a new life.
 func (n *Node) collectClaims(ctx context.Context, holder accounts.HolderID) (collected, error) {
-	found := collected{records: map[claims.Key]claims.Record{}}
+	found := collected{records: map[claims.Register]claims.Record{}}
 	for _, member := range n.pool.Nodes() {
 		if member.Name == holder.Node && !n.hasNewLife(holder) {
 			continue
@@ -146,11 +146,17 @@
 
 func (c *collected) add(answer fenceAnswer) {
 	for _, record := range answer.Records {
-		c.records[record.Key] = record
+		c.records[claims.Register{Scope: record.Scope, Key: record.Key}] = record
 	}
 	c.loans = append(c.loans, answer.Loans...)
 }
 
+// claimedReservation names a reservation of one life.
+type claimedReservation struct {
+	budget   string
+	sequence uint64
+}
+
 // resolveClaims agrees an end for each claim behind the root's watermark, and
 // sums up the use.
 func (n *Node) resolveClaims(ctx context.Context, holder accounts.HolderID, found *collected) ([]accounts.FinalUse, error) {
@@ -167,7 +173,9 @@
 		return nil, err
 	}
 	var uses []accounts.FinalUse
-	for key, record := range found.records {
+	counted := map[claimedReservation]bool{}
+	for register, record := range found.records {
+		key := register.Key
 		claim := record.Claim
 		if claim.State == claims.Lent {
 			if err := n.readLoan(ctx, key, record, found); err != nil {
@@ -182,9 +190,23 @@
 		if err != nil {
 			return nil, err
 		}
-		if ended == nil || ended.Owner != holder {
+		if ended == nil || ended.Owner != holder || ended.Used == 0 {
+			continue
+		}
+		if n.needsMerge(record.Scope, key, ended) {
+			charged, err := n.mergeWithHome(ctx, key, ended)
+			if err != nil {
+				return nil, err
+			}
+			if !charged {
+				continue
+			}
+		}
+		if counted[claimedReservation{ended.Budget, ended.Sequence}] {
+			// The same run, claimed in its home zone and outside it.
 			continue
 		}
+		counted[claimedReservation{ended.Budget, ended.Sequence}] = true
 		uses = append(uses, accounts.FinalUse{Budget: ended.Budget, Tokens: ended.Used})
 	}
 	return uses, nil
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -26,7 +26,10 @@
 	// heartbeatTicks make a heartbeat of 200 milliseconds.
 	heartbeatTicks = 4
 	identityFile   = "identity"
-	proposeTimeout = 5 * time.Second
+	// proposeTimeout bounds a proposal with all its tries, attemptTimeout one
+	// try: an election takes longer than that, so a dead leader costs one try.
+	proposeTimeout = 10 * time.Second
+	attemptTimeout = 1500 * time.Millisecond
 	retryPause     = 100 * time.Millisecond
 )
 
@@ -54,6 +57,8 @@
 	quorumSilence time.Duration
 	configuration consensus.Configuration
 	hasGroup      bool
+	// caughtUpVoters hold every committed entry on disk, as the leader knows.
+	caughtUpVoters int
 }
 
 func newReplicaDuty(node *Node) (*replicaDuty, error) {
@@ -242,6 +247,12 @@
 		quorumSilence: time.Duration(core.QuorumSilence()) * replicaTick,
 		hasGroup:      len(core.Configuration().Members) > 0,
 	}
+	for _, voter := range core.Configuration().Voters() {
+		// A voter that is silent may be gone, whatever it once held.
+		if core.CaughtUp(voter) && core.SilentTicks(voter) <= electionTicks {
+			view.caughtUpVoters++
+		}
+	}
 	if member, found := core.Configuration().Member(core.Leader()); found {
 		view.leader = member.Node
 	}
@@ -323,7 +334,7 @@
 	if leader == "" {
 		return machine.Result{}, errNoLeader
 	}
-	attempt, cancel := context.WithTimeout(ctx, proposeTimeout/2)
+	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	if leader == n.name {
 		return n.proposeHere(attempt, command)
--- a/internal/node/settle.go
+++ b/internal/node/settle.go
@@ -24,10 +24,31 @@
 			return current
 		}
 		claim, err := r.changeUntilDone(change)
+		if err == nil && r.owns(claim) && n.needsMerge(r.scope, r.of.key, claim) {
+			claim, err = r.mergeUntilDone(claim)
+		}
 		r.release(claim, err)
 	})
 }
 
+// mergeUntilDone waits for the key's home zone to say whether this use is the
+// one that is charged. Meanwhile only the use itself stays reserved.
+func (r *run) mergeUntilDone(claim *claims.Claim) (*claims.Claim, error) {
+	r.node.escrow.shrink(r.held, claim.Used)
+	for {
+		charged, err := r.node.mergeWithHome(r.node.life, r.of.key, claim)
+		switch {
+		case err == nil && charged:
+			return claim, nil
+		case err == nil:
+			return nil, nil
+		}
+		if !pause(r.node.life, settleRetry) {
+			return nil, err
+		}
+	}
+}
+
 // abandon settles a claim that was perhaps written but never offered.
 func (r *run) abandon() { r.settle(claims.NotRun, 0) }
 
@@ -58,7 +79,7 @@
 	if r.owns(claim) {
 		used = claim.Used
 	}
-	r.node.log.Info().Str("event", "settled").Str("request", r.of.id).Str("tenant", r.of.tenant.GetName()).
+	r.node.log.Info().Str("event", "settled").Str("request", r.of.id).Stringer("key", r.of.key).Str("tenant", r.of.tenant.GetName()).
 		Str("budget", r.held.reservation.Budget).Uint64("tokens", used).AnErr("error", err).Send()
 	countSettled(r.of.tenant.GetName(), used)
 	r.node.escrow.settle(r.held, used)
--- a/internal/operatorcli/commands.go
+++ b/internal/operatorcli/commands.go
@@ -259,6 +259,9 @@
 		quorumAge := time.Duration(answer.GetQuorumAgeMilliseconds()) * time.Millisecond
 		fmt.Fprintf(s.out, "as seen by %s: leader %s, term %d, commit %d, revision %d, last word of a quorum %v ago\n",
 			answer.GetNode(), leader, answer.GetTerm(), answer.GetCommitIndex(), answer.GetRevision(), quorumAge)
+		if answer.GetVoters() > 0 {
+			fmt.Fprintf(s.out, "voters %d, of which %d hold every committed entry on disk\n", answer.GetVoters(), answer.GetCaughtUpVoters())
+		}
 		s.table("NODE\tZONE\tCONTROL\tLEADER\tREVISION\tSILENT\tSTATE", func(row func(...any)) {
 			for _, node := range answer.GetNodes() {
 				silent := time.Duration(node.GetSilentMilliseconds()) * time.Millisecond
--- a/internal/protocol/caller/caller.go
+++ b/internal/protocol/caller/caller.go
@@ -51,7 +51,7 @@
 	CodeAlreadyDone       Code = "already_done"
 	CodeKeyReused         Code = "idempotency_key_reused"
 	CodeBackendFailed     Code = "backend_failed"
-	CodeStopping          Code = "stopping"
+	CodeStarting          Code = "starting"
 	CodeInternal          Code = "internal"
 )
 
