--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,168 @@
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+)
+
+var sharedKey = bytes.Repeat([]byte("k"), 32)
+
+// listen starts a mesh on loopback and returns its address and what arrives.
+func listen(t *testing.T, self string, peers map[string]string) (*Mesh, string, <-chan string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	arrived := make(chan string, 16)
+	mesh := NewMesh(Options{
+		Self: self, Peers: peers, Key: sharedKey, Listener: listener, Logger: zerolog.Nop(),
+		Handle: func(from string, frame []byte) { arrived <- from + ":" + string(frame) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		mesh.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return mesh, listener.Addr().String(), arrived
+}
+
+func expect(t *testing.T, arrived <-chan string, frame string) {
+	t.Helper()
+	select {
+	case got := <-arrived:
+		assert.Equal(t, got, frame)
+	case <-time.After(10 * time.Second):
+		t.Fatalf("%q did not arrive", frame)
+	}
+}
+
+func TestFramesArriveInOrderBetweenPeers(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	t.Run("mesh", func(t *testing.T) {
+		_, address, arrived := listen(t, "b", map[string]string{"a": "", "b": ""})
+		sender, _, _ := listen(t, "a", map[string]string{"a": "", "b": address})
+		for _, frame := range []string{"one", "two", "three"} {
+			sender.Send("b", []byte(frame))
+		}
+		expect(t, arrived, "a:one")
+		expect(t, arrived, "a:two")
+		expect(t, arrived, "a:three")
+	})
+}
+
+// refusedBy runs a hostile client against a listening mesh and returns the
+// number of connections that the mesh refused, and whether it still serves.
+func refusedBy(t *testing.T, hostile func(connection net.Conn)) {
+	t.Helper()
+	mesh, address, arrived := listen(t, "b", map[string]string{"a": "", "b": ""})
+	before := mesh.refused.Get()
+	connection, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	hostile(connection)
+	// The mesh closes the connection; nothing is delivered.
+	_ = connection.SetReadDeadline(time.Now().Add(10 * time.Second))
+	for {
+		if _, err := connection.Read(make([]byte, 64)); err != nil {
+			var timeout net.Error
+			assert.Assert(t, !errors.As(err, &timeout) || !timeout.Timeout(), "the connection was kept")
+			break
+		}
+	}
+	_ = connection.Close()
+	assert.Equal(t, mesh.refused.Get(), before+1)
+	assert.Equal(t, len(arrived), 0)
+	sender, _, _ := listen(t, "a", map[string]string{"a": "", "b": address})
+	sender.Send("b", []byte("still here"))
+	expect(t, arrived, "a:still here")
+}
+
+func TestStrangerIsRefused(t *testing.T) {
+	refusedBy(t, func(connection net.Conn) {
+		_, err := dialHandshake(connection, bytes.Repeat([]byte("x"), 32), "a", "b")
+		assert.ErrorIs(t, err, ErrStranger)
+		_ = writeMessage(connection, &clientProof{Proof: []byte("guess")})
+	})
+}
+
+func TestUnknownNameIsRefused(t *testing.T) {
+	refusedBy(t, func(connection net.Conn) {
+		_, err := dialHandshake(connection, sharedKey, "nobody", "b")
+		assert.Assert(t, err != nil)
+	})
+}
+
+func TestReplayedHandshakeIsRefused(t *testing.T) {
+	_, address, _ := listen(t, "b", map[string]string{"a": "", "b": ""})
+	// Record a good handshake's client side.
+	connection, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	recorded := &recordingConnection{Conn: connection}
+	_, err = dialHandshake(recorded, sharedKey, "a", "b")
+	assert.NilError(t, err)
+	_ = connection.Close()
+	refusedBy(t, func(connection net.Conn) { _, _ = connection.Write(recorded.written.Bytes()) })
+}
+
+type recordingConnection struct {
+	net.Conn
+	written bytes.Buffer
+}
+
+func (r *recordingConnection) Write(data []byte) (int, error) {
+	r.written.Write(data)
+	return r.Conn.Write(data)
+}
+
+func TestOversizedHelloIsRefused(t *testing.T) {
+	refusedBy(t, func(connection net.Conn) { _, _ = connection.Write([]byte{0x7f, 0xff, 0xff, 0xff}) })
+}
+
+func TestGarbledFrameIsRefused(t *testing.T) {
+	refusedBy(t, func(connection net.Conn) {
+		seal, err := dialHandshake(connection, sharedKey, "a", "b")
+		assert.NilError(t, err)
+		var frame bytes.Buffer
+		writer := bufio.NewWriter(&frame)
+		assert.NilError(t, seal.write(writer, []byte("payload")))
+		assert.NilError(t, writer.Flush())
+		frame.Bytes()[lengthBytes] ^= 1
+		_, _ = connection.Write(frame.Bytes())
+	})
+}
+
+func TestReplayedFrameIsRefused(t *testing.T) {
+	key := []byte("session")
+	var frame bytes.Buffer
+	writer := bufio.NewWriter(&frame)
+	assert.NilError(t, newSealer(key).write(writer, []byte("payload")))
+	assert.NilError(t, writer.Flush())
+	twice := bytes.NewReader(append(bytes.Clone(frame.Bytes()), frame.Bytes()...))
+	opener := newSealer(key)
+	payload, err := opener.read(twice)
+	assert.NilError(t, err)
+	assert.Equal(t, string(payload), "payload")
+	_, err = opener.read(twice)
+	assert.ErrorIs(t, err, ErrFrameForged)
+}
+
+func FuzzFrame(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 20, 1, 2, 3})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		payload, err := newSealer([]byte("session")).read(bytes.NewReader(data))
+		assert.Assert(t, err != nil, "a forged frame was accepted: %x", payload)
+	})
+}
