Docs, examples, layer test, scale measurements and process proofs

Cause: operators and newcomers had nothing to read, and the layers were held by habit only. Change: README, architecture, operations, glossary, design notes with what was weighed, example catalogs that a test applies, a test of import directions (it found 'net' in the state layer, now netip), ravenway-lab scale and simulate, and a script that kills, freezes and stops real processes.

--- /dev/null
+++ b/internal/lab/labcli/prove.go
@@ -0,0 +1,100 @@
+package labcli
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/ravenway/ravenway/internal/lab/scale"
+	"github.com/ravenway/ravenway/internal/lab/simulate"
+)
+
+func runScale(out io.Writer, stateOnly bool) error {
+	slopes := scale.StateSlopes()
+	if !stateOnly {
+		measured, err := scale.FleetSlopes(func(line string) { fmt.Fprintln(out, line) })
+		if err != nil {
+			return err
+		}
+		slopes = append(slopes, measured...)
+	}
+	scale.Print(out, slopes)
+	return nil
+}
+
+// simulations are the mechanisms that run over many seeds.
+var simulations = map[string]func(seed uint64) *simulate.World{
+	"consensus": func(seed uint64) *simulate.World { return simulate.RunConsensus(seed, simulate.NoDefect) },
+	"claims":    func(seed uint64) *simulate.World { return simulate.RunClaims(seed, simulate.ClaimsNoDefect) },
+	"budgets": func(seed uint64) *simulate.World {
+		return simulate.RunBudgets(simulate.BudgetOptions{Seed: seed, Limit: 400_000, TopUp: 200_000, Faults: true, Rate: 25}).World
+	},
+	"tight-budgets": func(seed uint64) *simulate.World {
+		return simulate.RunBudgets(simulate.BudgetOptions{Seed: seed, Limit: 2000, Faults: true, Tight: true, Rate: 10}).World
+	},
+}
+
+// runSimulations runs seeds side by side and prints each broken one.
+func runSimulations(out io.Writer, only string, first, seeds uint64) error {
+	names := make([]string, 0, len(simulations))
+	for name := range simulations {
+		if only == "" || only == name {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	if len(names) == 0 {
+		return fmt.Errorf("there is no simulation %q", only)
+	}
+	broken := 0
+	for _, name := range names {
+		broken += runSeeds(out, name, first, seeds)
+	}
+	if broken > 0 {
+		return fmt.Errorf("%d seeds broke an invariant", broken)
+	}
+	return nil
+}
+
+func runSeeds(out io.Writer, name string, first, seeds uint64) int {
+	var mutex sync.Mutex
+	faults := map[string]int{}
+	checks, broken := 0, 0
+	var lanes sync.WaitGroup
+	next := first
+	for range runtime.NumCPU() {
+		lanes.Go(func() {
+			for {
+				mutex.Lock()
+				seed := next
+				next++
+				mutex.Unlock()
+				if seed >= first+seeds {
+					return
+				}
+				world := simulations[name](seed)
+				mutex.Lock()
+				checks += world.Checks
+				for kind, count := range world.Faults {
+					faults[kind] += count
+				}
+				if world.Broken != nil {
+					broken++
+					fmt.Fprintf(out, "%s: seed %d: %v\n", name, seed, world.Broken)
+				}
+				mutex.Unlock()
+			}
+		})
+	}
+	lanes.Wait()
+	var kinds []string
+	for kind, count := range faults {
+		kinds = append(kinds, fmt.Sprintf("%s %d", kind, count))
+	}
+	sort.Strings(kinds)
+	fmt.Fprintf(out, "%s: seeds %d to %d, %d broken, %d checks; faults: %s\n", name, first, first+seeds-1, broken, checks, strings.Join(kinds, ", "))
+	return broken
+}
--- /dev/null
+++ b/internal/layers_test.go
@@ -0,0 +1,77 @@
+// Package internal_test holds the import directions between the layers.
+package internal_test
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const module = "github.com/ravenway/ravenway/"
+
+// allowed lists, for each layer, the parts of the module that it may import.
+var allowed = map[string][]string{
+	"state":        {"api/", "internal/state"},
+	"protocol":     {"api/", "internal/protocol", "internal/state"},
+	"ring":         {},
+	"transport":    {"internal/protocol", "internal/ring"},
+	"coordination": {"api/", "internal/coordination", "internal/protocol", "internal/state"},
+	"settings":     {},
+	"node":         {"api/", "internal/coordination", "internal/protocol", "internal/ring", "internal/settings", "internal/state", "internal/transport"},
+	"daemon":       {"internal/node", "internal/settings", "internal/state"},
+	"operatorcli":  {"api/"},
+	"lab":          {"api/", "internal/"},
+}
+
+// forbidden packages would reach the network or start processes.
+var forbidden = map[string][]string{
+	"state":        {"net", "net/http", "os/exec"},
+	"coordination": {"net", "net/http", "os", "os/exec"},
+	"node":         {"os/exec", "net/http/httputil"},
+	"daemon":       {"os/exec", "net/http/httputil"},
+	"transport":    {"os/exec", "net/http", "net/http/httputil"},
+}
+
+func TestLayersImportOnlyDownwards(t *testing.T) {
+	files := token.NewFileSet()
+	seen := 0
+	err := filepath.WalkDir(".", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		layer, _, _ := strings.Cut(filepath.ToSlash(path), "/")
+		permitted, known := allowed[layer]
+		assert.Assert(t, known, "%s is in no known layer", path)
+		parsed, err := parser.ParseFile(files, path, nil, parser.ImportsOnly)
+		assert.NilError(t, err)
+		for _, imported := range parsed.Imports {
+			checkImport(t, path, layer, strings.Trim(imported.Path.Value, `"`), permitted)
+		}
+		seen++
+		return nil
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, seen > 50, "only %d files were read", seen)
+}
+
+func checkImport(t *testing.T, path, layer, imported string, permitted []string) {
+	t.Helper()
+	for _, refused := range forbidden[layer] {
+		assert.Assert(t, imported != refused, "%s imports %s", path, imported)
+	}
+	inside, isOwn := strings.CutPrefix(imported, module)
+	if !isOwn {
+		return
+	}
+	for _, prefix := range permitted {
+		if strings.HasPrefix(inside, prefix) {
+			return
+		}
+	}
+	t.Errorf("%s imports %s, which layer %q may not", path, inside, layer)
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/ravenway/ravenway/internal/coordination/claims"
@@ -14,6 +15,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/escrow"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/catalog"
+	"github.com/ravenway/ravenway/internal/transport"
 )
 
 // errNoLeader says that no leader of the control group is known.
@@ -30,9 +32,22 @@
 		n.handleFrame(n.name, frame)
 		return
 	}
+	SentFrames[kind].Inc()
+	SentBytes[kind].Add(len(frame) + transport.FrameOverheadBytes)
 	n.mesh.Send(to, frame)
 }
 
+// SentFrames and SentBytes count what this process sends to peers, by kind.
+var SentFrames, SentBytes = countersByKind("frames"), countersByKind("bytes")
+
+func countersByKind(unit string) map[peer.Kind]*metrics.Counter {
+	counters := map[peer.Kind]*metrics.Counter{}
+	for _, kind := range peer.Kinds() {
+		counters[kind] = metrics.GetOrCreateCounter(fmt.Sprintf("ravenway_peer_sent_%s_total{kind=%q}", unit, kind))
+	}
+	return counters
+}
+
 // handleFrame hands a frame to the duty that it is for.
 func (n *Node) handleFrame(from string, frame []byte) {
 	envelope, err := peer.Decode(frame)
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -43,6 +43,24 @@
 	kindEnd
 )
 
+// String names the kind, for metrics.
+func (k Kind) String() string {
+	names := [...]string{"none", "consensus", "call", "reply", "status", "claims", "catalog", "follow", "accounts", "lend", "fence"}
+	if int(k) < len(names) {
+		return names[k]
+	}
+	return fmt.Sprintf("kind %d", uint8(k))
+}
+
+// Kinds lists all kinds.
+func Kinds() []Kind {
+	var kinds []Kind
+	for kind := KindConsensus; kind < kindEnd; kind++ {
+		kinds = append(kinds, kind)
+	}
+	return kinds
+}
+
 // Envelope is one frame.
 type Envelope struct {
 	Kind Kind               `msgpack:"k"`
--- a/internal/state/catalog/objects.go
+++ b/internal/state/catalog/objects.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
-	"net"
+	"net/netip"
 	"slices"
 	"strings"
 
@@ -126,8 +126,8 @@
 	if backend.GetZone() == "" {
 		o.find(place+".zone", "is missing")
 	}
-	if _, _, err := net.SplitHostPort(backend.GetAddress()); err != nil {
-		o.find(place+".address", "%q is not host:port", backend.GetAddress())
+	if _, err := netip.ParseAddrPort(backend.GetAddress()); err != nil {
+		o.find(place+".address", "%q is not an IP number and a port", backend.GetAddress())
 	}
 }
 
--- a/internal/transport/frame.go
+++ b/internal/transport/frame.go
@@ -19,6 +19,8 @@
 	// frameMACBytes is the length of each frame's authentication code.
 	frameMACBytes = 16
 	lengthBytes   = 4
+	// FrameOverheadBytes is what a frame adds to its payload.
+	FrameOverheadBytes = lengthBytes + frameMACBytes
 )
 
 // Errors of frames.
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -62,8 +62,6 @@
 	options  Options
 	links    map[string]*outgoingLink
 	refused  *metrics.Counter
-	sent     *metrics.Counter
-	sentSize *metrics.Counter
 	received *metrics.Counter
 
 	mutex       sync.Mutex
@@ -92,8 +90,6 @@
 		connections: map[net.Conn]struct{}{},
 		handshakes:  make(chan struct{}, maximumUnauthenticated),
 		refused:     metrics.GetOrCreateCounter("ravenway_peer_connections_refused_total"),
-		sent:        metrics.GetOrCreateCounter("ravenway_peer_frames_sent_total"),
-		sentSize:    metrics.GetOrCreateCounter("ravenway_peer_bytes_sent_total"),
 		received:    metrics.GetOrCreateCounter("ravenway_peer_frames_received_total"),
 	}
 	for name, address := range options.Peers {
@@ -271,8 +267,6 @@
 		if err := seal.write(writer, frame); err != nil {
 			return err
 		}
-		m.sent.Inc()
-		m.sentSize.Add(len(frame))
 		select {
 		case frame = <-link.frames.Out():
 		default:
