--- a/internal/coordination/claims/holder.go
+++ b/internal/coordination/claims/holder.go
@@ -149,9 +149,10 @@
 }
 
 func (h *Holder) answer(question, reply Message) []Outgoing {
+	// The operation and the ballot's proposer name the question; its key and
+	// scope need not travel back.
 	reply.Operation = question.Operation
-	reply.Key = question.Key
-	reply.Scope = question.Scope
+	reply.Proposer = question.Ballot.Proposer.Incarnation
 	return []Outgoing{{To: question.From, Message: reply}}
 }
 
--- a/internal/coordination/claims/proposer.go
+++ b/internal/coordination/claims/proposer.go
@@ -71,6 +71,8 @@
 	// owned are the ballots under which this node's own claims were accepted,
 	// with the incarnations that promised them.
 	owned map[Register]ownedBallot
+	// missed counts the questions that each holder has not answered in a row.
+	missed map[string]int
 }
 
 type ownedBallot struct {
@@ -109,23 +111,42 @@
 	options.Incarnation = cmp.Or(options.Incarnation, options.ID.Incarnation)
 	return &Proposer{
 		options: options, operations: map[uint64]*operation{}, incarnations: Vector{},
-		owned: map[Register]ownedBallot{},
+		owned: map[Register]ownedBallot{}, missed: map[string]int{},
 	}
 }
 
 // Change starts a change; done is called once. The messages to send are
 // returned by Outgoing.
 func (p *Proposer) Change(now, deadline time.Duration, scope string, key Key, change Change, done func(Outcome)) {
+	started := p.start(deadline, scope, key, change, done)
+	if p.changeOwned(now, started) {
+		return
+	}
+	p.begin(now, started)
+}
+
+// ChangeMinted is the first change of a key that this node has just made up.
+// Nobody else can have proposed for it with the lowest ballot, so the first
+// round is not needed. A holder that has promised a higher one refuses.
+func (p *Proposer) ChangeMinted(now, deadline time.Duration, scope string, key Key, change Change, done func(Outcome)) {
+	started := p.start(deadline, scope, key, change, done)
+	started.ballot = Ballot{Round: mintedRound, Proposer: p.options.ID}
+	started.value, started.changed = change(nil), true
+	started.answers = map[string]Message{}
+	p.beginAccept(now, started)
+}
+
+// mintedRound is the lowest round; other proposals begin above it.
+const mintedRound = 1
+
+func (p *Proposer) start(deadline time.Duration, scope string, key Key, change Change, done func(Outcome)) *operation {
 	p.next++
 	started := &operation{
 		id: p.next, key: key, scope: scope, change: change, done: done, deadline: deadline,
 		holders: p.options.Pool.Holders(scope, string(key[:])),
 	}
 	p.operations[started.id] = started
-	if p.changeOwned(now, started) {
-		return
-	}
-	p.begin(now, started)
+	return started
 }
 
 // Outgoing takes the messages that wait to be sent.
@@ -169,13 +190,13 @@
 func (p *Proposer) begin(now time.Duration, started *operation) {
 	delete(p.owned, started.register())
 	// A ballot stands for one operation only: rounds are never used again.
-	p.lastRound = max(p.lastRound, started.highest.Round) + 1
+	p.lastRound = max(p.lastRound, started.highest.Round, mintedRound) + 1
 	started.ballot = Ballot{Round: p.lastRound, Proposer: p.options.ID}
 	started.accepting = false
 	started.restartAt = 0
 	started.answers = map[string]Message{}
 	started.refused = map[string]bool{}
-	p.ask(now, started)
+	p.askFirst(now, started)
 }
 
 func (p *Proposer) beginAccept(now time.Duration, started *operation) {
@@ -187,55 +208,67 @@
 	p.owned[started.register()] = ownedBallot{ballot: started.ballot, vector: promised, claim: *started.value}
 	started.answers = map[string]Message{}
 	started.refused = map[string]bool{}
-	p.ask(now, started)
+	p.askFirst(now, started)
 }
 
-// ask sends the round's question to all holders that have not answered it.
-func (p *Proposer) ask(now time.Duration, started *operation) {
+// askFirst asks a majority only: this node's own holder, then those that have
+// missed the fewest questions of late. The others are asked if it takes long.
+func (p *Proposer) askFirst(now time.Duration, started *operation) {
+	started.resendAt = now + resendInterval
+	order := slices.Clone(started.holders)
+	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(p.reluctance(a), p.reluctance(b)) })
+	for _, holder := range order[:len(order)/2+1] {
+		p.askOne(started, holder)
+	}
+}
+
+func (p *Proposer) reluctance(holder string) int {
+	if holder == p.options.ID.Node {
+		return -1
+	}
+	return p.missed[holder]
+}
+
+// askAgain asks all holders that have not answered the round's question.
+func (p *Proposer) askAgain(now time.Duration, started *operation) {
 	started.resendAt = now + resendInterval
 	for _, holder := range started.holders {
 		if _, answered := started.answers[holder]; answered || started.refused[holder] {
 			continue
 		}
-		message := Message{
-			Kind: MessagePrepare, From: p.options.ID.Node, Incarnation: p.options.Incarnation,
-			Operation: started.id, Key: started.key, Scope: started.scope, Ballot: started.ballot,
-			Vector: p.vectorFor(started),
-		}
-		if started.accepting {
-			message.Kind = MessageAccept
-			message.Claim = started.value
-			message.Vector = p.acceptVector(started, holder)
-		}
-		p.outgoing = append(p.outgoing, Outgoing{To: holder, Message: message})
+		p.missed[holder]++
+		p.askOne(started, holder)
 	}
 }
 
-func (p *Proposer) vectorFor(started *operation) Vector {
-	vector := Vector{}
-	for _, holder := range started.holders {
-		if incarnation := p.incarnations[holder]; incarnation > 0 {
-			vector[holder] = incarnation
-		}
+func (p *Proposer) askOne(started *operation, holder string) {
+	message := Message{
+		Kind: MessagePrepare, From: p.options.ID.Node, Incarnation: p.options.Incarnation,
+		Operation: started.id, Key: started.key, Scope: started.scope, Ballot: started.ballot,
 	}
-	return vector
+	if started.accepting {
+		message.Kind = MessageAccept
+		message.Claim = started.value
+		message.Vector = p.acceptVector(started, holder)
+	}
+	p.outgoing = append(p.outgoing, Outgoing{To: holder, Message: message})
 }
 
-// acceptVector names the lives that promised. A holder that did not promise
-// may accept too: under its newest known life it has forgotten nothing since.
+// acceptVector names the life of the holder that promised. A holder that did
+// not promise may accept too: under its newest known life it has forgotten
+// nothing since.
 func (p *Proposer) acceptVector(started *operation, holder string) Vector {
-	vector := p.vectorFor(started)
 	if incarnation, promised := p.owned[started.register()].vector[holder]; promised {
-		vector[holder] = incarnation
+		return Vector{holder: incarnation}
 	}
-	return vector
+	return Vector{holder: p.incarnations[holder]}
 }
 
 // Step takes a holder's answer.
 func (p *Proposer) Step(now time.Duration, message Message) {
 	p.learn(message)
 	started := p.operations[message.Operation]
-	if started == nil || started.key != message.Key || !slices.Contains(started.holders, message.From) {
+	if started == nil || !slices.Contains(started.holders, message.From) {
 		return
 	}
 	expected := MessagePromise
@@ -245,6 +278,11 @@
 	if message.Kind != expected || started.restartAt != 0 {
 		return
 	}
+	if message.Proposer != p.options.ID.Incarnation {
+		// An answer to an earlier life's question of the same number.
+		return
+	}
+	p.missed[message.From] = 0
 	if message.Refusal != 0 {
 		p.refusedBy(now, started, message)
 		return
@@ -339,7 +377,9 @@
 		// had not promised is asked again under its new life.
 		if _, promised := p.owned[started.register()].vector[message.From]; promised {
 			p.restart(now, started)
+			return
 		}
+		p.askOne(started, message.From)
 	case RefusedRecovering:
 		// Asked again at the next resend.
 	}
@@ -379,7 +419,7 @@
 				p.begin(now, started)
 			}
 		case now >= started.resendAt:
-			p.ask(now, started)
+			p.askAgain(now, started)
 		}
 	}
 }
--- a/internal/coordination/claims/types.go
+++ b/internal/coordination/claims/types.go
@@ -145,8 +145,10 @@
 	Incarnation uint64 `msgpack:"n"`
 	// Vector is the sender's view of the key's holders.
 	Vector Vector `msgpack:"v,omitempty"`
-	// Operation matches answers to questions.
+	// Operation matches answers to questions, together with the life of the
+	// proposer that asked.
 	Operation uint64 `msgpack:"o,omitempty"`
+	Proposer  uint64 `msgpack:"p,omitempty"`
 	Key       Key    `msgpack:"y"`
 	Scope     string `msgpack:"s,omitempty"`
 	Ballot    Ballot `msgpack:"b"`
--- a/internal/coordination/membership/pool.go
+++ b/internal/coordination/membership/pool.go
@@ -62,7 +62,7 @@
 // ZonesFor returns all zones in a key's order of preference: the first is the
 // key's home zone.
 func (p *Pool) ZonesFor(key string) []string {
-	return rank(key, p.zones)
+	return Rank(key, p.zones)
 }
 
 // Holders returns the holders of a key in a scope. It is three nodes where
@@ -71,13 +71,13 @@
 	if scope == ScopeGlobal {
 		return p.globalHolders(key)
 	}
-	holders := firstOf(rank(key, p.byZone[scope]), HoldersPerKey)
+	holders := firstOf(Rank(key, p.byZone[scope]), HoldersPerKey)
 	// The neighbour is the same for all keys of a zone: a cut-off zone of two
 	// then shares its keys with one other zone only.
 	position := slices.Index(p.zones, scope)
 	for step := 1; step < len(p.zones) && len(holders) < HoldersPerKey; step++ {
 		neighbour := p.zones[(position+step)%len(p.zones)]
-		holders = append(holders, firstOf(rank(key, p.byZone[neighbour]), HoldersPerKey-len(holders))...)
+		holders = append(holders, firstOf(Rank(key, p.byZone[neighbour]), HoldersPerKey-len(holders))...)
 	}
 	return holders
 }
@@ -88,7 +88,7 @@
 		if len(holders) == HoldersPerKey {
 			return holders
 		}
-		holders = append(holders, rank(key, p.byZone[zone])[0])
+		holders = append(holders, Rank(key, p.byZone[zone])[0])
 	}
 	// Fewer than three zones: fill up with other nodes.
 	var names []string
@@ -97,11 +97,11 @@
 			names = append(names, node.Name)
 		}
 	}
-	return append(holders, firstOf(rank(key, names), HoldersPerKey-len(holders))...)
+	return append(holders, firstOf(Rank(key, names), HoldersPerKey-len(holders))...)
 }
 
-// rank orders names by their rendezvous hash with a key, highest first.
-func rank(key string, names []string) []string {
+// Rank orders names by their rendezvous hash with a key, highest first.
+func Rank(key string, names []string) []string {
 	type scored struct {
 		name  string
 		score uint64
--- /dev/null
+++ b/internal/lab/fleet/chaos.go
@@ -0,0 +1,186 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"connectrpc.com/connect"
+
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+	"github.com/ravenway/ravenway/internal/lab/load"
+)
+
+// Chaos is a seeded schedule of faults under load.
+type Chaos struct {
+	fleet  *Fleet
+	random *rand.Rand
+	// Faults counts the faults brought about, by kind.
+	Faults map[string]int
+	down   string
+	topUps uint64
+}
+
+// NewChaos makes a schedule.
+func NewChaos(f *Fleet, seed uint64) *Chaos {
+	return &Chaos{fleet: f, random: rand.New(rand.NewPCG(seed, 77)), Faults: map[string]int{}}
+}
+
+// Run sends load, brings about faults for a while, heals everything and checks
+// every promise against the truth.
+func (c *Chaos) Run(seed uint64, duration time.Duration) (load.Report, error) {
+	ledger := &Ledger{}
+	ended := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	go func() {
+		err := c.faults(ctx)
+		// Streams in a cut that never heals would keep the load waiting.
+		c.fleet.Network.Heal()
+		ended <- err
+	}()
+	report, err := load.Run(context.Background(), load.Options{
+		Entries: c.fleet.Entries(c.fleet.Order...), Mix: c.fleet.Mix(seed), Rate: 20, Duration: duration, Seed: seed,
+		Client: c.fleet.LoadClient(), Retry: true, Done: ledger.Note,
+	})
+	if err != nil {
+		return report, err
+	}
+	if err := <-ended; err != nil {
+		return report, err
+	}
+	if err := c.heal(); err != nil {
+		return report, err
+	}
+	if err := c.fleet.Check(ledger, 3*time.Minute); err != nil {
+		return report, err
+	}
+	return report, c.checkTopUps()
+}
+
+// faults brings about one fault after another; some overlap.
+func (c *Chaos) faults(ctx context.Context) error {
+	for sleepUntil(ctx, time.Duration(500+c.random.IntN(3000))*time.Millisecond) {
+		if err := c.one(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sleepUntil(ctx context.Context, duration time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(duration):
+		return true
+	}
+}
+
+func (c *Chaos) one() error {
+	f := c.fleet
+	switch c.random.IntN(8) {
+	case 0, 1:
+		return c.killOrBoot()
+	case 2:
+		c.count("zone cut")
+		f.CutZone(f.Plan.Zones[c.random.IntN(len(f.Plan.Zones))])
+	case 3:
+		c.count("heal")
+		f.Network.Heal()
+	case 4:
+		c.count("one-way cut")
+		f.Network.CutOneWay(c.anyNode(), c.anyNode())
+	case 5:
+		c.count("broken connections")
+		f.Network.BreakConnections(zoneMachine(f.Plan.Zones[c.random.IntN(len(f.Plan.Zones))]))
+	case 6:
+		c.count("slow engine")
+		f.Emulator.Engine(f.Plan.Catalog().GetBackends()[c.random.IntN(f.Plan.Engines)].GetName()).SetSlowdown(1 + c.random.IntN(4))
+	case 7:
+		c.topUpTwice()
+	}
+	return nil
+}
+
+func (c *Chaos) count(kind string) { c.Faults[kind]++ }
+
+func (c *Chaos) anyNode() string { return c.fleet.Order[c.random.IntN(len(c.fleet.Order))] }
+
+// killOrBoot has at most one machine down: two of a key's three holders that
+// lose their memory at once are more than the fleet can bear.
+func (c *Chaos) killOrBoot() error {
+	f := c.fleet
+	if c.down != "" {
+		name := c.down
+		c.down = ""
+		return f.Boot(name)
+	}
+	if !c.allRecovered() {
+		return nil
+	}
+	name := c.anyNode()
+	repaired := f.Repaired()
+	f.Kill(name)
+	c.down = name
+	c.count("kill")
+	if f.machines[name].Control && repaired && c.random.IntN(2) == 0 {
+		c.count("lost disk")
+		f.LoseDisk(name)
+	}
+	return nil
+}
+
+// allRecovered tells whether every node's claims have recovered.
+func (c *Chaos) allRecovered() bool {
+	for _, name := range c.fleet.Order {
+		if !c.fleet.machines[name].node.ClaimsRecovered() {
+			return false
+		}
+	}
+	return true
+}
+
+// topUpTwice sends the same command twice, as after a lost answer.
+func (c *Chaos) topUpTwice() {
+	c.count("resent command")
+	c.topUps++
+	id := fmt.Sprintf("chaos-%d", c.topUps)
+	for range 2 {
+		go func() { _ = c.fleet.TopUp(c.fleet.Order[0], "tenant-10", 1000, id) }()
+	}
+}
+
+func (c *Chaos) heal() error {
+	f := c.fleet
+	f.Network.Heal()
+	if c.down != "" {
+		if err := f.Boot(c.down); err != nil {
+			return err
+		}
+		c.down = ""
+	}
+	for number := range f.Plan.Engines {
+		f.Emulator.Engine(f.Plan.Catalog().GetBackends()[number].GetName()).SetSlowdown(1)
+	}
+	return f.WaitFor(time.Minute, "the repair after the heal", f.Repaired)
+}
+
+// checkTopUps sends every command once more and expects each to count once.
+func (c *Chaos) checkTopUps() error {
+	for number := range c.topUps {
+		if err := c.fleet.TopUp(c.fleet.Order[len(c.fleet.Order)-1], "tenant-10", 1000, fmt.Sprintf("chaos-%d", number+1)); err != nil {
+			return err
+		}
+	}
+	answer, err := c.fleet.operators[c.fleet.Order[0]].GetBudgets(c.fleet.ctx, connect.NewRequest(&ravenwayv1.GetBudgetsRequest{Budget: "tenant-10-prepaid"}))
+	if err != nil {
+		return err
+	}
+	expected := c.fleet.Plan.TenantLimit("tenant-10") + 1000*c.topUps
+	if limit := answer.Msg.GetBudgets()[0].GetLimit(); limit != expected {
+		return fmt.Errorf("%d commands sent three times each made a limit of %d instead of %d", c.topUps, limit, expected)
+	}
+	return nil
+}
--- a/internal/lab/fleet/network.go
+++ b/internal/lab/fleet/network.go
@@ -160,6 +160,19 @@
 	}
 }
 
+// BreakConnections closes a machine's connections; it lives on.
+func (n *Network) BreakConnections(machine string) {
+	n.mutex.Lock()
+	var broken []*memoryConnection
+	for connection := range n.connections[machine] {
+		broken = append(broken, connection)
+	}
+	n.mutex.Unlock()
+	for _, connection := range broken {
+		_ = connection.Close()
+	}
+}
+
 // BytesFrom is the number of bytes that a machine sent to machines that the
 // filter accepts.
 func (n *Network) BytesFrom(machine string, accept func(to string) bool) int {
--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -45,9 +45,11 @@
 				},
 				Action: func(ctx context.Context, command *cli.Command) error { return runLoad(ctx, out, command) }},
 			{Name: "scale", Usage: "measure what the parts cost against their sizes (takes about 4 minutes)",
-				Flags: []cli.Flag{&cli.BoolFlag{Name: "state-only", Usage: "measure state only, no fleets"}},
+				Flags: []cli.Flag{
+					&cli.BoolFlag{Name: "state-only", Usage: "measure state only, no fleets"},
+					&cli.BoolFlag{Name: "requests-only", Usage: "measure requests only"}},
 				Action: func(_ context.Context, command *cli.Command) error {
-					return runScale(out, command.Bool("state-only"))
+					return runScale(out, command.Bool("state-only"), command.Bool("requests-only"))
 				}},
 			{Name: "simulate", Usage: "run the simulations over many seeds",
 				Flags: []cli.Flag{
--- a/internal/lab/labcli/prove.go
+++ b/internal/lab/labcli/prove.go
@@ -12,10 +12,18 @@
 	"github.com/ravenway/ravenway/internal/lab/simulate"
 )
 
-func runScale(out io.Writer, stateOnly bool) error {
-	slopes := scale.StateSlopes()
+func runScale(out io.Writer, stateOnly, requestsOnly bool) error {
+	progress := func(line string) { fmt.Fprintln(out, line) }
+	var slopes []scale.Slope
+	if !requestsOnly {
+		slopes = scale.StateSlopes()
+	}
+	measure := scale.FleetSlopes
+	if requestsOnly {
+		measure = scale.RequestSlopes
+	}
 	if !stateOnly {
-		measured, err := scale.FleetSlopes(func(line string) { fmt.Fprintln(out, line) })
+		measured, err := measure(progress)
 		if err != nil {
 			return err
 		}
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -32,6 +32,8 @@
 	Client   *Client
 	// Retry sends a request that was cut again, with its key, to another entry.
 	Retry bool
+	// WithoutKeys leaves the idempotency keys out.
+	WithoutKeys bool
 	// Done is told each request's last answer; it may be nil.
 	Done func(Request, Answer, int)
 }
@@ -90,6 +92,9 @@
 			break
 		}
 		drawn := options.Mix.Draw(random, number)
+		if options.WithoutKeys {
+			drawn.Key = ""
+		}
 		first := random.IntN(len(options.Entries))
 		sending.Go(func() { gathered.send(ctx, options, drawn, first) })
 	}
--- a/internal/lab/simulate/claims.go
+++ b/internal/lab/simulate/claims.go
@@ -55,6 +55,7 @@
 	settled map[claims.Key]uint64
 	down    int
 	healed  bool
+	minted  uint64
 }
 
 // RunClaims runs one seed.
@@ -147,9 +148,53 @@
 		s.settle(node, key)
 		return
 	}
+	if s.World.Chance(0.2) {
+		s.mint(node)
+		return
+	}
 	s.claim(node, key)
 }
 
+// mint claims a key that only this node knows, with one round, and soon has
+// another node read it, as a fence does.
+func (s *ClaimsSimulation) mint(node *claimsNode) {
+	s.minted++
+	key := claims.NewKey("minted", fmt.Sprint(s.minted))
+	mine := &claims.Claim{State: claims.Dispatched, Owner: node.id, RequestID: node.id.String(), Budget: "b", Sequence: s.minted}
+	node.proposer.ChangeMinted(s.World.Now, s.World.Now+claimsTimeout, "a", key, func(current *claims.Claim) *claims.Claim {
+		if current != nil {
+			return nil
+		}
+		return mine
+	}, func(outcome claims.Outcome) {
+		if outcome.Err == nil && outcome.Claim != nil {
+			s.checkOwner(key, outcome.Claim)
+		}
+	})
+	s.sendAll(node, node.proposer.Outgoing())
+	reader := s.nodes[s.names[s.World.Random.IntN(len(s.names))]]
+	s.World.After(s.World.Between(0, time.Second), func() { s.readMinted(reader.name, key) })
+}
+
+// readMinted: what was agreed before the read began is seen by it.
+func (s *ClaimsSimulation) readMinted(name string, key claims.Key) {
+	reader := s.nodes[name]
+	if reader.holder == nil {
+		return
+	}
+	_, agreed := s.winners[key]
+	read := func(*claims.Claim) *claims.Claim { return nil }
+	reader.proposer.Change(s.World.Now, s.World.Now+claimsTimeout, "a", key, read, func(outcome claims.Outcome) {
+		if outcome.Err == nil && agreed && outcome.Claim == nil {
+			s.World.Check(fmt.Errorf("the minted key %s was agreed and then not seen", key))
+		}
+		if outcome.Err == nil && outcome.Claim != nil {
+			s.checkOwner(key, outcome.Claim)
+		}
+	})
+	s.sendAll(reader, reader.proposer.Outgoing())
+}
+
 func (s *ClaimsSimulation) claim(node *claimsNode, key claims.Key) {
 	mine := &claims.Claim{State: claims.Dispatched, Owner: node.id, RequestID: node.id.String(), CallerKey: true}
 	change := func(current *claims.Claim) *claims.Claim {
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -4,17 +4,12 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
-	"net/http"
-	"slices"
 	"sync"
 	"time"
 
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 	"github.com/ravenway/ravenway/internal/coordination/queueing"
 	"github.com/ravenway/ravenway/internal/coordination/routing"
-	"github.com/ravenway/ravenway/internal/protocol/engine"
-	"github.com/ravenway/ravenway/internal/protocol/platform"
 )
 
 const (
@@ -234,81 +229,3 @@
 	}
 	return engines
 }
-
-// pollReports asks the engines for their load and cache events.
-func (b *backendsDuty) pollReports(ctx context.Context) {
-	for pause(ctx, reportInterval) {
-		var questions sync.WaitGroup
-		lanes := make(chan struct{}, pollLanes)
-		for _, target := range b.engines() {
-			lanes <- struct{}{}
-			questions.Go(func() {
-				defer func() { <-lanes }()
-				b.pollEngine(ctx, target)
-			})
-		}
-		questions.Wait()
-	}
-}
-
-func (b *backendsDuty) pollEngine(ctx context.Context, target routing.Backend) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	ownInFlight, err := ask(ctx, b.duty, func(answer func(int)) { answer(b.table.InFlight(target.Name)) })
-	if err != nil {
-		return
-	}
-	load, err := b.node.engines.Load(ctx, target.Address)
-	if err != nil {
-		return
-	}
-	report := routing.Report{Running: load.Running, Queued: load.Queued, Leaving: load.Leaving, OwnInFlight: ownInFlight}
-	from, err := ask(ctx, b.duty, func(answer func(uint64)) {
-		b.table.TakeReport(b.node.now(), target.Name, report)
-		answer(b.table.NextCacheEvent(target.Name))
-	})
-	if err != nil {
-		return
-	}
-	page, err := b.node.engines.CacheEvents(ctx, target.Address, from)
-	if err != nil || len(page.Events) == 0 {
-		return
-	}
-	_ = b.duty.do(ctx, func() { b.table.TakeCacheEvents(target.Name, cacheEvents(page)) })
-}
-
-func cacheEvents(page engine.CacheEvents) []routing.CacheEvent {
-	events := make([]routing.CacheEvent, len(page.Events))
-	for position, event := range page.Events {
-		events[position] = routing.CacheEvent{Sequence: event.Sequence, Block: event.Block, Evicted: event.Evicted}
-	}
-	return events
-}
-
-// pollPlatform reads the platform's list of live and leaving machines.
-func (b *backendsDuty) pollPlatform(ctx context.Context) {
-	url := b.node.settings.Platform.MachinesURL
-	if url == "" {
-		return
-	}
-	client := &http.Client{Transport: b.node.backendHTTP, Timeout: pollTimeout}
-	known := ""
-	for pause(ctx, platformInterval) {
-		list, err := platform.Fetch(ctx, client, url)
-		if err != nil {
-			continue
-		}
-		var leaving []string
-		for _, machine := range list.Machines {
-			if machine.State == platform.MachineLeaving {
-				leaving = append(leaving, machine.Name)
-			}
-		}
-		slices.Sort(leaving)
-		if text := fmt.Sprint(leaving); text != known {
-			known = text
-			b.node.log.Info().Str("event", "platform_leaving").Strs("backends", leaving).Send()
-		}
-		_ = b.duty.do(ctx, func() { b.table.SetLeaving(leaving) })
-	}
-}
--- a/internal/node/billed.go
+++ b/internal/node/billed.go
@@ -23,6 +23,9 @@
 	resumePause    = 200 * time.Millisecond
 	// settleRetry is the pause before a settlement is tried again.
 	settleRetry = time.Second
+	// stallTimeout is how long a stream may say nothing before its connection is
+	// given up and the stream resumed: a cut does not close connections.
+	stallTimeout = 15 * time.Second
 	// joinPause is the pause before a request in progress elsewhere is looked
 	// at again.
 	joinPause = 200 * time.Millisecond
@@ -146,7 +149,7 @@
 		Reserved: r.held.reservation.Amount, Backend: given.backend.Name, RequestID: r.requestID(),
 		Fingerprint: r.of.fingerprint, CallerKey: r.of.callerKey, NotRepeatable: r.of.notRepeatable,
 	}
-	outcome, err := n.claims.change(ctx, r.scope, r.of.key, r.claimChange(mine))
+	outcome, err := r.claim(ctx, mine)
 	if errors.Is(err, claims.ErrUnreachable) && r.fallBack() {
 		outcome, err = n.claims.change(ctx, r.scope, r.of.key, r.claimChange(mine))
 	}
@@ -169,6 +172,14 @@
 	return r.generate(ctx, given, mine)
 }
 
+// claim writes the claim; the first of a minted key needs one round only.
+func (r *run) claim(ctx context.Context, mine *claims.Claim) (claims.Outcome, error) {
+	if !r.of.callerKey && r.attempts == 0 {
+		return r.node.claims.changeMinted(ctx, r.of.key, r.claimChange(mine))
+	}
+	return r.node.claims.change(ctx, r.scope, r.of.key, r.claimChange(mine))
+}
+
 // fallBack moves a request whose home zone can't be reached into this zone.
 func (r *run) fallBack() bool {
 	if r.of.notRepeatable || r.scope == r.node.zone {
@@ -207,9 +218,12 @@
 	// The engine's work outlives the caller's deadline for the first byte.
 	streamCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	stream, err := n.engines.Generate(streamCtx, given.backend.Address, engine.GenerateRequest{
+	wanted := engine.GenerateRequest{
 		RequestID: mine.RequestID, Model: r.of.body.Model, Prompt: r.of.prompt, MaxTokens: r.of.bound,
 		Priority: engine.Priority(queueing.Batch - r.of.class), Tenant: r.of.tenant.GetName(),
+	}
+	stream, err := openStream(streamCtx, stallTimeout, func(ctx context.Context) (*engine.Stream, error) {
+		return n.engines.Generate(ctx, given.backend.Address, wanted)
 	})
 	if err != nil {
 		if r.notRun(streamCtx, given, mine, err) {
@@ -276,7 +290,7 @@
 	failures := 0
 	for {
 		if stream == nil {
-			resumed, err := r.node.engines.Resume(ctx, address, requestID, r.delivered)
+			resumed, err := r.node.resume(ctx, address, requestID, r.delivered)
 			if err != nil {
 				if failures++; failures > resumeAttempts || errors.Is(err, engine.ErrUnknownRequest) {
 					return engine.Event{}, err
@@ -301,12 +315,40 @@
 	}
 }
 
+// resume asks an engine to go on with a stream.
+func (n *Node) resume(ctx context.Context, address, requestID string, offset uint64) (*engine.Stream, error) {
+	return openStream(ctx, pollTimeout, func(ctx context.Context) (*engine.Stream, error) {
+		return n.engines.Resume(ctx, address, requestID, offset)
+	})
+}
+
+// openStream gives up on a stream that does not begin to be answered in time:
+// a cut does not close connections.
+func openStream(ctx context.Context, patience time.Duration, open func(context.Context) (*engine.Stream, error)) (*engine.Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	stalled := time.AfterFunc(patience, cancel)
+	stream, err := open(ctx)
+	if !stalled.Stop() && err == nil {
+		stream.Close()
+		err = &engine.TransportError{Offered: true, Err: context.DeadlineExceeded}
+	}
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	stream.OnClose(cancel)
+	return stream, nil
+}
+
 // pump passes the events of one stream on.
 func (r *run) pump(stream *engine.Stream) (engine.Event, error) {
 	stopWatching := context.AfterFunc(r.callerGone, stream.Close)
 	defer stopWatching()
+	stalled := time.AfterFunc(stallTimeout, stream.Close)
+	defer stalled.Stop()
 	for {
 		event, err := stream.Next()
+		stalled.Reset(stallTimeout)
 		if r.callerGone.Err() != nil {
 			return engine.Event{}, errCallerGone
 		}
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/claims"
+	"github.com/ravenway/ravenway/internal/coordination/membership"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/accounts"
 )
@@ -17,6 +19,10 @@
 	claimTimeout = 2 * time.Second
 	// unreachedFor is how long a scope that could not be reached is passed over.
 	unreachedFor = 5 * time.Second
+	// announceNear and announceFar are the times between announcements of what
+	// may be forgotten.
+	announceNear = 2 * time.Second
+	announceFar  = time.Minute
 )
 
 // claimsDuty owns the node's holder of claims and its proposer.
@@ -28,6 +34,12 @@
 	outgoing map[string][]claims.Message
 	wasReady bool
 
+	// marks are the watermarks of this node's own settlements; the changed ones
+	// are yet to be announced near and far.
+	marks                   map[markName]uint64
+	changedNear, changedFar map[markName]struct{}
+	nextNear, nextFar       time.Duration
+
 	// unreached are the scopes that could not be reached lately, with the time.
 	scopesMutex sync.Mutex
 	unreached   map[string]time.Duration
@@ -37,8 +49,15 @@
 	fenced map[string]uint64
 }
 
+// markName names a watermark.
+type markName struct {
+	owner  accounts.HolderID
+	budget string
+}
+
 func newClaimsDuty(node *Node) *claimsDuty {
-	owner := &claimsDuty{node: node, duty: newDuty("claims", claimsTick), outgoing: map[string][]claims.Message{}, fenced: map[string]uint64{}, unreached: map[string]time.Duration{}}
+	owner := &claimsDuty{node: node, duty: newDuty("claims", claimsTick), outgoing: map[string][]claims.Message{}, fenced: map[string]uint64{}, unreached: map[string]time.Duration{},
+		marks: map[markName]uint64{}, changedNear: map[markName]struct{}{}, changedFar: map[markName]struct{}{}}
 	owner.holder = claims.NewHolder(claims.HolderOptions{
 		Self: node.name, Incarnation: node.incarnation, Pool: node.pool, Fresh: len(node.pool.Nodes()) == 1,
 	})
@@ -46,6 +65,7 @@
 	owner.duty.tick = func() {
 		owner.queue(owner.holder.Tick(node.now()))
 		owner.proposer.Tick(node.now())
+		owner.announceWatermarks()
 	}
 	owner.duty.flush = owner.flush
 	return owner
@@ -118,6 +138,18 @@
 	return outcome, outcome.Err
 }
 
+// changeMinted makes the first change of a key that this node made up.
+func (c *claimsDuty) changeMinted(ctx context.Context, key claims.Key, change claims.Change) (claims.Outcome, error) {
+	outcome, err := ask(ctx, c.duty, func(answer func(claims.Outcome)) {
+		now := c.node.now()
+		c.proposer.ChangeMinted(now, now+claimTimeout, c.node.zone, key, change, answer)
+	})
+	if err != nil {
+		return claims.Outcome{}, err
+	}
+	return outcome, outcome.Err
+}
+
 // noteReach remembers for a while that a scope could not be reached, so that
 // not every request waits to find out.
 func (c *claimsDuty) noteReach(scope string, err error) {
@@ -138,17 +170,65 @@
 	return !failed || c.node.now()-at > unreachedFor
 }
 
-// announceWatermarks tells the holders which claims may be forgotten.
-func (c *claimsDuty) announceWatermarks(marks []claims.Watermark) {
+// noteWatermarks keeps the settlements that the root has, to be announced.
+func (c *claimsDuty) noteWatermarks(marks []claims.Watermark) {
 	c.duty.offer(func() {
-		id := c.node.escrow.id.Load()
-		message := claims.Message{Kind: claims.MessageWatermark, From: id.Node, Incarnation: c.node.incarnation, Marks: marks}
-		for _, node := range c.node.pool.Nodes() {
-			c.queue([]claims.Outgoing{{To: node.Name, Message: message}})
+		for _, mark := range marks {
+			name := markName{owner: mark.Owner, budget: mark.Budget}
+			c.marks[name] = max(c.marks[name], mark.Sequence)
+			c.changedNear[name] = struct{}{}
+			c.changedFar[name] = struct{}{}
 		}
 	})
 }
 
+// announceWatermarks tells the holders which claims may be forgotten: those of
+// minted keys, which lie near, every few seconds; those of callers' keys, which
+// may lie in any zone and are kept for long anyway, once a minute.
+func (c *claimsDuty) announceWatermarks() {
+	now := c.node.now()
+	if now >= c.nextNear {
+		c.nextNear = now + announceNear
+		c.announce(c.changedNear, c.nearHolders())
+	}
+	if now >= c.nextFar {
+		c.nextFar = now + announceFar
+		var everyone []string
+		for _, member := range c.node.pool.Nodes() {
+			everyone = append(everyone, member.Name)
+		}
+		c.announce(c.changedFar, everyone)
+	}
+}
+
+func (c *claimsDuty) announce(changed map[markName]struct{}, to []string) {
+	if len(changed) == 0 {
+		return
+	}
+	message := claims.Message{Kind: claims.MessageWatermark, From: c.node.name, Incarnation: c.node.incarnation}
+	for name := range changed {
+		message.Marks = append(message.Marks, claims.Watermark{Owner: name.owner, Budget: name.budget, Sequence: c.marks[name]})
+	}
+	clear(changed)
+	for _, name := range to {
+		c.queue([]claims.Outgoing{{To: name, Message: message}})
+	}
+}
+
+// nearHolders are the nodes that may hold this zone's keys.
+func (c *claimsDuty) nearHolders() []string {
+	near := slices.Clone(c.node.pool.InZone(c.node.zone))
+	if len(near) >= membership.HoldersPerKey {
+		return near
+	}
+	for _, member := range c.node.pool.Nodes() {
+		if !slices.Contains(near, member.Name) {
+			near = append(near, member.Name)
+		}
+	}
+	return near
+}
+
 // fence makes this holder acknowledge nothing more of a life.
 func (c *claimsDuty) fence(ctx context.Context, owner accounts.HolderID) (fenceAnswer, error) {
 	return ask(ctx, c.duty, func(answer func(fenceAnswer)) {
@@ -166,3 +246,10 @@
 	defer c.mutex.RUnlock()
 	return id.Incarnation <= c.fenced[id.Node]
 }
+
+// ClaimsRecovered tells whether the node's holder of claims has heard from all
+// others since its start.
+func (n *Node) ClaimsRecovered() bool {
+	recovering, err := ask(n.life, n.claims.duty, func(answer func(int)) { answer(len(n.claims.holder.Recovering())) })
+	return err == nil && recovering == 0
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -172,13 +172,30 @@
 		return badRequest("%s: has %d characters; at most %d are allowed", caller.HeaderIdempotencyKey, len(key), maximumKeyLength)
 	}
 	accepted.callerKey = key != ""
-	if !accepted.callerKey {
-		key = accepted.id
+	if accepted.callerKey {
+		accepted.key = claims.NewKey(accepted.tenant.GetName(), key)
+		return nil
 	}
-	accepted.key = claims.NewKey(accepted.tenant.GetName(), key)
+	accepted.key = n.mintKey(accepted)
 	return nil
 }
 
+// maximumMints bounds the keys tried for one request.
+const maximumMints = 64
+
+// mintKey makes up a key, if possible one that this node holds itself: its
+// claim then needs one other node only.
+func (n *Node) mintKey(accepted *request) claims.Key {
+	var key claims.Key
+	for attempt := range maximumMints {
+		key = claims.NewKey(accepted.tenant.GetName(), fmt.Sprintf("%s minted %d", accepted.id, attempt))
+		if slices.Contains(n.pool.Holders(n.zone, string(key[:])), n.name) {
+			return key
+		}
+	}
+	return key
+}
+
 // scope is where the claim's holders lie. A repeatable request's are in its
 // key's home zone, so that retries through any zone find it; a minted key's
 // are in this zone; a non-repeatable request's lie one to a zone.
--- a/internal/node/escrow.go
+++ b/internal/node/escrow.go
@@ -128,7 +128,7 @@
 		for _, answer := range advanced {
 			marks = append(marks, claims.Watermark{Owner: message.Holder, Budget: answer.Budget, Sequence: answer.Watermark})
 		}
-		e.node.claims.announceWatermarks(marks)
+		e.node.claims.noteWatermarks(marks)
 	})
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -77,6 +77,8 @@
 		return handle(envelope, func(follow peer.CatalogFollow) { n.catalog.takeFollow(from, follow) })
 	case peer.KindAccounts:
 		return handle(envelope, func(message accountsMessage) { n.takeAccounts(message) })
+	case peer.KindReports:
+		return handle(envelope, n.backends.takeReports)
 	case peer.KindLend:
 		return handle(envelope, func(message escrow.LendMessage) { n.escrow.takeLend(from, message) })
 	}
--- /dev/null
+++ b/internal/node/poll.go
@@ -0,0 +1,155 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/ravenway/ravenway/internal/coordination/membership"
+	"github.com/ravenway/ravenway/internal/coordination/routing"
+	"github.com/ravenway/ravenway/internal/protocol/engine"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+	"github.com/ravenway/ravenway/internal/protocol/platform"
+)
+
+// directPollLimit is the number of engines up to which a node asks each itself.
+// Beyond that the nodes of a zone share its engines and pass the reports on,
+// and engines of other zones are known by this node's own work there only.
+const directPollLimit = 64
+
+// pollersPerEngine are the nodes of a zone that ask one engine, so that its
+// reports go on when one of them is lost.
+const pollersPerEngine = 2
+
+// polled lists the engines that this node asks itself.
+func (b *backendsDuty) polled() []routing.Backend {
+	engines := b.engines()
+	if len(engines) <= directPollLimit {
+		return engines
+	}
+	nodes := b.node.pool.InZone(b.node.zone)
+	var share []routing.Backend
+	for _, target := range engines {
+		if target.Zone != b.node.zone {
+			continue
+		}
+		pollers := membership.Rank(target.Name, nodes)
+		if slices.Contains(pollers[:min(pollersPerEngine, len(pollers))], b.node.name) {
+			share = append(share, target)
+		}
+	}
+	return share
+}
+
+// pollReports asks engines for their load and cache events, round by round.
+func (b *backendsDuty) pollReports(ctx context.Context) {
+	for pause(ctx, reportInterval) {
+		b.pollRound(ctx, b.polled())
+	}
+}
+
+// pollRound asks a share of the engines, and passes their reports on if the
+// zone shares the asking.
+func (b *backendsDuty) pollRound(ctx context.Context, targets []routing.Backend) {
+	var questions sync.WaitGroup
+	lanes := make(chan struct{}, pollLanes)
+	reports := make([]peer.BackendReport, len(targets))
+	for position, target := range targets {
+		lanes <- struct{}{}
+		questions.Go(func() {
+			defer func() { <-lanes }()
+			reports[position] = b.pollEngine(ctx, target)
+		})
+	}
+	questions.Wait()
+	reports = slices.DeleteFunc(reports, func(report peer.BackendReport) bool { return report.Backend == "" })
+	if len(b.engines()) <= directPollLimit || len(reports) == 0 {
+		return
+	}
+	for _, name := range b.node.pool.InZone(b.node.zone) {
+		if name != b.node.name {
+			b.node.send(name, peer.KindReports, &peer.BackendReports{Reports: reports})
+		}
+	}
+}
+
+// takeReports takes over what another node of the zone has asked.
+func (b *backendsDuty) takeReports(message peer.BackendReports) {
+	b.duty.offer(func() {
+		for _, report := range message.Reports {
+			b.table.TakeReport(b.node.now(), report.Backend, routing.Report{
+				Running: report.Running, Queued: report.Queued, Leaving: report.Leaving,
+				OwnInFlight: b.table.InFlight(report.Backend),
+			})
+		}
+	})
+}
+
+// pollEngine asks one engine; the report is empty if it did not answer.
+func (b *backendsDuty) pollEngine(ctx context.Context, target routing.Backend) peer.BackendReport {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	ownInFlight, err := ask(ctx, b.duty, func(answer func(int)) { answer(b.table.InFlight(target.Name)) })
+	if err != nil {
+		return peer.BackendReport{}
+	}
+	load, err := b.node.engines.Load(ctx, target.Address)
+	if err != nil {
+		return peer.BackendReport{}
+	}
+	report := routing.Report{Running: load.Running, Queued: load.Queued, Leaving: load.Leaving, OwnInFlight: ownInFlight}
+	from, err := ask(ctx, b.duty, func(answer func(uint64)) {
+		b.table.TakeReport(b.node.now(), target.Name, report)
+		answer(b.table.NextCacheEvent(target.Name))
+	})
+	if err == nil {
+		b.pollCacheEvents(ctx, target, from)
+	}
+	return peer.BackendReport{Backend: target.Name, Running: load.Running, Queued: load.Queued, Leaving: load.Leaving}
+}
+
+func (b *backendsDuty) pollCacheEvents(ctx context.Context, target routing.Backend, from uint64) {
+	page, err := b.node.engines.CacheEvents(ctx, target.Address, from)
+	if err != nil || len(page.Events) == 0 {
+		return
+	}
+	_ = b.duty.do(ctx, func() { b.table.TakeCacheEvents(target.Name, cacheEvents(page)) })
+}
+
+func cacheEvents(page engine.CacheEvents) []routing.CacheEvent {
+	events := make([]routing.CacheEvent, len(page.Events))
+	for position, event := range page.Events {
+		events[position] = routing.CacheEvent{Sequence: event.Sequence, Block: event.Block, Evicted: event.Evicted}
+	}
+	return events
+}
+
+// pollPlatform reads the platform's list of live and leaving machines.
+func (b *backendsDuty) pollPlatform(ctx context.Context) {
+	url := b.node.settings.Platform.MachinesURL
+	if url == "" {
+		return
+	}
+	client := &http.Client{Transport: b.node.backendHTTP, Timeout: pollTimeout}
+	known := ""
+	for pause(ctx, platformInterval) {
+		list, err := platform.Fetch(ctx, client, url)
+		if err != nil {
+			continue
+		}
+		var leaving []string
+		for _, machine := range list.Machines {
+			if machine.State == platform.MachineLeaving {
+				leaving = append(leaving, machine.Name)
+			}
+		}
+		slices.Sort(leaving)
+		if text := fmt.Sprint(leaving); text != known {
+			known = text
+			b.node.log.Info().Str("event", "platform_leaving").Strs("backends", leaving).Send()
+		}
+		_ = b.duty.do(ctx, func() { b.table.SetLeaving(leaving) })
+	}
+}
--- a/internal/node/settle.go
+++ b/internal/node/settle.go
@@ -160,7 +160,7 @@
 		return outcomeUnknown("its back end %q was removed", claim.Backend), false
 	}
 	streamCtx := context.WithoutCancel(ctx)
-	stream, err := n.engines.Resume(streamCtx, target.Address, claim.RequestID, 0)
+	stream, err := n.resume(streamCtx, target.Address, claim.RequestID, 0)
 	if errors.Is(err, engine.ErrUnknownRequest) {
 		return r.joinUnknown(ctx, claim, target)
 	}
--- a/internal/protocol/engine/client.go
+++ b/internal/protocol/engine/client.go
@@ -47,6 +47,7 @@
 	offset    uint64
 	body      io.ReadCloser
 	lines     *bufio.Scanner
+	onClose   func()
 }
 
 // Generate starts a request. An error is a *RefusedError or a *TransportError.
@@ -161,7 +162,15 @@
 func (s *Stream) Offset() uint64 { return s.offset }
 
 // Close ends reading; it does not cancel the request.
-func (s *Stream) Close() { _ = s.body.Close() }
+func (s *Stream) Close() {
+	_ = s.body.Close()
+	if s.onClose != nil {
+		s.onClose()
+	}
+}
+
+// OnClose has a function called when the stream is closed.
+func (s *Stream) OnClose(closed func()) { s.onClose = closed }
 
 func newStream(requestID string, offset uint64, response *http.Response) *Stream {
 	lines := bufio.NewScanner(response.Body)
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -6,6 +6,7 @@
 package peer
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -39,13 +40,15 @@
 	KindLend
 	// KindFence carries fence requests and answers.
 	KindFence
+	// KindReports carries back ends' load reports to the nodes of a zone.
+	KindReports
 	// kindEnd is behind the last kind.
 	kindEnd
 )
 
 // String names the kind, for metrics.
 func (k Kind) String() string {
-	names := [...]string{"none", "consensus", "call", "reply", "status", "claims", "catalog", "follow", "accounts", "lend", "fence"}
+	names := [...]string{"none", "consensus", "call", "reply", "status", "claims", "catalog", "follow", "accounts", "lend", "fence", "reports"}
 	if int(k) < len(names) {
 		return names[k]
 	}
@@ -69,17 +72,29 @@
 
 // Encode returns a frame for a body.
 func Encode(kind Kind, body any) ([]byte, error) {
-	encoded, err := msgpack.Marshal(body)
+	encoded, err := marshal(body)
 	if err != nil {
 		return nil, fmt.Errorf("encoding a peer message of kind %d: %w", kind, err)
 	}
-	frame, err := msgpack.Marshal(&Envelope{Kind: kind, Body: encoded})
+	frame, err := marshal(&Envelope{Kind: kind, Body: encoded})
 	if err != nil {
 		return nil, fmt.Errorf("encoding a peer envelope of kind %d: %w", kind, err)
 	}
 	return frame, nil
 }
 
+// marshal writes structs as arrays: field names would be most of a small
+// message. A new field goes to the end of its struct, where an older reader
+// passes over it.
+func marshal(message any) ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := msgpack.NewEncoder(&buffer)
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	err := encoder.Encode(message)
+	return buffer.Bytes(), err
+}
+
 // Decode reads a frame's envelope.
 func Decode(frame []byte) (Envelope, error) {
 	var envelope Envelope
@@ -180,6 +195,20 @@
 	Term   uint64 `msgpack:"t,omitempty"`
 }
 
+// BackendReport is a back end's own word on its load, passed on by the node
+// that asked it.
+type BackendReport struct {
+	Backend string `msgpack:"b"`
+	Running int    `msgpack:"r"`
+	Queued  int    `msgpack:"q,omitempty"`
+	Leaving bool   `msgpack:"l,omitempty"`
+}
+
+// BackendReports are the reports of one round.
+type BackendReports struct {
+	Reports []BackendReport `msgpack:"r"`
+}
+
 // CatalogFollow asks a node for what the sender lacks, now and as it comes.
 type CatalogFollow struct {
 	Revision uint64 `msgpack:"r"`
