Orders proved: given once, superseded, within the weight store's rate

Cause: orders had been built without a proof, and loads were given all at once. Change: the leader has at most two loads under way; the emulator's engines share a weight store; tests for resends, a leader that dies unheard, fences checked or not, superseding, twelve loads at once, and a stream broken five times. Conclusion: the frozen old leader of docs/design/orders.md stays unproved.

--- /dev/null
+++ b/internal/coordination/escrow/account.go
@@ -0,0 +1,203 @@
+package escrow
+
+import (
+	"math"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/state/accounts"
+)
+
+// account is the holder's part of one budget, in tokens.
+type account struct {
+	name     string
+	policy   Policy
+	granted  uint64
+	returned uint64
+	settled  uint64
+	reserved uint64
+	// borrowed and lent are cumulative, by the other holder.
+	borrowed map[accounts.HolderID]uint64
+	lent     map[accounts.HolderID]*givenLoan
+	// open are the reservations not settled yet; ahead are the uses of settled
+	// ones behind an open one.
+	open             map[uint64]uint64
+	ahead            map[uint64]uint64
+	sequence         uint64
+	watermark        uint64
+	watermarkSettled uint64
+	// durableWatermark is the watermark that the root has in its log.
+	durableWatermark uint64
+
+	waiters []waiter
+	request uint64
+	// requested is set while a request is unanswered; reportedAt is when the
+	// last report was sent.
+	requested   bool
+	requestedAt time.Duration
+	reportedAt  time.Duration
+	changed     bool
+	loanAskedAt time.Duration
+	loanAsked   bool
+
+	// demand is the smoothed use, in tokens a second.
+	demand   float64
+	demandAt time.Duration
+	// largest is the largest reservation of late, and largestAt its time.
+	largest   uint64
+	largestAt time.Duration
+	// nextTopUp is when the node may ask ahead of demand again.
+	nextTopUp time.Duration
+}
+
+type waiter struct {
+	amount   uint64
+	deadline time.Duration
+	done     func(Reservation, error)
+}
+
+// free never counts what was lent, returned or reserved.
+func (a *account) free() uint64 {
+	have := a.granted + sum(a.borrowed)
+	gone := a.returned + a.settled + a.reserved + a.lentTotal()
+	if gone > have {
+		return 0
+	}
+	return have - gone
+}
+
+func sum(amounts map[accounts.HolderID]uint64) uint64 {
+	var total uint64
+	for _, amount := range amounts {
+		total += amount
+	}
+	return total
+}
+
+func (a *account) startRequest(now time.Duration) {
+	a.request++
+	a.requested = true
+	a.requestedAt = now
+	a.reportedAt = 0
+	a.loanAsked = false
+	a.changed = true
+}
+
+func (a *account) reserve(amount uint64) Reservation {
+	a.sequence++
+	a.reserved += amount
+	a.open[a.sequence] = amount
+	return Reservation{Budget: a.name, Sequence: a.sequence, Amount: amount}
+}
+
+// noteDemand smooths the demand with an exponential decay.
+func (a *account) noteDemand(now time.Duration, amount uint64) {
+	a.decayDemand(now)
+	a.demand += float64(amount) / demandHalfLife.Seconds() * ln2
+	if amount >= a.largest || now-a.largestAt > largestMemory {
+		a.largest, a.largestAt = amount, now
+	}
+}
+
+const ln2 = 0.6931471805599453
+
+func (a *account) decayDemand(now time.Duration) {
+	elapsed := now - a.demandAt
+	a.demandAt = now
+	if elapsed > 0 {
+		a.demand *= halfPower(float64(elapsed) / float64(demandHalfLife))
+	}
+}
+
+// target is what the node should hold, in tokens: the demand of a horizon, and
+// while there is any demand enough for a few requests like the largest of late,
+// so that a cut-off node can go on serving a tenant that sends little.
+func (a *account) target(now time.Duration) uint64 {
+	a.decayDemand(now)
+	expected := uint64(a.demand * a.policy.Horizon.Seconds())
+	if a.largest > 0 && now-a.largestAt <= largestMemory {
+		return max(expected, requestsAhead*a.largest)
+	}
+	return expected
+}
+
+// lack is what the first waiter needs beyond what is free.
+func (a *account) lack() uint64 {
+	if len(a.waiters) == 0 {
+		return 0
+	}
+	if free := a.free(); a.waiters[0].amount > free {
+		return a.waiters[0].amount - free
+	}
+	return 0
+}
+
+// waiting is what all waiters need, in tokens.
+func (a *account) waiting() uint64 {
+	var total uint64
+	for _, one := range a.waiters {
+		total += one.amount
+	}
+	return total
+}
+
+func (a *account) returnSurplus(now time.Duration) {
+	keep := a.target(now) * surplusFactor
+	free := a.free()
+	if len(a.waiters) > 0 || free <= keep || free-keep <= keep/4 {
+		return
+	}
+	a.returned += free - keep
+	a.changed = true
+}
+
+// topUp asks ahead of demand, so that requests rarely wait for the root.
+func (a *account) topUp(now time.Duration) {
+	if a.requested || len(a.waiters) > 0 {
+		return
+	}
+	if target := a.target(now); target > 0 && a.free() < target/2 && now >= a.nextTopUp {
+		// A budget that is nearly spent can't fill it: not asked at every tick.
+		a.nextTopUp = now + topUpPause
+		a.startRequest(now)
+	}
+}
+
+func (a *account) reportDue(now time.Duration) bool {
+	if a.reportedAt == 0 {
+		return a.changed
+	}
+	if a.requested {
+		return now-a.reportedAt >= resendInterval
+	}
+	return a.changed && now-a.reportedAt >= reportInterval
+}
+
+func (a *account) report(now time.Duration) accounts.Report {
+	a.reportedAt = now
+	a.changed = false
+	report := accounts.Report{
+		Budget: a.name, Settled: a.settled, Returned: a.returned,
+		Watermark: a.watermark, WatermarkSettled: a.watermarkSettled,
+	}
+	if a.requested {
+		report.Request = a.request
+		report.Need = a.lack()
+		wanted := max(a.target(now), a.waiting())
+		report.Want = report.Need
+		if free := a.free(); wanted > free {
+			report.Want = max(report.Need, wanted-free)
+		}
+	}
+	return report
+}
+
+// halfPower returns 0.5 to the power of x.
+func halfPower(x float64) float64 { return math.Exp2(-x) }
+
+func (a *account) lentTotal() uint64 {
+	var total uint64
+	for _, given := range a.lent {
+		total += given.total
+	}
+	return total
+}
--- a/internal/coordination/escrow/loans.go
+++ b/internal/coordination/escrow/loans.go
@@ -134,11 +134,3 @@
 	})
 	return loans
 }
-
-func (a *account) lentTotal() uint64 {
-	var total uint64
-	for _, given := range a.lent {
-		total += given.total
-	}
-	return total
-}
--- a/internal/lab/emulator/engine.go
+++ b/internal/lab/emulator/engine.go
@@ -42,8 +42,9 @@
 	EventGap uint64
 	// ChecksFence: orders with a lower fence are refused.
 	ChecksFence bool
-	// LoadTime is how long an order takes.
+	// LoadTime is how long an order takes with the weight store to itself.
 	LoadTime time.Duration
+	Weights  *WeightStore
 	Truth    *Truth
 }
 
@@ -102,7 +103,7 @@
 	cache    *prefixCache
 	loads    []timedLoad
 	order    engine.OrderState
-	orderAt  time.Time
+	loadedAt time.Time
 	leaving  bool
 	// slowdown multiplies step times; 1 is healthy.
 	slowdown int
@@ -357,7 +358,7 @@
 	if order.Fence != e.order.Fence {
 		e.options.Truth.Add(TruthEvent{Backend: e.options.Name, Kind: TruthOrder, Fence: order.Fence, Path: order.Kind + " " + order.Target})
 		e.order = engine.OrderState{Fence: order.Fence, Kind: order.Kind, Target: order.Target, Version: order.Version}
-		e.orderAt = time.Now()
+		e.loadedAt = time.Now().Add(e.options.Weights.reserve(e.options.LoadTime))
 	}
 	return e.orderState(), true
 }
@@ -365,7 +366,7 @@
 // orderState must be called with the mutex held.
 func (e *Engine) orderState() engine.OrderState {
 	state := e.order
-	state.Loaded = state.Fence != 0 && time.Since(e.orderAt) >= e.options.LoadTime
+	state.Loaded = state.Fence != 0 && !time.Now().Before(e.loadedAt)
 	return state
 }
 
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -27,7 +27,8 @@
 
 // World emulates all back ends of a catalog, and the platform.
 type World struct {
-	Truth *Truth
+	Truth   *Truth
+	Weights *WeightStore
 	// PlatformLag is how late the list of machines is.
 	PlatformLag time.Duration
 
@@ -44,7 +45,7 @@
 // the catalog does not give come from defaults.
 func NewWorld(document *ravenwayv1.CatalogDocument, defaults EngineOptions, truth *Truth) *World {
 	world := &World{
-		Truth: truth, PlatformLag: DefaultPlatformLag, engines: map[string]*Engine{},
+		Truth: truth, Weights: &WeightStore{}, PlatformLag: DefaultPlatformLag, engines: map[string]*Engine{},
 		handlers: map[string]http.Handler{}, leaving: map[string]time.Time{}, down: map[string]bool{},
 	}
 	services := map[string]*ravenwayv1.Service{}
@@ -65,6 +66,7 @@
 		return
 	}
 	options := defaults
+	options.Weights = w.Weights
 	options.Name, options.Truth = name, w.Truth
 	options.Capacity = int(backend.GetCapacity())
 	options.ChecksFence = backend.GetChecksFence()
--- a/internal/lab/fleet/chaos.go
+++ b/internal/lab/fleet/chaos.go
@@ -10,6 +10,7 @@
 
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 	"github.com/ravenway/ravenway/internal/lab/load"
+	"github.com/ravenway/ravenway/internal/pause"
 )
 
 // Chaos is a seeded schedule of faults under load.
@@ -61,7 +62,7 @@
 
 // faults brings about one fault after another; some overlap.
 func (c *Chaos) faults(ctx context.Context) error {
-	for sleepUntil(ctx, time.Duration(500+c.random.IntN(3000))*time.Millisecond) {
+	for pause.For(ctx, time.Duration(500+c.random.IntN(3000))*time.Millisecond) {
 		if err := c.one(); err != nil {
 			return err
 		}
@@ -69,15 +70,6 @@
 	return nil
 }
 
-func sleepUntil(ctx context.Context, duration time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(duration):
-		return true
-	}
-}
-
 func (c *Chaos) one() error {
 	f := c.fleet
 	switch c.random.IntN(8) {
--- /dev/null
+++ b/internal/lab/fleet/orders_test.go
@@ -0,0 +1,131 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+	"github.com/ravenway/ravenway/internal/lab/deployment"
+	"github.com/ravenway/ravenway/internal/lab/emulator"
+)
+
+// giveOrder asks for an order and returns its fence number.
+func giveOrder(t *testing.T, f *Fleet, through, id, backend, target string) uint64 {
+	t.Helper()
+	answer, err := f.Operator(through).Order(context.Background(), connect.NewRequest(&ravenwayv1.OrderRequest{
+		OperationId: id, Backend: backend, Kind: ravenwayv1.OrderKind_ORDER_KIND_LOAD_ADAPTER, Target: target, Version: "1",
+	}))
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Msg.GetRefused(), "")
+	return answer.Msg.GetStatus().GetFence()
+}
+
+func waitOrder(t *testing.T, f *Fleet, through string, fence uint64, state string) {
+	t.Helper()
+	last := ""
+	err := f.WaitFor(30*time.Second, "the order", func() bool {
+		answer, err := f.Operator(through).GetOrders(context.Background(), connect.NewRequest(&ravenwayv1.GetOrdersRequest{}))
+		if err != nil {
+			return false
+		}
+		for _, order := range answer.Msg.GetOrders() {
+			if order.GetFence() == fence {
+				last = order.GetState()
+			}
+		}
+		return last == state
+	})
+	assert.NilError(t, err, "order %d is %q", fence, last)
+}
+
+func ordersGiven(f *Fleet, fence uint64) int {
+	count := 0
+	for _, event := range f.Emulator.Truth.Events() {
+		if event.Kind == emulator.TruthOrder && event.Fence == fence {
+			count++
+		}
+	}
+	return count
+}
+
+// An order is given once although it is resent, its back end is cut off from
+// the leader when it is due, and the leader dies; both for back ends that check
+// the fence number and for those that do not.
+func TestOrderIsGivenOnceAcrossLeaderLossAndResend(t *testing.T) {
+	inFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		for _, backend := range []string{"qalam-llm-01", "qalam-llm-02"} {
+			id := "load-" + backend
+			fence := giveOrder(t, f, "lhr-b-2", id, backend, "adapter-7")
+			assert.Equal(t, giveOrder(t, f, "lhr-c-2", id, backend, "adapter-7"), fence)
+			waitOrder(t, f, "lhr-b-1", fence, "done")
+			assert.Equal(t, ordersGiven(f, fence), 1)
+		}
+		// The leader can't hear the back ends' answers and then dies.
+		for _, zone := range f.Plan.Zones {
+			f.Network.CutOneWay(zoneMachine(zone), "lhr-a-1")
+		}
+		first := giveOrder(t, f, "lhr-a-1", "unheard", "qalam-llm-02", "adapter-8")
+		time.Sleep(3 * time.Second)
+		f.Kill("lhr-a-1")
+		f.Network.Heal()
+		waitOrder(t, f, "lhr-b-1", first, "done")
+		assert.Equal(t, ordersGiven(f, first), 1)
+		assert.NilError(t, f.Boot("lhr-a-1"))
+	})
+}
+
+// Loads of many back ends share the weight store: a few run at once, the
+// others wait with the leader instead of in the store.
+func TestLoadsShareTheWeightStoresRate(t *testing.T) {
+	inFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		var fences []uint64
+		for _, backend := range f.Plan.Catalog().GetBackends()[:f.Plan.Engines] {
+			fences = append(fences, giveOrder(t, f, "lhr-a-1", "all-"+backend.GetName(), backend.GetName(), "adapter-9"))
+		}
+		for _, fence := range fences {
+			waitOrder(t, f, "lhr-b-1", fence, "done")
+			assert.Equal(t, ordersGiven(f, fence), 1)
+		}
+		assert.Assert(t, f.Emulator.Weights.Waiting() <= f.Plan.Engines/2, "%d loads waited in the store", f.Emulator.Weights.Waiting())
+	})
+}
+
+// Of two orders of a kind to one back end the later one counts.
+func TestLaterOrderSupersedesEarlierOne(t *testing.T) {
+	inFleet(t, deployment.Drukwacht(), func(t *testing.T, f *Fleet) {
+		f.Emulator.SetDown("model-pool-01", true)
+		earlier := giveOrder(t, f, "hall-a-1", "earlier", "model-pool-01", "adapter-1")
+		later := giveOrder(t, f, "hall-b-1", "later", "model-pool-01", "adapter-2")
+		assert.Assert(t, later > earlier)
+		f.Emulator.SetDown("model-pool-01", false)
+		waitOrder(t, f, "hall-c-1", later, "done")
+		waitOrder(t, f, "hall-c-1", earlier, "superseded")
+		assert.Equal(t, ordersGiven(f, earlier), 0)
+	})
+}
+
+// A stream whose connections break goes on at its offset: the caller sees
+// nothing of it.
+func TestBrokenStreamIsResumedAtItsOffset(t *testing.T) {
+	inFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		answered := make(chan string, 1)
+		go func() {
+			answer := f.LoadClient().Send(context.Background(), f.Entry("lhr-a-2"), draft(f, "broken"))
+			answered <- string(answer.Outcome) + answer.Detail
+		}()
+		for range 5 {
+			time.Sleep(200 * time.Millisecond)
+			for _, zone := range f.Plan.Zones {
+				f.Network.BreakConnections(zoneMachine(zone))
+			}
+		}
+		assert.Equal(t, <-answered, "whole")
+		count, tokens := runsOf(f, "tenant-04")
+		assert.Equal(t, count, 1)
+		waitSettled(t, f, "tenant-04", tokens)
+	})
+}
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/ravenway/ravenway/internal/pause"
 )
 
 const (
@@ -88,7 +90,7 @@
 	due := time.Duration(0)
 	for number := 0; ; number++ {
 		due += time.Duration(random.ExpFloat64() / options.Rate * float64(time.Second))
-		if due >= options.Duration || !waitUntil(ctx, started.Add(due)) {
+		if due >= options.Duration || !pause.For(ctx, time.Until(started.Add(due))) {
 			break
 		}
 		drawn := options.Mix.Draw(random, number)
@@ -102,17 +104,6 @@
 	return gathered.finish(), ctx.Err()
 }
 
-func waitUntil(ctx context.Context, due time.Time) bool {
-	timer := time.NewTimer(time.Until(due))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // send tries a request until it has an end, like a caller that retries.
 func (c *collector) send(ctx context.Context, options Options, wanted Request, first int) {
 	var answer Answer
@@ -123,7 +114,7 @@
 		if answer.Outcome != Cut && answer.Code != "in_progress" && answer.Code != "outcome_unknown" {
 			break
 		}
-		if !options.Retry || wanted.Key == "" || !waitUntil(ctx, time.Now().Add(retryPause)) {
+		if !options.Retry || wanted.Key == "" || !pause.For(ctx, retryPause) {
 			break
 		}
 		c.noteCut(answer)
--- a/internal/lab/simulate/budgets_test.go
+++ b/internal/lab/simulate/budgets_test.go
@@ -1,7 +1,6 @@
 package simulate
 
 import (
-	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -55,8 +54,8 @@
 			refusals[policy] += result.FalseCut + result.FalseConnected
 		}
 	}
-	t.Log(fmt.Sprintf("false refusals: escrow %d, central %d, static %d",
-		refusals[PolicyEscrow], refusals[PolicyCentralCheck], refusals[PolicyStaticSplit]))
+	t.Logf("false refusals: escrow %d, central %d, static %d",
+		refusals[PolicyEscrow], refusals[PolicyCentralCheck], refusals[PolicyStaticSplit])
 	assert.Assert(t, refusals[PolicyEscrow] < refusals[PolicyCentralCheck])
 	assert.Assert(t, refusals[PolicyEscrow] < refusals[PolicyStaticSplit])
 }
--- a/internal/node/billed.go
+++ b/internal/node/billed.go
@@ -10,6 +10,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/claims"
 	"github.com/ravenway/ravenway/internal/coordination/queueing"
 	"github.com/ravenway/ravenway/internal/coordination/routing"
+	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/protocol/caller"
 	"github.com/ravenway/ravenway/internal/protocol/engine"
 )
@@ -365,7 +366,7 @@
 	}
 }
 
-func (r *run) pauseWithCaller(duration time.Duration) bool { return pause(r.callerGone, duration) }
+func (r *run) pauseWithCaller(duration time.Duration) bool { return pause.For(r.callerGone, duration) }
 
 // leave ends a request whose caller went away. One with a caller's key runs
 // on, so that the retry gets its answer; any other is cancelled and billed for
--- a/internal/node/escrow.go
+++ b/internal/node/escrow.go
@@ -8,6 +8,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/claims"
 	"github.com/ravenway/ravenway/internal/coordination/escrow"
+	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/accounts"
 )
@@ -185,7 +186,7 @@
 		if err != nil || !unreported {
 			return err
 		}
-		if !pause(ctx, 2*escrowTick) {
+		if !pause.For(ctx, 2*escrowTick) {
 			return context.Cause(ctx)
 		}
 	}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/consensus"
+	"github.com/ravenway/ravenway/internal/pause"
 )
 
 const membershipInterval = 500 * time.Millisecond
@@ -14,7 +15,7 @@
 // step with the control nodes: a new identity becomes a learner, gets its vote
 // once its disk holds the log, and the old identity of the same node goes.
 func (n *Node) runMembership(ctx context.Context) {
-	for pause(ctx, membershipInterval) {
+	for pause.For(ctx, membershipInterval) {
 		view := n.replica.shared.Load()
 		switch {
 		case !view.hasGroup && n.settings.Control.Bootstrap:
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -16,6 +16,7 @@
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 	"github.com/ravenway/ravenway/api/ravenway/v1/ravenwayv1connect"
 	"github.com/ravenway/ravenway/internal/coordination/consensus"
+	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/catalog"
 	"github.com/ravenway/ravenway/internal/state/machine"
@@ -164,7 +165,7 @@
 		if ctx.Err() == nil {
 			last = err
 		}
-		if !pause(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			return operatorError(fmt.Errorf("reading committed state: %w", last))
 		}
 	}
@@ -213,7 +214,7 @@
 	if err := o.node.recallBudget(ctx, command.Budget); err != nil {
 		return nil, operatorError(err)
 	}
-	pause(ctx, lowerRecallPause)
+	pause.For(ctx, lowerRecallPause)
 	return o.changeBudget(ctx, request.Msg.GetOperationId(), command)
 }
 
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -6,12 +6,15 @@
 	"net/http"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/protocol/engine"
 	"github.com/ravenway/ravenway/internal/state/machine"
 )
 
 const (
 	orderInterval = time.Second
+	// maximumLoadsAtOnce bounds the orders that back ends work on at once.
+	maximumLoadsAtOnce = 2
 	// orderFlight is the longest that an order can be under way.
 	orderFlight = 2 * time.Second
 	// orderLease is how long an earlier leader may have gone on giving orders:
@@ -26,7 +29,7 @@
 func (n *Node) runOrders(ctx context.Context) {
 	var leadingSince time.Duration
 	leading := false
-	for pause(ctx, orderInterval) {
+	for pause.For(ctx, orderInterval) {
 		view := n.replica.shared.Load()
 		if !view.leading {
 			leading = false
@@ -44,6 +47,7 @@
 	if err != nil {
 		return
 	}
+	loading := 0
 	for _, order := range orders {
 		if order.State != machine.OrderPending {
 			continue
@@ -52,12 +56,30 @@
 		if !checksFence && leadingFor < orderLease+orderFlight {
 			continue
 		}
-		if result, ended := n.giveOrder(ctx, order); ended {
+		// The weight store's rate is shared: more loads at once would only make
+		// each of them slower.
+		result, progress := n.giveOrder(ctx, order, loading < maximumLoadsAtOnce)
+		switch progress {
+		case orderLoading:
+			loading++
+		case orderEnded:
 			_, _ = n.propose(ctx, machine.Command{OrderResult: &result})
 		}
 	}
 }
 
+// orderProgress is how far an order has come at its back end.
+type orderProgress int
+
+const (
+	// orderWaiting: not given, or the back end does not answer.
+	orderWaiting orderProgress = iota
+	// orderLoading: given, and the back end is at it.
+	orderLoading
+	// orderEnded: the result is known.
+	orderEnded
+)
+
 func (n *Node) checksFence(backend string) bool {
 	for _, known := range n.view.Load().backends {
 		if known.GetName() == backend {
@@ -68,18 +90,18 @@
 }
 
 // giveOrder observes the back end first: an order whose answer was lost may
-// have arrived, and is not given twice.
-func (n *Node) giveOrder(ctx context.Context, order machine.OrderRecord) (machine.OrderResult, bool) {
+// have arrived, and is not given twice. It is given only if it may start now.
+func (n *Node) giveOrder(ctx context.Context, order machine.OrderRecord, mayStart bool) (machine.OrderResult, orderProgress) {
 	result := machine.OrderResult{Fence: order.Fence}
 	target, found := n.backends.backend(order.Order.Backend)
 	if !found {
 		result.State, result.Detail = machine.OrderRefused, "the back end was removed"
-		return result, true
+		return result, orderEnded
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderFlight)
 	defer cancel()
 	state, err := n.engines.OrderState(ctx, target.Address)
-	if err == nil && state.Fence < order.Fence && n.replica.shared.Load().leading {
+	if err == nil && state.Fence < order.Fence && mayStart && n.replica.shared.Load().leading {
 		state, err = n.engines.GiveOrder(ctx, target.Address, engine.Order{
 			Fence: order.Fence, Kind: order.Order.Kind.String(), Target: order.Order.Target, Version: order.Order.Version,
 		})
@@ -90,15 +112,17 @@
 	switch {
 	case errors.As(err, &refused) && refused.Status == http.StatusConflict:
 		result.State, result.Detail = machine.OrderSuperseded, "the back end has seen a higher fence"
-		return result, true
+		return result, orderEnded
 	case err != nil:
-		return result, false
+		return result, orderWaiting
 	case state.Fence > order.Fence:
 		result.State, result.Detail = machine.OrderSuperseded, "the back end has a later order"
-		return result, true
+		return result, orderEnded
 	case state.Fence == order.Fence && state.Loaded:
 		result.State = machine.OrderDone
-		return result, true
+		return result, orderEnded
+	case state.Fence == order.Fence:
+		return result, orderLoading
 	}
-	return result, false
+	return result, orderWaiting
 }
--- a/internal/node/plain.go
+++ b/internal/node/plain.go
@@ -15,7 +15,9 @@
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 	"github.com/ravenway/ravenway/internal/coordination/claims"
 	"github.com/ravenway/ravenway/internal/coordination/routing"
+	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/protocol/caller"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/accounts"
 )
 
@@ -103,7 +105,7 @@
 		}
 		tried = append(tried, given.backend.Name)
 	}
-	p.settle(claims.NotRun, "")
+	p.settle(claims.NotRun)
 	return refuseNotRun(http.StatusBadGateway, caller.CodeNoBackend, retrySoon, "no back end of service %q could be reached", p.of.service.GetName())
 }
 
@@ -153,7 +155,7 @@
 	}
 	switch {
 	case err != nil:
-		p.settle(claims.NotRun, "")
+		p.settle(claims.NotRun)
 		return nil, refuseNotRun(http.StatusServiceUnavailable, caller.CodeHoldersUnreached, retryLong,
 			"too few of the nodes that guard against a repeated call can be reached: %v", err)
 	case outcome.Changed:
@@ -208,7 +210,7 @@
 	_, err := io.Copy(flushingWriter{writer}, source)
 	if err != nil && ctx.Err() == nil {
 		p.node.backends.release(given.backend.Name, routing.Failed)
-		p.settle(claims.OutcomeUnknown, "")
+		p.settle(claims.OutcomeUnknown)
 		p.node.log.Warn().Str("event", "stream_failed").Str("request", p.of.id).Err(err).Send()
 		// The status is out: cutting the connection tells the caller that the
 		// answer is not whole.
@@ -220,12 +222,12 @@
 			Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: kept.Bytes(),
 		})
 	}
-	p.settle(claims.Completed, given.backend.Name)
+	p.settle(claims.Completed)
 	return nil
 }
 
 // settle ends the claim of a keyed request.
-func (p *plainRun) settle(result claims.Result, _ string) {
+func (p *plainRun) settle(result claims.Result) {
 	if !p.of.callerKey {
 		return
 	}
@@ -240,7 +242,7 @@
 		}
 		for {
 			_, err := n.claims.change(n.life, p.scope, p.of.key, change)
-			if !errors.Is(err, claims.ErrUnreachable) || !pause(n.life, settleRetry) {
+			if !errors.Is(err, claims.ErrUnreachable) || !pause.For(n.life, settleRetry) {
 				return
 			}
 		}
@@ -255,7 +257,7 @@
 		if !n.fleet.alive(claim.Owner.Node) {
 			return outcomeUnknown("node %s, which sent it, is gone", claim.Owner.Node)
 		}
-		if !pause(ctx, joinPause) {
+		if !pause.For(ctx, joinPause) {
 			return &refusal{status: http.StatusConflict, code: caller.CodeInProgress, retryAfter: retrySoon, detail: "the request is in progress through another node"}
 		}
 		outcome, err := n.claims.change(ctx, p.scope, p.of.key, func(*claims.Claim) *claims.Claim { return nil })
@@ -286,7 +288,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	answer, err := callNode[storedAnswer](ctx, n, claim.Owner.Node, "answer", &answerQuestion{RequestID: claim.RequestID})
+	answer, err := callNode[storedAnswer](ctx, n, claim.Owner.Node, peer.MethodAnswer, &answerQuestion{RequestID: claim.RequestID})
 	if err != nil {
 		return storedAnswer{}
 	}
--- a/internal/node/poll.go
+++ b/internal/node/poll.go
@@ -9,6 +9,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/membership"
 	"github.com/ravenway/ravenway/internal/coordination/routing"
+	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/protocol/engine"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/protocol/platform"
@@ -45,7 +46,7 @@
 
 // pollReports asks engines for their load and cache events, round by round.
 func (b *backendsDuty) pollReports(ctx context.Context) {
-	for pause(ctx, reportInterval) {
+	for pause.For(ctx, reportInterval) {
 		b.pollRound(ctx, b.polled())
 	}
 }
@@ -134,7 +135,7 @@
 	}
 	client := &http.Client{Transport: b.node.backendHTTP, Timeout: pollTimeout}
 	known := ""
-	for pause(ctx, platformInterval) {
+	for pause.For(ctx, platformInterval) {
 		list, err := platform.Fetch(ctx, client, url)
 		if err != nil {
 			continue
--- a/internal/node/reclaim.go
+++ b/internal/node/reclaim.go
@@ -7,6 +7,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/claims"
 	"github.com/ravenway/ravenway/internal/coordination/escrow"
+	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/accounts"
 	"github.com/ravenway/ravenway/internal/state/machine"
@@ -38,7 +39,7 @@
 
 // runReclaim runs on the leader: it brings back what lost nodes held.
 func (n *Node) runReclaim(ctx context.Context) {
-	for pause(ctx, reclaimInterval) {
+	for pause.For(ctx, reclaimInterval) {
 		if !n.replica.shared.Load().leading {
 			continue
 		}
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -13,6 +13,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/consensus"
 	"github.com/ravenway/ravenway/internal/coordination/escrow"
+	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/accounts"
 	"github.com/ravenway/ravenway/internal/state/disk"
@@ -71,15 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	owner.root = escrow.NewRoot(escrow.RootOptions{
-		HoldersOf: owner.holdersOf,
-		Reply: func(to string, message escrow.AnswerMessage) {
-			node.send(to, peer.KindAccounts, &accountsMessage{Answer: &message})
-		},
-		Recall: func(to string, message escrow.RecallMessage) {
-			node.send(to, peer.KindAccounts, &accountsMessage{Recall: &message})
-		},
-	})
+	owner.root = escrow.NewRoot(owner.rootOptions())
 	owner.duty.tick = func() {
 		owner.replica.Tick()
 		owner.root.Tick(node.now())
@@ -323,7 +316,7 @@
 		if !notDone && command.OperationID == "" {
 			return machine.Result{}, err
 		}
-		if !pause(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			return machine.Result{}, fmt.Errorf("committing a change: %w", last)
 		}
 	}
@@ -357,17 +350,6 @@
 	return errors.As(err, &reply) && reply.Code == code
 }
 
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // atLeader runs work on the replica's duty once the state holds everything
 // that was committed when it was asked.
 func atLeader[T any](ctx context.Context, n *Node, work func(*machine.Machine) T) (T, error) {
--- a/internal/node/settle.go
+++ b/internal/node/settle.go
@@ -7,6 +7,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/claims"
 	"github.com/ravenway/ravenway/internal/coordination/routing"
+	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/protocol/caller"
 	"github.com/ravenway/ravenway/internal/protocol/engine"
 )
@@ -43,7 +44,7 @@
 		case err == nil:
 			return nil, nil
 		}
-		if !pause(r.node.life, settleRetry) {
+		if !pause.For(r.node.life, settleRetry) {
 			return nil, err
 		}
 	}
@@ -63,7 +64,7 @@
 func (r *run) changeUntilDone(change claims.Change) (*claims.Claim, error) {
 	for {
 		outcome, err := r.node.claims.change(r.node.life, r.scope, r.of.key, change)
-		if !errors.Is(err, claims.ErrUnreachable) || !pause(r.node.life, settleRetry) {
+		if !errors.Is(err, claims.ErrUnreachable) || !pause.For(r.node.life, settleRetry) {
 			return outcome.Claim, err
 		}
 	}
@@ -116,7 +117,7 @@
 		case err == nil && status.State == engine.StateCancelled:
 			return claims.Cancelled, status.Usage.Total()
 		}
-		if !pause(ctx, settleRetry) {
+		if !pause.For(ctx, settleRetry) {
 			return 0, 0
 		}
 	}
@@ -165,7 +166,7 @@
 		return r.joinUnknown(ctx, claim, target)
 	}
 	if err != nil {
-		if ctx.Err() != nil || !pause(ctx, joinPause) {
+		if ctx.Err() != nil || !pause.For(ctx, joinPause) {
 			n.escrow.settle(r.held, 0)
 			return outcomeUnknown("its back end %q does not answer", claim.Backend), false
 		}
@@ -202,7 +203,7 @@
 	status, age, heard := n.fleet.heard(claim.Owner.Node)
 	alive := claim.Owner.Node == n.name || (heard && age < silentAfter && status.OwnerIncarnation <= claim.Owner.Incarnation)
 	if alive {
-		if !pause(ctx, joinPause) {
+		if !pause.For(ctx, joinPause) {
 			n.escrow.settle(r.held, 0)
 			return &refusal{status: http.StatusConflict, code: caller.CodeInProgress, retryAfter: retrySoon, detail: "the request is in progress through another node"}, false
 		}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/consensus"
+	"github.com/ravenway/ravenway/internal/pause"
 )
 
 const (
@@ -21,8 +22,8 @@
 	n.stopping.Store(true)
 	n.log.Info().Str("event", "stopping").Int64("streams", n.streams.active.Load()).Send()
 	n.transferLeadership(ctx)
-	pause(ctx, balancerLag)
-	for n.streams.active.Load() > 0 && pause(ctx, stopPoll) {
+	pause.For(ctx, balancerLag)
+	for n.streams.active.Load() > 0 && pause.For(ctx, stopPoll) {
 	}
 	settled := make(chan struct{})
 	go func() {
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -22,6 +22,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/ring"
 )
 
@@ -205,7 +206,7 @@
 			backoff = minimumBackoff
 		}
 		m.options.Logger.Debug().Str("event", "peer_link_down").Str("peer", link.name).Err(err).Send()
-		if !sleep(ctx, backoff+rand.N(backoff)) {
+		if !pause.For(ctx, backoff+rand.N(backoff)) {
 			return
 		}
 		backoff = min(2*backoff, maximumBackoff)
@@ -300,14 +301,3 @@
 		_ = connection.Close()
 	}
 }
-
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
