--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -19,9 +19,6 @@
 	maximumAppendBytes = 1 << 20
 	// maximumInFlight bounds unacknowledged append messages to one follower.
 	maximumInFlight = 64
-	// learnerCaughtUpGap is how many entries a learner may lack when it gets its
-	// vote: nothing that is committed.
-	learnerCaughtUpGap = 0
 )
 
 // Errors of proposals and membership changes.
@@ -207,7 +204,7 @@
 		return true
 	}
 	follower, found := c.progress[id]
-	return c.role == Leader && found && follower.match+learnerCaughtUpGap >= c.log.committed
+	return c.role == Leader && found && follower.match >= c.log.committed
 }
 
 // SilentTicks returns the ticks since the leader heard from a member.
--- a/internal/coordination/escrow/account.go
+++ b/internal/coordination/escrow/account.go
@@ -25,8 +25,8 @@
 	sequence         uint64
 	watermark        uint64
 	watermarkSettled uint64
-	// durableWatermark is the watermark that the root has in its log.
-	durableWatermark uint64
+	// confirmed is what the root has in its log.
+	confirmed confirmation
 
 	waiters []waiter
 	request uint64
@@ -35,7 +35,6 @@
 	requested   bool
 	requestedAt time.Duration
 	reportedAt  time.Duration
-	changed     bool
 	loanAskedAt time.Duration
 	loanAsked   bool
 
@@ -55,6 +54,11 @@
 	done     func(Reservation, error)
 }
 
+// confirmation is what the root has answered that it knows, cumulative.
+type confirmation struct {
+	settled, returned, watermark uint64
+}
+
 // free never counts what was lent, returned or reserved.
 func (a *account) free() uint64 {
 	have := a.granted + sum(a.borrowed)
@@ -79,7 +83,6 @@
 	a.requestedAt = now
 	a.reportedAt = 0
 	a.loanAsked = false
-	a.changed = true
 }
 
 func (a *account) reserve(amount uint64) Reservation {
@@ -147,7 +150,6 @@
 		return
 	}
 	a.returned += free - keep
-	a.changed = true
 }
 
 // topUp asks ahead of demand, so that requests rarely wait for the root.
@@ -162,19 +164,33 @@
 	}
 }
 
+// unconfirmed tells whether the root may lack something: a report counts only
+// once an answer has repeated what it said.
+func (a *account) unconfirmed() bool {
+	return a.settled > a.confirmed.settled || a.returned > a.confirmed.returned || a.watermark > a.confirmed.watermark
+}
+
 func (a *account) reportDue(now time.Duration) bool {
-	if a.reportedAt == 0 {
-		return a.changed
+	switch {
+	case a.requested:
+		return a.reportedAt == 0 || now-a.reportedAt >= resendInterval
+	case a.unconfirmed():
+		return a.reportedAt == 0 || now-a.reportedAt >= reportInterval
 	}
-	if a.requested {
-		return now-a.reportedAt >= resendInterval
-	}
-	return a.changed && now-a.reportedAt >= reportInterval
+	return false
+}
+
+// confirm notes what an answer says that the root has.
+func (a *account) confirm(answer accounts.Answer) (advanced bool) {
+	advanced = answer.Watermark > a.confirmed.watermark
+	a.confirmed.settled = max(a.confirmed.settled, answer.Settled)
+	a.confirmed.returned = max(a.confirmed.returned, answer.Returned)
+	a.confirmed.watermark = max(a.confirmed.watermark, answer.Watermark)
+	return advanced
 }
 
 func (a *account) report(now time.Duration) accounts.Report {
 	a.reportedAt = now
-	a.changed = false
 	report := accounts.Report{
 		Budget: a.name, Settled: a.settled, Returned: a.returned,
 		Watermark: a.watermark, WatermarkSettled: a.watermarkSettled,
--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -183,7 +183,6 @@
 		found.watermarkSettled += next
 		delete(found.ahead, found.watermark)
 	}
-	found.changed = true
 	h.serve(now, found)
 }
 
@@ -298,8 +297,7 @@
 			continue
 		}
 		found.granted = max(found.granted, answer.Granted)
-		if answer.Watermark > found.durableWatermark {
-			found.durableWatermark = answer.Watermark
+		if found.confirm(answer.Answer) {
 			advanced = append(advanced, answer.Answer)
 		}
 		h.takeAnswer(now, found, answer)
@@ -359,7 +357,6 @@
 	found := h.account(recall.Budget)
 	found.granted = max(found.granted, recall.Granted)
 	found.returned += found.free()
-	found.changed = true
 	h.recalled = append(h.recalled, recall)
 }
 
@@ -368,7 +365,6 @@
 	for _, found := range h.accounts {
 		if free := found.free(); free > 0 {
 			found.returned += free
-			found.changed = true
 			found.reportedAt = 0
 		}
 	}
@@ -377,7 +373,7 @@
 // Unreported tells whether the root lacks a report, for a planned stop.
 func (h *Holder) Unreported() bool {
 	for _, found := range h.accounts {
-		if found.changed || found.watermark > found.durableWatermark {
+		if found.unconfirmed() {
 			return true
 		}
 	}
@@ -388,8 +384,7 @@
 // confirmed, for a planned stop.
 func (h *Holder) ReportAgain() {
 	for _, found := range h.accounts {
-		if found.watermark > found.durableWatermark {
-			found.changed = true
+		if found.unconfirmed() {
 			found.reportedAt = 0
 		}
 	}
--- /dev/null
+++ b/internal/coordination/escrow/holder_test.go
@@ -0,0 +1,84 @@
+package escrow
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/state/accounts"
+)
+
+// rootWith is a root account that a holder talks to without a network.
+func rootWith(limit uint64) *accounts.Accounts {
+	root := accounts.New()
+	root.Ensure("b")
+	if err := root.TopUp("b", limit); err != nil {
+		panic(err)
+	}
+	return root
+}
+
+// exchange delivers a holder's due report and its answer.
+func exchange(now time.Duration, root *accounts.Accounts, holder *Holder) bool {
+	report, due := holder.Report(now)
+	if !due {
+		return false
+	}
+	answer := AnswerMessage{Holder: report.Holder}
+	for _, one := range report.Reports {
+		answer.Answers = append(answer.Answers, Answer{Answer: root.Take(report.Holder, one, 0)})
+	}
+	holder.Take(now, answer)
+	return true
+}
+
+func reserveOne(t *testing.T, root *accounts.Accounts, holder *Holder, amount uint64) Reservation {
+	t.Helper()
+	var reserved Reservation
+	holder.Reserve(time.Second, time.Hour, "b", amount, Policy{}, func(given Reservation, err error) {
+		assert.NilError(t, err)
+		reserved = given
+	})
+	assert.Assert(t, exchange(time.Second, root, holder))
+	assert.Equal(t, reserved.Amount, amount)
+	return reserved
+}
+
+// A report that is lost with the leader it was sent to is sent again, although
+// nothing changes at the node. It once waited for the next change.
+func TestLostReportIsSentAgain(t *testing.T) {
+	root := rootWith(10_000)
+	holder := NewHolder(HolderOptions{ID: accounts.HolderID{Node: "n", Incarnation: 1}})
+	reserved := reserveOne(t, root, holder, 100)
+	holder.Settle(2*time.Second, reserved, 60)
+	_, due := holder.Report(3 * time.Second)
+	assert.Assert(t, due, "the settlement was not reported at all")
+	for second := 4; second < 8; second++ {
+		exchange(time.Duration(second)*time.Second, root, holder)
+	}
+	assert.Equal(t, root.Budget("b").Settled(), uint64(60))
+	assert.Assert(t, !holder.Unreported())
+	assert.Assert(t, !exchange(20*time.Second, root, holder), "a confirmed report was sent again")
+}
+
+func TestSettledAndReturnedAreNeverSpentAgain(t *testing.T) {
+	root := rootWith(1000)
+	holder := NewHolder(HolderOptions{ID: accounts.HolderID{Node: "n", Incarnation: 1}})
+	reserved := reserveOne(t, root, holder, 900)
+	holder.Settle(2*time.Second, reserved, 400)
+	free := holder.Free("b")
+	holder.Recall(RecallMessage{Holder: holder.ID(), Budget: "b", Number: 1})
+	assert.Equal(t, holder.Free("b"), uint64(0))
+	exchange(3*time.Second, root, holder)
+	assert.Equal(t, root.Budget("b").Left(), 1000-uint64(400))
+	assert.Assert(t, free > 0)
+}
+
+func TestRecallOfAnEarlierLifeGrantsNothing(t *testing.T) {
+	holder := NewHolder(HolderOptions{ID: accounts.HolderID{Node: "n", Incarnation: 2}})
+	holder.Recall(RecallMessage{Holder: accounts.HolderID{Node: "n", Incarnation: 1}, Budget: "b", Number: 1, Granted: 500})
+	assert.Equal(t, holder.Free("b"), uint64(0))
+	_, due := holder.Report(time.Second)
+	assert.Assert(t, !due)
+}
--- a/internal/state/accounts/accounts.go
+++ b/internal/state/accounts/accounts.go
@@ -126,7 +126,9 @@
 	Budget string `msgpack:"b"`
 	// Granted is the holder's cumulative grant.
 	Granted uint64 `msgpack:"g"`
-	// Watermark is the settlement watermark that is now durable.
+	// Settled, Returned and Watermark are what the root now has in its log.
+	Settled   uint64 `msgpack:"s"`
+	Returned  uint64 `msgpack:"r"`
 	Watermark uint64 `msgpack:"w"`
 	Request   uint64 `msgpack:"q,omitempty"`
 	// Short is set when the request's need could not be met now.
@@ -237,7 +239,7 @@
 		}
 	}
 	answer.Granted = holder.Granted
-	answer.Watermark = holder.Watermark
+	answer.Settled, answer.Returned, answer.Watermark = holder.Settled, holder.Returned, holder.Watermark
 	answer.Left = budget.Left()
 	return answer
 }
