Work may start while a stopping node waits for it

Change: a small counter with a condition variable in place of the WaitGroup, which may get work while somebody waits; a test of just that. Ruled out: a fault of the harness, since the daemon stops in the same way.

--- /dev/null
+++ b/internal/node/background_test.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Requests that end while the node stops still start settlements. A
+// sync.WaitGroup panicked there ("reused before previous Wait has returned").
+func TestWorkMayStartWhileTheNodeWaitsForIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		work := newBackground()
+		var ended atomic.Int64
+		work.start(func() {
+			time.Sleep(time.Second)
+			work.start(func() {
+				time.Sleep(time.Second)
+				ended.Add(1)
+			})
+			ended.Add(1)
+		})
+		waiters := make(chan struct{}, 2)
+		for range 2 {
+			go func() {
+				work.wait()
+				waiters <- struct{}{}
+			}()
+		}
+		<-waiters
+		<-waiters
+		assert.Equal(t, ended.Load(), int64(2))
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,7 +90,7 @@
 	life    context.Context
 	endLife context.CancelCauseFunc
 	// background counts settlements that outlive their request.
-	background sync.WaitGroup
+	background *background
 	failure    chan error
 }
 
@@ -100,7 +100,7 @@
 		options: options, settings: options.Settings,
 		name: options.Settings.Node.Name, zone: options.Settings.Node.Zone,
 		started: time.Now(), incarnation: uint64(time.Now().UnixNano()),
-		peers: map[string]settings.Peer{}, log: options.Logger, failure: make(chan error, 1),
+		peers: map[string]settings.Peer{}, log: options.Logger, failure: make(chan error, 1), background: newBackground(),
 	}
 	node.life, node.endLife = context.WithCancelCause(context.Background())
 	node.backendHTTP = options.BackendTransport
@@ -200,7 +200,7 @@
 		_ = server.Close()
 	}
 	duties.Wait()
-	n.background.Wait()
+	n.background.wait()
 	if n.replica != nil {
 		failure = errors.Join(failure, n.replica.close())
 	}
--- a/internal/node/plain.go
+++ b/internal/node/plain.go
@@ -232,7 +232,7 @@
 		return
 	}
 	n := p.node
-	n.background.Go(func() {
+	n.background.start(func() {
 		change := func(current *claims.Claim) *claims.Claim {
 			if current == nil || current.RequestID != p.of.id || current.State == claims.Settled {
 				return nil
--- a/internal/node/settle.go
+++ b/internal/node/settle.go
@@ -16,7 +16,7 @@
 // goes on in the background: the caller need not wait for it.
 func (r *run) settle(result claims.Result, used uint64) {
 	n := r.node
-	n.background.Go(func() {
+	n.background.start(func() {
 		change := func(current *claims.Claim) *claims.Claim {
 			if !r.owns(current) || current.State == claims.Settled {
 				return nil
@@ -88,7 +88,7 @@
 
 // settleLater finds out what became of a request and settles it.
 func (r *run) settleLater(backend, requestID string) {
-	r.node.background.Go(func() {
+	r.node.background.start(func() {
 		result, used := r.node.findOutcome(r.node.life, backend, requestID, r.held.reservation.Amount)
 		if result != 0 {
 			r.settle(result, used)
@@ -253,7 +253,7 @@
 		return
 	}
 	n := r.node
-	n.background.Go(func() {
+	n.background.start(func() {
 		change := func(current *claims.Claim) *claims.Claim {
 			if current == nil || current.State == claims.Settled || current.RequestID != claim.RequestID {
 				return nil
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -27,7 +27,7 @@
 	}
 	settled := make(chan struct{})
 	go func() {
-		n.background.Wait()
+		n.background.wait()
 		close(settled)
 	}()
 	select {
