--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -19,6 +19,7 @@
 // inFleet runs a test against a provisioned fleet, in virtual time.
 func inFleet(t *testing.T, plan deployment.Plan, test func(t *testing.T, f *Fleet)) {
 	t.Helper()
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := New(plan, rand.New(rand.NewPCG(1, 1)), emulator.EngineOptions{EventGap: 50})
 		if path := os.Getenv("FLEET_LOG"); path != "" {
