State: whole configuration documents at an outside version, limits set by them

Cause: the platform's operator sends a whole configuration at a version of its own; the product only knew objects with revisions. And a node's life that ended without a word had to be closed by claims, which this path has none of. Ruled out: mapping a document onto catalog objects (it could not be read back as it was sent, and a lower version could not be told from a new object). Change: state/document (typed, checked with the place of each finding, indexed by host and longest prefix), a document command of the state machine that keeps the highest version and the bytes as sent, limits set by it (a lowered one follows the grants down), lives closed with all they held charged but told apart from what is known to be spent. The duty goroutine became a package. Conclusion: tests of the state green; nothing measured yet.

--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -11,6 +11,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/membership"
 	"github.com/ravenway/ravenway/internal/coordination/queueing"
 	"github.com/ravenway/ravenway/internal/coordination/routing"
+	"github.com/ravenway/ravenway/internal/duty"
 )
 
 const (
@@ -52,7 +53,7 @@
 // backendsDuty owns the table of back ends and the queues before them.
 type backendsDuty struct {
 	node   *Node
-	duty   *duty
+	duty   *duty.Duty
 	table  *routing.Table
 	queues map[string]*queueing.Queue[*placement]
 	limits map[string]int
@@ -65,11 +66,11 @@
 
 func newBackendsDuty(node *Node) *backendsDuty {
 	owner := &backendsDuty{
-		node: node, duty: newDuty("backends", backendsTick), table: routing.NewTable(node.zone, nodesInZone(node.pool), newRandom()),
+		node: node, duty: duty.New("backends", backendsTick), table: routing.NewTable(node.zone, nodesInZone(node.pool), newRandom()),
 		queues: map[string]*queueing.Queue[*placement]{}, limits: map[string]int{}, kinds: map[string]ravenwayv1.ServiceKind{},
 	}
-	owner.duty.tick = owner.expire
-	owner.duty.flush = owner.place
+	owner.duty.Tick = owner.expire
+	owner.duty.Flush = owner.place
 	return owner
 }
 
@@ -99,7 +100,7 @@
 	b.mutex.Lock()
 	b.targets, b.kinds = backends, kinds
 	b.mutex.Unlock()
-	_ = b.duty.do(context.Background(), func() {
+	_ = b.duty.Do(context.Background(), func() {
 		b.table.SetBackends(backends)
 		b.limits = limits
 	})
@@ -117,7 +118,7 @@
 		ID: wanted.requestID, Tenant: wanted.tenant, Weight: wanted.weight, Class: wanted.class, Cost: wanted.cost,
 		Arrived: b.node.now(), Deadline: deadline, Value: &wanted,
 	}
-	if err := b.duty.do(ctx, func() { b.enqueue(item) }); err != nil {
+	if err := b.duty.Do(ctx, func() { b.enqueue(item) }); err != nil {
 		return placed{}, err
 	}
 	select {
@@ -127,7 +128,7 @@
 	}
 	// The caller went away: its request leaves the queue at once. It may have
 	// been placed just before; then it is given back.
-	_ = b.duty.do(context.Background(), func() {
+	_ = b.duty.Do(context.Background(), func() {
 		if b.queue(wanted.route.Service).Remove(item) {
 			return
 		}
@@ -192,12 +193,12 @@
 
 // release notes how a request ended at the back end that it was given.
 func (b *backendsDuty) release(name string, result routing.Result) {
-	_ = b.duty.do(context.Background(), func() { b.table.End(b.node.now(), name, result) })
+	_ = b.duty.Do(context.Background(), func() { b.table.End(b.node.now(), name, result) })
 }
 
 // markLeaving notes a back end's own answer that it is leaving.
 func (b *backendsDuty) markLeaving(name string) {
-	_ = b.duty.do(context.Background(), func() { b.table.MarkLeaving(name) })
+	_ = b.duty.Do(context.Background(), func() { b.table.MarkLeaving(name) })
 }
 
 // stillUsable checks again at the moment of dispatch that a back end is not
@@ -207,7 +208,7 @@
 		usable bool
 		why    string
 	}
-	found, err := ask(ctx, b.duty, func(answer func(verdict)) {
+	found, err := duty.Ask(ctx, b.duty, func(answer func(verdict)) {
 		usable, why := b.table.Usable(b.node.now(), name)
 		// The request itself may have made it full.
 		answer(verdict{usable: usable || why == "full", why: why})
--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -6,6 +6,7 @@
 	"time"
 
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+	"github.com/ravenway/ravenway/internal/duty"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/catalog"
 )
@@ -80,7 +81,7 @@
 // revision, so it is in no danger from a source that is behind.
 type catalogDuty struct {
 	node      *Node
-	duty      *duty
+	duty      *duty.Duty
 	catalog   *catalog.Catalog
 	followers map[string]time.Time
 	// sent is the revision last sent to each follower.
@@ -92,16 +93,16 @@
 
 func newCatalogDuty(node *Node) *catalogDuty {
 	owner := &catalogDuty{
-		node: node, duty: newDuty("catalog", 100*time.Millisecond), catalog: catalog.New(),
+		node: node, duty: duty.New("catalog", 100*time.Millisecond), catalog: catalog.New(),
 		followers: map[string]time.Time{}, sent: map[string]uint64{},
 	}
-	owner.duty.tick = owner.follow
-	owner.duty.flush = owner.push
+	owner.duty.Tick = owner.follow
+	owner.duty.Flush = owner.push
 	return owner
 }
 
 func (c *catalogDuty) takeDelta(from string, delta catalog.Delta) {
-	c.duty.offer(func() {
+	c.duty.Offer(func() {
 		changed, err := c.catalog.Follow(delta)
 		if err != nil {
 			c.node.log.Warn().Str("event", "catalog_delta_refused").Str("peer", from).Err(err).Send()
@@ -122,7 +123,7 @@
 }
 
 func (c *catalogDuty) takeFollow(from string, follow peer.CatalogFollow) {
-	c.duty.offer(func() {
+	c.duty.Offer(func() {
 		c.followers[from] = time.Now()
 		c.sent[from] = follow.Revision
 	})
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -9,6 +9,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/claims"
 	"github.com/ravenway/ravenway/internal/coordination/membership"
+	"github.com/ravenway/ravenway/internal/duty"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/accounts"
 )
@@ -28,7 +29,7 @@
 // claimsDuty owns the node's holder of claims and its proposer.
 type claimsDuty struct {
 	node     *Node
-	duty     *duty
+	duty     *duty.Duty
 	holder   *claims.Holder
 	proposer *claims.Proposer
 	outgoing map[string][]claims.Message
@@ -56,18 +57,18 @@
 }
 
 func newClaimsDuty(node *Node) *claimsDuty {
-	owner := &claimsDuty{node: node, duty: newDuty("claims", claimsTick), outgoing: map[string][]claims.Message{}, fenced: map[string]uint64{}, unreached: map[string]time.Duration{},
+	owner := &claimsDuty{node: node, duty: duty.New("claims", claimsTick), outgoing: map[string][]claims.Message{}, fenced: map[string]uint64{}, unreached: map[string]time.Duration{},
 		marks: map[markName]uint64{}, changedNear: map[markName]struct{}{}, changedFar: map[markName]struct{}{}}
 	owner.holder = claims.NewHolder(claims.HolderOptions{
 		Self: node.name, Incarnation: node.incarnation, Pool: node.pool, Fresh: len(node.pool.Nodes()) == 1,
 	})
 	owner.begin(accounts.HolderID{Node: node.name, Incarnation: node.incarnation})
-	owner.duty.tick = func() {
+	owner.duty.Tick = func() {
 		owner.queue(owner.holder.Tick(node.now()))
 		owner.proposer.Tick(node.now())
 		owner.announceWatermarks()
 	}
-	owner.duty.flush = owner.flush
+	owner.duty.Flush = owner.flush
 	return owner
 }
 
@@ -77,11 +78,11 @@
 
 // takeNewLife starts proposing under a new life after the old one was fenced.
 func (c *claimsDuty) takeNewLife(id accounts.HolderID) {
-	_ = c.duty.do(context.Background(), func() { c.begin(id) })
+	_ = c.duty.Do(context.Background(), func() { c.begin(id) })
 }
 
 func (c *claimsDuty) take(batch claimsBatch) {
-	c.duty.offer(func() {
+	c.duty.Offer(func() {
 		for _, message := range batch.Messages {
 			c.step(message)
 		}
@@ -127,7 +128,7 @@
 
 // change changes a claim and waits for the end.
 func (c *claimsDuty) change(ctx context.Context, scope string, key claims.Key, change claims.Change) (claims.Outcome, error) {
-	outcome, err := ask(ctx, c.duty, func(answer func(claims.Outcome)) {
+	outcome, err := duty.Ask(ctx, c.duty, func(answer func(claims.Outcome)) {
 		now := c.node.now()
 		c.proposer.Change(now, now+claimTimeout, scope, key, change, answer)
 	})
@@ -145,7 +146,7 @@
 
 // changeMinted makes the first change of a key that this node made up.
 func (c *claimsDuty) changeMinted(ctx context.Context, key claims.Key, change claims.Change) (claims.Outcome, error) {
-	outcome, err := ask(ctx, c.duty, func(answer func(claims.Outcome)) {
+	outcome, err := duty.Ask(ctx, c.duty, func(answer func(claims.Outcome)) {
 		now := c.node.now()
 		c.proposer.ChangeMinted(now, now+claimTimeout, c.node.zone, key, change, answer)
 	})
@@ -177,7 +178,7 @@
 
 // noteWatermarks keeps the settlements that the root has, to be announced.
 func (c *claimsDuty) noteWatermarks(marks []claims.Watermark) {
-	c.duty.offer(func() {
+	c.duty.Offer(func() {
 		for _, mark := range marks {
 			name := markName{owner: mark.Owner, budget: mark.Budget}
 			c.marks[name] = max(c.marks[name], mark.Sequence)
@@ -236,7 +237,7 @@
 
 // fence makes this holder acknowledge nothing more of a life.
 func (c *claimsDuty) fence(ctx context.Context, owner accounts.HolderID) (fenceAnswer, error) {
-	return ask(ctx, c.duty, func(answer func(fenceAnswer)) {
+	return duty.Ask(ctx, c.duty, func(answer func(fenceAnswer)) {
 		records := c.holder.Fence(owner)
 		c.mutex.Lock()
 		c.fenced[owner.Node] = max(c.fenced[owner.Node], owner.Incarnation)
@@ -255,6 +256,6 @@
 // ClaimsRecovered tells whether the node's holder of claims has heard from all
 // others since its start.
 func (n *Node) ClaimsRecovered() bool {
-	recovering, err := ask(n.life, n.claims.duty, func(answer func(int)) { answer(len(n.claims.holder.Recovering())) })
+	recovering, err := duty.Ask(n.life, n.claims.duty, func(answer func(int)) { answer(len(n.claims.holder.Recovering())) })
 	return err == nil && recovering == 0
 }
--- a/internal/node/escrow.go
+++ b/internal/node/escrow.go
@@ -8,6 +8,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/claims"
 	"github.com/ravenway/ravenway/internal/coordination/escrow"
+	"github.com/ravenway/ravenway/internal/duty"
 	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/accounts"
@@ -18,7 +19,7 @@
 // escrowDuty owns the node's part of the budgets.
 type escrowDuty struct {
 	node   *Node
-	duty   *duty
+	duty   *duty.Duty
 	holder *escrow.Holder
 	// id is the life that the holder stands for; it changes when the node
 	// finds itself fenced.
@@ -26,10 +27,10 @@
 }
 
 func newEscrowDuty(node *Node) *escrowDuty {
-	owner := &escrowDuty{node: node, duty: newDuty("escrow", escrowTick)}
+	owner := &escrowDuty{node: node, duty: duty.New("escrow", escrowTick)}
 	owner.begin(node.incarnation)
-	owner.duty.tick = func() { owner.holder.Tick(node.now()) }
-	owner.duty.flush = owner.flush
+	owner.duty.Tick = func() { owner.holder.Tick(node.now()) }
+	owner.duty.Flush = owner.flush
 	return owner
 }
 
@@ -85,7 +86,7 @@
 	if limit, found := ctx.Deadline(); found {
 		deadline = e.node.now() + time.Until(limit)
 	}
-	ended, err := ask(ctx, e.duty, func(answer func(reserved)) {
+	ended, err := duty.Ask(ctx, e.duty, func(answer func(reserved)) {
 		owner := e.holder.ID()
 		e.holder.Reserve(e.node.now(), deadline, budget, amount, policy, func(reservation escrow.Reservation, err error) {
 			if err == nil && ctx.Err() != nil {
@@ -103,7 +104,7 @@
 
 // settle ends a reservation. One of an earlier life is settled by its fence.
 func (e *escrowDuty) settle(held reserved, used uint64) {
-	_ = e.duty.do(context.Background(), func() {
+	_ = e.duty.Do(context.Background(), func() {
 		if e.holder.ID() == held.owner {
 			e.holder.Settle(e.node.now(), held.reservation, used)
 		}
@@ -112,7 +113,7 @@
 
 // shrink lowers a reservation to its known use.
 func (e *escrowDuty) shrink(held reserved, used uint64) {
-	_ = e.duty.do(context.Background(), func() {
+	_ = e.duty.Do(context.Background(), func() {
 		if e.holder.ID() == held.owner {
 			e.holder.Shrink(e.node.now(), held.reservation, used)
 		}
@@ -120,7 +121,7 @@
 }
 
 func (e *escrowDuty) takeAnswer(message escrow.AnswerMessage) {
-	e.duty.offer(func() {
+	e.duty.Offer(func() {
 		advanced := e.holder.Take(e.node.now(), message)
 		if len(advanced) == 0 {
 			return
@@ -134,11 +135,11 @@
 }
 
 func (e *escrowDuty) takeRecall(message escrow.RecallMessage) {
-	e.duty.offer(func() { e.holder.Recall(message) })
+	e.duty.Offer(func() { e.holder.Recall(message) })
 }
 
 func (e *escrowDuty) takeLend(from string, message escrow.LendMessage) {
-	e.duty.offer(func() {
+	e.duty.Offer(func() {
 		switch {
 		case message.Request != nil:
 			e.node.log.Info().Str("event", "loan_asked").Str("borrower", from).Str("budget", message.Request.Budget).Uint64("need", message.Request.Need).Send()
@@ -169,17 +170,17 @@
 		e.node.log.Info().Str("event", "loan_not_agreed").Str("borrower", loan.Borrower.Node).AnErr("error", err).Send()
 		return
 	}
-	_ = e.duty.do(e.node.life, func() { e.holder.Agreed(e.node.now(), loan) })
+	_ = e.duty.Do(e.node.life, func() { e.holder.Agreed(e.node.now(), loan) })
 }
 
 // returnAll gives back the node's unused grant and waits until the root has
 // every settlement, for a planned stop.
 func (e *escrowDuty) returnAll(ctx context.Context) error {
-	if err := e.duty.do(ctx, func() { e.holder.ReturnAll() }); err != nil {
+	if err := e.duty.Do(ctx, func() { e.holder.ReturnAll() }); err != nil {
 		return err
 	}
 	for {
-		unreported, err := ask(ctx, e.duty, func(answer func(bool)) {
+		unreported, err := duty.Ask(ctx, e.duty, func(answer func(bool)) {
 			e.holder.ReportAgain()
 			answer(e.holder.Unreported())
 		})
@@ -194,5 +195,5 @@
 
 // loansWith returns what is known here of a fenced life's loans.
 func (e *escrowDuty) loansWith(ctx context.Context, other accounts.HolderID) ([]accounts.Loan, error) {
-	return ask(ctx, e.duty, func(answer func([]accounts.Loan)) { answer(e.holder.LoansWith(other)) })
+	return duty.Ask(ctx, e.duty, func(answer func([]accounts.Loan)) { answer(e.holder.LoansWith(other)) })
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -21,7 +21,7 @@
 		case !view.hasGroup && n.settings.Control.Bootstrap:
 			n.bootstrapIfAllEmpty(ctx)
 		case view.leading:
-			_ = n.replica.duty.do(ctx, n.replica.manageMembers)
+			_ = n.replica.duty.Do(ctx, n.replica.manageMembers)
 		}
 	}
 }
@@ -39,7 +39,7 @@
 			return
 		}
 	}
-	_ = n.replica.duty.do(ctx, n.replica.bootstrap)
+	_ = n.replica.duty.Do(ctx, n.replica.bootstrap)
 }
 
 // bootstrap makes this replica the first voter of a new group.
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -16,6 +16,7 @@
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 	"github.com/ravenway/ravenway/api/ravenway/v1/ravenwayv1connect"
 	"github.com/ravenway/ravenway/internal/coordination/consensus"
+	"github.com/ravenway/ravenway/internal/duty"
 	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/catalog"
@@ -297,7 +298,7 @@
 		index uint64
 		err   error
 	}
-	done, err := ask(ctx, o.node.replica.duty, func(answer func(ended)) {
+	done, err := duty.Ask(ctx, o.node.replica.duty, func(answer func(ended)) {
 		err := o.node.replica.replica.SaveSnapshot()
 		answer(ended{index: o.node.replica.replica.SnapshotIndex(), err: err})
 	})
--- a/internal/node/poll.go
+++ b/internal/node/poll.go
@@ -9,6 +9,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/membership"
 	"github.com/ravenway/ravenway/internal/coordination/routing"
+	"github.com/ravenway/ravenway/internal/duty"
 	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/protocol/engine"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
@@ -78,7 +79,7 @@
 
 // takeReports takes over what another node of the zone has asked.
 func (b *backendsDuty) takeReports(message peer.BackendReports) {
-	b.duty.offer(func() {
+	b.duty.Offer(func() {
 		for _, report := range message.Reports {
 			b.table.TakeReport(b.node.now(), report.Backend, routing.Report{
 				Running: report.Running, Queued: report.Queued, Leaving: report.Leaving,
@@ -92,7 +93,7 @@
 func (b *backendsDuty) pollEngine(ctx context.Context, target routing.Backend) peer.BackendReport {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	ownInFlight, err := ask(ctx, b.duty, func(answer func(int)) { answer(b.table.InFlight(target.Name)) })
+	ownInFlight, err := duty.Ask(ctx, b.duty, func(answer func(int)) { answer(b.table.InFlight(target.Name)) })
 	if err != nil {
 		return peer.BackendReport{}
 	}
@@ -101,7 +102,7 @@
 		return peer.BackendReport{}
 	}
 	report := routing.Report{Running: load.Running, Queued: load.Queued, Leaving: load.Leaving, OwnInFlight: ownInFlight}
-	from, err := ask(ctx, b.duty, func(answer func(uint64)) {
+	from, err := duty.Ask(ctx, b.duty, func(answer func(uint64)) {
 		b.table.TakeReport(b.node.now(), target.Name, report)
 		answer(b.table.NextCacheEvent(target.Name))
 	})
@@ -116,7 +117,7 @@
 	if err != nil || len(page.Events) == 0 {
 		return
 	}
-	_ = b.duty.do(ctx, func() { b.table.TakeCacheEvents(target.Name, cacheEvents(page)) })
+	_ = b.duty.Do(ctx, func() { b.table.TakeCacheEvents(target.Name, cacheEvents(page)) })
 }
 
 func cacheEvents(page engine.CacheEvents) []routing.CacheEvent {
@@ -151,6 +152,6 @@
 			known = text
 			b.node.log.Info().Str("event", "platform_leaving").Strs("backends", leaving).Send()
 		}
-		_ = b.duty.do(ctx, func() { b.table.SetLeaving(leaving) })
+		_ = b.duty.Do(ctx, func() { b.table.SetLeaving(leaving) })
 	}
 }
--- a/internal/node/reclaim.go
+++ b/internal/node/reclaim.go
@@ -277,6 +277,6 @@
 	if n.replica == nil {
 		return false, errNoLeader
 	}
-	err := n.replica.duty.do(ctx, func() { n.replica.root.RecallAll(question.Budget) })
+	err := n.replica.duty.Do(ctx, func() { n.replica.root.RecallAll(question.Budget) })
 	return err == nil, err
 }
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -13,6 +13,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/consensus"
 	"github.com/ravenway/ravenway/internal/coordination/escrow"
+	"github.com/ravenway/ravenway/internal/duty"
 	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/accounts"
@@ -37,7 +38,7 @@
 // replicaDuty owns the node's replica of the durable state.
 type replicaDuty struct {
 	node    *Node
-	duty    *duty
+	duty    *duty.Duty
 	replica *consensus.Replica
 	machine *machine.Machine
 	root    *escrow.Root
@@ -67,17 +68,17 @@
 	if err != nil {
 		return nil, err
 	}
-	owner := &replicaDuty{node: node, duty: newDuty("replica", replicaTick), machine: machine.New(), id: id}
+	owner := &replicaDuty{node: node, duty: duty.New("replica", replicaTick), machine: machine.New(), id: id}
 	owner.replica, err = owner.open(nil)
 	if err != nil {
 		return nil, err
 	}
 	owner.root = escrow.NewRoot(owner.rootOptions())
-	owner.duty.tick = func() {
+	owner.duty.Tick = func() {
 		owner.replica.Tick()
 		owner.root.Tick(node.now())
 	}
-	owner.duty.flush = owner.flush
+	owner.duty.Flush = owner.flush
 	owner.share()
 	node.log.Info().Str("event", "replica_opened").Uint64("replica", uint64(id)).
 		Uint64("applied", owner.replica.Applied()).Int("records_read", owner.replica.RecoveredRecords).
@@ -146,11 +147,11 @@
 }
 
 func (r *replicaDuty) take(message consensus.Message) {
-	r.duty.offer(func() { r.replica.Step(message) })
+	r.duty.Offer(func() { r.replica.Step(message) })
 }
 
 func (r *replicaDuty) takeReport(message escrow.ReportMessage) {
-	r.duty.offer(func() {
+	r.duty.Offer(func() {
 		if r.leading() {
 			r.root.Take(message)
 		}
@@ -279,7 +280,7 @@
 	if n.replica == nil {
 		return machine.Result{}, consensus.ErrNotLeader
 	}
-	ended, err := ask(ctx, n.replica.duty, func(answer func(proposal)) {
+	ended, err := duty.Ask(ctx, n.replica.duty, func(answer func(proposal)) {
 		n.replica.replica.Propose(command, func(result any, err error) {
 			if err != nil {
 				answer(proposal{err: err})
@@ -361,7 +362,7 @@
 	if n.replica == nil {
 		return none, consensus.ErrNotLeader
 	}
-	answer, err := ask(ctx, n.replica.duty, func(answer func(ended)) {
+	answer, err := duty.Ask(ctx, n.replica.duty, func(answer func(ended)) {
 		n.replica.replica.Read(func(err error) {
 			if err != nil {
 				answer(ended{err: err})
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -49,7 +49,7 @@
 	if n.replica == nil {
 		return
 	}
-	_ = n.replica.duty.do(ctx, func() {
+	_ = n.replica.duty.Do(ctx, func() {
 		core := n.replica.replica.Core()
 		for _, voter := range core.Configuration().Voters() {
 			member, _ := core.Configuration().Member(voter)
--- a/internal/state/accounts/accounts.go
+++ b/internal/state/accounts/accounts.go
@@ -65,8 +65,14 @@
 	Granted  uint64 `msgpack:"g"`
 	Returned uint64 `msgpack:"r"`
 	// ClosedSettled is the use of holders that were closed.
-	ClosedSettled uint64               `msgpack:"c"`
-	Holders       map[HolderID]*Holder `msgpack:"-"`
+	ClosedSettled uint64 `msgpack:"c"`
+	// Forfeited is the part of ClosedSettled that was charged without being
+	// known to be spent.
+	Forfeited uint64 `msgpack:"f"`
+	// Target is the limit that was asked for when more than that is granted
+	// out; the limit follows it down as grants return. It is at most Limit.
+	Target  uint64               `msgpack:"tg"`
+	Holders map[HolderID]*Holder `msgpack:"-"`
 	// Transfers are the loans in which one side's account is closed and the
 	// other's is still open.
 	Transfers map[LoanPair]uint64 `msgpack:"-"`
@@ -98,6 +104,9 @@
 	return settled
 }
 
+// Spent is the use that is known for sure.
+func (b *Budget) Spent() uint64 { return saturatingSubtract(b.Settled(), b.Forfeited) }
+
 // Committed is what the limit must cover: everything granted and not returned.
 func (b *Budget) Committed() uint64 { return b.Granted - b.Returned }
 
@@ -135,6 +144,9 @@
 	Short bool `msgpack:"sh,omitempty"`
 	// Left is what could still be granted after this answer.
 	Left uint64 `msgpack:"l"`
+	// Limit and Spent are the budget's limit and its use that is known for sure.
+	Limit uint64 `msgpack:"li"`
+	Spent uint64 `msgpack:"sp"`
 	// Unknown says that there is no such budget; Closed that this holder's
 	// account was closed by a fence and must not be spent from.
 	Unknown bool `msgpack:"u,omitempty"`
@@ -189,9 +201,19 @@
 		return fmt.Errorf("budget %q: adding %d to its limit of %d is too much", name, tokens, budget.Limit)
 	}
 	budget.Limit += tokens
+	budget.Target = budget.Limit
 	return nil
 }
 
+// SetLimit sets a limit to what a configuration says, and makes the account if
+// needed. What is granted out stays covered: a lower limit takes effect as the
+// grants return.
+func (a *Accounts) SetLimit(name string, tokens uint64) {
+	budget := a.Ensure(name)
+	budget.Target = tokens
+	budget.Limit = max(tokens, budget.Committed())
+}
+
 // Lower takes tokens off a limit. It is refused when less would be left than
 // is granted out: an accepted limit is never exceeded. Recalling unused grants
 // first makes room.
@@ -205,6 +227,7 @@
 			name, budget.Limit, tokens, budget.Committed())
 	}
 	budget.Limit -= tokens
+	budget.Target = budget.Limit
 	return nil
 }
 
@@ -241,6 +264,7 @@
 	answer.Granted = holder.Granted
 	answer.Settled, answer.Returned, answer.Watermark = holder.Settled, holder.Returned, holder.Watermark
 	answer.Left = budget.Left()
+	answer.Limit, answer.Spent = budget.Limit, budget.Spent()
 	return answer
 }
 
@@ -311,13 +335,23 @@
 	held := saturatingSubtract(holder.Granted+borrowed, holder.Returned+lent)
 	settled := min(held, holder.WatermarkSettled+behindWatermark)
 	if forfeit {
+		b.Forfeited += saturatingSubtract(held, holder.Settled)
 		settled = held
 	}
 	b.Returned += held - settled
 	b.ClosedSettled += settled
+	b.lowerToTarget()
 	delete(b.Holders, id)
 }
 
+// lowerToTarget lets a limit that was lowered below what is granted out follow
+// the grants that come back.
+func (b *Budget) lowerToTarget() {
+	if b.Target < b.Limit {
+		b.Limit = max(b.Target, b.Committed())
+	}
+}
+
 // transferred sums up the recorded loans to and from a holder.
 func (b *Budget) transferred(id HolderID) (borrowed, lent uint64) {
 	for pair, total := range b.Transfers {
@@ -391,6 +425,7 @@
 	}
 	b.Returned += returned - holder.Returned
 	holder.Returned = returned
+	b.lowerToTarget()
 }
 
 // grantAmount keeps the invariant: never more than what is left.
--- /dev/null
+++ b/internal/state/document/document_test.go
@@ -0,0 +1,62 @@
+package document
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func valid() *Document {
+	return &Document{
+		Version:  7,
+		Services: []Service{{Name: "llm"}, {Name: "app"}},
+		Routes: []Route{
+			{Name: "long", Host: "Example", Prefix: "/a/b/", Timeout: time.Second, Targets: []Target{{Service: "llm", Weight: 1}}},
+			{Name: "short", Host: "example", Prefix: "/a/", Timeout: time.Second, Targets: []Target{{Service: "app", Weight: 1}}},
+		},
+		Tenants: []Tenant{{Name: "one", Keys: []string{"k1", "k2"}}, {Name: "two", Keys: []string{"k3"}}},
+	}
+}
+
+func TestValidDocumentHasNoFindings(t *testing.T) {
+	assert.Equal(t, len(valid().Check()), 0)
+}
+
+func TestEachMistakeIsAFindingWithItsPlace(t *testing.T) {
+	mistakes := map[string]func(*Document){
+		"routes[0]: the service \"gone\" is not known":      func(d *Document) { d.Routes[0].Targets[0].Service = "gone" },
+		"routes[1]: host \"example\" and prefix \"/a/b/\"":  func(d *Document) { d.Routes[1].Prefix = "/a/b/" },
+		"routes[0]: the weights add up to 0":                func(d *Document) { d.Routes[0].Targets[0].Weight = 0 },
+		"routes[0]: the timeout must be above 0":            func(d *Document) { d.Routes[0].Timeout = 0 },
+		"tenants[1]: one of its keys is also of tenant":     func(d *Document) { d.Tenants[1].Keys = []string{"k2"} },
+		"services[1]: the service \"llm\" stands twice":     func(d *Document) { d.Services[1].Name = "llm" },
+		"routes[1]: the prefix \"/a\" does not begin and":   func(d *Document) { d.Routes[1].Prefix = "/a" },
+		"tenants[1]: the name \"one\" is empty or stands":   func(d *Document) { d.Tenants[1].Name = "one" },
+		"routes[0]: the weight of service \"llm\" is below": func(d *Document) { d.Routes[0].Targets[0].Weight = -1 },
+	}
+	for want, change := range mistakes {
+		wrong := valid()
+		change(wrong)
+		assert.Assert(t, strings.Contains(wrong.Check().Error(), want), "want %q in:\n%s", want, wrong.Check().Error())
+	}
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	index := NewIndex(valid())
+	assert.Equal(t, index.Route("example:80", "/a/b/c").Name, "long")
+	assert.Equal(t, index.Route("EXAMPLE", "/a/x").Name, "short")
+	assert.Assert(t, index.Route("example", "/b/") == nil)
+	assert.Assert(t, index.Route("other", "/a/") == nil)
+	assert.Equal(t, index.TenantOfKey("k3").Name, "two")
+	assert.Assert(t, index.TenantOfKey("") == nil)
+}
+
+func TestDocumentSurvivesItsEncoding(t *testing.T) {
+	data, err := valid().Encode()
+	assert.NilError(t, err)
+	decoded, err := Decode(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded, valid())
+}
--- /dev/null
+++ b/internal/state/machine/document_test.go
@@ -0,0 +1,79 @@
+package machine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/state/accounts"
+	"github.com/ravenway/ravenway/internal/state/document"
+)
+
+func documentCommand(t *testing.T, version, prepaid uint64, raw string) Command {
+	t.Helper()
+	sent := document.Document{
+		Version:  version,
+		Services: []document.Service{{Name: "llm"}},
+		Routes:   []document.Route{{Host: "h", Prefix: "/", Timeout: time.Second, Targets: []document.Target{{Service: "llm", Weight: 1}}}},
+		Tenants:  []document.Tenant{{Name: "one", Keys: []string{"k"}, Prepaid: prepaid, HasPrepaid: true}},
+	}
+	encoded, err := sent.Encode()
+	assert.NilError(t, err)
+	return Command{Document: &DocumentCommand{Version: version, Raw: []byte(raw), Encoded: encoded}}
+}
+
+func apply(t *testing.T, machine *Machine, index uint64, command Command) Result {
+	t.Helper()
+	data, err := Encode(command)
+	assert.NilError(t, err)
+	return machine.Apply(index, data).(Result)
+}
+
+func TestHighestVersionHoldsAndTheFirstContentOfAVersionStays(t *testing.T) {
+	machine := New()
+	assert.DeepEqual(t, *apply(t, machine, 1, documentCommand(t, 7, 100, "first")).Document, DocumentOutcome{Held: 7, Taken: true})
+	assert.DeepEqual(t, *apply(t, machine, 2, documentCommand(t, 7, 900, "other")).Document, DocumentOutcome{Held: 7})
+	assert.DeepEqual(t, *apply(t, machine, 3, documentCommand(t, 5, 900, "older")).Document, DocumentOutcome{Held: 7})
+	assert.Equal(t, string(machine.Document().Raw), "first")
+	assert.Equal(t, machine.Accounts().Budget("one").Limit, uint64(100))
+
+	snapshot, err := machine.Snapshot()
+	assert.NilError(t, err)
+	restored := New()
+	assert.NilError(t, restored.Restore(snapshot))
+	assert.DeepEqual(t, restored.Document(), machine.Document())
+}
+
+func TestLoweredPrepaidTakesEffectAsGrantsReturn(t *testing.T) {
+	machine := New()
+	apply(t, machine, 1, documentCommand(t, 1, 1000, ""))
+	holder := accounts.HolderID{Node: "front", Incarnation: 1}
+	take := func(index uint64, report accounts.Report) accounts.Answer {
+		report.Budget = "one"
+		return apply(t, machine, index, Command{Reports: []HolderReports{{Holder: holder, Reports: []accounts.Report{report}}}}).Answers[0][0]
+	}
+	assert.Equal(t, take(2, accounts.Report{Request: 1, Need: 600, Want: 600}).Granted, uint64(600))
+	apply(t, machine, 3, documentCommand(t, 2, 300, ""))
+	assert.NilError(t, machine.Accounts().Budget("one").Check())
+	assert.Assert(t, take(4, accounts.Report{Request: 2, Need: 1}).Short)
+	take(5, accounts.Report{Returned: 400})
+	assert.Equal(t, machine.Accounts().Budget("one").Limit, uint64(300))
+	assert.Equal(t, machine.Accounts().Budget("one").Left(), uint64(100))
+}
+
+func TestLostLifeIsChargedInFullButNotSaidToBeSpent(t *testing.T) {
+	machine := New()
+	apply(t, machine, 1, documentCommand(t, 1, 1000, ""))
+	holder := accounts.HolderID{Node: "front", Incarnation: 1}
+	apply(t, machine, 2, Command{Reports: []HolderReports{{Holder: holder, Reports: []accounts.Report{
+		{Budget: "one", Request: 1, Need: 600, Want: 600, Settled: 50},
+	}}}})
+	apply(t, machine, 3, Command{CloseLives: &CloseLivesCommand{Lives: []accounts.HolderID{holder}}})
+	budget := machine.Accounts().Budget("one")
+	assert.Equal(t, budget.Left(), uint64(400))
+	assert.Equal(t, budget.Spent(), uint64(50))
+	late := apply(t, machine, 4, Command{Reports: []HolderReports{{Holder: holder, Reports: []accounts.Report{{Budget: "one", Returned: 550}}}}})
+	assert.Assert(t, late.Answers[0][0].Closed)
+	assert.Equal(t, budget.Left(), uint64(400))
+}
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -42,6 +42,9 @@
 	Node        *NodeRecord     `msgpack:"n,omitempty"`
 	Order       *OrderCommand   `msgpack:"d,omitempty"`
 	OrderResult *OrderResult    `msgpack:"e,omitempty"`
+	// Document and CloseLives serve fleets whose configuration is one document.
+	Document   *DocumentCommand   `msgpack:"m,omitempty"`
+	CloseLives *CloseLivesCommand `msgpack:"z,omitempty"`
 }
 
 // CatalogCommand changes the catalog.
@@ -139,6 +142,8 @@
 	// Answers match the command's Reports one by one.
 	Answers [][]accounts.Answer `msgpack:"a,omitempty"`
 	Order   *OrderRecord        `msgpack:"o,omitempty"`
+	// Document answers a DocumentCommand.
+	Document *DocumentOutcome `msgpack:"d,omitempty"`
 }
 
 // Machine is the state. It is not safe for concurrent use.
@@ -150,6 +155,7 @@
 	operationOrder []string
 	nodes          map[string]NodeRecord
 	orders         map[uint64]*OrderRecord
+	document       HeldDocument
 }
 
 // New makes an empty state.
@@ -229,6 +235,10 @@
 		return m.applyOrder(index, *command.Order)
 	case command.OrderResult != nil:
 		return m.applyOrderResult(*command.OrderResult)
+	case command.Document != nil:
+		return m.applyDocument(command.Document)
+	case command.CloseLives != nil:
+		return m.applyCloseLives(command.CloseLives)
 	}
 	return Result{Refused: "the command is of a kind that this version does not know"}
 }
--- a/internal/state/machine/snapshot.go
+++ b/internal/state/machine/snapshot.go
@@ -23,6 +23,7 @@
 	Operations []storedOperation `msgpack:"o"`
 	Nodes      []NodeRecord      `msgpack:"n"`
 	Orders     []OrderRecord     `msgpack:"d"`
+	Document   HeldDocument      `msgpack:"m"`
 }
 
 // Snapshot implements consensus.StateMachine. Its bytes depend on the state
@@ -44,6 +45,7 @@
 	}
 	sort.Slice(stored.Nodes, func(i, j int) bool { return stored.Nodes[i].Name < stored.Nodes[j].Name })
 	stored.Orders = m.Orders()
+	stored.Document = m.document
 	data, err := msgpack.Marshal(&stored)
 	if err != nil {
 		return nil, fmt.Errorf("encoding the state: %w", err)
@@ -74,6 +76,7 @@
 	for _, order := range stored.Orders {
 		restored.orders[order.Fence] = &order
 	}
+	restored.document = stored.Document
 	*m = *restored
 	return nil
 }
