Membership from seeds, instance registry, replica set changes: the pure steps

Cause: nodes of the platform know three seeds and nothing else; machines come, go, lose their disks and change their addresses, and engines register by heartbeat. The product had a fixed list of peers. Ruled out: the members list as one more log entry (a node that joins must be found before it can read the log); removing by absence in the registry (a control node that lost its memory would take engines away from all). Change: coordination/roster (who was heard), coordination/registry (merge by heartbeat sequence, gone over all), coordination/replicaset (next membership change), a group founded with all its voters at once, and a mesh whose names are addresses and whose links come as they are needed.

--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -150,11 +150,15 @@
 	return core, nil
 }
 
-// BootstrapSnapshot is the first state of a new group whose only voter is the
-// given member.
-func BootstrapSnapshot(member Member, data []byte) journal.Snapshot {
-	member.Learner = false
-	configuration := Configuration{Members: []Member{member}}
+// BootstrapSnapshot is the first state of a new group whose voters are the
+// given members. Only one of them may write it, and none of the others may
+// have been a member of a group before.
+func BootstrapSnapshot(members []Member, data []byte) journal.Snapshot {
+	configuration := Configuration{}
+	for _, member := range members {
+		member.Learner = false
+		configuration.Members = append(configuration.Members, member)
+	}
 	return journal.Snapshot{Index: 1, Term: 1, Configuration: EncodeConfiguration(configuration), Data: data}
 }
 
--- a/internal/coordination/consensus/replica.go
+++ b/internal/coordination/consensus/replica.go
@@ -41,9 +41,9 @@
 	Machine       StateMachine
 	// Send hands a message to the transport; it may be lost.
 	Send func(Message)
-	// Bootstrap makes this replica the first voter of a new group if its disk
-	// holds no group yet.
-	Bootstrap *Member
+	// Bootstrap makes this replica found a group with these voters, itself
+	// among them, if its disk holds no group yet.
+	Bootstrap []Member
 }
 
 // Replica drives a Core with a journal and a state machine. It is not safe for
@@ -88,7 +88,7 @@
 		waiting: map[uint64]waitingProposal{}, reads: map[uint64]func(error){},
 		RecoveredRecords: recovered.RecordsRead, TornBytes: recovered.TornBytes,
 	}
-	if recovered.Snapshot == nil && len(recovered.Entries) == 0 && options.Bootstrap != nil {
+	if recovered.Snapshot == nil && len(recovered.Entries) == 0 && len(options.Bootstrap) > 0 {
 		if recovered.Snapshot, err = replica.bootstrap(); err != nil {
 			return nil, err
 		}
@@ -216,7 +216,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("taking the first snapshot: %w", err)
 	}
-	snapshot := BootstrapSnapshot(*r.options.Bootstrap, data)
+	snapshot := BootstrapSnapshot(r.options.Bootstrap, data)
 	if err := r.journal.SaveSnapshot(snapshot, true); err != nil {
 		return nil, fmt.Errorf("writing the first snapshot: %w", err)
 	}
--- a/internal/coordination/escrow/messages.go
+++ b/internal/coordination/escrow/messages.go
@@ -53,3 +53,10 @@
 	Given   *accounts.Loan `msgpack:"g,omitempty"`
 	Taken   *accounts.Loan `msgpack:"t,omitempty"`
 }
+
+// AccountsMessage is a message between a holder and the root: one field is set.
+type AccountsMessage struct {
+	Report *ReportMessage `msgpack:"r,omitempty"`
+	Answer *AnswerMessage `msgpack:"a,omitempty"`
+	Recall *RecallMessage `msgpack:"c,omitempty"`
+}
--- /dev/null
+++ b/internal/coordination/registry/registry.go
@@ -0,0 +1,256 @@
+// Package registry keeps the instances of services: who they are, where they
+// listen, and whether they take new work.
+//
+// Every node holds the whole registry and merges what others say, in any
+// order and any number of times, with the same end: for one instance, the
+// change with the highest heartbeat sequence holds, and "gone" holds over
+// everything, since each start of an instance has an id of its own. Absence
+// says nothing: a node that lost its memory takes nothing away from others.
+package registry
+
+import (
+	"cmp"
+	"encoding/binary"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// DefaultLease is the silence after which an instance is taken for lost.
+	// It is long: who sends requests notices a dead instance much sooner, and
+	// an instance that merely can't reach the control nodes still works.
+	DefaultLease = 20 * time.Second
+	// tombstoneAge is how long an instance that is gone is remembered, so that
+	// late messages don't bring it back.
+	tombstoneAge = 2 * time.Minute
+)
+
+// State tells whether an instance takes new work.
+type State uint8
+
+const (
+	// Ready instances take new work.
+	Ready State = iota + 1
+	// Draining instances finish what they have.
+	Draining
+	// Expired instances sent no heartbeat for a lease. A newer one brings them
+	// back.
+	Expired
+	// Gone instances have left for good.
+	Gone
+)
+
+// String names the state.
+func (s State) String() string {
+	names := [...]string{"none", "ready", "draining", "expired", "gone"}
+	if int(s) < len(names) {
+		return names[s]
+	}
+	return "unknown"
+}
+
+// Instance is one life of a server of a service.
+type Instance struct {
+	ID      string `msgpack:"i"`
+	Service string `msgpack:"s"`
+	// Address is host:port. Addresses are used again, so the id goes with it.
+	Address string `msgpack:"a"`
+	Zone    string `msgpack:"z"`
+	Version string `msgpack:"v"`
+	// Slots is the number of requests that it works on at once.
+	Slots int   `msgpack:"l"`
+	State State `msgpack:"t"`
+	// Sequence is that of the heartbeat that brought this change.
+	Sequence uint64 `msgpack:"q"`
+}
+
+// TakesWork tells whether new work may be sent to the instance.
+func (i Instance) TakesWork() bool { return i.State == Ready }
+
+// ErrIncomplete says that a heartbeat lacks something.
+var ErrIncomplete = errors.New("registry: a heartbeat needs an id, a service and an address")
+
+type entry struct {
+	Instance
+	// newest is the highest heartbeat sequence seen, heard the time of it.
+	newest uint64
+	heard  time.Duration
+	// ended is when the instance was found gone or expired.
+	ended time.Duration
+}
+
+// Registry is one node's view. It is not safe for concurrent use. Times are
+// those of a steady clock.
+type Registry struct {
+	lease     time.Duration
+	instances map[string]*entry
+	// heardHere are the instances that sent heartbeats to this node of late.
+	heardHere map[string]struct{}
+}
+
+// New makes an empty registry; a lease of 0 means the default.
+func New(lease time.Duration) *Registry {
+	if lease == 0 {
+		lease = DefaultLease
+	}
+	return &Registry{lease: lease, instances: map[string]*entry{}, heardHere: map[string]struct{}{}}
+}
+
+// Heartbeat takes an instance's own word. It returns whether others should be
+// told.
+func (r *Registry) Heartbeat(now time.Duration, instance Instance) (changed bool, err error) {
+	if instance.ID == "" || instance.Service == "" || instance.Address == "" {
+		return false, ErrIncomplete
+	}
+	known := r.instances[instance.ID]
+	if known == nil {
+		r.instances[instance.ID] = &entry{Instance: instance, newest: instance.Sequence, heard: now}
+		r.heardHere[instance.ID] = struct{}{}
+		return true, nil
+	}
+	if known.State == Gone || instance.Sequence <= known.newest {
+		// A late heartbeat says what was, not what is.
+		return false, nil
+	}
+	known.newest, known.heard = instance.Sequence, now
+	r.heardHere[instance.ID] = struct{}{}
+	if sameButSequence(known.Instance, instance) {
+		return false, nil
+	}
+	known.Instance = instance
+	return true, nil
+}
+
+func sameButSequence(one, other Instance) bool {
+	one.Sequence = other.Sequence
+	return one == other
+}
+
+// Leave takes an instance's word that it ends. It returns whether others
+// should be told.
+func (r *Registry) Leave(now time.Duration, id string) bool {
+	known := r.instances[id]
+	if known == nil {
+		// Not heard of yet: a heartbeat that is still on its way must not
+		// bring it back.
+		known = &entry{Instance: Instance{ID: id}}
+		r.instances[id] = known
+	}
+	if known.State == Gone {
+		return false
+	}
+	known.State, known.ended = Gone, now
+	return true
+}
+
+// Merge takes what another node says and returns what was new in it.
+func (r *Registry) Merge(now time.Duration, others []Instance) []Instance {
+	var news []Instance
+	for _, other := range others {
+		known := r.instances[other.ID]
+		if known != nil && !supersedes(other, known.Instance) {
+			continue
+		}
+		if known == nil {
+			known = &entry{}
+			r.instances[other.ID] = known
+		}
+		known.Instance = other
+		known.newest = max(known.newest, other.Sequence)
+		known.heard = now
+		if !other.alive() {
+			known.ended = now
+		}
+		news = append(news, other)
+	}
+	return news
+}
+
+func (i Instance) alive() bool { return i.State == Ready || i.State == Draining }
+
+// supersedes tells whether a word on an instance is newer than another one.
+func supersedes(other, known Instance) bool {
+	if known.State == Gone || other.State == Gone {
+		return known.State != Gone
+	}
+	if other.Sequence != known.Sequence {
+		return other.Sequence > known.Sequence
+	}
+	return other.State > known.State
+}
+
+// Heard takes another control node's word that instances sent it heartbeats.
+func (r *Registry) Heard(now time.Duration, ids []string) {
+	for _, id := range ids {
+		if known := r.instances[id]; known != nil && known.alive() {
+			known.heard = now
+		}
+	}
+}
+
+// TakeHeardHere returns the instances that sent heartbeats to this node since
+// the last call, in order.
+func (r *Registry) TakeHeardHere() []string {
+	ids := make([]string, 0, len(r.heardHere))
+	for id := range r.heardHere {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	clear(r.heardHere)
+	return ids
+}
+
+// Expire ends the leases of silent instances and returns them; it forgets
+// those that ended long ago.
+func (r *Registry) Expire(now time.Duration) []Instance {
+	var expired []Instance
+	for id, known := range r.instances {
+		switch {
+		case known.alive() && now-known.heard > r.lease:
+			known.State, known.ended = Expired, now
+			// It supersedes the state that it ends, and any later heartbeat
+			// supersedes it.
+			known.Sequence = known.newest
+			expired = append(expired, known.Instance)
+		case !known.alive() && now-known.ended > tombstoneAge:
+			delete(r.instances, id)
+		}
+	}
+	sortByID(expired)
+	return expired
+}
+
+// Instances returns all instances in order, those that ended included.
+func (r *Registry) Instances() []Instance {
+	all := make([]Instance, 0, len(r.instances))
+	for _, known := range r.instances {
+		all = append(all, known.Instance)
+	}
+	sortByID(all)
+	return all
+}
+
+// Live returns the instances that have not ended, in order.
+func (r *Registry) Live() []Instance {
+	all := r.Instances()
+	return slices.DeleteFunc(all, func(instance Instance) bool { return !instance.alive() })
+}
+
+func sortByID(instances []Instance) {
+	slices.SortFunc(instances, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Digest is equal on nodes that hold the same live instances in the same state.
+func (r *Registry) Digest() uint64 {
+	digest := xxhash.New()
+	var number [8]byte
+	for _, instance := range r.Live() {
+		_, _ = digest.WriteString(instance.ID)
+		binary.BigEndian.PutUint64(number[:], instance.Sequence<<8|uint64(instance.State))
+		_, _ = digest.Write(number[:])
+	}
+	return digest.Sum64()
+}
--- /dev/null
+++ b/internal/coordination/registry/registry_test.go
@@ -0,0 +1,86 @@
+package registry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func ready(id string, sequence uint64) Instance {
+	return Instance{ID: id, Service: "llm", Address: "10.0.0.1:1", Zone: "a", State: Ready, Sequence: sequence}
+}
+
+func draining(id string, sequence uint64) Instance {
+	instance := ready(id, sequence)
+	instance.State = Draining
+	return instance
+}
+
+func TestLateHeartbeatDoesNotUndoDraining(t *testing.T) {
+	registry := New(0)
+	changed, err := registry.Heartbeat(0, ready("i", 1))
+	assert.NilError(t, err)
+	assert.Assert(t, changed)
+	changed, _ = registry.Heartbeat(1, draining("i", 5))
+	assert.Assert(t, changed)
+	changed, _ = registry.Heartbeat(2, ready("i", 4))
+	assert.Assert(t, !changed)
+	assert.Equal(t, registry.Live()[0].State, Draining)
+}
+
+func TestHeartbeatAfterLeavingDoesNotBringBack(t *testing.T) {
+	registry := New(0)
+	assert.Assert(t, registry.Leave(0, "i"))
+	_, err := registry.Heartbeat(1, ready("i", 9))
+	assert.NilError(t, err)
+	assert.Equal(t, len(registry.Live()), 0)
+	assert.Assert(t, !registry.Leave(2, "i"))
+}
+
+func TestIncompleteHeartbeatIsRefused(t *testing.T) {
+	_, err := New(0).Heartbeat(0, Instance{ID: "i", Service: "llm"})
+	assert.ErrorIs(t, err, ErrIncomplete)
+}
+
+func TestSilentInstanceExpiresAndItsNextHeartbeatBringsItBack(t *testing.T) {
+	registry := New(time.Second)
+	_, _ = registry.Heartbeat(0, ready("i", 1))
+	registry.Heard(900*time.Millisecond, []string{"i"})
+	assert.Equal(t, len(registry.Expire(1500*time.Millisecond)), 0)
+	assert.Equal(t, len(registry.Expire(2*time.Second)), 1)
+	assert.Equal(t, len(registry.Live()), 0)
+	changed, _ := registry.Heartbeat(3*time.Second, ready("i", 2))
+	assert.Assert(t, changed)
+	assert.Equal(t, len(registry.Live()), 1)
+}
+
+func TestNodeThatLostItsMemoryTakesNothingAway(t *testing.T) {
+	front, restarted := New(0), New(0)
+	_, _ = front.Heartbeat(0, ready("i", 1))
+	assert.Equal(t, len(front.Merge(1, restarted.Instances())), 0)
+	assert.Equal(t, len(restarted.Merge(1, front.Instances())), 1)
+	assert.Equal(t, front.Digest(), restarted.Digest())
+}
+
+func TestMergesInAnyOrderEndAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		words := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Instance {
+			instance := ready(rapid.SampledFrom([]string{"i", "j"}).Draw(t, "id"), rapid.Uint64Range(1, 4).Draw(t, "sequence"))
+			instance.State = State(rapid.IntRange(int(Ready), int(Gone)).Draw(t, "state"))
+			return instance
+		}), 1, 8).Draw(t, "words")
+		seed := rapid.Uint64().Draw(t, "seed")
+		one, other := New(0), New(0)
+		for _, word := range words {
+			one.Merge(0, []Instance{word})
+		}
+		random := rand.New(rand.NewPCG(seed, 1))
+		for _, position := range random.Perm(len(words)) {
+			other.Merge(0, []Instance{words[position], words[position]})
+		}
+		assert.Equal(t, one.Digest(), other.Digest())
+	})
+}
--- /dev/null
+++ b/internal/coordination/replicaset/replicaset.go
@@ -0,0 +1,174 @@
+// Package replicaset decides how the members of the control group change as
+// control nodes come, lose their disks, and go.
+//
+// It is a pure step: what is known of the group and of the nodes in, the next
+// change out. The caller makes one change at a time through the log.
+package replicaset
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/ravenway/ravenway/internal/coordination/consensus"
+)
+
+const (
+	// smallGroup and largeGroup are the numbers of voters: three, or five once
+	// there are five control nodes to hold them.
+	smallGroup = 3
+	largeGroup = 5
+	// maximumLearners bounds the replicas that hold the log without a vote.
+	maximumLearners = 2
+)
+
+// Control is a control node that was heard from lately.
+type Control struct {
+	// Node is its name for peers.
+	Node string
+	// Replica is the identity in its data folder; 0 means that it has none.
+	Replica consensus.ReplicaID
+}
+
+// ChangeKind is one kind of membership change.
+type ChangeKind uint8
+
+const (
+	// Nothing is to be changed.
+	Nothing ChangeKind = iota
+	// AddLearner adds a replica without a vote.
+	AddLearner
+	// Promote gives a learner its vote.
+	Promote
+	// Remove removes a member.
+	Remove
+)
+
+// String names the kind for logs.
+func (k ChangeKind) String() string {
+	return [...]string{"nothing", "add_learner", "promote", "remove"}[k]
+}
+
+// Change is the next change.
+type Change struct {
+	Kind   ChangeKind
+	Member consensus.Member
+	Reason string
+}
+
+// State is what the leader knows.
+type State struct {
+	Members []consensus.Member
+	// Controls are the live control nodes, the leader's own included.
+	Controls []Control
+	// CaughtUp tells whether a member's disk holds every committed entry.
+	CaughtUp func(consensus.ReplicaID) bool
+	// Lost tells whether a member has been silent for long.
+	Lost func(consensus.ReplicaID) bool
+	// Self is the leader.
+	Self consensus.ReplicaID
+}
+
+// Next returns the next change.
+func Next(state State) Change {
+	controls := slices.Clone(state.Controls)
+	slices.SortFunc(controls, func(a, b Control) int { return cmp.Compare(a.Node, b.Node) })
+	if change, found := state.removeOldIdentity(controls); found {
+		return change
+	}
+	if change, found := state.replaceLostVoter(); found {
+		return change
+	}
+	if change, found := state.promoteLearner(); found {
+		return change
+	}
+	if change, found := state.addLearner(controls); found {
+		return change
+	}
+	return state.removeLostLearner(controls)
+}
+
+// removeOldIdentity drops the member of a node whose disk has another identity
+// now: what the old one promised is lost with its disk, so it must not count.
+func (s State) removeOldIdentity(controls []Control) (Change, bool) {
+	for _, control := range controls {
+		for _, member := range s.Members {
+			if member.Node == control.Node && control.Replica != 0 && member.ID != control.Replica && member.ID != s.Self {
+				return Change{Kind: Remove, Member: member, Reason: "its disk came back with another identity"}, true
+			}
+		}
+	}
+	return Change{}, false
+}
+
+// replaceLostVoter drops a silent voter once a learner is there to take its
+// place, so that the group has at no time fewer copies than it may lose.
+func (s State) replaceLostVoter() (Change, bool) {
+	if !slices.ContainsFunc(s.Members, func(member consensus.Member) bool { return member.Learner && s.usable(member) }) {
+		return Change{}, false
+	}
+	for _, member := range s.Members {
+		if !member.Learner && member.ID != s.Self && s.Lost(member.ID) {
+			return Change{Kind: Remove, Member: member, Reason: "silent, and a learner holds the log"}, true
+		}
+	}
+	return Change{}, false
+}
+
+func (s State) usable(member consensus.Member) bool {
+	return s.CaughtUp(member.ID) && !s.Lost(member.ID)
+}
+
+func (s State) promoteLearner() (Change, bool) {
+	voters := 0
+	for _, member := range s.Members {
+		if !member.Learner {
+			voters++
+		}
+	}
+	if voters >= s.wantedVoters() {
+		return Change{}, false
+	}
+	for _, member := range s.Members {
+		if member.Learner && s.usable(member) {
+			return Change{Kind: Promote, Member: member, Reason: "holds the log"}, true
+		}
+	}
+	return Change{}, false
+}
+
+func (s State) wantedVoters() int {
+	if len(s.Controls) >= largeGroup {
+		return largeGroup
+	}
+	return smallGroup
+}
+
+func (s State) addLearner(controls []Control) (Change, bool) {
+	learners, known := 0, map[consensus.ReplicaID]bool{}
+	for _, member := range s.Members {
+		known[member.ID] = true
+		if member.Learner {
+			learners++
+		}
+	}
+	if learners >= maximumLearners {
+		return Change{}, false
+	}
+	for _, control := range controls {
+		if control.Replica != 0 && !known[control.Replica] {
+			return Change{Kind: AddLearner, Member: consensus.Member{ID: control.Replica, Node: control.Node}, Reason: "a control node without the log"}, true
+		}
+	}
+	return Change{}, false
+}
+
+// removeLostLearner makes room for another one.
+func (s State) removeLostLearner(controls []Control) Change {
+	for _, member := range s.Members {
+		isAlive := slices.ContainsFunc(controls, func(control Control) bool { return control.Replica == member.ID })
+		if member.Learner && s.Lost(member.ID) && !isAlive {
+			return Change{Kind: Remove, Member: member, Reason: "a silent learner"}
+		}
+	}
+	return Change{}
+}
--- /dev/null
+++ b/internal/coordination/roster/roster.go
@@ -0,0 +1,189 @@
+// Package roster keeps what a node with open membership has heard of others.
+//
+// A node starts with nothing but seeds: addresses of a few control nodes. It
+// says hello to them; control nodes say hello back and name the others. Seeds
+// may be exchanged at any time; nodes that were heard of stay known until they
+// have been silent for long, so exchanged or dead seeds cut nobody off.
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+)
+
+const (
+	// AliveFor is how long a node counts as alive after its last hello.
+	AliveFor = 2500 * time.Millisecond
+	// forgetAfter is the silence after which a node is forgotten.
+	forgetAfter = 60 * time.Second
+	// listedFor is how long another node's word that a control node exists
+	// keeps it among those to be greeted.
+	listedFor = 15 * time.Second
+)
+
+// Heard is the last hello of a node.
+type Heard struct {
+	peer.Hello
+	At time.Duration
+}
+
+// Roster is one node's view of the others. It is not safe for concurrent use.
+type Roster struct {
+	self  string
+	seeds []string
+	heard map[string]*Heard
+	// listed are control nodes that another node named, with the time of it.
+	listed map[string]time.Duration
+	// peers are the entry nodes that control nodes named.
+	entries map[string]listedEntry
+}
+
+type listedEntry struct {
+	peer.NodeEntry
+	at time.Duration
+}
+
+// New makes a roster of a node that knows seeds only.
+func New(self string, seeds []string) *Roster {
+	return &Roster{self: self, seeds: seeds, heard: map[string]*Heard{}, listed: map[string]time.Duration{}, entries: map[string]listedEntry{}}
+}
+
+// SetSeeds exchanges the seeds.
+func (r *Roster) SetSeeds(seeds []string) { r.seeds = seeds }
+
+// Seeds returns the seeds.
+func (r *Roster) Seeds() []string { return r.seeds }
+
+// Hello takes a node's hello. It returns whether the node was not known, or
+// runs a new life.
+func (r *Roster) Hello(now time.Duration, hello peer.Hello) (isNew bool) {
+	if hello.Address == r.self || hello.Address == "" {
+		return false
+	}
+	known := r.heard[hello.Address]
+	isNew = known == nil || known.Life != hello.Life || now-known.At > AliveFor
+	if known != nil && len(hello.Nodes) == 0 {
+		hello.Nodes = known.Nodes
+	}
+	r.heard[hello.Address] = &Heard{Hello: hello, At: now}
+	if !hello.Control {
+		return isNew
+	}
+	for _, node := range hello.Nodes {
+		if node.Control && node.Address != r.self {
+			r.listed[node.Address] = now
+		}
+		if node.Entry && node.Address != r.self {
+			r.entries[node.Address] = listedEntry{NodeEntry: node, at: now}
+		}
+	}
+	return isNew
+}
+
+// Get returns a node's last hello, or nil.
+func (r *Roster) Get(address string) *Heard { return r.heard[address] }
+
+// Alive tells whether a node was heard from lately.
+func (r *Roster) Alive(now time.Duration, address string) bool {
+	known := r.heard[address]
+	return known != nil && now-known.At <= AliveFor
+}
+
+// Greet returns the control nodes that this node says hello to, in order.
+func (r *Roster) Greet(now time.Duration) []string {
+	set := map[string]bool{}
+	for _, seed := range r.seeds {
+		set[seed] = true
+	}
+	for address, at := range r.listed {
+		if now-at <= listedFor {
+			set[address] = true
+		}
+	}
+	for address, known := range r.heard {
+		if known.Control && now-known.At <= listedFor {
+			set[address] = true
+		}
+	}
+	delete(set, r.self)
+	addresses := make([]string, 0, len(set))
+	for address := range set {
+		addresses = append(addresses, address)
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// AliveNodes returns the nodes that were heard from lately, in order.
+func (r *Roster) AliveNodes(now time.Duration) []*Heard {
+	var alive []*Heard
+	for _, known := range r.heard {
+		if now-known.At <= AliveFor {
+			alive = append(alive, known)
+		}
+	}
+	slices.SortFunc(alive, func(a, b *Heard) int { return cmp.Compare(a.Address, b.Address) })
+	return alive
+}
+
+// Controls returns the control nodes that were heard from lately, in order.
+func (r *Roster) Controls(now time.Duration) []*Heard {
+	return slices.DeleteFunc(r.AliveNodes(now), func(known *Heard) bool { return !known.Control })
+}
+
+// Entries returns the other entry nodes that control nodes named of late, in
+// order.
+func (r *Roster) Entries(now time.Duration) []peer.NodeEntry {
+	var entries []peer.NodeEntry
+	for _, listed := range r.entries {
+		if now-listed.at <= listedFor {
+			entries = append(entries, listed.NodeEntry)
+		}
+	}
+	slices.SortFunc(entries, func(a, b peer.NodeEntry) int { return cmp.Compare(a.Address, b.Address) })
+	return entries
+}
+
+// Leader returns the leader of the control group as the freshest hello with
+// the highest term names it, or "".
+func (r *Roster) Leader(now time.Duration) string {
+	var best *Heard
+	for _, known := range r.Controls(now) {
+		if known.Leader == "" {
+			continue
+		}
+		if best == nil || known.Term > best.Term || known.Term == best.Term && known.At > best.At {
+			best = known
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.Leader
+}
+
+// Forget drops nodes that have been silent for long and returns them.
+func (r *Roster) Forget(now time.Duration) []string {
+	var gone []string
+	for address, known := range r.heard {
+		if now-known.At > forgetAfter {
+			delete(r.heard, address)
+			gone = append(gone, address)
+		}
+	}
+	for address, at := range r.listed {
+		if now-at > forgetAfter {
+			delete(r.listed, address)
+		}
+	}
+	for address, listed := range r.entries {
+		if now-listed.at > forgetAfter {
+			delete(r.entries, address)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
--- /dev/null
+++ b/internal/coordination/roster/roster_test.go
@@ -0,0 +1,46 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+)
+
+func control(address, leader string, term uint64, nodes ...peer.NodeEntry) peer.Hello {
+	return peer.Hello{Address: address, Life: "1", Control: true, Leader: leader, Term: term, Nodes: nodes}
+}
+
+func TestNodeLearnsControlNodesFromItsSeeds(t *testing.T) {
+	roster := New("f:1", []string{"a:1"})
+	assert.DeepEqual(t, roster.Greet(0), []string{"a:1"})
+	assert.Assert(t, roster.Hello(0, control("a:1", "b:1", 1, peer.NodeEntry{Address: "b:1", Control: true}, peer.NodeEntry{Address: "f:1", Entry: true})))
+	assert.DeepEqual(t, roster.Greet(0), []string{"a:1", "b:1"})
+	assert.Equal(t, len(roster.Entries(0)), 0)
+}
+
+func TestExchangedSeedsCutNobodyOff(t *testing.T) {
+	roster := New("f:1", []string{"a:1"})
+	roster.Hello(0, control("a:1", "", 0))
+	roster.SetSeeds([]string{"c:1"})
+	assert.DeepEqual(t, roster.Greet(time.Second), []string{"a:1", "c:1"})
+	assert.DeepEqual(t, roster.Greet(time.Minute), []string{"c:1"})
+	assert.DeepEqual(t, roster.Forget(2*time.Minute), []string{"a:1"})
+}
+
+func TestLeaderOfTheHighestTermCounts(t *testing.T) {
+	roster := New("f:1", nil)
+	roster.Hello(0, control("a:1", "a:1", 3))
+	roster.Hello(0, control("b:1", "b:1", 4))
+	assert.Equal(t, roster.Leader(0), "b:1")
+	assert.Equal(t, roster.Leader(time.Minute), "")
+}
+
+func TestNewLifeOfANodeIsNoticed(t *testing.T) {
+	roster := New("a:1", nil)
+	assert.Assert(t, roster.Hello(0, peer.Hello{Address: "f:1", Life: "1"}))
+	assert.Assert(t, !roster.Hello(0, peer.Hello{Address: "f:1", Life: "1"}))
+	assert.Assert(t, roster.Hello(0, peer.Hello{Address: "f:1", Life: "2"}))
+}
--- a/internal/lab/simulate/consensus.go
+++ b/internal/lab/simulate/consensus.go
@@ -152,7 +152,7 @@
 		options.FileSystem = lazyDisk{node.disk}
 	}
 	if bootstrap {
-		options.Bootstrap = &consensus.Member{ID: node.id, Node: node.name}
+		options.Bootstrap = []consensus.Member{{ID: node.id, Node: node.name}}
 	}
 	replica, err := consensus.OpenReplica(options)
 	if err != nil {
--- a/internal/node/escrow.go
+++ b/internal/node/escrow.go
@@ -56,7 +56,7 @@
 	now := e.node.now()
 	if report, due := e.holder.Report(now); due {
 		if leader := e.node.leader(); leader != "" {
-			e.node.send(leader, peer.KindAccounts, &accountsMessage{Report: &report})
+			e.node.send(leader, peer.KindAccounts, &escrow.AccountsMessage{Report: &report})
 		}
 	}
 	for _, loan := range e.holder.Loans() {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -51,7 +51,7 @@
 		r.node.fail(err)
 		return
 	}
-	founded, err := r.open(&consensus.Member{ID: r.id, Node: r.node.name})
+	founded, err := r.open([]consensus.Member{{ID: r.id, Node: r.node.name}})
 	if err != nil {
 		r.node.fail(err)
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/membership"
 	"github.com/ravenway/ravenway/internal/protocol/engine"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/settings"
 	"github.com/ravenway/ravenway/internal/state/disk"
 	"github.com/ravenway/ravenway/internal/transport"
@@ -72,7 +73,7 @@
 	backendHTTP http.RoundTripper
 
 	mesh      *transport.Mesh
-	calls     *callTable
+	calls     *peer.Calls
 	fleet     *fleetView
 	catalog   *catalogDuty
 	replica   *replicaDuty
@@ -120,7 +121,7 @@
 		Self: node.name, Peers: addresses, Key: options.PeerKey, TLS: options.PeerTLS,
 		Listener: options.Listeners.Peers, Dial: options.DialPeer, Handle: node.handleFrame, Logger: node.log,
 	})
-	node.calls = newCallTable()
+	node.calls = peer.NewCalls(node.send)
 	node.fleet = newFleetView(node)
 	node.decisions = newDecisionLog(node.log)
 	node.answers = newAnswerStore(node.settings.Limits.AnswerStoreBytes)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -62,52 +61,36 @@
 func (n *Node) dispatch(from string, envelope peer.Envelope) error {
 	switch envelope.Kind {
 	case peer.KindConsensus:
-		return handle(envelope, func(message consensus.Message) { n.takeConsensus(message) })
+		return peer.Dispatch(envelope, func(message consensus.Message) { n.takeConsensus(message) })
 	case peer.KindCall:
-		return handle(envelope, func(call peer.Call) { go n.serveCall(from, call) })
+		return peer.Dispatch(envelope, func(call peer.Call) { go n.serveCall(from, call) })
 	case peer.KindReply:
-		return handle(envelope, n.calls.answered)
+		return peer.Dispatch(envelope, n.calls.Answered)
 	case peer.KindStatus:
-		return handle(envelope, n.fleet.take)
+		return peer.Dispatch(envelope, n.fleet.take)
 	case peer.KindClaims:
-		return handle(envelope, n.claims.take)
+		return peer.Dispatch(envelope, n.claims.take)
 	case peer.KindCatalog:
-		return handle(envelope, func(delta catalog.Delta) { n.catalog.takeDelta(from, delta) })
+		return peer.Dispatch(envelope, func(delta catalog.Delta) { n.catalog.takeDelta(from, delta) })
 	case peer.KindCatalogFollow:
-		return handle(envelope, func(follow peer.CatalogFollow) { n.catalog.takeFollow(from, follow) })
+		return peer.Dispatch(envelope, func(follow peer.CatalogFollow) { n.catalog.takeFollow(from, follow) })
 	case peer.KindAccounts:
-		return handle(envelope, func(message accountsMessage) { n.takeAccounts(message) })
+		return peer.Dispatch(envelope, func(message escrow.AccountsMessage) { n.takeAccounts(message) })
 	case peer.KindReports:
-		return handle(envelope, n.backends.takeReports)
+		return peer.Dispatch(envelope, n.backends.takeReports)
 	case peer.KindLend:
-		return handle(envelope, func(message escrow.LendMessage) { n.escrow.takeLend(from, message) })
+		return peer.Dispatch(envelope, func(message escrow.LendMessage) { n.escrow.takeLend(from, message) })
 	}
 	return fmt.Errorf("kind %d has no duty", envelope.Kind)
 }
 
-func handle[T any](envelope peer.Envelope, take func(T)) error {
-	message, err := peer.DecodeBody[T](envelope)
-	if err != nil {
-		return err
-	}
-	take(message)
-	return nil
-}
-
 func (n *Node) takeConsensus(message consensus.Message) {
 	if n.replica != nil {
 		n.replica.take(message)
 	}
 }
 
-// accountsMessage is a message between a holder and the root: one field is set.
-type accountsMessage struct {
-	Report *escrow.ReportMessage `msgpack:"r,omitempty"`
-	Answer *escrow.AnswerMessage `msgpack:"a,omitempty"`
-	Recall *escrow.RecallMessage `msgpack:"c,omitempty"`
-}
-
-func (n *Node) takeAccounts(message accountsMessage) {
+func (n *Node) takeAccounts(message escrow.AccountsMessage) {
 	switch {
 	case message.Report != nil && n.replica != nil:
 		n.replica.takeReport(*message.Report)
@@ -123,64 +106,10 @@
 	Messages []claims.Message `msgpack:"m"`
 }
 
-// callTable matches replies to the calls that wait for them.
-type callTable struct {
-	mutex   sync.Mutex
-	next    uint64
-	waiting map[uint64]chan peer.Reply
-}
-
-func newCallTable() *callTable {
-	return &callTable{waiting: map[uint64]chan peer.Reply{}}
-}
-
-func (c *callTable) begin() (uint64, chan peer.Reply) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.next++
-	answer := make(chan peer.Reply, 1)
-	c.waiting[c.next] = answer
-	return c.next, answer
-}
-
-func (c *callTable) end(id uint64) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	delete(c.waiting, id)
-}
-
-func (c *callTable) answered(reply peer.Reply) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if answer := c.waiting[reply.ID]; answer != nil {
-		delete(c.waiting, reply.ID)
-		answer <- reply
-	}
-}
-
 // callNode asks another node and decodes its answer. An error is a
 // *peer.ReplyError if the other node answered.
 func callNode[T any](ctx context.Context, n *Node, to string, method peer.Method, question any) (T, error) {
-	var answer T
-	body, err := msgpack.Marshal(question)
-	if err != nil {
-		return answer, fmt.Errorf("encoding call %s: %w", method, err)
-	}
-	id, replies := n.calls.begin()
-	defer n.calls.end(id)
-	n.send(to, peer.KindCall, &peer.Call{ID: id, Method: method, Body: body})
-	select {
-	case <-ctx.Done():
-		return answer, fmt.Errorf("calling %s on %s: %w", method, to, context.Cause(ctx))
-	case reply := <-replies:
-		if reply.Code != "" {
-			return answer, &peer.ReplyError{Code: reply.Code, Detail: reply.Detail}
-		}
-		if err := msgpack.Unmarshal(reply.Body, &answer); err != nil {
-			return answer, fmt.Errorf("decoding the answer to call %s: %w", method, err)
-		}
-		return answer, nil
-	}
+	return peer.Invoke[T](ctx, n.calls, to, method, question)
 }
 
 // callTimeout bounds the work on another node's call.
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -86,7 +86,7 @@
 	return owner, nil
 }
 
-func (r *replicaDuty) open(bootstrap *consensus.Member) (*consensus.Replica, error) {
+func (r *replicaDuty) open(bootstrap []consensus.Member) (*consensus.Replica, error) {
 	return consensus.OpenReplica(consensus.ReplicaOptions{
 		ID: r.id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Random: newRandom(),
 		FileSystem: r.node.options.FileSystem, Machine: r.machine, Send: r.send, Bootstrap: bootstrap,
@@ -181,10 +181,10 @@
 	return escrow.RootOptions{
 		HoldersOf: r.holdersOf,
 		Reply: func(to string, message escrow.AnswerMessage) {
-			node.send(to, peer.KindAccounts, &accountsMessage{Answer: &message})
+			node.send(to, peer.KindAccounts, &escrow.AccountsMessage{Answer: &message})
 		},
 		Recall: func(to string, message escrow.RecallMessage) {
-			node.send(to, peer.KindAccounts, &accountsMessage{Recall: &message})
+			node.send(to, peer.KindAccounts, &escrow.AccountsMessage{Recall: &message})
 		},
 	}
 }
--- /dev/null
+++ b/internal/protocol/peer/calls.go
@@ -0,0 +1,83 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Calls matches replies to the calls that wait for them.
+type Calls struct {
+	// send hands a message to the transport; it may be lost.
+	send    func(to string, kind Kind, body any)
+	mutex   sync.Mutex
+	next    uint64
+	waiting map[uint64]chan Reply
+}
+
+// NewCalls makes a table without waiting calls.
+func NewCalls(send func(to string, kind Kind, body any)) *Calls {
+	return &Calls{send: send, waiting: map[uint64]chan Reply{}}
+}
+
+func (c *Calls) begin() (uint64, chan Reply) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.next++
+	answer := make(chan Reply, 1)
+	c.waiting[c.next] = answer
+	return c.next, answer
+}
+
+func (c *Calls) end(id uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.waiting, id)
+}
+
+// Answered hands a reply to the call that waits for it, if one does.
+func (c *Calls) Answered(reply Reply) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if answer := c.waiting[reply.ID]; answer != nil {
+		delete(c.waiting, reply.ID)
+		answer <- reply
+	}
+}
+
+// Invoke asks another node and decodes its answer. The error is a *ReplyError
+// if the other node answered with one.
+func Invoke[T any](ctx context.Context, calls *Calls, to string, method Method, question any) (T, error) {
+	var answer T
+	body, err := msgpack.Marshal(question)
+	if err != nil {
+		return answer, fmt.Errorf("encoding call %s: %w", method, err)
+	}
+	id, replies := calls.begin()
+	defer calls.end(id)
+	calls.send(to, KindCall, &Call{ID: id, Method: method, Body: body})
+	select {
+	case <-ctx.Done():
+		return answer, fmt.Errorf("calling %s on %s: %w", method, to, context.Cause(ctx))
+	case reply := <-replies:
+		if reply.Code != "" {
+			return answer, &ReplyError{Code: reply.Code, Detail: reply.Detail}
+		}
+		if err := msgpack.Unmarshal(reply.Body, &answer); err != nil {
+			return answer, fmt.Errorf("decoding the answer to call %s: %w", method, err)
+		}
+		return answer, nil
+	}
+}
+
+// Dispatch decodes an envelope's body and hands it on.
+func Dispatch[T any](envelope Envelope, take func(T)) error {
+	message, err := DecodeBody[T](envelope)
+	if err != nil {
+		return err
+	}
+	take(message)
+	return nil
+}
--- /dev/null
+++ b/internal/protocol/peer/fleet.go
@@ -0,0 +1,62 @@
+package peer
+
+// Hello is what a node with open membership says of itself, again and again,
+// to the control nodes; control nodes say it to all nodes that they hear from.
+type Hello struct {
+	// Address (host:port) is the node's peer listener and its name for peers.
+	Address string `msgpack:"a"`
+	// Node and Zone are the names that the settings give.
+	Node string `msgpack:"n"`
+	Zone string `msgpack:"z"`
+	// Life names one run of the process; it is drawn anew at each start.
+	Life     string `msgpack:"l"`
+	Entry    bool   `msgpack:"e,omitempty"`
+	Control  bool   `msgpack:"c,omitempty"`
+	Stopping bool   `msgpack:"s,omitempty"`
+	// Version is the configuration document in force there.
+	Version uint64 `msgpack:"v,omitempty"`
+	// InstancesDigest covers the live instances that the node knows.
+	InstancesDigest uint64 `msgpack:"d,omitempty"`
+	// Replica is the identity in a control node's data folder, 0 while it can't
+	// be read.
+	Replica uint64 `msgpack:"r,omitempty"`
+	// HasGroup tells that the replica belongs to a group.
+	HasGroup bool `msgpack:"g,omitempty"`
+	// Leader is the address of the leader as the sender knows it in Term.
+	Leader string `msgpack:"w,omitempty"`
+	Term   uint64 `msgpack:"t,omitempty"`
+	// QuorumSilenceMS is the time since a control node last had word of a quorum.
+	QuorumSilenceMS uint64 `msgpack:"q,omitempty"`
+	// Nodes are the nodes that a control node heard from lately. It is left out
+	// when the receiver was told before.
+	Nodes []NodeEntry `msgpack:"m,omitempty"`
+}
+
+// NodeEntry is one node in a list of nodes.
+type NodeEntry struct {
+	Address string `msgpack:"a"`
+	Zone    string `msgpack:"z"`
+	Entry   bool   `msgpack:"e,omitempty"`
+	Control bool   `msgpack:"c,omitempty"`
+}
+
+// DocumentNotice tells that a document is in force at the sender.
+type DocumentNotice struct {
+	Version uint64 `msgpack:"v"`
+}
+
+// DocumentFetch asks for the document in force if it is above Have.
+type DocumentFetch struct {
+	Have uint64 `msgpack:"h"`
+}
+
+// DocumentData carries a document as document.Decode reads it.
+type DocumentData struct {
+	Version uint64 `msgpack:"v"`
+	Encoded []byte `msgpack:"e"`
+}
+
+// InstancesHeard names the instances that sent heartbeats to the sender of late.
+type InstancesHeard struct {
+	IDs []string `msgpack:"i"`
+}
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -42,13 +42,27 @@
 	KindFence
 	// KindReports carries back ends' load reports to the nodes of a zone.
 	KindReports
+	// KindHello carries what a node with open membership says of itself.
+	KindHello
+	// KindDocumentNotice tells that a configuration document is in force.
+	KindDocumentNotice
+	// KindDocumentFetch asks for the document in force.
+	KindDocumentFetch
+	// KindDocument carries it.
+	KindDocument
+	// KindInstances carries changes of the instance registry.
+	KindInstances
+	// KindInstancesHeard names the instances that a control node heard from.
+	KindInstancesHeard
 	// kindEnd is behind the last kind.
 	kindEnd
 )
 
 // String names the kind, for metrics.
 func (k Kind) String() string {
-	names := [...]string{"none", "consensus", "call", "reply", "status", "claims", "catalog", "follow", "accounts", "lend", "fence", "reports"}
+	names := [...]string{"none", "consensus", "call", "reply", "status", "claims", "catalog", "follow", "accounts", "lend", "fence", "reports",
+		"hello", "document_notice", "document_fetch", "document", "instances", "instances_heard",
+	}
 	if int(k) < len(names) {
 		return names[k]
 	}
@@ -133,6 +147,10 @@
 	MethodRecall Method = "recall"
 	// MethodLend asks a holder to lend a part of its unused grant.
 	MethodLend Method = "lend"
+	// MethodTakeDocument asks the leader to take a configuration document.
+	MethodTakeDocument Method = "take_document"
+	// MethodReadDocument asks the leader for the document in force.
+	MethodReadDocument Method = "read_document"
 	// MethodFence asks a claim holder to fence a holder's life.
 	MethodFence Method = "fence"
 )
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -29,11 +29,14 @@
 const (
 	// outgoingCapacity bounds the frames waiting for one peer; the oldest go first.
 	outgoingCapacity = 4096
-	handshakeTimeout = 3 * time.Second
-	dialTimeout      = 2 * time.Second
-	writeTimeout     = 5 * time.Second
-	minimumBackoff   = 100 * time.Millisecond
-	maximumBackoff   = 2 * time.Second
+	// The bounds are short, so that after a silent cut a new connection is
+	// there well within the time that a node has to catch up.
+	handshakeTimeout = time.Second
+	dialTimeout      = 700 * time.Millisecond
+	writeTimeout     = 2 * time.Second
+	userTimeout      = 1500 * time.Millisecond
+	minimumBackoff   = 50 * time.Millisecond
+	maximumBackoff   = 300 * time.Millisecond
 	writeBufferBytes = 64 << 10
 	// maximumUnauthenticated bounds the connections in their handshake.
 	maximumUnauthenticated = 256
@@ -45,6 +48,9 @@
 	Self string
 	// Peers are the addresses (host:port) of the other nodes by name.
 	Peers map[string]string
+	// OpenMembership makes a node's name its address: any node that holds the
+	// key may connect, and links are made as they are first needed.
+	OpenMembership bool
 	// Key is the shared peer key.
 	Key []byte
 	// TLS is nil for plain TCP.
@@ -61,13 +67,16 @@
 // Mesh is a node's end of all its connections.
 type Mesh struct {
 	options  Options
-	links    map[string]*outgoingLink
 	refused  *metrics.Counter
 	received *metrics.Counter
 
 	mutex       sync.Mutex
+	links       map[string]*outgoingLink
 	connections map[net.Conn]struct{}
 	handshakes  chan struct{}
+	// running is nil before Run.
+	running context.Context
+	duties  sync.WaitGroup
 }
 
 // outgoingLink is the way to one peer.
@@ -75,12 +84,21 @@
 	name    string
 	address string
 	frames  *ring.Ring[[]byte]
+	// forget ends the link.
+	forget chan struct{}
+}
+
+func newLink(name, address string) *outgoingLink {
+	return &outgoingLink{
+		name: name, address: address, forget: make(chan struct{}),
+		frames: ring.New[[]byte]("peer_outgoing", outgoingCapacity),
+	}
 }
 
 // NewMesh makes a mesh; Run starts it.
 func NewMesh(options Options) *Mesh {
 	if options.Dial == nil {
-		dialer := &net.Dialer{Timeout: dialTimeout}
+		dialer := &net.Dialer{Timeout: dialTimeout, Control: SetUserTimeout(userTimeout)}
 		options.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}
@@ -95,7 +113,7 @@
 	}
 	for name, address := range options.Peers {
 		if name != options.Self {
-			mesh.links[name] = &outgoingLink{name: name, address: address, frames: ring.New[[]byte]("peer_outgoing", outgoingCapacity)}
+			mesh.links[name] = newLink(name, address)
 		}
 	}
 	return mesh
@@ -103,25 +121,53 @@
 
 // Send queues a frame for a peer. A full queue drops its oldest frame.
 func (m *Mesh) Send(to string, frame []byte) {
-	if link := m.links[to]; link != nil {
+	if link := m.link(to); link != nil {
 		link.frames.Displace(frame)
 	}
 }
 
+// link finds the link to a peer, or makes it if membership is open.
+func (m *Mesh) link(to string) *outgoingLink {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	link := m.links[to]
+	if link != nil || !m.options.OpenMembership || to == m.options.Self || to == "" {
+		return link
+	}
+	link = newLink(to, to)
+	m.links[to] = link
+	if m.running != nil && m.running.Err() == nil {
+		m.duties.Go(func() { m.runLink(m.running, link) })
+	}
+	return link
+}
+
+// Forget ends the link to a peer that is gone, with all that waits for it.
+func (m *Mesh) Forget(name string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if link := m.links[name]; link != nil && m.options.OpenMembership {
+		delete(m.links, name)
+		close(link.forget)
+	}
+}
+
 // Run serves until the context ends.
 func (m *Mesh) Run(ctx context.Context) {
-	var duties sync.WaitGroup
+	m.mutex.Lock()
+	m.running = ctx
 	for _, link := range m.links {
-		duties.Go(func() { m.runLink(ctx, link) })
+		m.duties.Go(func() { m.runLink(ctx, link) })
 	}
-	duties.Go(func() { m.accept(ctx, &duties) })
+	m.mutex.Unlock()
+	m.duties.Go(func() { m.accept(ctx) })
 	<-ctx.Done()
 	_ = m.options.Listener.Close()
 	m.closeConnections()
-	duties.Wait()
+	m.duties.Wait()
 }
 
-func (m *Mesh) accept(ctx context.Context, duties *sync.WaitGroup) {
+func (m *Mesh) accept(ctx context.Context) {
 	for {
 		connection, err := m.options.Listener.Accept()
 		if err != nil {
@@ -137,7 +183,7 @@
 			_ = connection.Close()
 			continue
 		}
-		duties.Go(func() { m.serve(ctx, connection) })
+		m.duties.Go(func() { m.serve(ctx, connection) })
 	}
 }
 
@@ -174,8 +220,10 @@
 }
 
 func (m *Mesh) known(name string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	_, found := m.links[name]
-	return found
+	return found || m.options.OpenMembership
 }
 
 func (m *Mesh) refuse(connection net.Conn, err error) {
@@ -192,6 +240,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-link.forget:
+			return
 		case first = <-link.frames.Out():
 		}
 		err := m.sendFrames(ctx, link, first)
@@ -247,6 +297,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-link.forget:
+			return nil
 		case <-closed:
 			return errConnected
 		case frame = <-link.frames.Out():
--- /dev/null
+++ b/internal/transport/socket.go
@@ -0,0 +1,26 @@
+package transport
+
+import (
+	"syscall"
+	"time"
+)
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of <netinet/tcp.h>, which package syscall
+// does not name.
+const tcpUserTimeout = 0x12
+
+// SetUserTimeout returns a net.Dialer's Control function that makes a
+// connection fail once sent data was not acknowledged for that long. A network
+// that was cut says nothing by itself.
+func SetUserTimeout(timeout time.Duration) func(network, address string, connection syscall.RawConn) error {
+	return func(_, _ string, connection syscall.RawConn) error {
+		var failure error
+		err := connection.Control(func(descriptor uintptr) {
+			failure = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failure
+	}
+}
