--- a/cmd/ravenwayd/main.go
+++ b/cmd/ravenwayd/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/ravenway/ravenway/internal/daemon"
 	"github.com/ravenway/ravenway/internal/settings"
+	"github.com/ravenway/ravenway/platform"
 )
 
 func main() {
@@ -31,7 +32,7 @@
 					if err != nil {
 						return err
 					}
-					return daemon.Run(ctx, path)
+					return daemon.Run(ctx, path, daemon.Dialects{platform.Name: platform.New()})
 				},
 			},
 			{
--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -48,6 +48,21 @@
 	ErrClosed = errors.New("escrow: this life of the node is fenced")
 )
 
+// ExhaustedError is an ErrExhausted with what the root knows, in tokens.
+type ExhaustedError struct {
+	// Limit is the budget's limit, Spent its use that is known for sure, Left
+	// what could still be granted.
+	Limit, Spent, Left uint64
+}
+
+// Error implements error.
+func (e *ExhaustedError) Error() string {
+	return fmt.Sprintf("%v: %d of %d tokens are spent, %d are left to grant", ErrExhausted, e.Spent, e.Limit, e.Left)
+}
+
+// Is makes it an ErrExhausted.
+func (e *ExhaustedError) Is(target error) bool { return target == ErrExhausted }
+
 // Policy is how a budget's grants are asked for.
 type Policy struct {
 	Horizon time.Duration
@@ -97,6 +112,9 @@
 // ID returns the holder's life.
 func (h *Holder) ID() accounts.HolderID { return h.options.ID }
 
+// SetLenders replaces the nodes to borrow from.
+func (h *Holder) SetLenders(lenders []string) { h.options.Lenders = lenders }
+
 // Closed tells whether the root has fenced this life.
 func (h *Holder) Closed() bool { return h.closed }
 
@@ -329,7 +347,7 @@
 	if answer.Unreached > 0 {
 		return fmt.Errorf("%w: %d nodes that hold a part of it do not answer", ErrUnreachable, answer.Unreached)
 	}
-	return fmt.Errorf("%w: %d tokens are left", ErrExhausted, answer.Left)
+	return &ExhaustedError{Limit: answer.Limit, Spent: answer.Spent, Left: answer.Left}
 }
 
 func (h *Holder) close() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,11 +22,14 @@
 )
 
 // Run runs the daemon until a planned stop ends or the node fails.
-func Run(ctx context.Context, path string) error {
+func Run(ctx context.Context, path string, dialects Dialects) error {
 	loaded, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
+	if loaded.IsOpenFleet() {
+		return runFleet(ctx, path, loaded, dialects)
+	}
 	options, err := prepare(loaded)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/daemon/fleet.go
@@ -0,0 +1,127 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/gateway"
+	"github.com/ravenway/ravenway/internal/settings"
+	"github.com/ravenway/ravenway/internal/state/disk"
+)
+
+const (
+	// settingsPoll is how often the settings file is looked at: it may change
+	// without a signal.
+	settingsPoll = 2 * time.Second
+	// stopReserve is the part of the grace that is left when a planned stop
+	// must be over.
+	stopReserve = 500 * time.Millisecond
+)
+
+// Dialects are the wire interfaces by their name in the settings.
+type Dialects map[string]gateway.Dialect
+
+// runFleet runs a node that finds the others from seeds.
+func runFleet(ctx context.Context, path string, loaded *settings.Settings, dialects Dialects) error {
+	dialect, found := dialects[loaded.Fleet.Dialect]
+	if !found {
+		return settings.Findings{{File: path, Key: "fleet.dialect", Problem: fmt.Sprintf("%q is not known", loaded.Fleet.Dialect)}}
+	}
+	options := gateway.Options{Settings: loaded, Dialect: dialect, Logger: newLogger(loaded)}
+	var err error
+	if options.PeerKey, err = settings.ReadSecret(loaded.Security.PeerKeyFile); err != nil {
+		return err
+	}
+	if loaded.HasRole(settings.RoleControl) {
+		folder, err := disk.NewOS(loaded.Control.DataDir)
+		if err != nil {
+			return fmt.Errorf("opening the data folder: %w", err)
+		}
+		options.FileSystem = folder
+	}
+	if options.Listeners, err = openFleetListeners(loaded); err != nil {
+		return err
+	}
+	started, err := gateway.New(options)
+	if err != nil {
+		return fmt.Errorf("starting node %s: %w", loaded.Node.Name, err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		watchSettings(ctx, path, started, signals)
+		stopping, cancelStop := context.WithTimeout(ctx, loaded.Bounds.StopGrace-stopReserve)
+		defer cancelStop()
+		started.Stop(stopping)
+		cancel()
+	}()
+	return started.Run(ctx)
+}
+
+// watchSettings takes changed settings until a signal asks for a stop.
+func watchSettings(ctx context.Context, path string, node *gateway.Node, signals <-chan os.Signal) {
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	seen := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case received := <-signals:
+			if received != syscall.SIGHUP {
+				return
+			}
+		case <-ticker.C:
+			if modified(path) == seen {
+				continue
+			}
+		}
+		seen = modified(path)
+		changed, err := settings.Load(path)
+		if err != nil {
+			// The settings in force stay; a half-written file is read again.
+			node.Refuse(err)
+			continue
+		}
+		node.Reload(changed)
+	}
+}
+
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+func openFleetListeners(loaded *settings.Settings) (gateway.Listeners, error) {
+	var opened gateway.Listeners
+	for key, one := range map[string]struct {
+		address  string
+		listener *net.Listener
+	}{
+		"listen.callers": {loaded.Listen.Callers, &opened.Callers},
+		"listen.ready":   {loaded.Listen.Ready, &opened.Ready},
+		"listen.control": {loaded.Listen.Control, &opened.Control},
+		"listen.peers":   {loaded.Listen.Peers, &opened.Peers},
+		"listen.health":  {loaded.Listen.Health, &opened.Health},
+	} {
+		if one.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", one.address)
+		if err != nil {
+			return opened, fmt.Errorf("%s: %w", key, err)
+		}
+		*one.listener = listener
+	}
+	return opened, nil
+}
--- /dev/null
+++ b/internal/forward/attempts.go
@@ -0,0 +1,223 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/state/document"
+)
+
+const (
+	// maximumDials bounds the instances that a request fails to connect to.
+	maximumDials = 4
+	// A repeatable request that has no answer after this many objectives is
+	// sent to another instance.
+	patienceObjectives = 2.5
+	minimumPatience    = 200 * time.Millisecond
+)
+
+// verdict is what follows from one attempt.
+type verdict uint8
+
+const (
+	// done: the caller has its answer.
+	done verdict = iota
+	// unreached: no byte reached the instance; another may be tried freely.
+	unreached
+	// turnedAway: the instance said that it did not run the request.
+	turnedAway
+	// unknown: the instance may have run it, and there is no answer.
+	unknown
+	// failed: the instance answered with a failure of its own.
+	failed
+	// brokenOff: the answer had begun and can't be completed.
+	brokenOff
+)
+
+// serve sends the request to instances until one answers.
+func (r *request) serve(ctx context.Context) {
+	service := r.chooseService()
+	environment := r.pipeline.options.Environment
+	policy := environment.RetryPolicy()
+	r.pipeline.retries.Request(environment.Now(), service, policy)
+	dials := 0
+	var last *exchange
+	for {
+		choice, found := r.choose(service)
+		if !found {
+			r.giveUp(last, ReasonNoInstance)
+			return
+		}
+		ended, result := r.attempt(ctx, choice)
+		if result == done {
+			return
+		}
+		if result == brokenOff {
+			// The connection is cut, so that the answer does not look complete.
+			panic(http.ErrAbortHandler)
+		}
+		if ended != nil {
+			last = ended
+		}
+		if ctx.Err() != nil {
+			r.giveUp(last, ReasonTimeout)
+			return
+		}
+		if result == unreached {
+			if dials++; dials < maximumDials {
+				continue
+			}
+			r.giveUp(last, ReasonNoInstance)
+			return
+		}
+		r.arrivals++
+		if !r.mayTryAgain(result, service, policy) {
+			r.giveUp(last, reasonOf(result))
+			return
+		}
+		r.pipeline.options.Log.Again(r, choice, result)
+	}
+}
+
+func reasonOf(result verdict) Reason {
+	if result == turnedAway {
+		return ReasonTurnedAway
+	}
+	return ReasonOutcomeUnknown
+}
+
+// mayTryAgain decides on another attempt after one that reached an instance.
+func (r *request) mayTryAgain(result verdict, service string, policy balance.RetryPolicy) bool {
+	if r.arrivals >= max(1, r.route.MaxAttempts) {
+		return false
+	}
+	if result != turnedAway && !r.route.Idempotent() {
+		return false
+	}
+	return r.pipeline.retries.Take(r.pipeline.options.Environment.Now(), service, policy)
+}
+
+// chooseService draws one of the route's services by weight.
+func (r *request) chooseService() string {
+	total := 0
+	for _, target := range r.route.Targets {
+		total += target.Weight
+	}
+	drawn := rand.IntN(total)
+	for _, target := range r.route.Targets {
+		if drawn < target.Weight {
+			return target.Service
+		}
+		drawn -= target.Weight
+	}
+	return r.route.Targets[0].Service
+}
+
+func (r *request) choose(service string) (balance.Choice, bool) {
+	environment := r.pipeline.options.Environment
+	wanted := balance.Request{Service: service, Part: r.call.attemptKey(), Cost: r.call.cost(), Exclude: r.tried}
+	if configured := r.index.Service(service); configured != nil && configured.MaxConnections > 0 {
+		wanted.MaxInFlight = max(2, configured.MaxConnections/max(1, environment.EntryNodes()))
+	}
+	choice, found := r.pipeline.options.Table.Choose(environment.Now(), wanted)
+	if found {
+		r.tried = append(r.tried, choice.ID)
+	}
+	return choice, found
+}
+
+// attempt sends the request to one instance and relays its answer if it is one
+// for the caller. An exchange that is returned holds a failure's head and body.
+func (r *request) attempt(ctx context.Context, choice balance.Choice) (*exchange, verdict) {
+	outcome := balance.Abandoned
+	defer func() {
+		r.pipeline.options.Table.Done(r.pipeline.options.Environment.Now(), choice, outcome)
+	}()
+	ctx, cancel := r.attemptContext(ctx)
+	defer cancel()
+	sending, state, err := r.pipeline.pool.send(ctx, r.pipeline.options.Dialect, choice.Address, r.outgoing(choice, r.call.LastEvent))
+	if state == notSent {
+		if ctx.Err() == nil {
+			outcome = balance.Unreachable
+		}
+		r.pipeline.options.Log.Attempt(r, choice, "not_sent", err)
+		return nil, unreached
+	}
+	if err != nil {
+		r.mayHaveRun = true
+		if r.incoming.Context().Err() == nil {
+			outcome = balance.Failed
+		}
+		r.pipeline.options.Log.Attempt(r, choice, "no_answer", err)
+		return nil, unknown
+	}
+	if sending.head.NotRun || sending.head.OtherInstance {
+		outcome = balance.Full
+		if sending.head.OtherInstance {
+			outcome = balance.Unreachable
+		}
+		sending.discard(r.call.ID)
+		r.pipeline.options.Log.Attempt(r, choice, "turned_away", nil)
+		return nil, turnedAway
+	}
+	r.mayHaveRun = true
+	result := done
+	outcome, result = r.relay(ctx, sending, choice)
+	if result == failed {
+		return sending, failed
+	}
+	return nil, result
+}
+
+// attemptContext limits the wait for a repeatable request's answer, so that
+// there is time left for another instance.
+func (r *request) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	isLast := r.arrivals+1 >= max(1, r.route.MaxAttempts)
+	if r.route.Kind != document.Repeatable || isLast {
+		return context.WithCancel(ctx)
+	}
+	patience := max(time.Duration(patienceObjectives*float64(r.route.Objective)), minimumPatience)
+	return context.WithTimeout(ctx, patience)
+}
+
+func (r *request) outgoing(choice balance.Choice, lastEvent string) outgoing {
+	attempt := Attempt{Call: r.call, Instance: choice.ID, Left: time.Until(r.deadline), LastEvent: lastEvent}
+	attempt.Priority, attempt.HasPriority = r.route.Priority, true
+	if r.tenant != nil {
+		attempt.Tenant = r.tenant.Name
+		if r.tenant.HasPriority {
+			attempt.Priority = r.tenant.Priority
+		}
+	}
+	return outgoing{
+		id: r.call.ID, method: r.incoming.Method, target: r.incoming.RequestURI, host: r.incoming.Host,
+		header: r.pipeline.options.Dialect.EngineHeader(attempt), body: r.body,
+	}
+}
+
+// giveUp answers a request that no instance has answered.
+func (r *request) giveUp(last *exchange, reason Reason) {
+	if r.incoming.Context().Err() != nil {
+		r.pipeline.options.Log.Refused(r, Refusal{Reason: ReasonCallerLeft})
+		panic(http.ErrAbortHandler)
+	}
+	if last != nil && last.failure != nil {
+		r.writeWhole(last, last.failure)
+		return
+	}
+	if r.mayHaveRun {
+		status := http.StatusBadGateway
+		if reason == ReasonTimeout {
+			status = http.StatusGatewayTimeout
+		}
+		if reason == ReasonNoInstance || reason == ReasonTurnedAway {
+			reason = ReasonOutcomeUnknown
+		}
+		r.refuse(Refusal{Status: status, Reason: reason})
+		return
+	}
+	r.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: reason})
+}
--- /dev/null
+++ b/internal/forward/connection.go
@@ -0,0 +1,202 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/ravenway/ravenway/internal/transport"
+)
+
+const (
+	// dialTimeout bounds a new connection: engines answer within milliseconds,
+	// a machine that is gone says nothing.
+	dialTimeout = 500 * time.Millisecond
+	// engineUserTimeout ends connections whose data is not acknowledged.
+	engineUserTimeout = 2 * time.Second
+	// The probes of a silent connection end it within about two seconds.
+	probeIdle     = time.Second
+	probeInterval = 400 * time.Millisecond
+	probeCount    = 3
+	// defaultIdle is how long a connection is kept if the engine does not say.
+	defaultIdle = 4 * time.Second
+	// idleShare is the part of the engine's own idle time that is made use of.
+	idleShare       = 0.6
+	readBufferBytes = 4 << 10
+	// maximumIdle bounds the kept connections to one engine.
+	maximumIdle = 16
+)
+
+var (
+	connectionsOpened = metrics.GetOrCreateCounter("ravenway_engine_connections_opened_total")
+	connectionsReused = metrics.GetOrCreateCounter("ravenway_engine_connections_reused_total")
+)
+
+// connection is one HTTP/1.1 connection to an engine. It serves one request at
+// a time.
+type connection struct {
+	network net.Conn
+	reader  *bufio.Reader
+	// previousID is the id of the request that it served before.
+	previousID string
+	// keepUntil is when the engine may close it.
+	keepUntil time.Time
+}
+
+func (c *connection) close() { _ = c.network.Close() }
+
+// quiet tells whether a kept connection is open and holds no bytes: a surplus
+// answer belongs to no request.
+func (c *connection) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	system, isSystem := c.network.(syscall.Conn)
+	if !isSystem {
+		return true
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		var probe [1]byte
+		_, _, failure := syscall.Recvfrom(int(descriptor), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(failure, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// pool keeps connections to engines by address.
+type pool struct {
+	dial func(ctx context.Context, address string) (net.Conn, error)
+
+	mutex sync.Mutex
+	idle  map[string][]*connection
+}
+
+func newPool(dial func(ctx context.Context, address string) (net.Conn, error)) *pool {
+	if dial == nil {
+		dialer := &net.Dialer{
+			Timeout: dialTimeout, Control: transport.SetUserTimeout(engineUserTimeout),
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+		}
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	return &pool{dial: dial, idle: map[string][]*connection{}}
+}
+
+// get returns a kept connection or opens one.
+func (p *pool) get(ctx context.Context, address string) (*connection, error) {
+	for {
+		kept := p.takeIdle(address)
+		if kept == nil {
+			break
+		}
+		if time.Now().Before(kept.keepUntil) && kept.quiet() {
+			connectionsReused.Inc()
+			return kept, nil
+		}
+		kept.close()
+	}
+	network, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	connectionsOpened.Inc()
+	return &connection{network: network, reader: bufio.NewReaderSize(network, readBufferBytes)}, nil
+}
+
+// takeIdle takes the connection that was used last.
+func (p *pool) takeIdle(address string) *connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	kept := p.idle[address]
+	if len(kept) == 0 {
+		return nil
+	}
+	last := kept[len(kept)-1]
+	p.idle[address] = kept[:len(kept)-1]
+	return last
+}
+
+// put keeps a connection whose answer was read whole.
+func (p *pool) put(address string, done *connection, header http.Header) {
+	keep := keepTime(header)
+	if keep <= 0 || done.reader.Buffered() > 0 {
+		done.close()
+		return
+	}
+	_ = done.network.SetDeadline(time.Time{})
+	done.keepUntil = time.Now().Add(keep)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.idle[address]) >= maximumIdle {
+		done.close()
+		return
+	}
+	p.idle[address] = append(p.idle[address], done)
+}
+
+// prune closes kept connections that are past their time.
+func (p *pool) prune(now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for address, kept := range p.idle {
+		fresh := kept[:0]
+		for _, one := range kept {
+			if now.Before(one.keepUntil) {
+				fresh = append(fresh, one)
+				continue
+			}
+			one.close()
+		}
+		p.idle[address] = fresh
+		if len(fresh) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
+// keepTime reads how long an engine keeps a connection; 0 means not at all.
+func keepTime(header http.Header) time.Duration {
+	if headerHasToken(header["Connection"], "close") {
+		return 0
+	}
+	for _, field := range header["Keep-Alive"] {
+		for parameter := range strings.SplitSeq(field, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+			if !strings.EqualFold(name, "timeout") {
+				continue
+			}
+			if seconds, err := strconv.Atoi(value); err == nil {
+				return time.Duration(float64(seconds) * idleShare * float64(time.Second))
+			}
+		}
+	}
+	return defaultIdle
+}
+
+func headerHasToken(values []string, token string) bool {
+	for _, value := range values {
+		for part := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(strings.TrimSpace(part), token) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/forward/exchange.go
@@ -0,0 +1,160 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+)
+
+// sendState tells how far a request came.
+type sendState uint8
+
+const (
+	// notSent: no byte reached the engine.
+	notSent sendState = iota
+	// sent: the engine may have run it.
+	sent
+	// answered: the head of its answer is there.
+	answered
+)
+
+// errOtherAnswer says that an answer belongs to another request.
+var errOtherAnswer = errors.New("forward: the engine's answer belongs to another request")
+
+// exchange is one request on its way to one engine, and its answer.
+type exchange struct {
+	pool       *pool
+	address    string
+	connection *connection
+	response   *http.Response
+	head       AnswerHead
+	// failure is the whole body of an answer that is a failure.
+	failure []byte
+	// written is closed when the whole request is written.
+	written  chan struct{}
+	writeErr error
+	stop     func() bool
+}
+
+// outgoing is a request as it is written.
+type outgoing struct {
+	id     string
+	method string
+	// target is the path and query as the caller sent them.
+	target string
+	host   string
+	header http.Header
+	body   []byte
+}
+
+// asynchronousBytes is the size from which a body is written while the answer
+// is awaited: an engine may answer before it has read a long one.
+const asynchronousBytes = 4 << 10
+
+// send sends a request and reads the head of its answer. The state tells what
+// the engine may have done when there is an error.
+func (p *pool) send(ctx context.Context, dialect Dialect, address string, request outgoing) (*exchange, sendState, error) {
+	opened, err := p.get(ctx, address)
+	if err != nil {
+		return nil, notSent, fmt.Errorf("connecting to %s: %w", address, err)
+	}
+	if deadline, found := ctx.Deadline(); found {
+		_ = opened.network.SetDeadline(deadline)
+	}
+	sending := &exchange{pool: p, address: address, connection: opened, written: make(chan struct{})}
+	// A caller that leaves, or a time that is over, frees the engine at once.
+	sending.stop = context.AfterFunc(ctx, opened.close)
+	if err := sending.write(request); err != nil {
+		sending.abort()
+		return nil, sent, fmt.Errorf("writing to %s: %w", address, err)
+	}
+	if err := sending.readHead(dialect, request); err != nil {
+		sending.abort()
+		return nil, sent, fmt.Errorf("reading the answer of %s: %w", address, err)
+	}
+	return sending, answered, nil
+}
+
+func (e *exchange) write(request outgoing) error {
+	var head bytes.Buffer
+	head.Grow(1 << 10)
+	head.WriteString(request.method + " " + request.target + " HTTP/1.1\r\nHost: " + request.host + "\r\n")
+	_ = request.header.Write(&head)
+	if len(request.body) > 0 || request.method == http.MethodPost || request.method == http.MethodPut || request.method == http.MethodPatch {
+		head.WriteString("Content-Length: " + strconv.Itoa(len(request.body)) + "\r\n")
+	}
+	head.WriteString("\r\n")
+	head.Write(request.body)
+	if head.Len() < asynchronousBytes {
+		_, err := e.connection.network.Write(head.Bytes())
+		close(e.written)
+		return err
+	}
+	go func() {
+		_, e.writeErr = e.connection.network.Write(head.Bytes())
+		close(e.written)
+	}()
+	return nil
+}
+
+// readHead reads the head of the answer. One that belongs to the request
+// before is passed over: the engine sent it late, and ours comes behind it.
+func (e *exchange) readHead(dialect Dialect, request outgoing) error {
+	for {
+		response, err := http.ReadResponse(e.connection.reader, &http.Request{Method: request.method})
+		if err != nil {
+			return err
+		}
+		if response.StatusCode >= 100 && response.StatusCode < 200 {
+			continue
+		}
+		e.response = response
+		e.head = dialect.ReadAnswer(response.StatusCode, response.Header)
+		if e.head.ID == request.id || e.head.ID == "" && (e.head.NotRun || e.head.OtherInstance) {
+			return nil
+		}
+		surplus := e.head.ID != "" && e.head.ID == e.connection.previousID && response.ContentLength >= 0
+		if !surplus {
+			return errOtherAnswer
+		}
+		if _, err := drain(response.Body); err != nil {
+			return err
+		}
+		// Only one answer can be surplus.
+		e.connection.previousID = ""
+	}
+}
+
+// finish ends an exchange whose answer was read whole, and keeps the
+// connection if it can serve another request.
+func (e *exchange) finish(id string) {
+	if !e.stop() {
+		return
+	}
+	isWritten := false
+	select {
+	case <-e.written:
+		isWritten = e.writeErr == nil
+	default:
+		// The rest of the body would stand where the next request is due.
+	}
+	if !isWritten || e.response.Close || !e.response.ProtoAtLeast(1, 1) || e.response.ContentLength < 0 && !isChunked(e.response) {
+		e.connection.close()
+		return
+	}
+	e.connection.previousID = id
+	e.pool.put(e.address, e.connection, e.response.Header)
+}
+
+// abort closes the connection: the engine drops the request.
+func (e *exchange) abort() {
+	e.stop()
+	e.connection.close()
+}
+
+func isChunked(response *http.Response) bool {
+	return len(response.TransferEncoding) > 0 && response.TransferEncoding[0] == "chunked"
+}
--- /dev/null
+++ b/internal/forward/pipeline.go
@@ -0,0 +1,295 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/state/document"
+)
+
+// Errors of reservations, see Environment.Reserve.
+var (
+	// ErrSpent says that what is left of a tenant's prepaid tokens can't hold
+	// the request; it is certain.
+	ErrSpent = errors.New("forward: the tenant's prepaid tokens can't hold the request")
+	// ErrNotReserved says that the tokens could not be reserved now.
+	ErrNotReserved = errors.New("forward: the tokens could not be reserved now")
+)
+
+// Reservation holds tokens for one request until it is settled.
+type Reservation interface {
+	// Settle ends the reservation with the tokens used. It is called once.
+	Settle(used uint64)
+}
+
+// Environment is what the pipeline asks of its node.
+type Environment interface {
+	// Configuration returns the document in force, or nil before the first.
+	Configuration() *document.Index
+	// Certain tells whether the document in force is known to be the newest.
+	Certain() bool
+	// Reserve sets tokens of a tenant aside before a request is sent.
+	Reserve(ctx context.Context, tenant string, tokens uint64) (Reservation, error)
+	// RetryPolicy returns how often requests may be sent once more.
+	RetryPolicy() balance.RetryPolicy
+	// EntryNodes is the number of live nodes that send requests.
+	EntryNodes() int
+	// Stopping tells that a planned stop has begun.
+	Stopping() bool
+	// Now is a steady clock.
+	Now() time.Duration
+}
+
+// Options set up a Pipeline.
+type Options struct {
+	Dialect     Dialect
+	Environment Environment
+	Table       *balance.Table
+	Log         *DecisionLog
+	// Dial opens connections to engines; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// BufferedBytes bounds the bodies in memory.
+	BufferedBytes int64
+}
+
+// Pipeline serves callers.
+type Pipeline struct {
+	options  Options
+	pool     *pool
+	retries  *balance.RetryBudget
+	buffered atomic.Int64
+	active   atomic.Int64
+	arrivals atomic.Int64
+}
+
+// DefaultBufferedBytes bounds the request bodies in memory.
+const DefaultBufferedBytes = 32 << 20
+
+// New makes a pipeline.
+func New(options Options) *Pipeline {
+	if options.BufferedBytes == 0 {
+		options.BufferedBytes = DefaultBufferedBytes
+	}
+	if options.Log == nil {
+		options.Log = NewDecisionLog(zerolog.Nop())
+	}
+	return &Pipeline{options: options, pool: newPool(options.Dial), retries: balance.NewRetryBudget()}
+}
+
+// Active is the number of requests in progress.
+func (p *Pipeline) Active() int64 { return p.active.Load() }
+
+// Tick closes kept connections that are past their time.
+func (p *Pipeline) Tick() { p.pool.prune(time.Now()) }
+
+// request is one caller's request on its way.
+type request struct {
+	pipeline *Pipeline
+	writer   http.ResponseWriter
+	incoming *http.Request
+	index    *document.Index
+	route    *document.Route
+	tenant   *document.Tenant
+	call     *Call
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+	// tried are the instances that the request was offered to, arrivals how
+	// many of them it reached.
+	tried    []string
+	arrivals int
+	// mayHaveRun tells that an engine may have begun work on it.
+	mayHaveRun  bool
+	reservation Reservation
+	// events are the events passed on to the caller.
+	events uint64
+	// answering tells that the head of the answer is written.
+	answering bool
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Pipeline) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
+	p.active.Add(1)
+	defer p.active.Add(-1)
+	p.arrivals.Add(1)
+	if p.options.Environment.Stopping() {
+		writer.Header().Set("Connection", "close")
+	}
+	one := &request{pipeline: p, writer: writer, incoming: incoming, arrived: time.Now()}
+	if refused := one.admit(); refused != nil {
+		one.refuse(*refused)
+		return
+	}
+	defer p.buffered.Add(-int64(len(one.body)))
+	ctx, cancel := context.WithDeadline(incoming.Context(), one.deadline)
+	defer cancel()
+	if refused := one.reserve(ctx); refused != nil {
+		one.refuse(*refused)
+		return
+	}
+	defer one.settle()
+	one.serve(ctx)
+}
+
+// admit decides whether the request is allowed, and reads its body.
+func (r *request) admit() *Refusal {
+	environment := r.pipeline.options.Environment
+	if r.index = environment.Configuration(); r.index == nil {
+		return refuse(http.StatusServiceUnavailable, ReasonNoConfiguration)
+	}
+	path, _, _ := strings.Cut(r.incoming.RequestURI, "?")
+	if !strings.HasPrefix(path, "/") {
+		return refuse(http.StatusBadRequest, ReasonMalformed)
+	}
+	if r.route = r.index.Route(r.incoming.Host, path); r.route == nil {
+		return r.unknown(http.StatusNotFound, ReasonNoRoute)
+	}
+	call, err := r.pipeline.options.Dialect.ReadCall(r.incoming)
+	if err != nil {
+		refused := refuse(http.StatusBadRequest, ReasonMalformed)
+		refused.Detail = err.Error()
+		return refused
+	}
+	r.call = call
+	if len(r.index.Document.Tenants) > 0 && !r.route.Public {
+		if r.tenant = r.index.TenantOfKey(call.Key); r.tenant == nil {
+			return r.unknown(http.StatusUnauthorized, ReasonUnknownKey)
+		}
+	}
+	r.deadline = r.arrived.Add(r.route.Timeout)
+	if call.Wait > 0 && call.Wait < r.route.Timeout {
+		r.deadline = r.arrived.Add(call.Wait)
+	}
+	return r.readBody()
+}
+
+// unknown refuses what the document in force does not have. A node that may
+// lack the newest document is not sure of that.
+func (r *request) unknown(status int, reason Reason) *Refusal {
+	if !r.pipeline.options.Environment.Certain() {
+		return refuse(http.StatusServiceUnavailable, ReasonNotCertain)
+	}
+	return refuse(status, reason)
+}
+
+// readBody reads the whole body: it is sent again if an engine turns the
+// request away.
+func (r *request) readBody() *Refusal {
+	limit := r.index.Document.Limits.MaxBodyBytes
+	if limit > 0 && r.incoming.ContentLength > limit {
+		return refuse(http.StatusRequestEntityTooLarge, ReasonTooLarge)
+	}
+	if r.incoming.Body == nil || r.incoming.ContentLength == 0 {
+		return nil
+	}
+	if r.incoming.ContentLength > 0 {
+		return r.readSizedBody(r.incoming.ContentLength)
+	}
+	reader := io.Reader(r.incoming.Body)
+	if limit > 0 {
+		reader = io.LimitReader(reader, limit+1)
+	}
+	body, err := io.ReadAll(reader)
+	if err != nil {
+		return refuse(http.StatusBadRequest, ReasonMalformed)
+	}
+	if limit > 0 && int64(len(body)) > limit {
+		return refuse(http.StatusRequestEntityTooLarge, ReasonTooLarge)
+	}
+	return r.keepBody(body)
+}
+
+func (r *request) readSizedBody(length int64) *Refusal {
+	if r.pipeline.buffered.Load()+length > r.pipeline.options.BufferedBytes {
+		return refuse(http.StatusServiceUnavailable, ReasonNoMemory)
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(r.incoming.Body, body); err != nil {
+		return refuse(http.StatusBadRequest, ReasonMalformed)
+	}
+	return r.keepBody(body)
+}
+
+func (r *request) keepBody(body []byte) *Refusal {
+	if r.pipeline.buffered.Add(int64(len(body))) > r.pipeline.options.BufferedBytes {
+		r.pipeline.buffered.Add(-int64(len(body)))
+		return refuse(http.StatusServiceUnavailable, ReasonNoMemory)
+	}
+	r.body = body
+	return nil
+}
+
+// reserve sets the request's tokens at their most aside.
+func (r *request) reserve(ctx context.Context) *Refusal {
+	if r.tenant == nil || !r.tenant.HasPrepaid || !r.call.HasTokens {
+		return nil
+	}
+	reservation, err := r.pipeline.options.Environment.Reserve(ctx, r.tenant.Name, r.call.TokensIn+r.call.TokensOut)
+	switch {
+	case errors.Is(err, ErrSpent):
+		return refuse(http.StatusPaymentRequired, ReasonSpent)
+	case err != nil:
+		refused := refuse(http.StatusTooManyRequests, ReasonNotReserved)
+		refused.Detail = err.Error()
+		return refused
+	}
+	r.reservation = reservation
+	return nil
+}
+
+// eventsBehind is how many events an engine may have made that did not arrive
+// when a stream was broken off.
+const eventsBehind = 8
+
+// settle charges the prompt and the events that were handed out. A stream that
+// was broken off is charged for events on their way too.
+func (r *request) settle() {
+	if r.reservation == nil {
+		return
+	}
+	if !r.mayHaveRun {
+		r.reservation.Settle(0)
+		return
+	}
+	eventTokens := uint64(1)
+	for _, target := range r.route.Targets {
+		if service := r.index.Service(target.Service); service != nil {
+			eventTokens = max(eventTokens, uint64(service.EventTokens))
+		}
+	}
+	out := (r.events + eventsBehind) * eventTokens
+	r.reservation.Settle(r.call.TokensIn + min(out, r.call.TokensOut))
+}
+
+// attemptKey is what choices of an instance go by: the last part of the prompt
+// that other requests share.
+func (c *Call) attemptKey() string {
+	switch count := len(c.Parts); count {
+	case 0:
+		return ""
+	case 1:
+		return c.Parts[0].ID
+	default:
+		return c.Parts[count-2].ID
+	}
+}
+
+// middleTokens is the prompt of a request of middle size.
+const middleTokens = 8000
+
+// cost is the request's work in requests of middle size.
+func (c *Call) cost() float64 {
+	if !c.HasTokens {
+		return 1
+	}
+	return (float64(c.TokensIn) + 10*float64(c.TokensOut)) / middleTokens
+}
--- /dev/null
+++ b/internal/forward/refusal.go
@@ -0,0 +1,82 @@
+package forward
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Reason tells why a request was refused or ended without an engine's answer.
+type Reason string
+
+// Reasons.
+const (
+	ReasonNoConfiguration Reason = "no_configuration"
+	ReasonNotCertain      Reason = "configuration_not_certain"
+	ReasonNoRoute         Reason = "no_route"
+	ReasonUnknownKey      Reason = "unknown_key"
+	ReasonMalformed       Reason = "malformed"
+	ReasonTooLarge        Reason = "too_large"
+	ReasonNoMemory        Reason = "no_memory"
+	ReasonSpent           Reason = "prepaid_spent"
+	ReasonNotReserved     Reason = "tokens_not_reserved"
+	ReasonNoInstance      Reason = "no_instance"
+	ReasonTurnedAway      Reason = "engines_turned_it_away"
+	ReasonTimeout         Reason = "timeout"
+	ReasonOutcomeUnknown  Reason = "outcome_unknown"
+	ReasonCallerLeft      Reason = "caller_left"
+	ReasonBrokenStream    Reason = "broken_stream"
+)
+
+// Refusal is an answer of ravenway's own.
+type Refusal struct {
+	Status int
+	Reason Reason
+	Detail string
+}
+
+func refuse(status int, reason Reason) *Refusal {
+	return &Refusal{Status: status, Reason: reason}
+}
+
+const (
+	// Callers come back after a time drawn between these, in seconds, so that
+	// they don't come back all at once.
+	minimumRetryAfter = 0.2
+	maximumRetryAfter = 0.7
+)
+
+type refusalBody struct {
+	Error  Reason `json:"error"`
+	NotRun bool   `json:"not_run"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// notRun tells whether a status promises that the request has not run.
+func notRun(status int) bool {
+	switch status {
+	case http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusInternalServerError:
+		return false
+	}
+	return true
+}
+
+// refuse answers at once. A request that has not run is told when to come back.
+func (r *request) refuse(refused Refusal) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("ravenway_forward_refused_total{reason=%q}", refused.Reason)).Inc()
+	r.pipeline.options.Log.Refused(r, refused)
+	header := r.writer.Header()
+	header.Set("Content-Type", "application/json")
+	if refused.Status == http.StatusServiceUnavailable || refused.Status == http.StatusTooManyRequests {
+		after := minimumRetryAfter + rand.Float64()*(maximumRetryAfter-minimumRetryAfter)
+		header.Set("Retry-After", strconv.FormatFloat(after, 'f', 2, 64))
+	}
+	body, _ := json.Marshal(refusalBody{Error: refused.Reason, NotRun: notRun(refused.Status), Detail: refused.Detail})
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	r.writer.WriteHeader(refused.Status)
+	_, _ = r.writer.Write(body)
+}
--- /dev/null
+++ b/internal/forward/relay.go
@@ -0,0 +1,159 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+
+	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/state/document"
+)
+
+// bufferedAnswerBytes is the size up to which an answer is read whole before
+// the caller gets it, so that one that breaks off can be had anew.
+const bufferedAnswerBytes = 256 << 10
+
+// maximumDiscard bounds what is read of an answer that nobody gets.
+const maximumDiscard = 64 << 10
+
+var errAnswerTooLong = errors.New("forward: the answer is too long to be discarded")
+
+func drain(body io.Reader) (int64, error) {
+	read, err := io.Copy(io.Discard, io.LimitReader(body, maximumDiscard))
+	if err == nil && read == maximumDiscard {
+		return read, errAnswerTooLong
+	}
+	return read, err
+}
+
+// discard reads an answer that nobody gets, and keeps the connection.
+func (e *exchange) discard(id string) {
+	if _, err := drain(e.response.Body); err != nil {
+		e.abort()
+		return
+	}
+	e.finish(id)
+}
+
+// relay passes an answer on, or says why it can't be.
+func (r *request) relay(ctx context.Context, sending *exchange, choice balance.Choice) (balance.Outcome, verdict) {
+	isSuccess := sending.response.StatusCode < http.StatusMultipleChoices
+	if r.route.Kind == document.Stream && isSuccess {
+		return r.relayStream(ctx, sending, choice)
+	}
+	buffered, err := io.ReadAll(io.LimitReader(sending.response.Body, bufferedAnswerBytes))
+	if err != nil {
+		sending.abort()
+		r.pipeline.options.Log.Attempt(r, choice, "answer_broken", err)
+		return balance.Failed, unknown
+	}
+	if len(buffered) == bufferedAnswerBytes {
+		return r.relayLong(sending, buffered)
+	}
+	sending.finish(r.call.ID)
+	if sending.response.StatusCode >= http.StatusInternalServerError {
+		sending.failure = buffered
+		if sending.failure == nil {
+			sending.failure = []byte{}
+		}
+		return balance.Failed, failed
+	}
+	r.writeWhole(sending, buffered)
+	return balance.Served, done
+}
+
+// breaksPromise tells whether a status promises that the request has not run.
+func breaksPromise(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// writeWhole gives the caller an answer that was read whole.
+func (r *request) writeWhole(sending *exchange, body []byte) {
+	if breaksPromise(sending.response.StatusCode) && !sending.head.NotRun {
+		// The engine did not say that the request has not run.
+		r.refuse(Refusal{Status: http.StatusBadGateway, Reason: ReasonOutcomeUnknown})
+		return
+	}
+	r.writeHead(sending)
+	if r.incoming.Method != http.MethodHead {
+		r.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	r.writer.WriteHeader(sending.response.StatusCode)
+	_, _ = r.writer.Write(body)
+	r.pipeline.options.Log.Served(r, sending.response.StatusCode)
+}
+
+// relayLong passes an answer on that is too long to be read whole first.
+func (r *request) relayLong(sending *exchange, begun []byte) (balance.Outcome, verdict) {
+	r.writeHead(sending)
+	if length := sending.response.ContentLength; length >= 0 {
+		r.writer.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	r.writer.WriteHeader(sending.response.StatusCode)
+	r.answering = true
+	_, err := r.writer.Write(begun)
+	if err == nil {
+		_, err = io.Copy(r.writer, sending.response.Body)
+	}
+	if err != nil {
+		sending.abort()
+		return r.brokenOff(err)
+	}
+	sending.finish(r.call.ID)
+	r.pipeline.options.Log.Served(r, sending.response.StatusCode)
+	return balance.Served, done
+}
+
+// brokenOff notes why an answer that has begun can't be completed.
+func (r *request) brokenOff(err error) (balance.Outcome, verdict) {
+	if r.incoming.Context().Err() != nil || errors.Is(err, errCallerGone) {
+		r.pipeline.options.Log.Refused(r, Refusal{Reason: ReasonCallerLeft, Detail: err.Error()})
+		return balance.Abandoned, brokenOff
+	}
+	r.pipeline.options.Log.Refused(r, Refusal{Reason: ReasonBrokenStream, Detail: err.Error()})
+	return balance.Failed, brokenOff
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// EndToEnd copies the headers that go beyond one connection, without
+// Content-Length: the length is written anew.
+func EndToEnd(header http.Header) http.Header {
+	kept := make(http.Header, len(header))
+	for name, values := range header {
+		kept[name] = values
+	}
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			delete(kept, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(kept, name)
+	}
+	delete(kept, "Content-Length")
+	return kept
+}
+
+func (r *request) writeHead(sending *exchange) {
+	header := r.writer.Header()
+	for name, values := range EndToEnd(sending.response.Header) {
+		header[name] = values
+	}
+	if _, found := header["Content-Type"]; !found {
+		// Nothing is guessed that the engine did not say.
+		header["Content-Type"] = nil
+	}
+}
--- /dev/null
+++ b/internal/forward/stream.go
@@ -0,0 +1,109 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/ravenway/ravenway/internal/coordination/balance"
+)
+
+// relayStream passes a stream's events on as they come. A stream that breaks
+// off goes on at another instance where the route allows it, and otherwise
+// ends so that it does not look complete.
+func (r *request) relayStream(ctx context.Context, sending *exchange, choice balance.Choice) (balance.Outcome, verdict) {
+	r.writeHead(sending)
+	r.writer.WriteHeader(sending.response.StatusCode)
+	r.answering = true
+	controller := http.NewResponseController(r.writer)
+	lastEvent := r.call.LastEvent
+	err := r.passEvents(sending, controller, &lastEvent)
+	if err == nil {
+		sending.finish(r.call.ID)
+		r.pipeline.options.Log.Served(r, sending.response.StatusCode)
+		return balance.Served, done
+	}
+	sending.abort()
+	r.pipeline.options.Log.Attempt(r, choice, "stream_broken", err)
+	for ctx.Err() == nil && r.incoming.Context().Err() == nil && !errors.Is(err, errCallerGone) {
+		r.arrivals++
+		if !r.mayResume(choice.Service) {
+			break
+		}
+		var resumed bool
+		if resumed, err = r.resume(ctx, choice.Service, controller, &lastEvent); resumed {
+			return balance.Failed, done
+		}
+	}
+	return r.brokenOff(err)
+}
+
+// errCallerGone says that the caller takes no more bytes.
+var errCallerGone = errors.New("forward: the caller takes no more")
+
+// passEvents passes whole events on until the stream's end; nil means a clean
+// one.
+func (r *request) passEvents(sending *exchange, controller *http.ResponseController, lastEvent *string) error {
+	reader := newEventReader(sending.response.Body)
+	for {
+		next, err := reader.next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		r.events++
+		if next.id != "" {
+			*lastEvent = next.id
+		}
+		if _, err := r.writer.Write(next.raw); err != nil {
+			return errors.Join(errCallerGone, err)
+		}
+		if reader.buffered() {
+			continue
+		}
+		if err := controller.Flush(); err != nil {
+			return errors.Join(errCallerGone, err)
+		}
+	}
+}
+
+func (r *request) mayResume(service string) bool {
+	if !r.route.Resumable || r.arrivals >= max(1, r.route.MaxAttempts) {
+		return false
+	}
+	environment := r.pipeline.options.Environment
+	return r.pipeline.retries.Take(environment.Now(), service, environment.RetryPolicy())
+}
+
+// resume goes on with a stream at another instance, behind the last event that
+// the caller has.
+func (r *request) resume(ctx context.Context, service string, controller *http.ResponseController, lastEvent *string) (bool, error) {
+	choice, found := r.choose(service)
+	if !found {
+		return false, errors.New("no other instance")
+	}
+	environment := r.pipeline.options.Environment
+	sending, _, err := r.pipeline.pool.send(ctx, r.pipeline.options.Dialect, choice.Address, r.outgoing(choice, *lastEvent))
+	if err == nil && sending.response.StatusCode != http.StatusOK {
+		err = errors.New("the instance answered " + sending.response.Status)
+		sending.discard(r.call.ID)
+	}
+	if err != nil {
+		r.pipeline.options.Table.Done(environment.Now(), choice, balance.Failed)
+		r.pipeline.options.Log.Attempt(r, choice, "not_resumed", err)
+		return false, err
+	}
+	r.pipeline.options.Log.Attempt(r, choice, "resumed", nil)
+	if err := r.passEvents(sending, controller, lastEvent); err != nil {
+		sending.abort()
+		r.pipeline.options.Table.Done(environment.Now(), choice, balance.Failed)
+		return false, err
+	}
+	sending.finish(r.call.ID)
+	r.pipeline.options.Table.Done(environment.Now(), choice, balance.Served)
+	r.pipeline.options.Log.Served(r, http.StatusOK)
+	return true, nil
+}
--- /dev/null
+++ b/internal/gateway/control.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ravenway/ravenway/internal/coordination/consensus"
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/duty"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+	"github.com/ravenway/ravenway/internal/state/document"
+	"github.com/ravenway/ravenway/internal/state/machine"
+)
+
+// orderTimeout bounds the work on an operator's order: who waits longer asks
+// another node.
+const orderTimeout = 900 * time.Millisecond
+
+// takeQuestion asks the leader to take a document.
+type takeQuestion struct {
+	Command machine.DocumentCommand `msgpack:"c"`
+}
+
+// readAnswer is the newest document as it was sent.
+type readAnswer struct {
+	Raw []byte `msgpack:"r"`
+}
+
+// Heartbeat implements Control.
+func (n *Node) Heartbeat(ctx context.Context, instance registry.Instance) error {
+	return n.fleet.heartbeat(ctx, instance)
+}
+
+// Leave implements Control.
+func (n *Node) Leave(ctx context.Context, id string) error { return n.fleet.leave(ctx, id) }
+
+// TakeDocument implements Control.
+func (n *Node) TakeDocument(ctx context.Context, taken *document.Document, raw []byte) (uint64, error) {
+	if held := n.documents.version(); taken.Version <= held {
+		// It is in the log here, so a higher or equal version is committed.
+		return held, nil
+	}
+	encoded, err := taken.Encode()
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	command := machine.DocumentCommand{Version: taken.Version, Raw: raw, Encoded: encoded}
+	outcome, err := atLeader(ctx, n, peer.MethodTakeDocument, &takeQuestion{Command: command}, func() (machine.DocumentOutcome, error) {
+		return n.takeDocumentHere(ctx, command)
+	})
+	n.log.Info().Str("event", "document_order").Uint64("version", taken.Version).Int("bytes", len(raw)).
+		Uint64("held", outcome.Held).Bool("taken", outcome.Taken).AnErr("error", err).Send()
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return outcome.Held, nil
+}
+
+// ReadDocument implements Control.
+func (n *Node) ReadDocument(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	answer, err := atLeader(ctx, n, peer.MethodReadDocument, nil, func() (readAnswer, error) { return n.readDocumentHere(ctx) })
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return answer.Raw, nil
+}
+
+// errNoLeader says that no leader of the control group is known.
+var errNoLeader = errors.New("no leader of the control group is known")
+
+// atLeader does work here if this node leads, and otherwise asks the leader.
+func atLeader[T any](ctx context.Context, n *Node, method peer.Method, question any, here func() (T, error)) (T, error) {
+	var none T
+	leader := n.leader()
+	if leader == "" {
+		return none, errNoLeader
+	}
+	if leader == n.address {
+		return here()
+	}
+	return peer.Invoke[T](ctx, n.calls, leader, method, question)
+}
+
+// takeDocumentHere commits a document if this node leads.
+func (n *Node) takeDocumentHere(ctx context.Context, command machine.DocumentCommand) (machine.DocumentOutcome, error) {
+	type ended struct {
+		result machine.Result
+		err    error
+	}
+	answer, err := duty.Ask(ctx, n.replica.duty, func(answer func(ended)) {
+		n.replica.propose(machine.Command{Document: &command}, func(result machine.Result, err error) {
+			answer(ended{result: result, err: err})
+		})
+	})
+	if err == nil {
+		err = answer.err
+	}
+	if err == nil && answer.result.Document == nil {
+		err = errors.New(answer.result.Refused)
+	}
+	if err != nil {
+		return machine.DocumentOutcome{}, err
+	}
+	return *answer.result.Document, nil
+}
+
+// readDocumentHere reads the newest document once a quorum has confirmed that
+// this node leads.
+func (n *Node) readDocumentHere(ctx context.Context) (readAnswer, error) {
+	type ended struct {
+		raw []byte
+		err error
+	}
+	answer, err := duty.Ask(ctx, n.replica.duty, func(answer func(ended)) {
+		if n.replica.replica == nil {
+			answer(ended{err: consensus.ErrNotLeader})
+			return
+		}
+		n.replica.replica.Read(func(err error) {
+			answer(ended{raw: n.replica.machine.Document().Raw, err: err})
+		})
+	})
+	if err == nil {
+		err = answer.err
+	}
+	if err != nil {
+		return readAnswer{}, err
+	}
+	return readAnswer{Raw: answer.raw}, nil
+}
+
+// serveCall answers another node's call.
+func (n *Node) serveCall(from string, call peer.Call) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	answer, err := n.executeCall(ctx, call)
+	reply := peer.Reply{ID: call.ID}
+	if err == nil {
+		reply.Body, err = msgpack.Marshal(answer)
+	}
+	if err != nil {
+		reply.Code, reply.Detail = peer.CodeUnknownOutcome, err.Error()
+		if errors.Is(err, consensus.ErrNotLeader) {
+			reply.Code = peer.CodeNotLeader
+		}
+	}
+	n.send(from, peer.KindReply, &reply)
+}
+
+func (n *Node) executeCall(ctx context.Context, call peer.Call) (any, error) {
+	if n.replica == nil {
+		return nil, consensus.ErrNotLeader
+	}
+	switch call.Method {
+	case peer.MethodTakeDocument:
+		var question takeQuestion
+		if err := msgpack.Unmarshal(call.Body, &question); err != nil {
+			return nil, fmt.Errorf("decoding call %s: %w", call.Method, err)
+		}
+		return n.takeDocumentHere(ctx, question.Command)
+	case peer.MethodReadDocument:
+		return n.readDocumentHere(ctx)
+	}
+	return nil, fmt.Errorf("method %q is not known here", call.Method)
+}
--- /dev/null
+++ b/internal/gateway/entry.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/forward"
+	"github.com/ravenway/ravenway/internal/state/document"
+)
+
+// instancesPatience is how long an entry node that has its configuration waits
+// for a list of instances before it calls itself ready without one.
+const instancesPatience = 4 * time.Second
+
+// entryEnvironment is the node as the pipeline sees it.
+type entryEnvironment struct{ node *Node }
+
+// Configuration implements forward.Environment.
+func (e *entryEnvironment) Configuration() *document.Index { return e.node.documents.index.Load() }
+
+// Certain implements forward.Environment: a control node that lately had word
+// of a quorum has no higher version.
+func (e *entryEnvironment) Certain() bool {
+	view := e.node.fleet.view.Load()
+	return e.node.now() < view.certainUntil && e.node.documents.version() >= view.certainVersion
+}
+
+// Reserve implements forward.Environment.
+func (e *entryEnvironment) Reserve(ctx context.Context, tenant string, tokens uint64) (forward.Reservation, error) {
+	return e.node.tokens.reserve(ctx, tenant, tokens)
+}
+
+// RetryPolicy implements forward.Environment.
+func (e *entryEnvironment) RetryPolicy() balance.RetryPolicy {
+	bounds := e.node.settings.Load().Bounds
+	return balance.RetryPolicy{
+		Window: bounds.RetryWindow, Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Nodes: e.EntryNodes(),
+	}
+}
+
+// EntryNodes implements forward.Environment.
+func (e *entryEnvironment) EntryNodes() int { return max(1, e.node.fleet.view.Load().entries) }
+
+// Stopping implements forward.Environment.
+func (e *entryEnvironment) Stopping() bool { return e.node.stopping.Load() }
+
+// Now implements forward.Environment.
+func (e *entryEnvironment) Now() time.Duration { return e.node.now() }
+
+// ready tells whether this entry node should get callers.
+func (n *Node) ready() bool {
+	if n.stopping.Load() || n.documents.version() == 0 {
+		return false
+	}
+	return n.fleet.instances.Load() > 0 || n.now() > instancesPatience
+}
--- /dev/null
+++ b/internal/gateway/fleet.go
@@ -0,0 +1,332 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/coordination/roster"
+	"github.com/ravenway/ravenway/internal/duty"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+	"github.com/ravenway/ravenway/internal/settings"
+)
+
+const (
+	fleetTick = 300 * time.Millisecond
+	// helloTicks is the number of ticks between hellos.
+	helloTicks = 2
+	// nodesEvery is the number of hellos after which the list of nodes is
+	// repeated though it did not change.
+	nodesEvery = 10
+	// mismatchesAllowed is how many hellos in a row may differ in their digest
+	// before the instances are exchanged whole: a change may be on its way.
+	mismatchesAllowed = 1
+	// heardTicks is the number of ticks between lists of instances heard.
+	heardTicks = 8
+	// certainFor is how long a control node's word on the newest version counts.
+	certainFor = 2 * time.Second
+	// quorumFor is how old that node's own word of a quorum may be.
+	quorumFor = 1500 * time.Millisecond
+)
+
+// instancesMessage carries changes of the registry, or all of it.
+type instancesMessage struct {
+	Instances []registry.Instance `msgpack:"i"`
+	// Answer asks the receiver for all that it has.
+	Answer bool `msgpack:"a,omitempty"`
+}
+
+// fleetDuty owns the roster and the registry.
+type fleetDuty struct {
+	node     *Node
+	duty     *duty.Duty
+	roster   *roster.Roster
+	registry *registry.Registry
+	ticks    int
+	// told is what each node was last told of the list of nodes.
+	told       map[string]toldNodes
+	mismatches map[string]int
+	// view is what other goroutines may read.
+	view atomic.Pointer[fleetView]
+	// instances is the number of live instances known.
+	instances atomic.Int64
+}
+
+type toldNodes struct {
+	digest uint64
+	hellos int
+}
+
+// fleetView is the roster as others may read it.
+type fleetView struct {
+	alive  []roster.Heard
+	leader string
+	// entries is the number of live entry nodes, this one included.
+	entries int
+	// lenders are the other entry nodes, those of the own zone first.
+	lenders []string
+	// certainUntil is until when the versions up to certainVersion were the
+	// newest.
+	certainVersion uint64
+	certainUntil   time.Duration
+}
+
+func newFleetDuty(node *Node) *fleetDuty {
+	current := node.settings.Load()
+	fleet := &fleetDuty{
+		node: node, duty: duty.New("fleet", fleetTick),
+		roster: roster.New(node.address, seedAddresses(current)), registry: registry.New(0),
+		told: map[string]toldNodes{}, mismatches: map[string]int{},
+	}
+	fleet.view.Store(&fleetView{entries: 1})
+	fleet.duty.Tick = fleet.tick
+	fleet.duty.Flush = func() {}
+	return fleet
+}
+
+func (f *fleetDuty) setSeeds(seeds []string) {
+	f.duty.Offer(func() {
+		f.roster.SetSeeds(seeds)
+		f.hello()
+	})
+}
+
+func (f *fleetDuty) tick() {
+	now := f.node.now()
+	if f.ticks%helloTicks == 0 {
+		f.hello()
+	}
+	if f.isControl() && f.ticks%heardTicks == 0 {
+		f.tellHeard()
+		f.announce(f.registry.Expire(now))
+	}
+	f.ticks++
+	for _, gone := range f.roster.Forget(now) {
+		f.node.mesh.Forget(gone)
+		delete(f.told, gone)
+		delete(f.mismatches, gone)
+	}
+	f.publish()
+}
+
+func (f *fleetDuty) isControl() bool { return f.node.replica != nil }
+
+// hello tells the control nodes, and a control node tells all that it hears
+// from, what this node is.
+func (f *fleetDuty) hello() {
+	now := f.node.now()
+	said := f.describe()
+	receivers := f.roster.Greet(now)
+	if f.isControl() {
+		for _, known := range f.roster.AliveNodes(now) {
+			if !slices.Contains(receivers, known.Address) {
+				receivers = append(receivers, known.Address)
+			}
+		}
+	}
+	nodes, digest := f.listNodes(now)
+	for _, receiver := range receivers {
+		one := said
+		if f.isControl() && f.nodesDue(receiver, digest) {
+			one.Nodes = nodes
+		}
+		f.node.send(receiver, peer.KindHello, &one)
+	}
+}
+
+func (f *fleetDuty) describe() peer.Hello {
+	current := f.node.settings.Load()
+	said := peer.Hello{
+		Address: f.node.address, Node: current.Node.Name, Zone: current.Node.Zone, Life: f.node.life,
+		Entry: current.HasRole(settings.RoleEntry), Control: f.isControl(), Stopping: f.node.stopping.Load(),
+		Version: f.node.documents.version(), InstancesDigest: f.registry.Digest(),
+	}
+	if f.isControl() {
+		f.node.replica.describe(&said)
+	}
+	return said
+}
+
+// listNodes lists the nodes that this control node hears from, itself included.
+func (f *fleetDuty) listNodes(now time.Duration) ([]peer.NodeEntry, uint64) {
+	if !f.isControl() {
+		return nil, 0
+	}
+	current := f.node.settings.Load()
+	nodes := []peer.NodeEntry{{Address: f.node.address, Zone: current.Node.Zone, Control: true}}
+	digest := xxhash.New()
+	for _, known := range f.roster.AliveNodes(now) {
+		if known.Stopping {
+			continue
+		}
+		nodes = append(nodes, peer.NodeEntry{Address: known.Address, Zone: known.Zone, Entry: known.Entry, Control: known.Control})
+		_, _ = digest.WriteString(known.Address)
+	}
+	return nodes, digest.Sum64()
+}
+
+func (f *fleetDuty) nodesDue(receiver string, digest uint64) bool {
+	told := f.told[receiver]
+	due := told.hellos == 0 || told.digest != digest || told.hellos%nodesEvery == 0
+	f.told[receiver] = toldNodes{digest: digest, hellos: told.hellos + 1}
+	return due
+}
+
+// takeHello notes another node's hello and settles what differs.
+func (f *fleetDuty) takeHello(from string, hello peer.Hello) {
+	if from != hello.Address {
+		return
+	}
+	f.duty.Offer(func() {
+		now := f.node.now()
+		if f.roster.Hello(now, hello) {
+			f.node.log.Info().Str("event", "node_heard").Str("peer", hello.Node).Str("address", hello.Address).
+				Str("life", hello.Life).Bool("control", hello.Control).Uint64("version", hello.Version).Send()
+			delete(f.told, hello.Address)
+			if f.isControl() {
+				// It learns at once what it would else wait for.
+				said := f.describe()
+				said.Nodes, _ = f.listNodes(now)
+				f.node.send(hello.Address, peer.KindHello, &said)
+			}
+		}
+		f.compareInstances(hello)
+		if hello.Control {
+			f.node.documents.takeHello(hello)
+		}
+		f.publish()
+	})
+}
+
+// compareInstances exchanges the registry with a node that holds another one.
+func (f *fleetDuty) compareInstances(hello peer.Hello) {
+	if hello.InstancesDigest == f.registry.Digest() || !hello.Control && !f.isControl() {
+		delete(f.mismatches, hello.Address)
+		return
+	}
+	f.mismatches[hello.Address]++
+	if f.mismatches[hello.Address] <= mismatchesAllowed && len(f.registry.Live()) > 0 {
+		return
+	}
+	delete(f.mismatches, hello.Address)
+	f.node.send(hello.Address, peer.KindInstances, &instancesMessage{Instances: f.registry.Instances(), Answer: true})
+}
+
+func (f *fleetDuty) takeInstances(from string, message instancesMessage) {
+	f.duty.Offer(func() {
+		news := f.registry.Merge(f.node.now(), message.Instances)
+		if len(news) > 0 {
+			f.logInstances("merged", news)
+			f.publishInstances()
+		}
+		if message.Answer {
+			f.node.send(from, peer.KindInstances, &instancesMessage{Instances: f.registry.Instances()})
+		}
+	})
+}
+
+func (f *fleetDuty) takeHeard(heard peer.InstancesHeard) {
+	f.duty.Offer(func() { f.registry.Heard(f.node.now(), heard.IDs) })
+}
+
+// tellHeard tells the other control nodes which instances are alive.
+func (f *fleetDuty) tellHeard() {
+	ids := f.registry.TakeHeardHere()
+	if len(ids) == 0 {
+		return
+	}
+	for _, known := range f.roster.Controls(f.node.now()) {
+		f.node.send(known.Address, peer.KindInstancesHeard, &peer.InstancesHeard{IDs: ids})
+	}
+}
+
+// announce tells all nodes of changes.
+func (f *fleetDuty) announce(changes []registry.Instance) {
+	if len(changes) == 0 {
+		return
+	}
+	f.logInstances("announced", changes)
+	f.publishInstances()
+	for _, known := range f.roster.AliveNodes(f.node.now()) {
+		f.node.send(known.Address, peer.KindInstances, &instancesMessage{Instances: changes})
+	}
+}
+
+func (f *fleetDuty) logInstances(how string, changes []registry.Instance) {
+	for _, changed := range changes {
+		f.node.log.Info().Str("event", "instance").Str("how", how).Str("instance", changed.ID).Str("service", changed.Service).
+			Str("address", changed.Address).Stringer("state", changed.State).Uint64("sequence", changed.Sequence).Send()
+	}
+}
+
+func (f *fleetDuty) publishInstances() {
+	live := f.registry.Live()
+	f.instances.Store(int64(len(live)))
+	f.node.table.Update(live)
+}
+
+// publish shares the roster with the other duties.
+func (f *fleetDuty) publish() {
+	now := f.node.now()
+	current := f.node.settings.Load()
+	view := &fleetView{leader: f.roster.Leader(now)}
+	for _, known := range f.roster.AliveNodes(now) {
+		view.alive = append(view.alive, *known)
+	}
+	if current.HasRole(settings.RoleEntry) {
+		view.entries = 1
+	}
+	var farLenders []string
+	for _, entry := range f.roster.Entries(now) {
+		view.entries++
+		if entry.Zone == current.Node.Zone {
+			view.lenders = append(view.lenders, entry.Address)
+			continue
+		}
+		farLenders = append(farLenders, entry.Address)
+	}
+	view.lenders = append(view.lenders, farLenders...)
+	for _, known := range f.roster.Controls(now) {
+		quorum := time.Duration(known.QuorumSilenceMS) * time.Millisecond
+		if !known.HasGroup || quorum > quorumFor {
+			continue
+		}
+		view.certainVersion = max(view.certainVersion, known.Version)
+		view.certainUntil = max(view.certainUntil, known.At+certainFor)
+	}
+	f.view.Store(view)
+	if f.node.tokens != nil {
+		f.node.tokens.setLenders(view.lenders)
+	}
+}
+
+// heartbeat takes an instance's word and tells all nodes before it returns.
+func (f *fleetDuty) heartbeat(ctx context.Context, instance registry.Instance) error {
+	result, err := duty.Ask(ctx, f.duty, func(answer func(error)) {
+		changed, err := f.registry.Heartbeat(f.node.now(), instance)
+		if changed {
+			f.announce([]registry.Instance{instance})
+		}
+		answer(err)
+	})
+	if err != nil {
+		return err
+	}
+	return result
+}
+
+// leave takes an instance's word that it ends.
+func (f *fleetDuty) leave(ctx context.Context, id string) error {
+	_, err := duty.Ask(ctx, f.duty, func(answer func(bool)) {
+		changed := f.registry.Leave(f.node.now(), id)
+		if changed {
+			f.announce([]registry.Instance{{ID: id, State: registry.Gone}})
+		}
+		answer(changed)
+	})
+	return err
+}
--- /dev/null
+++ b/internal/gateway/replica.go
@@ -0,0 +1,398 @@
+package gateway
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/consensus"
+	"github.com/ravenway/ravenway/internal/coordination/escrow"
+	"github.com/ravenway/ravenway/internal/coordination/replicaset"
+	"github.com/ravenway/ravenway/internal/duty"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+	"github.com/ravenway/ravenway/internal/state/accounts"
+	"github.com/ravenway/ravenway/internal/state/disk"
+	"github.com/ravenway/ravenway/internal/state/machine"
+)
+
+const (
+	replicaTick = 50 * time.Millisecond
+	// electionTicks make an election timeout of 0.5 to 1 second.
+	electionTicks = 10
+	// heartbeatTicks make a heartbeat of 150 milliseconds.
+	heartbeatTicks = 3
+	// lostTicks is the silence, 2.5 seconds, after which a learner may take a
+	// voter's place.
+	lostTicks = 50
+	// manageTicks is the number of ticks between looks at the members, closeTicks
+	// between looks at lives that are over.
+	manageTicks = 4
+	closeTicks  = 6
+	// reopenPause is the time between tries to use a disk that failed.
+	reopenPause  = 300 * time.Millisecond
+	identityFile = "identity"
+	// journalSegmentBytes keeps segments small: the disks are.
+	journalSegmentBytes = 1 << 20
+)
+
+// replicaDuty owns the node's replica of the durable state.
+type replicaDuty struct {
+	node    *Node
+	duty    *duty.Duty
+	replica *consensus.Replica
+	machine *machine.Machine
+	root    *escrow.Root
+	id      consensus.ReplicaID
+	ticks   int
+	// failedAt is when the disk failed last; the replica is nil until it works
+	// again.
+	failedAt  time.Duration
+	published uint64
+	wasLeader bool
+	// founding is since when this node waits for the others to found a group.
+	founding time.Duration
+	shared   atomic.Pointer[replicaView]
+}
+
+// replicaView is the replica's state as others may read it.
+type replicaView struct {
+	leader        string
+	leading       bool
+	term          uint64
+	quorumSilence time.Duration
+	hasGroup      bool
+	replica       consensus.ReplicaID
+}
+
+func newReplicaDuty(node *Node) *replicaDuty {
+	owner := &replicaDuty{node: node, duty: duty.New("replica", replicaTick)}
+	owner.shared.Store(&replicaView{quorumSilence: time.Hour})
+	owner.duty.Tick = owner.tick
+	owner.duty.Flush = owner.flush
+	owner.reopen()
+	return owner
+}
+
+// reopen starts from what is on the disk, as after a crash. A disk that refuses
+// to be written is tried again later.
+func (r *replicaDuty) reopen() {
+	r.failedAt = r.node.now()
+	r.machine = machine.New()
+	id, err := loadIdentity(r.node.options.FileSystem)
+	if err == nil {
+		r.id = id
+		r.replica, err = r.open(nil)
+	}
+	if err != nil {
+		r.replica = nil
+		r.node.log.Error().Str("event", "disk_unusable").Err(err).Send()
+		r.share()
+		return
+	}
+	r.root = escrow.NewRoot(r.rootOptions())
+	r.wasLeader = false
+	r.node.log.Info().Str("event", "replica_opened").Uint64("replica", uint64(id)).Uint64("applied", r.replica.Applied()).
+		Uint64("version", r.machine.Document().Version).Int("records_read", r.replica.RecoveredRecords).
+		Int("torn_bytes", r.replica.TornBytes).Send()
+	r.publish()
+	r.share()
+}
+
+func (r *replicaDuty) open(founders []consensus.Member) (*consensus.Replica, error) {
+	return consensus.OpenReplica(consensus.ReplicaOptions{
+		ID: r.id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Random: newRandom(),
+		FileSystem: r.node.options.FileSystem, SegmentBytes: journalSegmentBytes, Machine: r.machine,
+		Send: r.send, Bootstrap: founders,
+	})
+}
+
+// loadIdentity reads the data folder's identity, or gives an empty folder a
+// new one: a replica whose disk came back empty must not vote as before.
+func loadIdentity(fileSystem disk.FileSystem) (consensus.ReplicaID, error) {
+	content, err := fileSystem.ReadFile(identityFile)
+	if errors.Is(err, disk.ErrNotExist) {
+		return newIdentity(fileSystem)
+	}
+	if err != nil {
+		return 0, fmt.Errorf("reading the identity of the data folder: %w", err)
+	}
+	decoded, err := hex.DecodeString(strings.TrimSpace(string(content)))
+	if err != nil || len(decoded) != 8 {
+		return 0, fmt.Errorf("the file %q of the data folder does not hold an identity", identityFile)
+	}
+	return consensus.ReplicaID(binary.BigEndian.Uint64(decoded)), nil
+}
+
+func newIdentity(fileSystem disk.FileSystem) (consensus.ReplicaID, error) {
+	names, err := fileSystem.List()
+	if err != nil {
+		return 0, fmt.Errorf("listing the data folder: %w", err)
+	}
+	for _, name := range names {
+		if !strings.HasSuffix(name, ".tmp") {
+			return 0, fmt.Errorf("the data folder holds %q but no identity: it is not one of ravenway's, or damaged", name)
+		}
+	}
+	identity := make([]byte, 8)
+	_, _ = rand.Read(identity)
+	// 53 bits, so that JSON tools show it exactly; never 0.
+	identity[0], identity[1] = 0, identity[1]&0x1f|0x10
+	content := []byte(hex.EncodeToString(identity) + "\n")
+	if err := disk.WriteFileSynced(fileSystem, identityFile, content); err != nil {
+		return 0, fmt.Errorf("writing the identity of the data folder: %w", err)
+	}
+	return consensus.ReplicaID(binary.BigEndian.Uint64(identity)), nil
+}
+
+// fail gives the replica up until the disk works: nothing that is not on it
+// may count, so all that was not acknowledged is forgotten.
+func (r *replicaDuty) fail(err error) {
+	r.node.log.Error().Str("event", "disk_failed").Err(err).Send()
+	_ = r.replica.Close()
+	r.replica = nil
+	r.failedAt = r.node.now()
+	r.share()
+}
+
+// send finds the node that holds a replica.
+func (r *replicaDuty) send(message consensus.Message) {
+	if r.replica != nil {
+		if member, found := r.replica.Core().Configuration().Member(message.To); found {
+			r.node.send(member.Node, peer.KindConsensus, &message)
+			return
+		}
+	}
+	// Not a member as this replica knows it: a new leader that it has not
+	// heard the configuration of. Its node says who it is in its hellos.
+	if address := r.node.nodeOfReplica(message.To); address != "" {
+		r.node.send(address, peer.KindConsensus, &message)
+	}
+}
+
+func (r *replicaDuty) take(message consensus.Message) {
+	r.duty.Offer(func() {
+		if r.replica != nil {
+			r.replica.Step(message)
+		}
+	})
+}
+
+func (r *replicaDuty) takeReport(message escrow.ReportMessage) {
+	r.duty.Offer(func() {
+		if r.leading() {
+			r.root.Take(message)
+		}
+	})
+}
+
+func (r *replicaDuty) leading() bool {
+	return r.replica != nil && r.replica.Core().Role() == consensus.Leader
+}
+
+func (r *replicaDuty) tick() {
+	r.ticks++
+	if r.replica == nil {
+		if r.node.now()-r.failedAt >= reopenPause {
+			r.reopen()
+		}
+		return
+	}
+	r.replica.Tick()
+	r.root.Tick(r.node.now())
+	if !r.hasGroup() {
+		r.foundIfFirst()
+		return
+	}
+	if !r.leading() {
+		return
+	}
+	if r.ticks%manageTicks == 0 {
+		r.manageMembers()
+	}
+	if r.ticks%closeTicks == 0 {
+		r.closeLives()
+	}
+}
+
+func (r *replicaDuty) hasGroup() bool { return len(r.replica.Core().Configuration().Members) > 0 }
+
+// flush persists, sends and applies, and passes on what has changed.
+func (r *replicaDuty) flush() {
+	if r.replica == nil {
+		return
+	}
+	if r.leading() != r.wasLeader {
+		r.wasLeader = r.leading()
+		r.root = escrow.NewRoot(r.rootOptions())
+		r.node.log.Info().Str("event", "leadership").Bool("leading", r.wasLeader).Uint64("term", r.replica.Core().Term()).Send()
+	}
+	r.proposeReports()
+	if err := r.replica.Flush(); err != nil {
+		r.fail(err)
+		return
+	}
+	r.publish()
+	r.share()
+}
+
+func (r *replicaDuty) rootOptions() escrow.RootOptions {
+	return escrow.RootOptions{
+		HoldersOf: r.holdersOf,
+		Reply: func(to string, message escrow.AnswerMessage) {
+			address, _ := holderAddress(to)
+			r.node.send(address, peer.KindAccounts, &escrow.AccountsMessage{Answer: &message})
+		},
+		Recall: func(to string, message escrow.RecallMessage) {
+			address, _ := holderAddress(to)
+			r.node.send(address, peer.KindAccounts, &escrow.AccountsMessage{Recall: &message})
+		},
+	}
+}
+
+func (r *replicaDuty) holdersOf(budget string) []accounts.Holder {
+	found := r.machine.Accounts().Budget(budget)
+	if found == nil {
+		return nil
+	}
+	var holders []accounts.Holder
+	for _, holder := range found.OpenHolders() {
+		if holder.Outstanding() > 0 {
+			holders = append(holders, *holder)
+		}
+	}
+	return holders
+}
+
+// proposeReports turns the waiting reports of holders into one command.
+func (r *replicaDuty) proposeReports() {
+	batch, found := r.root.Batch()
+	if !found {
+		return
+	}
+	root := r.root
+	r.propose(batch.Command, func(result machine.Result, err error) {
+		if err == nil {
+			root.Applied(r.node.now(), batch, result.Answers)
+		}
+		// Holders repeat what was not answered.
+	})
+}
+
+// propose appends a command; done is called once.
+func (r *replicaDuty) propose(command machine.Command, done func(machine.Result, error)) {
+	if r.replica == nil {
+		done(machine.Result{}, consensus.ErrNotLeader)
+		return
+	}
+	encoded, err := machine.Encode(command)
+	if err != nil {
+		done(machine.Result{}, err)
+		return
+	}
+	r.replica.Propose(encoded, func(result any, err error) {
+		if err != nil {
+			done(machine.Result{}, err)
+			return
+		}
+		done(result.(machine.Result), nil)
+	})
+}
+
+// closeLives ends the accounts of lives that are over: their node says that it
+// runs another one.
+func (r *replicaDuty) closeLives() {
+	running := map[string]string{}
+	for _, node := range r.node.fleet.view.Load().alive {
+		if node.Entry {
+			running[node.Address] = node.Life
+		}
+	}
+	var over []accounts.HolderID
+	for _, holder := range r.machine.Accounts().Holders() {
+		address, life := holderAddress(holder.Node)
+		if now, isRunning := running[address]; isRunning && now != life {
+			over = append(over, holder)
+		}
+	}
+	if len(over) == 0 {
+		return
+	}
+	r.propose(machine.Command{CloseLives: &machine.CloseLivesCommand{Lives: over}}, func(_ machine.Result, err error) {
+		r.node.log.Info().Str("event", "lives_closed").Int("count", len(over)).AnErr("error", err).Send()
+	})
+}
+
+// publish puts the document of the applied log in force here and tells all.
+func (r *replicaDuty) publish() {
+	held := r.machine.Document()
+	if held.Version <= r.published {
+		return
+	}
+	r.published = held.Version
+	if !r.node.documents.put(held.Version, held.Encoded) {
+		return
+	}
+	for _, known := range r.node.fleet.view.Load().alive {
+		if known.Entry {
+			r.node.send(known.Address, peer.KindDocumentNotice, &peer.DocumentNotice{Version: held.Version})
+		}
+	}
+}
+
+func (r *replicaDuty) share() {
+	view := &replicaView{quorumSilence: time.Hour}
+	if r.replica != nil {
+		core := r.replica.Core()
+		view.leading, view.term, view.replica = r.leading(), core.Term(), r.id
+		view.quorumSilence = time.Duration(core.QuorumSilence()) * replicaTick
+		view.hasGroup = r.hasGroup()
+		if member, found := core.Configuration().Member(core.Leader()); found {
+			view.leader = member.Node
+		}
+	}
+	r.shared.Store(view)
+}
+
+// describe adds the replica to the node's hello.
+func (r *replicaDuty) describe(hello *peer.Hello) {
+	view := r.shared.Load()
+	hello.Replica, hello.HasGroup = uint64(view.replica), view.hasGroup
+	hello.Leader, hello.Term = view.leader, view.term
+	hello.QuorumSilenceMS = uint64(view.quorumSilence.Milliseconds())
+}
+
+func (r *replicaDuty) manageMembers() {
+	core := r.replica.Core()
+	state := replicaset.State{
+		Members: core.Configuration().Members, CaughtUp: core.CaughtUp, Self: r.id,
+		Lost:     func(id consensus.ReplicaID) bool { return core.SilentTicks(id) > lostTicks },
+		Controls: []replicaset.Control{{Node: r.node.address, Replica: r.id}},
+	}
+	for _, known := range r.node.fleet.view.Load().alive {
+		if known.Control && !known.Stopping {
+			state.Controls = append(state.Controls, replicaset.Control{Node: known.Address, Replica: consensus.ReplicaID(known.Replica)})
+		}
+	}
+	change := replicaset.Next(state)
+	var err error
+	switch change.Kind {
+	case replicaset.Nothing:
+		return
+	case replicaset.AddLearner:
+		err = core.AddLearner(change.Member)
+	case replicaset.Promote:
+		err = core.Promote(change.Member.ID)
+	case replicaset.Remove:
+		err = core.RemoveMember(change.Member.ID)
+	}
+	if errors.Is(err, consensus.ErrChangePending) {
+		return
+	}
+	r.node.log.Info().Str("event", "member_change").Stringer("change", change.Kind).Str("member", change.Member.Node).
+		Uint64("replica", uint64(change.Member.ID)).Str("reason", change.Reason).AnErr("error", err).Send()
+}
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// listedWait is how long the platform may go on sending callers to a node
+	// that says that it is not ready.
+	listedWait = 3200 * time.Millisecond
+	// handOverWait is what a control node needs to hand its leadership over.
+	handOverWait = 600 * time.Millisecond
+	// returnWait bounds the return of unspent tokens.
+	returnWait = 500 * time.Millisecond
+	// closeWait is left for closing connections at rest.
+	closeWait = 200 * time.Millisecond
+	stopPoll  = 20 * time.Millisecond
+)
+
+// Stop is a planned stop: the node calls itself not ready, serves what still
+// comes, waits for the requests in progress as long as the context allows, and
+// gives back what it holds. It returns the number of requests that are cut.
+func (n *Node) Stop(ctx context.Context) int64 {
+	n.stopping.Store(true)
+	began := n.now()
+	n.log.Info().Str("event", "stopping").Int64("requests", n.active()).Send()
+	n.fleet.duty.Offer(n.fleet.hello)
+	if n.replica != nil {
+		n.handOver()
+	}
+	if n.pipeline != nil {
+		n.drain(ctx, began)
+	}
+	cut := n.active()
+	n.log.Info().Str("event", "stopped").Int64("requests_cut", cut).Int64("elapsed_ms", (n.now() - began).Milliseconds()).Send()
+	return cut
+}
+
+func (n *Node) active() int64 {
+	if n.pipeline == nil {
+		return 0
+	}
+	return n.pipeline.Active()
+}
+
+// drain waits for the platform's list and for the requests in progress.
+func (n *Node) drain(ctx context.Context, began time.Duration) {
+	deadline, found := ctx.Deadline()
+	until := n.now() + listedWait
+	if found {
+		until = n.now() + time.Until(deadline) - returnWait - closeWait
+	}
+	quietSince := began
+	for n.now() < until {
+		time.Sleep(stopPoll)
+		if n.active() > 0 {
+			quietSince = n.now()
+		}
+		if n.now()-began >= listedWait && n.now()-quietSince >= 2*stopPoll {
+			break
+		}
+	}
+	returning, cancel := context.WithTimeout(ctx, returnWait)
+	defer cancel()
+	if err := n.tokens.returnAll(returning); err != nil {
+		n.log.Warn().Str("event", "tokens_not_returned").Err(err).Send()
+	}
+	closing, cancelClosing := context.WithTimeout(ctx, closeWait)
+	defer cancelClosing()
+	n.callers.shutdown(closing)
+}
+
+// handOver gives leadership to another voter, so that nothing waits for an
+// election.
+func (n *Node) handOver() {
+	n.replica.duty.Offer(func() {
+		if !n.replica.leading() {
+			return
+		}
+		core := n.replica.replica.Core()
+		for _, member := range core.Configuration().Members {
+			if member.Learner || member.ID == n.replica.id || !core.CaughtUp(member.ID) || core.SilentTicks(member.ID) > electionTicks {
+				continue
+			}
+			err := core.TransferLeadership(member.ID)
+			n.log.Info().Str("event", "leadership_handed_over").Str("to", member.Node).AnErr("error", err).Send()
+			if err == nil {
+				return
+			}
+		}
+	})
+	time.Sleep(handOverWait)
+}
--- /dev/null
+++ b/internal/gateway/tokens.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/escrow"
+	"github.com/ravenway/ravenway/internal/duty"
+	"github.com/ravenway/ravenway/internal/forward"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+	"github.com/ravenway/ravenway/internal/state/accounts"
+)
+
+const (
+	tokensTick = 100 * time.Millisecond
+	// reserveWait is how long a request may wait for its tokens: what can't
+	// be had at once is refused at once.
+	reserveWait = 250 * time.Millisecond
+	// rootTimeout is the silence of the root after which neighbours are asked.
+	rootTimeout = 80 * time.Millisecond
+	// onlyLife is the incarnation of all holders here: each life of a node has
+	// a name of its own.
+	onlyLife = 1
+)
+
+// tokensDuty owns the prepaid tokens that were granted to this node.
+type tokensDuty struct {
+	node   *Node
+	duty   *duty.Duty
+	holder *escrow.Holder
+}
+
+func newTokensDuty(node *Node) *tokensDuty {
+	tokens := &tokensDuty{node: node, duty: duty.New("tokens", tokensTick)}
+	tokens.holder = escrow.NewHolder(escrow.HolderOptions{
+		ID: accounts.HolderID{Node: holderName(node.address, node.life), Incarnation: onlyLife}, AnswerTimeout: rootTimeout,
+	})
+	tokens.duty.Tick = func() { tokens.holder.Tick(node.now()) }
+	tokens.duty.Flush = tokens.flush
+	return tokens
+}
+
+func (t *tokensDuty) flush() {
+	if leader := t.node.leader(); leader != "" {
+		if report, due := t.holder.Report(t.node.now()); due {
+			t.node.send(leader, peer.KindAccounts, &escrow.AccountsMessage{Report: &report})
+		}
+	}
+	for _, loan := range t.holder.Loans() {
+		address, _ := holderAddress(loan.To)
+		t.node.send(address, peer.KindLend, &loan.Message)
+	}
+}
+
+func (t *tokensDuty) setLenders(lenders []string) {
+	t.duty.Offer(func() { t.holder.SetLenders(lenders) })
+}
+
+// reservation is a forward.Reservation.
+type reservation struct {
+	tokens *tokensDuty
+	held   escrow.Reservation
+}
+
+// Settle implements forward.Reservation.
+func (r *reservation) Settle(used uint64) {
+	_ = r.tokens.duty.Do(context.Background(), func() {
+		r.tokens.holder.Settle(r.tokens.node.now(), r.held, used)
+	})
+}
+
+type reserved struct {
+	held escrow.Reservation
+	err  error
+}
+
+// reserve sets tokens aside; it waits shortly for the root or a neighbour.
+func (t *tokensDuty) reserve(ctx context.Context, tenant string, amount uint64) (forward.Reservation, error) {
+	ended, err := duty.Ask(ctx, t.duty, func(answer func(reserved)) {
+		deadline := t.node.now() + reserveWait
+		t.holder.Reserve(t.node.now(), deadline, tenant, amount, escrow.Policy{}, func(held escrow.Reservation, err error) {
+			if err == nil && ctx.Err() != nil {
+				// Nobody waits for it any more.
+				t.holder.Settle(t.node.now(), held, 0)
+			}
+			answer(reserved{held: held, err: err})
+		})
+	})
+	if err == nil {
+		err = ended.err
+	}
+	if err == nil {
+		return &reservation{tokens: t, held: ended.held}, nil
+	}
+	var exhausted *escrow.ExhaustedError
+	if errors.As(err, &exhausted) && exhausted.Spent+amount > exhausted.Limit {
+		return nil, errors.Join(forward.ErrSpent, err)
+	}
+	return nil, errors.Join(forward.ErrNotReserved, err)
+}
+
+func (t *tokensDuty) takeAnswer(message escrow.AnswerMessage) {
+	t.duty.Offer(func() { t.holder.Take(t.node.now(), message) })
+}
+
+func (t *tokensDuty) takeRecall(message escrow.RecallMessage) {
+	t.duty.Offer(func() { t.holder.Recall(message) })
+}
+
+// takeLend handles one step of a loan. A loan stays charged to its lender's
+// grant for good: when a life ends all that it was granted is charged, so a
+// loan that is known to nobody any more can't be spent twice.
+func (t *tokensDuty) takeLend(message escrow.LendMessage) {
+	t.duty.Offer(func() {
+		now := t.node.now()
+		switch {
+		case message.Request != nil:
+			if loan, given := t.holder.Lend(*message.Request, neverFenced); given {
+				t.node.log.Info().Str("event", "loan_given").Str("borrower", loan.Borrower.Node).Str("tenant", loan.Budget).Uint64("total", loan.Total).Send()
+				t.holder.Agreed(now, loan)
+			}
+		case message.Given != nil:
+			t.holder.TakeLoan(now, *message.Given, neverFenced)
+		case message.Taken != nil:
+			t.holder.LoanTaken(*message.Taken)
+		}
+	})
+}
+
+func neverFenced(accounts.HolderID) bool { return false }
+
+// returnAll gives back what is unspent and waits until the root knows all, for
+// a planned stop.
+func (t *tokensDuty) returnAll(ctx context.Context) error {
+	if err := t.duty.Do(ctx, t.holder.ReturnAll); err != nil {
+		return err
+	}
+	for {
+		unreported, err := duty.Ask(ctx, t.duty, func(answer func(bool)) {
+			t.holder.ReportAgain()
+			answer(t.holder.Unreported())
+		})
+		if err != nil || !unreported {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(tokensTick):
+		}
+	}
+}
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -25,7 +25,9 @@
 	"coordination": {"api/", "internal/coordination", "internal/protocol", "internal/state"},
 	"settings":     {},
 	"node":         {"api/", "internal/coordination", "internal/duty", "internal/pause", "internal/protocol", "internal/ring", "internal/settings", "internal/state", "internal/transport"},
-	"daemon":       {"internal/node", "internal/settings", "internal/state"},
+	"forward":      {"internal/coordination", "internal/state", "internal/transport"},
+	"gateway":      {"internal/coordination", "internal/duty", "internal/forward", "internal/protocol", "internal/settings", "internal/state", "internal/transport"},
+	"daemon":       {"internal/gateway", "internal/node", "internal/settings", "internal/state"},
 	"operatorcli":  {"api/"},
 	"lab":          {"api/", "internal/"},
 }
@@ -35,6 +37,8 @@
 	"state":        {"net", "net/http", "os/exec"},
 	"coordination": {"net", "net/http", "os", "os/exec"},
 	"node":         {"os/exec", "net/http/httputil"},
+	"forward":      {"os/exec", "net/http/httputil"},
+	"gateway":      {"os/exec", "net/http/httputil"},
 	"daemon":       {"os/exec", "net/http/httputil"},
 	"transport":    {"os/exec", "net/http", "net/http/httputil"},
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -9,6 +9,8 @@
 	"strings"
 )
 
+const maximumPort = 65535
+
 // minimumPeerKeyBytes is the least length of the shared peer key.
 const minimumPeerKeyBytes = 32
 
@@ -28,14 +30,20 @@
 	s.Limits.AnswerStoreBytes = cmp.Or(s.Limits.AnswerStoreBytes, DefaultAnswerStoreBytes)
 	s.Limits.RequestDeadline = cmp.Or(s.Limits.RequestDeadline, DefaultRequestDeadline)
 	s.Limits.StopTimeout = cmp.Or(s.Limits.StopTimeout, DefaultStopTimeout)
+	s.Bounds.StopGrace = cmp.Or(s.Bounds.StopGrace, DefaultStopGrace)
+	s.Bounds.RetryWindow = cmp.Or(s.Bounds.RetryWindow, DefaultRetryWindow)
 }
 
 // check looks at what the types can't say.
 func (p *parser) check(s *Settings) {
 	p.checkNode(s)
-	p.checkListen(s)
 	p.checkControl(s)
-	p.checkPeers(s)
+	if s.IsOpenFleet() {
+		p.checkFleet(s)
+	} else {
+		p.checkListen(s)
+		p.checkPeers(s)
+	}
 	p.checkSecurity(s)
 	p.checkLimits(s)
 	p.oneOf("log.level", s.Log.Level, allLevels)
@@ -149,6 +157,39 @@
 	}
 }
 
+// checkFleet holds a node that finds the others from seeds.
+func (p *parser) checkFleet(s *Settings) {
+	p.require("listen.peers", s.Listen.Peers)
+	if s.HasRole(RoleEntry) {
+		p.require("listen.callers", s.Listen.Callers)
+		p.require("listen.ready", s.Listen.Ready)
+	}
+	if s.HasRole(RoleControl) {
+		p.require("listen.control", s.Listen.Control)
+	}
+	for key, address := range map[string]string{
+		"listen.peers": s.Listen.Peers, "listen.callers": s.Listen.Callers, "listen.ready": s.Listen.Ready,
+		"listen.control": s.Listen.Control, "listen.health": s.Listen.Health,
+	} {
+		p.address(key, address)
+	}
+	if len(s.Fleet.Seeds) == 0 {
+		p.find("fleet.seeds", "is missing")
+	}
+	for position, seed := range s.Fleet.Seeds {
+		p.address(fmt.Sprintf("fleet.seeds[%d]", position), seed)
+	}
+	if s.Fleet.PeerPort < 1 || s.Fleet.PeerPort > maximumPort {
+		p.find("fleet.peer_port", "must be a port from 1 to %d", maximumPort)
+	}
+	if len(s.Peers) > 0 {
+		p.find("peers", "can't be given together with fleet.dialect")
+	}
+	if s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
+		p.find("bounds", "retry_ratio and retry_slack can't be below 0")
+	}
+}
+
 // checkSelf holds this node's own entry to the rest of the file.
 func (p *parser) checkSelf(s *Settings, key string, peer Peer) {
 	if peer.Name != s.Node.Name {
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -125,6 +125,15 @@
 			target.SetBool(truth)
 			return
 		}
+	case reflect.Float64:
+		switch number := raw.(type) {
+		case float64:
+			target.SetFloat(number)
+			return
+		case int64:
+			target.SetFloat(float64(number))
+			return
+		}
 	case reflect.Int, reflect.Int64:
 		if number, isNumber := raw.(int64); isNumber {
 			target.SetInt(number)
@@ -162,6 +171,8 @@
 		return "true or false"
 	case reflect.String:
 		return "text"
+	case reflect.Float64:
+		return "number"
 	}
 	return "whole number"
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,8 @@
 	DefaultDeadAfter        = 30 * time.Second
 	DefaultRequestDeadline  = 60 * time.Second
 	DefaultStopTimeout      = 10 * time.Minute
+	DefaultStopGrace        = 8 * time.Second
+	DefaultRetryWindow      = 10 * time.Second
 )
 
 // Settings is a daemon's settings file.
@@ -43,6 +45,8 @@
 	Listen   Listen   `toml:"listen"`
 	Control  Control  `toml:"control"`
 	Peers    []Peer   `toml:"peers"`
+	Fleet    Fleet    `toml:"fleet"`
+	Bounds   Bounds   `toml:"bounds"`
 	Security Security `toml:"security"`
 	Platform Platform `toml:"platform"`
 	Limits   Limits   `toml:"limits"`
@@ -72,6 +76,39 @@
 	Peers string `toml:"peers"`
 	// Health is for health checks and metrics.
 	Health string `toml:"health"`
+	// Ready is where the platform asks whether an entry node should get
+	// callers. Only with fleet.dialect.
+	Ready string `toml:"ready"`
+	// Control is for engines and operators of a control node. Only with
+	// fleet.dialect.
+	Control string `toml:"control"`
+}
+
+// Fleet is for nodes that find each other from seeds, in place of peers.
+type Fleet struct {
+	// Dialect names the wire interface to callers, engines and operators. It
+	// turns on everything else here.
+	Dialect string `toml:"dialect"`
+	// Seeds are listeners (host:port) of a few control nodes; they may be
+	// exchanged while the node runs.
+	Seeds []string `toml:"seeds"`
+	// PeerPort is the port of the seeds' peer listeners.
+	PeerPort int `toml:"peer_port"`
+	// FirstStart tells that the whole system starts for the first time, with
+	// empty disks: the control group may be founded.
+	FirstStart bool `toml:"first_start"`
+}
+
+// Bounds are the promises that the platform's users were given. Only with
+// fleet.dialect.
+type Bounds struct {
+	// StopGrace is the time from the signal to stop until the process is killed.
+	StopGrace time.Duration `toml:"stop_grace"`
+	// In each RetryWindow the nodes together send at most RetryRatio of a
+	// service's requests, plus RetrySlack, to a second instance.
+	RetryWindow time.Duration `toml:"retry_window"`
+	RetryRatio  float64       `toml:"retry_ratio"`
+	RetrySlack  float64       `toml:"retry_slack"`
 }
 
 // Control configures the replica of the durable state.
@@ -136,6 +173,9 @@
 	Level string `toml:"level"`
 }
 
+// IsOpenFleet tells whether the node finds the others from seeds.
+func (s *Settings) IsOpenFleet() bool { return s.Fleet.Dialect != "" }
+
 // HasRole tells whether the daemon has a role.
 func (s *Settings) HasRole(role string) bool {
 	for _, own := range s.Node.Roles {
