Fleet harness: a machine's process is swapped atomically

Cause: the race detector, on the harness only: heartbeats looked at a machine while it was booted anew. Change: one atomic pointer to the running process.

--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -47,13 +48,28 @@
 	Zone    string
 	Control bool
 	Disk    *disk.Simulated
-	node    *gateway.Node
-	cancel  context.CancelFunc
-	ended   chan struct{}
+	// process is nil before the first start.
+	process atomic.Pointer[process]
 	// booted counts the starts; only the first start of all founds a group.
 	booted int
 }
 
+// process is one run of a machine's node.
+type process struct {
+	node   *gateway.Node
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+// running returns the machine's node while it runs, or nil.
+func (m *Machine) running() *gateway.Node {
+	current := m.process.Load()
+	if current == nil || isClosed(current.ended) {
+		return nil
+	}
+	return current.node
+}
+
 // Peer is the machine's peer address.
 func (m *Machine) Peer() string { return fmt.Sprintf("%s:%d", m.Host, peerPort) }
 
@@ -154,10 +170,10 @@
 		panic(fmt.Sprintf("booting %s: %v", name, err))
 	}
 	ctx, cancel := context.WithCancel(f.ctx)
-	machine.node, machine.cancel, machine.ended = started, cancel, make(chan struct{})
-	ended := machine.ended
+	current := &process{node: started, cancel: cancel, ended: make(chan struct{})}
+	machine.process.Store(current)
 	f.running.Go(func() {
-		defer close(ended)
+		defer close(current.ended)
 		_ = started.Run(ctx)
 	})
 }
@@ -182,8 +198,9 @@
 	machine := f.machines[name]
 	f.Network.Break(name)
 	machine.Disk.Kill()
-	machine.cancel()
-	<-machine.ended
+	current := machine.process.Load()
+	current.cancel()
+	<-current.ended
 	f.Network.Break(name)
 }
 
@@ -201,9 +218,10 @@
 	machine := f.machines[name]
 	ctx, cancel := context.WithTimeout(f.ctx, settings.DefaultStopGrace)
 	defer cancel()
-	cut := machine.node.Stop(ctx)
-	machine.cancel()
-	<-machine.ended
+	current := machine.process.Load()
+	cut := current.node.Stop(ctx)
+	current.cancel()
+	<-current.ended
 	f.Network.Break(name)
 	return cut
 }
@@ -273,12 +291,12 @@
 func (f *Fleet) Heartbeat(instance registry.Instance) error {
 	err := errors.New("no control node runs")
 	for _, name := range f.Names(true) {
-		machine := f.machines[name]
-		if machine.node == nil || isClosed(machine.ended) {
+		node := f.machines[name].running()
+		if node == nil {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(f.ctx, time.Second)
-		err = machine.node.Heartbeat(ctx, instance)
+		err = node.Heartbeat(ctx, instance)
 		cancel()
 		if err == nil {
 			return nil
@@ -310,7 +328,7 @@
 
 // Read reads the newest configuration at one control node.
 func (f *Fleet) Read(name string) (*document.Document, error) {
-	raw, err := f.machines[name].node.ReadDocument(f.ctx)
+	raw, err := f.machines[name].running().ReadDocument(f.ctx)
 	if err != nil || raw == nil {
 		return nil, err
 	}
@@ -335,11 +353,11 @@
 	err := errors.New("no control node runs")
 	for began := time.Now(); time.Since(began) < patience; time.Sleep(pollPause) {
 		for _, name := range f.Names(true) {
-			machine := f.machines[name]
-			if machine.node == nil || isClosed(machine.ended) {
+			node := f.machines[name].running()
+			if node == nil {
 				continue
 			}
-			if err = try(f.ctx, machine.node); err == nil {
+			if err = try(f.ctx, node); err == nil {
 				return nil
 			}
 		}
