Long requests are turned away late in a planned stop; accounts in the log

Ruled out: the close of the listener (the connection was open). Change: from 2.8 s after the signal on, a request that might not end in time gets 503 with a time to come back. Test without the bench: TestLongStreamIsTurnedAwayLateInAPlannedStop. Also: the leader logs the accounts with the least left each 5 s.

--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -43,12 +43,30 @@
 	RetryPolicy() balance.RetryPolicy
 	// EntryNodes is the number of live nodes that send requests.
 	EntryNodes() int
-	// Stopping tells that a planned stop has begun.
-	Stopping() bool
+	// Stop tells of a planned stop.
+	Stop() StopState
 	// Now is a steady clock.
 	Now() time.Duration
 }
 
+// StopState tells of a planned stop.
+type StopState struct {
+	Begun bool
+	// Since is the time since it began, Left the time until requests in
+	// progress are cut.
+	Since, Left time.Duration
+}
+
+// takesAll is how long after the beginning of a stop requests of any length
+// are taken: so long callers may not know of it.
+const takesAll = 2800 * time.Millisecond
+
+// takes tells whether a request that may last for a time is taken. Later on, a
+// request that might be cut is turned away: it has not run.
+func (s StopState) takes(longest time.Duration) bool {
+	return !s.Begun || s.Since < takesAll || longest < s.Left
+}
+
 // Options set up a Pipeline.
 type Options struct {
 	Dialect     Dialect
@@ -121,7 +139,7 @@
 	p.active.Add(1)
 	defer p.active.Add(-1)
 	p.arrivals.Add(1)
-	if p.options.Environment.Stopping() {
+	if p.options.Environment.Stop().Begun {
 		writer.Header().Set("Connection", "close")
 	}
 	one := &request{pipeline: p, writer: writer, incoming: incoming, arrived: time.Now()}
@@ -169,6 +187,9 @@
 	if call.Wait > 0 && call.Wait < r.route.Timeout {
 		r.deadline = r.arrived.Add(call.Wait)
 	}
+	if !environment.Stop().takes(time.Until(r.deadline)) {
+		return refuse(http.StatusServiceUnavailable, ReasonStopping)
+	}
 	return r.readBody()
 }
 
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -22,6 +22,7 @@
 	ReasonMalformed       Reason = "malformed"
 	ReasonTooLarge        Reason = "too_large"
 	ReasonNoMemory        Reason = "no_memory"
+	ReasonStopping        Reason = "stopping"
 	ReasonSpent           Reason = "prepaid_spent"
 	ReasonNotReserved     Reason = "tokens_not_reserved"
 	ReasonNoInstance      Reason = "no_instance"
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -42,15 +42,22 @@
 // EntryNodes implements forward.Environment.
 func (e *entryEnvironment) EntryNodes() int { return max(1, e.node.fleet.view.Load().entries) }
 
-// Stopping implements forward.Environment.
-func (e *entryEnvironment) Stopping() bool { return e.node.stopping.Load() }
+// Stop implements forward.Environment.
+func (e *entryEnvironment) Stop() forward.StopState {
+	stop := e.node.stop.Load()
+	if stop == nil {
+		return forward.StopState{}
+	}
+	now := e.node.now()
+	return forward.StopState{Begun: true, Since: now - stop.began, Left: stop.cutsAt - now}
+}
 
 // Now implements forward.Environment.
 func (e *entryEnvironment) Now() time.Duration { return e.node.now() }
 
 // ready tells whether this entry node should get callers.
 func (n *Node) ready() bool {
-	if n.stopping.Load() || n.documents.version() == 0 {
+	if n.isStopping() || n.documents.version() == 0 {
 		return false
 	}
 	return n.fleet.instances.Load() > 0 || n.now() > instancesPatience
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -142,7 +142,7 @@
 	current := f.node.settings.Load()
 	said := peer.Hello{
 		Address: f.node.address, Node: current.Node.Name, Zone: current.Node.Zone, Life: f.node.life,
-		Entry: current.HasRole(settings.RoleEntry), Control: f.isControl(), Stopping: f.node.stopping.Load(),
+		Entry: current.HasRole(settings.RoleEntry), Control: f.isControl(), Stopping: f.node.isStopping(),
 		Version: f.node.documents.version(), InstancesDigest: f.registry.Digest(),
 	}
 	if f.isControl() {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -109,7 +109,8 @@
 	decisions *forward.DecisionLog
 	callers   *callerServer
 
-	stopping atomic.Bool
+	// stop is nil until a planned stop begins.
+	stop atomic.Pointer[plannedStop]
 }
 
 // New makes a node. Its listeners are served by Run.
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"cmp"
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -33,6 +35,10 @@
 	// between looks at lives that are over.
 	manageTicks = 4
 	closeTicks  = 6
+	// accountTicks is the number of ticks between lines on the accounts,
+	// accountLines the most lines then.
+	accountTicks = 100
+	accountLines = 16
 	// reopenPause is the time between tries to use a disk that failed.
 	reopenPause  = 300 * time.Millisecond
 	identityFile = "identity"
@@ -217,6 +223,9 @@
 	if r.ticks%closeTicks == 0 {
 		r.closeLives()
 	}
+	if r.ticks%accountTicks == 0 {
+		r.logAccounts()
+	}
 }
 
 func (r *replicaDuty) hasGroup() bool { return len(r.replica.Core().Configuration().Members) > 0 }
@@ -327,6 +336,21 @@
 	})
 }
 
+// logAccounts writes how the prepaid tokens stand, of the tenants with the
+// least left to grant.
+func (r *replicaDuty) logAccounts() {
+	var budgets []*accounts.Budget
+	for _, name := range r.machine.Accounts().Names() {
+		budgets = append(budgets, r.machine.Accounts().Budget(name))
+	}
+	slices.SortStableFunc(budgets, func(a, b *accounts.Budget) int { return cmp.Compare(a.Left(), b.Left()) })
+	for _, budget := range budgets[:min(len(budgets), accountLines)] {
+		r.node.log.Info().Str("event", "account").Str("tenant", budget.Name).Uint64("limit", budget.Limit).
+			Uint64("spent", budget.Spent()).Uint64("forfeited", budget.Forfeited).
+			Uint64("outstanding", budget.Outstanding()).Uint64("left", budget.Left()).Int("holders", len(budget.Holders)).Send()
+	}
+}
+
 // publish puts the document of the applied log in force here and tells all.
 func (r *replicaDuty) publish() {
 	held := r.machine.Document()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -19,12 +19,20 @@
 	requestsWait = time.Minute
 )
 
+// plannedStop is a planned stop that has begun.
+type plannedStop struct {
+	// began and cutsAt are times of the node's clock.
+	began, cutsAt time.Duration
+}
+
+func (n *Node) isStopping() bool { return n.stop.Load() != nil }
+
 // Stop is a planned stop: the node calls itself not ready, serves what still
 // comes, waits for the requests in progress as long as the context allows, and
 // gives back what it holds. It returns the number of requests that are cut.
 func (n *Node) Stop(ctx context.Context) int64 {
-	n.stopping.Store(true)
 	began := n.now()
+	n.stop.Store(&plannedStop{began: began, cutsAt: began + time.Until(n.endOfRequests(ctx))})
 	n.log.Info().Str("event", "stopping").Int64("requests", n.active()).Send()
 	n.fleet.duty.Offer(n.fleet.hello)
 	if n.replica != nil {
--- a/internal/lab/openfleet/openfleet_test.go
+++ b/internal/lab/openfleet/openfleet_test.go
@@ -154,6 +154,25 @@
 	})
 }
 
+// The finding of zhf roll_term twice with busy: a long stream that came more
+// than three seconds after the signal was taken, and cut at the end.
+func TestLongStreamIsTurnedAwayLateInAPlannedStop(t *testing.T) {
+	inFleet(t, 2, func(t *testing.T, f *Fleet) {
+		for _, zone := range zones {
+			f.engines["llm-"+zone].Set(func(e *Engine) { e.Work = 990 * time.Millisecond })
+		}
+		stopped := make(chan int64, 1)
+		go func() { stopped <- f.Stop("entry-0") }()
+		time.Sleep(3050 * time.Millisecond)
+		late, err := f.Request("entry-0", ask("late", "/stream/x"))
+		assert.NilError(t, err)
+		assert.Equal(t, late.Status, http.StatusServiceUnavailable)
+		assert.Assert(t, late.Header.Get("Retry-After") != "")
+		assert.Equal(t, runsOf(f, "late"), 0)
+		assert.Equal(t, <-stopped, int64(0))
+	})
+}
+
 func runsOf(f *Fleet, id string) int {
 	count := 0
 	for _, run := range f.Truth.Runs() {
