Grants follow demand from the start

Ruled out: the root's share (much was left at the root), loans (asked, nobody had more). Change: the rate is made up for by what the sum can't hold yet. Test fails on the code before: TestTargetFollowsDemandFromTheStart.

--- a/internal/coordination/escrow/account.go
+++ b/internal/coordination/escrow/account.go
@@ -41,6 +41,9 @@
 	// demand is the smoothed use, in tokens a second.
 	demand   float64
 	demandAt time.Duration
+	// demandFrom is when the first demand came; hasDemand tells that it did.
+	demandFrom time.Duration
+	hasDemand  bool
 	// largest is the largest reservation of late, and largestAt its time.
 	largest   uint64
 	largestAt time.Duration
@@ -95,6 +98,9 @@
 // noteDemand smooths the demand with an exponential decay.
 func (a *account) noteDemand(now time.Duration, amount uint64) {
 	a.decayDemand(now)
+	if !a.hasDemand {
+		a.hasDemand, a.demandFrom = true, now
+	}
 	a.demand += float64(amount) / demandHalfLife.Seconds() * ln2
 	if amount >= a.largest || now-a.largestAt > largestMemory {
 		a.largest, a.largestAt = amount, now
@@ -111,12 +117,20 @@
 	}
 }
 
+// demandRate is the smoothed demand in tokens a second. A sum that decays holds
+// less than the true rate until several half-lives have passed; what it can't
+// hold yet is made up for.
+func (a *account) demandRate(now time.Duration) float64 {
+	a.decayDemand(now)
+	elapsed := max(now-a.demandFrom, minimumDemandTime)
+	return a.demand / (1 - halfPower(float64(elapsed)/float64(demandHalfLife)))
+}
+
 // target is what the node should hold, in tokens: the demand of a horizon, and
 // while there is any demand enough for a few requests like the largest of late,
 // so that a cut-off node can go on serving a tenant that sends little.
 func (a *account) target(now time.Duration) uint64 {
-	a.decayDemand(now)
-	expected := uint64(a.demand * a.policy.Horizon.Seconds())
+	expected := uint64(a.demandRate(now) * a.policy.Horizon.Seconds())
 	if a.largest > 0 && now-a.largestAt <= largestMemory {
 		return max(expected, requestsAhead*a.largest)
 	}
--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -27,6 +27,8 @@
 	surplusFactor = 2
 	// demandHalfLife is the half-life of the smoothed demand.
 	demandHalfLife = 10 * time.Second
+	// minimumDemandTime keeps a first burst from being taken for a rate.
+	minimumDemandTime = 2 * time.Second
 	// largestMemory is how long the largest reservation counts.
 	largestMemory = 60 * time.Second
 	// topUpPause is the least time between requests ahead of demand.
--- a/internal/coordination/escrow/holder_test.go
+++ b/internal/coordination/escrow/holder_test.go
@@ -82,3 +82,15 @@
 	_, due := holder.Report(time.Second)
 	assert.Assert(t, !due)
 }
+
+// All entry nodes are cut from the root seconds after traffic began: what they
+// hold must follow the demand from the start, not after several half-lives.
+func TestTargetFollowsDemandFromTheStart(t *testing.T) {
+	found := NewHolder(HolderOptions{}).account("b")
+	const perSecond = 1000
+	for second := range 5 {
+		found.noteDemand(time.Duration(second)*time.Second, perSecond)
+	}
+	target := found.target(5 * time.Second)
+	assert.Assert(t, target > 8*perSecond && target < 14*perSecond, "%d", target)
+}
