--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -12,7 +12,7 @@
 
 const (
 	// DefaultHorizon is how much expected demand a node holds ahead.
-	DefaultHorizon = 9 * time.Second
+	DefaultHorizon = 7 * time.Second
 	// DefaultAnswerTimeout is how long the root may take before a node tries
 	// its neighbours.
 	DefaultAnswerTimeout = 1500 * time.Millisecond
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -44,13 +44,22 @@
 	return &Refusal{Status: status, Reason: reason}
 }
 
-const (
-	// Callers come back after a time drawn between these, in seconds, so that
-	// they don't come back all at once.
-	minimumRetryAfter = 0.2
-	maximumRetryAfter = 0.7
+// retryAfter is when a caller may come back, in seconds: a time drawn between
+// the two, so that callers don't come back all at once.
+type retryAfter struct{ minimum, maximum float64 }
+
+var (
+	// soon is for what another node, or this one a moment later, can serve.
+	soon = retryAfter{minimum: 0.2, maximum: 0.7}
+	// later is for tokens that can't be had: that lasts as long as a cut does,
+	// and a caller that comes back too early is only refused once more.
+	later = retryAfter{minimum: 2.5, maximum: 4.5}
 )
 
+func (a retryAfter) draw() string {
+	return strconv.FormatFloat(a.minimum+rand.Float64()*(a.maximum-a.minimum), 'f', 2, 64)
+}
+
 type refusalBody struct {
 	Error  Reason `json:"error"`
 	NotRun bool   `json:"not_run"`
@@ -72,9 +81,11 @@
 	r.pipeline.options.Log.Refused(r, refused)
 	header := r.writer.Header()
 	header.Set("Content-Type", "application/json")
-	if refused.Status == http.StatusServiceUnavailable || refused.Status == http.StatusTooManyRequests {
-		after := minimumRetryAfter + rand.Float64()*(maximumRetryAfter-minimumRetryAfter)
-		header.Set("Retry-After", strconv.FormatFloat(after, 'f', 2, 64))
+	switch refused.Status {
+	case http.StatusServiceUnavailable:
+		header.Set("Retry-After", soon.draw())
+	case http.StatusTooManyRequests:
+		header.Set("Retry-After", later.draw())
 	}
 	body, _ := json.Marshal(refusalBody{Error: refused.Reason, NotRun: notRun(refused.Status), Detail: refused.Detail})
 	header.Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/gateway/tokens.go
+++ b/internal/gateway/tokens.go
@@ -14,12 +14,12 @@
 )
 
 const (
-	tokensTick = 100 * time.Millisecond
+	tokensTick = 40 * time.Millisecond
 	// reserveWait is how long a request may wait for its tokens: what can't
-	// be had at once is refused at once.
-	reserveWait = 250 * time.Millisecond
+	// be had at once is refused at once, so that the caller has time left.
+	reserveWait = 120 * time.Millisecond
 	// rootTimeout is the silence of the root after which neighbours are asked.
-	rootTimeout = 80 * time.Millisecond
+	rootTimeout = 50 * time.Millisecond
 	// onlyLife is the incarnation of all holders here: each life of a node has
 	// a name of its own.
 	onlyLife = 1
