--- a/internal/coordination/escrow/account.go
+++ b/internal/coordination/escrow/account.go
@@ -28,6 +28,12 @@
 	// confirmed is what the root has in its log.
 	confirmed confirmation
 
+	// unspent is what was left of the budget in all when the root last said so,
+	// and holders how many held a part of it; known tells that it did.
+	unspent uint64
+	holders int
+	known   bool
+
 	waiters []waiter
 	request uint64
 	// requested is set while a request is unanswered; reportedAt is when the
@@ -129,6 +135,16 @@
 	return a.demand / (1 - halfPower(float64(elapsed)/float64(demandHalfLife)))
 }
 
+// mostHeld is the most that the node should hold of what is left of the budget.
+// What a node holds is lost with it, and what a short budget can't serve in a
+// cut it can serve after it: so a node holds little of a budget that is short.
+func (a *account) mostHeld() uint64 {
+	if !a.known {
+		return math.MaxUint64
+	}
+	return uint64(heldShare * float64(a.unspent) * 2 / float64(a.holders+1))
+}
+
 // target is what the node should hold, in tokens: the demand of a horizon, and
 // while there is any demand enough for a request of middle size, so that a
 // cut-off node can go on serving a tenant that sends little. Nodes lend each
@@ -136,9 +152,9 @@
 func (a *account) target(now time.Duration) uint64 {
 	expected := uint64(a.demandRate(now) * a.policy.Horizon.Seconds())
 	if now-a.requestedLast <= requestMemory {
-		return max(expected, uint64(a.requestSize))
+		expected = max(expected, uint64(a.requestSize))
 	}
-	return expected
+	return min(expected, a.mostHeld())
 }
 
 // lack is what the first waiter needs beyond what is free.
@@ -202,6 +218,7 @@
 	a.confirmed.settled = max(a.confirmed.settled, answer.Settled)
 	a.confirmed.returned = max(a.confirmed.returned, answer.Returned)
 	a.confirmed.watermark = max(a.confirmed.watermark, answer.Watermark)
+	a.unspent, a.holders, a.known = answer.Left+answer.Outstanding, max(1, answer.Holders), true
 	return advanced
 }
 
--- a/internal/state/accounts/accounts.go
+++ b/internal/state/accounts/accounts.go
@@ -116,6 +116,17 @@
 // Outstanding is what holders may still spend.
 func (b *Budget) Outstanding() uint64 { return saturatingSubtract(b.Committed(), b.Settled()) }
 
+// outstanding is what holders may still spend, and how many of them there are.
+func (b *Budget) outstanding() (tokens uint64, holders int) {
+	for _, holder := range b.Holders {
+		if left := holder.Outstanding(); left > 0 {
+			tokens += left
+			holders++
+		}
+	}
+	return tokens, holders
+}
+
 // Report is what a holder says of one budget, with an optional grant request.
 type Report struct {
 	Budget           string `msgpack:"b"`
@@ -147,6 +158,10 @@
 	// Limit and Spent are the budget's limit and its use that is known for sure.
 	Limit uint64 `msgpack:"li"`
 	Spent uint64 `msgpack:"sp"`
+	// Outstanding is what all holders together may still spend, Holders how
+	// many hold something.
+	Outstanding uint64 `msgpack:"o"`
+	Holders     int    `msgpack:"hs"`
 	// Unknown says that there is no such budget; Closed that this holder's
 	// account was closed by a fence and must not be spent from.
 	Unknown bool `msgpack:"u,omitempty"`
@@ -265,6 +280,7 @@
 	answer.Settled, answer.Returned, answer.Watermark = holder.Settled, holder.Returned, holder.Watermark
 	answer.Left = budget.Left()
 	answer.Limit, answer.Spent = budget.Limit, budget.Spent()
+	answer.Outstanding, answer.Holders = budget.outstanding()
 	return answer
 }
 
