--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -21,9 +21,9 @@
 const (
 	// spillAfter is how much more work than the next instance, in requests of
 	// middle size that this node has in flight, makes a part spill over.
-	spillAfter = 4.0
+	spillAfter = 8.0
 	// farSpillAfter is the same against the least busy instance.
-	farSpillAfter = 8.0
+	farSpillAfter = 16.0
 	// otherZonePenalty is how many more requests in flight the own zone's
 	// instances may have before a request without a part leaves the zone.
 	otherZonePenalty = 2.0
--- /dev/null
+++ b/internal/forward/pipeline_test.go
@@ -0,0 +1,417 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/state/document"
+)
+
+// testDialect is the least of a wire interface.
+type testDialect struct{}
+
+func (testDialect) ReadCall(request *http.Request) (*Call, error) {
+	call := &Call{ID: request.Header.Get("Id"), Key: request.Header.Get("Key"), LastEvent: request.Header.Get("After"), Header: request.Header}
+	if call.ID == "" {
+		return nil, errors.New("no id")
+	}
+	if request.Header.Get("Tokens") != "" {
+		call.TokensIn, call.TokensOut, call.HasTokens = 100, 50, true
+	}
+	return call, nil
+}
+
+func (testDialect) EngineHeader(attempt Attempt) http.Header {
+	header := EndToEnd(attempt.Call.Header)
+	delete(header, "After")
+	if attempt.LastEvent != "" {
+		header.Set("After", attempt.LastEvent)
+	}
+	return header
+}
+
+func (testDialect) ReadAnswer(_ int, header http.Header) AnswerHead {
+	return AnswerHead{ID: header.Get("Id"), NotRun: header.Get("Not-Run") != ""}
+}
+
+// testEnvironment is a node with one document and a counted reserve.
+type testEnvironment struct {
+	index   *document.Index
+	certain bool
+	began   time.Time
+	stop    StopState
+	settled atomic.Int64
+	refusal error
+}
+
+func (e *testEnvironment) Configuration() *document.Index { return e.index }
+func (e *testEnvironment) Certain() bool                  { return e.certain }
+func (e *testEnvironment) EntryNodes() int                { return 1 }
+func (e *testEnvironment) Stop() StopState                { return e.stop }
+func (e *testEnvironment) Now() time.Duration             { return time.Since(e.began) }
+func (e *testEnvironment) RetryPolicy() balance.RetryPolicy {
+	return balance.RetryPolicy{Window: 10 * time.Second, Ratio: 0.2, Slack: 100, Nodes: 1}
+}
+
+func (e *testEnvironment) Reserve(context.Context, string, uint64) (Reservation, error) {
+	if e.refusal != nil {
+		return nil, e.refusal
+	}
+	return settleFunc(func(used uint64) { e.settled.Store(int64(used)) }), nil
+}
+
+type settleFunc func(uint64)
+
+func (s settleFunc) Settle(used uint64) { s(used) }
+
+// received is a request as an engine read it.
+type received struct {
+	*http.Request
+	body string
+}
+
+// scriptedEngine answers byte by byte what a test says.
+type scriptedEngine struct {
+	listener    net.Listener
+	script      func(connection net.Conn, reader *bufio.Reader, request received)
+	mutex       sync.Mutex
+	requests    []received
+	connections atomic.Int64
+}
+
+func newEngine(t *testing.T, script func(connection net.Conn, reader *bufio.Reader, request received)) *scriptedEngine {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	engine := &scriptedEngine{listener: listener, script: script}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			engine.connections.Add(1)
+			go engine.serve(connection)
+		}
+	}()
+	return engine
+}
+
+func (e *scriptedEngine) serve(connection net.Conn) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(request.Body)
+		got := received{Request: request, body: string(body)}
+		e.mutex.Lock()
+		e.requests = append(e.requests, got)
+		e.mutex.Unlock()
+		e.script(connection, reader, got)
+	}
+}
+
+func (e *scriptedEngine) ids() string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var ids []string
+	for _, request := range e.requests {
+		ids = append(ids, request.Header.Get("Id"))
+	}
+	return strings.Join(ids, " ")
+}
+
+func answerOf(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// harness is a pipeline before some engines, served over HTTP.
+type harness struct {
+	environment *testEnvironment
+	server      *httptest.Server
+	client      *http.Client
+}
+
+func newHarness(t *testing.T, engines ...*scriptedEngine) *harness {
+	t.Helper()
+	route := func(name string, kind document.RouteKind) document.Route {
+		return document.Route{
+			Name: name, Host: "127.0.0.1", Prefix: "/" + name + "/", Kind: kind, Timeout: 3 * time.Second, Objective: 100 * time.Millisecond,
+			MaxAttempts: 2, Targets: []document.Target{{Service: "s", Weight: 1}},
+		}
+	}
+	resumable := route("resumable", document.Stream)
+	resumable.Resumable = true
+	once := route("once", document.NotRepeatable)
+	index := document.NewIndex(&document.Document{
+		Version: 1, Services: []document.Service{{Name: "s", EventTokens: 3}}, Limits: document.Limits{MaxBodyBytes: 1 << 20},
+		Routes:  []document.Route{route("safe", document.Repeatable), once, route("stream", document.Stream), resumable},
+		Tenants: []document.Tenant{{Name: "t", Keys: []string{"k"}, HasPrepaid: true, Prepaid: 1000}},
+	})
+	made := &harness{environment: &testEnvironment{index: index, certain: true, began: time.Now()}}
+	table := balance.NewTable("a")
+	var instances []registry.Instance
+	for number, engine := range engines {
+		instances = append(instances, registry.Instance{
+			ID: fmt.Sprintf("i-%d", number), Service: "s", Address: engine.listener.Addr().String(), Zone: "a", State: registry.Ready, Slots: 4,
+		})
+	}
+	table.Update(instances)
+	made.server = httptest.NewServer(New(Options{Dialect: testDialect{}, Environment: made.environment, Table: table}))
+	t.Cleanup(made.server.Close)
+	made.client = &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}
+	return made
+}
+
+type result struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+func (h *harness) ask(t *testing.T, method, path, id, body string) result {
+	t.Helper()
+	request, err := http.NewRequest(method, h.server.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Header.Set("Id", id)
+	request.Header.Set("Key", "k")
+	request.Header.Set("Tokens", "yes")
+	return h.do(request)
+}
+
+func (h *harness) do(request *http.Request) result {
+	response, err := h.client.Do(request)
+	if err != nil {
+		return result{err: err}
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(response.Body)
+	return result{status: response.StatusCode, body: string(read), header: response.Header, err: err}
+}
+
+func TestMethodPathQueryAndBodyPassUnaltered(t *testing.T) {
+	engine := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = io.WriteString(connection, answerOf(request.Header.Get("Id"), "done"))
+	})
+	h := newHarness(t, engine)
+	got := h.ask(t, http.MethodPost, "/once/a%2Fb/../c?x=1&y=%20", "r1", "the body")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "done")
+	assert.Equal(t, engine.requests[0].RequestURI, "/once/a%2Fb/../c?x=1&y=%20")
+	assert.Equal(t, engine.requests[0].body, "the body")
+}
+
+func TestSurplusAnswerOfTheRequestBeforeIsPassedOver(t *testing.T) {
+	engine := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		if request.Header.Get("Id") == "r2" {
+			// The first request's answer comes once more, in the second's place.
+			_, _ = io.WriteString(connection, answerOf("r1", "surplus"))
+		}
+		_, _ = io.WriteString(connection, answerOf(request.Header.Get("Id"), "own "+request.Header.Get("Id")))
+	})
+	h := newHarness(t, engine)
+	assert.Equal(t, h.ask(t, http.MethodPost, "/once/x", "r1", "b").body, "own r1")
+	assert.Equal(t, h.ask(t, http.MethodPost, "/once/x", "r2", "b").body, "own r2")
+	assert.Equal(t, engine.connections.Load(), int64(1))
+	assert.Equal(t, engine.ids(), "r1 r2")
+}
+
+func TestConnectionWithSurplusBytesServesNobodyElse(t *testing.T) {
+	engine := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		id := request.Header.Get("Id")
+		_, _ = io.WriteString(connection, answerOf(id, "own "+id)+answerOf(id, "surplus"))
+	})
+	h := newHarness(t, engine)
+	for number := range 4 {
+		id := fmt.Sprintf("r%d", number)
+		assert.Equal(t, h.ask(t, http.MethodPost, "/once/x", id, "b").body, "own "+id)
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Equal(t, engine.connections.Load(), int64(4))
+}
+
+func TestForeignAnswerGoesToNobody(t *testing.T) {
+	engine := newEngine(t, func(connection net.Conn, _ *bufio.Reader, _ received) {
+		_, _ = io.WriteString(connection, answerOf("stranger", "not yours"))
+	})
+	h := newHarness(t, engine)
+	got := h.ask(t, http.MethodPost, "/once/x", "r1", "b")
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Assert(t, !strings.Contains(got.body, "not yours"))
+}
+
+func TestRequestOnAConnectionThatDiesIsNotSentAgainByStealth(t *testing.T) {
+	engine := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		if request.Header.Get("Id") == "r2" {
+			_ = connection.Close()
+			return
+		}
+		_, _ = io.WriteString(connection, answerOf(request.Header.Get("Id"), "ok"))
+	})
+	h := newHarness(t, engine)
+	assert.Equal(t, h.ask(t, http.MethodGet, "/once/x", "r1", "").status, http.StatusOK)
+	assert.Equal(t, h.ask(t, http.MethodGet, "/once/x", "r2", "").status, http.StatusBadGateway)
+	assert.Equal(t, engine.ids(), "r1 r2")
+}
+
+func TestRepeatableRequestGoesToAnotherInstanceAndAtMostTwice(t *testing.T) {
+	broken := func(connection net.Conn, _ *bufio.Reader, _ received) { _ = connection.Close() }
+	engines := []*scriptedEngine{newEngine(t, broken), newEngine(t, broken), newEngine(t, broken)}
+	h := newHarness(t, engines...)
+	assert.Equal(t, h.ask(t, http.MethodPost, "/safe/x", "r1", "b").status, http.StatusBadGateway)
+	sent := ""
+	for _, engine := range engines {
+		sent += engine.ids()
+	}
+	assert.Equal(t, sent, "r1r1")
+}
+
+func TestTurnedAwayRequestIsToldWhenToComeBack(t *testing.T) {
+	full := func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Id"))
+	}
+	h := newHarness(t, newEngine(t, full), newEngine(t, full))
+	got := h.ask(t, http.MethodPost, "/once/x", "r1", "b")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, h.environment.settled.Load(), int64(0))
+}
+
+func TestEnginesOwn503OnARequestThatMayHaveRunPromisesNothing(t *testing.T) {
+	engine := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 503 Oops\r\nId: %s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Id"))
+	})
+	got := newHarness(t, engine).ask(t, http.MethodPost, "/once/x", "r1", "b")
+	assert.Equal(t, got.status, http.StatusBadGateway)
+}
+
+func TestAnswerThatIsResetNeverLooksComplete(t *testing.T) {
+	engine := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\n\r\nid: 1\ndata: a\n\nid: 2\nda", request.Header.Get("Id"))
+		time.Sleep(20 * time.Millisecond)
+		_ = connection.(*net.TCPConn).SetLinger(0)
+		_ = connection.Close()
+	})
+	got := newHarness(t, engine).ask(t, http.MethodPost, "/stream/x", "r1", "b")
+	assert.Assert(t, got.err != nil, "%+v", got)
+	assert.Equal(t, got.body, "id: 1\ndata: a\n\n")
+}
+
+func TestStreamThatEndsInsideAnEventIsResumedBehindTheLastWholeOne(t *testing.T) {
+	script := func(connection net.Conn, _ *bufio.Reader, request received) {
+		id := request.Header.Get("Id")
+		if after := request.Header.Get("After"); after != "" {
+			assert.Check(t, after == "1", "after %q", after)
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n", id)
+			return
+		}
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n14\r\nid: 1\ndata: a\n\nid: 2\r\n0\r\n\r\n", id)
+	}
+	h := newHarness(t, newEngine(t, script), newEngine(t, script))
+	got := h.ask(t, http.MethodPost, "/resumable/x", "r1", "b")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	assert.Assert(t, h.environment.settled.Load() >= 100+2*3)
+}
+
+func TestConnectionWithAnUnreadBodyServesNobodyElse(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	engine := &scriptedEngine{listener: listener}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			engine.connections.Add(1)
+			go func() {
+				reader := bufio.NewReaderSize(connection, 1<<10)
+				request, err := http.ReadRequest(reader)
+				if err == nil {
+					// Answers before it has read the body, and keeps the connection.
+					_, _ = io.WriteString(connection, answerOf(request.Header.Get("Id"), "early"))
+				}
+			}()
+		}
+	}()
+	h := newHarness(t, engine)
+	for number := range 3 {
+		got := h.ask(t, http.MethodPost, "/once/x", fmt.Sprintf("r%d", number), strings.Repeat("b", 1<<20))
+		assert.Equal(t, got.body, "early")
+	}
+	assert.Equal(t, engine.connections.Load(), int64(3))
+}
+
+func TestCallerThatLeavesFreesItsEngineAtOnce(t *testing.T) {
+	freed := make(chan time.Time, 1)
+	engine := newEngine(t, func(connection net.Conn, reader *bufio.Reader, request received) {
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n", request.Header.Get("Id"))
+		_, _ = reader.ReadByte()
+		freed <- time.Now()
+	})
+	h := newHarness(t, engine)
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, h.server.URL+"/stream/x", strings.NewReader("b"))
+	assert.NilError(t, err)
+	request.Header.Set("Id", "r1")
+	request.Header.Set("Key", "k")
+	response, err := h.client.Do(request)
+	assert.NilError(t, err)
+	_, err = io.ReadFull(response.Body, make([]byte, 5))
+	assert.NilError(t, err)
+	left := time.Now()
+	cancel()
+	select {
+	case at := <-freed:
+		assert.Assert(t, at.Sub(left) < 400*time.Millisecond)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the engine was not freed")
+	}
+	_ = response.Body.Close()
+}
+
+func TestRefusalsSayWhatIsCertain(t *testing.T) {
+	h := newHarness(t)
+	assert.Equal(t, h.ask(t, http.MethodGet, "/nowhere/", "r1", "").status, http.StatusNotFound)
+	assert.Equal(t, h.ask(t, http.MethodGet, "/safe/", "r2", "").status, http.StatusServiceUnavailable)
+	h.environment.certain = false
+	assert.Equal(t, h.ask(t, http.MethodGet, "/nowhere/", "r3", "").status, http.StatusServiceUnavailable)
+	h.environment.refusal = ErrSpent
+	assert.Equal(t, h.ask(t, http.MethodGet, "/safe/", "r4", "").status, http.StatusPaymentRequired)
+	h.environment.refusal = ErrNotReserved
+	refused := h.ask(t, http.MethodGet, "/safe/", "r5", "")
+	assert.Equal(t, refused.status, http.StatusTooManyRequests)
+	assert.Assert(t, refused.header.Get("Retry-After") != "")
+	assert.Equal(t, h.ask(t, http.MethodPost, "/safe/", "r6", strings.Repeat("b", 1<<20+1)).status, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, h.ask(t, http.MethodGet, "/safe/", "", "").status, http.StatusBadRequest)
+}
+
+func TestEngineThatSaysNothingEndsAtTheRoutesTimeout(t *testing.T) {
+	engine := newEngine(t, func(_ net.Conn, reader *bufio.Reader, _ received) { _, _ = reader.ReadByte() })
+	began := time.Now()
+	got := newHarness(t, engine).ask(t, http.MethodPost, "/once/x", "r1", "b")
+	assert.Equal(t, got.status, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(began) < 3400*time.Millisecond)
+}
