Holders together hold at most 0.3 of what is unspent; the last leader is tried after a cut

Cause: seven holders of a short budget held half of what was left, which the final fault took; after a cut tokens waited for the next hello to find a leader.

--- a/internal/coordination/escrow/account.go
+++ b/internal/coordination/escrow/account.go
@@ -142,7 +142,7 @@
 	if !a.known {
 		return math.MaxUint64
 	}
-	return uint64(heldShare * float64(a.unspent) * 2 / float64(a.holders+1))
+	return uint64(heldShare * float64(a.unspent) / float64(a.holders))
 }
 
 // target is what the node should hold, in tokens: the demand of a horizon, and
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -148,10 +148,17 @@
 }
 
 // Leader returns the leader of the control group as the freshest hello with
-// the highest term names it, or "".
+// the highest term names it, or "". While no control node is heard it is the
+// last one known: the first to be tried once a cut is over.
 func (r *Roster) Leader(now time.Duration) string {
+	candidates := r.Controls(now)
+	if len(candidates) == 0 {
+		for _, known := range r.heard {
+			candidates = append(candidates, known)
+		}
+	}
 	var best *Heard
-	for _, known := range r.Controls(now) {
+	for _, known := range candidates {
 		if known.Leader == "" {
 			continue
 		}
