Grants: 10 s of demand, at most a quarter of the unspent together

Cause: what holders hold serves a cut and is lost at a final fault; the two pull against each other.

--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -12,7 +12,7 @@
 
 const (
 	// DefaultHorizon is how much expected demand a node holds ahead.
-	DefaultHorizon = 12 * time.Second
+	DefaultHorizon = 10 * time.Second
 	// DefaultAnswerTimeout is how long the root may take before a node tries
 	// its neighbours.
 	DefaultAnswerTimeout = 1500 * time.Millisecond
@@ -38,7 +38,7 @@
 	topUpPause = 500 * time.Millisecond
 	// heldShare is the most that the holders together should hold of what is
 	// left of a budget.
-	heldShare = 0.3
+	heldShare = 0.25
 	// requestWeight is the weight of one request in the smoothed size of them.
 	requestWeight = 0.2
 )
