A zone that is cut off is learned from two of its instances

Change: two instances of a zone out of reach within 1.5 s close the zone but for a probe each 0.4 s, until one answers; a connection may take 250 ms to come up.

--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -93,6 +93,36 @@
 	assert.Equal(t, chosen, 0)
 }
 
+// The finding of the drukwacht incident inc-1cdb, seconds 34 to 40: in the cut of
+// a zone each of its engines was tried by each node, and each try took the time
+// of a connection that does not come up.
+func TestZoneThatIsCutOffIsLearnedFromTwoOfItsInstances(t *testing.T) {
+	table := tableOf("a", instances(12))
+	now, lost := time.Duration(0), 0
+	for turn := range 60 {
+		now += 20 * time.Millisecond
+		choice, _ := table.Choose(now, Request{Service: "llm", Part: fmt.Sprintf("part-%d", turn), Cost: 1})
+		outcome := Served
+		if choice.Zone == "b" {
+			outcome = Unreachable
+			lost++
+		}
+		table.Done(now, choice, outcome)
+	}
+	assert.Assert(t, lost <= 6, "%d requests were lost to the zone", lost)
+	table.Done(now, Choice{Instance: instances(2)[1]}, Served)
+	back := 0
+	for turn := range 60 {
+		now += 100 * time.Millisecond
+		choice, _ := table.Choose(now, Request{Service: "llm", Part: fmt.Sprintf("part-%d", turn), Cost: 1})
+		if choice.Zone == "b" {
+			back++
+		}
+		table.Done(now, choice, Served)
+	}
+	assert.Assert(t, back > 5, "%d", back)
+}
+
 func TestRetriesStayWithinTheNodesPartOfTheWindow(t *testing.T) {
 	budget := NewRetryBudget()
 	policy := RetryPolicy{Window: 10 * time.Second, Ratio: 0.2, Slack: 14, Nodes: 7}
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -30,6 +30,13 @@
 	// The pause after a failure to connect doubles from the first to the last.
 	firstPause = 250 * time.Millisecond
 	lastPause  = 2 * time.Second
+	// A zone with this many instances that can't be reached within zoneWindow is
+	// taken for cut off: its other instances get a request each zoneProbe only,
+	// until one of them answers.
+	zoneInstances = 2
+	zoneWindow    = 1500 * time.Millisecond
+	zonePause     = 3 * time.Second
+	zoneProbe     = 400 * time.Millisecond
 	// failureWeight is the weight of one outcome in the smoothed failure rate.
 	failureWeight = 0.15
 	// failureMargin is how far above the others' rate an instance is avoided.
@@ -90,6 +97,14 @@
 	probedAt    time.Duration
 }
 
+// zoneState is what this node knows of its way to a zone.
+type zoneState struct {
+	// unreachable holds when instances could not be reached since one answered.
+	unreachable map[string]time.Duration
+	pausedUntil time.Duration
+	probedAt    time.Duration
+}
+
 // Table is safe for concurrent use. Times are those of a steady clock.
 type Table struct {
 	zone    string
@@ -97,11 +112,12 @@
 	members map[string]*member
 	// byService are the members that take new work.
 	byService map[string][]*member
+	zones     map[string]*zoneState
 }
 
 // NewTable makes a table for a node in a zone.
 func NewTable(zone string) *Table {
-	return &Table{zone: zone, members: map[string]*member{}, byService: map[string][]*member{}}
+	return &Table{zone: zone, members: map[string]*member{}, byService: map[string][]*member{}, zones: map[string]*zoneState{}}
 }
 
 // Update replaces the instances by what the registry holds.
@@ -152,6 +168,9 @@
 	} else {
 		chosen = t.chooseLeastBusy(candidates)
 	}
+	if state := t.zones[chosen.Zone]; state != nil && now < state.pausedUntil {
+		state.probedAt = now
+	}
 	chosen.inFlight++
 	chosen.work += request.Cost
 	return Choice{Instance: chosen.Instance, cost: request.Cost, Candidates: len(candidates), Spilled: spilled}, true
@@ -166,7 +185,7 @@
 		if slices.Contains(request.Exclude, one.ID) || request.MaxInFlight > 0 && one.inFlight >= request.MaxInFlight {
 			continue
 		}
-		if one.isHealthy(now, average) {
+		if one.isHealthy(now, average) && t.zoneIsOpen(now, one.Zone) {
 			healthy = append(healthy, one)
 			continue
 		}
@@ -178,6 +197,37 @@
 	return others
 }
 
+// zoneIsOpen tells whether a zone's instances may be chosen. A zone that is
+// taken for cut off is open for a moment now and then, to be probed.
+func (t *Table) zoneIsOpen(now time.Duration, zone string) bool {
+	state := t.zones[zone]
+	return state == nil || now >= state.pausedUntil || now-state.probedAt >= zoneProbe
+}
+
+// noteZone learns from an outcome of one of a zone's instances.
+func (t *Table) noteZone(now time.Duration, of registry.Instance, outcome Outcome) {
+	switch outcome {
+	case Served, Full:
+		delete(t.zones, of.Zone)
+	case Unreachable:
+		state := t.zones[of.Zone]
+		if state == nil {
+			state = &zoneState{unreachable: map[string]time.Duration{}}
+			t.zones[of.Zone] = state
+		}
+		state.unreachable[of.ID] = now
+		for id, at := range state.unreachable {
+			if now-at > zoneWindow {
+				delete(state.unreachable, id)
+			}
+		}
+		if len(state.unreachable) >= zoneInstances || now < state.pausedUntil {
+			state.pausedUntil = now + zonePause
+		}
+	case Failed, Abandoned:
+	}
+}
+
 func (t *Table) averageFailures(service string) float64 {
 	members := t.byService[service]
 	if len(members) == 0 {
@@ -264,6 +314,7 @@
 	if known == nil {
 		return
 	}
+	t.noteZone(now, known.Instance, outcome)
 	known.inFlight--
 	known.work = max(0, known.work-choice.cost)
 	switch outcome {
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -20,7 +20,7 @@
 const (
 	// dialTimeout bounds a new connection: engines answer within milliseconds,
 	// a machine that is gone says nothing.
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// engineUserTimeout ends connections whose data is not acknowledged.
 	engineUserTimeout = 2 * time.Second
 	// The probes of a silent connection end it within about two seconds.
