A stopping node answers until its requests are done

Change: the listener is closed when the requests in progress are done, or at the end; long requests are turned away meanwhile (as before).

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -17,6 +17,8 @@
 	returnWait = 500 * time.Millisecond
 	// requestsWait bounds the wait for requests if the caller names no time.
 	requestsWait = time.Minute
+	// stopPoll is the time between looks at the requests in progress.
+	stopPoll = 20 * time.Millisecond
 )
 
 // plannedStop is a planned stop that has begun.
@@ -53,13 +55,16 @@
 	return n.pipeline.Active()
 }
 
-// drain waits for the platform's list, then takes no more connections and waits
-// for the requests in progress. The tokens go back last: a request that still
-// comes must be able to have some.
+// drain waits for the platform's list and for the requests in progress, then
+// takes no more connections. Until then those that still come are answered: the
+// platform may have nobody else to send them to. The tokens go back last: a
+// request that still comes must be able to have some.
 func (n *Node) drain(ctx context.Context) {
-	pause.For(ctx, listedWait)
-	serving, cancelServing := context.WithDeadline(ctx, n.endOfRequests(ctx))
-	defer cancelServing()
+	serving, cancel := context.WithDeadline(ctx, n.endOfRequests(ctx))
+	defer cancel()
+	pause.For(serving, listedWait)
+	for n.active() > 0 && pause.For(serving, stopPoll) {
+	}
 	n.callers.shutdown(serving)
 	returning, cancelReturning := context.WithTimeout(ctx, returnWait)
 	defer cancelReturning()
