A stopping node holds nothing ahead of demand

Cause: a node in a planned stop gave its tokens back and asked for as many ahead of its next requests in the same tick; those were charged when it ended. Change: from the signal on, what is free goes back while the root is heard, and only what a request lacks is asked for. Test fails on the code before.

--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -104,6 +104,7 @@
 	recalled []RecallMessage
 	loans    []OutgoingLoan
 	closed   bool
+	stopping bool
 }
 
 // OutgoingLoan is a lending message and its receiver.
@@ -126,6 +127,10 @@
 // SetLenders replaces the nodes to borrow from.
 func (h *Holder) SetLenders(lenders []string) { h.options.Lenders = lenders }
 
+// SetStopping begins a planned stop: nothing is held ahead of demand any more,
+// so that no grant comes after the last return.
+func (h *Holder) SetStopping() { h.stopping = true }
+
 // Closed tells whether the root has fenced this life.
 func (h *Holder) Closed() bool { return h.closed }
 
@@ -248,7 +253,14 @@
 		h.expire(now, found)
 		h.borrow(now, found)
 		h.tellLoansAgain(now, found)
-		if h.options.RootReachable == nil || h.options.RootReachable() {
+		reachable := h.options.RootReachable == nil || h.options.RootReachable()
+		if h.stopping && reachable && len(found.waiters) == 0 {
+			found.returned += found.free()
+		}
+		if h.stopping {
+			continue
+		}
+		if reachable {
 			found.returnSurplus(now)
 		}
 		found.topUp(now)
--- a/internal/coordination/escrow/holder_test.go
+++ b/internal/coordination/escrow/holder_test.go
@@ -113,3 +113,24 @@
 		now += time.Second
 	}
 }
+
+// The finding of drukwacht roll_term: a stopping node gave its tokens back, asked
+// for as many ahead of its next requests at once, and took those with it.
+func TestStoppingHolderAsksForNothingAhead(t *testing.T) {
+	id := accounts.HolderID{Node: "n", Incarnation: 1}
+	holder := NewHolder(HolderOptions{ID: id})
+	for second := range 5 {
+		holder.Reserve(time.Duration(second)*time.Second, time.Hour, "b", 100, Policy{}, func(Reservation, error) {})
+	}
+	report, _ := holder.Report(5 * time.Second)
+	holder.Take(5*time.Second, AnswerMessage{Holder: id, Answers: []Answer{{Answer: accounts.Answer{Budget: "b", Granted: 5000, Request: report.Reports[0].Request, Left: 50000}}}})
+	holder.SetStopping()
+	for tick := range 50 {
+		now := 5*time.Second + time.Duration(tick)*40*time.Millisecond
+		holder.Tick(now)
+		if next, due := holder.Report(now); due {
+			assert.Equal(t, next.Reports[0].Want, uint64(0))
+		}
+	}
+	assert.Equal(t, holder.Free("b"), uint64(0))
+}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -41,6 +41,7 @@
 		n.handOver()
 	}
 	if n.pipeline != nil {
+		n.tokens.stopping()
 		n.drain(ctx)
 	}
 	cut := n.active()
--- a/internal/gateway/tokens.go
+++ b/internal/gateway/tokens.go
@@ -136,6 +136,9 @@
 
 func neverFenced(accounts.HolderID) bool { return false }
 
+// stopping lets nothing be held ahead of demand any more.
+func (t *tokensDuty) stopping() { t.duty.Offer(t.holder.SetStopping) }
+
 const (
 	// rootSilence is the silence of all control nodes after which the root
 	// counts as out of reach.
