Callers refused just after the start come back soon

Cause: after all nodes were off, requests came before a leader was elected and were told to come back in 2.5 to 4.5 s. Change: in the first 3 s of a node's life they come back in 0.2 to 0.7 s.

--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -24,6 +24,8 @@
 	ErrSpent = errors.New("forward: the tenant's prepaid tokens can't hold the request")
 	// ErrNotReserved says that the tokens could not be reserved now.
 	ErrNotReserved = errors.New("forward: the tokens could not be reserved now")
+	// ErrNotReservedYet says that they probably can be in a moment.
+	ErrNotReservedYet = errors.New("forward: the tokens could not be reserved yet")
 )
 
 // Reservation holds tokens for one request until it is settled.
@@ -271,6 +273,9 @@
 		return refuse(http.StatusPaymentRequired, ReasonSpent)
 	case err != nil:
 		refused := refuse(http.StatusTooManyRequests, ReasonNotReserved)
+		if errors.Is(err, ErrNotReservedYet) {
+			refused.Reason = ReasonNotReservedYet
+		}
 		refused.Detail = err.Error()
 		return refused
 	}
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -25,6 +25,7 @@
 	ReasonStopping        Reason = "stopping"
 	ReasonSpent           Reason = "prepaid_spent"
 	ReasonNotReserved     Reason = "tokens_not_reserved"
+	ReasonNotReservedYet  Reason = "tokens_not_reserved_yet"
 	ReasonNoInstance      Reason = "no_instance"
 	ReasonTurnedAway      Reason = "engines_turned_it_away"
 	ReasonTimeout         Reason = "timeout"
@@ -81,11 +82,11 @@
 	r.pipeline.options.Log.Refused(r, refused)
 	header := r.writer.Header()
 	header.Set("Content-Type", "application/json")
-	switch refused.Status {
-	case http.StatusServiceUnavailable:
-		header.Set("Retry-After", soon.draw())
-	case http.StatusTooManyRequests:
+	switch {
+	case refused.Reason == ReasonNotReserved:
 		header.Set("Retry-After", later.draw())
+	case refused.Status == http.StatusServiceUnavailable, refused.Status == http.StatusTooManyRequests:
+		header.Set("Retry-After", soon.draw())
 	}
 	body, _ := json.Marshal(refusalBody{Error: refused.Reason, NotRun: notRun(refused.Status), Detail: refused.Detail})
 	header.Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -338,6 +338,14 @@
 	return false
 }
 
+// startTime is how long a node may look for the root after its start.
+const startTime = 3 * time.Second
+
+// rootMayComeBack tells whether the root's silence is probably a short one: all
+// nodes may have started together, and the root is elected. A longer silence
+// is a cut; a caller that comes back at once would be refused once more.
+func (n *Node) rootMayComeBack() bool { return n.now() < startTime }
+
 // nodeOfReplica finds the node that holds a replica identity.
 func (n *Node) nodeOfReplica(id consensus.ReplicaID) string {
 	for _, node := range n.fleet.view.Load().alive {
--- a/internal/gateway/tokens.go
+++ b/internal/gateway/tokens.go
@@ -99,6 +99,9 @@
 	if errors.As(err, &exhausted) && exhausted.Spent+amount > exhausted.Limit {
 		return nil, errors.Join(forward.ErrSpent, err)
 	}
+	if !errors.Is(err, escrow.ErrExhausted) && t.node.rootMayComeBack() {
+		return nil, errors.Join(forward.ErrNotReservedYet, err)
+	}
 	return nil, errors.Join(forward.ErrNotReserved, err)
 }
 
