--- /dev/null
+++ b/internal/lab/openfleet/chaos.go
@@ -0,0 +1,245 @@
+package openfleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/state/document"
+)
+
+const (
+	chaosRounds = 8
+	// repairTime is what a wiped or replaced control node needs until another
+	// one may be lost.
+	repairTime = 6 * time.Second
+	callPause  = 40 * time.Millisecond
+	// A run with fewer requests or acknowledged versions shows nothing.
+	leastRuns         = 50
+	leastAcknowledged = 8
+	orderPause        = 300 * time.Millisecond
+)
+
+// Chaos runs callers, an operator and random faults against a fleet, and notes
+// every promise that is broken.
+type Chaos struct {
+	fleet         *Fleet
+	random        *rand.Rand
+	configuration func(version uint64) *document.Document
+
+	mutex    sync.Mutex
+	broken   []string
+	acked    uint64
+	sent     uint64
+	refused  map[string]bool
+	replaced int
+}
+
+// NewChaos makes a run; configuration makes the document of a version.
+func NewChaos(fleet *Fleet, seed uint64, configuration func(version uint64) *document.Document) *Chaos {
+	return &Chaos{
+		fleet: fleet, random: rand.New(rand.NewPCG(seed, 1)), configuration: configuration,
+		acked: 1, sent: 1, refused: map[string]bool{},
+	}
+}
+
+func (c *Chaos) note(format string, arguments ...any) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.broken = append(c.broken, fmt.Sprintf(format, arguments...))
+}
+
+// Run returns the promises that were broken.
+func (c *Chaos) Run() []string {
+	ctx, cancel := context.WithCancel(c.fleet.ctx)
+	var running sync.WaitGroup
+	for number, name := range c.fleet.Names(false) {
+		running.Go(func() { c.call(ctx, number, name) })
+	}
+	running.Go(func() { c.operate(ctx) })
+	for range chaosRounds {
+		c.fault()
+	}
+	c.fleet.Network.Heal()
+	time.Sleep(repairTime)
+	cancel()
+	running.Wait()
+	c.checkEnd()
+	return c.broken
+}
+
+// call sends requests of all kinds to one entry node.
+func (c *Chaos) call(ctx context.Context, number int, name string) {
+	paths := []string{"/safe/x", "/once/x", "/stream/x", "/resumable/x"}
+	for turn := 0; ctx.Err() == nil; turn++ {
+		path := paths[turn%len(paths)]
+		id := fmt.Sprintf("c%d-%d", number, turn)
+		limited, cancel := context.WithTimeout(ctx, 2*time.Second)
+		answer, err := c.fleet.Request(name, Ask{ID: id, Path: path, Key: "key-one", Tokens: "10,5", Context: limited})
+		cancel()
+		if err == nil {
+			c.checkAnswer(id, path, answer)
+		}
+		time.Sleep(callPause)
+	}
+}
+
+// checkAnswer holds one answer to what callers were promised.
+func (c *Chaos) checkAnswer(id, path string, answer Answer) {
+	switch answer.Status {
+	case http.StatusOK:
+		if answer.Broken == nil && !strings.Contains(answer.Body, id) {
+			c.note("%s got somebody else's answer %q", id, answer.Body)
+		}
+		if answer.Broken == nil && strings.HasSuffix(path, "able/x") && strings.Count(answer.Body, "data:") != 5 {
+			c.note("%s got a stream that looks complete and is not: %q", id, answer.Body)
+		}
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		c.mutex.Lock()
+		c.refused[id] = true
+		c.mutex.Unlock()
+	case http.StatusUnauthorized, http.StatusNotFound, http.StatusPaymentRequired:
+		if answer.Status != http.StatusPaymentRequired {
+			c.note("%s was refused with %d", id, answer.Status)
+		}
+	}
+}
+
+// operate sends configurations and reads them back at any node.
+func (c *Chaos) operate(ctx context.Context) {
+	for turn := uint64(0); ctx.Err() == nil; turn++ {
+		c.mutex.Lock()
+		version, acked := c.sent+1, c.acked
+		c.sent = version
+		c.mutex.Unlock()
+		if err := c.fleet.Put(c.configuration(version), time.Second); err == nil {
+			c.mutex.Lock()
+			c.acked = max(c.acked, version)
+			acked = c.acked
+			c.mutex.Unlock()
+		}
+		for _, name := range c.fleet.Names(true) {
+			if c.fleet.machines[name].running() == nil {
+				continue
+			}
+			if read, err := c.fleet.Read(name); err == nil && (read == nil || read.Version < acked) {
+				c.note("%s read a version below %d: %v", name, acked, read)
+			}
+		}
+		time.Sleep(orderPause)
+	}
+}
+
+// fault brings one fault about, and its end.
+func (c *Chaos) fault() {
+	controls, entries := c.liveControls(), c.fleet.Names(false)
+	control := controls[c.random.IntN(len(controls))]
+	entry := entries[c.random.IntN(len(entries))]
+	down := time.Duration(200+c.random.IntN(2500)) * time.Millisecond
+	switch c.random.IntN(8) {
+	case 0:
+		c.fleet.Kill(entry)
+		time.Sleep(down)
+		c.fleet.Boot(entry)
+	case 1:
+		c.fleet.PowerOff(control)
+		time.Sleep(down)
+		c.fleet.Boot(control)
+	case 2:
+		c.fleet.PowerOff(control)
+		c.fleet.Wipe(control)
+		time.Sleep(down)
+		c.fleet.Boot(control)
+		time.Sleep(repairTime)
+	case 3:
+		c.powerOffAll(down)
+	case 4:
+		c.fleet.Network.CutBetween(controls, entries)
+		time.Sleep(down)
+		c.fleet.Network.Heal()
+	case 5:
+		others := []string{}
+		for _, name := range controls {
+			if name != control {
+				others = append(others, name)
+			}
+		}
+		c.fleet.Network.CutBetween([]string{control}, others)
+		time.Sleep(down)
+		c.fleet.Network.Heal()
+	case 6:
+		c.replaceControl(control)
+	case 7:
+		c.fleet.Stop(entry)
+		c.fleet.Boot(entry)
+	}
+	time.Sleep(time.Duration(c.random.IntN(1500)) * time.Millisecond)
+}
+
+func (c *Chaos) liveControls() []string {
+	var live []string
+	for _, name := range c.fleet.Names(true) {
+		if c.fleet.machines[name].running() != nil {
+			live = append(live, name)
+		}
+	}
+	return live
+}
+
+// powerOffAll takes the power from all machines at once.
+func (c *Chaos) powerOffAll(down time.Duration) {
+	names := append(c.liveControls(), c.fleet.Names(false)...)
+	for _, name := range names {
+		c.fleet.PowerOff(name)
+	}
+	time.Sleep(down)
+	for _, name := range names {
+		c.fleet.Boot(name)
+	}
+}
+
+// replaceControl loses a control machine for good; an empty one comes at
+// another address.
+func (c *Chaos) replaceControl(lost string) {
+	c.fleet.PowerOff(lost)
+	c.fleet.Lose(lost)
+	c.replaced++
+	name := fmt.Sprintf("replacement-%d", c.replaced)
+	c.fleet.AddMachine(name, fmt.Sprintf("10.0.3.%d", c.replaced), c.fleet.machines[lost].Zone, true)
+	c.fleet.Boot(name)
+	time.Sleep(repairTime)
+}
+
+// checkEnd looks at what must hold once all is over.
+func (c *Chaos) checkEnd() {
+	read, err := c.fleet.ReadAny(10 * time.Second)
+	if err != nil || read.Version < c.acked {
+		c.note("at the end %v is read (%v), version %d was acknowledged", read, err, c.acked)
+	}
+	runs := map[string]int{}
+	for _, run := range c.fleet.Truth.Runs() {
+		runs[run.Request]++
+	}
+	if len(runs) < leastRuns || c.acked < leastAcknowledged {
+		c.note("only %d requests ran and version %d was acknowledged: the run shows nothing", len(runs), c.acked)
+	}
+	for id, count := range runs {
+		var number, turn int
+		_, _ = fmt.Sscanf(id, "c%d-%d", &number, &turn)
+		isOnce := turn%4 == 1 || turn%4 == 2
+		if isOnce && count > 1 {
+			c.note("%s ran %d times", id, count)
+		}
+		if isOnce && c.refused[id] {
+			c.note("%s was refused as not run, and ran", id)
+		}
+	}
+	limit := c.configuration(c.sent).Tenants[0].Prepaid
+	if spent := c.fleet.Truth.TokensOf("one"); spent > limit {
+		c.note("%d tokens of %d prepaid were handed out", spent, limit)
+	}
+}
--- /dev/null
+++ b/internal/lab/openfleet/chaos_test.go
@@ -0,0 +1,50 @@
+package openfleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+)
+
+// chaosSeeds is the number of runs in CI; RAVENWAY_CHAOS_SEEDS sets another one.
+const chaosSeeds = 12
+
+func TestPromisesHoldUnderRandomFaultsOnOpenFleets(t *testing.T) {
+	seeds := chaosSeeds
+	if text := os.Getenv("RAVENWAY_CHAOS_SEEDS"); text != "" {
+		var err error
+		seeds, err = strconv.Atoi(text)
+		assert.NilError(t, err)
+	}
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := New(3, 3, rand.New(rand.NewPCG(seed, 2)))
+				if path := os.Getenv("FLEET_LOG"); path != "" {
+					file, err := os.Create(path)
+					assert.NilError(t, err)
+					defer file.Close()
+					f.Logger = zerolog.New(file).With().Timestamp().Logger()
+				}
+				defer f.Close()
+				for _, zone := range zones {
+					f.AddEngine("app-"+zone, "app", zone)
+					f.AddEngine("llm-"+zone, "llm", zone).Set(func(e *Engine) { e.Events = 5 })
+				}
+				f.Start()
+				assert.NilError(t, f.Put(configuration(1), 8*time.Second))
+				time.Sleep(3 * time.Second)
+				broken := NewChaos(f, seed, configuration).Run()
+				assert.Equal(t, len(broken), 0, "%v", broken)
+			})
+		})
+	}
+}
--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -50,8 +50,6 @@
 	Disk    *disk.Simulated
 	// process is nil before the first start.
 	process atomic.Pointer[process]
-	// booted counts the starts; only the first start of all founds a group.
-	booted int
 }
 
 // process is one run of a machine's node.
@@ -87,6 +85,10 @@
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
 	beats    sync.Mutex
+	// hasRun is set once the whole system has started for the first time.
+	hasRun bool
+	// lost are the machines that don't come back.
+	lost map[string]bool
 }
 
 // New makes a fleet; nothing runs yet.
@@ -94,7 +96,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	made := &Fleet{
 		Network: fleet.NewNetwork(), Truth: &Truth{began: time.Now()}, Logger: zerolog.Nop(),
-		machines: map[string]*Machine{}, engines: map[string]*Engine{}, random: random, ctx: ctx, cancel: cancel,
+		machines: map[string]*Machine{}, engines: map[string]*Engine{}, lost: map[string]bool{}, random: random, ctx: ctx, cancel: cancel,
 	}
 	made.callers = &http.Transport{DialContext: made.Network.Dialer(callerMachine), DisableKeepAlives: true}
 	for number := range controls {
@@ -134,6 +136,7 @@
 	for _, name := range f.order {
 		f.Boot(name)
 	}
+	f.hasRun = true
 	f.running.Go(f.heartbeats)
 }
 
@@ -143,13 +146,10 @@
 	loaded := &settings.Settings{
 		Node:   settings.Node{Name: name, Zone: machine.Zone, Roles: []string{settings.RoleEntry}},
 		Listen: settings.Listen{Peers: machine.Peer()},
-		Fleet:  settings.Fleet{Dialect: "lab", PeerPort: peerPort, FirstStart: machine.booted == 0 && f.isFirst()},
+		Fleet:  settings.Fleet{Dialect: "lab", PeerPort: peerPort, FirstStart: !f.hasRun},
 		Bounds: settings.Bounds{StopGrace: settings.DefaultStopGrace, RetryWindow: settings.DefaultRetryWindow, RetryRatio: 0.2, RetrySlack: 50},
 	}
-	for _, control := range f.Names(true)[:3] {
-		loaded.Fleet.Seeds = append(loaded.Fleet.Seeds, fmt.Sprintf("%s:%d", f.machines[control].Host, controlPort))
-	}
-	machine.booted++
+	loaded.Fleet.Seeds = f.seeds()
 	listen := func(port int) net.Listener {
 		return f.Network.Listen(name, fmt.Sprintf("%s:%d", machine.Host, port))
 	}
@@ -178,16 +178,24 @@
 	})
 }
 
-// isFirst tells whether no machine has run before.
-func (f *Fleet) isFirst() bool {
-	for _, machine := range f.machines {
-		if machine.booted > 1 {
-			return false
+// seedCount is the number of control nodes that settings name.
+const seedCount = 3
+
+// seeds are the newest control machines that were not lost for good, as the
+// settings of the moment name them.
+func (f *Fleet) seeds() []string {
+	var seeds []string
+	for _, name := range f.Names(true) {
+		if !f.lost[name] {
+			seeds = append(seeds, fmt.Sprintf("%s:%d", f.machines[name].Host, controlPort))
 		}
 	}
-	return true
+	return seeds[max(0, len(seeds)-seedCount):]
 }
 
+// Lose notes that a machine does not come back.
+func (f *Fleet) Lose(name string) { f.lost[name] = true }
+
 func (f *Fleet) dialer(name string) func(context.Context, string) (net.Conn, error) {
 	dial := f.Network.Dialer(name)
 	return func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "memory", address) }
--- a/internal/lab/openfleet/openfleet_test.go
+++ b/internal/lab/openfleet/openfleet_test.go
@@ -241,6 +241,7 @@
 func TestControlNodeIsReplacedAtAnotherAddress(t *testing.T) {
 	inFleet(t, 1, func(t *testing.T, f *Fleet) {
 		f.PowerOff("control-0")
+		f.Lose("control-0")
 		f.AddMachine("control-3", "10.0.1.9", "a", true)
 		f.Boot("control-3")
 		time.Sleep(8 * time.Second)
