Memory limit from the settings; use reported each 2 s

Change: limits.memory_mb sets the collector's limit (0.7 of it); holders report use each 2 s, not 1, and ask ahead each 1 s, not 0.5.

--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -19,7 +19,7 @@
 	// loanTimeout is how long neighbours may take.
 	loanTimeout = 300 * time.Millisecond
 	// reportInterval is the time between reports of use without a request.
-	reportInterval = time.Second
+	reportInterval = 2 * time.Second
 	// resendInterval is the time after which an unanswered report is repeated.
 	resendInterval = 300 * time.Millisecond
 	// A node asks for more when it holds less than lowShare of what it wants to
@@ -35,7 +35,7 @@
 	// requestMemory is how long a last request counts.
 	requestMemory = 60 * time.Second
 	// topUpPause is the least time between requests ahead of demand.
-	topUpPause = 500 * time.Millisecond
+	topUpPause = time.Second
 	// heldShare is the most that the holders together should hold of what is
 	// left of a budget.
 	heldShare = 0.25
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -32,6 +33,7 @@
 	if !found {
 		return settings.Findings{{File: path, Key: "fleet.dialect", Problem: fmt.Sprintf("%q is not known", loaded.Fleet.Dialect)}}
 	}
+	limitMemory(loaded.Limits.MemoryMB)
 	logger, closeLog := newLogger(loaded)
 	defer closeLog()
 	options := gateway.Options{Settings: loaded, Dialect: dialect, Logger: logger}
@@ -72,6 +74,21 @@
 	return started.Run(ctx)
 }
 
+const (
+	// heapShare is the part of the memory that the heap may take before the
+	// garbage collector works without a pause; the rest is for stacks, buffers
+	// of the kernel, and what the collector is behind by.
+	heapShare  = 0.7
+	bytesPerMB = 1 << 20
+)
+
+// limitMemory keeps the heap well below what the process may use.
+func limitMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(megabytes) * bytesPerMB))
+	}
+}
+
 // watchSettings takes changed settings until a signal asks for a stop.
 func watchSettings(ctx context.Context, path string, node *gateway.Node, signals <-chan os.Signal) {
 	ticker := time.NewTicker(settingsPoll)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -237,6 +237,9 @@
 	if s.Limits.MaxBodyBytes < 0 {
 		p.find("limits.max_body_bytes", "must be above 0")
 	}
+	if s.Limits.MemoryMB < 0 {
+		p.find("limits.memory_mb", "can't be below 0")
+	}
 	if s.Limits.MaxStreams < 0 {
 		p.find("limits.max_streams", "must be above 0")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -165,6 +165,9 @@
 	// StopTimeout is how long a planned stop waits for streams before it says
 	// what it would cut.
 	StopTimeout time.Duration `toml:"stop_timeout"`
+	// MemoryMB is what the process may use, in MiB; 0 means that it is not
+	// bounded. The garbage collector works harder as its use comes near.
+	MemoryMB int `toml:"memory_mb"`
 }
 
 // Log configures the log.
