A planned stop of the claims path closes its listener before it waits

With requests all the time the stop did not end at all (12.25 s of a 12 s load). Ruled out: the settlements (they are waited for). Change: after the balancer's lag the callers' server is shut down, then streams are waited for. The script fails now when streams are cut.

--- a/internal/lab/fleet/failure_test.go
+++ b/internal/lab/fleet/failure_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -105,3 +108,35 @@
 		assert.NilError(t, f.WaitFor(30*time.Second, "the repair", func() bool { return f.Repaired() }))
 	})
 }
+
+// The finding of scripts/prove-processes.sh: its planned stop ended with a stream
+// still open, one that began between the last look and the close. With requests
+// all the time the stop did not even end.
+func TestPlannedStopUnderSteadyLoadEndsAndCutsNothing(t *testing.T) {
+	inFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		stopped := f.Order[len(f.Order)-1]
+		var mutex sync.Mutex
+		var cut []string
+		note := func(wanted load.Request, answer load.Answer, _ int) {
+			if answer.Outcome == load.Whole || strings.Contains(answer.Detail, errNetworkDown.Error()) {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			cut = append(cut, fmt.Sprintf("%s %s: %s", wanted.Key, answer.Outcome, answer.Detail))
+		}
+		ended := make(chan error, 1)
+		go func() {
+			_, err := load.Run(context.Background(), load.Options{
+				Entries: f.Entries(stopped), Mix: f.Mix(1), Rate: 150, Duration: 12 * time.Second, Seed: 3, Client: f.LoadClient(), Done: note,
+			})
+			ended <- err
+		}()
+		time.Sleep(2 * time.Second)
+		began := time.Now()
+		assert.Equal(t, f.StopPlanned(context.Background(), stopped), int64(0))
+		assert.Assert(t, time.Since(began) < 8*time.Second, "the stop took %s", time.Since(began))
+		assert.NilError(t, <-ended)
+		assert.Equal(t, len(cut), 0, "%v", cut)
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,6 +87,8 @@
 	view     atomic.Pointer[catalogView]
 	stopping atomic.Bool
 	streams  streamTracker
+	// callers is the server of the callers' listener, nil without one.
+	callers atomic.Pointer[http.Server]
 	// life ends with Run; work that outlives its request ends with it.
 	life    context.Context
 	endLife context.CancelCauseFunc
@@ -235,6 +237,9 @@
 		})
 	}
 	start(n.options.Listeners.Callers, n.callerHandler(), nil)
+	if len(servers) > 0 {
+		n.callers.Store(servers[0])
+	}
 	start(n.options.Listeners.Operators, n.operatorHandler(), n.options.OperatorTLS)
 	start(n.options.Listeners.Health, n.healthHandler(), nil)
 	return servers
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -23,6 +23,11 @@
 	n.log.Info().Str("event", "stopping").Int64("streams", n.streams.active.Load()).Send()
 	n.transferLeadership(ctx)
 	pause.For(ctx, balancerLag)
+	// No stream may begin between the last look and the end: the listener and
+	// connections at rest are closed first.
+	if callers := n.callers.Load(); callers != nil {
+		_ = callers.Shutdown(ctx)
+	}
 	for n.streams.active.Load() > 0 && pause.For(ctx, stopPoll) {
 	}
 	settled := make(chan struct{})
--- a/scripts/prove-processes.sh
+++ b/scripts/prove-processes.sh
@@ -83,5 +83,11 @@
 wait "$load" || status=$?
 cat "$data/load.txt"
 bin/ravenway-lab verify --deployment "$deployment" --patience 90s
-grep -h '"\|streams=' "$data/$stopped.log" | grep event=stopped || true
+# The planned stop must have cut nothing.
+line=$(grep event=stopped "$data/$stopped.log" | head -n 1)
+echo "$line"
+case $line in
+  *streams=0*) ;;
+  *) echo "the planned stop cut streams" >&2; status=1 ;;
+esac
 exit "$status"
