One piece of code for a data folder's identity; tests share their start

Cause: the identity was read and made by the same 40 lines in node and gateway; two tests started their fleets alike.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -81,7 +81,7 @@
 			r.giveUp(last, reasonOf(result))
 			return
 		}
-		r.pipeline.options.Log.Again(r, choice, result)
+		r.pipeline.options.Log.Again(r, choice)
 	}
 }
 
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -118,7 +118,7 @@
 }
 
 // Again notes that a request is sent once more.
-func (l *DecisionLog) Again(r *request, choice balance.Choice, _ verdict) {
+func (l *DecisionLog) Again(r *request, choice balance.Choice) {
 	if !l.keep(r, fmt.Sprintf("sent once more after %s, %d arrivals so far", choice.ID, r.arrivals)) {
 		return
 	}
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -2,13 +2,8 @@
 
 import (
 	"cmp"
-	"crypto/rand"
-	"encoding/binary"
-	"encoding/hex"
 	"errors"
-	"fmt"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -18,7 +13,7 @@
 	"github.com/ravenway/ravenway/internal/duty"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/accounts"
-	"github.com/ravenway/ravenway/internal/state/disk"
+	"github.com/ravenway/ravenway/internal/state/journal"
 	"github.com/ravenway/ravenway/internal/state/machine"
 )
 
@@ -40,8 +35,7 @@
 	accountTicks = 100
 	accountLines = 16
 	// reopenPause is the time between tries to use a disk that failed.
-	reopenPause  = 300 * time.Millisecond
-	identityFile = "identity"
+	reopenPause = 300 * time.Millisecond
 	// journalSegmentBytes keeps segments small: the disks are.
 	journalSegmentBytes = 1 << 20
 )
@@ -92,9 +86,9 @@
 func (r *replicaDuty) reopen() {
 	r.failedAt = r.node.now()
 	r.machine = machine.New()
-	id, err := loadIdentity(r.node.options.FileSystem)
+	id, err := journal.LoadIdentity(r.node.options.FileSystem)
 	if err == nil {
-		r.id = id
+		r.id = consensus.ReplicaID(id)
 		r.replica, err = r.open(nil)
 	}
 	if err != nil {
@@ -105,7 +99,7 @@
 	}
 	r.root = escrow.NewRoot(r.rootOptions())
 	r.wasLeader = false
-	r.node.log.Info().Str("event", "replica_opened").Uint64("replica", uint64(id)).Uint64("applied", r.replica.Applied()).
+	r.node.log.Info().Str("event", "replica_opened").Uint64("replica", id).Uint64("applied", r.replica.Applied()).
 		Uint64("version", r.machine.Document().Version).Int("records_read", r.replica.RecoveredRecords).
 		Int("torn_bytes", r.replica.TornBytes).Send()
 	r.publish()
@@ -120,44 +114,6 @@
 	})
 }
 
-// loadIdentity reads the data folder's identity, or gives an empty folder a
-// new one: a replica whose disk came back empty must not vote as before.
-func loadIdentity(fileSystem disk.FileSystem) (consensus.ReplicaID, error) {
-	content, err := fileSystem.ReadFile(identityFile)
-	if errors.Is(err, disk.ErrNotExist) {
-		return newIdentity(fileSystem)
-	}
-	if err != nil {
-		return 0, fmt.Errorf("reading the identity of the data folder: %w", err)
-	}
-	decoded, err := hex.DecodeString(strings.TrimSpace(string(content)))
-	if err != nil || len(decoded) != 8 {
-		return 0, fmt.Errorf("the file %q of the data folder does not hold an identity", identityFile)
-	}
-	return consensus.ReplicaID(binary.BigEndian.Uint64(decoded)), nil
-}
-
-func newIdentity(fileSystem disk.FileSystem) (consensus.ReplicaID, error) {
-	names, err := fileSystem.List()
-	if err != nil {
-		return 0, fmt.Errorf("listing the data folder: %w", err)
-	}
-	for _, name := range names {
-		if !strings.HasSuffix(name, ".tmp") {
-			return 0, fmt.Errorf("the data folder holds %q but no identity: it is not one of ravenway's, or damaged", name)
-		}
-	}
-	identity := make([]byte, 8)
-	_, _ = rand.Read(identity)
-	// 53 bits, so that JSON tools show it exactly; never 0.
-	identity[0], identity[1] = 0, identity[1]&0x1f|0x10
-	content := []byte(hex.EncodeToString(identity) + "\n")
-	if err := disk.WriteFileSynced(fileSystem, identityFile, content); err != nil {
-		return 0, fmt.Errorf("writing the identity of the data folder: %w", err)
-	}
-	return consensus.ReplicaID(binary.BigEndian.Uint64(identity)), nil
-}
-
 // fail gives the replica up until the disk works: nothing that is not on it
 // may count, so all that was not acknowledged is forgotten.
 func (r *replicaDuty) fail(err error) {
--- a/internal/lab/openfleet/chaos_test.go
+++ b/internal/lab/openfleet/chaos_test.go
@@ -9,7 +9,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 )
 
@@ -28,19 +27,8 @@
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := New(3, 3, rand.New(rand.NewPCG(seed, 2)))
-				if path := os.Getenv("FLEET_LOG"); path != "" {
-					file, err := os.Create(path)
-					assert.NilError(t, err)
-					defer file.Close()
-					f.Logger = zerolog.New(file).With().Timestamp().Logger()
-				}
 				defer f.Close()
-				for _, zone := range zones {
-					f.AddEngine("app-"+zone, "app", zone)
-					f.AddEngine("llm-"+zone, "llm", zone).Set(func(e *Engine) { e.Events = 5 })
-				}
-				f.Start()
-				assert.NilError(t, f.Put(configuration(1), 8*time.Second))
+				startWithEngines(t, f)
 				time.Sleep(3 * time.Second)
 				broken := NewChaos(f, seed, configuration).Run()
 				assert.Equal(t, len(broken), 0, "%v", broken)
--- a/internal/lab/openfleet/openfleet_test.go
+++ b/internal/lab/openfleet/openfleet_test.go
@@ -48,19 +48,8 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := New(3, entries, rand.New(rand.NewPCG(1, 1)))
-		if path := os.Getenv("FLEET_LOG"); path != "" {
-			file, err := os.Create(path)
-			assert.NilError(t, err)
-			defer file.Close()
-			f.Logger = zerolog.New(file).With().Timestamp().Logger()
-		}
 		defer f.Close()
-		for _, zone := range zones {
-			f.AddEngine("app-"+zone, "app", zone)
-			f.AddEngine("llm-"+zone, "llm", zone).Set(func(e *Engine) { e.Events = 5 })
-		}
-		f.Start()
-		assert.NilError(t, f.Put(configuration(1), 8*time.Second))
+		startWithEngines(t, f)
 		assert.NilError(t, f.WaitFor(8*time.Second, "all entry nodes ready", func() bool {
 			for _, name := range f.Names(false) {
 				if !f.Ready(name) {
@@ -74,6 +63,24 @@
 	})
 }
 
+// startWithEngines starts a fleet with engines in each zone and a first
+// configuration. FLEET_LOG names a file for the nodes' logs.
+func startWithEngines(t *testing.T, f *Fleet) {
+	t.Helper()
+	if path := os.Getenv("FLEET_LOG"); path != "" {
+		file, err := os.Create(path)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = file.Close() })
+		f.Logger = zerolog.New(file).With().Timestamp().Logger()
+	}
+	for _, zone := range zones {
+		f.AddEngine("app-"+zone, "app", zone)
+		f.AddEngine("llm-"+zone, "llm", zone).Set(func(e *Engine) { e.Events = 5 })
+	}
+	f.Start()
+	assert.NilError(t, f.Put(configuration(1), 8*time.Second))
+}
+
 func ask(id, path string) Ask { return Ask{ID: id, Path: path, Key: "key-one", Tokens: "10,5"} }
 
 func TestRequestAndStreamAreForwardedWhole(t *testing.T) {
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
-	"encoding/hex"
 	"errors"
 	"fmt"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -17,7 +13,7 @@
 	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/accounts"
-	"github.com/ravenway/ravenway/internal/state/disk"
+	"github.com/ravenway/ravenway/internal/state/journal"
 	"github.com/ravenway/ravenway/internal/state/machine"
 )
 
@@ -27,7 +23,6 @@
 	electionTicks = 20
 	// heartbeatTicks make a heartbeat of 200 milliseconds.
 	heartbeatTicks = 4
-	identityFile   = "identity"
 	// proposeTimeout bounds a proposal with all its tries, attemptTimeout one
 	// try: an election takes longer than that, so a dead leader costs one try.
 	proposeTimeout = 10 * time.Second
@@ -64,11 +59,11 @@
 }
 
 func newReplicaDuty(node *Node) (*replicaDuty, error) {
-	id, err := loadIdentity(node.options.FileSystem)
+	id, err := journal.LoadIdentity(node.options.FileSystem)
 	if err != nil {
 		return nil, err
 	}
-	owner := &replicaDuty{node: node, duty: duty.New("replica", replicaTick), machine: machine.New(), id: id}
+	owner := &replicaDuty{node: node, duty: duty.New("replica", replicaTick), machine: machine.New(), id: consensus.ReplicaID(id)}
 	owner.replica, err = owner.open(nil)
 	if err != nil {
 		return nil, err
@@ -80,7 +75,7 @@
 	}
 	owner.duty.Flush = owner.flush
 	owner.share()
-	node.log.Info().Str("event", "replica_opened").Uint64("replica", uint64(id)).
+	node.log.Info().Str("event", "replica_opened").Uint64("replica", id).
 		Uint64("applied", owner.replica.Applied()).Int("records_read", owner.replica.RecoveredRecords).
 		Int("torn_bytes", owner.replica.TornBytes).Send()
 	return owner, nil
@@ -93,44 +88,6 @@
 	})
 }
 
-// loadIdentity reads the data folder's identity, or gives an empty folder a
-// new one: a replica whose disk came back empty must not vote as before.
-func loadIdentity(fileSystem disk.FileSystem) (consensus.ReplicaID, error) {
-	content, err := fileSystem.ReadFile(identityFile)
-	if errors.Is(err, disk.ErrNotExist) {
-		return newIdentity(fileSystem)
-	}
-	if err != nil {
-		return 0, fmt.Errorf("reading the identity of the data folder: %w", err)
-	}
-	decoded, err := hex.DecodeString(strings.TrimSpace(string(content)))
-	if err != nil || len(decoded) != 8 {
-		return 0, fmt.Errorf("the file %q of the data folder does not hold an identity", identityFile)
-	}
-	return consensus.ReplicaID(binary.BigEndian.Uint64(decoded)), nil
-}
-
-func newIdentity(fileSystem disk.FileSystem) (consensus.ReplicaID, error) {
-	names, err := fileSystem.List()
-	if err != nil {
-		return 0, fmt.Errorf("listing the data folder: %w", err)
-	}
-	for _, name := range names {
-		if !strings.HasSuffix(name, ".tmp") {
-			return 0, fmt.Errorf("the data folder holds %q but no identity: it is not one of ravenway's, or damaged", name)
-		}
-	}
-	identity := make([]byte, 8)
-	_, _ = rand.Read(identity)
-	// 53 bits, so that JSON tools show it exactly; never 0.
-	identity[0], identity[1] = 0, identity[1]&0x1f|0x10
-	content := []byte(hex.EncodeToString(identity) + "\n")
-	if err := disk.WriteFileSynced(fileSystem, identityFile, content); err != nil {
-		return 0, fmt.Errorf("writing the identity of the data folder: %w", err)
-	}
-	return consensus.ReplicaID(binary.BigEndian.Uint64(identity)), nil
-}
-
 // send finds the node that holds a replica.
 func (r *replicaDuty) send(message consensus.Message) {
 	if member, found := r.replica.Core().Configuration().Member(message.To); found {
