Fleet harness: machines may be added while requests go on

Ruled out: the nodes' code (no stack of theirs in the reports). Change: one lock around the machines.

--- a/internal/lab/openfleet/chaos.go
+++ b/internal/lab/openfleet/chaos.go
@@ -123,7 +123,7 @@
 			c.mutex.Unlock()
 		}
 		for _, name := range c.fleet.Names(true) {
-			if c.fleet.machines[name].running() == nil {
+			if c.fleet.Machine(name).running() == nil {
 				continue
 			}
 			if read, err := c.fleet.Read(name); err == nil && (read == nil || read.Version < acked) {
@@ -183,7 +183,7 @@
 func (c *Chaos) liveControls() []string {
 	var live []string
 	for _, name := range c.fleet.Names(true) {
-		if c.fleet.machines[name].running() != nil {
+		if c.fleet.Machine(name).running() != nil {
 			live = append(live, name)
 		}
 	}
@@ -209,7 +209,7 @@
 	c.fleet.Lose(lost)
 	c.replaced++
 	name := fmt.Sprintf("replacement-%d", c.replaced)
-	c.fleet.AddMachine(name, fmt.Sprintf("10.0.3.%d", c.replaced), c.fleet.machines[lost].Zone, true)
+	c.fleet.AddMachine(name, fmt.Sprintf("10.0.3.%d", c.replaced), c.fleet.Machine(lost).Zone, true)
 	c.fleet.Boot(name)
 	time.Sleep(repairTime)
 }
--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -73,9 +73,11 @@
 
 // Fleet is a deployment in one process.
 type Fleet struct {
-	Network  *fleet.Network
-	Truth    *Truth
-	Logger   zerolog.Logger
+	Network *fleet.Network
+	Truth   *Truth
+	Logger  zerolog.Logger
+	// members guards the machines: some are added while requests go on.
+	members  sync.RWMutex
 	machines map[string]*Machine
 	order    []string
 	engines  map[string]*Engine
@@ -110,6 +112,8 @@
 
 // AddMachine adds a machine that does not run yet.
 func (f *Fleet) AddMachine(name, host, zone string, control bool) {
+	f.members.Lock()
+	defer f.members.Unlock()
 	f.order = append(f.order, name)
 	f.machines[name] = &Machine{
 		Name: name, Host: host, Zone: zone, Control: control,
@@ -118,10 +122,16 @@
 }
 
 // Machine returns a machine by its name.
-func (f *Fleet) Machine(name string) *Machine { return f.machines[name] }
+func (f *Fleet) Machine(name string) *Machine {
+	f.members.RLock()
+	defer f.members.RUnlock()
+	return f.machines[name]
+}
 
 // Names returns the names of the control or the entry machines.
 func (f *Fleet) Names(control bool) []string {
+	f.members.RLock()
+	defer f.members.RUnlock()
 	var names []string
 	for _, name := range f.order {
 		if f.machines[name].Control == control {
@@ -142,7 +152,7 @@
 
 // Boot starts a machine's node on whatever its disk holds.
 func (f *Fleet) Boot(name string) {
-	machine := f.machines[name]
+	machine := f.Machine(name)
 	loaded := &settings.Settings{
 		Node:   settings.Node{Name: name, Zone: machine.Zone, Roles: []string{settings.RoleEntry}},
 		Listen: settings.Listen{Peers: machine.Peer()},
@@ -186,15 +196,25 @@
 func (f *Fleet) seeds() []string {
 	var seeds []string
 	for _, name := range f.Names(true) {
-		if !f.lost[name] {
-			seeds = append(seeds, fmt.Sprintf("%s:%d", f.machines[name].Host, controlPort))
+		if !f.isLost(name) {
+			seeds = append(seeds, fmt.Sprintf("%s:%d", f.Machine(name).Host, controlPort))
 		}
 	}
 	return seeds[max(0, len(seeds)-seedCount):]
 }
 
 // Lose notes that a machine does not come back.
-func (f *Fleet) Lose(name string) { f.lost[name] = true }
+func (f *Fleet) Lose(name string) {
+	f.members.Lock()
+	defer f.members.Unlock()
+	f.lost[name] = true
+}
+
+func (f *Fleet) isLost(name string) bool {
+	f.members.RLock()
+	defer f.members.RUnlock()
+	return f.lost[name]
+}
 
 func (f *Fleet) dialer(name string) func(context.Context, string) (net.Conn, error) {
 	dial := f.Network.Dialer(name)
@@ -203,7 +223,7 @@
 
 // Kill ends a machine's process at once; its files stay as they were written.
 func (f *Fleet) Kill(name string) {
-	machine := f.machines[name]
+	machine := f.Machine(name)
 	f.Network.Break(name)
 	machine.Disk.Kill()
 	current := machine.process.Load()
@@ -215,15 +235,15 @@
 // PowerOff ends a machine; its disk loses what was not synced.
 func (f *Fleet) PowerOff(name string) {
 	f.Kill(name)
-	f.machines[name].Disk.Crash()
+	f.Machine(name).Disk.Crash()
 }
 
 // Wipe empties a stopped machine's disk.
-func (f *Fleet) Wipe(name string) { f.machines[name].Disk.Erase() }
+func (f *Fleet) Wipe(name string) { f.Machine(name).Disk.Erase() }
 
 // Stop stops a machine as a signal would, and returns the requests cut.
 func (f *Fleet) Stop(name string) int64 {
-	machine := f.machines[name]
+	machine := f.Machine(name)
 	ctx, cancel := context.WithTimeout(f.ctx, settings.DefaultStopGrace)
 	defer cancel()
 	current := machine.process.Load()
@@ -299,7 +319,7 @@
 func (f *Fleet) Heartbeat(instance registry.Instance) error {
 	err := errors.New("no control node runs")
 	for _, name := range f.Names(true) {
-		node := f.machines[name].running()
+		node := f.Machine(name).running()
 		if node == nil {
 			continue
 		}
@@ -336,7 +356,7 @@
 
 // Read reads the newest configuration at one control node.
 func (f *Fleet) Read(name string) (*document.Document, error) {
-	raw, err := f.machines[name].running().ReadDocument(f.ctx)
+	raw, err := f.Machine(name).running().ReadDocument(f.ctx)
 	if err != nil || raw == nil {
 		return nil, err
 	}
@@ -361,7 +381,7 @@
 	err := errors.New("no control node runs")
 	for began := time.Now(); time.Since(began) < patience; time.Sleep(pollPause) {
 		for _, name := range f.Names(true) {
-			node := f.machines[name].running()
+			node := f.Machine(name).running()
 			if node == nil {
 				continue
 			}
@@ -385,7 +405,7 @@
 
 // Ready asks an entry node whether it should get callers.
 func (f *Fleet) Ready(name string) bool {
-	answer, err := f.get(fmt.Sprintf("http://%s:%d%s", f.machines[name].Host, readyPort, wire.ReadyPath))
+	answer, err := f.get(fmt.Sprintf("http://%s:%d%s", f.Machine(name).Host, readyPort, wire.ReadyPath))
 	return err == nil && answer.Status == http.StatusOK
 }
 
@@ -413,7 +433,7 @@
 	if ctx == nil {
 		ctx = f.ctx
 	}
-	address := fmt.Sprintf("%s:%d", f.machines[name].Host, callersPort)
+	address := fmt.Sprintf("%s:%d", f.Machine(name).Host, callersPort)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+ask.Path, http.NoBody)
 	if err != nil {
 		return Answer{}, err
--- a/internal/lab/openfleet/openfleet_test.go
+++ b/internal/lab/openfleet/openfleet_test.go
@@ -286,12 +286,12 @@
 	inFleet(t, 1, func(t *testing.T, f *Fleet) {
 		version := uint64(1)
 		for _, name := range f.Names(true) {
-			f.machines[name].Disk.SetFull(true)
+			f.Machine(name).Disk.SetFull(true)
 			for range 3 {
 				version++
 				assert.NilError(t, f.Put(configuration(version), 4*time.Second))
 			}
-			f.machines[name].Disk.SetFull(false)
+			f.Machine(name).Disk.SetFull(false)
 			time.Sleep(4 * time.Second)
 		}
 	})
