A repair counts only once its membership is committed

Ruled out: load itself (it only moves the moment), the mesh's shorter bounds. Change: caught-up voters are counted for a committed membership only, in both kinds of nodes.

--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -183,6 +183,10 @@
 // Configuration returns the membership in force.
 func (c *Core) Configuration() Configuration { return c.configuration }
 
+// ConfigurationCommitted tells whether the membership in force is committed. One
+// that is only appended is lost with the leader: it counts for no repair.
+func (c *Core) ConfigurationCommitted() bool { return c.configurationIndex <= c.log.committed }
+
 // ConfigurationAt returns the membership as of a committed entry, for a
 // snapshot of that entry.
 func (c *Core) ConfigurationAt(index uint64) Configuration {
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -347,7 +347,7 @@
 func countVoters(core *consensus.Core) (voters, caughtUp int) {
 	for _, voter := range core.Configuration().Voters() {
 		voters++
-		if core.CaughtUp(voter) && core.SilentTicks(voter) <= electionTicks {
+		if core.ConfigurationCommitted() && core.CaughtUp(voter) && core.SilentTicks(voter) <= electionTicks {
 			caughtUp++
 		}
 	}
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -200,7 +200,7 @@
 	}
 	for _, voter := range core.Configuration().Voters() {
 		// A voter that is silent may be gone, whatever it once held.
-		if core.CaughtUp(voter) && core.SilentTicks(voter) <= electionTicks {
+		if core.ConfigurationCommitted() && core.CaughtUp(voter) && core.SilentTicks(voter) <= electionTicks {
 			view.caughtUpVoters++
 		}
 	}
