Holders' parts of a short budget follow demand and are told afresh

What all holders held ahead was meant to be a quarter of the unspent tokens. And the parts were equal, whatever each holder's demand.

Ruled out: requests in progress and use not reported yet; both are use, and are a small part of what was forfeited.

Change: a holder tells its wish (10 s of its demand) with its reports, the answers give the sum of all wishes, and each holds the same proportion of its own. The root tells all holders of a budget when its unspent part has fallen by 12 in 100. Tokens that were borrowed and spent are no longer counted as forfeited. A line on memory each 2 s.

--- a/internal/coordination/escrow/account.go
+++ b/internal/coordination/escrow/account.go
@@ -28,11 +28,12 @@
 	// confirmed is what the root has in its log.
 	confirmed confirmation
 
-	// unspent is what was left of the budget in all when the root last said so,
-	// and holders how many held a part of it; known tells that it did.
-	unspent uint64
-	holders int
-	known   bool
+	// standing is how the budget stands as a whole as the root last said; known
+	// tells that it did.
+	standing Standing
+	known    bool
+	// wished is the wish that the root was last told.
+	wished uint64
 
 	waiters []waiter
 	request uint64
@@ -136,26 +137,27 @@
 	return a.demand / (1 - halfPower(float64(elapsed)/float64(demandHalfLife)))
 }
 
-// mostHeld is the most that the node should hold of what is left of the budget.
-// What a node holds is lost with it, and what a short budget can't serve in a
-// cut it can serve after it: so a node holds little of a budget that is short.
-func (a *account) mostHeld() uint64 {
-	if !a.known {
-		return math.MaxUint64
+// wish is what the node would hold if the budget were not short, in tokens: the
+// demand of a horizon, and while there is any demand enough for a request of
+// middle size, so that a cut-off node can go on serving a tenant that sends
+// little. Nodes lend each other what larger ones need.
+func (a *account) wish(now time.Duration) uint64 {
+	expected := uint64(a.demandRate(now) * a.policy.Horizon.Seconds())
+	if now-a.requestedLast <= requestMemory {
+		expected = max(expected, uint64(a.requestSize))
 	}
-	return uint64(heldShare * float64(a.unspent) / float64(a.holders))
+	return expected
 }
 
-// target is what the node should hold, in tokens: the demand of a horizon, and
-// while there is any demand enough for a request of middle size, so that a
-// cut-off node can go on serving a tenant that sends little. Nodes lend each
-// other what larger ones need.
+// target is what the node should hold, in tokens: its wish, cut in the same
+// proportion as all others' where together they wish for more than the budget
+// bears.
 func (a *account) target(now time.Duration) uint64 {
-	expected := uint64(a.demandRate(now) * a.policy.Horizon.Seconds())
-	if now-a.requestedLast <= requestMemory {
-		expected = max(expected, uint64(a.requestSize))
+	wish := a.wish(now)
+	if !a.known {
+		return wish
 	}
-	return min(expected, a.mostHeld())
+	return a.standing.part(wish)
 }
 
 // lack is what the first waiter needs beyond what is free.
@@ -207,7 +209,7 @@
 	switch {
 	case a.requested:
 		return a.reportedAt == 0 || now-a.reportedAt >= resendInterval
-	case a.unconfirmed():
+	case a.unconfirmed(), a.wishChanged(now):
 		return a.reportedAt == 0 || now-a.reportedAt >= reportInterval
 	}
 	return false
@@ -219,7 +221,7 @@
 	a.confirmed.settled = max(a.confirmed.settled, answer.Settled)
 	a.confirmed.returned = max(a.confirmed.returned, answer.Returned)
 	a.confirmed.watermark = max(a.confirmed.watermark, answer.Watermark)
-	a.unspent, a.holders, a.known = answer.Left+answer.Outstanding, max(1, answer.Holders), true
+	a.takeStanding(standingOf(answer))
 	return advanced
 }
 
@@ -227,8 +229,9 @@
 	a.reportedAt = now
 	report := accounts.Report{
 		Budget: a.name, Settled: a.settled, Returned: a.returned,
-		Watermark: a.watermark, WatermarkSettled: a.watermarkSettled,
+		Watermark: a.watermark, WatermarkSettled: a.watermarkSettled, Wish: a.wish(now),
 	}
+	a.wished = report.Wish
 	if a.requested {
 		report.Request = a.request
 		report.Need = a.lack()
--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -36,9 +36,6 @@
 	requestMemory = 60 * time.Second
 	// topUpPause is the least time between requests ahead of demand.
 	topUpPause = time.Second
-	// heldShare is the most that the holders together should hold of what is
-	// left of a budget.
-	heldShare = 0.25
 	// requestWeight is the weight of one request in the smoothed size of them.
 	requestWeight = 0.2
 )
--- a/internal/coordination/escrow/messages.go
+++ b/internal/coordination/escrow/messages.go
@@ -37,6 +37,12 @@
 	Granted uint64 `msgpack:"g"`
 }
 
+// StandingsMessage tells a holder how budgets stand that became short.
+type StandingsMessage struct {
+	Holder    accounts.HolderID `msgpack:"h"`
+	Standings []Standing        `msgpack:"s"`
+}
+
 // LoanRequest asks another holder for a part of its unused grant.
 type LoanRequest struct {
 	Borrower accounts.HolderID `msgpack:"h"`
@@ -75,4 +81,6 @@
 	Report *ReportMessage `msgpack:"r,omitempty"`
 	Answer *AnswerMessage `msgpack:"a,omitempty"`
 	Recall *RecallMessage `msgpack:"c,omitempty"`
+	// Standings tells a holder how budgets stand.
+	Standings *StandingsMessage `msgpack:"s,omitempty"`
 }
--- a/internal/coordination/escrow/root.go
+++ b/internal/coordination/escrow/root.go
@@ -22,6 +22,10 @@
 	// Reply and Recall hand messages to the transport.
 	Reply  func(to string, message AnswerMessage)
 	Recall func(to string, message RecallMessage)
+	// StandingOf returns how a budget stands, and Tell hands the message to the
+	// transport. Without Tell holders learn it with their answers only.
+	StandingOf func(budget string) Standing
+	Tell       func(to string, message StandingsMessage)
 	// WithoutRecall is a deliberate defect for the simulation: refusals are
 	// given at once.
 	WithoutRecall bool
@@ -35,6 +39,10 @@
 	queue   []pendingReport
 	recalls map[string]*recall
 	number  uint64
+	// changed are the budgets that were reported on since the holders were last
+	// told, told what they were told.
+	changed []string
+	told    map[string]toldStanding
 }
 
 // pendingReport is one holder's report on its way through the log.
@@ -68,7 +76,7 @@
 
 // NewRoot makes a root side.
 func NewRoot(options RootOptions) *Root {
-	return &Root{options: options, recalls: map[string]*recall{}}
+	return &Root{options: options, recalls: map[string]*recall{}, told: map[string]toldStanding{}}
 }
 
 // Take queues a holder's report.
@@ -118,6 +126,11 @@
 func (r *Root) Applied(now time.Duration, batch Batch, answers [][]accounts.Answer) {
 	for position, pending := range batch.pending {
 		r.answer(now, pending, answers[position])
+		for _, report := range pending.message.Reports {
+			if !slices.Contains(r.changed, report.Budget) {
+				r.changed = append(r.changed, report.Budget)
+			}
+		}
 	}
 	for _, pending := range batch.pending {
 		for _, done := range pending.message.Recalled {
@@ -203,8 +216,11 @@
 	r.queue = append(ended.short, r.queue...)
 }
 
-// Tick ends recalls whose time is over.
+// Tick ends recalls whose time is over, and tells holders how budgets stand.
 func (r *Root) Tick(now time.Duration) {
+	if r.options.Tell != nil {
+		r.tellStandings(now)
+	}
 	for budget, running := range r.recalls {
 		if now >= running.deadline {
 			r.endRecall(budget, running)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -18,6 +18,7 @@
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/metrics"
 	"strconv"
 	"strings"
 	"sync"
@@ -178,8 +179,8 @@
 	}
 	if n.tokens != nil {
 		duties.Go(func() { n.tokens.duty.Run(ctx) })
-		duties.Go(func() { n.runUpkeep(ctx) })
 	}
+	duties.Go(func() { n.runUpkeep(ctx) })
 	servers := n.startServers(&duties)
 	current := n.settings.Load()
 	n.log.Info().Str("event", "started").Str("address", n.address).Str("zone", current.Node.Zone).
@@ -205,12 +206,29 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			n.pipeline.Tick()
-			n.decisions.Summarize()
+			if n.pipeline != nil {
+				n.pipeline.Tick()
+				n.decisions.Summarize()
+			}
+			n.logMemory()
 		}
 	}
 }
 
+// logMemory writes what the process holds, to explain one that ends for lack
+// of memory.
+func (n *Node) logMemory() {
+	samples := []metrics.Sample{
+		{Name: "/memory/classes/heap/objects:bytes"}, {Name: "/memory/classes/total:bytes"},
+		{Name: "/memory/classes/heap/stacks:bytes"}, {Name: "/memory/classes/heap/released:bytes"},
+		{Name: "/sched/goroutines:goroutines"},
+	}
+	metrics.Read(samples)
+	n.log.Info().Str("event", "memory").Uint64("heap_bytes", samples[0].Value.Uint64()).
+		Uint64("mapped_bytes", samples[1].Value.Uint64()-samples[3].Value.Uint64()).Uint64("stack_bytes", samples[2].Value.Uint64()).
+		Uint64("goroutines", samples[4].Value.Uint64()).Send()
+}
+
 // Reload takes changed settings: the seeds. Others hold until a restart.
 func (n *Node) Reload(changed *settings.Settings) {
 	n.settings.Store(changed)
@@ -304,6 +322,8 @@
 		n.tokens.takeAnswer(*message.Answer)
 	case message.Recall != nil && n.tokens != nil:
 		n.tokens.takeRecall(*message.Recall)
+	case message.Standings != nil && n.tokens != nil:
+		n.tokens.takeStandings(*message.Standings)
 	}
 }
 
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -219,7 +219,20 @@
 			address, _ := holderAddress(to)
 			r.node.send(address, peer.KindAccounts, &escrow.AccountsMessage{Recall: &message})
 		},
+		StandingOf: r.standingOf,
+		Tell: func(to string, message escrow.StandingsMessage) {
+			address, _ := holderAddress(to)
+			r.node.send(address, peer.KindAccounts, &escrow.AccountsMessage{Standings: &message})
+		},
+	}
+}
+
+func (r *replicaDuty) standingOf(budget string) escrow.Standing {
+	found := r.machine.Accounts().Budget(budget)
+	if found == nil {
+		return escrow.Standing{Budget: budget}
 	}
+	return escrow.Standing{Budget: budget, Limit: found.Limit, Unspent: found.Left() + found.Outstanding(), Wished: found.Wished()}
 }
 
 func (r *replicaDuty) holdersOf(budget string) []accounts.Holder {
@@ -305,7 +318,7 @@
 	slices.SortStableFunc(budgets, func(a, b *accounts.Budget) int { return cmp.Compare(a.Left(), b.Left()) })
 	for _, budget := range budgets[:min(len(budgets), accountLines)] {
 		r.node.log.Info().Str("event", "account").Str("tenant", budget.Name).Uint64("limit", budget.Limit).
-			Uint64("spent", budget.Spent()).Uint64("forfeited", budget.Forfeited).
+			Uint64("spent", budget.Spent()).Int64("forfeited", budget.Forfeited).
 			Uint64("outstanding", budget.Outstanding()).Uint64("left", budget.Left()).Int("holders", len(budget.Holders)).Send()
 	}
 }
--- a/internal/gateway/tokens.go
+++ b/internal/gateway/tokens.go
@@ -113,6 +113,10 @@
 	t.duty.Offer(func() { t.holder.Recall(message) })
 }
 
+func (t *tokensDuty) takeStandings(message escrow.StandingsMessage) {
+	t.duty.Offer(func() { t.holder.TakeStandings(message) })
+}
+
 // takeLend handles one step of a loan. A loan stays charged to its lender's
 // grant for good: when a life ends all that it was granted is charged, so a
 // loan that is known to nobody any more can't be spent twice.
--- a/internal/state/accounts/accounts.go
+++ b/internal/state/accounts/accounts.go
@@ -50,6 +50,9 @@
 	WatermarkSettled uint64 `msgpack:"ws"`
 	// LastRequest is the newest grant request that was decided.
 	LastRequest uint64 `msgpack:"q"`
+	// Wish is what the holder would hold ahead of demand if the budget were
+	// not short, as it last said.
+	Wish uint64 `msgpack:"wi,omitempty"`
 }
 
 // Outstanding is what the holder may still spend.
@@ -67,8 +70,9 @@
 	// ClosedSettled is the use of holders that were closed.
 	ClosedSettled uint64 `msgpack:"c"`
 	// Forfeited is the part of ClosedSettled that was charged without being
-	// known to be spent.
-	Forfeited uint64 `msgpack:"f"`
+	// known to be spent. It is below 0 while holders that spent borrowed tokens
+	// are closed and their lenders are not.
+	Forfeited int64 `msgpack:"f"`
 	// Target is the limit that was asked for when more than that is granted
 	// out; the limit follows it down as grants return. It is at most Limit.
 	Target  uint64               `msgpack:"tg"`
@@ -105,7 +109,7 @@
 }
 
 // Spent is the use that is known for sure.
-func (b *Budget) Spent() uint64 { return saturatingSubtract(b.Settled(), b.Forfeited) }
+func (b *Budget) Spent() uint64 { return uint64(max(0, int64(b.Settled())-b.Forfeited)) }
 
 // Committed is what the limit must cover: everything granted and not returned.
 func (b *Budget) Committed() uint64 { return b.Granted - b.Returned }
@@ -127,6 +131,15 @@
 	return tokens, holders
 }
 
+// Wished is what all holders wish to hold ahead of demand.
+func (b *Budget) Wished() uint64 {
+	var wished uint64
+	for _, holder := range b.Holders {
+		wished += holder.Wish
+	}
+	return wished
+}
+
 // Report is what a holder says of one budget, with an optional grant request.
 type Report struct {
 	Budget           string `msgpack:"b"`
@@ -139,6 +152,9 @@
 	Request uint64 `msgpack:"q,omitempty"`
 	Need    uint64 `msgpack:"nd,omitempty"`
 	Want    uint64 `msgpack:"wt,omitempty"`
+	// Wish is what the holder would hold ahead of demand if the budget were not
+	// short.
+	Wish uint64 `msgpack:"wi,omitempty"`
 }
 
 // Answer is what the root says of one report.
@@ -162,6 +178,8 @@
 	// many hold something.
 	Outstanding uint64 `msgpack:"o"`
 	Holders     int    `msgpack:"hs"`
+	// Wished is the sum of what all holders wish to hold ahead of demand.
+	Wished uint64 `msgpack:"wd,omitempty"`
 	// Unknown says that there is no such budget; Closed that this holder's
 	// account was closed by a fence and must not be spent from.
 	Unknown bool `msgpack:"u,omitempty"`
@@ -262,6 +280,7 @@
 	holder := budget.holder(id)
 	budget.takeReturn(holder, report.Returned)
 	holder.Settled = max(holder.Settled, report.Settled)
+	holder.Wish = report.Wish
 	if report.Watermark > holder.Watermark {
 		holder.Watermark = report.Watermark
 		holder.WatermarkSettled = report.WatermarkSettled
@@ -281,6 +300,7 @@
 	answer.Left = budget.Left()
 	answer.Limit, answer.Spent = budget.Limit, budget.Spent()
 	answer.Outstanding, answer.Holders = budget.outstanding()
+	answer.Wished = budget.Wished()
 	return answer
 }
 
@@ -351,7 +371,7 @@
 	held := saturatingSubtract(holder.Granted+borrowed, holder.Returned+lent)
 	settled := min(held, holder.WatermarkSettled+behindWatermark)
 	if forfeit {
-		b.Forfeited += saturatingSubtract(held, holder.Settled)
+		b.Forfeited += int64(held) - int64(holder.Settled)
 		settled = held
 	}
 	b.Returned += held - settled
