A leader does not flood slow followers, and cuts do not end in floods

The new line on load says why: 7.6, 79 and 99 MB of consensus messages in three times 2 s. What a follower had not answered within 150 ms was sent to it again, up to 1 MB at a time, by a leader that had no processor time left. It began with 1.6 MB of reports: entry nodes repeat an unanswered report each 0.3 s, and all that they had to say in a cut of 8 s waited in their links and came at once. Each refusal of a spent budget recalled it from all holders, and each request in a cut was asked of all other entry nodes.

Change: the leader's patience with a follower doubles with each resend, and it probes with 64 KB. Frames that waited over 1 s for a connection are dropped. Reports are repeated after 0.3, 0.6 and 1.2 s. A budget that was recalled in vain is left alone for 0.5 s. Neighbours are asked 8, 16, 48 at a time, and at once where the root is known to be out of reach. The roster is shared at each tick instead of at each hello. A line on load each 2 s: memory and the bytes to and from other nodes by kind.

--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -17,6 +17,9 @@
 	DefaultHeartbeatTicks = 2
 	// maximumAppendBytes bounds the entries of one append message.
 	maximumAppendBytes = 1 << 20
+	// maximumProbeBytes bounds them while it is not known what a follower has,
+	// or whether it takes anything at all.
+	maximumProbeBytes = 64 << 10
 	// maximumInFlight bounds unacknowledged append messages to one follower.
 	maximumInFlight = 64
 )
@@ -60,6 +63,10 @@
 	// since the last answer, or since the first of them was sent.
 	inFlight  int
 	flightAge int
+	// patience is how many ticks an answer may take before what was sent counts
+	// as lost. It doubles each time, or a follower that is only slow is sent the
+	// same entries faster than it can take them.
+	patience int
 	// snapshotIndex is not 0 while a snapshot is on its way.
 	snapshotIndex uint64
 	// snapshotAge counts ticks since it was sent.
--- a/internal/coordination/consensus/replication.go
+++ b/internal/coordination/consensus/replication.go
@@ -205,7 +205,9 @@
 func (c *Core) syncProgress() {
 	for _, member := range c.configuration.Members {
 		if c.progress[member.ID] == nil {
-			c.progress[member.ID] = &progress{next: c.log.lastIndex() + 1, probing: true, active: true}
+			c.progress[member.ID] = &progress{
+				next: c.log.lastIndex() + 1, probing: true, active: true, patience: c.options.HeartbeatTicks,
+			}
 		}
 	}
 	for id := range c.progress {
@@ -234,7 +236,11 @@
 		c.sendSnapshot(to, follower)
 		return
 	}
-	entries := c.log.slice(follower.next, maximumAppendBytes)
+	limit := maximumAppendBytes
+	if follower.probing {
+		limit = maximumProbeBytes
+	}
+	entries := c.log.slice(follower.next, limit)
 	c.send(Message{Kind: MessageAppend, To: to, Index: previous, LogTerm: term, Entries: entries, Commit: c.log.committed})
 	follower.inFlight++
 	if follower.inFlight == 1 {
@@ -274,7 +280,9 @@
 	follower.flightAge++
 	// The flight counter alone can't tell: a doubled answer lowers it twice.
 	unacknowledged := follower.inFlight > 0 || follower.next > follower.match+1
-	if unacknowledged && follower.flightAge > c.options.HeartbeatTicks {
+	if unacknowledged && follower.flightAge > follower.patience {
+		follower.patience = min(2*follower.patience, 2*c.options.ElectionTicks)
+		follower.flightAge = 0
 		follower.inFlight = 0
 		follower.probing = true
 		follower.next = follower.match + 1
@@ -314,6 +322,7 @@
 	if message.Index > follower.match {
 		follower.match = message.Index
 		follower.flightAge = 0
+		follower.patience = c.options.HeartbeatTicks
 	}
 	if follower.snapshotIndex != 0 && message.Index >= follower.snapshotIndex {
 		follower.snapshotIndex = 0
@@ -337,6 +346,10 @@
 	if follower == nil {
 		return nil
 	}
+	if follower.silentTicks > 2*c.options.HeartbeatTicks && follower.probing {
+		// It is back after a silence: what was sent meanwhile is lost.
+		follower.inFlight, follower.patience = 0, c.options.HeartbeatTicks
+	}
 	follower.active = true
 	follower.silentTicks = 0
 	follower.readSequence = max(follower.readSequence, message.ReadSequence)
--- /dev/null
+++ b/internal/coordination/consensus/replication_test.go
@@ -0,0 +1,83 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/state/journal"
+)
+
+// leaderOfThree makes replica 1 of three the leader of a new group.
+func leaderOfThree(t *testing.T) *Core {
+	t.Helper()
+	members := []Member{{ID: 1, Node: "a"}, {ID: 2, Node: "b"}, {ID: 3, Node: "c"}}
+	snapshot := BootstrapSnapshot(members, nil)
+	core, err := NewCore(Options{
+		ID: 1, ElectionTicks: 10, HeartbeatTicks: 3, Random: rand.New(rand.NewPCG(1, 2)),
+		SnapshotForPeer: func() *journal.Snapshot { return &snapshot },
+	}, journal.HardState{}, &snapshot, nil)
+	assert.NilError(t, err)
+	for range 100 {
+		core.Tick()
+		for _, message := range advance(core) {
+			switch message.Kind {
+			case MessagePreVote:
+				core.Step(Message{Kind: MessagePreVoteReply, From: message.To, To: 1, Term: message.Term})
+			case MessageVote:
+				core.Step(Message{Kind: MessageVoteReply, From: message.To, To: 1, Term: message.Term})
+			}
+		}
+		if core.Role() == Leader {
+			return core
+		}
+	}
+	t.Fatal("no leader")
+	return nil
+}
+
+// advance does what a replica does between two steps, and returns what it sends.
+func advance(core *Core) []Message {
+	var sent []Message
+	for {
+		ready := core.Ready()
+		if ready.empty() {
+			return sent
+		}
+		sent = append(sent, ready.Messages...)
+		core.Persisted(core.LastIndex())
+	}
+}
+
+// The finding of the grown drukwacht quiet-1: the leader sent 98 MB in 2 s when
+// seven followers were behind by 2 MB. What a slow follower had not answered
+// within 150 ms was sent again, all of it, each time.
+func TestSlowFollowerIsNotFloodedWithResends(t *testing.T) {
+	const entryBytes, entries = 20 << 10, 200
+	core := leaderOfThree(t)
+	bytes := map[ReplicaID]int{}
+	for tick := range entries {
+		_, _, err := core.Propose(make([]byte, entryBytes))
+		assert.NilError(t, err)
+		if tick%2 == 0 {
+			core.Tick()
+		}
+		for _, message := range advance(core) {
+			for _, entry := range message.Entries {
+				bytes[message.To] += len(entry.Data)
+			}
+			switch {
+			case message.Kind == MessageHeartbeat:
+				core.Step(Message{Kind: MessageHeartbeatReply, From: message.To, To: 1, Term: core.Term()})
+			case message.Kind == MessageAppend && (message.To == 2 || message.Index < 5):
+				core.Step(Message{
+					Kind: MessageAppendReply, From: message.To, To: 1, Term: core.Term(), Index: message.Index + uint64(len(message.Entries)),
+				})
+			}
+		}
+	}
+	assert.Assert(t, core.Commit() >= entries, "%d", core.Commit())
+	// Replica 3 answers heartbeats, and no append but the first.
+	assert.Assert(t, bytes[3] <= entries*entryBytes/2, "%d bytes were sent to a follower that takes nothing", bytes[3])
+}
--- a/internal/coordination/escrow/account.go
+++ b/internal/coordination/escrow/account.go
@@ -42,8 +42,13 @@
 	requested   bool
 	requestedAt time.Duration
 	reportedAt  time.Duration
+	// resendAfter is when an unanswered request is repeated after the last
+	// report. It doubles: a root that is behind must not get ever more to do.
+	resendAfter time.Duration
 	loanAskedAt time.Duration
 	loanAsked   bool
+	// lendersAsked is how many neighbours were asked for the first waiter.
+	lendersAsked int
 
 	// demand is the smoothed use, in tokens a second.
 	demand   float64
@@ -94,6 +99,7 @@
 	a.requested = true
 	a.requestedAt = now
 	a.reportedAt = 0
+	a.resendAfter = firstResend / 2
 	a.loanAsked = false
 }
 
@@ -208,7 +214,7 @@
 func (a *account) reportDue(now time.Duration) bool {
 	switch {
 	case a.requested:
-		return a.reportedAt == 0 || now-a.reportedAt >= resendInterval
+		return a.reportedAt == 0 || now-a.reportedAt >= a.resendAfter
 	case a.unconfirmed(), a.wishChanged(now):
 		return a.reportedAt == 0 || now-a.reportedAt >= reportInterval
 	}
@@ -233,6 +239,7 @@
 	}
 	a.wished = report.Wish
 	if a.requested {
+		a.resendAfter = min(2*a.resendAfter, lastResend)
 		report.Request = a.request
 		report.Need = a.lack()
 		wanted := max(a.target(now), a.waiting())
--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -18,10 +18,16 @@
 	DefaultAnswerTimeout = 1500 * time.Millisecond
 	// loanTimeout is how long neighbours may take.
 	loanTimeout = 300 * time.Millisecond
+	// Neighbours are asked some at a time, each round twice as many as the one
+	// before: where many hold a part, all asking all would be most of the load.
+	firstLoanRound = 8
+	loanRoundTime  = 40 * time.Millisecond
 	// reportInterval is the time between reports of use without a request.
 	reportInterval = 2 * time.Second
-	// resendInterval is the time after which an unanswered report is repeated.
-	resendInterval = 300 * time.Millisecond
+	// An unanswered request is repeated after firstResend, then after twice that
+	// and so on up to lastResend.
+	firstResend = 300 * time.Millisecond
+	lastResend  = 1200 * time.Millisecond
 	// A node asks for more when it holds less than lowShare of what it wants to
 	// hold, and gives back what is beyond highShare of it. Between them it is
 	// left alone: what a node can't do without in a cut, and what is lost with
@@ -186,6 +192,7 @@
 	if len(found.waiters) > 0 && !found.requested {
 		found.startRequest(now)
 	}
+	h.borrow(now, found)
 }
 
 // Settle ends a reservation with its use; the rest is free again. Use beyond
@@ -245,12 +252,12 @@
 // Tick moves time: it gives up on waiters, borrows when the root is silent,
 // and gives back what is no longer needed.
 func (h *Holder) Tick(now time.Duration) {
+	reachable := h.rootReachable()
 	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
 		found := h.accounts[name]
 		h.expire(now, found)
 		h.borrow(now, found)
 		h.tellLoansAgain(now, found)
-		reachable := h.options.RootReachable == nil || h.options.RootReachable()
 		if h.stopping && reachable && len(found.waiters) == 0 {
 			found.returned += found.free()
 		}
@@ -280,19 +287,28 @@
 	}
 }
 
-// borrow asks the neighbours once the root has been silent for too long, and
-// refuses once they were silent too.
+func (h *Holder) rootReachable() bool {
+	return h.options.RootReachable == nil || h.options.RootReachable()
+}
+
+// borrow asks the neighbours once the root has been silent for too long, or at
+// once where it is known to be out of reach, and refuses once they were silent
+// too.
 func (h *Holder) borrow(now time.Duration, found *account) {
-	if len(found.waiters) == 0 || !found.requested || now-found.requestedAt < h.options.AnswerTimeout {
+	if len(found.waiters) == 0 || !found.requested {
+		return
+	}
+	if now-found.requestedAt < h.options.AnswerTimeout && h.rootReachable() {
 		return
 	}
 	// Neighbours that had nothing for an earlier request may have it for this.
 	if !found.loanAsked || found.waiters[0].since > found.loanAskedAt {
-		found.loanAsked, found.loanAskedAt = true, now
-		for _, lender := range h.options.Lenders {
-			request := &LoanRequest{Borrower: h.options.ID, Budget: found.name, Need: found.lack()}
-			h.loans = append(h.loans, OutgoingLoan{To: lender, Message: LendMessage{Request: request}})
-		}
+		found.loanAsked, found.lendersAsked = true, 0
+		h.askLenders(now, found)
+		return
+	}
+	if found.lendersAsked < len(h.options.Lenders) && now-found.loanAskedAt >= loanRoundTime {
+		h.askLenders(now, found)
 		return
 	}
 	if now-found.loanAskedAt >= loanTimeout {
@@ -301,6 +317,17 @@
 	}
 }
 
+// askLenders asks the next round of neighbours for what the first waiter lacks.
+func (h *Holder) askLenders(now time.Duration, found *account) {
+	found.loanAskedAt = now
+	last := min(len(h.options.Lenders), max(firstLoanRound, 3*found.lendersAsked))
+	for _, lender := range h.options.Lenders[min(found.lendersAsked, last):last] {
+		request := &LoanRequest{Borrower: h.options.ID, Budget: found.name, Need: found.lack()}
+		h.loans = append(h.loans, OutgoingLoan{To: lender, Message: LendMessage{Request: request}})
+	}
+	found.lendersAsked = last
+}
+
 func (h *Holder) refuseFirst(now time.Duration, found *account, err error) {
 	first := found.waiters[0]
 	found.waiters = found.waiters[1:]
--- /dev/null
+++ b/internal/coordination/escrow/loans_test.go
@@ -0,0 +1,90 @@
+package escrow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/state/accounts"
+)
+
+func cutOffHolder(lenders int) *Holder {
+	options := HolderOptions{
+		ID: accounts.HolderID{Node: "n", Incarnation: 1}, AnswerTimeout: 50 * time.Millisecond,
+		RootReachable: func() bool { return false },
+	}
+	for number := range lenders {
+		options.Lenders = append(options.Lenders, fmt.Sprintf("m%d", number))
+	}
+	return NewHolder(options)
+}
+
+func asked(holder *Holder) int {
+	count := 0
+	for _, one := range holder.Loans() {
+		if one.Message.Request != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// Each waiting request of a cut-off node cost 50 to 90 ms before any neighbour
+// was asked, though the root was known to be out of reach.
+func TestNeighboursAreAskedAtOnceWhenTheRootIsKnownToBeOutOfReach(t *testing.T) {
+	holder := cutOffHolder(3)
+	holder.Reserve(time.Second, 2*time.Second, "b", 10, Policy{}, func(Reservation, error) {})
+	assert.Equal(t, asked(holder), 3)
+}
+
+// With 85 nodes each request in a cut was asked of 84 others at once.
+func TestNeighboursAreAskedInRounds(t *testing.T) {
+	holder := cutOffHolder(84)
+	now := time.Second
+	refused := false
+	holder.Reserve(now, now+time.Second, "b", 10, Policy{}, func(_ Reservation, err error) { refused = err != nil })
+	assert.Equal(t, asked(holder), 8)
+	var rounds []int
+	for !refused {
+		now += loanRoundTime
+		holder.Tick(now)
+		if count := asked(holder); count > 0 {
+			rounds = append(rounds, count)
+		}
+	}
+	assert.DeepEqual(t, rounds, []int{16, 48, 12})
+}
+
+// On a grown site every refusal of a spent budget recalled it from all holders.
+func TestBudgetRecalledInVainIsNotRecalledAgainAtOnce(t *testing.T) {
+	g := newGroup(100_000, 8)
+	g.root.options.RecallPause = 500 * time.Millisecond
+	recalls := 0
+	recall := g.root.options.Recall
+	g.root.options.Recall = func(to string, message RecallMessage) {
+		recalls++
+		recall(to, message)
+	}
+	now := time.Second
+	for name := range g.holders {
+		g.spend(t, now, name, 12_000)
+	}
+	ask := func() (refused bool) {
+		g.holders["n0"].Reserve(now, now+time.Hour, "b", 50_000, Policy{}, func(_ Reservation, err error) { refused = err != nil })
+		for range 4 {
+			g.step(now)
+		}
+		return refused
+	}
+	assert.Assert(t, ask())
+	first := recalls
+	assert.Assert(t, first > 0)
+	now += 100 * time.Millisecond
+	assert.Assert(t, ask())
+	assert.Equal(t, recalls, first)
+	now += time.Second
+	assert.Assert(t, ask())
+	assert.Assert(t, recalls > first)
+}
--- a/internal/coordination/escrow/root.go
+++ b/internal/coordination/escrow/root.go
@@ -26,6 +26,10 @@
 	// transport. Without Tell holders learn it with their answers only.
 	StandingOf func(budget string) Standing
 	Tell       func(to string, message StandingsMessage)
+	// RecallPause is how long after a recall that did not bring enough a budget
+	// is not recalled again: with many holders that short of tokens, each refusal
+	// would cost a message to and from all of them.
+	RecallPause time.Duration
 	// WithoutRecall is a deliberate defect for the simulation: refusals are
 	// given at once.
 	WithoutRecall bool
@@ -43,6 +47,8 @@
 	// told, told what they were told.
 	changed []string
 	told    map[string]toldStanding
+	// inVain is when a recall of a budget last did not bring enough.
+	inVain map[string]time.Duration
 }
 
 // pendingReport is one holder's report on its way through the log.
@@ -76,7 +82,7 @@
 
 // NewRoot makes a root side.
 func NewRoot(options RootOptions) *Root {
-	return &Root{options: options, recalls: map[string]*recall{}, told: map[string]toldStanding{}}
+	return &Root{options: options, recalls: map[string]*recall{}, told: map[string]toldStanding{}, inVain: map[string]time.Duration{}}
 }
 
 // Take queues a holder's report.
@@ -142,7 +148,10 @@
 func (r *Root) answer(now time.Duration, pending pendingReport, answers []accounts.Answer) {
 	reply := AnswerMessage{Holder: pending.message.Holder}
 	for position, answer := range answers {
-		if answer.Short && !pending.afterRecall && !r.options.WithoutRecall {
+		if answer.Short && pending.afterRecall {
+			r.inVain[answer.Budget] = now
+		}
+		if answer.Short && !pending.afterRecall && !r.options.WithoutRecall && !r.recalledInVain(now, answer.Budget) {
 			report := pending.message.Reports[position]
 			if r.startRecall(now, pending.message.Holder, report) {
 				continue
@@ -155,6 +164,11 @@
 	}
 }
 
+func (r *Root) recalledInVain(now time.Duration, budget string) bool {
+	at, found := r.inVain[budget]
+	return found && now-at < r.options.RecallPause
+}
+
 // startRecall keeps a report that fell short until the other holders have
 // returned what they do not use. It returns false if nobody holds anything.
 func (r *Root) startRecall(now time.Duration, holder accounts.HolderID, report accounts.Report) bool {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -75,6 +75,8 @@
 	// newest.
 	certainVersion uint64
 	certainUntil   time.Duration
+	// rootHeardAt is when a control node that has a quorum was last heard.
+	rootHeardAt time.Duration
 }
 
 func newFleetDuty(node *Node) *fleetDuty {
@@ -84,7 +86,7 @@
 		roster: roster.New(node.address, seedAddresses(current)), registry: registry.New(0),
 		told: map[string]toldNodes{}, mismatches: map[string]int{}, heardBefore: map[string]bool{},
 	}
-	fleet.view.Store(&fleetView{entries: 1})
+	fleet.view.Store(&fleetView{entries: 1, rootHeardAt: -rootSilence})
 	fleet.duty.Tick = fleet.tick
 	fleet.duty.Flush = func() {}
 	return fleet
@@ -201,7 +203,8 @@
 	}
 	f.duty.Offer(func() {
 		now := f.node.now()
-		if f.roster.Hello(now, hello) {
+		isNew := f.roster.Hello(now, hello)
+		if isNew {
 			f.node.log.Info().Str("event", "node_heard").Str("peer", hello.Node).Str("address", hello.Address).
 				Str("life", hello.Life).Bool("control", hello.Control).Uint64("version", hello.Version).Send()
 			delete(f.told, hello.Address)
@@ -216,7 +219,10 @@
 		if hello.Control {
 			f.node.documents.takeHello(hello)
 		}
-		f.publish()
+		if isNew || hello.Control {
+			// The hellos of entry nodes, by far the most, wait for the next tick.
+			f.publish()
+		}
 	})
 }
 
@@ -291,7 +297,7 @@
 func (f *fleetDuty) publish() {
 	now := f.node.now()
 	current := f.node.settings.Load()
-	view := &fleetView{leader: f.roster.Leader(now)}
+	view := &fleetView{leader: f.roster.Leader(now), rootHeardAt: -rootSilence}
 	for _, known := range f.roster.AliveNodes(now) {
 		view.alive = append(view.alive, *known)
 	}
@@ -307,7 +313,7 @@
 		}
 		farLenders = append(farLenders, entry.Address)
 	}
-	view.lenders = append(view.lenders, farLenders...)
+	view.lenders = append(startingAfter(f.node.address, view.lenders), startingAfter(f.node.address, farLenders)...)
 	for _, known := range f.roster.Controls(now) {
 		quorum := time.Duration(known.QuorumSilenceMS) * time.Millisecond
 		if !known.HasGroup || quorum > quorumFor {
@@ -315,6 +321,7 @@
 		}
 		view.certainVersion = max(view.certainVersion, known.Version)
 		view.certainUntil = max(view.certainUntil, known.At+certainFor)
+		view.rootHeardAt = max(view.rootHeardAt, known.At)
 	}
 	f.view.Store(view)
 	if f.node.tokens != nil {
@@ -322,6 +329,13 @@
 	}
 }
 
+// startingAfter turns a sorted list so that it begins behind a node's own
+// place: the first in the list would else be asked by all.
+func startingAfter(own string, addresses []string) []string {
+	place, _ := slices.BinarySearch(addresses, own)
+	return append(slices.Clone(addresses[place:]), addresses[:place]...)
+}
+
 // heartbeat takes an instance's word and tells all nodes before it returns.
 func (f *fleetDuty) heartbeat(ctx context.Context, instance registry.Instance) error {
 	result, err := duty.Ask(ctx, f.duty, func(answer func(error)) {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -113,6 +113,8 @@
 	pipeline  *forward.Pipeline
 	decisions *forward.DecisionLog
 	callers   *callerServer
+	sent      *traffic
+	received  *traffic
 
 	// stop is nil until a planned stop begins.
 	stop atomic.Pointer[plannedStop]
@@ -122,7 +124,7 @@
 func New(options Options) (*Node, error) {
 	node := &Node{
 		options: options, address: options.Settings.Listen.Peers, life: newLife(), started: time.Now(), log: options.Logger,
-		table: balance.NewTable(options.Settings.Node.Zone),
+		table: balance.NewTable(options.Settings.Node.Zone), sent: newTraffic("sent"), received: newTraffic("received"),
 	}
 	node.settings.Store(options.Settings)
 	node.mesh = transport.NewMesh(transport.Options{
@@ -210,23 +212,23 @@
 				n.pipeline.Tick()
 				n.decisions.Summarize()
 			}
-			n.logMemory()
+			n.logLoad()
 		}
 	}
 }
 
-// logMemory writes what the process holds, to explain one that ends for lack
-// of memory.
-func (n *Node) logMemory() {
+// logLoad writes what the process holds in memory, to explain one that ends for
+// lack of it, and the bytes to and from other nodes since the last line.
+func (n *Node) logLoad() {
 	samples := []metrics.Sample{
 		{Name: "/memory/classes/heap/objects:bytes"}, {Name: "/memory/classes/total:bytes"},
 		{Name: "/memory/classes/heap/stacks:bytes"}, {Name: "/memory/classes/heap/released:bytes"},
 		{Name: "/sched/goroutines:goroutines"},
 	}
 	metrics.Read(samples)
-	n.log.Info().Str("event", "memory").Uint64("heap_bytes", samples[0].Value.Uint64()).
+	n.log.Info().Str("event", "load").Uint64("heap_bytes", samples[0].Value.Uint64()).
 		Uint64("mapped_bytes", samples[1].Value.Uint64()-samples[3].Value.Uint64()).Uint64("stack_bytes", samples[2].Value.Uint64()).
-		Uint64("goroutines", samples[4].Value.Uint64()).Send()
+		Uint64("goroutines", samples[4].Value.Uint64()).Dict("sent", n.sent.describe()).Dict("received", n.received.describe()).Send()
 }
 
 // Reload takes changed settings: the seeds. Others hold until a restart.
@@ -266,6 +268,7 @@
 		n.handleFrame(n.address, frame)
 		return
 	}
+	n.sent.note(kind, len(frame))
 	n.mesh.Send(to, frame)
 }
 
@@ -273,6 +276,7 @@
 func (n *Node) handleFrame(from string, frame []byte) {
 	envelope, err := peer.Decode(frame)
 	if err == nil {
+		n.received.note(envelope.Kind, len(frame))
 		err = n.dispatch(from, envelope)
 	}
 	if err != nil {
@@ -348,14 +352,7 @@
 
 // hearsRoot tells whether a control node that has a quorum was heard lately.
 func (n *Node) hearsRoot() bool {
-	now := n.now()
-	for _, known := range n.fleet.view.Load().alive {
-		quorum := time.Duration(known.QuorumSilenceMS) * time.Millisecond
-		if known.Control && known.HasGroup && quorum < quorumFor && now-known.At < rootSilence {
-			return true
-		}
-	}
-	return false
+	return n.now() < n.fleet.view.Load().rootHeardAt+rootSilence
 }
 
 // startTime is how long a node may look for the root after its start.
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -34,6 +34,8 @@
 	// accountLines the most lines then.
 	accountTicks = 100
 	accountLines = 16
+	// recallPause is how long a budget that was recalled in vain is left alone.
+	recallPause = 500 * time.Millisecond
 	// reopenPause is the time between tries to use a disk that failed.
 	reopenPause = 300 * time.Millisecond
 	// journalSegmentBytes keeps segments small: the disks are.
@@ -219,7 +221,8 @@
 			address, _ := holderAddress(to)
 			r.node.send(address, peer.KindAccounts, &escrow.AccountsMessage{Recall: &message})
 		},
-		StandingOf: r.standingOf,
+		RecallPause: recallPause,
+		StandingOf:  r.standingOf,
 		Tell: func(to string, message escrow.StandingsMessage) {
 			address, _ := holderAddress(to)
 			r.node.send(address, peer.KindAccounts, &escrow.AccountsMessage{Standings: &message})
--- /dev/null
+++ b/internal/gateway/traffic.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+)
+
+// traffic counts the frames and bytes of each kind of peer message in one
+// direction.
+type traffic struct {
+	frames []*metrics.Counter
+	bytes  []*metrics.Counter
+	// logged are the bytes at the last line.
+	logged []uint64
+}
+
+func newTraffic(direction string) *traffic {
+	made := &traffic{}
+	for kind := peer.Kind(0); int(kind) <= len(peer.Kinds()); kind++ {
+		labels := fmt.Sprintf("{direction=%q,kind=%q}", direction, kind)
+		made.frames = append(made.frames, metrics.GetOrCreateCounter("ravenway_peer_frames_total"+labels))
+		made.bytes = append(made.bytes, metrics.GetOrCreateCounter("ravenway_peer_bytes_total"+labels))
+		made.logged = append(made.logged, 0)
+	}
+	return made
+}
+
+func (t *traffic) note(kind peer.Kind, size int) {
+	if int(kind) < len(t.frames) {
+		t.frames[kind].Inc()
+		t.bytes[kind].Add(size)
+	}
+}
+
+// describe adds the bytes of each kind since the last call, for those that had
+// any.
+func (t *traffic) describe() *zerolog.Event {
+	line := zerolog.Dict()
+	for kind := range t.bytes {
+		now := t.bytes[kind].Get()
+		if grown := now - t.logged[kind]; grown > 0 {
+			line = line.Uint64(peer.Kind(kind).String(), grown)
+		}
+		t.logged[kind] = now
+	}
+	return line
+}
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -38,6 +38,9 @@
 	minimumBackoff   = 50 * time.Millisecond
 	maximumBackoff   = 300 * time.Millisecond
 	writeBufferBytes = 64 << 10
+	// maximumFrameAge is how long a frame may wait for its connection. After a
+	// cut all nodes would else send each other all that they had to say in it.
+	maximumFrameAge = time.Second
 	// maximumUnauthenticated bounds the connections in their handshake.
 	maximumUnauthenticated = 256
 )
@@ -83,15 +86,26 @@
 type outgoingLink struct {
 	name    string
 	address string
-	frames  *ring.Ring[[]byte]
+	frames  *ring.Ring[outgoingFrame]
 	// forget ends the link.
 	forget chan struct{}
 }
 
+// outgoingFrame is a frame and when it was queued.
+type outgoingFrame struct {
+	payload []byte
+	queued  time.Time
+}
+
+func (f outgoingFrame) isStale() bool { return time.Since(f.queued) > maximumFrameAge }
+
+// staleFrames counts frames that were dropped for their age.
+var staleFrames = metrics.GetOrCreateCounter("ravenway_peer_frames_stale_total")
+
 func newLink(name, address string) *outgoingLink {
 	return &outgoingLink{
 		name: name, address: address, forget: make(chan struct{}),
-		frames: ring.New[[]byte]("peer_outgoing", outgoingCapacity),
+		frames: ring.New[outgoingFrame]("peer_outgoing", outgoingCapacity),
 	}
 }
 
@@ -122,7 +136,7 @@
 // Send queues a frame for a peer. A full queue drops its oldest frame.
 func (m *Mesh) Send(to string, frame []byte) {
 	if link := m.link(to); link != nil {
-		link.frames.Displace(frame)
+		link.frames.Displace(outgoingFrame{payload: frame, queued: time.Now()})
 	}
 }
 
@@ -236,7 +250,7 @@
 func (m *Mesh) runLink(ctx context.Context, link *outgoingLink) {
 	backoff := minimumBackoff
 	for {
-		var first []byte
+		var first outgoingFrame
 		select {
 		case <-ctx.Done():
 			return
@@ -267,7 +281,7 @@
 var errConnected = errors.New("transport: connection lost")
 
 // sendFrames opens a connection and writes frames until it fails.
-func (m *Mesh) sendFrames(ctx context.Context, link *outgoingLink, frame []byte) error {
+func (m *Mesh) sendFrames(ctx context.Context, link *outgoingLink, frame outgoingFrame) error {
 	connection, err := m.options.Dial(ctx, link.address)
 	if err != nil {
 		return err
@@ -314,10 +328,12 @@
 }
 
 // writeBatch writes a frame and all that wait behind it with one flush.
-func (m *Mesh) writeBatch(connection net.Conn, writer *bufio.Writer, seal *sealer, link *outgoingLink, frame []byte) error {
+func (m *Mesh) writeBatch(connection net.Conn, writer *bufio.Writer, seal *sealer, link *outgoingLink, frame outgoingFrame) error {
 	_ = connection.SetWriteDeadline(time.Now().Add(writeTimeout))
 	for {
-		if err := seal.write(writer, frame); err != nil {
+		if frame.isStale() {
+			staleFrames.Inc()
+		} else if err := seal.write(writer, frame.payload); err != nil {
 			return err
 		}
 		select {
