An engine is chosen by the first token expected soonest, with others' loads

A node chose by its own requests in flight, an eighth of what the engine had, and counted a stream until its end though only a prompt that is not read yet holds others up.

The choice is the least sum of tokens ahead, own tokens to be read, 1.5 times the shared tokens that would be read again, 0.15 a byte to another zone, and requests beyond the slots.

--- /dev/null
+++ b/internal/coordination/balance/loads.go
@@ -0,0 +1,246 @@
+package balance
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Load is what nodes have under way at one instance.
+type Load struct {
+	// Tokens of prompts that the instance has yet to read.
+	Tokens int
+	// Requests that were sent there and have not ended.
+	Requests int
+}
+
+// InstanceKey is a short name of an instance in load reports. Two instances
+// with the same key only look busier than they are.
+type InstanceKey uint32
+
+// KeyOf returns an instance's key.
+func KeyOf(instanceID string) InstanceKey { return InstanceKey(xxhash.Sum64String(instanceID)) }
+
+// Loads are loads by instance. Absent ones are 0.
+type Loads map[InstanceKey]Load
+
+func (l Loads) add(other Loads) {
+	for key, load := range other {
+		sum := l[key]
+		sum.Tokens += load.Tokens
+		sum.Requests += load.Requests
+		l[key] = sum
+	}
+}
+
+const (
+	// tokenUnit is the step of the tokens in a report.
+	tokenUnit = 64
+	// encodedLoadBytes is the length of one instance in a report.
+	encodedLoadBytes = 7
+	maximumRequests  = 255
+)
+
+// Encode packs loads: 4 bytes of key, 2 of tokens, 1 of requests each.
+func (l Loads) Encode() []byte {
+	keys := make([]InstanceKey, 0, len(l))
+	for key := range l {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	encoded := make([]byte, 0, len(l)*encodedLoadBytes)
+	for _, key := range keys {
+		units := min((l[key].Tokens+tokenUnit-1)/tokenUnit, 1<<16-1)
+		encoded = binary.BigEndian.AppendUint32(encoded, uint32(key))
+		encoded = binary.BigEndian.AppendUint16(encoded, uint16(units))
+		encoded = append(encoded, byte(min(l[key].Requests, maximumRequests)))
+	}
+	return encoded
+}
+
+// DecodeLoads reads what Encode wrote; a torn end is passed over.
+func DecodeLoads(encoded []byte) Loads {
+	loads := make(Loads, len(encoded)/encodedLoadBytes)
+	for len(encoded) >= encodedLoadBytes {
+		key := InstanceKey(binary.BigEndian.Uint32(encoded))
+		tokens := int(binary.BigEndian.Uint16(encoded[4:])) * tokenUnit
+		loads[key] = Load{Tokens: tokens, Requests: int(encoded[6])}
+		encoded = encoded[encodedLoadBytes:]
+	}
+	return loads
+}
+
+// LoadScope tells whose loads a report sums up.
+type LoadScope uint8
+
+// Scopes of a report.
+const (
+	// OwnLoads go from a node to its zone's relay.
+	OwnLoads LoadScope = iota + 1
+	// ZoneLoads go from a zone's relay to the others.
+	ZoneLoads
+	// AllOtherLoads go from a relay to a node of its zone: all but the node's own.
+	AllOtherLoads
+)
+
+// LoadReport is one message of the exchange.
+type LoadReport struct {
+	Scope LoadScope `msgpack:"s"`
+	Zone  string    `msgpack:"z"`
+	Loads []byte    `msgpack:"l"`
+}
+
+// OutgoingReport is a report and its receiver.
+type OutgoingReport struct {
+	To     string
+	Report LoadReport
+}
+
+// EntryNode is a node that sends requests.
+type EntryNode struct{ Address, Zone string }
+
+// reportAge is how many intervals a report counts.
+const reportAge = 4
+
+// LoadExchange tells the entry nodes what the others have under way, so that a
+// choice of an instance is not blind to all but its own requests. Each zone's
+// node with the lowest address is its relay: it sums up its zone, exchanges the
+// sums with the other relays, and tells its zone's nodes. So a node sends and
+// receives one report an interval whatever the number of nodes, and one report
+// an interval and pair crosses zones. Where the relay does not answer, nodes know
+// their own requests only, as before.
+//
+// It is a pure step and not safe for concurrent use.
+type LoadExchange struct {
+	self     EntryNode
+	interval time.Duration
+	members  []EntryNode
+	// relays are the relays by zone.
+	relays map[string]string
+	// own are the reports of this zone's nodes, zones those of other relays;
+	// told is the last AllOtherLoads.
+	own   map[string]heardLoads
+	zones map[string]heardLoads
+	told  heardLoads
+	// silent tells that the last own report was empty.
+	silent bool
+}
+
+type heardLoads struct {
+	loads Loads
+	at    time.Duration
+	known bool
+}
+
+// NewLoadExchange makes a node's part of the exchange.
+func NewLoadExchange(self EntryNode, interval time.Duration) *LoadExchange {
+	return &LoadExchange{
+		self: self, interval: interval, relays: map[string]string{}, own: map[string]heardLoads{}, zones: map[string]heardLoads{},
+	}
+}
+
+// SetNodes replaces the other entry nodes, and sets the time between reports.
+func (e *LoadExchange) SetNodes(others []EntryNode, interval time.Duration) {
+	e.interval = interval
+	e.members = e.members[:0]
+	clear(e.relays)
+	for _, node := range append(slices.Clone(others), e.self) {
+		if relay, found := e.relays[node.Zone]; !found || node.Address < relay {
+			e.relays[node.Zone] = node.Address
+		}
+		if node.Zone == e.self.Zone && node.Address != e.self.Address {
+			e.members = append(e.members, node)
+		}
+	}
+}
+
+func (e *LoadExchange) isRelay() bool { return e.relays[e.self.Zone] == e.self.Address }
+
+// Take notes another node's report.
+func (e *LoadExchange) Take(now time.Duration, from string, report LoadReport) {
+	heard := heardLoads{loads: DecodeLoads(report.Loads), at: now, known: true}
+	switch report.Scope {
+	case OwnLoads:
+		e.own[from] = heard
+	case ZoneLoads:
+		e.zones[report.Zone] = heard
+	case AllOtherLoads:
+		e.told = heard
+	}
+}
+
+// Step returns the reports that are due, and what all other nodes have under
+// way as far as it is known.
+func (e *LoadExchange) Step(now time.Duration, own Loads) ([]OutgoingReport, Loads) {
+	e.forget(now)
+	if !e.isRelay() {
+		var reports []OutgoingReport
+		if len(own) > 0 || !e.silent {
+			reports = append(reports, e.report(e.relays[e.self.Zone], OwnLoads, own))
+		}
+		e.silent = len(own) == 0
+		return reports, e.told.loads
+	}
+	others := Loads{}
+	for _, heard := range e.zones {
+		others.add(heard.loads)
+	}
+	zone := Loads{}
+	zone.add(own)
+	for _, heard := range e.own {
+		zone.add(heard.loads)
+	}
+	var reports []OutgoingReport
+	for name, relay := range e.relays {
+		if name != e.self.Zone && (len(zone) > 0 || !e.silent) {
+			reports = append(reports, e.report(relay, ZoneLoads, zone))
+		}
+	}
+	e.silent = len(zone) == 0
+	for _, member := range e.members {
+		if all := e.allBut(member.Address, others, own); len(all) > 0 {
+			reports = append(reports, e.report(member.Address, AllOtherLoads, all))
+		}
+	}
+	for _, heard := range e.own {
+		others.add(heard.loads)
+	}
+	return reports, others
+}
+
+// allBut sums up all loads but one member's.
+func (e *LoadExchange) allBut(member string, otherZones, own Loads) Loads {
+	all := Loads{}
+	all.add(otherZones)
+	all.add(own)
+	for address, heard := range e.own {
+		if address != member {
+			all.add(heard.loads)
+		}
+	}
+	return all
+}
+
+func (e *LoadExchange) report(to string, scope LoadScope, loads Loads) OutgoingReport {
+	return OutgoingReport{To: to, Report: LoadReport{Scope: scope, Zone: e.self.Zone, Loads: loads.Encode()}}
+}
+
+// forget drops reports that are too old to count.
+func (e *LoadExchange) forget(now time.Duration) {
+	isOld := func(heard heardLoads) bool { return now-heard.at > reportAge*e.interval }
+	for address, heard := range e.own {
+		if isOld(heard) {
+			delete(e.own, address)
+		}
+	}
+	for zone, heard := range e.zones {
+		if isOld(heard) {
+			delete(e.zones, zone)
+		}
+	}
+	if e.told.known && isOld(e.told) {
+		e.told = heardLoads{}
+	}
+}
--- /dev/null
+++ b/internal/coordination/balance/loads_test.go
@@ -0,0 +1,143 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const testInterval = 50 * time.Millisecond
+
+// exchangeOf makes nodes in three zones that know each other.
+func exchangeOf(perZone int) (map[string]*LoadExchange, []EntryNode) {
+	var all []EntryNode
+	for number := range 3 * perZone {
+		all = append(all, EntryNode{Address: fmt.Sprintf("10.%d.0.%d:1", number%3, number), Zone: string(rune('a' + number%3))})
+	}
+	exchanges := map[string]*LoadExchange{}
+	for _, node := range all {
+		exchanges[node.Address] = NewLoadExchange(node, testInterval)
+	}
+	meet(exchanges, all)
+	return exchanges, all
+}
+
+func meet(exchanges map[string]*LoadExchange, all []EntryNode) {
+	for address, exchange := range exchanges {
+		var others []EntryNode
+		for _, node := range all {
+			if node.Address != address && exchanges[node.Address] != nil {
+				others = append(others, node)
+			}
+		}
+		exchange.SetNodes(others, testInterval)
+	}
+}
+
+// runRound lets each node report once; it returns what each knows of the others.
+func runRound(now time.Duration, exchanges map[string]*LoadExchange, own map[string]Loads) (map[string]Loads, int) {
+	known, sent := map[string]Loads{}, 0
+	type delivery struct {
+		from string
+		one  OutgoingReport
+	}
+	var deliveries []delivery
+	for address, exchange := range exchanges {
+		reports, others := exchange.Step(now, own[address])
+		known[address] = others
+		for _, one := range reports {
+			deliveries = append(deliveries, delivery{from: address, one: one})
+		}
+	}
+	for _, one := range deliveries {
+		sent++
+		if receiver := exchanges[one.one.To]; receiver != nil {
+			receiver.Take(now, one.from, one.one.Report)
+		}
+	}
+	return known, sent
+}
+
+func TestEachNodeLearnsTheLoadsOfAllOthers(t *testing.T) {
+	exchanges, all := exchangeOf(3)
+	own := map[string]Loads{}
+	for number, node := range all {
+		own[node.Address] = Loads{KeyOf("i-0"): {Tokens: tokenUnit * (number + 1), Requests: 1}}
+	}
+	now := time.Duration(0)
+	var known map[string]Loads
+	sent := 0
+	for range 5 {
+		now += testInterval
+		known, sent = runRound(now, exchanges, own)
+	}
+	for number, node := range all {
+		want := Load{Tokens: tokenUnit * (45 - number - 1), Requests: 8}
+		assert.DeepEqual(t, known[node.Address][KeyOf("i-0")], want)
+	}
+	// 6 to the relays, 6 between them, 6 from them: not 72.
+	assert.Equal(t, sent, 18)
+}
+
+func TestNodeOfASilentRelayKnowsNothingOfOthersUntilTheNextOne(t *testing.T) {
+	exchanges, all := exchangeOf(3)
+	own := map[string]Loads{}
+	for _, node := range all {
+		own[node.Address] = Loads{KeyOf("i-0"): {Tokens: 640, Requests: 1}}
+	}
+	now := time.Duration(0)
+	rounds := func(count int) (known map[string]Loads) {
+		for range count {
+			now += testInterval
+			known, _ = runRound(now, exchanges, own)
+		}
+		return known
+	}
+	rounds(5)
+	relay, member := all[0].Address, all[3].Address
+	assert.Assert(t, exchanges[relay].isRelay())
+	delete(exchanges, relay)
+	assert.Assert(t, rounds(8)[member] == nil)
+	meet(exchanges, all)
+	assert.Equal(t, rounds(5)[member][KeyOf("i-0")].Requests, 7)
+}
+
+func TestLoadsAreReadAsWritten(t *testing.T) {
+	loads := Loads{1: {Tokens: 128, Requests: 3}, 1 << 31: {Tokens: tokenUnit * 65535, Requests: 255}}
+	assert.DeepEqual(t, DecodeLoads(loads.Encode()), loads)
+	assert.Equal(t, len(DecodeLoads(loads.Encode()[:9])), 1)
+}
+
+// The finding of drukwacht quiet-1: a quarter of the long requests came late,
+// behind prompts that other nodes had sent to the same engine.
+func TestInstanceThatOthersKeepBusyIsAvoided(t *testing.T) {
+	table := tableOf("a", instances(12))
+	request := Request{Service: "llm", Part: "part", Tokens: 17_000, SharedTokens: 13_000}
+	home, _ := table.Choose(0, request)
+	assert.Assert(t, !home.Spilled)
+	table.Done(0, home, Served)
+	// Some wait at home is better than reading the shared part anew elsewhere.
+	table.SetOthersLoads(Loads{KeyOf(home.ID): {Tokens: 20_000, Requests: 2}})
+	patient, _ := table.Choose(0, request)
+	assert.Equal(t, patient.ID, home.ID)
+	assert.Assert(t, patient.AheadKnown && patient.Ahead == 20_000 && patient.Unread == 4_000)
+	table.Done(0, patient, Served)
+	table.SetOthersLoads(Loads{KeyOf(home.ID): {Tokens: 90_000, Requests: 9}})
+	spilled, _ := table.Choose(0, request)
+	assert.Assert(t, spilled.ID != home.ID && spilled.Spilled)
+	// Where the part was sent it is held now too.
+	again, _ := table.Choose(0, request)
+	assert.Equal(t, again.ID, spilled.ID)
+}
+
+func TestReadPromptsAreNotAheadOfOthers(t *testing.T) {
+	table := tableOf("a", instances(3))
+	choice, _ := table.Choose(0, Request{Service: "llm", Part: "part", Tokens: 5_000})
+	assert.Equal(t, table.OwnLoads()[KeyOf(choice.ID)], Load{Tokens: 5_000, Requests: 1})
+	table.Started(&choice)
+	assert.Equal(t, table.OwnLoads()[KeyOf(choice.ID)], Load{Requests: 1})
+	table.Done(0, choice, Served)
+	assert.Equal(t, len(table.OwnLoads()), 0)
+}
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -1,14 +1,17 @@
 // Package balance chooses the instance that a request goes to.
 //
-// Requests that share a prompt part go to the same instance without any talk
-// between nodes: rendezvous hashing of the part over the instances gives each
-// part an order of them, and the first one in good health takes it unless it is
-// much busier than the next. Requests without a part go to the least busy
+// A request with a prompt goes where its first token is expected soonest: at
+// each instance the prompt tokens that are yet to be read before it, as far as
+// this node knows them, and those of its own that the instance does not hold.
+// Nodes agree without any talk on where a shared prompt part lives: rendezvous
+// hashing of the part over the instances names its home. Bytes to another zone
+// count as some tokens. Requests without a prompt go to the least busy
 // instance, the node's own zone first. Health is the node's own experience.
 package balance
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -19,11 +22,29 @@
 )
 
 const (
-	// spillAfter is how much more work than the next instance, in requests of
-	// middle size that this node has in flight, makes a part spill over.
-	spillAfter = 8.0
-	// farSpillAfter is the same against the least busy instance.
-	farSpillAfter = 16.0
+	// tokensPerCost is the prompt of a request of middle size, for requests that
+	// do not tell theirs.
+	tokensPerCost = 8000
+	// blindFactor is how much more than its own a node takes to be under way at
+	// an instance while it does not hear from the others.
+	blindFactor = 2
+	// tokensOverSlots is what each request beyond an instance's slots counts for.
+	tokensOverSlots = 4000
+	// tokensPerFarByte is what a byte of a body to another zone counts for.
+	tokensPerFarByte = 0.15
+	// scatterTokens is the most that is drawn on top for an instance that holds
+	// nothing of the request: nodes with the same knowledge would else all choose
+	// the same one.
+	scatterTokens = 600
+	// maximumHeld is how many parts are remembered for an instance before old
+	// ones are looked for.
+	maximumHeld = 256
+	// rereadWeight is what a shared token counts for, beyond its reading, where it
+	// would be read again though another instance holds it: that takes time and
+	// memory from all other requests too.
+	rereadWeight = 1.5
+	// heldFor is how long a part counts as held where this node last sent it.
+	heldFor = 15 * time.Second
 	// otherZonePenalty is how many more requests in flight the own zone's
 	// instances may have before a request without a part leaves the zone.
 	otherZonePenalty = 2.0
@@ -52,6 +73,11 @@
 	Part string
 	// Cost is the work in requests of middle size.
 	Cost float64
+	// Tokens is the prompt, SharedTokens the part of it that lives at the part's
+	// home; 0 if they are not known.
+	Tokens, SharedTokens int
+	// Bytes is the length of the body.
+	Bytes int
 	// Exclude are instances that were tried already.
 	Exclude []string
 	// MaxInFlight is the most requests that this node may have at one
@@ -62,11 +88,17 @@
 // Choice is a chosen instance.
 type Choice struct {
 	registry.Instance
-	cost float64
+	// pending are the tokens that the instance has to read first.
+	pending int
 	// Candidates is the number of instances that could have been chosen.
 	Candidates int
-	// Spilled tells that the part's first instance was too busy.
+	// Spilled tells that the part's home was too busy.
 	Spilled bool
+	// Ahead are the tokens of other requests that are expected to be read first,
+	// Unread those of this one, and AheadKnown tells that other nodes' requests
+	// are among them.
+	Ahead, Unread int
+	AheadKnown    bool
 }
 
 // Outcome is how an attempt ended.
@@ -88,7 +120,12 @@
 type member struct {
 	registry.Instance
 	inFlight int
-	work     float64
+	// pending are the prompt tokens of this node's requests that the instance
+	// has yet to read.
+	pending int
+	key     InstanceKey
+	// held is when this node last sent each part here.
+	held map[string]time.Duration
 	// failures is the smoothed rate of failed requests.
 	failures float64
 	// pause is the current pause after failures to connect, until its end.
@@ -113,6 +150,10 @@
 	// byService are the members that take new work.
 	byService map[string][]*member
 	zones     map[string]*zoneState
+	// others are the loads of the other nodes; othersKnown tells that they are
+	// heard.
+	others      Loads
+	othersKnown bool
 }
 
 // NewTable makes a table for a node in a zone.
@@ -129,7 +170,7 @@
 	for _, instance := range instances {
 		known := t.members[instance.ID]
 		if known == nil {
-			known = &member{}
+			known = &member{key: KeyOf(instance.ID), held: map[string]time.Duration{}}
 			t.members[instance.ID] = known
 		}
 		known.Instance = instance
@@ -163,8 +204,9 @@
 	}
 	var chosen *member
 	spilled := false
+	choice := Choice{Candidates: len(candidates)}
 	if request.Part != "" {
-		chosen, spilled = choosePart(candidates, request.Part)
+		chosen, spilled = t.chooseSoonest(now, candidates, request, &choice)
 	} else {
 		chosen = t.chooseLeastBusy(candidates)
 	}
@@ -172,8 +214,40 @@
 		state.probedAt = now
 	}
 	chosen.inFlight++
-	chosen.work += request.Cost
-	return Choice{Instance: chosen.Instance, cost: request.Cost, Candidates: len(candidates), Spilled: spilled}, true
+	chosen.pending += choice.Unread
+	choice.Instance, choice.Spilled, choice.pending = chosen.Instance, spilled, choice.Unread
+	return choice, true
+}
+
+// Started notes that an instance has read a request's prompt.
+func (t *Table) Started(choice *Choice) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if known := t.members[choice.ID]; known != nil {
+		known.pending -= choice.pending
+	}
+	choice.pending = 0
+}
+
+// OwnLoads are this node's requests under way.
+func (t *Table) OwnLoads() Loads {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	loads := Loads{}
+	for _, one := range t.members {
+		if one.inFlight > 0 {
+			loads[one.key] = Load{Tokens: one.pending, Requests: one.inFlight}
+		}
+	}
+	return loads
+}
+
+// SetOthersLoads replaces what the other nodes have under way; nil means that
+// it is not known.
+func (t *Table) SetOthersLoads(others Loads) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.others, t.othersKnown = others, others != nil
 }
 
 // candidates returns the instances that may be chosen: the healthy ones, or if
@@ -254,33 +328,86 @@
 	return false
 }
 
-// choosePart takes the first instance in the part's order, the second if the
-// first is much busier, and the least busy if both are.
-func choosePart(candidates []*member, part string) (*member, bool) {
-	var first, second *member
-	var firstWeight, secondWeight uint64
-	least := candidates[0]
+// expected is what a choice weighs for one instance, in tokens.
+type expected struct {
+	ahead, unread        int
+	reread, far, scatter float64
+}
+
+func (e expected) total() float64 { return float64(e.ahead+e.unread) + e.reread + e.far + e.scatter }
+
+// chooseSoonest takes the instance at which the first token is expected first.
+func (t *Table) chooseSoonest(now time.Duration, candidates []*member, request Request, choice *Choice) (*member, bool) {
+	home := homeOf(candidates, request.Part)
+	var chosen *member
+	var best expected
 	for _, one := range candidates {
-		weight := rendezvous(part, one.ID)
-		switch {
-		case first == nil || weight > firstWeight:
-			second, secondWeight = first, firstWeight
-			first, firstWeight = one, weight
-		case second == nil || weight > secondWeight:
-			second, secondWeight = one, weight
-		}
-		if one.work < least.work {
-			least = one
+		expects := t.expect(now, one, request, one == home)
+		if chosen == nil || expects.total() < best.total() {
+			chosen, best = one, expects
 		}
 	}
-	chosen := first
-	if second != nil && first.work > second.work+spillAfter {
-		chosen = second
+	choice.Ahead, choice.Unread, choice.AheadKnown = best.ahead, best.unread, t.othersKnown
+	chosen.hold(now, request.Part)
+	return chosen, chosen != home
+}
+
+func (t *Table) expect(now time.Duration, one *member, request Request, isHome bool) expected {
+	expects := expected{ahead: one.pending, unread: request.Tokens}
+	requests := one.inFlight
+	if request.Tokens == 0 {
+		expects.unread = int(request.Cost * tokensPerCost)
+	}
+	if t.othersKnown {
+		others := t.others[one.key]
+		expects.ahead += others.Tokens
+		requests += others.Requests
+	} else {
+		expects.ahead *= blindFactor
+		requests *= blindFactor
+	}
+	if one.Slots > 0 {
+		expects.ahead += max(0, requests+1-one.Slots) * tokensOverSlots
 	}
-	if chosen.work > least.work+farSpillAfter {
-		chosen = least
+	if isHome || one.holds(now, request.Part) {
+		expects.unread = max(0, expects.unread-request.SharedTokens)
+	} else {
+		expects.reread = rereadWeight * float64(request.SharedTokens)
+		expects.scatter = rand.Float64() * scatterTokens
+	}
+	if one.Zone != t.zone {
+		expects.far = float64(request.Bytes) * tokensPerFarByte
+	}
+	return expects
+}
+
+// hold notes that a part was sent here, and forgets those of long ago.
+func (m *member) hold(now time.Duration, part string) {
+	if len(m.held) > maximumHeld {
+		for known, at := range m.held {
+			if now-at > heldFor {
+				delete(m.held, known)
+			}
+		}
+	}
+	m.held[part] = now
+}
+
+func (m *member) holds(now time.Duration, part string) bool {
+	at, found := m.held[part]
+	return found && now-at <= heldFor
+}
+
+// homeOf returns the instance at which a part lives: all nodes name the same.
+func homeOf(candidates []*member, part string) *member {
+	var home *member
+	var homeWeight uint64
+	for _, one := range candidates {
+		if weight := rendezvous(part, one.ID); home == nil || weight > homeWeight {
+			home, homeWeight = one, weight
+		}
 	}
-	return chosen, chosen != first
+	return home
 }
 
 func rendezvous(part, id string) uint64 {
@@ -316,7 +443,7 @@
 	}
 	t.noteZone(now, known.Instance, outcome)
 	known.inFlight--
-	known.work = max(0, known.work-choice.cost)
+	known.pending -= choice.pending
 	switch outcome {
 	case Served:
 		known.pause = 0
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -121,7 +121,10 @@
 
 func (r *request) choose(service string) (balance.Choice, bool) {
 	environment := r.pipeline.options.Environment
-	wanted := balance.Request{Service: service, Part: r.call.attemptKey(), Cost: r.call.cost(), Exclude: r.tried}
+	wanted := balance.Request{
+		Service: service, Part: r.call.attemptKey(), Cost: r.call.cost(), Exclude: r.tried, Bytes: len(r.body),
+		Tokens: int(r.call.TokensIn), SharedTokens: r.call.sharedTokens(),
+	}
 	if configured := r.index.Service(service); configured != nil && configured.MaxConnections > 0 {
 		wanted.MaxInFlight = max(2, configured.MaxConnections/max(1, environment.EntryNodes()))
 	}
@@ -136,6 +139,7 @@
 // for the caller. An exchange that is returned holds a failure's head and body.
 func (r *request) attempt(ctx context.Context, choice balance.Choice) (*exchange, verdict) {
 	outcome := balance.Abandoned
+	// relay notes in the choice that the instance has begun.
 	defer func() {
 		r.pipeline.options.Table.Done(r.pipeline.options.Environment.Now(), choice, outcome)
 	}()
@@ -168,7 +172,7 @@
 	}
 	r.mayHaveRun = true
 	result := done
-	outcome, result = r.relay(ctx, sending, choice)
+	outcome, result = r.relay(ctx, sending, &choice)
 	if result == failed {
 		return sending, failed
 	}
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -320,6 +320,15 @@
 	}
 }
 
+// sharedTokens are the tokens up to the part that attemptKey names.
+func (c *Call) sharedTokens() int {
+	shared := uint64(0)
+	for _, part := range c.Parts[:max(0, len(c.Parts)-1)] {
+		shared += part.Tokens
+	}
+	return int(shared)
+}
+
 // middleTokens is the prompt of a request of middle size.
 const middleTokens = 8000
 
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -40,7 +40,7 @@
 }
 
 // relay passes an answer on, or says why it can't be.
-func (r *request) relay(ctx context.Context, sending *exchange, choice balance.Choice) (balance.Outcome, verdict) {
+func (r *request) relay(ctx context.Context, sending *exchange, choice *balance.Choice) (balance.Outcome, verdict) {
 	isSuccess := sending.response.StatusCode < http.StatusMultipleChoices
 	if r.route.Kind == document.Stream && isSuccess {
 		return r.relayStream(ctx, sending, choice)
@@ -48,7 +48,7 @@
 	buffered, err := io.ReadAll(io.LimitReader(sending.response.Body, bufferedAnswerBytes))
 	if err != nil {
 		sending.abort()
-		r.pipeline.options.Log.Attempt(r, choice, "answer_broken", err)
+		r.pipeline.options.Log.Attempt(r, *choice, "answer_broken", err)
 		return balance.Failed, unknown
 	}
 	if len(buffered) == bufferedAnswerBytes {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -12,20 +12,20 @@
 // relayStream passes a stream's events on as they come. A stream that breaks
 // off goes on at another instance where the route allows it, and otherwise
 // ends so that it does not look complete.
-func (r *request) relayStream(ctx context.Context, sending *exchange, choice balance.Choice) (balance.Outcome, verdict) {
+func (r *request) relayStream(ctx context.Context, sending *exchange, choice *balance.Choice) (balance.Outcome, verdict) {
 	r.writeHead(sending)
 	r.writer.WriteHeader(sending.response.StatusCode)
 	r.answering = true
 	controller := http.NewResponseController(r.writer)
 	lastEvent := r.call.LastEvent
-	err := r.passEvents(sending, controller, &lastEvent)
+	err := r.passEvents(sending, controller, &lastEvent, choice)
 	if err == nil {
 		sending.finish(r.call.ID)
 		r.pipeline.options.Log.Served(r, sending.response.StatusCode)
 		return balance.Served, done
 	}
 	sending.abort()
-	r.pipeline.options.Log.Attempt(r, choice, "stream_broken", err)
+	r.pipeline.options.Log.Attempt(r, *choice, "stream_broken", err)
 	for ctx.Err() == nil && r.incoming.Context().Err() == nil && !errors.Is(err, errCallerGone) {
 		r.arrivals++
 		if !r.mayResume(choice.Service) {
@@ -44,10 +44,15 @@
 
 // passEvents passes whole events on until the stream's end; nil means a clean
 // one.
-func (r *request) passEvents(sending *exchange, controller *http.ResponseController, lastEvent *string) error {
+func (r *request) passEvents(sending *exchange, controller *http.ResponseController, lastEvent *string, choice *balance.Choice) error {
 	reader := newEventReader(sending.response.Body)
+	isFirst := true
 	for {
 		next, err := reader.next()
+		if isFirst {
+			isFirst = false
+			r.pipeline.options.Table.Started(choice)
+		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
@@ -97,7 +102,7 @@
 		return false, err
 	}
 	r.pipeline.options.Log.Attempt(r, choice, "resumed", nil)
-	if err := r.passEvents(sending, controller, lastEvent); err != nil {
+	if err := r.passEvents(sending, controller, lastEvent, &choice); err != nil {
 		sending.abort()
 		r.pipeline.options.Table.Done(environment.Now(), choice, balance.Failed)
 		return false, err
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/coordination/roster"
 	"github.com/ravenway/ravenway/internal/duty"
@@ -71,6 +72,8 @@
 	entries int
 	// lenders are the other entry nodes, those of the own zone first.
 	lenders []string
+	// entryNodes are the other entry nodes.
+	entryNodes []balance.EntryNode
 	// certainUntil is until when the versions up to certainVersion were the
 	// newest.
 	certainVersion uint64
@@ -307,6 +310,7 @@
 	var farLenders []string
 	for _, entry := range f.roster.Entries(now) {
 		view.entries++
+		view.entryNodes = append(view.entryNodes, balance.EntryNode{Address: entry.Address, Zone: entry.Zone})
 		if entry.Zone == current.Node.Zone {
 			view.lenders = append(view.lenders, entry.Address)
 			continue
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -110,6 +110,7 @@
 	table     *balance.Table
 	replica   *replicaDuty
 	tokens    *tokensDuty
+	loads     *loadsDuty
 	pipeline  *forward.Pipeline
 	decisions *forward.DecisionLog
 	callers   *callerServer
@@ -139,6 +140,7 @@
 	}
 	if options.Settings.HasRole(settings.RoleEntry) {
 		node.tokens = newTokensDuty(node)
+		node.loads = newLoadsDuty(node)
 		node.decisions = forward.NewDecisionLog(node.log)
 		node.pipeline = forward.New(forward.Options{
 			Dialect: options.Dialect, Environment: &entryEnvironment{node}, Table: node.table,
@@ -181,6 +183,7 @@
 	}
 	if n.tokens != nil {
 		duties.Go(func() { n.tokens.duty.Run(ctx) })
+		duties.Go(func() { n.loads.duty.Run(ctx) })
 	}
 	duties.Go(func() { n.runUpkeep(ctx) })
 	servers := n.startServers(&duties)
@@ -310,6 +313,11 @@
 			return nil
 		}
 		return peer.Dispatch(envelope, n.tokens.takeLend)
+	case peer.KindLoads:
+		if n.loads == nil {
+			return nil
+		}
+		return peer.Dispatch(envelope, func(report balance.LoadReport) { n.loads.take(from, report) })
 	case peer.KindCall:
 		return peer.Dispatch(envelope, func(call peer.Call) { go n.serveCall(from, call) })
 	case peer.KindReply:
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -54,6 +54,8 @@
 	KindInstances
 	// KindInstancesHeard names the instances that a control node heard from.
 	KindInstancesHeard
+	// KindLoads carries what entry nodes have under way at the instances.
+	KindLoads
 	// kindEnd is behind the last kind.
 	kindEnd
 )
@@ -61,7 +63,7 @@
 // String names the kind, for metrics.
 func (k Kind) String() string {
 	names := [...]string{"none", "consensus", "call", "reply", "status", "claims", "catalog", "follow", "accounts", "lend", "fence", "reports",
-		"hello", "document_notice", "document_fetch", "document", "instances", "instances_heard",
+		"hello", "document_notice", "document_fetch", "document", "instances", "instances_heard", "loads",
 	}
 	if int(k) < len(names) {
 		return names[k]
