An instance whose address has another one is never tried again

Change: an answer that another instance has the address takes the old one out of the node's choices for good.

--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -139,3 +139,17 @@
 	assert.Assert(t, !budget.Take(9*time.Second, "llm", policy))
 	assert.Assert(t, budget.Take(12*time.Second, "llm", policy))
 }
+
+// The finding of zhf scale-1: five engines crashed and began anew, and until the
+// registry forgot their old incarnations each node tried these again and again.
+func TestInstanceWhoseAddressHasAnotherIsNeverTriedAgain(t *testing.T) {
+	table := tableOf("a", instances(2))
+	choice, _ := table.Choose(0, Request{Service: "llm"})
+	table.Done(0, choice, Replaced)
+	for second := range 100 {
+		table.Update(instances(2))
+		next, found := table.Choose(time.Duration(second)*time.Second, Request{Service: "llm"})
+		assert.Assert(t, found && next.ID != choice.ID)
+		table.Done(0, next, Served)
+	}
+}
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -113,6 +113,8 @@
 	Failed
 	// Full: it turned the request away.
 	Full
+	// Replaced: another instance has its address now, so it is gone for good.
+	Replaced
 	// Abandoned says nothing about the instance.
 	Abandoned
 )
@@ -132,6 +134,9 @@
 	pause       time.Duration
 	pausedUntil time.Duration
 	probedAt    time.Duration
+	// replaced tells that the instance is gone for good, though the registry
+	// may not know yet.
+	replaced bool
 }
 
 // zoneState is what this node knows of its way to a zone.
@@ -175,7 +180,7 @@
 		}
 		known.Instance = instance
 		seen[instance.ID] = true
-		if instance.TakesWork() {
+		if instance.TakesWork() && !known.replaced {
 			t.byService[instance.Service] = append(t.byService[instance.Service], known)
 		}
 	}
@@ -281,7 +286,7 @@
 // noteZone learns from an outcome of one of a zone's instances.
 func (t *Table) noteZone(now time.Duration, of registry.Instance, outcome Outcome) {
 	switch outcome {
-	case Served, Full:
+	case Served, Full, Replaced:
 		delete(t.zones, of.Zone)
 	case Unreachable:
 		state := t.zones[of.Zone]
@@ -453,6 +458,9 @@
 	case Unreachable:
 		known.pause = min(max(2*known.pause, firstPause), lastPause)
 		known.pausedUntil = now + known.pause
+	case Replaced:
+		known.replaced = true
+		t.byService[known.Service] = slices.DeleteFunc(t.byService[known.Service], func(one *member) bool { return one == known })
 	case Full, Abandoned:
 	}
 }
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -163,11 +163,13 @@
 	}
 	if sending.head.NotRun || sending.head.OtherInstance {
 		outcome = balance.Full
+		result := "turned_away"
 		if sending.head.OtherInstance {
-			outcome = balance.Unreachable
+			outcome = balance.Replaced
+			result = "other_instance"
 		}
 		sending.discard(r.call.ID)
-		r.pipeline.options.Log.Attempt(r, choice, "turned_away", nil)
+		r.pipeline.options.Log.Attempt(r, choice, result, nil)
 		return nil, turnedAway
 	}
 	r.mayHaveRun = true
