--- a/cmd/ravenway-lab/main.go
+++ b/cmd/ravenway-lab/main.go
@@ -8,10 +8,11 @@
 	"os"
 
 	"github.com/ravenway/ravenway/internal/lab/labcli"
+	"github.com/ravenway/ravenway/platform"
 )
 
 func main() {
-	if err := labcli.Command(os.Stdout).Run(context.Background(), os.Args); err != nil {
+	if err := labcli.Command(os.Stdout, platform.StandIn{}).Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -128,6 +128,10 @@
 
 func openFleetListeners(loaded *settings.Settings) (gateway.Listeners, error) {
 	var opened gateway.Listeners
+	peers := loaded.Listen.Peers
+	if loaded.Listen.PeersBind != "" {
+		peers = loaded.Listen.PeersBind
+	}
 	for key, one := range map[string]struct {
 		address  string
 		listener *net.Listener
@@ -135,7 +139,7 @@
 		"listen.callers":   {loaded.Listen.Callers, &opened.Callers},
 		"listen.ready":     {loaded.Listen.Ready, &opened.Ready},
 		"listen.control":   {loaded.Listen.Control, &opened.Control},
-		"listen.peers":     {loaded.Listen.Peers, &opened.Peers},
+		"listen.peers":     {peers, &opened.Peers},
 		"listen.health":    {loaded.Listen.Health, &opened.Health},
 		"listen.operators": {loaded.Listen.Operators, &opened.Operators},
 	} {
--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -19,11 +19,13 @@
 	"github.com/ravenway/ravenway/internal/lab/deployment"
 	"github.com/ravenway/ravenway/internal/lab/emulator"
 	"github.com/ravenway/ravenway/internal/lab/load"
+	"github.com/ravenway/ravenway/internal/lab/standin"
 	"github.com/ravenway/ravenway/internal/operatorcli"
 )
 
-// Command is the whole command line.
-func Command(out io.Writer) *cli.Command {
+// Command is the whole command line. The soak's stand-ins speak the wire
+// interface.
+func Command(out io.Writer, wire standin.Wire) *cli.Command {
 	planFlag := &cli.StringFlag{Name: "deployment", Value: "zameen-haq", Usage: "zameen-haq or drukwacht"}
 	return &cli.Command{
 		Name:  "ravenway-lab",
@@ -58,6 +60,7 @@
 				Action: func(_ context.Context, command *cli.Command) error {
 					return runSimulations(out, command.String("only"), command.Uint64("first"), command.Uint64("seeds"))
 				}},
+			soakCommand(out, wire),
 			{Name: "verify", Usage: "compare what was billed with what the engines ran",
 				Flags: []cli.Flag{planFlag,
 					&cli.DurationFlag{Name: "patience", Value: 30 * time.Second, Usage: "time for settlements to arrive"}},
--- /dev/null
+++ b/internal/lab/labcli/soak.go
@@ -0,0 +1,95 @@
+package labcli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/ravenway/ravenway/internal/lab/soak"
+	"github.com/ravenway/ravenway/internal/lab/standin"
+)
+
+// soakCommand runs the real daemons under faults from outside.
+func soakCommand(out io.Writer, wire standin.Wire) *cli.Command {
+	return &cli.Command{
+		Name: "soak", Usage: "run the real daemons as processes under faults from outside, and check the promises",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "daemon", Value: "bin/ravenwayd", Usage: "the daemon's program"},
+			&cli.Uint64Flag{Name: "first", Value: 1, Usage: "first seed"},
+			&cli.Uint64Flag{Name: "seeds", Value: 1, Usage: "number of seeds"},
+			&cli.IntFlag{Name: "entries", Value: 4, Usage: "entry nodes; there are always three control nodes"},
+			&cli.DurationFlag{Name: "length", Value: 20 * time.Second, Usage: "how long faults are played; 0s for none"},
+			&cli.IntFlag{Name: "lanes", Value: 1, Usage: "runs side by side"},
+			&cli.StringFlag{Name: "keep", Usage: "folder that keeps the report and the logs of each seed"},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error { return runSoak(ctx, out, wire, command) },
+	}
+}
+
+func runSoak(ctx context.Context, out io.Writer, wire standin.Wire, command *cli.Command) error {
+	seeds := make(chan uint64)
+	var lanes sync.WaitGroup
+	var mutex sync.Mutex
+	var failed []error
+	for lane := range command.Int("lanes") {
+		lanes.Go(func() {
+			for seed := range seeds {
+				summary, err := soakSeed(ctx, wire, command, seed, lane)
+				mutex.Lock()
+				fmt.Fprintf(out, "seed %d: %d calls %v, %d faults, %d cut by planned stops, error %v\n",
+					seed, summary.Calls, summary.Outcomes, summary.Faults, summary.CutByStops, err)
+				if err != nil {
+					failed = append(failed, fmt.Errorf("seed %d: %w", seed, err))
+				}
+				mutex.Unlock()
+			}
+		})
+	}
+	for number := range command.Uint64("seeds") {
+		seeds <- command.Uint64("first") + number
+	}
+	close(seeds)
+	lanes.Wait()
+	fmt.Fprintf(out, "%d of %d seeds failed\n", len(failed), command.Uint64("seeds"))
+	return errors.Join(failed...)
+}
+
+func soakSeed(ctx context.Context, wire standin.Wire, command *cli.Command, seed uint64, lane int) (soak.Summary, error) {
+	folder, err := soakFolder(command.String("keep"), seed)
+	if err != nil {
+		return soak.Summary{}, err
+	}
+	if command.String("keep") == "" {
+		defer os.RemoveAll(folder)
+	}
+	report, err := os.Create(filepath.Join(folder, "report.txt"))
+	if err != nil {
+		return soak.Summary{}, err
+	}
+	defer report.Close()
+	return soak.Run(ctx, soak.Options{
+		Daemon: command.String("daemon"), Wire: wire, Seed: seed, Entries: command.Int("entries"), Length: command.Duration("length"),
+		Folder: folder, Lane: lane, Report: report,
+	})
+}
+
+func soakFolder(keep string, seed uint64) (string, error) {
+	if keep == "" {
+		return os.MkdirTemp("", "ravenway-soak-")
+	}
+	folder, err := filepath.Abs(filepath.Join(keep, fmt.Sprintf("seed-%d", seed)))
+	if err != nil {
+		return "", err
+	}
+	if err := os.RemoveAll(folder); err != nil {
+		return "", err
+	}
+	return folder, os.MkdirAll(folder, 0o700)
+}
--- /dev/null
+++ b/internal/lab/soak/callers.go
@@ -0,0 +1,178 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/lab/standin"
+)
+
+// Kind is the kind of a call.
+type Kind string
+
+// Kinds of calls, named as their routes.
+const (
+	Safe      Kind = "safe"
+	Once      Kind = "once"
+	Stream    Kind = "stream"
+	Resumable Kind = "resumable"
+)
+
+// Outcome is what a caller saw.
+type Outcome string
+
+// Outcomes of calls.
+const (
+	// Whole: the right answer, complete.
+	Whole Outcome = "whole"
+	// NotRun: refused with the promise that it has not run.
+	NotRun Outcome = "not_run"
+	// Failed: another status, nothing promised.
+	Failed Outcome = "failed"
+	// Cut: the connection ended without a complete answer.
+	Cut Outcome = "cut"
+	// Wrong: a success with something else than the right answer.
+	Wrong Outcome = "wrong"
+)
+
+// result is one call and what became of it.
+type result struct {
+	id      string
+	kind    Kind
+	entry   *machine
+	began   time.Duration
+	ended   time.Duration
+	outcome Outcome
+	detail  string
+	// stopping tells that a planned stop of the entry node had begun at the end.
+	stopping bool
+}
+
+// callers send calls all the time and keep what became of them.
+type callers struct {
+	fleet   *fleet
+	client  *http.Client
+	began   time.Time
+	mutex   sync.Mutex
+	results []result
+	running sync.WaitGroup
+}
+
+const (
+	callPause     = 12 * time.Millisecond
+	largestPrompt = 120
+	mostOut       = streamEvents * eventTokens
+)
+
+func newCallers(of *fleet, began time.Time) *callers {
+	return &callers{
+		fleet: of, began: began,
+		// Connections are kept until the process is gone.
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, DisableCompression: true}},
+	}
+}
+
+// run sends calls until the context ends, and waits for the last answers.
+func (c *callers) run(ctx context.Context, random *rand.Rand) {
+	kinds := []Kind{Safe, Once, Stream, Resumable}
+	var entries []*machine
+	for _, one := range c.fleet.members {
+		if !one.control {
+			entries = append(entries, one)
+		}
+	}
+	for number := 0; ctx.Err() == nil; number++ {
+		kind, entry := kinds[random.IntN(len(kinds))], entries[random.IntN(len(entries))]
+		tenant := fmt.Sprintf("tenant-%d", random.IntN(tenants))
+		call := standin.Call{ID: fmt.Sprintf("%08x%08x", random.Uint32(), number), Key: "key-" + tenant, Wait: callTimeout, Part: "part-" + strconv.Itoa(random.IntN(20))}
+		if kind == Stream || kind == Resumable {
+			call.TokensIn, call.TokensOut = 1+uint64(random.IntN(largestPrompt)), mostOut
+		}
+		c.running.Go(func() {
+			ended := c.call(kind, entry, call)
+			c.mutex.Lock()
+			defer c.mutex.Unlock()
+			c.results = append(c.results, ended)
+		})
+		sleep(ctx, callPause)
+	}
+	c.running.Wait()
+}
+
+// call sends one call and judges its answer.
+func (c *callers) call(kind Kind, entry *machine, call standin.Call) result {
+	ended := result{id: call.ID, kind: kind, entry: entry, began: time.Since(c.began)}
+	ctx, cancel := context.WithTimeout(context.Background(), call.Wait)
+	defer cancel()
+	ended.outcome, ended.detail = c.send(ctx, kind, entry, call)
+	ended.ended = time.Since(c.began)
+	entry.mutex.Lock()
+	ended.stopping = entry.stopping
+	entry.mutex.Unlock()
+	return ended
+}
+
+func (c *callers) send(ctx context.Context, kind Kind, entry *machine, call standin.Call) (Outcome, string) {
+	url := "http://" + entry.address(callersPort) + "/" + string(kind) + "/x"
+	// A body without a way to read it again: net/http does not send it twice.
+	body := struct{ io.Reader }{strings.NewReader("body of " + call.ID)}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
+	if err != nil {
+		return Failed, err.Error()
+	}
+	request.Header, request.Host = c.fleet.wire.CallerHeader(call), callHost
+	response, err := c.client.Do(request)
+	if err != nil {
+		return Cut, err.Error()
+	}
+	defer response.Body.Close()
+	switch status := response.StatusCode; {
+	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests, status == http.StatusPaymentRequired:
+		return NotRun, response.Status
+	case status != http.StatusOK:
+		return Failed, response.Status
+	case kind == Stream || kind == Resumable:
+		return readStream(response.Body, call.ID)
+	}
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return Cut, err.Error()
+	}
+	if string(answer) != plainBody(call.ID) {
+		return Wrong, fmt.Sprintf("%.80q", answer)
+	}
+	return Whole, ""
+}
+
+// readStream holds a stream against the only right one.
+func readStream(body io.Reader, id string) (Outcome, string) {
+	reader := bufio.NewReader(body)
+	var read strings.Builder
+	_, err := io.Copy(&read, reader)
+	var want strings.Builder
+	for number := 1; number <= streamEvents; number++ {
+		want.WriteString(eventText(id, number))
+	}
+	switch {
+	case err != nil && strings.HasPrefix(want.String(), read.String()):
+		return Cut, err.Error()
+	case err == nil && read.String() == want.String():
+		return Whole, ""
+	}
+	return Wrong, fmt.Sprintf("error %v after %.200q", err, read.String())
+}
+
+// all returns what became of the calls so far.
+func (c *callers) all() []result {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return append([]result(nil), c.results...)
+}
--- /dev/null
+++ b/internal/lab/soak/engine.go
@@ -0,0 +1,150 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+
+	"github.com/ravenway/ravenway/internal/lab/standin"
+)
+
+const (
+	// eventTokens is the number of tokens in an event of a stream.
+	eventTokens = 2
+	// streamEvents is the length of each stream.
+	streamEvents = 8
+	eventPause   = 40 * time.Millisecond
+	plainWork    = 15 * time.Millisecond
+)
+
+// Truth is what the engines ran.
+type Truth struct {
+	mutex sync.Mutex
+	runs  map[string]int
+	// tokens are what each tenant was handed out: prompts once a request, and
+	// events.
+	tokens map[string]uint64
+}
+
+func newTruth() *Truth { return &Truth{runs: map[string]int{}, tokens: map[string]uint64{}} }
+
+func (t *Truth) begin(request standin.EngineRequest) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.runs[request.ID] == 0 {
+		t.tokens[request.Tenant] += request.TokensIn
+	}
+	t.runs[request.ID]++
+}
+
+func (t *Truth) handOut(tenant string, tokens uint64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.tokens[tenant] += tokens
+}
+
+// Runs returns how often a request ran.
+func (t *Truth) Runs(request string) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.runs[request]
+}
+
+// Tokens returns what a tenant was handed out.
+func (t *Truth) Tokens(tenant string) uint64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.tokens[tenant]
+}
+
+// engine is one life of a stand-in for an engine.
+type engine struct {
+	registry.Instance
+	wire   standin.Wire
+	truth  *Truth
+	server *http.Server
+	mutex  sync.Mutex
+	state  registry.State
+}
+
+// startEngine listens at an address and serves.
+func startEngine(instance registry.Instance, wire standin.Wire, truth *Truth) (*engine, error) {
+	listener, err := net.Listen("tcp", instance.Address)
+	if err != nil {
+		return nil, fmt.Errorf("starting engine %s: %w", instance.ID, err)
+	}
+	made := &engine{Instance: instance, wire: wire, truth: truth, state: registry.Ready}
+	made.server = &http.Server{Handler: made}
+	go func() { _ = made.server.Serve(listener) }()
+	return made, nil
+}
+
+// crash ends the engine without a word.
+func (e *engine) crash() { _ = e.server.Close() }
+
+func (e *engine) setState(state registry.State) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.state = state
+}
+
+// heartbeat returns what the engine says of itself now.
+func (e *engine) heartbeat() registry.Instance {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.Sequence++
+	said := e.Instance
+	said.State = e.state
+	return said
+}
+
+// ServeHTTP implements http.Handler.
+func (e *engine) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
+	_, _ = io.Copy(io.Discard, incoming.Body)
+	request := e.wire.ReadRequest(incoming.Header)
+	isHere := request.Instance == e.ID
+	for name, values := range e.wire.AnswerHeader(request.ID, e.ID, !isHere) {
+		writer.Header()[name] = values
+	}
+	if !isHere {
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	e.truth.begin(request)
+	if request.TokensIn > 0 {
+		e.stream(writer, incoming, request)
+		return
+	}
+	time.Sleep(plainWork)
+	_, _ = fmt.Fprint(writer, plainBody(request.ID))
+}
+
+// plainBody is the only right answer to a plain call.
+func plainBody(request string) string { return "answer to " + request }
+
+// eventText is the only right event of a stream at a place.
+func eventText(request string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", number, request, number)
+}
+
+func (e *engine) stream(writer http.ResponseWriter, incoming *http.Request, request standin.EngineRequest) {
+	writer.Header().Set("Content-Type", "text/event-stream")
+	for number := request.After + 1; number <= streamEvents; number++ {
+		select {
+		case <-time.After(eventPause):
+		case <-incoming.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+		// Counted before it is written: what may have been handed out.
+		e.truth.handOut(request.Tenant, eventTokens)
+		if _, err := io.WriteString(writer, eventText(request.ID, number)); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		_ = http.NewResponseController(writer).Flush()
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/faults.go
@@ -0,0 +1,211 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+)
+
+// fault is one kind of trouble. It undoes itself before it returns.
+type fault struct {
+	name string
+	play func(ctx context.Context, run *run, random *rand.Rand)
+}
+
+const (
+	shortestFault = 300 * time.Millisecond
+	longestFault  = 3 * time.Second
+	faultPause    = 700 * time.Millisecond
+	// diskPause is the least time between two lost disks: a replica counts only
+	// once it holds the log again.
+	diskPause = 6 * time.Second
+	drainTime = 1500 * time.Millisecond
+)
+
+func lasting(random *rand.Rand) time.Duration {
+	return shortestFault + time.Duration(random.Int64N(int64(longestFault-shortestFault)))
+}
+
+// faults are played in series that overlap.
+var faults = []fault{
+	{"kill_entry", func(ctx context.Context, r *run, random *rand.Rand) {
+		r.bounce(ctx, r.pick(random, false), lasting(random), false)
+	}},
+	{"kill_control", func(ctx context.Context, r *run, random *rand.Rand) {
+		r.bounce(ctx, r.pick(random, true), lasting(random), false)
+	}},
+	{"kill_all_controls", func(ctx context.Context, r *run, random *rand.Rand) {
+		r.bounceAll(ctx, lasting(random), func(one *machine) bool { return one.control })
+	}},
+	{"lose_disk", func(ctx context.Context, r *run, random *rand.Rand) {
+		r.loseDisk(ctx, r.pick(random, true), lasting(random))
+	}},
+	{"pause", func(ctx context.Context, r *run, random *rand.Rand) {
+		one := r.fleet.members[random.IntN(len(r.fleet.members))]
+		one.signal(syscall.SIGSTOP)
+		sleep(ctx, lasting(random))
+		one.signal(syscall.SIGCONT)
+	}},
+	{"planned_stop", func(ctx context.Context, r *run, random *rand.Rand) { r.plannedStop(ctx, r.pick(random, false)) }},
+	{"planned_stop_control", func(ctx context.Context, r *run, random *rand.Rand) { r.plannedStop(ctx, r.pick(random, true)) }},
+	{"relay", func(ctx context.Context, r *run, random *rand.Rand) {
+		one := r.fleet.members[random.IntN(len(r.fleet.members))]
+		mode := RelayMode(1 + random.IntN(int(Resetting)))
+		r.note("relay of %s: %s", one.name, mode)
+		one.relay.set(mode)
+		sleep(ctx, lasting(random))
+		one.relay.set(Passing)
+	}},
+	{"cut_core", func(ctx context.Context, r *run, random *rand.Rand) {
+		for _, one := range r.fleet.members[:controls] {
+			one.relay.set(Silent)
+		}
+		sleep(ctx, 2*lasting(random))
+		for _, one := range r.fleet.members[:controls] {
+			one.relay.set(Passing)
+		}
+	}},
+	{"crash_engine", func(ctx context.Context, r *run, random *rand.Rand) {
+		r.replaceEngine(ctx, random.IntN(6), lasting(random), false)
+	}},
+	{"drain_engine", func(ctx context.Context, r *run, random *rand.Rand) {
+		r.replaceEngine(ctx, random.IntN(6), drainTime, true)
+	}},
+	{"configuration", func(ctx context.Context, r *run, random *rand.Rand) {
+		r.fleet.change(random.IntN(100))
+		_ = r.fleet.waitFor(ctx, 15*time.Second, "an acknowledgement", func() bool { return r.fleet.order(ctx) })
+	}},
+}
+
+// pick draws a machine of a role.
+func (r *run) pick(random *rand.Rand, control bool) *machine {
+	if control {
+		return r.fleet.members[random.IntN(controls)]
+	}
+	return r.fleet.members[controls+random.IntN(len(r.fleet.members)-controls)]
+}
+
+// hold gives one fault a machine's process for itself; false means that it is
+// taken.
+func (r *run) hold(one *machine) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.held[one] {
+		return false
+	}
+	r.held[one] = true
+	return true
+}
+
+func (r *run) release(one *machine) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.held, one)
+}
+
+func (r *run) startAgain(one *machine) {
+	if err := one.start(r.fleet.daemon, r.fleet.wire, r.fleet.seeds, false); err != nil {
+		r.breaks("%s does not start: %v", one.name, err)
+	}
+}
+
+// bounce kills a process and starts it again, maybe with an empty disk.
+func (r *run) bounce(ctx context.Context, one *machine, down time.Duration, wipe bool) {
+	if !r.hold(one) {
+		return
+	}
+	defer r.release(one)
+	r.note("kill %s, wipe %v, for %d ms", one.name, wipe, down.Milliseconds())
+	one.kill()
+	if wipe {
+		if err := one.wipe(); err != nil {
+			r.breaks("%v", err)
+		}
+	}
+	sleep(ctx, down)
+	r.startAgain(one)
+}
+
+// bounceAll kills all that match at the same moment.
+func (r *run) bounceAll(ctx context.Context, down time.Duration, matches func(*machine) bool) {
+	var held []*machine
+	for _, one := range r.fleet.members {
+		if matches(one) && r.hold(one) {
+			held = append(held, one)
+			one.signal(syscall.SIGCONT)
+			one.signal(syscall.SIGKILL)
+		}
+	}
+	r.note("kill %d processes at once for %d ms", len(held), down.Milliseconds())
+	sleep(ctx, down)
+	for _, one := range held {
+		one.waitEnd(time.Minute)
+		r.startAgain(one)
+		r.release(one)
+	}
+}
+
+// loseDisk loses a control node's disk, if the last loss is repaired.
+func (r *run) loseDisk(ctx context.Context, one *machine, down time.Duration) {
+	r.mutex.Lock()
+	allowed := time.Since(r.diskLostAt) > diskPause && len(r.held) == 0
+	if allowed {
+		r.diskLostAt = time.Now().Add(down)
+	}
+	r.mutex.Unlock()
+	if allowed {
+		r.bounce(ctx, one, down, true)
+	}
+}
+
+// plannedStop stops a process as the platform does and starts it again.
+func (r *run) plannedStop(ctx context.Context, one *machine) {
+	if !r.hold(one) {
+		return
+	}
+	defer r.release(one)
+	r.note("planned stop of %s", one.name)
+	one.signal(syscall.SIGTERM)
+	if !one.waitEnd(stopGrace) {
+		r.note("%s has not ended within its grace", one.name)
+		one.kill()
+	}
+	r.startAgain(one)
+}
+
+// replaceEngine ends an engine, with or without a word, and starts another one
+// at its address.
+func (r *run) replaceEngine(ctx context.Context, place int, lasts time.Duration, drains bool) {
+	name := placeName(place)
+	r.fleet.mutex.Lock()
+	old := r.fleet.engines[name]
+	if old != nil && !drains {
+		delete(r.fleet.engines, name)
+	}
+	r.fleet.mutex.Unlock()
+	if old == nil {
+		return
+	}
+	r.note("engine %s ends, drains %v", old.ID, drains)
+	if drains {
+		old.setState(registry.Draining)
+		sleep(ctx, lasts+callTimeout/2)
+		r.fleet.mutex.Lock()
+		isOwn := r.fleet.engines[name] == old
+		if isOwn {
+			delete(r.fleet.engines, name)
+		}
+		r.fleet.mutex.Unlock()
+		if !isOwn {
+			return
+		}
+	}
+	old.crash()
+	sleep(ctx, lasts)
+	if err := r.fleet.addEngine(old.Service, place); err != nil {
+		r.breaks("%v", err)
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/fleet.go
@@ -0,0 +1,306 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/state/document"
+
+	"github.com/ravenway/ravenway/internal/lab/standin"
+)
+
+const (
+	serviceModel  = "model"
+	servicePlain  = "plain"
+	callHost      = "soak.example"
+	controls      = 3
+	beatInterval  = 400 * time.Millisecond
+	callTimeout   = 5 * time.Second
+	controlWait   = time.Second
+	tenants       = 3
+	firstPrepaid  = 40_000
+	topUp         = 15_000
+	fileMode      = 0o600
+	folderMode    = 0o700
+	peerKeyLength = 48
+	firstLane     = 10
+)
+
+var zones = []string{"a", "b", "c"}
+
+// fleet is the whole deployment: machines, engines, and what the operator and
+// the engines know.
+type fleet struct {
+	daemon string
+	// lane is the second number of the run's loopback addresses, from firstLane.
+	lane    int
+	wire    standin.Wire
+	random  *rand.Rand
+	truth   *Truth
+	client  *http.Client
+	seeds   []string
+	members []*machine
+
+	mutex   sync.Mutex
+	engines map[string]*engine
+	lives   int
+	wanted  *document.Document
+	// acknowledged is the highest version that was acknowledged.
+	acknowledged uint64
+	// prepaid is the highest prepaid that each tenant was ever sent.
+	prepaid map[string]uint64
+}
+
+// newFleet writes the folders; nothing runs yet. The loopback addresses hold
+// the run's number, so that runs may stand side by side.
+func newFleet(options Options) (*fleet, error) {
+	made := &fleet{
+		daemon: options.Daemon, lane: options.Lane, wire: options.Wire, random: rand.New(rand.NewPCG(options.Seed, 1)), truth: newTruth(),
+		client:  &http.Client{Timeout: controlWait, Transport: &http.Transport{DisableKeepAlives: true}},
+		engines: map[string]*engine{}, prepaid: map[string]uint64{},
+	}
+	key := make([]byte, peerKeyLength)
+	for position := range key {
+		key[position] = byte('a' + made.random.IntN(26))
+	}
+	if err := os.WriteFile(filepath.Join(options.Folder, "peer.key"), key, fileMode); err != nil {
+		return nil, err
+	}
+	for number := range controls + options.Entries {
+		one := &machine{name: fmt.Sprintf("entry-%d", number-controls), zone: zones[number%len(zones)], control: number < controls}
+		if one.control {
+			one.name = fmt.Sprintf("control-%d", number)
+		}
+		one.host = fmt.Sprintf("127.%d.1.%d", firstLane+options.Lane, number+1)
+		one.folder = filepath.Join(options.Folder, one.name)
+		if err := os.MkdirAll(one.folder, folderMode); err != nil {
+			return nil, err
+		}
+		if one.control {
+			made.seeds = append(made.seeds, one.address(controlPort))
+		}
+		made.members = append(made.members, one)
+	}
+	made.wanted = firstConfiguration()
+	return made, nil
+}
+
+func firstConfiguration() *document.Document {
+	route := func(name, service string, kind document.RouteKind, resumable bool) document.Route {
+		return document.Route{
+			Name: name, Host: callHost, Prefix: "/" + name + "/", Kind: kind, Timeout: callTimeout, Objective: 300 * time.Millisecond,
+			EventGap: 400 * time.Millisecond, MaxAttempts: 2, Resumable: resumable, Targets: []document.Target{{Service: service, Weight: 1}},
+		}
+	}
+	wanted := &document.Document{
+		Version: 1, Limits: document.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Routes: []document.Route{
+			route("safe", servicePlain, document.Repeatable, false), route("once", servicePlain, document.NotRepeatable, false),
+			route("stream", serviceModel, document.Stream, false), route("resumable", serviceModel, document.Stream, true),
+		},
+		Services: []document.Service{
+			{Name: servicePlain, MaxConnections: 200}, {Name: serviceModel, MaxConnections: 200, Slots: 64, CacheTokens: 1 << 20, EventTokens: eventTokens},
+		},
+	}
+	for number := range tenants {
+		name := fmt.Sprintf("tenant-%d", number)
+		wanted.Tenants = append(wanted.Tenants, document.Tenant{Name: name, Keys: []string{"key-" + name}, Prepaid: firstPrepaid, HasPrepaid: true})
+	}
+	return wanted
+}
+
+// start opens the relays, starts all daemons, and takes the first configuration.
+func (f *fleet) start(ctx context.Context) error {
+	for _, one := range f.members {
+		var err error
+		if one.relay, err = startRelay(one.address(peerPort), one.address(peerBindPort)); err != nil {
+			return err
+		}
+	}
+	for _, one := range f.members {
+		if err := one.start(f.daemon, f.wire, f.seeds, true); err != nil {
+			return err
+		}
+	}
+	for number := range 6 {
+		service := serviceModel
+		if number >= 3 {
+			service = servicePlain
+		}
+		if err := f.addEngine(service, number); err != nil {
+			return err
+		}
+	}
+	return f.waitFor(ctx, 20*time.Second, "the first configuration and ready entries", func() bool {
+		return f.order(ctx) && f.allReady()
+	})
+}
+
+// addEngine starts a new life of an engine at a place.
+func (f *fleet) addEngine(service string, place int) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.lives++
+	name := placeName(place)
+	host := fmt.Sprintf("127.%d.2.%d", firstLane+f.lane, place+1)
+	started, err := startEngine(registry.Instance{
+		ID: fmt.Sprintf("i-%d-%d", place, f.lives), Service: service, Address: net.JoinHostPort(host, fmt.Sprint(enginePort)),
+		Zone: zones[place%len(zones)], Version: "v1", Slots: 64,
+	}, f.wire, f.truth)
+	if err != nil {
+		return err
+	}
+	f.engines[name] = started
+	return nil
+}
+
+// beat sends the heartbeats of all engines, each to the first control node
+// that takes it.
+func (f *fleet) beat(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mutex.Lock()
+		var said []registry.Instance
+		for _, one := range f.engines {
+			said = append(said, one.heartbeat())
+		}
+		f.mutex.Unlock()
+		for _, instance := range said {
+			path, body := f.wire.Heartbeat(instance)
+			go f.callControl(ctx, http.MethodPut, path, body)
+		}
+		sleep(ctx, beatInterval)
+	}
+}
+
+// callControl calls control nodes in a random order until one answers well.
+func (f *fleet) callControl(ctx context.Context, method, path string, body []byte) ([]byte, bool) {
+	for _, position := range rand.Perm(controls) {
+		answer, status := f.callOne(ctx, f.members[position], method, path, body)
+		if status == http.StatusOK {
+			return answer, true
+		}
+	}
+	return nil, false
+}
+
+func (f *fleet) callOne(ctx context.Context, one *machine, method, path string, body []byte) ([]byte, int) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+one.address(controlPort)+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, 0
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return nil, 0
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, 0
+	}
+	return answer, response.StatusCode
+}
+
+// change makes a new version: more prepaid tokens for one tenant.
+func (f *fleet) change(number int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	changed := *f.wanted
+	changed.Version += 1 + uint64(number%3)
+	changed.Tenants = append([]document.Tenant(nil), changed.Tenants...)
+	changed.Tenants[number%len(changed.Tenants)].Prepaid += topUp
+	f.wanted = &changed
+}
+
+// order sends the newest configuration and tells whether it was acknowledged.
+func (f *fleet) order(ctx context.Context) bool {
+	f.mutex.Lock()
+	wanted := f.wanted
+	for _, tenant := range wanted.Tenants {
+		f.prepaid[tenant.Name] = max(f.prepaid[tenant.Name], tenant.Prepaid)
+	}
+	f.mutex.Unlock()
+	path, body := f.wire.Configuration(wanted)
+	if _, taken := f.callControl(ctx, http.MethodPut, path, body); !taken {
+		return false
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.acknowledged = max(f.acknowledged, wanted.Version)
+	return true
+}
+
+// readBack reads the configuration and returns what is wrong with it, or "".
+func (f *fleet) readBack(ctx context.Context) string {
+	f.mutex.Lock()
+	wanted, acknowledged := f.wanted, f.acknowledged
+	f.mutex.Unlock()
+	path, sent := f.wire.Configuration(wanted)
+	read, found := f.callControl(ctx, http.MethodGet, path, nil)
+	switch {
+	case !found:
+		return "no control node gave the configuration"
+	case acknowledged == wanted.Version && !bytes.Equal(read, sent):
+		return fmt.Sprintf("version %d was acknowledged, something else was read: %.80s", acknowledged, read)
+	}
+	return ""
+}
+
+func (f *fleet) allReady() bool {
+	for _, one := range f.members {
+		if one.control {
+			continue
+		}
+		response, err := f.client.Get("http://" + one.address(readyPort) + f.wire.ReadyPath())
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) waitFor(ctx context.Context, longest time.Duration, what string, holds func() bool) error {
+	until := time.Now().Add(longest)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		if holds() {
+			return nil
+		}
+		sleep(ctx, 50*time.Millisecond)
+	}
+	return fmt.Errorf("waited %s in vain for %s", longest, what)
+}
+
+// close ends what this run started, by its own handles only.
+func (f *fleet) close() {
+	for _, one := range f.members {
+		one.kill()
+		if one.relay != nil {
+			one.relay.close()
+		}
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, one := range f.engines {
+		one.crash()
+	}
+}
+
+func sleep(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/process.go
@@ -0,0 +1,167 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/lab/standin"
+)
+
+// Ports of each node; each has a loopback address of its own.
+const (
+	peerPort      = 17400
+	peerBindPort  = 17401
+	callersPort   = 17402
+	readyPort     = 17403
+	controlPort   = 17404
+	healthPort    = 17405
+	operatorsPort = 17406
+	enginePort    = 17407
+)
+
+const stopGrace = 8 * time.Second
+
+// machine is one node's place: its address, its disk if it has one, and the
+// process that runs there.
+type machine struct {
+	name    string
+	host    string
+	zone    string
+	control bool
+	folder  string
+	relay   *relay
+
+	mutex   sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	// stopping tells that a planned stop was asked for.
+	stopping bool
+}
+
+func (m *machine) address(port int) string { return net.JoinHostPort(m.host, strconv.Itoa(port)) }
+
+// settings writes the daemon's settings file.
+func (m *machine) settings(wire standin.Wire, seeds []string, firstStart bool) (string, error) {
+	role, listeners := "entry", fmt.Sprintf("callers = %q\nready = %q\n", m.address(callersPort), m.address(readyPort))
+	if m.control {
+		role = "control"
+		listeners = fmt.Sprintf("control = %q\n[control]\ndata_dir = %q\n", m.address(controlPort), filepath.Join(m.folder, "data"))
+	}
+	quoted := make([]string, 0, len(seeds))
+	for _, seed := range seeds {
+		quoted = append(quoted, strconv.Quote(seed))
+	}
+	text := fmt.Sprintf(`[node]
+name = %q
+zone = %q
+roles = [%q]
+[fleet]
+dialect = %q
+seeds = [%s]
+peer_port = %d
+first_start = %v
+[security]
+peer_key_file = %q
+[bounds]
+stop_grace = %q
+retry_window = "10s"
+retry_ratio = 0.2
+retry_slack = 50.0
+[listen]
+peers = %q
+peers_bind = %q
+health = %q
+operators = %q
+%s`, m.name, m.zone, role, wire.Name(), strings.Join(quoted, ", "), peerPort, firstStart, filepath.Join(m.folder, "..", "peer.key"),
+		stopGrace.String(), m.address(peerPort), m.address(peerBindPort), m.address(healthPort), m.address(operatorsPort), listeners)
+	path := filepath.Join(m.folder, "settings.toml")
+	return path, os.WriteFile(path, []byte(text), 0o600)
+}
+
+// start runs the daemon. Its log is added to the machine's.
+func (m *machine) start(daemon string, wire standin.Wire, seeds []string, firstStart bool) error {
+	path, err := m.settings(wire, seeds, firstStart)
+	if err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(m.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	command := exec.Command(daemon, "run", path)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		_ = log.Close()
+		return fmt.Errorf("starting %s: %w", m.name, err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		_ = command.Wait()
+		_ = log.Close()
+		close(ended)
+	}()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.command, m.ended, m.stopping = command, ended, false
+	return nil
+}
+
+// signal reaches only the process that this machine started itself.
+func (m *machine) signal(signal syscall.Signal) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.command != nil && m.runs() {
+		m.stopping = m.stopping || signal == syscall.SIGTERM
+		_ = m.command.Process.Signal(signal)
+	}
+}
+
+func (m *machine) runs() bool {
+	select {
+	case <-m.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// isRunning tells whether the process is there.
+func (m *machine) isRunning() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.command != nil && m.runs()
+}
+
+// kill ends the process at once and waits for its end.
+func (m *machine) kill() {
+	m.signal(syscall.SIGCONT)
+	m.signal(syscall.SIGKILL)
+	m.waitEnd(time.Minute)
+}
+
+// waitEnd waits for the process's end and tells whether it came.
+func (m *machine) waitEnd(longest time.Duration) bool {
+	m.mutex.Lock()
+	ended := m.ended
+	m.mutex.Unlock()
+	if ended == nil {
+		return true
+	}
+	select {
+	case <-ended:
+		return true
+	case <-time.After(longest):
+		return false
+	}
+}
+
+// wipe empties the disk of a machine whose process has ended.
+func (m *machine) wipe() error { return os.RemoveAll(filepath.Join(m.folder, "data")) }
--- /dev/null
+++ b/internal/lab/soak/relay.go
@@ -0,0 +1,152 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// RelayMode is what a relay does with connections.
+type RelayMode uint8
+
+// Modes of a relay.
+const (
+	// Passing takes everything on.
+	Passing RelayMode = iota
+	// Slow holds each piece back.
+	Slow
+	// Silent takes nothing on in either direction, and says nothing.
+	Silent
+	// OneWay takes nothing on towards the node, but what it says.
+	OneWay
+	// Resetting breaks all connections and takes no new ones.
+	Resetting
+)
+
+// String names the mode.
+func (m RelayMode) String() string {
+	return [...]string{"passing", "slow", "silent", "one_way", "resetting"}[m]
+}
+
+const (
+	slowPause = 60 * time.Millisecond
+	// silentPoll is how often held bytes are looked at again.
+	silentPoll = 10 * time.Millisecond
+	pieceBytes = 32 << 10
+)
+
+// relay stands before one node's peer listener.
+type relay struct {
+	listener net.Listener
+	target   string
+	mutex    sync.Mutex
+	mode     RelayMode
+	open     map[net.Conn]struct{}
+}
+
+func startRelay(address, target string) (*relay, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("starting a relay: %w", err)
+	}
+	made := &relay{listener: listener, target: target, open: map[net.Conn]struct{}{}}
+	go made.accept()
+	return made, nil
+}
+
+func (r *relay) close() {
+	_ = r.listener.Close()
+	r.set(Resetting)
+}
+
+func (r *relay) set(mode RelayMode) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.mode = mode
+	if mode != Resetting {
+		return
+	}
+	for connection := range r.open {
+		reset(connection)
+	}
+	clear(r.open)
+}
+
+func reset(connection net.Conn) {
+	if raw, isTCP := connection.(*net.TCPConn); isTCP {
+		_ = raw.SetLinger(0)
+	}
+	_ = connection.Close()
+}
+
+func (r *relay) current() RelayMode {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.mode
+}
+
+func (r *relay) accept() {
+	for {
+		connection, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(connection)
+	}
+}
+
+func (r *relay) serve(outside net.Conn) {
+	if r.current() == Resetting {
+		reset(outside)
+		return
+	}
+	inside, err := net.DialTimeout("tcp", r.target, time.Second)
+	if err != nil {
+		reset(outside)
+		return
+	}
+	r.mutex.Lock()
+	r.open[outside], r.open[inside] = struct{}{}, struct{}{}
+	r.mutex.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { r.pass(inside, outside, true) })
+	both.Go(func() { r.pass(outside, inside, false) })
+	both.Wait()
+	r.mutex.Lock()
+	delete(r.open, outside)
+	delete(r.open, inside)
+	r.mutex.Unlock()
+}
+
+// pass takes bytes on in one direction until either end closes.
+func (r *relay) pass(to, from net.Conn, towardsNode bool) {
+	defer to.Close()
+	piece := make([]byte, pieceBytes)
+	for {
+		count, err := from.Read(piece)
+		for r.holds(towardsNode) {
+			time.Sleep(silentPoll)
+		}
+		if r.current() == Slow {
+			time.Sleep(slowPause)
+		}
+		if count > 0 {
+			if _, writeErr := to.Write(piece[:count]); writeErr != nil {
+				return
+			}
+		}
+		if err != nil {
+			if err != io.EOF {
+				reset(to)
+			}
+			return
+		}
+	}
+}
+
+func (r *relay) holds(towardsNode bool) bool {
+	mode := r.current()
+	return mode == Silent || mode == OneWay && towardsNode
+}
--- /dev/null
+++ b/internal/lab/soak/soak.go
@@ -0,0 +1,256 @@
+// Package soak runs the real daemons as separate processes on loopback, with
+// stand-ins for engines, callers and an operator, and faults from outside:
+// signals, lost disks, and relays that hold back, cut or silence connections.
+// It checks the promises from what callers and engines see.
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/lab/standin"
+)
+
+// Options set up a run.
+type Options struct {
+	// Daemon is the program of ravenwayd.
+	Daemon string
+	Wire   standin.Wire
+	Seed   uint64
+	// Entries is the number of entry nodes; there are always three control nodes.
+	Entries int
+	// Length is how long faults are played.
+	Length time.Duration
+	// Folder is an empty folder for settings, disks and logs.
+	Folder string
+	// Lane keeps the loopback addresses of runs side by side apart.
+	Lane int
+	// Report gets the timeline; nil means none.
+	Report io.Writer
+}
+
+// ErrBroken says that a promise was broken.
+var ErrBroken = errors.New("soak: a promise was broken")
+
+// Summary is what a run came to.
+type Summary struct {
+	Calls    int
+	Outcomes map[Outcome]int
+	Faults   int
+	// CutByStops are calls that had run and were cut while only a planned stop
+	// of their entry node was under way.
+	CutByStops int
+	Broken     []string
+}
+
+// run is one seed's run.
+type run struct {
+	fleet   *fleet
+	callers *callers
+	began   time.Time
+
+	mutex      sync.Mutex
+	report     io.Writer
+	broken     []string
+	played     int
+	held       map[*machine]bool
+	diskLostAt time.Time
+	// rough are the spans in which a fault other than a planned stop was played.
+	rough []span
+}
+
+type span struct{ from, until time.Duration }
+
+const (
+	series       = 2
+	settleTime   = 3 * time.Second
+	recoverWait  = 15 * time.Second
+	roughMargin  = 2 * time.Second
+	leastServed  = 0.25
+	finalDown    = time.Second
+	recoveryTime = 4 * time.Second
+)
+
+func placeName(place int) string { return fmt.Sprintf("place-%d", place) }
+
+// Run plays one seed.
+func Run(ctx context.Context, options Options) (Summary, error) {
+	if options.Report == nil {
+		options.Report = io.Discard
+	}
+	if _, err := os.Stat(options.Daemon); err != nil {
+		return Summary{}, fmt.Errorf("the daemon's program: %w", err)
+	}
+	made, err := newFleet(options)
+	if err != nil {
+		return Summary{}, err
+	}
+	defer made.close()
+	began := time.Now()
+	r := &run{fleet: made, callers: newCallers(made, began), began: began, report: options.Report, held: map[*machine]bool{}}
+	r.note("seed %d, %d entry nodes, faults for %s", options.Seed, options.Entries, options.Length)
+	background, stopBackground := context.WithCancel(ctx)
+	defer stopBackground()
+	go made.beat(background)
+	if err := made.start(ctx); err != nil {
+		return Summary{}, err
+	}
+	r.note("all entry nodes are ready")
+	r.play(ctx, options)
+	r.check(ctx)
+	return r.summarize()
+}
+
+// play sends calls while series of faults overlap, ends with all processes
+// killed at once, and lets the fleet recover.
+func (r *run) play(ctx context.Context, options Options) {
+	calling, stopCalling := context.WithCancel(ctx)
+	var called sync.WaitGroup
+	called.Go(func() { r.callers.run(calling, rand.New(rand.NewPCG(options.Seed, 2))) })
+	faulty, stopFaults := context.WithTimeout(ctx, options.Length)
+	defer stopFaults()
+	var playing sync.WaitGroup
+	for number := range series {
+		playing.Go(func() { r.playSeries(ctx, faulty, rand.New(rand.NewPCG(options.Seed, 3+uint64(number)))) })
+	}
+	playing.Wait()
+	r.rougher("kill_all", func() { r.bounceAll(ctx, finalDown, func(*machine) bool { return true }) })
+	r.noteRecovery(ctx)
+	stopCalling()
+	called.Wait()
+}
+
+func (r *run) playSeries(ctx, faulty context.Context, random *rand.Rand) {
+	for faulty.Err() == nil {
+		sleep(faulty, time.Duration(random.Int64N(int64(2*faultPause))))
+		one := faults[random.IntN(len(faults))]
+		r.note("fault %s", one.name)
+		if strings.HasPrefix(one.name, "planned_stop") || one.name == "configuration" || one.name == "drain_engine" {
+			one.play(ctx, r, random)
+		} else {
+			r.rougher(one.name, func() { one.play(ctx, r, random) })
+		}
+		r.mutex.Lock()
+		r.played++
+		r.mutex.Unlock()
+	}
+}
+
+// rougher notes the span of a fault that may cut requests.
+func (r *run) rougher(_ string, play func()) {
+	from := time.Since(r.began)
+	play()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.rough = append(r.rough, span{from: from, until: time.Since(r.began) + roughMargin})
+}
+
+// noteRecovery waits until calls are served again.
+func (r *run) noteRecovery(ctx context.Context) {
+	err := r.fleet.waitFor(ctx, recoverWait, "ready entries after the last fault", r.fleet.allReady)
+	if err != nil {
+		r.breaks("%v", err)
+	}
+	sleep(ctx, recoveryTime)
+	from := time.Since(r.began)
+	sleep(ctx, settleTime)
+	served, sent := 0, 0
+	for _, one := range r.callers.all() {
+		if one.began < from || one.kind == Stream || one.kind == Resumable {
+			// Streams may be out of tokens by then.
+			continue
+		}
+		sent++
+		if one.outcome == Whole {
+			served++
+		}
+	}
+	r.note("after the last fault %d of %d plain calls are served", served, sent)
+	if float64(served) < leastServed*float64(sent) || sent == 0 {
+		r.breaks("recovery: %d of %d plain calls are served", served, sent)
+	}
+}
+
+// check judges the calls and reads the configuration back.
+func (r *run) check(ctx context.Context) {
+	r.judge()
+	wrong := ""
+	if err := r.fleet.waitFor(ctx, recoverWait, "the configuration", func() bool {
+		wrong = r.fleet.readBack(ctx)
+		return wrong == ""
+	}); err != nil {
+		r.breaks("%v: %s", err, wrong)
+	}
+}
+
+// judge holds what callers saw against what engines ran.
+func (r *run) judge() {
+	for _, one := range r.callers.all() {
+		runs := r.fleet.truth.Runs(one.id)
+		switch {
+		case one.outcome == Wrong:
+			r.breaks("call %s (%s) at %s got a wrong answer: %s", one.id, one.kind, one.entry.name, one.detail)
+		case one.outcome == NotRun && runs > 0:
+			r.breaks("call %s (%s) at %s was refused with %s and ran %d times", one.id, one.kind, one.entry.name, one.detail, runs)
+		case runs > 1 && (one.kind == Once || one.kind == Stream):
+			r.breaks("call %s (%s) ran %d times", one.id, one.kind, runs)
+		}
+	}
+	for tenant, prepaid := range r.fleet.prepaid {
+		if used := r.fleet.truth.Tokens(tenant); used > prepaid {
+			r.breaks("%s got %d tokens of %d prepaid", tenant, used, prepaid)
+		}
+	}
+}
+
+func (r *run) summarize() (Summary, error) {
+	summary := Summary{Outcomes: map[Outcome]int{}}
+	for _, one := range r.callers.all() {
+		summary.Calls++
+		summary.Outcomes[one.outcome]++
+		if one.outcome == Cut && one.stopping && r.fleet.truth.Runs(one.id) > 0 && !r.isRough(one) {
+			summary.CutByStops++
+			r.breaks("call %s (%s) was cut by the planned stop of %s: %s", one.id, one.kind, one.entry.name, one.detail)
+		}
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	summary.Faults, summary.Broken = r.played, r.broken
+	if len(r.broken) > 0 {
+		return summary, fmt.Errorf("%w: %s", ErrBroken, strings.Join(r.broken, "; "))
+	}
+	return summary, nil
+}
+
+// isRough tells whether any other fault was near a call.
+func (r *run) isRough(one result) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, rough := range r.rough {
+		if one.began <= rough.until && one.ended >= rough.from {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *run) note(format string, arguments ...any) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_, _ = fmt.Fprintf(r.report, "%8.3f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, arguments...))
+}
+
+func (r *run) breaks(format string, arguments ...any) {
+	text := fmt.Sprintf(format, arguments...)
+	r.note("BROKEN: %s", text)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.broken = append(r.broken, text)
+}
--- /dev/null
+++ b/internal/lab/soak/soak_test.go
@@ -0,0 +1,42 @@
+package soak_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/lab/soak"
+	"github.com/ravenway/ravenway/platform"
+)
+
+// buildDaemon builds the real daemon.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "ravenwayd")
+	output, err := exec.Command("go", "build", "-o", program, "github.com/ravenway/ravenway/cmd/ravenwayd").CombinedOutput()
+	assert.NilError(t, err, "%s", output)
+	return program
+}
+
+// A short run of real processes with a fixed seed: a series of faults that
+// overlap, and all processes killed at the end.
+func TestPromisesHoldForRealProcessesUnderFaults(t *testing.T) {
+	daemon := buildDaemon(t)
+	folder := t.TempDir()
+	report, err := os.Create(filepath.Join(folder, "report.txt"))
+	assert.NilError(t, err)
+	defer report.Close()
+	summary, err := soak.Run(t.Context(), soak.Options{
+		Daemon: daemon, Wire: platform.StandIn{}, Seed: 3, Entries: 3, Length: 6 * time.Second, Folder: folder, Lane: 80, Report: report,
+	})
+	timeline, _ := os.ReadFile(report.Name())
+	assert.NilError(t, err, "%s", timeline)
+	assert.Assert(t, summary.Faults > 0 && summary.Calls > 200, "%+v", summary)
+	assert.Assert(t, summary.Outcomes[soak.Whole] > summary.Calls/4, "%+v", summary)
+	assert.Assert(t, strings.Contains(string(timeline), "kill 6 processes at once"), "%s", timeline)
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -168,7 +168,7 @@
 		p.require("listen.control", s.Listen.Control)
 	}
 	for key, address := range map[string]string{
-		"listen.peers": s.Listen.Peers, "listen.callers": s.Listen.Callers, "listen.ready": s.Listen.Ready,
+		"listen.peers": s.Listen.Peers, "listen.peers_bind": s.Listen.PeersBind, "listen.callers": s.Listen.Callers, "listen.ready": s.Listen.Ready,
 		"listen.control": s.Listen.Control, "listen.health": s.Listen.Health, "listen.operators": s.Listen.Operators,
 	} {
 		p.address(key, address)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -74,6 +74,10 @@
 	Operators string `toml:"operators"`
 	// Peers is for the fleet's other daemons.
 	Peers string `toml:"peers"`
+	// PeersBind is where the peer listener is opened if that is not the address
+	// that the others dial: behind a relay or a translation of addresses. Only
+	// with fleet.dialect.
+	PeersBind string `toml:"peers_bind"`
 	// Health is for health checks and metrics.
 	Health string `toml:"health"`
 	// Ready is where the platform asks whether an entry node should get
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,9 +7,21 @@
 #   RATE        requests a second (default 40)
 #   DURATION    of the load (default 10s)
 #   KEEP=1      stay up afterwards, with a line to try
+#   DIALECT     "platform": 3 control and 4 entry nodes that find each other from
+#               seeds, with engines and callers that speak the users' platform;
+#               all are killed once, and the promises are checked
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+if [ "${DIALECT:-}" = platform ]; then
+  mkdir -p bin
+  go build -o bin/ ./cmd/...
+  exec bin/ravenway-lab soak --length 0s
+elif [ -n "${DIALECT:-}" ]; then
+  echo "DIALECT must be platform or empty" >&2
+  exit 2
+fi
+
 deployment=${DEPLOYMENT:-zameen-haq}
 case $deployment in
   zameen-haq) base=17100 prefix=/daftar model=qalam-1 ;;
