--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -176,17 +176,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
 	answer, err := n.executeCall(ctx, call)
-	reply := peer.Reply{ID: call.ID}
-	if err == nil {
-		reply.Body, err = msgpack.Marshal(answer)
-	}
-	if err != nil {
-		reply.Code, reply.Detail = peer.CodeUnknownOutcome, err.Error()
-		if errors.Is(err, consensus.ErrNotLeader) {
-			reply.Code = peer.CodeNotLeader
-		}
+	n.calls.Answer(from, call, answer, err, errorCode)
+}
+
+func errorCode(err error) peer.ErrorCode {
+	if errors.Is(err, consensus.ErrNotLeader) {
+		return peer.CodeNotLeader
 	}
-	n.send(from, peer.KindReply, &reply)
+	return peer.CodeUnknownOutcome
 }
 
 func (n *Node) executeCall(ctx context.Context, call peer.Call) (any, error) {
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -2,22 +2,19 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"errors"
 	"fmt"
 	"net/http"
-	"strings"
 
 	"connectrpc.com/connect"
 
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 	"github.com/ravenway/ravenway/api/ravenway/v1/ravenwayv1connect"
 	"github.com/ravenway/ravenway/internal/duty"
+	"github.com/ravenway/ravenway/internal/protocol/operator"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
 
-const bearerPrefix = "Bearer "
-
 // operatorServer serves what an operator may ask of a node. Changes come as
 // whole configurations through the control listener, so the schema's changes of
 // single objects are not served here.
@@ -29,16 +26,7 @@
 // operatorHandler serves operators; a token is needed if the settings have one.
 func (n *Node) operatorHandler() http.Handler {
 	_, handler := ravenwayv1connect.NewOperatorServiceHandler(&operatorServer{node: n})
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if token := n.options.OperatorToken; len(token) > 0 {
-			given := strings.TrimPrefix(request.Header.Get("Authorization"), bearerPrefix)
-			if subtle.ConstantTimeCompare([]byte(given), token) != 1 {
-				http.Error(writer, "an operator token is needed", http.StatusUnauthorized)
-				return
-			}
-		}
-		handler.ServeHTTP(writer, request)
-	})
+	return operator.RequireToken(n.options.OperatorToken, handler)
 }
 
 // GetStatus implements the schema's GetStatus: the fleet as this node sees it.
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"errors"
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -18,6 +16,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/consensus"
 	"github.com/ravenway/ravenway/internal/duty"
 	"github.com/ravenway/ravenway/internal/pause"
+	"github.com/ravenway/ravenway/internal/protocol/operator"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/catalog"
 	"github.com/ravenway/ravenway/internal/state/machine"
@@ -33,16 +32,7 @@
 // operatorHandler serves operators; a token is needed if the settings have one.
 func (n *Node) operatorHandler() http.Handler {
 	_, handler := ravenwayv1connect.NewOperatorServiceHandler(&operatorServer{node: n})
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if token := n.options.OperatorToken; len(token) > 0 {
-			given := strings.TrimPrefix(request.Header.Get("Authorization"), bearerPrefix)
-			if subtle.ConstantTimeCompare([]byte(given), token) != 1 {
-				http.Error(writer, "an operator token is needed", http.StatusUnauthorized)
-				return
-			}
-		}
-		handler.ServeHTTP(writer, request)
-	})
+	return operator.RequireToken(n.options.OperatorToken, handler)
 }
 
 // operatorError turns an error into one with a code that tools can rely on.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -120,14 +120,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	answer, err := n.executeCall(ctx, call)
-	reply := peer.Reply{ID: call.ID}
-	if err == nil {
-		reply.Body, err = msgpack.Marshal(answer)
-	}
-	if err != nil {
-		reply.Code, reply.Detail = errorCode(err), err.Error()
-	}
-	n.send(from, peer.KindReply, &reply)
+	n.calls.Answer(from, call, answer, err, errorCode)
 }
 
 func errorCode(err error) peer.ErrorCode {
--- a/internal/protocol/peer/calls.go
+++ b/internal/protocol/peer/calls.go
@@ -47,6 +47,18 @@
 	}
 }
 
+// Answer sends the reply to a call; codeOf classifies an error.
+func (c *Calls) Answer(to string, call Call, answer any, err error, codeOf func(error) ErrorCode) {
+	reply := Reply{ID: call.ID}
+	if err == nil {
+		reply.Body, err = msgpack.Marshal(answer)
+	}
+	if err != nil {
+		reply.Code, reply.Detail = codeOf(err), err.Error()
+	}
+	c.send(to, KindReply, &reply)
+}
+
 // Invoke asks another node and decodes its answer. The error is a *ReplyError
 // if the other node answered with one.
 func Invoke[T any](ctx context.Context, calls *Calls, to string, method Method, question any) (T, error) {
