A large control group does not shrink to three in the cut of a zone

In the cut of a zone with two of five voters the leader removed both for the one learner there was ("silent, and a learner holds the log", twice), and did not promote the learner: with four control nodes heard it wanted three voters, and afterwards the learner never held the very last committed entry, as entries are committed all the time. The final fault took two disks of the three voters (two may be lost): no leader after second 46, and entry nodes went on with version 36 though 38 was acknowledged.

Ruled out: the new patience and the age of frames; no consensus message was missing, there was no quorum (member_change and replica_opened lines).

Change: a missing vote is filled before another voter is replaced; a group of more than three stays a group of five; caught up means what was committed at the leader's last look, 0.2 s before.

Figures: the test fails before ("3 voters after remove of b2") and passes after. Groups of three take the same steps as before.

--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -213,6 +213,12 @@
 // EntryTerm returns the term of an entry still in memory.
 func (c *Core) EntryTerm(index uint64) (uint64, bool) { return c.log.term(index) }
 
+// Holds tells whether a member's disk is known to hold an entry.
+func (c *Core) Holds(id ReplicaID, index uint64) bool {
+	follower, found := c.progress[id]
+	return found && follower.match >= index
+}
+
 // CaughtUp tells whether a member's disk holds every committed entry.
 func (c *Core) CaughtUp(id ReplicaID) bool {
 	if id == c.options.ID {
--- a/internal/coordination/replicaset/replicaset.go
+++ b/internal/coordination/replicaset/replicaset.go
@@ -60,7 +60,9 @@
 	Members []consensus.Member
 	// Controls are the live control nodes, the leader's own included.
 	Controls []Control
-	// CaughtUp tells whether a member's disk holds every committed entry.
+	// CaughtUp tells whether a member's disk holds every entry that was committed
+	// a moment ago. While entries are committed all the time nobody but the
+	// quorum holds the very last ones.
 	CaughtUp func(consensus.ReplicaID) bool
 	// Lost tells whether a member has been silent for long.
 	Lost func(consensus.ReplicaID) bool
@@ -75,10 +77,12 @@
 	if change, found := state.removeOldIdentity(controls); found {
 		return change
 	}
-	if change, found := state.replaceLostVoter(); found {
+	// A vote that is missing goes before one that is to be moved: the group must
+	// not shrink twice with one learner to take both places.
+	if change, found := state.promoteLearner(); found {
 		return change
 	}
-	if change, found := state.promoteLearner(); found {
+	if change, found := state.replaceLostVoter(); found {
 		return change
 	}
 	if change, found := state.addLearner(controls); found {
@@ -118,14 +122,18 @@
 	return s.CaughtUp(member.ID) && !s.Lost(member.ID)
 }
 
-func (s State) promoteLearner() (Change, bool) {
+func (s State) voters() int {
 	voters := 0
 	for _, member := range s.Members {
 		if !member.Learner {
 			voters++
 		}
 	}
-	if voters >= s.wantedVoters() {
+	return voters
+}
+
+func (s State) promoteLearner() (Change, bool) {
+	if s.voters() >= s.wantedVoters() {
 		return Change{}, false
 	}
 	for _, member := range s.Members {
@@ -136,8 +144,11 @@
 	return Change{}, false
 }
 
+// wantedVoters is the size that the group should have. A large group stays one
+// while some control nodes are cut off: what it acknowledged must be on more
+// disks than may be lost.
 func (s State) wantedVoters() int {
-	if len(s.Controls) >= largeGroup {
+	if len(s.Controls) >= largeGroup || s.voters() > smallGroup {
 		return largeGroup
 	}
 	return smallGroup
--- a/internal/coordination/replicaset/replicaset_test.go
+++ b/internal/coordination/replicaset/replicaset_test.go
@@ -62,3 +62,63 @@
 	state.Members = append(state.Members, consensus.Member{ID: 4, Node: "d", Learner: true})
 	assert.Equal(t, Next(state).Kind, Nothing)
 }
+
+// apply makes the change in the state as the log would.
+func apply(state *State, change Change) {
+	switch change.Kind {
+	case AddLearner:
+		change.Member.Learner = true
+		state.Members = append(state.Members, change.Member)
+	case Promote, Remove:
+		var members []consensus.Member
+		for _, member := range state.Members {
+			if member.ID == change.Member.ID {
+				if change.Kind == Remove {
+					continue
+				}
+				member.Learner = false
+			}
+			members = append(members, member)
+		}
+		state.Members = members
+	case Nothing:
+	}
+}
+
+// The finding of the grown zhf trouble-2, seed 971280330593: in the cut of a zone
+// with two of five voters both were removed for the one learner, and the group
+// was left with three. A final fault then took two disks of the three, and no
+// quorum was ever had again.
+func TestLargeGroupStaysLargeInTheCutOfAZone(t *testing.T) {
+	lost := map[consensus.ReplicaID]bool{4: true, 5: true}
+	state := State{
+		Members: []consensus.Member{
+			{ID: 1, Node: "a1"}, {ID: 2, Node: "a2"}, {ID: 3, Node: "c1"}, {ID: 4, Node: "b1"}, {ID: 5, Node: "b2"},
+			{ID: 6, Node: "c2", Learner: true},
+		},
+		Controls: []Control{{Node: "a1", Replica: 1}, {Node: "a2", Replica: 2}, {Node: "c1", Replica: 3}, {Node: "c2", Replica: 6}},
+		CaughtUp: func(id consensus.ReplicaID) bool { return !lost[id] },
+		Lost:     func(id consensus.ReplicaID) bool { return lost[id] },
+		Self:     1,
+	}
+	for range 10 {
+		change := Next(state)
+		if change.Kind == Nothing {
+			break
+		}
+		apply(&state, change)
+		assert.Assert(t, votersOf(state) >= 4, "%d voters after %s of %s", votersOf(state), change.Kind, change.Member.Node)
+	}
+	assert.Equal(t, Next(state).Kind, Nothing)
+	assert.Equal(t, votersOf(state), 5)
+}
+
+func votersOf(state State) int {
+	count := 0
+	for _, member := range state.Members {
+		if !member.Learner {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -55,7 +55,10 @@
 	// again.
 	failedAt  time.Duration
 	published uint64
-	wasLeader bool
+	// committedBefore is the last committed entry at the leader's last look at
+	// the members; 0 before the first.
+	committedBefore uint64
+	wasLeader       bool
 	// founding is since when this node waits for the others to found a group.
 	founding time.Duration
 	shared   atomic.Pointer[replicaView]
@@ -197,7 +200,7 @@
 		return
 	}
 	if r.leading() != r.wasLeader {
-		r.wasLeader = r.leading()
+		r.wasLeader, r.committedBefore = r.leading(), 0
 		r.root = escrow.NewRoot(r.rootOptions())
 		r.node.log.Info().Str("event", "leadership").Bool("leading", r.wasLeader).Uint64("term", r.replica.Core().Term()).Send()
 	}
@@ -380,8 +383,11 @@
 
 func (r *replicaDuty) manageMembers() {
 	core := r.replica.Core()
+	committedBefore := r.committedBefore
+	r.committedBefore = core.Commit()
 	state := replicaset.State{
-		Members: core.Configuration().Members, CaughtUp: core.CaughtUp, Self: r.id,
+		Members: core.Configuration().Members, Self: r.id,
+		CaughtUp: func(id consensus.ReplicaID) bool { return committedBefore > 0 && core.Holds(id, committedBefore) },
 		Lost:     func(id consensus.ReplicaID) bool { return core.SilentTicks(id) > lostTicks },
 		Controls: []replicaset.Control{{Node: r.node.address, Replica: r.id}},
 	}
