--- a/internal/coordination/balance/loads.go
+++ b/internal/coordination/balance/loads.go
@@ -131,7 +131,6 @@
 type heardLoads struct {
 	loads Loads
 	at    time.Duration
-	known bool
 }
 
 // NewLoadExchange makes a node's part of the exchange.
@@ -160,7 +159,7 @@
 
 // Take notes another node's report.
 func (e *LoadExchange) Take(now time.Duration, from string, report LoadReport) {
-	heard := heardLoads{loads: DecodeLoads(report.Loads), at: now, known: true}
+	heard := heardLoads{loads: DecodeLoads(report.Loads), at: now}
 	switch report.Scope {
 	case OwnLoads:
 		e.own[from] = heard
@@ -240,7 +239,7 @@
 			delete(e.zones, zone)
 		}
 	}
-	if e.told.known && isOld(e.told) {
+	if isOld(e.told) {
 		e.told = heardLoads{}
 	}
 }
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -22,9 +22,8 @@
 )
 
 const (
-	// tokensPerCost is the prompt of a request of middle size, for requests that
-	// do not tell theirs.
-	tokensPerCost = 8000
+	// MiddleTokens is the work of a request of middle size, in tokens.
+	MiddleTokens = 8000
 	// blindFactor is how much more than its own a node takes to be under way at
 	// an instance while it does not hear from the others.
 	blindFactor = 2
@@ -155,10 +154,8 @@
 	// byService are the members that take new work.
 	byService map[string][]*member
 	zones     map[string]*zoneState
-	// others are the loads of the other nodes; othersKnown tells that they are
-	// heard.
-	others      Loads
-	othersKnown bool
+	// others are the loads of the other nodes; nil means that they are not heard.
+	others Loads
 }
 
 // NewTable makes a table for a node in a zone.
@@ -252,7 +249,7 @@
 func (t *Table) SetOthersLoads(others Loads) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.others, t.othersKnown = others, others != nil
+	t.others = others
 }
 
 // candidates returns the instances that may be chosen: the healthy ones, or if
@@ -352,7 +349,7 @@
 			chosen, best = one, expects
 		}
 	}
-	choice.Ahead, choice.Unread, choice.AheadKnown = best.ahead, best.unread, t.othersKnown
+	choice.Ahead, choice.Unread, choice.AheadKnown = best.ahead, best.unread, t.others != nil
 	chosen.hold(now, request.Part)
 	return chosen, chosen != home
 }
@@ -361,9 +358,9 @@
 	expects := expected{ahead: one.pending, unread: request.Tokens}
 	requests := one.inFlight
 	if request.Tokens == 0 {
-		expects.unread = int(request.Cost * tokensPerCost)
+		expects.unread = int(request.Cost * MiddleTokens)
 	}
-	if t.othersKnown {
+	if t.others != nil {
 		others := t.others[one.key]
 		expects.ahead += others.Tokens
 		requests += others.Requests
--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -224,8 +224,7 @@
 	if id == c.options.ID {
 		return true
 	}
-	follower, found := c.progress[id]
-	return c.role == Leader && found && follower.match >= c.log.committed
+	return c.role == Leader && c.Holds(id, c.log.committed)
 }
 
 // SilentTicks returns the ticks since the leader heard from a member.
--- a/internal/coordination/escrow/standing.go
+++ b/internal/coordination/escrow/standing.go
@@ -34,6 +34,13 @@
 	Wished uint64 `msgpack:"w"`
 }
 
+// StandingOf returns how a root account stands.
+func StandingOf(budget *accounts.Budget) Standing {
+	return Standing{
+		Budget: budget.Name, Limit: budget.Limit, Unspent: budget.Left() + budget.Outstanding(), Wished: budget.Wished(),
+	}
+}
+
 func standingOf(answer accounts.Answer) Standing {
 	return Standing{Budget: answer.Budget, Limit: answer.Limit, Unspent: answer.Left + answer.Outstanding, Wished: answer.Wished}
 }
--- a/internal/coordination/escrow/standing_test.go
+++ b/internal/coordination/escrow/standing_test.go
@@ -27,13 +27,10 @@
 			}
 			return open
 		},
-		Reply:  func(to string, message AnswerMessage) { made.holders[to].Take(0, message) },
-		Recall: func(to string, message RecallMessage) { made.holders[to].Recall(message) },
-		StandingOf: func(name string) Standing {
-			budget := made.accounts.Budget(name)
-			return Standing{Budget: name, Limit: budget.Limit, Unspent: budget.Left() + budget.Outstanding(), Wished: budget.Wished()}
-		},
-		Tell: func(to string, message StandingsMessage) { made.holders[to].TakeStandings(message) },
+		Reply:      func(to string, message AnswerMessage) { made.holders[to].Take(0, message) },
+		Recall:     func(to string, message RecallMessage) { made.holders[to].Recall(message) },
+		StandingOf: func(name string) Standing { return StandingOf(made.accounts.Budget(name)) },
+		Tell:       func(to string, message StandingsMessage) { made.holders[to].TakeStandings(message) },
 	})
 	for number := range count {
 		name := fmt.Sprintf("n%d", number)
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -327,13 +327,10 @@
 	return int(shared)
 }
 
-// middleTokens is the prompt of a request of middle size.
-const middleTokens = 8000
-
 // cost is the request's work in requests of middle size.
 func (c *Call) cost() float64 {
 	if !c.HasTokens {
 		return 1
 	}
-	return (float64(c.TokensIn) + 10*float64(c.TokensOut)) / middleTokens
+	return (float64(c.TokensIn) + 10*float64(c.TokensOut)) / balance.MiddleTokens
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/ravenway/ravenway/internal/coordination/consensus"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/duty"
@@ -38,13 +36,6 @@
 	Same bool   `msgpack:"s"`
 }
 
-// heldDocument is the document in this node's applied log.
-type heldDocument struct {
-	version uint64
-	// raw is packed.
-	raw []byte
-}
-
 // Heartbeat implements Control.
 func (n *Node) Heartbeat(ctx context.Context, instance registry.Instance) error {
 	return n.fleet.heartbeat(ctx, instance)
@@ -85,20 +76,17 @@
 func (n *Node) ReadDocument(ctx context.Context) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	held, err := duty.Ask(ctx, n.replica.duty, func(answer func(heldDocument)) {
-		held := n.replica.machine.Document()
-		answer(heldDocument{version: held.Version, raw: held.Raw})
-	})
+	held, err := duty.Ask(ctx, n.replica.duty, func(answer func(machine.HeldDocument)) { answer(n.replica.machine.Document()) })
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	question := readQuestion{Have: held.version}
+	question := readQuestion{Have: held.Version}
 	answer, err := atLeader(ctx, n, peer.MethodReadDocument, &question, func() (readAnswer, error) { return n.readDocumentHere(ctx, question) })
 	switch {
 	case err != nil:
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	case answer.Same:
-		return document.Unpack(held.raw)
+		return document.Unpack(held.Raw)
 	}
 	return document.Unpack(answer.Raw)
 }
@@ -146,7 +134,7 @@
 // this node leads.
 func (n *Node) readDocumentHere(ctx context.Context, question readQuestion) (readAnswer, error) {
 	type ended struct {
-		held heldDocument
+		held machine.HeldDocument
 		err  error
 	}
 	answer, err := duty.Ask(ctx, n.replica.duty, func(answer func(ended)) {
@@ -155,8 +143,7 @@
 			return
 		}
 		n.replica.replica.Read(func(err error) {
-			held := n.replica.machine.Document()
-			answer(ended{held: heldDocument{version: held.Version, raw: held.Raw}, err: err})
+			answer(ended{held: n.replica.machine.Document(), err: err})
 		})
 	})
 	if err == nil {
@@ -165,10 +152,10 @@
 	if err != nil {
 		return readAnswer{}, err
 	}
-	if answer.held.version > 0 && answer.held.version == question.Have {
+	if answer.held.Version > 0 && answer.held.Version == question.Have {
 		return readAnswer{Same: true}, nil
 	}
-	return readAnswer{Raw: answer.held.raw}, nil
+	return readAnswer{Raw: answer.held.Raw}, nil
 }
 
 // serveCall answers another node's call.
@@ -192,17 +179,9 @@
 	}
 	switch call.Method {
 	case peer.MethodTakeDocument:
-		var question takeQuestion
-		if err := msgpack.Unmarshal(call.Body, &question); err != nil {
-			return nil, fmt.Errorf("decoding call %s: %w", call.Method, err)
-		}
-		return n.takeDocumentHere(ctx, question.Command)
+		return peer.Execute(call, func(question takeQuestion) (any, error) { return n.takeDocumentHere(ctx, question.Command) })
 	case peer.MethodReadDocument:
-		var question readQuestion
-		if err := msgpack.Unmarshal(call.Body, &question); err != nil {
-			return nil, fmt.Errorf("decoding call %s: %w", call.Method, err)
-		}
-		return n.readDocumentHere(ctx, question)
+		return peer.Execute(call, func(question readQuestion) (any, error) { return n.readDocumentHere(ctx, question) })
 	}
 	return nil, fmt.Errorf("method %q is not known here", call.Method)
 }
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -23,7 +23,7 @@
 // of a quorum has no higher version.
 func (e *entryEnvironment) Certain() bool {
 	view := e.node.fleet.view.Load()
-	return e.node.now() < view.certainUntil && e.node.documents.version() >= view.certainVersion
+	return e.node.now() < view.rootHeardAt+certainFor && e.node.documents.version() >= view.certainVersion
 }
 
 // Reserve implements forward.Environment.
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -74,12 +74,10 @@
 	lenders []string
 	// entryNodes are the other entry nodes.
 	entryNodes []balance.EntryNode
-	// certainUntil is until when the versions up to certainVersion were the
-	// newest.
+	// rootHeardAt is when a control node that has a quorum was last heard, and
+	// certainVersion the newest version then.
+	rootHeardAt    time.Duration
 	certainVersion uint64
-	certainUntil   time.Duration
-	// rootHeardAt is when a control node that has a quorum was last heard.
-	rootHeardAt time.Duration
 }
 
 func newFleetDuty(node *Node) *fleetDuty {
@@ -89,7 +87,7 @@
 		roster: roster.New(node.address, seedAddresses(current)), registry: registry.New(0),
 		told: map[string]toldNodes{}, mismatches: map[string]int{}, heardBefore: map[string]bool{},
 	}
-	fleet.view.Store(&fleetView{entries: 1, rootHeardAt: -rootSilence})
+	fleet.view.Store(&fleetView{entries: 1, rootHeardAt: -certainFor})
 	fleet.duty.Tick = fleet.tick
 	fleet.duty.Flush = func() {}
 	return fleet
@@ -300,7 +298,7 @@
 func (f *fleetDuty) publish() {
 	now := f.node.now()
 	current := f.node.settings.Load()
-	view := &fleetView{leader: f.roster.Leader(now), rootHeardAt: -rootSilence}
+	view := &fleetView{leader: f.roster.Leader(now), rootHeardAt: -certainFor}
 	for _, known := range f.roster.AliveNodes(now) {
 		view.alive = append(view.alive, *known)
 	}
@@ -324,7 +322,6 @@
 			continue
 		}
 		view.certainVersion = max(view.certainVersion, known.Version)
-		view.certainUntil = max(view.certainUntil, known.At+certainFor)
 		view.rootHeardAt = max(view.rootHeardAt, known.At)
 	}
 	f.view.Store(view)
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// loadsInterval is the time between load reports, which makes their age: 75
-	// ms in the mean behind a relay.
+	// loadsInterval is the time between load reports. Behind a relay they are
+	// older than that.
 	loadsInterval = 50 * time.Millisecond
 	// In a fleet with more entry nodes than fewEntries reports name many
 	// instances, and come less often.
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -238,7 +238,7 @@
 	if found == nil {
 		return escrow.Standing{Budget: budget}
 	}
-	return escrow.Standing{Budget: budget, Limit: found.Limit, Unspent: found.Left() + found.Outstanding(), Wished: found.Wished()}
+	return escrow.StandingOf(found)
 }
 
 func (r *replicaDuty) holdersOf(budget string) []accounts.Holder {
--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/ravenway/ravenway/internal/lab/standin"
+	"github.com/ravenway/ravenway/internal/pause"
 )
 
 // Kind is the kind of a call.
@@ -102,7 +103,7 @@
 			defer c.mutex.Unlock()
 			c.results = append(c.results, ended)
 		})
-		sleep(ctx, callPause)
+		pause.For(ctx, callPause)
 	}
 	c.running.Wait()
 }
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/pause"
 )
 
 // fault is one kind of trouble. It undoes itself before it returns.
@@ -46,7 +47,7 @@
 	{"pause", func(ctx context.Context, r *run, random *rand.Rand) {
 		one := r.fleet.members[random.IntN(len(r.fleet.members))]
 		one.signal(syscall.SIGSTOP)
-		sleep(ctx, lasting(random))
+		pause.For(ctx, lasting(random))
 		one.signal(syscall.SIGCONT)
 	}},
 	{"planned_stop", func(ctx context.Context, r *run, random *rand.Rand) { r.plannedStop(ctx, r.pick(random, false)) }},
@@ -56,14 +57,14 @@
 		mode := RelayMode(1 + random.IntN(int(Resetting)))
 		r.note("relay of %s: %s", one.name, mode)
 		one.relay.set(mode)
-		sleep(ctx, lasting(random))
+		pause.For(ctx, lasting(random))
 		one.relay.set(Passing)
 	}},
 	{"cut_core", func(ctx context.Context, r *run, random *rand.Rand) {
 		for _, one := range r.fleet.members[:controls] {
 			one.relay.set(Silent)
 		}
-		sleep(ctx, 2*lasting(random))
+		pause.For(ctx, 2*lasting(random))
 		for _, one := range r.fleet.members[:controls] {
 			one.relay.set(Passing)
 		}
@@ -125,7 +126,7 @@
 			r.breaks("%v", err)
 		}
 	}
-	sleep(ctx, down)
+	pause.For(ctx, down)
 	r.startAgain(one)
 }
 
@@ -140,7 +141,7 @@
 		}
 	}
 	r.note("kill %d processes at once for %d ms", len(held), down.Milliseconds())
-	sleep(ctx, down)
+	pause.For(ctx, down)
 	for _, one := range held {
 		one.waitEnd(time.Minute)
 		r.startAgain(one)
@@ -192,7 +193,7 @@
 	r.note("engine %s ends, drains %v", old.ID, drains)
 	if drains {
 		old.setState(registry.Draining)
-		sleep(ctx, lasts+callTimeout/2)
+		pause.For(ctx, lasts+callTimeout/2)
 		r.fleet.mutex.Lock()
 		isOwn := r.fleet.engines[name] == old
 		if isOwn {
@@ -204,7 +205,7 @@
 		}
 	}
 	old.crash()
-	sleep(ctx, lasts)
+	pause.For(ctx, lasts)
 	if err := r.fleet.addEngine(old.Service, place); err != nil {
 		r.breaks("%v", err)
 	}
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/state/document"
 
 	"github.com/ravenway/ravenway/internal/lab/standin"
@@ -178,7 +179,7 @@
 			path, body := f.wire.Heartbeat(instance)
 			go f.callControl(ctx, http.MethodPut, path, body)
 		}
-		sleep(ctx, beatInterval)
+		pause.For(ctx, beatInterval)
 	}
 }
 
@@ -278,7 +279,7 @@
 		if holds() {
 			return nil
 		}
-		sleep(ctx, 50*time.Millisecond)
+		pause.For(ctx, 50*time.Millisecond)
 	}
 	return fmt.Errorf("waited %s in vain for %s", longest, what)
 }
@@ -297,10 +298,3 @@
 		one.crash()
 	}
 }
-
-func sleep(ctx context.Context, length time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(length):
-	}
-}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/ravenway/ravenway/internal/lab/standin"
+	"github.com/ravenway/ravenway/internal/pause"
 )
 
 // Options set up a run.
@@ -121,7 +122,7 @@
 		playing.Go(func() { r.playSeries(ctx, faulty, rand.New(rand.NewPCG(options.Seed, 3+uint64(number)))) })
 	}
 	playing.Wait()
-	r.rougher("kill_all", func() { r.bounceAll(ctx, finalDown, func(*machine) bool { return true }) })
+	r.rougher(func() { r.bounceAll(ctx, finalDown, func(*machine) bool { return true }) })
 	r.noteRecovery(ctx)
 	stopCalling()
 	called.Wait()
@@ -129,13 +130,13 @@
 
 func (r *run) playSeries(ctx, faulty context.Context, random *rand.Rand) {
 	for faulty.Err() == nil {
-		sleep(faulty, time.Duration(random.Int64N(int64(2*faultPause))))
+		pause.For(faulty, time.Duration(random.Int64N(int64(2*faultPause))))
 		one := faults[random.IntN(len(faults))]
 		r.note("fault %s", one.name)
 		if strings.HasPrefix(one.name, "planned_stop") || one.name == "configuration" || one.name == "drain_engine" {
 			one.play(ctx, r, random)
 		} else {
-			r.rougher(one.name, func() { one.play(ctx, r, random) })
+			r.rougher(func() { one.play(ctx, r, random) })
 		}
 		r.mutex.Lock()
 		r.played++
@@ -144,7 +145,7 @@
 }
 
 // rougher notes the span of a fault that may cut requests.
-func (r *run) rougher(_ string, play func()) {
+func (r *run) rougher(play func()) {
 	from := time.Since(r.began)
 	play()
 	r.mutex.Lock()
@@ -158,9 +159,9 @@
 	if err != nil {
 		r.breaks("%v", err)
 	}
-	sleep(ctx, recoveryTime)
+	pause.For(ctx, recoveryTime)
 	from := time.Since(r.began)
-	sleep(ctx, settleTime)
+	pause.For(ctx, settleTime)
 	served, sent := 0, 0
 	for _, one := range r.callers.all() {
 		if one.began < from || one.kind == Stream || one.kind == Resumable {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/ravenway/ravenway/internal/coordination/claims"
 	"github.com/ravenway/ravenway/internal/coordination/consensus"
@@ -136,25 +135,17 @@
 func (n *Node) executeCall(ctx context.Context, call peer.Call) (any, error) {
 	switch call.Method {
 	case peer.MethodPropose:
-		return decodeAnd(call, func(question proposeQuestion) (any, error) { return n.proposeHere(ctx, question.Command) })
+		return peer.Execute(call, func(question proposeQuestion) (any, error) { return n.proposeHere(ctx, question.Command) })
 	case peer.MethodRead:
-		return decodeAnd(call, func(question readQuestion) (any, error) { return n.readHere(ctx, question) })
+		return peer.Execute(call, func(question readQuestion) (any, error) { return n.readHere(ctx, question) })
 	case peer.MethodExplain:
-		return decodeAnd(call, func(question explainQuestion) (any, error) { return n.decisions.explain(question.RequestID), nil })
+		return peer.Execute(call, func(question explainQuestion) (any, error) { return n.decisions.explain(question.RequestID), nil })
 	case peer.MethodAnswer:
-		return decodeAnd(call, func(question answerQuestion) (any, error) { return n.answers.find(question.RequestID), nil })
+		return peer.Execute(call, func(question answerQuestion) (any, error) { return n.answers.find(question.RequestID), nil })
 	case peer.MethodRecall:
-		return decodeAnd(call, func(question recallQuestion) (any, error) { return n.recallHere(ctx, question) })
+		return peer.Execute(call, func(question recallQuestion) (any, error) { return n.recallHere(ctx, question) })
 	case peer.MethodFence:
-		return decodeAnd(call, func(question fenceQuestion) (any, error) { return n.fenceHere(ctx, question) })
+		return peer.Execute(call, func(question fenceQuestion) (any, error) { return n.fenceHere(ctx, question) })
 	}
 	return nil, fmt.Errorf("method %q is not known here", call.Method)
 }
-
-func decodeAnd[T any](call peer.Call, execute func(T) (any, error)) (any, error) {
-	var question T
-	if err := msgpack.Unmarshal(call.Body, &question); err != nil {
-		return nil, fmt.Errorf("decoding call %s: %w", call.Method, err)
-	}
-	return execute(question)
-}
--- a/internal/protocol/peer/calls.go
+++ b/internal/protocol/peer/calls.go
@@ -59,6 +59,15 @@
 	c.send(to, KindReply, &reply)
 }
 
+// Execute decodes a call's question and does what is asked.
+func Execute[T any](call Call, execute func(T) (any, error)) (any, error) {
+	var question T
+	if err := msgpack.Unmarshal(call.Body, &question); err != nil {
+		return nil, fmt.Errorf("decoding call %s: %w", call.Method, err)
+	}
+	return execute(question)
+}
+
 // Invoke asks another node and decodes its answer. The error is a *ReplyError
 // if the other node answered with one.
 func Invoke[T any](ctx context.Context, calls *Calls, to string, method Method, question any) (T, error) {
