A stream that ends as it should is charged for its own events only

Ruled out: charging events of a broken stream exactly: the engine's own count does not reach the node.

Change: the margin is charged once for each answer that broke off. The test fails before (130 of 106 tokens charged for a whole stream).

--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -138,8 +138,9 @@
 	// mayHaveRun tells that an engine may have begun work on it.
 	mayHaveRun  bool
 	reservation Reservation
-	// events are the events passed on to the caller.
-	events uint64
+	// events are the events passed on to the caller, breaks how many answers
+	// broke off in which an instance may have made more of them.
+	events, breaks uint64
 	// answering tells that the head of the answer is written.
 	answering bool
 }
@@ -285,8 +286,9 @@
 // when a stream was broken off.
 const eventsBehind = 8
 
-// settle charges the prompt and the events that were handed out. A stream that
-// was broken off is charged for events on their way too.
+// settle charges the prompt and the events that were handed out. For each
+// answer that broke off, events on their way are charged too; one that ended as
+// it should has none.
 func (r *request) settle() {
 	if r.reservation == nil {
 		return
@@ -301,7 +303,7 @@
 			eventTokens = max(eventTokens, uint64(service.EventTokens))
 		}
 	}
-	out := (r.events + eventsBehind) * eventTokens
+	out := (r.events + r.breaks*eventsBehind) * eventTokens
 	r.reservation.Settle(r.call.TokensIn + min(out, r.call.TokensOut))
 }
 
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -430,3 +430,42 @@
 	assert.Equal(t, got.status, http.StatusGatewayTimeout)
 	assert.Assert(t, time.Since(began) < 3400*time.Millisecond)
 }
+
+// What is charged beyond what ran can be spent by nobody: a stream that ends as
+// it should is charged for its own events, one that breaks off also for those
+// that may be on their way.
+func TestStreamIsChargedForTheEventsOfItsOwnRun(t *testing.T) {
+	for _, ending := range []struct {
+		name    string
+		last    string
+		charged int64
+	}{
+		{name: "whole", last: "7\r\nid: 2\n\n\r\n0\r\n\r\n", charged: 100 + 2*3},
+		{name: "broken off", last: "", charged: 100 + (1+eventsBehind)*3},
+	} {
+		t.Run(ending.name, func(t *testing.T) {
+			engine := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+				_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n", request.Header.Get("Id"))
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(connection, ending.last)
+				_ = connection.Close()
+			})
+			h := newHarness(t, engine)
+			h.ask(t, http.MethodPost, "/stream/x", "r1", "b")
+			h.waitForCharge(t, ending.charged)
+		})
+	}
+}
+
+// waitForCharge waits until a request's charge is the expected one: it is
+// settled after the caller has its answer.
+func (h *harness) waitForCharge(t *testing.T, charged int64) {
+	t.Helper()
+	for range 200 {
+		if h.environment.settled.Load() == charged {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Equal(t, h.environment.settled.Load(), charged)
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -48,6 +48,7 @@
 	buffered, err := io.ReadAll(io.LimitReader(sending.response.Body, bufferedAnswerBytes))
 	if err != nil {
 		sending.abort()
+		r.breaks++
 		r.pipeline.options.Log.Attempt(r, *choice, "answer_broken", err)
 		return balance.Failed, unknown
 	}
@@ -105,6 +106,7 @@
 	}
 	if err != nil {
 		sending.abort()
+		r.breaks++
 		return r.brokenOff(err)
 	}
 	sending.finish(r.call.ID)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -25,6 +25,7 @@
 		return balance.Served, done
 	}
 	sending.abort()
+	r.breaks++
 	r.pipeline.options.Log.Attempt(r, *choice, "stream_broken", err)
 	for ctx.Err() == nil && r.incoming.Context().Err() == nil && !errors.Is(err, errCallerGone) {
 		r.arrivals++
@@ -91,7 +92,10 @@
 		return false, errors.New("no other instance")
 	}
 	environment := r.pipeline.options.Environment
-	sending, _, err := r.pipeline.pool.send(ctx, r.pipeline.options.Dialect, choice.Address, r.outgoing(choice, *lastEvent))
+	sending, state, err := r.pipeline.pool.send(ctx, r.pipeline.options.Dialect, choice.Address, r.outgoing(choice, *lastEvent))
+	if state == sent {
+		r.breaks++
+	}
 	if err == nil && sending.response.StatusCode != http.StatusOK {
 		err = errors.New("the instance answered " + sending.response.Status)
 		sending.discard(r.call.ID)
@@ -104,6 +108,7 @@
 	r.pipeline.options.Log.Attempt(r, choice, "resumed", nil)
 	if err := r.passEvents(sending, controller, lastEvent, &choice); err != nil {
 		sending.abort()
+		r.breaks++
 		r.pipeline.options.Table.Done(environment.Now(), choice, balance.Failed)
 		return false, err
 	}
