Replicas that start together elect a leader in 0.15 s, not in 0.5 to 1

Ruled out: a shorter election timeout at all times: a busy disk or a lossy link would cost leaders.

Change: Options.StartTicks is the shortest timeout of the first elections after a start, until a leader is heard or four have failed. Pre-votes keep a living leader safe. The simulation of the log runs with it.

--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -15,6 +15,9 @@
 	DefaultElectionTicks = 10
 	// DefaultHeartbeatTicks is the time between heartbeats, in ticks.
 	DefaultHeartbeatTicks = 2
+	// startElections is the number of elections after a start that a replica with
+	// StartTicks begins early: the first may fail because the others start too.
+	startElections = 4
 	// maximumAppendBytes bounds the entries of one append message.
 	maximumAppendBytes = 1 << 20
 	// maximumProbeBytes bounds them while it is not known what a follower has,
@@ -44,6 +47,11 @@
 	ID             ReplicaID
 	ElectionTicks  int
 	HeartbeatTicks int
+	// StartTicks is the shortest election timeout after a start, until a leader
+	// is heard or some elections have failed; 0 means ElectionTicks. Where all
+	// replicas start at once there is nobody to wait for; where a leader lives,
+	// the others do not grant the pre-vote.
+	StartTicks int
 	// Random draws election timeouts.
 	Random *rand.Rand
 	// SnapshotForPeer returns the newest snapshot of the state machine, to
@@ -109,7 +117,9 @@
 	electionElapsed  int
 	heartbeatElapsed int
 	electionTimeout  int
-	quorumSilence    int
+	// startElections is how many elections are yet to begin early.
+	startElections int
+	quorumSilence  int
 
 	transferTarget ReplicaID
 	readSequence   uint64
@@ -138,6 +148,9 @@
 		options.HeartbeatTicks = DefaultHeartbeatTicks
 	}
 	core := &Core{options: options, hard: hard, persistedHard: hard, progress: map[ReplicaID]*progress{}}
+	if options.StartTicks > 0 {
+		core.startElections = startElections
+	}
 	if snapshot != nil {
 		core.log.restore(snapshot.Index, snapshot.Term)
 		configuration, err := DecodeConfiguration(snapshot.Configuration)
@@ -438,7 +451,11 @@
 
 func (c *Core) resetElectionTimeout() {
 	c.electionElapsed = 0
-	c.electionTimeout = c.options.ElectionTicks + c.options.Random.IntN(c.options.ElectionTicks)
+	shortest := c.options.ElectionTicks
+	if c.startElections > 0 {
+		shortest = c.options.StartTicks
+	}
+	c.electionTimeout = shortest + c.options.Random.IntN(shortest)
 }
 
 func (c *Core) send(message Message) {
--- a/internal/coordination/consensus/election.go
+++ b/internal/coordination/consensus/election.go
@@ -9,6 +9,9 @@
 	c.failReads()
 	c.role = Follower
 	c.leader = leader
+	if leader != 0 {
+		c.startElections = 0
+	}
 	c.transferTarget = 0
 	c.resetElectionTimeout()
 }
@@ -21,6 +24,7 @@
 	c.role = role
 	c.leader = 0
 	c.votes = map[ReplicaID]bool{c.options.ID: true}
+	c.startElections = max(0, c.startElections-1)
 	c.resetElectionTimeout()
 	kind, term := MessagePreVote, c.hard.Term+1
 	if role == Candidate {
@@ -63,6 +67,7 @@
 
 func (c *Core) becomeLeader() {
 	c.role = Leader
+	c.startElections = 0
 	c.leader = c.options.ID
 	c.progress = map[ReplicaID]*progress{}
 	c.reads = nil
--- /dev/null
+++ b/internal/coordination/consensus/election_test.go
@@ -0,0 +1,63 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/state/journal"
+)
+
+// startAgain makes replica 1 of three as it starts with what its disk holds.
+func startAgain(t *testing.T, seed uint64) *Core {
+	t.Helper()
+	members := []Member{{ID: 1, Node: "a"}, {ID: 2, Node: "b"}, {ID: 3, Node: "c"}}
+	snapshot := BootstrapSnapshot(members, nil)
+	core, err := NewCore(Options{
+		ID: 1, ElectionTicks: 10, HeartbeatTicks: 3, StartTicks: 3, Random: rand.New(rand.NewPCG(seed, 0)),
+	}, journal.HardState{Term: 1}, &snapshot, nil)
+	assert.NilError(t, err)
+	return core
+}
+
+// ticksToPreVote moves time until the replica asks for a pre-vote.
+func ticksToPreVote(core *Core) int {
+	for ticks := 1; ; ticks++ {
+		core.Tick()
+		for _, message := range advance(core) {
+			if message.Kind == MessagePreVote {
+				return ticks
+			}
+		}
+	}
+}
+
+// After a loss of all machines' power nobody leads, and each second until there
+// is a leader all requests that need new tokens are refused.
+func TestReplicaThatStartsAmongOthersThatStartAsksSoon(t *testing.T) {
+	for seed := range uint64(50) {
+		core := startAgain(t, seed)
+		assert.Assert(t, ticksToPreVote(core) <= 5)
+		assert.Assert(t, ticksToPreVote(core) <= 5, "the second try")
+	}
+}
+
+func TestReplicaThatHasHeardALeaderWaitsItsWholeTimeout(t *testing.T) {
+	for seed := range uint64(50) {
+		core := startAgain(t, seed)
+		core.Step(Message{Kind: MessageHeartbeat, From: 2, To: 1, Term: 2})
+		advance(core)
+		assert.Assert(t, ticksToPreVote(core) >= 10)
+	}
+}
+
+// Two replicas that can't reach the third must not try for ever at a pace at
+// which their elections meet.
+func TestElectionsThatFailOftenTakeTheirWholeTimeout(t *testing.T) {
+	core := startAgain(t, 1)
+	for range startElections {
+		ticksToPreVote(core)
+	}
+	assert.Assert(t, ticksToPreVote(core) >= 10)
+}
--- a/internal/coordination/consensus/replica.go
+++ b/internal/coordination/consensus/replica.go
@@ -33,9 +33,11 @@
 	ID             ReplicaID
 	ElectionTicks  int
 	HeartbeatTicks int
-	Random         *rand.Rand
-	FileSystem     disk.FileSystem
-	SegmentBytes   int
+	// StartTicks: see Options.
+	StartTicks   int
+	Random       *rand.Rand
+	FileSystem   disk.FileSystem
+	SegmentBytes int
 	// SnapshotEvery is the number of applied entries between snapshots.
 	SnapshotEvery uint64
 	Machine       StateMachine
@@ -100,7 +102,7 @@
 		}
 	}
 	replica.core, err = NewCore(Options{
-		ID: options.ID, ElectionTicks: options.ElectionTicks, HeartbeatTicks: options.HeartbeatTicks,
+		ID: options.ID, ElectionTicks: options.ElectionTicks, HeartbeatTicks: options.HeartbeatTicks, StartTicks: options.StartTicks,
 		Random: options.Random, SnapshotForPeer: replica.snapshotForPeer,
 	}, recovered.HardState, recovered.Snapshot, recovered.Entries)
 	if err != nil {
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -21,6 +21,9 @@
 	replicaTick = 50 * time.Millisecond
 	// electionTicks make an election timeout of 0.5 to 1 second.
 	electionTicks = 10
+	// startTicks make an election timeout of 0.15 to 0.3 seconds after a start:
+	// about as long as the machines' processes differ in their start.
+	startTicks = 3
 	// heartbeatTicks make a heartbeat of 150 milliseconds.
 	heartbeatTicks = 3
 	// lostTicks is the silence, 2.5 seconds, after which a learner may take a
@@ -113,7 +116,7 @@
 
 func (r *replicaDuty) open(founders []consensus.Member) (*consensus.Replica, error) {
 	return consensus.OpenReplica(consensus.ReplicaOptions{
-		ID: r.id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Random: newRandom(),
+		ID: r.id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, StartTicks: startTicks, Random: newRandom(),
 		FileSystem: r.node.options.FileSystem, SegmentBytes: journalSegmentBytes, Machine: r.machine,
 		Send: r.send, Bootstrap: founders,
 	})
--- a/internal/lab/simulate/consensus.go
+++ b/internal/lab/simulate/consensus.go
@@ -144,7 +144,7 @@
 	node.life++
 	node.machine = &registerMachine{}
 	options := consensus.ReplicaOptions{
-		ID: node.id, Random: s.World.Random, FileSystem: node.disk, SegmentBytes: 2 << 10,
+		ID: node.id, StartTicks: 3, Random: s.World.Random, FileSystem: node.disk, SegmentBytes: 2 << 10,
 		SnapshotEvery: snapshotEveryEntries, Machine: node.machine,
 		Send: func(message consensus.Message) { s.send(node, message) },
 	}
