Holders claim what they use, so that a lost life is charged little

So nodes held little, and a cut from the core refused half of the requests while the root still had as much left as all nodes held.

Ruled out: holding less (refused in cuts), holding more (charged), a witness in the zone (most final faults take all nodes), the machines' steady clocks across a restart (a trial: a process's steady clock begins anew).

Change: a holder reports a claim, cumulative, before it uses tokens, and keeps to the least claim that may be in the log. Only after 0.3 s without the root may it use more of its grant, at 1.5 times its demand. Answers carry the moment of the decision, reports the newest one heard, so the root bounds how long a life was without it: by the leader's steady clock, else by the time of day where the control nodes agree on it then and now, else it charges all. Nodes now hold 0.75 of the unspent tokens.

Two defects (silence ignored, a jumping clock believed) are noticed.

--- /dev/null
+++ b/internal/coordination/clocks/clocks_test.go
@@ -0,0 +1,45 @@
+package clocks
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/state/accounts"
+)
+
+func TestClocksAgreeOnlyWhereMoreThanHalfWereReadAndNoneDiffers(t *testing.T) {
+	for _, one := range []struct {
+		name   string
+		others []int64
+		voters int
+		agree  bool
+	}{
+		{name: "all three", others: []int64{100_020, 99_990}, voters: 3, agree: true},
+		{name: "two of three", others: []int64{100_020}, voters: 3, agree: true},
+		{name: "alone of three", voters: 3, agree: false},
+		{name: "alone", voters: 1, agree: true},
+		{name: "one has jumped", others: []int64{100_020, 98_000}, voters: 3, agree: false},
+		{name: "three of six", others: []int64{100_000, 100_000}, voters: 6, agree: false},
+	} {
+		assert.Equal(t, Agree(100_000, one.others, one.voters), one.agree, one.name)
+	}
+}
+
+func TestSilenceIsBoundedByTheSteadyClockElseByTheTimeOfDay(t *testing.T) {
+	heard := accounts.Contact{Index: 1, Clock: 7, SteadyMS: 1000, WallMS: 500_000}
+	same, known := Silence(heard, Reading{Clock: 7, Steady: 4 * time.Second, WallMS: 1}, time.Second)
+	assert.Assert(t, known)
+	assert.Equal(t, same, 2*time.Second)
+	other, known := Silence(heard, Reading{Clock: 8, WallMS: 504_000}, time.Second)
+	assert.Assert(t, known)
+	assert.Equal(t, other, 3*time.Second+Tolerance)
+	_, known = Silence(heard, Reading{Clock: 8, WallMS: 498_000}, 0)
+	assert.Assert(t, !known, "a clock that ran backwards")
+	_, known = Silence(heard, Reading{Clock: 8}, 0)
+	assert.Assert(t, !known, "clocks that do not agree now")
+	heard.WallMS = 0
+	_, known = Silence(heard, Reading{Clock: 8, WallMS: 504_000}, 0)
+	assert.Assert(t, !known, "clocks that did not agree then")
+}
--- a/internal/coordination/escrow/account.go
+++ b/internal/coordination/escrow/account.go
@@ -27,6 +27,10 @@
 	watermarkSettled uint64
 	// confirmed is what the root has in its log.
 	confirmed confirmation
+	// claims bound the use of the grant, and contact is the holder's with the
+	// root; contact is nil where the whole grant may be used at any time.
+	claims  claims
+	contact *rootContact
 
 	// standing is how the budget stands as a whole as the root last said; known
 	// tells that it did.
@@ -76,14 +80,18 @@
 	settled, returned, watermark uint64
 }
 
-// free never counts what was lent, returned or reserved.
+// unreserved is what is held and not in use, lent or returned, in tokens.
+func (a *account) unreserved() uint64 {
+	return subtract(a.granted+sum(a.borrowed), a.returned+a.settled+a.reserved+a.lentTotal())
+}
+
+// free is what may be reserved now, in tokens.
 func (a *account) free() uint64 {
-	have := a.granted + sum(a.borrowed)
-	gone := a.returned + a.settled + a.reserved + a.lentTotal()
-	if gone > have {
-		return 0
+	if a.contact == nil {
+		return a.unreserved()
 	}
-	return have - gone
+	usable := subtract(a.allowed()+sum(a.borrowed), a.settled+a.reserved+a.lentTotal())
+	return min(a.unreserved(), usable)
 }
 
 func sum(amounts map[accounts.HolderID]uint64) uint64 {
@@ -163,18 +171,23 @@
 	if !a.known {
 		return wish
 	}
-	return a.standing.part(wish)
+	return a.standing.part(wish, a.contact != nil)
 }
 
-// lack is what the first waiter needs beyond what is free.
+// lack is what the first waiter needs beyond what may be reserved now.
 func (a *account) lack() uint64 {
 	if len(a.waiters) == 0 {
 		return 0
 	}
-	if free := a.free(); a.waiters[0].amount > free {
-		return a.waiters[0].amount - free
+	return subtract(a.waiters[0].amount, a.free())
+}
+
+// grantLack is what the first waiter needs beyond what is held.
+func (a *account) grantLack() uint64 {
+	if len(a.waiters) == 0 {
+		return 0
 	}
-	return 0
+	return subtract(a.waiters[0].amount, a.unreserved())
 }
 
 // waiting is what all waiters need, in tokens.
@@ -188,8 +201,8 @@
 
 func (a *account) returnSurplus(now time.Duration) {
 	target := a.target(now)
-	if free := a.free(); len(a.waiters) == 0 && float64(free) > float64(target)*highShare {
-		a.returned += free - target
+	if held := a.unreserved(); len(a.waiters) == 0 && float64(held) > float64(target)*highShare {
+		a.returned += held - target
 	}
 }
 
@@ -198,7 +211,7 @@
 	if a.requested || len(a.waiters) > 0 {
 		return
 	}
-	if target := a.target(now); float64(a.free()) < float64(target)*lowShare && now >= a.nextTopUp {
+	if target := a.target(now); float64(a.unreserved()) < float64(target)*lowShare && now >= a.nextTopUp {
 		// A budget that is nearly spent can't fill it: not asked at every tick.
 		a.nextTopUp = now + topUpPause
 		a.startRequest(now)
@@ -216,9 +229,17 @@
 	case a.requested:
 		return a.reportedAt == 0 || now-a.reportedAt >= a.resendAfter
 	case a.unconfirmed(), a.wishChanged(now):
-		return a.reportedAt == 0 || now-a.reportedAt >= reportInterval
+		if a.reportedAt == 0 || now-a.reportedAt >= reportInterval {
+			return true
+		}
+	}
+	if a.contact == nil {
+		return false
 	}
-	return false
+	if len(a.claims.sent) > 0 {
+		return now-a.reportedAt >= lastResend
+	}
+	return a.claimDue()
 }
 
 // confirm notes what an answer says that the root has.
@@ -227,6 +248,7 @@
 	a.confirmed.settled = max(a.confirmed.settled, answer.Settled)
 	a.confirmed.returned = max(a.confirmed.returned, answer.Returned)
 	a.confirmed.watermark = max(a.confirmed.watermark, answer.Watermark)
+	a.claims.confirm(answer.Claim)
 	a.takeStanding(standingOf(answer))
 	return advanced
 }
@@ -241,12 +263,12 @@
 	if a.requested {
 		a.resendAfter = min(2*a.resendAfter, lastResend)
 		report.Request = a.request
-		report.Need = a.lack()
+		report.Need = a.grantLack()
 		wanted := max(a.target(now), a.waiting())
-		report.Want = report.Need
-		if free := a.free(); wanted > free {
-			report.Want = max(report.Need, wanted-free)
-		}
+		report.Want = max(report.Need, subtract(wanted, a.unreserved()))
+	}
+	if a.contact != nil {
+		report.Claim = a.claim()
 	}
 	return report
 }
--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -97,6 +97,10 @@
 	// RootReachable tells whether the root is heard; nil means always. Nothing
 	// is given back while it is not: it could not be spent by anybody.
 	RootReachable func() bool
+	// Claims makes the holder claim what it uses of its grants before it does, see
+	// accounts.Claim. Without it a life that ends without a word is charged all
+	// that it held, unless claim registers tell its use.
+	Claims bool
 }
 
 // Holder is a node's part of all budgets. It is a pure step and not safe for
@@ -106,6 +110,7 @@
 	accounts map[string]*account
 	recalled []RecallMessage
 	loans    []OutgoingLoan
+	contact  rootContact
 	closed   bool
 	stopping bool
 }
@@ -148,7 +153,16 @@
 // Held is what the node may spend in all: free and reserved, in tokens.
 func (h *Holder) Held(budget string) uint64 {
 	if found := h.accounts[budget]; found != nil {
-		return found.free() + found.reserved
+		return found.unreserved() + found.reserved
+	}
+	return 0
+}
+
+// OwnUse is what the node has used of its own grants: settled, reserved or lent,
+// less what it borrowed, in tokens.
+func (h *Holder) OwnUse(budget string) uint64 {
+	if found := h.accounts[budget]; found != nil {
+		return found.ownUse()
 	}
 	return 0
 }
@@ -161,6 +175,9 @@
 			borrowed: map[accounts.HolderID]uint64{}, lent: map[accounts.HolderID]*givenLoan{},
 			open: map[uint64]uint64{}, ahead: map[uint64]uint64{},
 		}
+		if h.options.Claims {
+			found.contact = &h.contact
+		}
 		h.accounts[budget] = found
 	}
 	return found
@@ -173,6 +190,7 @@
 		done(Reservation{}, ErrClosed)
 		return
 	}
+	h.contact.now = now
 	found := h.account(budget)
 	if policy.Horizon > 0 {
 		found.policy = policy
@@ -207,6 +225,7 @@
 	if !open {
 		return
 	}
+	h.contact.now = now
 	used = min(used, amount)
 	delete(found.open, reservation.Sequence)
 	found.reserved -= amount
@@ -235,6 +254,7 @@
 	if !open || used >= amount {
 		return
 	}
+	h.contact.now = now
 	found.open[reservation.Sequence] = used
 	found.reserved -= amount - used
 	h.serve(now, found)
@@ -252,14 +272,19 @@
 // Tick moves time: it gives up on waiters, borrows when the root is silent,
 // and gives back what is no longer needed.
 func (h *Holder) Tick(now time.Duration) {
+	h.contact.now = now
 	reachable := h.rootReachable()
 	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
 		found := h.accounts[name]
 		h.expire(now, found)
+		if found.contact != nil {
+			// The pace may allow by now what it did not before.
+			h.serve(now, found)
+		}
 		h.borrow(now, found)
 		h.tellLoansAgain(now, found)
 		if h.stopping && reachable && len(found.waiters) == 0 {
-			found.returned += found.free()
+			found.returned += found.unreserved()
 		}
 		if h.stopping {
 			continue
@@ -337,7 +362,8 @@
 
 // Report returns what the root should be told now, or nothing.
 func (h *Holder) Report(now time.Duration) (ReportMessage, bool) {
-	message := ReportMessage{Holder: h.options.ID, Recalled: h.recalled}
+	h.contact.now = now
+	message := ReportMessage{Holder: h.options.ID, Recalled: h.recalled, Claims: h.options.Claims}
 	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
 		found := h.accounts[name]
 		if found.reportDue(now) || h.isRecalled(name) {
@@ -345,7 +371,14 @@
 		}
 	}
 	h.recalled = nil
-	return message, len(message.Reports) > 0
+	if len(message.Reports) == 0 && !h.contactDue() {
+		return ReportMessage{}, false
+	}
+	if h.options.Claims {
+		message.Heard = h.contactToTell()
+		h.contact.reportedAt = now
+	}
+	return message, true
 }
 
 func (h *Holder) isRecalled(budget string) bool {
@@ -358,6 +391,8 @@
 	if message.Holder != h.options.ID {
 		return nil
 	}
+	h.contact.now = now
+	h.hear(message.Contact)
 	var advanced []accounts.Answer
 	for _, answer := range message.Answers {
 		found := h.accounts[answer.Budget]
@@ -424,15 +459,15 @@
 	}
 	found := h.account(recall.Budget)
 	found.granted = max(found.granted, recall.Granted)
-	found.returned += found.free()
+	found.returned += found.unreserved()
 	h.recalled = append(h.recalled, recall)
 }
 
 // ReturnAll gives back everything that is free, for a planned stop.
 func (h *Holder) ReturnAll() {
 	for _, found := range h.accounts {
-		if free := found.free(); free > 0 {
-			found.returned += free
+		if held := found.unreserved(); held > 0 {
+			found.returned += held
 			found.reportedAt = 0
 		}
 	}
--- a/internal/coordination/escrow/loans.go
+++ b/internal/coordination/escrow/loans.go
@@ -125,6 +125,7 @@
 	if loan.Borrower != h.options.ID || h.closed || fenced(loan.Lender) {
 		return
 	}
+	h.contact.now = now
 	found := h.account(loan.Budget)
 	found.borrowed[loan.Lender] = max(found.borrowed[loan.Lender], loan.Total)
 	h.loans = append(h.loans, OutgoingLoan{To: loan.Lender.Node, Message: LendMessage{Taken: &loan}})
--- a/internal/coordination/escrow/messages.go
+++ b/internal/coordination/escrow/messages.go
@@ -10,12 +10,18 @@
 	Reports []accounts.Report `msgpack:"r"`
 	// Recalled are the recalls that these reports answer.
 	Recalled []RecallMessage `msgpack:"c,omitempty"`
+	// Claims tells that the holder makes claims, Heard the newest contact that it
+	// has heard of and whose claims cover what it has used.
+	Claims bool             `msgpack:"m,omitempty"`
+	Heard  accounts.Contact `msgpack:"k"`
 }
 
 // AnswerMessage goes from the root to a holder.
 type AnswerMessage struct {
 	Holder  accounts.HolderID `msgpack:"h"`
 	Answers []Answer          `msgpack:"a"`
+	// Contact is when the root decided, for holders that make claims.
+	Contact accounts.Contact `msgpack:"k"`
 }
 
 // Answer is the root's answer on one budget.
--- a/internal/coordination/escrow/root.go
+++ b/internal/coordination/escrow/root.go
@@ -30,6 +30,9 @@
 	// is not recalled again: with many holders that short of tokens, each refusal
 	// would cost a message to and from all of them.
 	RecallPause time.Duration
+	// Contact reads the leader's clocks, for holders that make claims; nil where
+	// there are none.
+	Contact func() accounts.Contact
 	// WithoutRecall is a deliberate defect for the simulation: refusals are
 	// given at once.
 	WithoutRecall bool
@@ -103,11 +106,15 @@
 		return Batch{}, false
 	}
 	batch := Batch{pending: r.queue[:count:count]}
+	if r.options.Contact != nil {
+		batch.Command.Contact = r.options.Contact()
+	}
 	r.queue = slices.Clone(r.queue[count:])
 	for _, pending := range batch.pending {
 		r.holdBackTopUps(pending)
 		batch.Command.Reports = append(batch.Command.Reports, machine.HolderReports{
 			Holder: pending.message.Holder, Reports: pending.message.Reports,
+			Heard: pending.message.Heard, Claims: pending.message.Claims,
 		})
 	}
 	return batch, true
@@ -129,9 +136,9 @@
 
 // Applied takes the result of a batch that was committed, answers the holders
 // and starts recalls.
-func (r *Root) Applied(now time.Duration, batch Batch, answers [][]accounts.Answer) {
+func (r *Root) Applied(now time.Duration, batch Batch, result machine.Result) {
 	for position, pending := range batch.pending {
-		r.answer(now, pending, answers[position])
+		r.answer(now, pending, result.Answers[position], result.Contact)
 		for _, report := range pending.message.Reports {
 			if !slices.Contains(r.changed, report.Budget) {
 				r.changed = append(r.changed, report.Budget)
@@ -145,8 +152,11 @@
 	}
 }
 
-func (r *Root) answer(now time.Duration, pending pendingReport, answers []accounts.Answer) {
+func (r *Root) answer(now time.Duration, pending pendingReport, answers []accounts.Answer, contact accounts.Contact) {
 	reply := AnswerMessage{Holder: pending.message.Holder}
+	if pending.message.Claims {
+		reply.Contact = contact
+	}
 	for position, answer := range answers {
 		if answer.Short && pending.afterRecall {
 			r.inVain[answer.Budget] = now
@@ -159,7 +169,7 @@
 		}
 		reply.Answers = append(reply.Answers, Answer{Answer: answer, Unreached: pending.unreached})
 	}
-	if len(reply.Answers) > 0 {
+	if len(reply.Answers) > 0 || reply.Contact.Index > 0 {
 		r.options.Reply(pending.message.Holder.Node, reply)
 	}
 }
--- a/internal/coordination/escrow/standing_test.go
+++ b/internal/coordination/escrow/standing_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ravenway/ravenway/internal/state/accounts"
+	"github.com/ravenway/ravenway/internal/state/machine"
 )
 
 // group is a root and some holders of one budget without a network.
@@ -56,7 +57,7 @@
 			}
 			answers = append(answers, given)
 		}
-		g.root.Applied(now, batch, answers)
+		g.root.Applied(now, batch, machine.Result{Answers: answers})
 	}
 	g.root.Tick(now)
 }
@@ -115,14 +116,14 @@
 		g.step(now + 500*time.Millisecond)
 	}
 	budget := g.accounts.Budget("b")
-	most := Standing{Limit: budget.Limit, Unspent: budget.Left() + budget.Outstanding()}.most()
+	most := Standing{Limit: budget.Limit, Unspent: budget.Left() + budget.Outstanding()}.most(false)
 	assert.Assert(t, float64(g.holders["n0"].Free("b")) > 0.5*most, "%d of at most %.0f", g.holders["n0"].Free("b"), most)
 }
 
 func TestPartOfALongBudgetIsTheWish(t *testing.T) {
 	standing := Standing{Limit: 1_000_000, Unspent: 900_000, Wished: 200_000}
-	assert.Equal(t, standing.part(50_000), uint64(50_000))
+	assert.Equal(t, standing.part(50_000, false), uint64(50_000))
 	standing.Unspent = 200_000
-	assert.Assert(t, standing.part(50_000) < 10_000)
-	assert.Equal(t, Standing{}.part(5), uint64(0))
+	assert.Assert(t, standing.part(50_000, false) < 10_000)
+	assert.Equal(t, Standing{}.part(5, false), uint64(0))
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -165,6 +165,7 @@
 		Address: f.node.address, Node: current.Node.Name, Zone: current.Node.Zone, Life: f.node.life,
 		Entry: current.HasRole(settings.RoleEntry), Control: f.isControl(), Stopping: f.node.isStopping(),
 		Version: f.node.documents.version(), InstancesDigest: f.registry.Digest(),
+		AgeMS: uint64(f.node.now().Milliseconds()),
 	}
 	if f.isControl() {
 		f.node.replica.describe(&said)
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -62,6 +62,8 @@
 	// the members; 0 before the first.
 	committedBefore uint64
 	wasLeader       bool
+	// leadsSince is when this node became the leader.
+	leadsSince time.Duration
 	// founding is since when this node waits for the others to found a group.
 	founding time.Duration
 	shared   atomic.Pointer[replicaView]
@@ -203,7 +205,7 @@
 		return
 	}
 	if r.leading() != r.wasLeader {
-		r.wasLeader, r.committedBefore = r.leading(), 0
+		r.wasLeader, r.committedBefore, r.leadsSince = r.leading(), 0, r.node.now()
 		r.root = escrow.NewRoot(r.rootOptions())
 		r.node.log.Info().Str("event", "leadership").Bool("leading", r.wasLeader).Uint64("term", r.replica.Core().Term()).Send()
 	}
@@ -227,8 +229,8 @@
 			address, _ := holderAddress(to)
 			r.node.send(address, peer.KindAccounts, &escrow.AccountsMessage{Recall: &message})
 		},
-		RecallPause: recallPause,
-		StandingOf:  r.standingOf,
+		RecallPause: recallPause, Contact: func() accounts.Contact { return r.readClocks().Contact() },
+		StandingOf: r.standingOf,
 		Tell: func(to string, message escrow.StandingsMessage) {
 			address, _ := holderAddress(to)
 			r.node.send(address, peer.KindAccounts, &escrow.AccountsMessage{Standings: &message})
@@ -267,7 +269,7 @@
 	root := r.root
 	r.propose(batch.Command, func(result machine.Result, err error) {
 		if err == nil {
-			root.Applied(r.node.now(), batch, result.Answers)
+			root.Applied(r.node.now(), batch, result)
 		}
 		// Holders repeat what was not answered.
 	})
@@ -293,30 +295,6 @@
 	})
 }
 
-// closeLives ends the accounts of lives that are over: their node says that it
-// runs another one.
-func (r *replicaDuty) closeLives() {
-	running := map[string]string{}
-	for _, node := range r.node.fleet.view.Load().alive {
-		if node.Entry {
-			running[node.Address] = node.Life
-		}
-	}
-	var over []accounts.HolderID
-	for _, holder := range r.machine.Accounts().Holders() {
-		address, life := holderAddress(holder.Node)
-		if now, isRunning := running[address]; isRunning && now != life {
-			over = append(over, holder)
-		}
-	}
-	if len(over) == 0 {
-		return
-	}
-	r.propose(machine.Command{CloseLives: &machine.CloseLivesCommand{Lives: over}}, func(_ machine.Result, err error) {
-		r.node.log.Info().Str("event", "lives_closed").Int("count", len(over)).AnErr("error", err).Send()
-	})
-}
-
 // logAccounts writes how the prepaid tokens stand, of the tenants with the
 // least left to grant.
 func (r *replicaDuty) logAccounts() {
@@ -382,6 +360,7 @@
 	hello.Replica, hello.HasGroup = uint64(view.replica), view.hasGroup
 	hello.Leader, hello.Term = view.leader, view.term
 	hello.QuorumSilenceMS = uint64(view.quorumSilence.Milliseconds())
+	hello.WallMS = time.Now().UnixMilli()
 }
 
 func (r *replicaDuty) manageMembers() {
--- a/internal/lab/labcli/prove.go
+++ b/internal/lab/labcli/prove.go
@@ -40,6 +40,9 @@
 	"budgets": func(seed uint64) *simulate.World {
 		return simulate.RunBudgets(simulate.BudgetOptions{Seed: seed, Limit: 400_000, TopUp: 200_000, Faults: true, Rate: 25}).World
 	},
+	"lost-lives": func(seed uint64) *simulate.World {
+		return simulate.RunLostLives(simulate.LostLivesOptions{Seed: seed}).World
+	},
 	"tight-budgets": func(seed uint64) *simulate.World {
 		return simulate.RunBudgets(simulate.BudgetOptions{Seed: seed, Limit: 2000, Faults: true, Tight: true, Rate: 10}).World
 	},
--- a/internal/lab/simulate/budgets.go
+++ b/internal/lab/simulate/budgets.go
@@ -6,6 +6,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/escrow"
 	"github.com/ravenway/ravenway/internal/state/accounts"
+	"github.com/ravenway/ravenway/internal/state/machine"
 )
 
 // BudgetPolicy is a way to spend a budget from many nodes.
@@ -235,7 +236,7 @@
 	}
 	s.check(s.accounts.Budget(budgetName).Check())
 	s.checkConservation("a commit")
-	s.root.Applied(s.world.Now, batch, answers)
+	s.root.Applied(s.world.Now, batch, machine.Result{Answers: answers})
 }
 
 func (s *BudgetSimulation) withHolder(name string, act func(*escrow.Holder)) {
--- /dev/null
+++ b/internal/lab/simulate/lostlives.go
@@ -0,0 +1,419 @@
+package simulate
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/clocks"
+	"github.com/ravenway/ravenway/internal/coordination/escrow"
+	"github.com/ravenway/ravenway/internal/state/accounts"
+	"github.com/ravenway/ravenway/internal/state/machine"
+)
+
+// LostLivesDefect is a deliberate defect that the simulation must notice.
+type LostLivesDefect int
+
+// Defects of RunLostLives.
+const (
+	// NoLostLivesDefect is the product as it is.
+	NoLostLivesDefect LostLivesDefect = iota
+	// SilenceIgnored charges a life that is over its claims only.
+	SilenceIgnored
+	// ClocksBelieved takes one control node's time of day for true.
+	ClocksBelieved
+)
+
+// LostLivesOptions set up a run.
+type LostLivesOptions struct {
+	Seed   uint64
+	Defect LostLivesDefect
+	// WholeGrants is the policy before claims: a life that is over is charged all
+	// that it held.
+	WholeGrants bool
+	// Sudden brings about losses after which all come back soon, and cuts, and
+	// leaves the clocks alone: what happens on most days.
+	Sudden bool
+}
+
+// LostLivesResult is what a run came to, in requests and tokens.
+type LostLivesResult struct {
+	World                     *World
+	Requests, Served, Refused int
+	// Used is what ran, Wasted what lives that are over were charged beyond it.
+	Used, Wasted uint64
+}
+
+const (
+	lostLivesTime  = 40 * time.Second
+	lostLivesLimit = 400_000
+	lostLivesRate  = 40.0
+	lostLivesWait  = 100 * time.Millisecond
+	holderTick     = 40 * time.Millisecond
+	rootTick       = 10 * time.Millisecond
+	// helloAge is how old a control node's word on its clock may be.
+	helloAge = 600 * time.Millisecond
+)
+
+// spender is one entry node: it dies without a word and comes back as another.
+type spender struct {
+	name, zone string
+	holder     *escrow.Holder
+	life       uint64
+	bootedAt   time.Duration
+	down       bool
+	heardRoot  time.Duration
+}
+
+// wallClock is a control node's time of day, which may jump.
+type wallClock struct {
+	offset time.Duration
+	jumps  []clockJump
+}
+
+type clockJump struct{ at, by time.Duration }
+
+// read is what the clock shows at a moment, in milliseconds.
+func (c *wallClock) read(at time.Duration) int64 {
+	shown := 1000*time.Hour + at + c.offset
+	for _, jump := range c.jumps {
+		if jump.at <= at {
+			shown += jump.by
+		}
+	}
+	return shown.Milliseconds()
+}
+
+// lostLives has entry nodes draw on budgets while they and the root's leader
+// are killed, all at once or one before the other, cut off and late.
+type lostLives struct {
+	options  LostLivesOptions
+	result   LostLivesResult
+	world    *World
+	network  *Network
+	accounts *accounts.Accounts
+	index    uint64
+	budgets  []string
+	spenders []*spender
+	// root is nil while no leader runs; clock names its process.
+	root         *escrow.Root
+	clock        uint64
+	rootBootedAt time.Duration
+	walls        []*wallClock
+	// dead are the holders of lives that are over and not closed.
+	dead map[accounts.HolderID]*escrow.Holder
+	used map[string]uint64
+}
+
+// RunLostLives runs one seed.
+func RunLostLives(options LostLivesOptions) LostLivesResult {
+	s := &lostLives{
+		options: options, world: NewWorld(options.Seed), accounts: accounts.New(), budgets: []string{"one", "other"},
+		dead: map[accounts.HolderID]*escrow.Holder{}, used: map[string]uint64{},
+	}
+	s.result.World = s.world
+	s.network = NewNetwork(s.world)
+	for _, budget := range s.budgets {
+		s.accounts.SetLimit(budget, lostLivesLimit)
+	}
+	for range 3 {
+		s.walls = append(s.walls, &wallClock{offset: s.world.Between(-20*time.Millisecond, 20*time.Millisecond)})
+	}
+	for number := range 7 {
+		s.spenders = append(s.spenders, &spender{name: fmt.Sprintf("n%d", number), zone: string(rune('a' + number%3)), down: true})
+	}
+	s.bootRoot()
+	for _, one := range s.spenders {
+		s.boot(one)
+	}
+	s.world.After(time.Second, s.arrive)
+	s.world.After(3*time.Second, s.injectFault)
+	s.world.RunUntil(lostLivesTime)
+	for _, budget := range s.budgets {
+		s.result.Used += s.used[budget]
+	}
+	return s.result
+}
+
+// send delivers a message, at times late; one that meets a cut is lost, or held
+// up until the cut is over.
+func (s *lostLives) send(from, to string, deliver func()) {
+	late := time.Duration(0)
+	if s.world.Chance(0.02) {
+		late = s.world.Between(0, 4*time.Second)
+	}
+	s.world.After(late, func() { s.deliver(from, to, deliver) })
+}
+
+func (s *lostLives) deliver(from, to string, deliver func()) {
+	if s.network.Reachable(from, to) {
+		s.network.Send(from, to, deliver)
+		return
+	}
+	if s.world.Chance(0.995) {
+		s.world.After(holderTick, func() { s.deliver(from, to, deliver) })
+	}
+}
+
+func (s *lostLives) boot(one *spender) {
+	if !one.down {
+		return
+	}
+	one.life++
+	one.down, one.bootedAt = false, s.world.Now
+	life := one.life
+	var lenders []string
+	for _, other := range s.spenders {
+		if other != one {
+			lenders = append(lenders, other.name)
+		}
+	}
+	one.holder = escrow.NewHolder(escrow.HolderOptions{
+		ID: accounts.HolderID{Node: fmt.Sprintf("%s#%d", one.name, life), Incarnation: 1}, AnswerTimeout: 50 * time.Millisecond,
+		Lenders: lenders, RootReachable: func() bool { return s.world.Now-one.heardRoot < time.Second }, Claims: !s.options.WholeGrants,
+	})
+	s.world.Every(holderTick, func() bool {
+		if one.life != life || one.down {
+			return false
+		}
+		one.holder.Tick(s.sinceBoot(one))
+		s.flush(one)
+		return true
+	})
+}
+
+// sinceBoot is the node's own steady clock.
+func (s *lostLives) sinceBoot(one *spender) time.Duration { return s.world.Now - one.bootedAt }
+
+func (s *lostLives) flush(one *spender) {
+	now := s.sinceBoot(one)
+	if report, due := one.holder.Report(now); due {
+		s.send(one.name, rootName, func() {
+			if s.root != nil {
+				s.root.Take(report)
+			}
+		})
+	}
+	for _, loan := range one.holder.Loans() {
+		s.send(one.name, loan.To, func() { s.takeLend(s.named(loan.To), loan.Message) })
+	}
+}
+
+func (s *lostLives) named(name string) *spender {
+	for _, one := range s.spenders {
+		if len(name) >= len(one.name) && name[:len(one.name)] == one.name {
+			return one
+		}
+	}
+	return nil
+}
+
+// takeLend is the part of a node that hands loans to its holder.
+func (s *lostLives) takeLend(one *spender, message escrow.LendMessage) {
+	if one.down {
+		return
+	}
+	neverFenced := func(accounts.HolderID) bool { return false }
+	switch {
+	case message.Request != nil:
+		if loan, given := one.holder.Lend(*message.Request, neverFenced); given {
+			one.holder.Agreed(s.sinceBoot(one), loan)
+		}
+	case message.Given != nil:
+		one.holder.TakeLoan(s.sinceBoot(one), *message.Given, neverFenced)
+	case message.Taken != nil:
+		one.holder.LoanTaken(*message.Taken)
+	}
+	s.flush(one)
+}
+
+func (s *lostLives) bootRoot() {
+	s.clock++
+	clock := s.clock
+	s.rootBootedAt = s.world.Now
+	leader := s.world.Random.IntN(len(s.walls))
+	options := escrow.RootOptions{
+		HoldersOf: func(budget string) []accounts.Holder {
+			var holders []accounts.Holder
+			for _, holder := range s.accounts.Budget(budget).OpenHolders() {
+				if holder.Outstanding() > 0 {
+					holders = append(holders, *holder)
+				}
+			}
+			return holders
+		},
+		Reply: func(to string, message escrow.AnswerMessage) {
+			s.toHolder(to, func(one *spender) { one.holder.Take(s.sinceBoot(one), message) })
+		},
+		Recall: func(to string, message escrow.RecallMessage) {
+			s.toHolder(to, func(one *spender) { one.holder.Recall(message) })
+		},
+		RecallPause: 500 * time.Millisecond,
+		StandingOf:  func(budget string) escrow.Standing { return escrow.StandingOf(s.accounts.Budget(budget)) },
+		Tell: func(to string, message escrow.StandingsMessage) {
+			s.toHolder(to, func(one *spender) { one.holder.TakeStandings(message) })
+		},
+	}
+	if !s.options.WholeGrants {
+		options.Contact = func() accounts.Contact { return s.readClocks(leader).Contact() }
+	}
+	root := escrow.NewRoot(options)
+	s.root = root
+	s.world.Every(rootTick, func() bool {
+		if s.root != root {
+			return false
+		}
+		root.Tick(s.world.Now)
+		s.propose(root)
+		s.closeLives(leader, clock)
+		return true
+	})
+}
+
+func (s *lostLives) toHolder(to string, act func(*spender)) {
+	one := s.named(to)
+	s.send(rootName, one.name, func() {
+		if one.down {
+			return
+		}
+		one.heardRoot = s.world.Now
+		act(one)
+		s.flush(one)
+	})
+}
+
+// readClocks reads the leader's clocks and what it last heard of the others'.
+func (s *lostLives) readClocks(leader int) clocks.Reading {
+	reading := clocks.Reading{Clock: s.clock, Steady: s.world.Now - s.rootBootedAt}
+	var others []int64
+	for number, wall := range s.walls {
+		if number != leader {
+			age := s.world.Between(0, helloAge)
+			others = append(others, wall.read(s.world.Now-age)+age.Milliseconds())
+		}
+	}
+	own := s.walls[leader].read(s.world.Now)
+	if s.options.Defect == ClocksBelieved || clocks.Agree(own, others, len(s.walls)) {
+		reading.WallMS = own
+	}
+	return reading
+}
+
+// propose commits waiting reports a moment later, as the replicated log does. A
+// leader that is gone by then may have had them committed or not.
+func (s *lostLives) propose(root *escrow.Root) {
+	batch, found := root.Batch()
+	if !found {
+		return
+	}
+	s.world.After(s.world.Between(time.Millisecond, 25*time.Millisecond), func() {
+		if s.root != root && s.world.Chance(0.5) {
+			return
+		}
+		s.index++
+		contact := batch.Command.Contact
+		contact.Index = s.index
+		result := machine.Result{Contact: contact}
+		for _, reports := range batch.Command.Reports {
+			if reports.Claims {
+				s.accounts.Hear(reports.Holder, reports.Heard, contact)
+			}
+			var answers []accounts.Answer
+			for _, report := range reports.Reports {
+				answers = append(answers, s.accounts.Take(reports.Holder, report, 0))
+			}
+			result.Answers = append(result.Answers, answers)
+		}
+		for _, budget := range s.budgets {
+			s.world.Check(s.accounts.Budget(budget).Check())
+		}
+		if s.root == root {
+			root.Applied(s.world.Now, batch, result)
+		}
+	})
+}
+
+// closeLives ends the accounts of lives whose node runs another one.
+func (s *lostLives) closeLives(leader int, clock uint64) {
+	for id, holder := range s.dead {
+		successor := s.named(id.Node)
+		if successor.down || !s.network.Reachable(successor.name, rootName) || s.accounts.Closed(id) {
+			continue
+		}
+		reading := s.readClocks(leader)
+		reading.Clock = clock
+		age := max(0, s.sinceBoot(successor)-s.world.Between(0, helloAge))
+		silence, known := clocks.Silence(s.accounts.LastContact(id), reading, age)
+		if !known && s.world.Now-s.rootBootedAt < 3*time.Second {
+			continue
+		}
+		if s.options.Defect == SilenceIgnored {
+			silence = 0
+		}
+		s.end(id, holder, silence)
+	}
+}
+
+// end closes a life and checks that it is charged all that it used.
+func (s *lostLives) end(id accounts.HolderID, holder *escrow.Holder, silence time.Duration) {
+	charged := map[string]uint64{}
+	for _, budget := range s.budgets {
+		charged[budget] = s.accounts.Budget(budget).ClosedSettled
+	}
+	s.accounts.End(id, silence)
+	delete(s.dead, id)
+	for _, budget := range s.budgets {
+		charge := s.accounts.Budget(budget).ClosedSettled - charged[budget]
+		use := holder.OwnUse(budget)
+		if charge < use {
+			s.world.Check(fmt.Errorf("%s is charged %d tokens of %q, it used %d", id, charge, budget, use))
+			return
+		}
+		s.world.Check(nil)
+		s.result.Wasted += charge - use
+	}
+}
+
+// arrive lets one request arrive at a random node; large ones are as large as
+// many small ones together.
+func (s *lostLives) arrive() {
+	s.world.After(time.Duration(s.world.Random.ExpFloat64()/lostLivesRate*float64(time.Second)), s.arrive)
+	one := s.spenders[s.world.Random.IntN(len(s.spenders))]
+	if one.down {
+		return
+	}
+	amount := 50 + s.world.Random.Uint64N(200)
+	if s.world.Chance(0.1) {
+		amount *= 20
+	}
+	budget := s.budgets[s.world.Random.IntN(len(s.budgets))]
+	life, holder, now := one.life, one.holder, s.sinceBoot(one)
+	s.result.Requests++
+	holder.Reserve(now, now+lostLivesWait, budget, amount, escrow.Policy{}, func(held escrow.Reservation, err error) {
+		if err != nil {
+			s.result.Refused++
+			return
+		}
+		s.result.Served++
+		s.run(held, func(used uint64) {
+			if one.life == life && !one.down {
+				holder.Settle(s.sinceBoot(one), held, used)
+				s.flush(one)
+			}
+		})
+	})
+	s.flush(one)
+}
+
+// run lets a reserved request use a part of its bound; it goes on when its node
+// dies.
+func (s *lostLives) run(held escrow.Reservation, ended func(used uint64)) {
+	s.used[held.Budget] += held.Amount
+	if used, limit := s.used[held.Budget], s.accounts.Budget(held.Budget).Limit; used > limit {
+		s.world.Check(fmt.Errorf("%d tokens of %q ran or run, the limit is %d", used, held.Budget, limit))
+	}
+	used := held.Amount/2 + s.world.Random.Uint64N(held.Amount-held.Amount/2+1)
+	s.world.After(s.world.Between(50*time.Millisecond, 2*time.Second), func() {
+		s.used[held.Budget] -= held.Amount - used
+		ended(used)
+	})
+}
--- /dev/null
+++ b/internal/lab/simulate/lostlives_test.go
@@ -0,0 +1,45 @@
+package simulate
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func runLostLives(defect LostLivesDefect) func(seed uint64) *World {
+	return func(seed uint64) *World { return RunLostLives(LostLivesOptions{Seed: seed, Defect: defect}).World }
+}
+
+// Whatever dies, in whatever order, and whatever the clocks do: a life that is
+// over is charged all that it used, and no budget is exceeded.
+func TestLostLivesAreChargedAllThatTheyUsed(t *testing.T) {
+	runSeeds(t, seedsInCI, runLostLives(NoLostLivesDefect))
+}
+
+func TestSimulationNoticesThatSilenceIsIgnored(t *testing.T) {
+	assert.Assert(t, brokenSeed(t, 100, runLostLives(SilenceIgnored)) != nil)
+}
+
+func TestSimulationNoticesThatAJumpingClockIsBelieved(t *testing.T) {
+	assert.Assert(t, brokenSeed(t, 300, runLostLives(ClocksBelieved)) != nil)
+}
+
+// The reason for claims: a loss charges little, and cuts are served.
+func TestClaimsWasteLessAndServeMoreThanWholeGrants(t *testing.T) {
+	var sums [2]LostLivesResult
+	for position, whole := range []bool{false, true} {
+		for seed := range uint64(40) {
+			result := RunLostLives(LostLivesOptions{Seed: seed, WholeGrants: whole, Sudden: true})
+			assert.NilError(t, result.World.Broken)
+			sums[position].Requests += result.Requests
+			sums[position].Served += result.Served
+			sums[position].Used += result.Used
+			sums[position].Wasted += result.Wasted
+		}
+	}
+	claims, whole := sums[0], sums[1]
+	t.Logf("claims: %d of %d served, %d tokens used, %d wasted; whole grants: %d of %d, %d, %d",
+		claims.Served, claims.Requests, claims.Used, claims.Wasted, whole.Served, whole.Requests, whole.Used, whole.Wasted)
+	assert.Assert(t, claims.Wasted < whole.Wasted/2)
+	assert.Assert(t, claims.Served > whole.Served)
+}
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -163,7 +163,7 @@
 			// Holders repeat what was not answered.
 			return
 		}
-		root.Applied(r.node.now(), batch, result.(machine.Result).Answers)
+		root.Applied(r.node.now(), batch, result.(machine.Result))
 	})
 }
 
--- a/internal/protocol/peer/fleet.go
+++ b/internal/protocol/peer/fleet.go
@@ -30,6 +30,10 @@
 	// Nodes are the nodes that a control node heard from lately. It is left out
 	// when the receiver was told before.
 	Nodes []NodeEntry `msgpack:"m,omitempty"`
+	// AgeMS is the time since the sender's process started, in milliseconds.
+	AgeMS uint64 `msgpack:"y,omitempty"`
+	// WallMS is the time of day at a control node, in milliseconds since 1970.
+	WallMS int64 `msgpack:"u,omitempty"`
 }
 
 // NodeEntry is one node in a list of nodes.
--- a/internal/state/accounts/accounts.go
+++ b/internal/state/accounts/accounts.go
@@ -53,6 +53,8 @@
 	// Wish is what the holder would hold ahead of demand if the budget were
 	// not short, as it last said.
 	Wish uint64 `msgpack:"wi,omitempty"`
+	// Claim is the newest claim that the holder has made.
+	Claim Claim `msgpack:"cl"`
 }
 
 // Outstanding is what the holder may still spend.
@@ -155,6 +157,8 @@
 	// Wish is what the holder would hold ahead of demand if the budget were not
 	// short.
 	Wish uint64 `msgpack:"wi,omitempty"`
+	// Claim is what the holder claims of its grant.
+	Claim Claim `msgpack:"cl"`
 }
 
 // Answer is what the root says of one report.
@@ -184,6 +188,8 @@
 	// account was closed by a fence and must not be spent from.
 	Unknown bool `msgpack:"u,omitempty"`
 	Closed  bool `msgpack:"c,omitempty"`
+	// Claim is the holder's newest claim in the log.
+	Claim Claim `msgpack:"cl"`
 }
 
 // Accounts are all root accounts.
@@ -194,11 +200,14 @@
 	// Incarnations of a node only grow, so older ones are covered.
 	fenced map[string]uint64
 	closed map[string]uint64
+	// contacts holds for each open holder with claims the newest contact with
+	// the root that it is known to have heard of.
+	contacts map[HolderID]Contact
 }
 
 // New makes an empty set of accounts.
 func New() *Accounts {
-	return &Accounts{budgets: map[string]*Budget{}, fenced: map[string]uint64{}, closed: map[string]uint64{}}
+	return &Accounts{budgets: map[string]*Budget{}, fenced: map[string]uint64{}, closed: map[string]uint64{}, contacts: map[HolderID]Contact{}}
 }
 
 // Budget returns one account, or nil.
@@ -281,6 +290,9 @@
 	budget.takeReturn(holder, report.Returned)
 	holder.Settled = max(holder.Settled, report.Settled)
 	holder.Wish = report.Wish
+	if report.Claim.Sequence > holder.Claim.Sequence {
+		holder.Claim = report.Claim
+	}
 	if report.Watermark > holder.Watermark {
 		holder.Watermark = report.Watermark
 		holder.WatermarkSettled = report.WatermarkSettled
@@ -295,7 +307,7 @@
 			holder.LastRequest = report.Request
 		}
 	}
-	answer.Granted = holder.Granted
+	answer.Granted, answer.Claim = holder.Granted, holder.Claim
 	answer.Settled, answer.Returned, answer.Watermark = holder.Settled, holder.Returned, holder.Watermark
 	answer.Left = budget.Left()
 	answer.Limit, answer.Spent = budget.Limit, budget.Spent()
--- a/internal/state/accounts/snapshot.go
+++ b/internal/state/accounts/snapshot.go
@@ -19,6 +19,15 @@
 	Budgets []storedBudget      `msgpack:"b"`
 	Fenced  []storedIncarnation `msgpack:"f"`
 	Closed  []storedIncarnation `msgpack:"c"`
+	// Contacts is empty in snapshots of earlier versions: of such a holder
+	// nothing is known, and its whole grant is charged.
+	Contacts []storedContact `msgpack:"k"`
+}
+
+// storedContact is the newest contact that one holder has heard of.
+type storedContact struct {
+	ID      HolderID `msgpack:"h"`
+	Contact Contact  `msgpack:"c"`
 }
 
 // storedIncarnation is one node's entry in the fenced or closed incarnations.
@@ -43,7 +52,7 @@
 		stored = append(stored, entry)
 	}
 	data, err := msgpack.Marshal(&storedAccounts{
-		Budgets: stored, Fenced: sortedIncarnations(a.fenced), Closed: sortedIncarnations(a.closed),
+		Budgets: stored, Fenced: sortedIncarnations(a.fenced), Closed: sortedIncarnations(a.closed), Contacts: a.sortedContacts(),
 	})
 	if err != nil {
 		return nil, fmt.Errorf("encoding accounts: %w", err)
@@ -76,9 +85,21 @@
 	for _, entry := range stored.Closed {
 		accounts.closed[entry.Node] = entry.Incarnation
 	}
+	for _, entry := range stored.Contacts {
+		accounts.contacts[entry.ID] = entry.Contact
+	}
 	return accounts, nil
 }
 
+func (a *Accounts) sortedContacts() []storedContact {
+	stored := make([]storedContact, 0, len(a.contacts))
+	for id, contact := range a.contacts {
+		stored = append(stored, storedContact{ID: id, Contact: contact})
+	}
+	sort.Slice(stored, func(i, j int) bool { return stored[i].ID.Less(stored[j].ID) })
+	return stored
+}
+
 func (l Loan) less(other Loan) bool {
 	if l.Lender != other.Lender {
 		return l.Lender.Less(other.Lender)
--- a/internal/state/machine/document.go
+++ b/internal/state/machine/document.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/ravenway/ravenway/internal/state/accounts"
 	"github.com/ravenway/ravenway/internal/state/document"
@@ -33,10 +34,13 @@
 	Encoded []byte `msgpack:"e"`
 }
 
-// CloseLivesCommand ends lives of nodes that are known to be over. What they
-// held is charged as spent, since nobody can tell how much of it was.
+// CloseLivesCommand ends lives of nodes that are known to be over. What they may
+// have spent is charged.
 type CloseLivesCommand struct {
 	Lives []accounts.HolderID `msgpack:"l"`
+	// Silences are bounds on the lives' time without the root, one for each; a
+	// life without one may have spent all that it held.
+	Silences []time.Duration `msgpack:"s"`
 }
 
 // Document returns the document in force; its version is 0 before the first.
@@ -61,11 +65,12 @@
 }
 
 func (m *Machine) applyCloseLives(command *CloseLivesCommand) Result {
-	for _, life := range command.Lives {
-		m.accounts.Fence(life)
-		if err := m.accounts.Close(life, nil, nil, true); err != nil {
-			return Result{Refused: err.Error()}
+	for position, life := range command.Lives {
+		silence := accounts.UnknownSilence
+		if position < len(command.Silences) {
+			silence = command.Silences[position]
 		}
+		m.accounts.End(life, silence)
 	}
 	return Result{}
 }
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -46,6 +46,9 @@
 	// Document and CloseLives serve fleets whose configuration is one document.
 	Document   *DocumentCommand   `msgpack:"m,omitempty"`
 	CloseLives *CloseLivesCommand `msgpack:"z,omitempty"`
+	// Contact is what the proposer's clocks show, for Reports; its index is that
+	// of the entry.
+	Contact accounts.Contact `msgpack:"k"`
 }
 
 // CatalogCommand changes the catalog.
@@ -68,6 +71,11 @@
 type HolderReports struct {
 	Holder  accounts.HolderID `msgpack:"h"`
 	Reports []accounts.Report `msgpack:"r"`
+	// Heard is the newest contact that the holder has heard of; one with an
+	// index of 0 if the holder makes no claims.
+	Heard accounts.Contact `msgpack:"k"`
+	// Claims tells that the holder makes claims.
+	Claims bool `msgpack:"c"`
 }
 
 // FenceCommand makes a holder's accounts take no more reports.
@@ -142,7 +150,9 @@
 	Budget  *BudgetStatus    `msgpack:"b,omitempty"`
 	// Answers match the command's Reports one by one.
 	Answers [][]accounts.Answer `msgpack:"a,omitempty"`
-	Order   *OrderRecord        `msgpack:"o,omitempty"`
+	// Contact is the command's, with the entry's index.
+	Contact accounts.Contact `msgpack:"k"`
+	Order   *OrderRecord     `msgpack:"o,omitempty"`
 	// Document answers a DocumentCommand.
 	Document *DocumentOutcome `msgpack:"d,omitempty"`
 }
@@ -229,7 +239,7 @@
 	case command.Budget != nil:
 		return m.applyBudget(command.Budget)
 	case command.Reports != nil:
-		return m.applyReports(command.Reports)
+		return m.applyReports(index, command)
 	case command.Fence != nil:
 		m.accounts.Fence(command.Fence.Holder)
 		return Result{}
@@ -304,9 +314,13 @@
 	return &BudgetStatus{Budget: name, Limit: budget.Limit, Settled: budget.Settled(), Outstanding: budget.Outstanding()}
 }
 
-func (m *Machine) applyReports(reports []HolderReports) Result {
-	result := Result{Answers: make([][]accounts.Answer, 0, len(reports))}
-	for _, holder := range reports {
+func (m *Machine) applyReports(index uint64, command Command) Result {
+	result := Result{Answers: make([][]accounts.Answer, 0, len(command.Reports)), Contact: command.Contact}
+	result.Contact.Index = index
+	for _, holder := range command.Reports {
+		if holder.Claims {
+			m.accounts.Hear(holder.Holder, holder.Heard, result.Contact)
+		}
 		answers := make([]accounts.Answer, 0, len(holder.Reports))
 		for _, report := range holder.Reports {
 			share := m.catalog.Budget(report.Budget).GetGrantSharePercent()
