ravenway-lab losses tells from logs where requests are lost

Ruled out: a line for each request: the volume would not be bounded.

Change: an event=late line for each stream or answer that missed its objective, with the first event's time, the longest pause, the wait for tokens and what the choice of the engine weighed; the same terms in the attempt lines; objective and wait in the refused lines; counts by reason in the summaries. The reader of log lines is internal/logs, for ravenway explain too.

--- a/internal/coordination/balance/loads_test.go
+++ b/internal/coordination/balance/loads_test.go
@@ -136,7 +136,7 @@
 	table := tableOf("a", instances(3))
 	choice, _ := table.Choose(0, Request{Service: "llm", Part: "part", Tokens: 5_000})
 	assert.Equal(t, table.OwnLoads()[KeyOf(choice.ID)], Load{Tokens: 5_000, Requests: 1})
-	table.Started(&choice)
+	table.Started(&choice, 0)
 	assert.Equal(t, table.OwnLoads()[KeyOf(choice.ID)], Load{Requests: 1})
 	table.Done(0, choice, Served)
 	assert.Equal(t, len(table.OwnLoads()), 0)
--- /dev/null
+++ b/internal/coordination/balance/speed_test.go
@@ -0,0 +1,102 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const testGap = 500 * time.Millisecond
+
+// The finding of lumiere-rx quiet-1 seed 2: 237 of 293 late requests were
+// streams whose pauses were too long, because their engine read a long prompt of
+// another request.
+func TestLongPromptGoesWhereItHoldsUpFewStreams(t *testing.T) {
+	table := tableOf("a", instances(3))
+	table.speedOf("llm").paused = manyPaused
+	homes := map[string]int{}
+	for range 12 {
+		choice, _ := table.Choose(0, Request{Service: "llm", Part: "small", Cost: 1, Tokens: 200, SharedTokens: 100, Gap: testGap})
+		table.Started(&choice, 10*time.Millisecond)
+		homes[choice.ID]++
+	}
+	busiest, most := "", 0
+	for id, count := range homes {
+		if count > most {
+			busiest, most = id, count
+		}
+	}
+	assert.Assert(t, most >= 6, "%v", homes)
+	long, _ := table.Choose(0, Request{Service: "llm", Part: "small", Cost: 5, Tokens: 40_000, SharedTokens: 100, Gap: testGap})
+	assert.Assert(t, long.ID != busiest, "%v", homes)
+}
+
+func TestShortPromptStaysAtItsHomeThoughStreamsRunThere(t *testing.T) {
+	table := tableOf("a", instances(3))
+	request := Request{Service: "llm", Part: "small", Cost: 1, Tokens: 3000, SharedTokens: 2500, Gap: testGap}
+	first, _ := table.Choose(0, request)
+	table.Started(&first, 10*time.Millisecond)
+	for range 6 {
+		choice, _ := table.Choose(0, request)
+		table.Started(&choice, 10*time.Millisecond)
+		assert.Equal(t, choice.ID, first.ID)
+	}
+}
+
+func TestInstanceThatIsSeenToBeSlowGetsFewerRequests(t *testing.T) {
+	table := tableOf("a", instances(2))
+	for _, instance := range instances(2) {
+		eventTime := 20 * time.Millisecond
+		if instance.ID == "i-0" {
+			eventTime *= 3
+		}
+		for range 10 {
+			table.StreamEnded(Choice{Instance: instance}, eventTime, false)
+		}
+	}
+	slow := 0
+	for range 40 {
+		choice, _ := table.Choose(0, Request{Service: "llm", Part: "hot", Cost: 1, Tokens: 4000, Gap: testGap})
+		if choice.ID == "i-0" {
+			slow++
+		}
+	}
+	assert.Assert(t, slow <= 14, "%d of 40", slow)
+}
+
+func TestReadRateFollowsWhatIsObservedAndNotPromptsThatSeemFast(t *testing.T) {
+	speed := &serviceSpeed{readRate: startReadRate}
+	for turn := range 1000 {
+		took := 10_000 / 60 * time.Millisecond
+		if turn%3 == 0 {
+			// Half of it was held, unknown to this node.
+			took /= 2
+		}
+		speed.observeRead(10_000, took)
+		speed.observeRead(100, time.Second)
+	}
+	assert.Assert(t, speed.readRate > 50 && speed.readRate < 70, "%f tokens a millisecond", speed.readRate)
+}
+
+func TestPausesThatAreNotSeenDoNotCount(t *testing.T) {
+	table := tableOf("a", instances(3))
+	assert.Assert(t, table.speedOf("llm").pauseWeight() > 0)
+	for range 1000 {
+		table.StreamEnded(Choice{Instance: instances(1)[0]}, 0, false)
+	}
+	assert.Equal(t, table.speedOf("llm").pauseWeight(), 0.0)
+	for range 100 {
+		table.StreamEnded(Choice{Instance: instances(1)[0]}, 0, true)
+	}
+	assert.Equal(t, table.speedOf("llm").pauseWeight(), 1.0)
+}
+
+func TestPausesGrowWithTheTimeOfReading(t *testing.T) {
+	speed := &serviceSpeed{readRate: 50}
+	assert.Equal(t, speed.pausedShare(10_000, 1, testGap), 0.0)
+	assert.Equal(t, speed.pausedShare(40_000, 1, testGap), 1.0)
+	assert.Assert(t, speed.pausedShare(25_000, 1, testGap) > 0.4)
+	assert.Assert(t, speed.pausedShare(25_000, 1.3, testGap) > speed.pausedShare(25_000, 1, testGap))
+	assert.Equal(t, speed.pausedShare(40_000, 1, 0), 0.0, "a route without a bound on pauses")
+}
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -75,6 +75,8 @@
 	// Tokens is the prompt, SharedTokens the part of it that lives at the part's
 	// home; 0 if they are not known.
 	Tokens, SharedTokens int
+	// Gap is the longest pause between events.
+	Gap time.Duration
 	// Bytes is the length of the body.
 	Bytes int
 	// Exclude are instances that were tried already.
@@ -98,6 +100,13 @@
 	// are among them.
 	Ahead, Unread int
 	AheadKnown    bool
+	// Reread is the weight of shared tokens read again, Far that of bytes to
+	// another zone, in tokens. Streams are the requests under way there.
+	Reread, Far, Streams int
+	// Paused is the weight of the streams there that the prompt's reading would
+	// hold up, in tokens, Slowness how much slower the instance is than others.
+	Paused   int
+	Slowness float64
 }
 
 // Outcome is how an attempt ended.
@@ -127,6 +136,9 @@
 	key     InstanceKey
 	// held is when this node last sent each part here.
 	held map[string]time.Duration
+	// eventTime is the smoothed time between events of its streams while nothing
+	// holds them up; 0 before the first stream.
+	eventTime time.Duration
 	// failures is the smoothed rate of failed requests.
 	failures float64
 	// pause is the current pause after failures to connect, until its end.
@@ -154,13 +166,15 @@
 	// byService are the members that take new work.
 	byService map[string][]*member
 	zones     map[string]*zoneState
+	// speeds are how fast the services' instances were seen to work.
+	speeds map[string]*serviceSpeed
 	// others are the loads of the other nodes; nil means that they are not heard.
 	others Loads
 }
 
 // NewTable makes a table for a node in a zone.
 func NewTable(zone string) *Table {
-	return &Table{zone: zone, members: map[string]*member{}, byService: map[string][]*member{}, zones: map[string]*zoneState{}}
+	return &Table{zone: zone, members: map[string]*member{}, byService: map[string][]*member{}, zones: map[string]*zoneState{}, speeds: map[string]*serviceSpeed{}}
 }
 
 // Update replaces the instances by what the registry holds.
@@ -221,10 +235,14 @@
 	return choice, true
 }
 
-// Started notes that an instance has read a request's prompt.
-func (t *Table) Started(choice *Choice) {
+// Started notes that an instance has read a request's prompt, in a time since it
+// was sent there.
+func (t *Table) Started(choice *Choice, took time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if choice.Ahead == 0 && choice.AheadKnown && choice.pending > 0 {
+		t.speedOf(choice.Service).observeRead(choice.pending, took)
+	}
 	if known := t.members[choice.ID]; known != nil {
 		known.pending -= choice.pending
 	}
@@ -332,11 +350,14 @@
 
 // expected is what a choice weighs for one instance, in tokens.
 type expected struct {
-	ahead, unread        int
-	reread, far, scatter float64
+	ahead, unread, requests      int
+	reread, far, scatter, paused float64
+	slowness                     float64
 }
 
-func (e expected) total() float64 { return float64(e.ahead+e.unread) + e.reread + e.far + e.scatter }
+func (e expected) total() float64 {
+	return float64(e.ahead+e.unread)*e.slowness + e.reread + e.far + e.scatter + e.paused
+}
 
 // chooseSoonest takes the instance at which the first token is expected first.
 func (t *Table) chooseSoonest(now time.Duration, candidates []*member, request Request, choice *Choice) (*member, bool) {
@@ -350,6 +371,8 @@
 		}
 	}
 	choice.Ahead, choice.Unread, choice.AheadKnown = best.ahead, best.unread, t.others != nil
+	choice.Reread, choice.Far, choice.Streams = int(best.reread), int(best.far), best.requests
+	choice.Paused, choice.Slowness = int(best.paused), best.slowness
 	chosen.hold(now, request.Part)
 	return chosen, chosen != home
 }
@@ -368,6 +391,7 @@
 		expects.ahead *= blindFactor
 		requests *= blindFactor
 	}
+	expects.requests = requests
 	if one.Slots > 0 {
 		expects.ahead += max(0, requests+1-one.Slots) * tokensOverSlots
 	}
@@ -377,6 +401,8 @@
 		expects.reread = rereadWeight * float64(request.SharedTokens)
 		expects.scatter = rand.Float64() * scatterTokens
 	}
+	speed := t.speedOf(one.Service)
+	expects.slower(speed, speed.slowness(one), request.Gap)
 	if one.Zone != t.zone {
 		expects.far = float64(request.Bytes) * tokensPerFarByte
 	}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -40,6 +40,13 @@
 	brokenOff
 )
 
+// failure is an instance's own failure, the caller's answer if nothing better
+// comes.
+type failure struct {
+	exchange *exchange
+	choice   balance.Choice
+}
+
 // serve sends the request to instances until one answers.
 func (r *request) serve(ctx context.Context) {
 	service := r.chooseService()
@@ -47,7 +54,7 @@
 	policy := environment.RetryPolicy()
 	r.pipeline.retries.Request(environment.Now(), service, policy)
 	dials := 0
-	var last *exchange
+	var last failure
 	for {
 		choice, found := r.choose(service)
 		if !found {
@@ -63,7 +70,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		if ended != nil {
-			last = ended
+			last = failure{exchange: ended, choice: choice}
 		}
 		if ctx.Err() != nil || time.Until(r.deadline) < leastTimeLeft {
 			r.giveUp(last, ReasonTimeout)
@@ -123,7 +130,7 @@
 	environment := r.pipeline.options.Environment
 	wanted := balance.Request{
 		Service: service, Part: r.call.attemptKey(), Cost: r.call.cost(), Exclude: r.tried, Bytes: len(r.body),
-		Tokens: int(r.call.TokensIn), SharedTokens: r.call.sharedTokens(),
+		Tokens: int(r.call.TokensIn), SharedTokens: r.call.sharedTokens(), Gap: r.route.EventGap,
 	}
 	if configured := r.index.Service(service); configured != nil && configured.MaxConnections > 0 {
 		wanted.MaxInFlight = max(2, configured.MaxConnections/max(1, environment.EntryNodes()))
@@ -209,13 +216,13 @@
 }
 
 // giveUp answers a request that no instance has answered.
-func (r *request) giveUp(last *exchange, reason Reason) {
+func (r *request) giveUp(last failure, reason Reason) {
 	if r.incoming.Context().Err() != nil {
 		r.pipeline.options.Log.Refused(r, Refusal{Reason: ReasonCallerLeft})
 		panic(http.ErrAbortHandler)
 	}
-	if last != nil && last.failure != nil {
-		r.writeWhole(last, last.failure)
+	if last.exchange != nil && last.exchange.failure != nil {
+		r.writeWhole(last.exchange, last.exchange.failure, last.choice)
 		return
 	}
 	if r.mayHaveRun {
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/state/document"
 )
 
 const (
@@ -24,10 +25,13 @@
 type DecisionLog struct {
 	logger zerolog.Logger
 
-	mutex           sync.Mutex
-	second          int64
-	lines           int
-	served, leftOut int
+	mutex  sync.Mutex
+	second int64
+	lines  int
+	// served, late and leftOut are counts since the last summary, refused those by
+	// reason.
+	served, lateCount, leftOut int
+	refused                    map[Reason]int
 	// kept is a ring of the latest decisions; next is its oldest place.
 	kept []keptDecision
 	next int
@@ -39,7 +43,9 @@
 }
 
 // NewDecisionLog makes a log.
-func NewDecisionLog(logger zerolog.Logger) *DecisionLog { return &DecisionLog{logger: logger} }
+func NewDecisionLog(logger zerolog.Logger) *DecisionLog {
+	return &DecisionLog{logger: logger, refused: map[Reason]int{}}
+}
 
 // Explain returns what was decided on a request of late, oldest first.
 func (l *DecisionLog) Explain(request string) []string {
@@ -100,10 +106,17 @@
 func (l *DecisionLog) Refused(r *request, refused Refusal) {
 	text := fmt.Sprintf("ended with %d for %s, may have run %v, %d events passed on, tried %s: %s",
 		refused.Status, refused.Reason, r.mayHaveRun, r.events, strings.Join(r.tried, " "), refused.Detail)
+	l.mutex.Lock()
+	l.refused[refused.Reason]++
+	l.mutex.Unlock()
 	if !l.keep(r, text) {
 		return
 	}
-	l.line(r, "refused").Int("status", refused.Status).Str("reason", string(refused.Reason)).Str("detail", refused.Detail).
+	line := l.line(r, "refused").Int("status", refused.Status).Str("reason", string(refused.Reason)).Str("detail", refused.Detail)
+	if r.route != nil {
+		line = line.Int64("objective_ms", r.route.Objective.Milliseconds())
+	}
+	line.Int64("token_wait_ms", r.tokenWait.Milliseconds()).
 		Bool("may_have_run", r.mayHaveRun).Uint64("events", r.events).Strs("tried", r.tried).Send()
 }
 
@@ -113,8 +126,8 @@
 	if !l.keep(r, text) {
 		return
 	}
-	l.line(r, "attempt").Str("instance", choice.ID).Str("address", choice.Address).Str("result", result).
-		Int("candidates", choice.Candidates).Bool("spilled", choice.Spilled).Uint64("events", r.events).AnErr("error", err).Send()
+	weighed(l.line(r, "attempt"), choice).Str("address", choice.Address).Str("result", result).
+		Uint64("events", r.events).AnErr("error", err).Send()
 }
 
 // Again notes that a request is sent once more.
@@ -125,27 +138,62 @@
 	l.line(r, "again").Str("after", choice.ID).Int("arrivals", r.arrivals).Send()
 }
 
-// Served counts a request that an engine's answer ended.
-func (l *DecisionLog) Served(r *request, status int) {
+// Served counts a request that an engine's answer ended, and notes why one did
+// not meet its objective.
+func (l *DecisionLog) Served(r *request, status int, choice balance.Choice) {
 	if r.arrivals > 0 {
 		// It went other than planned before.
 		if l.keep(r, fmt.Sprintf("answered with %d by %s", status, r.tried[len(r.tried)-1])) {
 			l.line(r, "answered").Int("status", status).Strs("tried", r.tried).Uint64("events", r.events).Send()
 		}
 	}
+	first := r.pace.first
+	if r.route.Kind != document.Stream {
+		first = time.Since(r.arrived)
+	}
+	isLate := first > r.route.Objective || r.hadLongPause()
+	if isLate {
+		l.late(r, first, choice)
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.served++
+	if isLate {
+		l.lateCount++
+	}
+}
+
+func (l *DecisionLog) late(r *request, first time.Duration, choice balance.Choice) {
+	text := fmt.Sprintf("late: the first event after %d ms of %d, the longest pause %d ms of %d", first.Milliseconds(),
+		r.route.Objective.Milliseconds(), r.pace.longestGap.Milliseconds(), r.route.EventGap.Milliseconds())
+	if !l.keep(r, text) {
+		return
+	}
+	weighed(l.line(r, "late"), choice).Int64("first_ms", first.Milliseconds()).Int64("objective_ms", r.route.Objective.Milliseconds()).
+		Int64("gap_ms", r.pace.longestGap.Milliseconds()).Int64("gap_target_ms", r.route.EventGap.Milliseconds()).
+		Int64("token_wait_ms", r.tokenWait.Milliseconds()).Int("arrivals", r.arrivals).Uint64("events", r.events).Send()
+}
+
+// weighed adds what the choice of an instance weighed, in tokens.
+func weighed(line *zerolog.Event, choice balance.Choice) *zerolog.Event {
+	return line.Str("instance", choice.ID).Int("candidates", choice.Candidates).Bool("spilled", choice.Spilled).
+		Int("ahead", choice.Ahead).Bool("ahead_known", choice.AheadKnown).Int("unread", choice.Unread).
+		Int("reread", choice.Reread).Int("far", choice.Far).Int("streams", choice.Streams).
+		Int("paused", choice.Paused).Float64("slowness", choice.Slowness)
 }
 
 // Summarize writes what was not written line by line since the last call.
 func (l *DecisionLog) Summarize() {
 	l.mutex.Lock()
-	served, leftOut := l.served, l.leftOut
-	l.served, l.leftOut = 0, 0
+	served, late, leftOut, refused := l.served, l.lateCount, l.leftOut, l.refused
+	l.served, l.lateCount, l.leftOut, l.refused = 0, 0, 0, map[Reason]int{}
 	l.mutex.Unlock()
-	if served == 0 && leftOut == 0 {
+	if served == 0 && leftOut == 0 && len(refused) == 0 {
 		return
 	}
-	l.logger.Info().Str("event", "summary").Int("served", served).Int("lines_left_out", leftOut).Send()
+	line := l.logger.Info().Str("event", "summary").Int("served", served).Int("late", late).Int("lines_left_out", leftOut)
+	if len(refused) > 0 {
+		line = line.Interface("refused", refused)
+	}
+	line.Send()
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // sendState tells how far a request came.
@@ -31,6 +32,7 @@
 	connection *connection
 	response   *http.Response
 	head       AnswerHead
+	sentAt     time.Time
 	// failure is the whole body of an answer that is a failure.
 	failure []byte
 	// written is closed when the whole request is written.
@@ -66,7 +68,7 @@
 	if deadline, found := ctx.Deadline(); found {
 		_ = opened.network.SetDeadline(deadline)
 	}
-	sending := &exchange{pool: p, address: address, connection: opened, written: make(chan struct{})}
+	sending := &exchange{pool: p, address: address, connection: opened, sentAt: time.Now(), written: make(chan struct{})}
 	// A caller that leaves, or a time that is over, frees the engine at once.
 	sending.stop = context.AfterFunc(ctx, opened.close)
 	if err := sending.write(request); err != nil {
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -144,6 +144,10 @@
 	events, breaks uint64
 	// answering tells that the head of the answer is written.
 	answering bool
+	// tokenWait is how long it waited for its tokens.
+	tokenWait time.Duration
+	// pace is when a stream's events came.
+	pace eventPace
 }
 
 // ServeHTTP implements http.Handler.
@@ -283,7 +287,11 @@
 	if r.tenant == nil || !r.tenant.HasPrepaid || !r.call.HasTokens {
 		return nil
 	}
-	defer reserveSeconds.UpdateDuration(time.Now())
+	began := time.Now()
+	defer func() {
+		r.tokenWait = time.Since(began)
+		reserveSeconds.Update(r.tokenWait.Seconds())
+	}()
 	reservation, err := r.pipeline.options.Environment.Reserve(ctx, r.tenant.Name, r.call.TokensIn+r.call.TokensOut, r.tokenPatience())
 	switch {
 	case errors.Is(err, ErrSpent):
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -53,7 +53,7 @@
 		return balance.Failed, unknown
 	}
 	if len(buffered) == bufferedAnswerBytes {
-		return r.relayLong(sending, buffered)
+		return r.relayLong(sending, buffered, *choice)
 	}
 	sending.finish(r.call.ID)
 	if sending.response.StatusCode >= http.StatusInternalServerError {
@@ -63,7 +63,7 @@
 		}
 		return balance.Failed, failed
 	}
-	r.writeWhole(sending, buffered)
+	r.writeWhole(sending, buffered, *choice)
 	return balance.Served, done
 }
 
@@ -77,7 +77,7 @@
 }
 
 // writeWhole gives the caller an answer that was read whole.
-func (r *request) writeWhole(sending *exchange, body []byte) {
+func (r *request) writeWhole(sending *exchange, body []byte, choice balance.Choice) {
 	if breaksPromise(sending.response.StatusCode) && !sending.head.NotRun {
 		// The engine did not say that the request has not run.
 		r.refuse(Refusal{Status: http.StatusBadGateway, Reason: ReasonOutcomeUnknown})
@@ -89,11 +89,11 @@
 	}
 	r.writer.WriteHeader(sending.response.StatusCode)
 	_, _ = r.writer.Write(body)
-	r.pipeline.options.Log.Served(r, sending.response.StatusCode)
+	r.pipeline.options.Log.Served(r, sending.response.StatusCode, choice)
 }
 
 // relayLong passes an answer on that is too long to be read whole first.
-func (r *request) relayLong(sending *exchange, begun []byte) (balance.Outcome, verdict) {
+func (r *request) relayLong(sending *exchange, begun []byte, choice balance.Choice) (balance.Outcome, verdict) {
 	r.writeHead(sending)
 	if length := sending.response.ContentLength; length >= 0 {
 		r.writer.Header().Set("Content-Length", strconv.FormatInt(length, 10))
@@ -110,7 +110,7 @@
 		return r.brokenOff(err)
 	}
 	sending.finish(r.call.ID)
-	r.pipeline.options.Log.Served(r, sending.response.StatusCode)
+	r.pipeline.options.Log.Served(r, sending.response.StatusCode, choice)
 	return balance.Served, done
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
 )
@@ -20,8 +21,9 @@
 	lastEvent := r.call.LastEvent
 	err := r.passEvents(sending, controller, &lastEvent, choice)
 	if err == nil {
+		r.pipeline.options.Table.StreamEnded(*choice, r.pace.eventTime(), r.hadLongPause())
 		sending.finish(r.call.ID)
-		r.pipeline.options.Log.Served(r, sending.response.StatusCode)
+		r.pipeline.options.Log.Served(r, sending.response.StatusCode, *choice)
 		return balance.Served, done
 	}
 	sending.abort()
@@ -40,6 +42,53 @@
 	return r.brokenOff(err)
 }
 
+// eventPace is when the events of a stream came, since the request's arrival.
+type eventPace struct {
+	first, last time.Duration
+	// longestGap is the longest time between two of them.
+	longestGap time.Duration
+	// latest are the times of the last ones, the oldest at place count%len, and
+	// shortestRun is the shortest time for that many events in a row.
+	latest      [eventRun]time.Duration
+	count       int
+	shortestRun time.Duration
+}
+
+// hadLongPause tells whether a pause was longer than the objective allows.
+func (r *request) hadLongPause() bool {
+	return r.route.EventGap > 0 && r.pace.longestGap > r.route.EventGap
+}
+
+// eventRun is the number of events in a row whose time tells an instance's
+// speed: two that come in one packet would make a single gap look short.
+const eventRun = 5
+
+// eventTime is the time between events while nothing held them up; 0 if there
+// were too few.
+func (p *eventPace) eventTime() time.Duration { return p.shortestRun / eventRun }
+
+func (p *eventPace) noteRun(at time.Duration) {
+	place := p.count % eventRun
+	if p.count >= eventRun {
+		run := at - p.latest[place]
+		if p.shortestRun == 0 || run < p.shortestRun {
+			p.shortestRun = run
+		}
+	}
+	p.latest[place] = at
+	p.count++
+}
+
+func (p *eventPace) note(at time.Duration) {
+	p.noteRun(at)
+	if p.last == 0 {
+		p.first, p.last = at, at
+		return
+	}
+	p.longestGap = max(p.longestGap, at-p.last)
+	p.last = at
+}
+
 // errCallerGone says that the caller takes no more bytes.
 var errCallerGone = errors.New("forward: the caller takes no more")
 
@@ -52,7 +101,7 @@
 		next, err := reader.next()
 		if isFirst {
 			isFirst = false
-			r.pipeline.options.Table.Started(choice)
+			r.pipeline.options.Table.Started(choice, time.Since(sending.sentAt))
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -61,6 +110,7 @@
 			return err
 		}
 		r.events++
+		r.pace.note(time.Since(r.arrived))
 		if next.id != "" {
 			*lastEvent = next.id
 		}
@@ -114,6 +164,6 @@
 	}
 	sending.finish(r.call.ID)
 	r.pipeline.options.Table.Done(environment.Now(), choice, balance.Served)
-	r.pipeline.options.Log.Served(r, http.StatusOK)
+	r.pipeline.options.Log.Served(r, http.StatusOK, choice)
 	return true, nil
 }
--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -19,7 +19,9 @@
 	"github.com/ravenway/ravenway/internal/lab/deployment"
 	"github.com/ravenway/ravenway/internal/lab/emulator"
 	"github.com/ravenway/ravenway/internal/lab/load"
+	"github.com/ravenway/ravenway/internal/lab/losses"
 	"github.com/ravenway/ravenway/internal/lab/standin"
+	"github.com/ravenway/ravenway/internal/logs"
 	"github.com/ravenway/ravenway/internal/operatorcli"
 )
 
@@ -56,11 +58,16 @@
 			{Name: "simulate", Usage: "run the simulations over many seeds",
 				Flags: []cli.Flag{
 					&cli.Uint64Flag{Name: "seeds", Value: 200}, &cli.Uint64Flag{Name: "first", Usage: "first seed"},
-					&cli.StringFlag{Name: "only", Usage: "consensus, claims, budgets or tight-budgets"}},
+					&cli.StringFlag{Name: "only", Usage: "consensus, claims, budgets, tight-budgets or lost-lives"}},
 				Action: func(_ context.Context, command *cli.Command) error {
 					return runSimulations(out, command.String("only"), command.Uint64("first"), command.Uint64("seeds"))
 				}},
 			soakCommand(out, wire),
+			{Name: "losses", Usage: "tell from nodes' logs where requests were refused, late or broken off", ArgsUsage: "LOG... (- for the standard input)",
+				Flags: []cli.Flag{&cli.DurationFlag{Name: "step", Value: 2 * time.Second, Usage: "length of a step of the time line"}},
+				Action: func(_ context.Context, command *cli.Command) error {
+					return printLosses(out, command.Args().Slice(), command.Duration("step"))
+				}},
 			{Name: "verify", Usage: "compare what was billed with what the engines ran",
 				Flags: []cli.Flag{planFlag,
 					&cli.DurationFlag{Name: "patience", Value: 30 * time.Second, Usage: "time for settlements to arrive"}},
@@ -73,6 +80,21 @@
 	return deployment.ByName(command.String("deployment"))
 }
 
+func printLosses(out io.Writer, paths []string, step time.Duration) error {
+	if len(paths) == 0 || step <= 0 {
+		return fmt.Errorf("losses needs the logs of one or more nodes and a step above 0")
+	}
+	lines, err := logs.Read(paths)
+	if err != nil {
+		return err
+	}
+	report, err := losses.Read(lines, step)
+	if err != nil {
+		return err
+	}
+	return report.Print(out)
+}
+
 func generate(_ context.Context, command *cli.Command) error {
 	plan, err := planOf(command)
 	if err != nil {
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -28,7 +28,8 @@
 	"forward":      {"internal/coordination", "internal/state", "internal/transport"},
 	"gateway":      {"api/", "internal/coordination", "internal/duty", "internal/forward", "internal/pause", "internal/protocol", "internal/settings", "internal/state", "internal/transport"},
 	"daemon":       {"internal/gateway", "internal/node", "internal/ring", "internal/settings", "internal/state"},
-	"operatorcli":  {"api/"},
+	"logs":         {},
+	"operatorcli":  {"api/", "internal/logs"},
 	"lab":          {"api/", "internal/"},
 }
 
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,84 @@
+// Package logs reads the lines that ravenway's processes write.
+package logs
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Line is one line of a node's log.
+type Line struct {
+	At     time.Time
+	Fields map[string]string
+	// Text is the line as it was read.
+	Text string
+}
+
+// Number returns a field as a number, and whether it is one.
+func (l Line) Number(field string) (int64, bool) {
+	number, err := strconv.ParseInt(l.Fields[field], 10, 64)
+	return number, err == nil
+}
+
+// Parse reads key=value pairs; words before the first pair, such as a
+// collector's own time and name, are passed over.
+func Parse(text string) (Line, bool) {
+	line := Line{Fields: map[string]string{}, Text: strings.TrimSpace(text)}
+	rest := line.Text
+	for rest != "" {
+		key, value, found := strings.Cut(rest, "=")
+		if !found {
+			break
+		}
+		if space := strings.LastIndexByte(key, ' '); space >= 0 {
+			key = key[space+1:]
+		}
+		value, rest = cutValue(value)
+		line.Fields[key] = value
+	}
+	at, err := time.Parse(time.RFC3339, line.Fields["time"])
+	line.At = at
+	return line, err == nil && line.Fields["event"] != ""
+}
+
+// cutValue takes a bare word or a quoted text off the front.
+func cutValue(text string) (value, rest string) {
+	if quoted, err := strconv.QuotedPrefix(text); err == nil {
+		value, _ = strconv.Unquote(quoted)
+		return value, strings.TrimPrefix(text[len(quoted):], " ")
+	}
+	value, rest, _ = strings.Cut(text, " ")
+	return value, rest
+}
+
+// Read reads all lines of the files; "-" is the standard input.
+func Read(paths []string) ([]Line, error) {
+	var lines []Line
+	for _, path := range paths {
+		source := io.Reader(os.Stdin)
+		if path != "-" {
+			file, err := os.Open(path)
+			if err != nil {
+				return nil, err
+			}
+			defer file.Close()
+			source = file
+		}
+		scanner := bufio.NewScanner(source)
+		scanner.Buffer(nil, 1<<20)
+		for scanner.Scan() {
+			if line, valid := Parse(scanner.Text()); valid {
+				lines = append(lines, line)
+			}
+		}
+		if err := scanner.Err(); err != nil {
+			return nil, fmt.Errorf("reading %s: %w", path, err)
+		}
+	}
+	return lines, nil
+}
--- a/internal/operatorcli/commands.go
+++ b/internal/operatorcli/commands.go
@@ -16,6 +16,7 @@
 
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 	"github.com/ravenway/ravenway/api/ravenway/v1/ravenwayv1connect"
+	"github.com/ravenway/ravenway/internal/logs"
 )
 
 // Client methods, named for call.
@@ -447,7 +448,7 @@
 		return err
 	}
 	if paths := command.StringSlice("log"); len(paths) > 0 {
-		lines, err := readLogs(paths)
+		lines, err := logs.Read(paths)
 		if err != nil {
 			return err
 		}
--- a/internal/operatorcli/logs_test.go
+++ b/internal/operatorcli/logs_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/logs"
 )
 
 const sampleLog = `   8.6936 front-a-1 time=2026-06-20T19:05:40Z level=info node=front-a-1 event=instance how=merged instance=i-1 state=gone
@@ -18,14 +20,14 @@
 no line of ours`
 
 func TestRequestIsExplainedFromLogsWithWhatMayHaveCausedIt(t *testing.T) {
-	var lines []logLine
+	var lines []logs.Line
 	for text := range strings.Lines(sampleLog) {
-		if line, valid := parseLogLine(text); valid {
+		if line, valid := logs.Parse(text); valid {
 			lines = append(lines, line)
 		}
 	}
 	assert.Equal(t, len(lines), 7)
-	assert.Equal(t, lines[3].fields["error"], "read tcp: i/o timeout")
+	assert.Equal(t, lines[3].Fields["error"], "read tcp: i/o timeout")
 	var out bytes.Buffer
 	assert.NilError(t, explainFromLogs(&out, lines, "r1"))
 	text := out.String()
