--- a/internal/coordination/balance/speed.go
+++ b/internal/coordination/balance/pauses.go
@@ -14,13 +14,6 @@
 	// this node does not know, seems to be read fast.
 	readRateQuantile = 0.3
 	readRateStep     = 0.03
-	// eventTimeWeight is the weight of one stream in the smoothed time between an
-	// instance's events.
-	eventTimeWeight = 0.3
-	// An instance counts as no more than leastSlowness faster and mostSlowness
-	// slower than the others of its service.
-	leastSlowness = 0.5
-	mostSlowness  = 8.0
 	// An instance reads prompts in pieces between the tokens of its streams. While
 	// it reads for less than pauseFrom of the longest pause that a stream's
 	// objective allows, no pause is longer than that; from pauseTo on all of its
@@ -36,36 +29,27 @@
 	// pause: none up to fewPaused, all of it from manyPaused on.
 	fewPaused   = 0.005
 	manyPaused  = 0.03
-	startPaused = 0.02
+	startPaused = 0.01
 	// pausedWeight is the weight of one stream in that share.
-	pausedWeight = 0.005
+	pausedWeight = 0.015
 )
 
-// serviceSpeed is how fast the instances of one service were seen to work.
-type serviceSpeed struct {
+// readSpeed is how fast the instances of one service were seen to read prompts,
+// and what that did to their streams.
+type readSpeed struct {
 	// readRate is in prompt tokens a millisecond.
 	readRate float64
-	// eventTime is the mean of the instances' smoothed times between events.
-	eventTime time.Duration
 	// paused is the smoothed share of streams with too long a pause.
 	paused float64
 }
 
 // pauseWeight is how much of pausedStreamTokens counts.
-func (s *serviceSpeed) pauseWeight() float64 {
+func (s *readSpeed) pauseWeight() float64 {
 	return min(1, max(0, (s.paused-fewPaused)/(manyPaused-fewPaused)))
 }
 
-// slowness is how many times longer an instance takes than the mean one.
-func (s *serviceSpeed) slowness(one *member) float64 {
-	if one.eventTime == 0 || s.eventTime == 0 {
-		return 1
-	}
-	return min(max(float64(one.eventTime)/float64(s.eventTime), leastSlowness), mostSlowness)
-}
-
 // observeRead learns from the time to a first token with nothing ahead of it.
-func (s *serviceSpeed) observeRead(tokens int, took time.Duration) {
+func (s *readSpeed) observeRead(tokens int, took time.Duration) {
 	if tokens < leastReadTokens || took <= 0 {
 		return
 	}
@@ -78,61 +62,38 @@
 
 // pausedShare is the part of an instance's streams that have too long a pause
 // while it reads some tokens without a break.
-func (s *serviceSpeed) pausedShare(tokens, slowness float64, gap time.Duration) float64 {
+func (s *readSpeed) pausedShare(tokens int, gap time.Duration) float64 {
 	if gap <= 0 {
 		return 0
 	}
-	reading := tokens * slowness / s.readRate / float64(gap.Milliseconds())
+	reading := float64(tokens) / s.readRate / float64(gap.Milliseconds())
 	return min(1, max(0, (reading-pauseFrom)/(pauseTo-pauseFrom)))
 }
 
-// slower applies an instance's speed to what is expected there: its tokens take
-// longer, and the streams there are held up by the new prompt beside those ahead
-// of it.
-func (e *expected) slower(speed *serviceSpeed, slowness float64, gap time.Duration) {
-	before := speed.pausedShare(float64(e.ahead), slowness, gap)
-	after := speed.pausedShare(float64(e.ahead+e.unread), slowness, gap)
-	e.paused = float64(e.requests) * pausedStreamTokens * speed.pauseWeight() * (after - before)
-	e.slowness = slowness
+// pausedTokens is the weight of the streams that a prompt of some tokens holds up
+// beside those ahead of it.
+func (s *readSpeed) pausedTokens(streams, ahead, unread int, gap time.Duration) float64 {
+	more := s.pausedShare(ahead+unread, gap) - s.pausedShare(ahead, gap)
+	return float64(streams) * pausedStreamTokens * s.pauseWeight() * more
 }
 
 // speedOf returns what is known of a service's speed.
-func (t *Table) speedOf(service string) *serviceSpeed {
+func (t *Table) speedOf(service string) *readSpeed {
 	speed := t.speeds[service]
 	if speed == nil {
-		speed = &serviceSpeed{readRate: startReadRate, paused: startPaused}
+		speed = &readSpeed{readRate: startReadRate, paused: startPaused}
 		t.speeds[service] = speed
 	}
 	return speed
 }
 
-// StreamEnded notes the time between a stream's events while nothing held them
-// up, 0 if the stream was too short to tell, and whether it had too long a pause.
-func (t *Table) StreamEnded(choice Choice, eventTime time.Duration, wasPaused bool) {
+// StreamEnded notes whether a stream had too long a pause.
+func (t *Table) StreamEnded(service string, wasPaused bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	speed := t.speedOf(choice.Service)
+	speed := t.speedOf(service)
 	speed.paused -= pausedWeight * speed.paused
 	if wasPaused {
 		speed.paused += pausedWeight
 	}
-	known := t.members[choice.ID]
-	if known == nil || eventTime <= 0 {
-		return
-	}
-	if known.eventTime == 0 {
-		known.eventTime = eventTime
-	}
-	known.eventTime += time.Duration(eventTimeWeight * float64(eventTime-known.eventTime))
-	var sum time.Duration
-	count := 0
-	for _, one := range t.byService[choice.Service] {
-		if one.eventTime > 0 {
-			sum += one.eventTime
-			count++
-		}
-	}
-	if count > 0 {
-		speed.eventTime = sum / time.Duration(count)
-	}
 }
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -104,9 +104,8 @@
 	// another zone, in tokens. Streams are the requests under way there.
 	Reread, Far, Streams int
 	// Paused is the weight of the streams there that the prompt's reading would
-	// hold up, in tokens, Slowness how much slower the instance is than others.
-	Paused   int
-	Slowness float64
+	// hold up, in tokens.
+	Paused int
 }
 
 // Outcome is how an attempt ended.
@@ -136,9 +135,6 @@
 	key     InstanceKey
 	// held is when this node last sent each part here.
 	held map[string]time.Duration
-	// eventTime is the smoothed time between events of its streams while nothing
-	// holds them up; 0 before the first stream.
-	eventTime time.Duration
 	// failures is the smoothed rate of failed requests.
 	failures float64
 	// pause is the current pause after failures to connect, until its end.
@@ -166,15 +162,15 @@
 	// byService are the members that take new work.
 	byService map[string][]*member
 	zones     map[string]*zoneState
-	// speeds are how fast the services' instances were seen to work.
-	speeds map[string]*serviceSpeed
+	// speeds are how fast the services' instances were seen to read.
+	speeds map[string]*readSpeed
 	// others are the loads of the other nodes; nil means that they are not heard.
 	others Loads
 }
 
 // NewTable makes a table for a node in a zone.
 func NewTable(zone string) *Table {
-	return &Table{zone: zone, members: map[string]*member{}, byService: map[string][]*member{}, zones: map[string]*zoneState{}, speeds: map[string]*serviceSpeed{}}
+	return &Table{zone: zone, members: map[string]*member{}, byService: map[string][]*member{}, zones: map[string]*zoneState{}, speeds: map[string]*readSpeed{}}
 }
 
 // Update replaces the instances by what the registry holds.
@@ -352,11 +348,10 @@
 type expected struct {
 	ahead, unread, requests      int
 	reread, far, scatter, paused float64
-	slowness                     float64
 }
 
 func (e expected) total() float64 {
-	return float64(e.ahead+e.unread)*e.slowness + e.reread + e.far + e.scatter + e.paused
+	return float64(e.ahead+e.unread) + e.reread + e.far + e.scatter + e.paused
 }
 
 // chooseSoonest takes the instance at which the first token is expected first.
@@ -372,7 +367,7 @@
 	}
 	choice.Ahead, choice.Unread, choice.AheadKnown = best.ahead, best.unread, t.others != nil
 	choice.Reread, choice.Far, choice.Streams = int(best.reread), int(best.far), best.requests
-	choice.Paused, choice.Slowness = int(best.paused), best.slowness
+	choice.Paused = int(best.paused)
 	chosen.hold(now, request.Part)
 	return chosen, chosen != home
 }
@@ -401,8 +396,7 @@
 		expects.reread = rereadWeight * float64(request.SharedTokens)
 		expects.scatter = rand.Float64() * scatterTokens
 	}
-	speed := t.speedOf(one.Service)
-	expects.slower(speed, speed.slowness(one), request.Gap)
+	expects.paused = t.speedOf(one.Service).pausedTokens(requests, expects.ahead, expects.unread, request.Gap)
 	if one.Zone != t.zone {
 		expects.far = float64(request.Bytes) * tokensPerFarByte
 	}
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -178,8 +178,7 @@
 func weighed(line *zerolog.Event, choice balance.Choice) *zerolog.Event {
 	return line.Str("instance", choice.ID).Int("candidates", choice.Candidates).Bool("spilled", choice.Spilled).
 		Int("ahead", choice.Ahead).Bool("ahead_known", choice.AheadKnown).Int("unread", choice.Unread).
-		Int("reread", choice.Reread).Int("far", choice.Far).Int("streams", choice.Streams).
-		Int("paused", choice.Paused).Float64("slowness", choice.Slowness)
+		Int("reread", choice.Reread).Int("far", choice.Far).Int("streams", choice.Streams).Int("paused", choice.Paused)
 }
 
 // Summarize writes what was not written line by line since the last call.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -21,7 +21,7 @@
 	lastEvent := r.call.LastEvent
 	err := r.passEvents(sending, controller, &lastEvent, choice)
 	if err == nil {
-		r.pipeline.options.Table.StreamEnded(*choice, r.pace.eventTime(), r.hadLongPause())
+		r.pipeline.options.Table.StreamEnded(choice.Service, r.hadLongPause())
 		sending.finish(r.call.ID)
 		r.pipeline.options.Log.Served(r, sending.response.StatusCode, *choice)
 		return balance.Served, done
@@ -47,40 +47,9 @@
 	first, last time.Duration
 	// longestGap is the longest time between two of them.
 	longestGap time.Duration
-	// latest are the times of the last ones, the oldest at place count%len, and
-	// shortestRun is the shortest time for that many events in a row.
-	latest      [eventRun]time.Duration
-	count       int
-	shortestRun time.Duration
-}
-
-// hadLongPause tells whether a pause was longer than the objective allows.
-func (r *request) hadLongPause() bool {
-	return r.route.EventGap > 0 && r.pace.longestGap > r.route.EventGap
-}
-
-// eventRun is the number of events in a row whose time tells an instance's
-// speed: two that come in one packet would make a single gap look short.
-const eventRun = 5
-
-// eventTime is the time between events while nothing held them up; 0 if there
-// were too few.
-func (p *eventPace) eventTime() time.Duration { return p.shortestRun / eventRun }
-
-func (p *eventPace) noteRun(at time.Duration) {
-	place := p.count % eventRun
-	if p.count >= eventRun {
-		run := at - p.latest[place]
-		if p.shortestRun == 0 || run < p.shortestRun {
-			p.shortestRun = run
-		}
-	}
-	p.latest[place] = at
-	p.count++
 }
 
 func (p *eventPace) note(at time.Duration) {
-	p.noteRun(at)
 	if p.last == 0 {
 		p.first, p.last = at, at
 		return
@@ -89,6 +58,11 @@
 	p.last = at
 }
 
+// hadLongPause tells whether a pause was longer than the objective allows.
+func (r *request) hadLongPause() bool {
+	return r.route.EventGap > 0 && r.pace.longestGap > r.route.EventGap
+}
+
 // errCallerGone says that the caller takes no more bytes.
 var errCallerGone = errors.New("forward: the caller takes no more")
 
