Claims follow what was reserved, and are lowered at once

Change: a claim is lowered, at most each 150 ms, when 1.5 times what is claimed ahead is not used; the pace and what is claimed ahead follow what was reserved; the pace is 1.2 times that, not 1.5.

--- a/internal/coordination/escrow/account.go
+++ b/internal/coordination/escrow/account.go
@@ -54,12 +54,8 @@
 	// lendersAsked is how many neighbours were asked for the first waiter.
 	lendersAsked int
 
-	// demand is the smoothed use, in tokens a second.
-	demand   float64
-	demandAt time.Duration
-	// demandFrom is when the first demand came; hasDemand tells that it did.
-	demandFrom time.Duration
-	hasDemand  bool
+	// demand is what requests ask for, reserving what of it they get.
+	demand, reserving smoothedRate
 	// requestSize is the smoothed size of a request, and requestedLast the
 	// time of the last one.
 	requestSize   float64
@@ -118,13 +114,9 @@
 	return Reservation{Budget: a.name, Sequence: a.sequence, Amount: amount}
 }
 
-// noteDemand smooths the demand with an exponential decay.
+// noteDemand notes what a request asks for.
 func (a *account) noteDemand(now time.Duration, amount uint64) {
-	a.decayDemand(now)
-	if !a.hasDemand {
-		a.hasDemand, a.demandFrom = true, now
-	}
-	a.demand += float64(amount) / demandHalfLife.Seconds() * ln2
+	a.demand.add(now, amount)
 	if a.requestSize == 0 {
 		a.requestSize = float64(amount)
 	}
@@ -132,31 +124,12 @@
 	a.requestedLast = now
 }
 
-const ln2 = 0.6931471805599453
-
-func (a *account) decayDemand(now time.Duration) {
-	elapsed := now - a.demandAt
-	a.demandAt = now
-	if elapsed > 0 {
-		a.demand *= halfPower(float64(elapsed) / float64(demandHalfLife))
-	}
-}
-
-// demandRate is the smoothed demand in tokens a second. A sum that decays holds
-// less than the true rate until several half-lives have passed; what it can't
-// hold yet is made up for.
-func (a *account) demandRate(now time.Duration) float64 {
-	a.decayDemand(now)
-	elapsed := max(now-a.demandFrom, minimumDemandTime)
-	return a.demand / (1 - halfPower(float64(elapsed)/float64(demandHalfLife)))
-}
-
 // wish is what the node would hold if the budget were not short, in tokens: the
 // demand of a horizon, and while there is any demand enough for a request of
 // middle size, so that a cut-off node can go on serving a tenant that sends
 // little. Nodes lend each other what larger ones need.
 func (a *account) wish(now time.Duration) uint64 {
-	expected := uint64(a.demandRate(now) * a.policy.Horizon.Seconds())
+	expected := uint64(a.demand.at(now) * a.policy.Horizon.Seconds())
 	if now-a.requestedLast <= requestMemory {
 		expected = max(expected, uint64(a.requestSize))
 	}
@@ -273,6 +246,40 @@
 	return report
 }
 
+// smoothedRate is a rate in tokens a second, smoothed with an exponential decay.
+type smoothedRate struct {
+	sum     float64
+	summed  time.Duration
+	began   time.Duration
+	started bool
+}
+
+func (r *smoothedRate) add(now time.Duration, amount uint64) {
+	r.decay(now)
+	if !r.started {
+		r.started, r.began = true, now
+	}
+	r.sum += float64(amount) / demandHalfLife.Seconds() * ln2
+}
+
+const ln2 = 0.6931471805599453
+
+func (r *smoothedRate) decay(now time.Duration) {
+	elapsed := now - r.summed
+	r.summed = now
+	if elapsed > 0 {
+		r.sum *= halfPower(float64(elapsed) / float64(demandHalfLife))
+	}
+}
+
+// at returns the rate. A sum that decays holds less than the true rate until
+// several half-lives have passed; what it can't hold yet is made up for.
+func (r *smoothedRate) at(now time.Duration) float64 {
+	r.decay(now)
+	elapsed := max(now-r.began, minimumDemandTime)
+	return r.sum / (1 - halfPower(float64(elapsed)/float64(demandHalfLife)))
+}
+
 // halfPower returns 0.5 to the power of x.
 func halfPower(x float64) float64 { return math.Exp2(-x) }
 
--- a/internal/coordination/escrow/claims.go
+++ b/internal/coordination/escrow/claims.go
@@ -11,18 +11,21 @@
 	// requests need not wait for the root. It is charged when the holder's life
 	// ends without a word.
 	claimAhead = 400 * time.Millisecond
-	// paceFactor is how much faster than its smoothed demand a holder may use its
-	// grant without the root: requests come in lumps. It weighs what a cut leaves
+	// paceFactor is how much faster than it did before a holder may use its grant
+	// without the root: requests come in lumps. It weighs what a cut leaves
 	// unserved against what a loss of all machines charges for nothing.
-	paceFactor = 1.5
+	paceFactor = 1.2
 	// contactInterval is the time between a holder's reports where it has nothing
 	// else to say: the root knows it to be in touch up to the last one.
 	contactInterval = 250 * time.Millisecond
-	// claimPause is the least time between reports that only renew a claim.
-	claimPause = 50 * time.Millisecond
+	// raisePause and lowerPause are the least times between reports that only raise
+	// or lower a claim.
+	raisePause = 50 * time.Millisecond
+	lowerPause = 150 * time.Millisecond
 	// looseClaim is how many times the demand claimed ahead may be claimed and not
-	// used before the claim is lowered.
-	looseClaim = 3
+	// used before the claim is lowered: what was claimed for requests that were
+	// then refused, or that used less, is charged too when the life is lost.
+	looseClaim = 1.5
 )
 
 // rootContact is what a holder knows of its contact with the root.
@@ -117,14 +120,14 @@
 
 // claimedAhead is how much the holder wants to have claimed beyond its use.
 func (a *account) claimedAhead() uint64 {
-	return uint64(a.demandRate(a.contact.now) * claimAhead.Seconds())
+	return uint64(a.reserving.at(a.contact.now) * claimAhead.Seconds())
 }
 
 // claim makes the claim that goes with a report. Without the root it is never
 // lowered: it would bind the holder, though nobody may ever hear of it.
 func (a *account) claim() accounts.Claim {
 	tokens := a.ownUse() + a.waiting() + a.claimedAhead()
-	pace := uint64(paceFactor * a.demandRate(a.contact.now))
+	pace := uint64(paceFactor * a.reserving.at(a.contact.now))
 	binding := a.claims.binding()
 	if a.contact.silence() > accounts.SilentAfter {
 		tokens, pace = max(tokens, binding.Tokens), max(pace, binding.Pace)
@@ -135,14 +138,15 @@
 // claimDue tells whether a claim is to be renewed though no request waits: too
 // little is claimed ahead, or much too much.
 func (a *account) claimDue() bool {
-	if a.contact.now-a.reportedAt < claimPause || len(a.claims.sent) > 0 {
+	since := a.contact.now - a.reportedAt
+	if since < raisePause || len(a.claims.sent) > 0 {
 		return false
 	}
 	use, claimed, ahead := a.ownUse(), a.claims.confirmed.Tokens, a.claimedAhead()
 	if use+ahead/2 > claimed {
 		return a.unreserved() > 0 || use > claimed
 	}
-	return claimed-use > looseClaim*ahead+uint64(a.requestSize)
+	return since >= lowerPause && float64(claimed-use) > looseClaim*float64(ahead)
 }
 
 // hear notes a contact that an answer tells of.
--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -205,6 +205,7 @@
 	for len(found.waiters) > 0 && found.waiters[0].amount <= found.free() {
 		next := found.waiters[0]
 		found.waiters = found.waiters[1:]
+		found.reserving.add(now, next.amount)
 		next.done(found.reserve(next.amount), nil)
 	}
 	if len(found.waiters) > 0 && !found.requested {
