Who is refused by a node that has just started is told to come back later

A caller comes back once: many were refused once more.

Ruled out: holding them: a refusal is to come at once.

Change: 0.9 to 1.8 s for what a node lacks that has just started; the first election timeout is 0.1 to 0.2 s.

--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -52,6 +52,9 @@
 var (
 	// soon is for what another node, or this one a moment later, can serve.
 	soon = retryAfter{minimum: 0.2, maximum: 0.7}
+	// afterStart is for what a node lacks that has just started: after a loss of
+	// all machines' power a leader is there in 0.6 s and all are served in 1.2 s.
+	afterStart = retryAfter{minimum: 0.9, maximum: 1.8}
 	// later is for tokens that can't be had: that lasts as long as a cut does,
 	// and a caller that comes back too early is only refused once more.
 	later = retryAfter{minimum: 2.5, maximum: 4.5}
@@ -85,6 +88,8 @@
 	switch {
 	case refused.Reason == ReasonNotReserved:
 		header.Set("Retry-After", later.draw())
+	case refused.Reason == ReasonNoConfiguration, refused.Reason == ReasonNotReservedYet:
+		header.Set("Retry-After", afterStart.draw())
 	case refused.Status == http.StatusServiceUnavailable, refused.Status == http.StatusTooManyRequests:
 		header.Set("Retry-After", soon.draw())
 	}
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -21,9 +21,9 @@
 	replicaTick = 50 * time.Millisecond
 	// electionTicks make an election timeout of 0.5 to 1 second.
 	electionTicks = 10
-	// startTicks make an election timeout of 0.15 to 0.3 seconds after a start:
+	// startTicks make an election timeout of 0.1 to 0.2 seconds after a start:
 	// about as long as the machines' processes differ in their start.
-	startTicks = 3
+	startTicks = 2
 	// heartbeatTicks make a heartbeat of 150 milliseconds.
 	heartbeatTicks = 3
 	// lostTicks is the silence, 2.5 seconds, after which a learner may take a
