What bounds a holder's use is its allowance, not a claim

Cause: claims are the registers of requests in this code; the same word for the bound on a holder's tokens would stop a newcomer.

Ruled out: nothing; no behaviour changes.

Change: accounts.Allowance, escrow/allowances.go, comments with it.

Conclusion: one word, one thing.

--- a/internal/coordination/escrow/account.go
+++ b/internal/coordination/escrow/account.go
@@ -27,10 +27,10 @@
 	watermarkSettled uint64
 	// confirmed is what the root has in its log.
 	confirmed confirmation
-	// claims bound the use of the grant, and contact is the holder's with the
+	// allowances bound the use of the grant, and contact is the holder's with the
 	// root; contact is nil where the whole grant may be used at any time.
-	claims  claims
-	contact *rootContact
+	allowances allowances
+	contact    *rootContact
 
 	// standing is how the budget stands as a whole as the root last said; known
 	// tells that it did.
@@ -209,10 +209,10 @@
 	if a.contact == nil {
 		return false
 	}
-	if len(a.claims.sent) > 0 {
+	if len(a.allowances.sent) > 0 {
 		return now-a.reportedAt >= lastResend
 	}
-	return a.claimDue()
+	return a.allowanceDue()
 }
 
 // confirm notes what an answer says that the root has.
@@ -221,7 +221,7 @@
 	a.confirmed.settled = max(a.confirmed.settled, answer.Settled)
 	a.confirmed.returned = max(a.confirmed.returned, answer.Returned)
 	a.confirmed.watermark = max(a.confirmed.watermark, answer.Watermark)
-	a.claims.confirm(answer.Claim)
+	a.allowances.confirm(answer.Allowance)
 	a.takeStanding(standingOf(answer))
 	return advanced
 }
@@ -241,7 +241,7 @@
 		report.Want = max(report.Need, subtract(wanted, a.unreserved()))
 	}
 	if a.contact != nil {
-		report.Claim = a.claim()
+		report.Allowance = a.nextAllowance()
 	}
 	return report
 }
--- a/internal/coordination/escrow/claims.go
+++ b/internal/coordination/escrow/allowances.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// claimAhead is the demand that a holder claims ahead, so that most small
-	// requests need not wait for the root. It is charged when the holder's life
+	// allowanceAhead is the use that a holder's allowance covers ahead, so that most
+	// small requests need not wait for the root. It is charged when the holder's life
 	// ends without a word.
-	claimAhead = 400 * time.Millisecond
+	allowanceAhead = 400 * time.Millisecond
 	// paceFactor is how much faster than it did before a holder may use its grant
 	// without the root: requests come in lumps. It weighs what a cut leaves
 	// unserved against what a loss of all machines charges for nothing.
@@ -19,13 +19,13 @@
 	// else to say: the root knows it to be in touch up to the last one.
 	contactInterval = 250 * time.Millisecond
 	// raisePause and lowerPause are the least times between reports that only raise
-	// or lower a claim.
+	// or lower an allowance.
 	raisePause = 50 * time.Millisecond
 	lowerPause = 150 * time.Millisecond
-	// looseClaim is how many times the demand claimed ahead may be claimed and not
-	// used before the claim is lowered: what was claimed for requests that were
+	// looseAllowance is how many times that may be allowed and not used before the
+	// allowance is lowered: what was asked for requests that were
 	// then refused, or that used less, is charged too when the life is lost.
-	looseClaim = 1.5
+	looseAllowance = 1.5
 )
 
 // rootContact is what a holder knows of its contact with the root.
@@ -35,7 +35,7 @@
 	// heard is the newest contact that an answer told of, heardAt when it came.
 	heard   accounts.Contact
 	heardAt time.Duration
-	// told is the newest one that the root may be told of: all claims covered what
+	// told is the newest one that the root may be told of: all allowances covered what
 	// had been used when it was heard of.
 	told accounts.Contact
 	// reportedAt is when the last report of any budget was sent.
@@ -51,17 +51,17 @@
 	return c.now - c.heardAt
 }
 
-// claims are a holder's claims on one budget. The root's log may hold any that
+// allowances are a holder's allowances on one budget. The root's log may hold any that
 // was sent and not confirmed, so the holder keeps to the least of them.
-type claims struct {
-	// confirmed is the newest claim that is known to be in the log, sent are the
+type allowances struct {
+	// confirmed is the newest allowance that is known to be in the log, sent are the
 	// later ones, in order.
-	confirmed accounts.Claim
-	sent      []accounts.Claim
+	confirmed accounts.Allowance
+	sent      []accounts.Allowance
 }
 
-// binding is the claim that the holder keeps to.
-func (c *claims) binding() accounts.Claim {
+// binding is the allowance that the holder keeps to.
+func (c *allowances) binding() accounts.Allowance {
 	least := c.confirmed
 	for _, one := range c.sent {
 		least.Tokens = min(least.Tokens, one.Tokens)
@@ -70,27 +70,27 @@
 	return least
 }
 
-// last is the newest claim that was sent.
-func (c *claims) last() accounts.Claim {
+// last is the newest allowance that was sent.
+func (c *allowances) last() accounts.Allowance {
 	if count := len(c.sent); count > 0 {
 		return c.sent[count-1]
 	}
 	return c.confirmed
 }
 
-// send notes a claim that is about to be sent, and returns it with its number.
-func (c *claims) send(tokens, pace uint64) accounts.Claim {
+// send notes an allowance that is about to be sent, and returns it with its number.
+func (c *allowances) send(tokens, pace uint64) accounts.Allowance {
 	last := c.last()
 	if last.Sequence > 0 && last.Tokens == tokens && last.Pace == pace {
 		return last
 	}
-	made := accounts.Claim{Sequence: last.Sequence + 1, Tokens: tokens, Pace: pace}
+	made := accounts.Allowance{Sequence: last.Sequence + 1, Tokens: tokens, Pace: pace}
 	c.sent = append(c.sent, made)
 	return made
 }
 
-// confirm notes the claim in the log as an answer shows it.
-func (c *claims) confirm(logged accounts.Claim) {
+// confirm notes the allowance in the log as an answer shows it.
+func (c *allowances) confirm(logged accounts.Allowance) {
 	if logged.Sequence <= c.confirmed.Sequence {
 		return
 	}
@@ -112,41 +112,41 @@
 
 // allowed is the most that the holder may use of its own grant now, in tokens.
 func (a *account) allowed() uint64 {
-	return a.claims.binding().MostUsed(a.contact.silence())
+	return a.allowances.binding().MostUsed(a.contact.silence())
 }
 
-// isCovered tells whether all use is within what was claimed, without any pace.
-func (a *account) isCovered() bool { return a.ownUse() <= a.claims.binding().Tokens }
+// isCovered tells whether all use is within what was allowed, without any pace.
+func (a *account) isCovered() bool { return a.ownUse() <= a.allowances.binding().Tokens }
 
-// claimedAhead is how much the holder wants to have claimed beyond its use.
-func (a *account) claimedAhead() uint64 {
-	return uint64(a.reserving.at(a.contact.now) * claimAhead.Seconds())
+// allowedAhead is how much the holder wants its allowance to cover beyond its use.
+func (a *account) allowedAhead() uint64 {
+	return uint64(a.reserving.at(a.contact.now) * allowanceAhead.Seconds())
 }
 
-// claim makes the claim that goes with a report. Without the root it is never
-// lowered: it would bind the holder, though nobody may ever hear of it.
-func (a *account) claim() accounts.Claim {
-	tokens := a.ownUse() + a.waiting() + a.claimedAhead()
+// nextAllowance makes the allowance that goes with a report. Without the root it is
+// never lowered: it would bind the holder, though nobody may ever hear of it.
+func (a *account) nextAllowance() accounts.Allowance {
+	tokens := a.ownUse() + a.waiting() + a.allowedAhead()
 	pace := uint64(paceFactor * a.reserving.at(a.contact.now))
-	binding := a.claims.binding()
+	binding := a.allowances.binding()
 	if a.contact.silence() > accounts.SilentAfter {
 		tokens, pace = max(tokens, binding.Tokens), max(pace, binding.Pace)
 	}
-	return a.claims.send(tokens, pace)
+	return a.allowances.send(tokens, pace)
 }
 
-// claimDue tells whether a claim is to be renewed though no request waits: too
-// little is claimed ahead, or much too much.
-func (a *account) claimDue() bool {
+// allowanceDue tells whether the allowance is to be renewed though no request
+// waits: it covers too little ahead, or much too much.
+func (a *account) allowanceDue() bool {
 	since := a.contact.now - a.reportedAt
-	if since < raisePause || len(a.claims.sent) > 0 {
+	if since < raisePause || len(a.allowances.sent) > 0 {
 		return false
 	}
-	use, claimed, ahead := a.ownUse(), a.claims.confirmed.Tokens, a.claimedAhead()
-	if use+ahead/2 > claimed {
-		return a.unreserved() > 0 || use > claimed
+	use, allowed, ahead := a.ownUse(), a.allowances.confirmed.Tokens, a.allowedAhead()
+	if use+ahead/2 > allowed {
+		return a.unreserved() > 0 || use > allowed
 	}
-	return since >= lowerPause && float64(claimed-use) > looseClaim*float64(ahead)
+	return since >= lowerPause && float64(allowed-use) > looseAllowance*float64(ahead)
 }
 
 // hear notes a contact that an answer tells of.
@@ -157,7 +157,7 @@
 }
 
 // contactToTell is the newest contact that the root may be told of. Once it is
-// told, the root counts the time without it from there, and so the claims must
+// told, the root counts the time without it from there, and so the allowances must
 // cover all that was used before.
 func (h *Holder) contactToTell() accounts.Contact {
 	for _, found := range h.accounts {
@@ -172,7 +172,7 @@
 // contactDue tells whether the root should hear from this holder though there
 // is nothing new.
 func (h *Holder) contactDue() bool {
-	return h.options.Claims && h.contact.heard.Index > 0 && h.contact.now-h.contact.reportedAt >= contactInterval
+	return h.options.Allowances && h.contact.heard.Index > 0 && h.contact.now-h.contact.reportedAt >= contactInterval
 }
 
 func subtract(value, subtrahend uint64) uint64 { return value - min(value, subtrahend) }
--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -97,10 +97,10 @@
 	// RootReachable tells whether the root is heard; nil means always. Nothing
 	// is given back while it is not: it could not be spent by anybody.
 	RootReachable func() bool
-	// Claims makes the holder claim what it uses of its grants before it does, see
-	// accounts.Claim. Without it a life that ends without a word is charged all
+	// Allowances makes the holder have its use allowed before it spends, see
+	// accounts.Allowance. Without it a life that ends without a word is charged all
 	// that it held, unless claim registers tell its use.
-	Claims bool
+	Allowances bool
 }
 
 // Holder is a node's part of all budgets. It is a pure step and not safe for
@@ -175,7 +175,7 @@
 			borrowed: map[accounts.HolderID]uint64{}, lent: map[accounts.HolderID]*givenLoan{},
 			open: map[uint64]uint64{}, ahead: map[uint64]uint64{},
 		}
-		if h.options.Claims {
+		if h.options.Allowances {
 			found.contact = &h.contact
 		}
 		h.accounts[budget] = found
@@ -364,7 +364,7 @@
 // Report returns what the root should be told now, or nothing.
 func (h *Holder) Report(now time.Duration) (ReportMessage, bool) {
 	h.contact.now = now
-	message := ReportMessage{Holder: h.options.ID, Recalled: h.recalled, Claims: h.options.Claims}
+	message := ReportMessage{Holder: h.options.ID, Recalled: h.recalled, Allowances: h.options.Allowances}
 	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
 		found := h.accounts[name]
 		if found.reportDue(now) || h.isRecalled(name) {
@@ -375,7 +375,7 @@
 	if len(message.Reports) == 0 && !h.contactDue() {
 		return ReportMessage{}, false
 	}
-	if h.options.Claims {
+	if h.options.Allowances {
 		message.Heard = h.contactToTell()
 		h.contact.reportedAt = now
 	}
--- a/internal/coordination/escrow/messages.go
+++ b/internal/coordination/escrow/messages.go
@@ -10,17 +10,17 @@
 	Reports []accounts.Report `msgpack:"r"`
 	// Recalled are the recalls that these reports answer.
 	Recalled []RecallMessage `msgpack:"c,omitempty"`
-	// Claims tells that the holder makes claims, Heard the newest contact that it
-	// has heard of and whose claims cover what it has used.
-	Claims bool             `msgpack:"m,omitempty"`
-	Heard  accounts.Contact `msgpack:"k"`
+	// Allowances tells that the holder keeps to allowances, Heard the newest contact
+	// that it has heard of, once they cover what it has used.
+	Allowances bool             `msgpack:"m,omitempty"`
+	Heard      accounts.Contact `msgpack:"k"`
 }
 
 // AnswerMessage goes from the root to a holder.
 type AnswerMessage struct {
 	Holder  accounts.HolderID `msgpack:"h"`
 	Answers []Answer          `msgpack:"a"`
-	// Contact is when the root decided, for holders that make claims.
+	// Contact is when the root decided, for holders that keep to allowances.
 	Contact accounts.Contact `msgpack:"k"`
 }
 
--- a/internal/coordination/escrow/root.go
+++ b/internal/coordination/escrow/root.go
@@ -30,7 +30,7 @@
 	// is not recalled again: with many holders that short of tokens, each refusal
 	// would cost a message to and from all of them.
 	RecallPause time.Duration
-	// Contact reads the leader's clocks, for holders that make claims; nil where
+	// Contact reads the leader's clocks, for holders that keep to allowances; nil where
 	// there are none.
 	Contact func() accounts.Contact
 	// WithoutRecall is a deliberate defect for the simulation: refusals are
@@ -114,7 +114,7 @@
 		r.holdBackTopUps(pending)
 		batch.Command.Reports = append(batch.Command.Reports, machine.HolderReports{
 			Holder: pending.message.Holder, Reports: pending.message.Reports,
-			Heard: pending.message.Heard, Claims: pending.message.Claims,
+			Heard: pending.message.Heard, Allowances: pending.message.Allowances,
 		})
 	}
 	return batch, true
@@ -154,7 +154,7 @@
 
 func (r *Root) answer(now time.Duration, pending pendingReport, answers []accounts.Answer, contact accounts.Contact) {
 	reply := AnswerMessage{Holder: pending.message.Holder}
-	if pending.message.Claims {
+	if pending.message.Allowances {
 		reply.Contact = contact
 	}
 	for position, answer := range answers {
--- a/internal/coordination/escrow/standing.go
+++ b/internal/coordination/escrow/standing.go
@@ -13,11 +13,11 @@
 	// shortHeldShare makes the share shrink with the unspent part itself: a
 	// budget that is half spent has half of it as its share, and so on.
 	shortHeldShare = 0.5
-	// claimedHeldShare is the most that holders with claims should hold ahead of
-	// demand: what they have not claimed is not lost with them, and a cut can
+	// allowanceHeldShare is the most that holders with allowances should hold ahead of
+	// demand: what their allowances do not cover is not lost with them, and a cut can
 	// only spend what they hold. The rest serves requests that come elsewhere
 	// without a recall.
-	claimedHeldShare = 0.75
+	allowanceHeldShare = 0.75
 	// wishDrop is the part of the wish told to the root below which a lower wish
 	// is told without any use to report.
 	wishDrop = 0.5
@@ -53,21 +53,21 @@
 // most is what the holders together should hold ahead of demand. What a node
 // holds is lost with it, and what a short budget can't serve in a cut it can
 // serve after it: so the nodes hold little of a budget that is short.
-func (s Standing) most(hasClaims bool) float64 {
+func (s Standing) most(hasAllowances bool) float64 {
 	if s.Limit == 0 {
 		return 0
 	}
 	unspent := float64(s.Unspent)
-	if hasClaims {
-		return claimedHeldShare * unspent
+	if hasAllowances {
+		return allowanceHeldShare * unspent
 	}
 	return unspent * min(heldShare, shortHeldShare*unspent/float64(s.Limit))
 }
 
 // part is what a holder with a wish should hold: all of it, or its part of the
 // most that all should hold.
-func (s Standing) part(wish uint64, hasClaims bool) uint64 {
-	most := s.most(hasClaims)
+func (s Standing) part(wish uint64, hasAllowances bool) uint64 {
+	most := s.most(hasAllowances)
 	if wished := float64(max(s.Wished, wish)); wished > most {
 		return uint64(float64(wish) * most / wished)
 	}
--- a/internal/gateway/tokens.go
+++ b/internal/gateway/tokens.go
@@ -33,7 +33,7 @@
 	tokens := &tokensDuty{node: node, duty: duty.New("tokens", tokensTick)}
 	tokens.holder = escrow.NewHolder(escrow.HolderOptions{
 		ID: accounts.HolderID{Node: holderName(node.address, node.life), Incarnation: onlyLife}, AnswerTimeout: rootTimeout,
-		RootReachable: node.hearsRoot, Claims: true,
+		RootReachable: node.hearsRoot, Allowances: true,
 	})
 	tokens.duty.Tick = func() { tokens.holder.Tick(node.now()) }
 	tokens.duty.Flush = tokens.flush
--- a/internal/lab/simulate/lostlives.go
+++ b/internal/lab/simulate/lostlives.go
@@ -17,7 +17,7 @@
 const (
 	// NoLostLivesDefect is the product as it is.
 	NoLostLivesDefect LostLivesDefect = iota
-	// SilenceIgnored charges a life that is over its claims only.
+	// SilenceIgnored charges a life that is over its allowance only.
 	SilenceIgnored
 	// ClocksBelieved takes one control node's time of day for true.
 	ClocksBelieved
@@ -27,7 +27,7 @@
 type LostLivesOptions struct {
 	Seed   uint64
 	Defect LostLivesDefect
-	// WholeGrants is the policy before claims: a life that is over is charged all
+	// WholeGrants is the policy before allowances: a life that is over is charged all
 	// that it held.
 	WholeGrants bool
 	// Sudden brings about losses after which all come back soon, and cuts, and
@@ -169,7 +169,7 @@
 	}
 	one.holder = escrow.NewHolder(escrow.HolderOptions{
 		ID: accounts.HolderID{Node: fmt.Sprintf("%s#%d", one.name, life), Incarnation: 1}, AnswerTimeout: 50 * time.Millisecond,
-		Lenders: lenders, RootReachable: func() bool { return s.world.Now-one.heardRoot < time.Second }, Claims: !s.options.WholeGrants,
+		Lenders: lenders, RootReachable: func() bool { return s.world.Now-one.heardRoot < time.Second }, Allowances: !s.options.WholeGrants,
 	})
 	s.world.Every(holderTick, func() bool {
 		if one.life != life || one.down {
@@ -314,7 +314,7 @@
 		contact.Index = s.index
 		result := machine.Result{Contact: contact}
 		for _, reports := range batch.Command.Reports {
-			if reports.Claims {
+			if reports.Allowances {
 				s.accounts.Hear(reports.Holder, reports.Heard, contact)
 			}
 			var answers []accounts.Answer
--- a/internal/lab/simulate/lostlives_test.go
+++ b/internal/lab/simulate/lostlives_test.go
@@ -24,8 +24,8 @@
 	assert.Assert(t, brokenSeed(t, 300, runLostLives(ClocksBelieved)) != nil)
 }
 
-// The reason for claims: a loss charges little, and cuts are served.
-func TestClaimsWasteLessAndServeMoreThanWholeGrants(t *testing.T) {
+// The reason for allowances: a loss charges little, and cuts are served.
+func TestAllowancesWasteLessAndServeMoreThanWholeGrants(t *testing.T) {
 	var sums [2]LostLivesResult
 	for position, whole := range []bool{false, true} {
 		for seed := range uint64(40) {
@@ -37,9 +37,9 @@
 			sums[position].Wasted += result.Wasted
 		}
 	}
-	claims, whole := sums[0], sums[1]
-	t.Logf("claims: %d of %d served, %d tokens used, %d wasted; whole grants: %d of %d, %d, %d",
-		claims.Served, claims.Requests, claims.Used, claims.Wasted, whole.Served, whole.Requests, whole.Used, whole.Wasted)
-	assert.Assert(t, claims.Wasted < whole.Wasted/2)
-	assert.Assert(t, claims.Served > whole.Served)
+	allowances, whole := sums[0], sums[1]
+	t.Logf("allowances: %d of %d served, %d tokens used, %d wasted; whole grants: %d of %d, %d, %d",
+		allowances.Served, allowances.Requests, allowances.Used, allowances.Wasted, whole.Served, whole.Requests, whole.Used, whole.Wasted)
+	assert.Assert(t, allowances.Wasted < whole.Wasted/2)
+	assert.Assert(t, allowances.Served > whole.Served)
 }
--- a/internal/state/accounts/accounts.go
+++ b/internal/state/accounts/accounts.go
@@ -53,8 +53,8 @@
 	// Wish is what the holder would hold ahead of demand if the budget were
 	// not short, as it last said.
 	Wish uint64 `msgpack:"wi,omitempty"`
-	// Claim is the newest claim that the holder has made.
-	Claim Claim `msgpack:"cl"`
+	// Allowance is the newest one that the holder has asked for.
+	Allowance Allowance `msgpack:"cl"`
 }
 
 // Outstanding is what the holder may still spend.
@@ -157,8 +157,8 @@
 	// Wish is what the holder would hold ahead of demand if the budget were not
 	// short.
 	Wish uint64 `msgpack:"wi,omitempty"`
-	// Claim is what the holder claims of its grant.
-	Claim Claim `msgpack:"cl"`
+	// Allowance is what the holder asks to be allowed.
+	Allowance Allowance `msgpack:"cl"`
 }
 
 // Answer is what the root says of one report.
@@ -188,8 +188,8 @@
 	// account was closed by a fence and must not be spent from.
 	Unknown bool `msgpack:"u,omitempty"`
 	Closed  bool `msgpack:"c,omitempty"`
-	// Claim is the holder's newest claim in the log.
-	Claim Claim `msgpack:"cl"`
+	// Allowance is the holder's newest allowance in the log.
+	Allowance Allowance `msgpack:"cl"`
 }
 
 // Accounts are all root accounts.
@@ -200,7 +200,7 @@
 	// Incarnations of a node only grow, so older ones are covered.
 	fenced map[string]uint64
 	closed map[string]uint64
-	// contacts holds for each open holder with claims the newest contact with
+	// contacts holds for each open holder with allowances the newest contact with
 	// the root that it is known to have heard of.
 	contacts map[HolderID]Contact
 }
@@ -290,8 +290,8 @@
 	budget.takeReturn(holder, report.Returned)
 	holder.Settled = max(holder.Settled, report.Settled)
 	holder.Wish = report.Wish
-	if report.Claim.Sequence > holder.Claim.Sequence {
-		holder.Claim = report.Claim
+	if report.Allowance.Sequence > holder.Allowance.Sequence {
+		holder.Allowance = report.Allowance
 	}
 	if report.Watermark > holder.Watermark {
 		holder.Watermark = report.Watermark
@@ -307,7 +307,7 @@
 			holder.LastRequest = report.Request
 		}
 	}
-	answer.Granted, answer.Claim = holder.Granted, holder.Claim
+	answer.Granted, answer.Allowance = holder.Granted, holder.Allowance
 	answer.Settled, answer.Returned, answer.Watermark = holder.Settled, holder.Returned, holder.Watermark
 	answer.Left = budget.Left()
 	answer.Limit, answer.Spent = budget.Limit, budget.Spent()
--- a/internal/state/accounts/claim.go
+++ b/internal/state/accounts/allowance.go
@@ -3,41 +3,42 @@
 import "time"
 
 // SilentAfter is how long a holder must not have heard the root before it may
-// use its grant beyond what it has claimed. Shorter, and a loss of all machines
-// at once charges more that nobody spent; longer, and a cut begins with longer
-// refusals. Holders and the root must agree on it.
+// use its grant beyond its allowance. Shorter, and a loss of all machines at once
+// charges more that nobody spent; longer, and a cut begins with longer refusals.
+// Holders and the root must agree on it. Measured: 0.3 and 0.5 s, see
+// docs/design/budgets.md.
 const SilentAfter = 300 * time.Millisecond
 
 // UnknownSilence stands for a time that nobody can bound.
 const UnknownSilence time.Duration = 1<<63 - 1
 
-// Claim bounds what a holder may use of its grant. While the holder hears the
-// root it uses no more than Tokens in all, and claims more before it does. Once
-// it has not heard the root for SilentAfter it may use Pace tokens a second on
-// top of that. So when the holder's life ends without a word, its use is at most
-// Tokens and what the pace allowed in the time since it last heard the root; the
-// rest of its grant is known to be unspent.
-type Claim struct {
-	// Sequence numbers a holder's claims on one budget, from 1; 0 means that the
-	// holder makes none and may use its whole grant at any time.
+// Allowance bounds what a holder may use of its grant. While the holder hears the
+// root it uses no more than Tokens in all, and has them raised in the log first.
+// Once it has not heard the root for SilentAfter it may use Pace tokens a second
+// on top of that. So when the holder's life ends without a word, its use is at
+// most Tokens and what the pace allowed in the time since it last heard the root;
+// the rest of its grant is known to be unspent.
+type Allowance struct {
+	// Sequence numbers a holder's allowances on one budget, from 1; 0 means that it
+	// has none and may use its whole grant at any time.
 	Sequence uint64 `msgpack:"q"`
 	// Tokens is cumulative, Pace in tokens a second.
 	Tokens uint64 `msgpack:"t"`
 	Pace   uint64 `msgpack:"p"`
 }
 
-// MostUsed is the most that a holder may have used under a claim after a time
+// MostUsed is the most that a holder may have used under an allowance after a time
 // without the root, in tokens.
-func (c Claim) MostUsed(silence time.Duration) uint64 {
+func (a Allowance) MostUsed(silence time.Duration) uint64 {
 	if silence <= SilentAfter {
-		return c.Tokens
+		return a.Tokens
 	}
-	return c.Tokens + c.paced(silence)
+	return a.Tokens + a.paced(silence)
 }
 
 // paced is what the pace allows in a time without the root, in tokens.
-func (c Claim) paced(silence time.Duration) uint64 {
-	return uint64(float64(c.Pace) * (silence - SilentAfter).Seconds())
+func (a Allowance) paced(silence time.Duration) uint64 {
+	return uint64(float64(a.Pace) * (silence - SilentAfter).Seconds())
 }
 
 // Contact is a moment at which the root decided on a holder's report, as the
@@ -101,8 +102,8 @@
 	}
 	held := saturatingSubtract(holder.Granted, holder.Returned)
 	charged := held
-	if holder.Claim.Sequence > 0 && silence != UnknownSilence {
-		charged = min(held, holder.Claim.MostUsed(silence))
+	if holder.Allowance.Sequence > 0 && silence != UnknownSilence {
+		charged = min(held, holder.Allowance.MostUsed(silence))
 	}
 	b.Forfeited += int64(charged) - int64(holder.Settled)
 	b.Returned += held - charged
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -72,10 +72,10 @@
 	Holder  accounts.HolderID `msgpack:"h"`
 	Reports []accounts.Report `msgpack:"r"`
 	// Heard is the newest contact that the holder has heard of; one with an
-	// index of 0 if the holder makes no claims.
+	// index of 0 if the holder keeps to no allowances.
 	Heard accounts.Contact `msgpack:"k"`
-	// Claims tells that the holder makes claims.
-	Claims bool `msgpack:"c"`
+	// Allowances tells that the holder keeps to allowances.
+	Allowances bool `msgpack:"c"`
 }
 
 // FenceCommand makes a holder's accounts take no more reports.
@@ -318,7 +318,7 @@
 	result := Result{Answers: make([][]accounts.Answer, 0, len(command.Reports)), Contact: command.Contact}
 	result.Contact.Index = index
 	for _, holder := range command.Reports {
-		if holder.Claims {
+		if holder.Allowances {
 			m.accounts.Hear(holder.Holder, holder.Heard, result.Contact)
 		}
 		answers := make([]accounts.Answer, 0, len(holder.Reports))
