Nodes tell each other which shared parts went elsewhere than to their homes

A part that one node sent elsewhere, for the load at its home or a long prompt, was known to be held there by that node alone.

Ruled out: asking the engines what they keep: priced, and late.

--- a/internal/coordination/balance/loads.go
+++ b/internal/coordination/balance/loads.go
@@ -90,6 +90,9 @@
 	Scope LoadScope `msgpack:"s"`
 	Zone  string    `msgpack:"z"`
 	Loads []byte    `msgpack:"l"`
+	// Parts are the prompt parts sent elsewhere than to their homes since the
+	// report before.
+	Parts []byte `msgpack:"p,omitempty"`
 }
 
 // OutgoingReport is a report and its receiver.
@@ -126,6 +129,9 @@
 	told  heardLoads
 	// silent tells that the last own report was empty.
 	silent bool
+	// zoneParts and otherParts are what was heard of held parts since the last
+	// step: from this zone's nodes, and from or through other relays.
+	zoneParts, otherParts []HeldPart
 }
 
 type heardLoads struct {
@@ -163,25 +169,47 @@
 	switch report.Scope {
 	case OwnLoads:
 		e.own[from] = heard
+		e.zoneParts = appendParts(e.zoneParts, decodeParts(report.Parts))
 	case ZoneLoads:
 		e.zones[report.Zone] = heard
+		e.otherParts = appendParts(e.otherParts, decodeParts(report.Parts))
 	case AllOtherLoads:
 		e.told = heard
+		e.otherParts = appendParts(e.otherParts, decodeParts(report.Parts))
 	}
 }
 
-// Step returns the reports that are due, and what all other nodes have under
-// way as far as it is known.
-func (e *LoadExchange) Step(now time.Duration, own Loads) ([]OutgoingReport, Loads) {
+// Known is what a node knows of the others.
+type Known struct {
+	// Loads are what all others have under way; nil if they are not heard.
+	Loads Loads
+	// Parts are held parts heard of since the last step.
+	Parts []HeldPart
+}
+
+// Step returns the reports that are due, and what is known of all other nodes.
+// spilled are this node's parts sent elsewhere than to their homes since the last
+// step.
+func (e *LoadExchange) Step(now time.Duration, own Loads, spilled []HeldPart) ([]OutgoingReport, Known) {
 	e.forget(now)
+	zoneParts, otherParts := e.zoneParts, e.otherParts
+	e.zoneParts, e.otherParts = nil, nil
 	if !e.isRelay() {
 		var reports []OutgoingReport
-		if len(own) > 0 || !e.silent {
-			reports = append(reports, e.report(e.relays[e.self.Zone], OwnLoads, own))
+		if len(own) > 0 || len(spilled) > 0 || !e.silent {
+			reports = append(reports, e.report(e.relays[e.self.Zone], OwnLoads, own, spilled))
 		}
 		e.silent = len(own) == 0
-		return reports, e.told.loads
+		return reports, Known{Loads: e.told.loads, Parts: otherParts}
 	}
+	zoneParts = appendParts(zoneParts, spilled)
+	reports, others := e.stepRelay(own, zoneParts, otherParts)
+	return reports, Known{Loads: others, Parts: append(zoneParts, otherParts...)}
+}
+
+// stepRelay sums up the zone for the other relays, and all others for each node
+// of the zone.
+func (e *LoadExchange) stepRelay(own Loads, zoneParts, otherParts []HeldPart) ([]OutgoingReport, Loads) {
 	others := Loads{}
 	for _, heard := range e.zones {
 		others.add(heard.loads)
@@ -193,14 +221,15 @@
 	}
 	var reports []OutgoingReport
 	for name, relay := range e.relays {
-		if name != e.self.Zone && (len(zone) > 0 || !e.silent) {
-			reports = append(reports, e.report(relay, ZoneLoads, zone))
+		if name != e.self.Zone && (len(zone) > 0 || len(zoneParts) > 0 || !e.silent) {
+			reports = append(reports, e.report(relay, ZoneLoads, zone, zoneParts))
 		}
 	}
 	e.silent = len(zone) == 0
+	parts := appendParts(slices.Clone(zoneParts), otherParts)
 	for _, member := range e.members {
-		if all := e.allBut(member.Address, others, own); len(all) > 0 {
-			reports = append(reports, e.report(member.Address, AllOtherLoads, all))
+		if all := e.allBut(member.Address, others, own); len(all) > 0 || len(parts) > 0 {
+			reports = append(reports, e.report(member.Address, AllOtherLoads, all, parts))
 		}
 	}
 	for _, heard := range e.own {
@@ -222,8 +251,8 @@
 	return all
 }
 
-func (e *LoadExchange) report(to string, scope LoadScope, loads Loads) OutgoingReport {
-	return OutgoingReport{To: to, Report: LoadReport{Scope: scope, Zone: e.self.Zone, Loads: loads.Encode()}}
+func (e *LoadExchange) report(to string, scope LoadScope, loads Loads, parts []HeldPart) OutgoingReport {
+	return OutgoingReport{To: to, Report: LoadReport{Scope: scope, Zone: e.self.Zone, Loads: loads.Encode(), Parts: encodeParts(parts)}}
 }
 
 // forget drops reports that are too old to count.
--- a/internal/coordination/balance/loads_test.go
+++ b/internal/coordination/balance/loads_test.go
@@ -45,8 +45,8 @@
 	}
 	var deliveries []delivery
 	for address, exchange := range exchanges {
-		reports, others := exchange.Step(now, own[address])
-		known[address] = others
+		reports, others := exchange.Step(now, own[address], nil)
+		known[address] = others.Loads
 		for _, one := range reports {
 			deliveries = append(deliveries, delivery{from: address, one: one})
 		}
@@ -141,3 +141,53 @@
 	table.Done(0, choice, Served)
 	assert.Equal(t, len(table.OwnLoads()), 0)
 }
+
+// The finding of lumiere-rx: shared parts were the largest price, and read again
+// where another node had sent them, which only that node knew.
+func TestPartsThatWentElsewhereAreKnownToAllNodes(t *testing.T) {
+	exchanges, all := exchangeOf(3)
+	spilled := HeldPart{Part: keyOfPart("part"), Instance: KeyOf("i-2")}
+	heard := map[string]int{}
+	now := time.Duration(0)
+	for round := range 5 {
+		now += testInterval
+		for address, exchange := range exchanges {
+			var own []HeldPart
+			if round == 0 && address == all[4].Address {
+				own = []HeldPart{spilled}
+			}
+			reports, known := exchange.Step(now, nil, own)
+			for _, part := range known.Parts {
+				assert.Equal(t, part, spilled)
+				heard[address]++
+			}
+			for _, one := range reports {
+				exchanges[one.To].Take(now, address, one.Report)
+			}
+		}
+	}
+	for _, node := range all {
+		assert.Assert(t, heard[node.Address] >= 1, "%s was not told", node.Address)
+	}
+}
+
+func TestPartThatAnotherNodeSentElsewhereIsHeldThere(t *testing.T) {
+	one, other := tableOf("a", instances(6)), tableOf("b", instances(6))
+	request := Request{Service: "llm", Part: "hot", Cost: 1, Tokens: 30_000, SharedTokens: 20_000}
+	var spilled []HeldPart
+	for range 6 {
+		_, found := one.Choose(0, request)
+		assert.Assert(t, found)
+		spilled = append(spilled, one.TakeSpilled()...)
+	}
+	assert.Assert(t, len(spilled) > 0)
+	other.NoteHeld(0, spilled)
+	for _, part := range spilled {
+		for _, known := range other.members {
+			if known.key == part.Instance {
+				assert.Assert(t, known.holds(time.Second, part.Part))
+			}
+		}
+	}
+	assert.Equal(t, len(one.TakeSpilled()), 0)
+}
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -35,15 +35,10 @@
 	// nothing of the request: nodes with the same knowledge would else all choose
 	// the same one.
 	scatterTokens = 600
-	// maximumHeld is how many parts are remembered for an instance before old
-	// ones are looked for.
-	maximumHeld = 256
 	// rereadWeight is what a shared token counts for, beyond its reading, where it
 	// would be read again though another instance holds it: that takes time and
 	// memory from all other requests too.
 	rereadWeight = 1.5
-	// heldFor is how long a part counts as held where this node last sent it.
-	heldFor = 15 * time.Second
 	// otherZonePenalty is how many more requests in flight the own zone's
 	// instances may have before a request without a part leaves the zone.
 	otherZonePenalty = 2.0
@@ -133,8 +128,9 @@
 	// has yet to read.
 	pending int
 	key     InstanceKey
-	// held is when this node last sent each part here.
-	held map[string]time.Duration
+	// held is when each part was last sent here by this node, or by another one
+	// that told of it.
+	held map[PartKey]time.Duration
 	// failures is the smoothed rate of failed requests.
 	failures float64
 	// pause is the current pause after failures to connect, until its end.
@@ -164,6 +160,8 @@
 	zones     map[string]*zoneState
 	// speeds are how fast the services' instances were seen to read.
 	speeds map[string]*readSpeed
+	// spilled are the parts sent elsewhere than to their homes and not told yet.
+	spilled []HeldPart
 	// others are the loads of the other nodes; nil means that they are not heard.
 	others Loads
 }
@@ -182,7 +180,7 @@
 	for _, instance := range instances {
 		known := t.members[instance.ID]
 		if known == nil {
-			known = &member{key: KeyOf(instance.ID), held: map[string]time.Duration{}}
+			known = &member{key: KeyOf(instance.ID), held: map[PartKey]time.Duration{}}
 			t.members[instance.ID] = known
 		}
 		known.Instance = instance
@@ -368,7 +366,11 @@
 	choice.Ahead, choice.Unread, choice.AheadKnown = best.ahead, best.unread, t.others != nil
 	choice.Reread, choice.Far, choice.Streams = int(best.reread), int(best.far), best.requests
 	choice.Paused = int(best.paused)
-	chosen.hold(now, request.Part)
+	part := keyOfPart(request.Part)
+	chosen.hold(now, part)
+	if chosen != home && request.SharedTokens > 0 {
+		t.spilled = appendParts(t.spilled, []HeldPart{{Part: part, Instance: chosen.key}})
+	}
 	return chosen, chosen != home
 }
 
@@ -390,7 +392,7 @@
 	if one.Slots > 0 {
 		expects.ahead += max(0, requests+1-one.Slots) * tokensOverSlots
 	}
-	if isHome || one.holds(now, request.Part) {
+	if isHome || one.holds(now, keyOfPart(request.Part)) {
 		expects.unread = max(0, expects.unread-request.SharedTokens)
 	} else {
 		expects.reread = rereadWeight * float64(request.SharedTokens)
@@ -403,23 +405,6 @@
 	return expects
 }
 
-// hold notes that a part was sent here, and forgets those of long ago.
-func (m *member) hold(now time.Duration, part string) {
-	if len(m.held) > maximumHeld {
-		for known, at := range m.held {
-			if now-at > heldFor {
-				delete(m.held, known)
-			}
-		}
-	}
-	m.held[part] = now
-}
-
-func (m *member) holds(now time.Duration, part string) bool {
-	at, found := m.held[part]
-	return found && now-at <= heldFor
-}
-
 // homeOf returns the instance at which a part lives: all nodes name the same.
 func homeOf(candidates []*member, part string) *member {
 	var home *member
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -47,8 +47,10 @@
 		interval *= manyLoadsTicks
 	}
 	l.exchange.SetNodes(entries, interval)
-	reports, others := l.exchange.Step(l.node.now(), l.node.table.OwnLoads())
-	l.node.table.SetOthersLoads(others)
+	now := l.node.now()
+	reports, known := l.exchange.Step(now, l.node.table.OwnLoads(), l.node.table.TakeSpilled())
+	l.node.table.SetOthersLoads(known.Loads)
+	l.node.table.NoteHeld(now, known.Parts)
 	for _, one := range reports {
 		l.node.send(one.To, peer.KindLoads, &one.Report)
 	}
