--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 
@@ -108,6 +107,8 @@
 type Holder struct {
 	options  HolderOptions
 	accounts map[string]*account
+	// names are those of the accounts, in order.
+	names    []string
 	recalled []RecallMessage
 	loans    []OutgoingLoan
 	contact  rootContact
@@ -179,6 +180,8 @@
 			found.contact = &h.contact
 		}
 		h.accounts[budget] = found
+		place, _ := slices.BinarySearch(h.names, budget)
+		h.names = slices.Insert(slices.Clone(h.names), place, budget)
 	}
 	return found
 }
@@ -275,7 +278,7 @@
 func (h *Holder) Tick(now time.Duration) {
 	h.contact.now = now
 	reachable := h.rootReachable()
-	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
+	for _, name := range h.names {
 		found := h.accounts[name]
 		h.expire(now, found)
 		if found.contact != nil {
@@ -365,7 +368,7 @@
 func (h *Holder) Report(now time.Duration) (ReportMessage, bool) {
 	h.contact.now = now
 	message := ReportMessage{Holder: h.options.ID, Recalled: h.recalled, Allowances: h.options.Allowances}
-	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
+	for _, name := range h.names {
 		found := h.accounts[name]
 		if found.reportDue(now) || h.isRecalled(name) {
 			message.Reports = append(message.Reports, found.report(now))
@@ -438,7 +441,7 @@
 
 func (h *Holder) close() {
 	h.closed = true
-	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
+	for _, name := range h.names {
 		h.refuseAll(h.accounts[name], ErrClosed)
 	}
 }
--- a/internal/coordination/escrow/loans.go
+++ b/internal/coordination/escrow/loans.go
@@ -48,7 +48,7 @@
 // out of the root's reach. It returns false if there is nothing to offer.
 func (h *Holder) Offer(to string) bool {
 	offer := &LoanOffer{Lender: h.options.ID}
-	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
+	for _, name := range h.names {
 		if free := h.accounts[name].free(); free > 0 {
 			offer.Budgets = append(offer.Budgets, OfferedBudget{Budget: name, Free: free})
 		}
@@ -136,7 +136,7 @@
 // here. Its word on them is final.
 func (h *Holder) LoansWith(other accounts.HolderID) []accounts.Loan {
 	var loans []accounts.Loan
-	for _, name := range slices.Sorted(maps.Keys(h.accounts)) {
+	for _, name := range h.names {
 		found := h.accounts[name]
 		if given := found.lent[other]; given != nil {
 			loans = append(loans, accounts.Loan{Lender: h.options.ID, Borrower: other, Budget: name, Total: given.total})
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -170,7 +170,7 @@
 		return
 	}
 	weighed(l.line(r, "late"), choice).Int64("first_ms", first.Milliseconds()).Int64("objective_ms", r.route.Objective.Milliseconds()).
-		Int64("gap_ms", r.pace.longestGap.Milliseconds()).Int64("gap_target_ms", r.route.EventGap.Milliseconds()).
+		Int64("pause_ms", r.pace.longestGap.Milliseconds()).Int64("pause_limit_ms", r.route.EventGap.Milliseconds()).
 		Int64("token_wait_ms", r.tokenWait.Milliseconds()).Int("arrivals", r.arrivals).Uint64("events", r.events).Send()
 }
 
