--- a/internal/lab/simulate/lostlivesfaults.go
+++ b/internal/lab/simulate/lostlivesfaults.go
@@ -11,6 +11,9 @@
 		kind = []int{0, 2, 4, 5}[s.world.Random.IntN(4)]
 		down /= 2
 	}
+	if s.options.Defect == ClocksBelieved {
+		kind = []int{2, 3, 6, 6}[s.world.Random.IntN(4)]
+	}
 	switch kind {
 	case 0:
 		s.world.Fault("node killed")
