--- a/internal/coordination/escrow/loans.go
+++ b/internal/coordination/escrow/loans.go
@@ -102,7 +102,8 @@
 
 // tellLoansAgain repeats what a borrower has not confirmed.
 func (h *Holder) tellLoansAgain(now time.Duration, found *account) {
-	for borrower, given := range found.lent {
+	for _, borrower := range slices.SortedFunc(maps.Keys(found.lent), accounts.HolderID.Compare) {
+		given := found.lent[borrower]
 		if given.agreed > given.taken && now-given.toldAt >= loanResend {
 			h.tellLoan(now, found, borrower, given)
 		}
--- a/internal/coordination/escrow/root.go
+++ b/internal/coordination/escrow/root.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -245,7 +246,8 @@
 	if r.options.Tell != nil {
 		r.tellStandings(now)
 	}
-	for budget, running := range r.recalls {
+	for _, budget := range slices.Sorted(maps.Keys(r.recalls)) {
+		running := r.recalls[budget]
 		if now >= running.deadline {
 			r.endRecall(budget, running)
 		}
--- a/internal/state/accounts/accounts.go
+++ b/internal/state/accounts/accounts.go
@@ -9,6 +9,7 @@
 package accounts
 
 import (
+	"cmp"
 	"fmt"
 	"sort"
 )
@@ -29,11 +30,11 @@
 func (h HolderID) String() string { return fmt.Sprintf("%s/%d", h.Node, h.Incarnation) }
 
 // Less orders holders by node, then by incarnation.
-func (h HolderID) Less(other HolderID) bool {
-	if h.Node != other.Node {
-		return h.Node < other.Node
-	}
-	return h.Incarnation < other.Incarnation
+func (h HolderID) Less(other HolderID) bool { return h.Compare(other) < 0 }
+
+// Compare is the order of Less, for sorting.
+func (h HolderID) Compare(other HolderID) int {
+	return cmp.Or(cmp.Compare(h.Node, other.Node), cmp.Compare(h.Incarnation, other.Incarnation))
 }
 
 // Holder is what the root knows of one holder's part of one budget, in tokens.
