--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -168,7 +168,7 @@
 }
 
 // now is the time since the node started, the clock of all duties. The time of
-// day may jump and is used nowhere.
+// day may jump; only readClocks uses it, where control nodes agree on it.
 func (n *Node) now() time.Duration { return time.Since(n.started) }
 
 // Run serves until the context ends. Use Stop for a planned stop before that.
