--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -28,8 +28,18 @@
 type Heard struct {
 	peer.Hello
 	At time.Duration
+	// leastOffset is the least difference seen between the time of a hello's
+	// arrival and its sender's age, in this life of the sender.
+	leastOffset time.Duration
 }
 
+// Delay is how much longer the last hello was on its way than the fastest one
+// of the sender's life: the time that it waited behind other bytes on a full
+// link, or for a process without time.
+func (h *Heard) Delay() time.Duration { return h.offset() - h.leastOffset }
+
+func (h *Heard) offset() time.Duration { return h.At - time.Duration(h.AgeMS)*time.Millisecond }
+
 // Roster is one node's view of the others. It is not safe for concurrent use.
 type Roster struct {
 	self  string
@@ -68,7 +78,12 @@
 	if known != nil && len(hello.Nodes) == 0 {
 		hello.Nodes = known.Nodes
 	}
-	r.heard[hello.Address] = &Heard{Hello: hello, At: now}
+	heard := &Heard{Hello: hello, At: now}
+	heard.leastOffset = heard.offset()
+	if known != nil && known.Life == hello.Life {
+		heard.leastOffset = min(heard.leastOffset, known.leastOffset)
+	}
+	r.heard[hello.Address] = heard
 	if !hello.Control {
 		return isNew
 	}
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -130,6 +130,16 @@
 		Uint64("events", r.events).AnErr("error", err).Send()
 }
 
+// Behind notes a request that is handled under an older document than the
+// newest one heard of.
+func (l *DecisionLog) Behind(r *request, newest uint64, since time.Duration) {
+	text := fmt.Sprintf("taken under version %d, %d was heard of %d ms before", r.index.Document.Version, newest, since.Milliseconds())
+	if !l.keep(r, text) {
+		return
+	}
+	l.line(r, "behind").Uint64("newest", newest).Int64("newest_heard_ms", since.Milliseconds()).Send()
+}
+
 // Again notes that a request is sent once more.
 func (l *DecisionLog) Again(r *request, choice balance.Choice) {
 	if !l.keep(r, fmt.Sprintf("sent once more after %s, %d arrivals so far", choice.ID, r.arrivals)) {
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -40,6 +40,9 @@
 	Configuration() *document.Index
 	// Certain tells whether the document in force is known to be the newest.
 	Certain() bool
+	// NewestHeard is the highest version that some node was heard to have in
+	// force, and how long ago the first word of it came.
+	NewestHeard() (version uint64, since time.Duration)
 	// Reserve sets tokens of a tenant aside before a request is sent. It waits
 	// for them no longer than the patience.
 	Reserve(ctx context.Context, tenant string, tokens uint64, patience time.Duration) (Reservation, error)
@@ -194,6 +197,7 @@
 		return refused
 	}
 	r.call = call
+	r.noteBehind()
 	if len(r.index.Document.Tenants) > 0 && !r.route.Public {
 		if r.tenant = r.index.TenantOfKey(call.Key); r.tenant == nil {
 			return r.unknown(http.StatusUnauthorized, ReasonUnknownKey)
@@ -209,6 +213,21 @@
 	return r.readBody()
 }
 
+// requestsBehind counts requests that were taken under an older document than
+// the newest that the node had heard of.
+var requestsBehind = metrics.GetOrCreateCounter("ravenway_requests_behind_total")
+
+// noteBehind notes that the request is handled under an older document than
+// the newest that this node knows to be in force somewhere.
+func (r *request) noteBehind() {
+	newest, since := r.pipeline.options.Environment.NewestHeard()
+	if newest <= r.index.Document.Version {
+		return
+	}
+	requestsBehind.Inc()
+	r.pipeline.options.Log.Behind(r, newest, since)
+}
+
 // unknown refuses what the document in force does not have. A node that may
 // lack the newest document is not sure of that.
 func (r *request) unknown(status int, reason Reason) *Refusal {
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
@@ -53,17 +54,20 @@
 type testEnvironment struct {
 	index   *document.Index
 	certain bool
-	began   time.Time
-	stop    StopState
-	settled atomic.Int64
-	refusal error
-}
-
-func (e *testEnvironment) Configuration() *document.Index { return e.index }
-func (e *testEnvironment) Certain() bool                  { return e.certain }
-func (e *testEnvironment) EntryNodes() int                { return 1 }
-func (e *testEnvironment) Stop() StopState                { return e.stop }
-func (e *testEnvironment) Now() time.Duration             { return time.Since(e.began) }
+	// newestHeard is the highest version that some node is said to have.
+	newestHeard uint64
+	began       time.Time
+	stop        StopState
+	settled     atomic.Int64
+	refusal     error
+}
+
+func (e *testEnvironment) Configuration() *document.Index       { return e.index }
+func (e *testEnvironment) Certain() bool                        { return e.certain }
+func (e *testEnvironment) NewestHeard() (uint64, time.Duration) { return e.newestHeard, time.Second }
+func (e *testEnvironment) EntryNodes() int                      { return 1 }
+func (e *testEnvironment) Stop() StopState                      { return e.stop }
+func (e *testEnvironment) Now() time.Duration                   { return time.Since(e.began) }
 func (e *testEnvironment) RetryPolicy() balance.RetryPolicy {
 	return balance.RetryPolicy{Window: 10 * time.Second, Ratio: 0.2, Slack: 100, Nodes: 1}
 }
@@ -147,6 +151,7 @@
 // harness is a pipeline before some engines, served over HTTP.
 type harness struct {
 	environment *testEnvironment
+	log         *DecisionLog
 	server      *httptest.Server
 	client      *http.Client
 }
@@ -167,7 +172,7 @@
 		Routes:  []document.Route{route("safe", document.Repeatable), once, route("stream", document.Stream), resumable},
 		Tenants: []document.Tenant{{Name: "t", Keys: []string{"k"}, HasPrepaid: true, Prepaid: 1000}},
 	})
-	made := &harness{environment: &testEnvironment{index: index, certain: true, began: time.Now()}}
+	made := &harness{environment: &testEnvironment{index: index, certain: true, began: time.Now()}, log: NewDecisionLog(zerolog.Nop())}
 	table := balance.NewTable("a")
 	var instances []registry.Instance
 	for number, engine := range engines {
@@ -176,7 +181,7 @@
 		})
 	}
 	table.Update(instances)
-	made.server = httptest.NewServer(New(Options{Dialect: testDialect{}, Environment: made.environment, Table: table}))
+	made.server = httptest.NewServer(New(Options{Dialect: testDialect{}, Environment: made.environment, Table: table, Log: made.log}))
 	t.Cleanup(made.server.Close)
 	made.client = &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true, ExpectContinueTimeout: 5 * time.Second}}
 	return made
@@ -483,3 +488,19 @@
 		assert.Equal(t, waiting.tokenPatience(), leastTokenPatience)
 	}
 }
+
+// Incident CONFIG on zhf-valuation-grown: the logs did not tell that a request
+// was handled under an older document than the newest known.
+func TestRequestUnderAnOlderDocumentThanTheNewestHeardOfIsExplained(t *testing.T) {
+	h := newHarness(t, newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = io.WriteString(connection, answerOf(request.Header.Get("Id"), "done"))
+	}))
+	h.environment.newestHeard = h.environment.index.Document.Version
+	h.ask(t, http.MethodPost, "/once/x", "r1", "b")
+	assert.Equal(t, len(h.log.Explain("r1")), 0)
+	h.environment.newestHeard += 3
+	h.ask(t, http.MethodPost, "/once/x", "r2", "b")
+	lines := h.log.Explain("r2")
+	assert.Equal(t, len(lines), 1)
+	assert.Assert(t, strings.Contains(lines[0], "taken under version 1, 4 was heard of 1000 ms before"), lines[0])
+}
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -26,6 +26,11 @@
 	return e.node.now() < view.rootHeardAt+certainFor && e.node.documents.version() >= view.certainVersion
 }
 
+// NewestHeard implements forward.Environment.
+func (e *entryEnvironment) NewestHeard() (version uint64, since time.Duration) {
+	return e.node.documents.newestHeard()
+}
+
 // Reserve implements forward.Environment.
 func (e *entryEnvironment) Reserve(ctx context.Context, tenant string, tokens uint64, patience time.Duration) (forward.Reservation, error) {
 	return e.node.tokens.reserve(ctx, tenant, tokens, patience)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -80,6 +80,25 @@
 	certainVersion uint64
 }
 
+// controlWord is how fresh this node's word of the control nodes is, for logs.
+type controlWord struct {
+	// silences are the times since each live control node was heard, delays how
+	// long its last hello was on its way beyond the fastest one; both in
+	// milliseconds.
+	silences, delays []int64
+}
+
+func (f *fleetDuty) controlWord(now time.Duration) controlWord {
+	word := controlWord{silences: []int64{}, delays: []int64{}}
+	for _, known := range f.view.Load().alive {
+		if known.Control {
+			word.silences = append(word.silences, (now - known.At).Milliseconds())
+			word.delays = append(word.delays, known.Delay().Milliseconds())
+		}
+	}
+	return word
+}
+
 func newFleetDuty(node *Node) *fleetDuty {
 	current := node.settings.Load()
 	fleet := &fleetDuty{
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -116,6 +116,7 @@
 	callers   *callerServer
 	sent      *traffic
 	received  *traffic
+	stale     *staleFrames
 
 	// stop is nil until a planned stop begins.
 	stop atomic.Pointer[plannedStop]
@@ -128,9 +129,10 @@
 		table: balance.NewTable(options.Settings.Node.Zone), sent: newTraffic("sent"), received: newTraffic("received"),
 	}
 	node.settings.Store(options.Settings)
+	node.stale = newStaleFrames(node)
 	node.mesh = transport.NewMesh(transport.Options{
 		Self: node.address, Key: options.PeerKey, OpenMembership: true, Listener: options.Listeners.Peers,
-		Dial: options.DialPeer, Handle: node.handleFrame, Logger: node.log,
+		Dial: options.DialPeer, Handle: node.handleFrame, Dropped: node.stale.note, Logger: node.log,
 	})
 	node.calls = peer.NewCalls(node.send)
 	node.documents = newDocumentStore(node)
@@ -215,6 +217,7 @@
 				n.pipeline.Tick()
 				n.decisions.Summarize()
 			}
+			n.stale.summarize()
 			n.logLoad()
 		}
 	}
@@ -229,7 +232,8 @@
 		{Name: "/sched/goroutines:goroutines"},
 	}
 	metrics.Read(samples)
-	n.log.Info().Str("event", "load").Uint64("heap_bytes", samples[0].Value.Uint64()).
+	word := n.fleet.controlWord(n.now())
+	n.log.Info().Str("event", "load").Ints64("control_delay_ms", word.delays).Uint64("heap_bytes", samples[0].Value.Uint64()).
 		Uint64("mapped_bytes", samples[1].Value.Uint64()-samples[3].Value.Uint64()).Uint64("stack_bytes", samples[2].Value.Uint64()).
 		Uint64("goroutines", samples[4].Value.Uint64()).Dict("sent", n.sent.describe()).Dict("received", n.received.describe()).Send()
 }
@@ -300,7 +304,7 @@
 	case peer.KindDocumentFetch:
 		return peer.Dispatch(envelope, func(fetch peer.DocumentFetch) { n.documents.serveFetch(from, fetch) })
 	case peer.KindDocument:
-		return peer.Dispatch(envelope, n.documents.take)
+		return peer.Dispatch(envelope, func(data peer.DocumentData) { n.documents.take(from, data) })
 	case peer.KindConsensus:
 		if n.replica == nil {
 			return nil
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -317,7 +317,7 @@
 		return
 	}
 	r.published = held.Version
-	if !r.node.documents.put(held.Version, held.Encoded) {
+	if !r.node.documents.put(r.node.address, held.Version, held.Encoded) {
 		return
 	}
 	for _, known := range r.node.fleet.view.Load().alive {
--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -21,6 +21,7 @@
 	"github.com/ravenway/ravenway/internal/lab/load"
 	"github.com/ravenway/ravenway/internal/lab/losses"
 	"github.com/ravenway/ravenway/internal/lab/standin"
+	"github.com/ravenway/ravenway/internal/lab/versions"
 	"github.com/ravenway/ravenway/internal/logs"
 	"github.com/ravenway/ravenway/internal/operatorcli"
 )
@@ -68,6 +69,11 @@
 				Action: func(_ context.Context, command *cli.Command) error {
 					return printLosses(out, command.Args().Slice(), command.Duration("step"))
 				}},
+			{Name: "versions", Usage: "tell from nodes' logs when each version of the configuration was in force where", ArgsUsage: "LOG... (- for the standard input)",
+				Flags: []cli.Flag{&cli.DurationFlag{Name: "limit", Value: 20 * time.Second, Usage: "a node that is later than this was off"}},
+				Action: func(_ context.Context, command *cli.Command) error {
+					return printVersions(out, command.Args().Slice(), command.Duration("limit"))
+				}},
 			{Name: "verify", Usage: "compare what was billed with what the engines ran",
 				Flags: []cli.Flag{planFlag,
 					&cli.DurationFlag{Name: "patience", Value: 30 * time.Second, Usage: "time for settlements to arrive"}},
@@ -95,6 +101,21 @@
 	return report.Print(out)
 }
 
+func printVersions(out io.Writer, paths []string, limit time.Duration) error {
+	if len(paths) == 0 || limit <= 0 {
+		return fmt.Errorf("versions needs the logs of one or more nodes and a limit above 0")
+	}
+	lines, err := logs.Read(paths)
+	if err != nil {
+		return err
+	}
+	report, err := versions.Read(lines, limit)
+	if err != nil {
+		return err
+	}
+	return report.Print(out)
+}
+
 func generate(_ context.Context, command *cli.Command) error {
 	plan, err := planOf(command)
 	if err != nil {
--- /dev/null
+++ b/internal/lab/versions/versions.go
@@ -0,0 +1,100 @@
+// Package versions tells from nodes' logs when each version of the
+// configuration was in force where: how far behind the first node each other one
+// was, and which were the last.
+package versions
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/logs"
+)
+
+// lastNamed is the number of nodes that are named for each version.
+const lastNamed = 3
+
+// arrival is one version's coming into force at one node.
+type arrival struct {
+	node string
+	// behind is the time since the first node had it in force.
+	behind time.Duration
+	// asks are the questions for it that the node sent.
+	asks string
+}
+
+// version is what is known of one version.
+type version struct {
+	number   int64
+	first    time.Time
+	arrivals []arrival
+}
+
+// Report is what the logs tell.
+type Report struct {
+	began    time.Time
+	versions []version
+}
+
+// Read collects the versions from nodes' logs. A version that a node got again
+// after a restart counts once, and a node that got it later than the limit
+// after the first one does not count: it was off or cut off.
+func Read(lines []logs.Line, limit time.Duration) (*Report, error) {
+	if len(lines) == 0 {
+		return nil, fmt.Errorf("the logs hold no line with a time and an event")
+	}
+	sorted := slices.Clone(lines)
+	slices.SortStableFunc(sorted, func(a, b logs.Line) int { return a.At.Compare(b.At) })
+	found := map[int64]*version{}
+	for _, line := range sorted {
+		if number, valid := line.Number("version"); valid && line.Fields["event"] == "document_in_force" {
+			take(found, number, line, limit)
+		}
+	}
+	report := &Report{began: sorted[0].At}
+	for _, number := range slices.Sorted(maps.Keys(found)) {
+		report.versions = append(report.versions, *found[number])
+	}
+	return report, nil
+}
+
+func take(found map[int64]*version, number int64, line logs.Line, limit time.Duration) {
+	one := found[number]
+	if one == nil {
+		one = &version{number: number, first: line.At}
+		found[number] = one
+	}
+	behind, node := line.At.Sub(one.first), line.Fields["node"]
+	isKnown := slices.ContainsFunc(one.arrivals, func(known arrival) bool { return known.node == node })
+	if behind <= limit && !isKnown {
+		one.arrivals = append(one.arrivals, arrival{node: node, behind: behind, asks: line.Fields["asks"]})
+	}
+}
+
+// Print writes a line for each version.
+func (r *Report) Print(out io.Writer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "version\tfirst in force\tnodes\tmedian behind\t9 in 10\tlast\tthe last ones (questions sent)")
+	for _, one := range r.versions {
+		last := one.arrivals[max(0, len(one.arrivals)-lastNamed):]
+		var names []string
+		for _, late := range last {
+			names = append(names, fmt.Sprintf("%s %v (%s)", late.node, late.behind.Round(time.Millisecond), cmp.Or(late.asks, "-")))
+		}
+		fmt.Fprintf(table, "%d\t%v\t%d\t%v\t%v\t%v\t%s\n", one.number, one.first.Sub(r.began).Round(time.Millisecond), len(one.arrivals),
+			one.behind(0.5), one.behind(0.9), one.behind(1), strings.Join(names, ", "))
+	}
+	return table.Flush()
+}
+
+// behind is the time within which a part of the nodes had the version. Lines
+// were taken in the order of time.
+func (v version) behind(part float64) time.Duration {
+	place := int(part * float64(len(v.arrivals)-1))
+	return v.arrivals[place].behind.Round(time.Millisecond)
+}
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -64,7 +64,10 @@
 	// Handle takes one authentic frame. It must not block for long: it runs on
 	// the connection's reader.
 	Handle func(from string, frame []byte)
-	Logger zerolog.Logger
+	// Dropped is told of a frame that was given up because it had waited too
+	// long for its connection; nil means that nobody is. It must not block.
+	Dropped func(to string, frame []byte, waited time.Duration)
+	Logger  zerolog.Logger
 }
 
 // Mesh is a node's end of all its connections.
@@ -97,10 +100,8 @@
 	queued  time.Time
 }
 
-func (f outgoingFrame) isStale() bool { return time.Since(f.queued) > maximumFrameAge }
-
-// staleFrames counts frames that were dropped for their age.
-var staleFrames = metrics.GetOrCreateCounter("ravenway_peer_frames_stale_total")
+// waited is how long the frame has waited.
+func (f outgoingFrame) waited() time.Duration { return time.Since(f.queued) }
 
 func newLink(name, address string) *outgoingLink {
 	return &outgoingLink{
@@ -117,6 +118,9 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
+	if options.Dropped == nil {
+		options.Dropped = func(string, []byte, time.Duration) {}
+	}
 	mesh := &Mesh{
 		options:     options,
 		links:       map[string]*outgoingLink{},
@@ -331,8 +335,8 @@
 func (m *Mesh) writeBatch(connection net.Conn, writer *bufio.Writer, seal *sealer, link *outgoingLink, frame outgoingFrame) error {
 	_ = connection.SetWriteDeadline(time.Now().Add(writeTimeout))
 	for {
-		if frame.isStale() {
-			staleFrames.Inc()
+		if waited := frame.waited(); waited > maximumFrameAge {
+			m.options.Dropped(link.name, frame.payload, waited)
 		} else if err := seal.write(writer, frame.payload); err != nil {
 			return err
 		}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -166,3 +168,38 @@
 		assert.Assert(t, err != nil, "a forged frame was accepted: %x", payload)
 	})
 }
+
+func TestFrameThatWaitedTooLongForItsConnectionIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		type drop struct {
+			to, frame string
+			waited    time.Duration
+		}
+		var dropped []drop
+		mesh := NewMesh(Options{
+			Dropped: func(to string, frame []byte, waited time.Duration) {
+				dropped = append(dropped, drop{to: to, frame: string(frame), waited: waited})
+			},
+		})
+		link := newLink("b", "b")
+		mesh.links["b"] = link
+		mesh.Send("b", []byte("late"))
+		time.Sleep(maximumFrameAge + time.Millisecond)
+		mesh.Send("b", []byte("fresh"))
+		near, far := net.Pipe()
+		var sent bytes.Buffer
+		read := make(chan struct{})
+		go func() {
+			defer close(read)
+			_, _ = io.Copy(&sent, far)
+		}()
+		assert.NilError(t, mesh.writeBatch(near, bufio.NewWriter(near), newSealer(sharedKey), link, <-link.frames.Out()))
+		assert.NilError(t, near.Close())
+		<-read
+		assert.Equal(t, len(dropped), 1)
+		assert.Equal(t, dropped[0], drop{to: "b", frame: "late", waited: maximumFrameAge + time.Millisecond})
+		frame, err := newSealer(sharedKey).read(&sent)
+		assert.NilError(t, err)
+		assert.Equal(t, string(frame), "fresh")
+	})
+}
