--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -238,6 +238,9 @@
 		Uint64("goroutines", samples[4].Value.Uint64()).Dict("sent", n.sent.describe()).Dict("received", n.received.describe()).Send()
 }
 
+// Version is the version of the configuration in force here, 0 before the first.
+func (n *Node) Version() uint64 { return n.documents.version() }
+
 // Reload takes changed settings: the seeds. Others hold until a restart.
 func (n *Node) Reload(changed *settings.Settings) {
 	n.settings.Store(changed)
--- a/internal/lab/fleet/network.go
+++ b/internal/lab/fleet/network.go
@@ -9,8 +9,11 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/ravenway/ravenway/internal/pause"
 )
 
 // errNetworkDown is what a dial to a dead or unknown address returns.
@@ -27,6 +30,8 @@
 	connections map[string]map[*memoryConnection]struct{}
 	// Bytes counts the bytes between each two machines.
 	bytes map[[2]string]int
+	// delays is how long bytes to a machine are on their way.
+	delays map[string]time.Duration
 }
 
 // NewNetwork makes a network without cuts.
@@ -34,6 +39,7 @@
 	return &Network{
 		listeners: map[string]*memoryListener{}, cut: map[[2]string]bool{}, healed: make(chan struct{}),
 		connections: map[string]map[*memoryConnection]struct{}{}, bytes: map[[2]string]int{},
+		delays: map[string]time.Duration{},
 	}
 }
 
@@ -68,6 +74,9 @@
 	if err := n.waitOpen(ctx.Done(), from, listener.machine); err != nil {
 		return nil, err
 	}
+	if delay := n.delayTo(listener.machine); delay > 0 && !pause.For(ctx, delay) {
+		return nil, ctx.Err()
+	}
 	near, far := net.Pipe()
 	own := n.track(near, from, listener.machine)
 	other := n.track(far, listener.machine, from)
@@ -127,6 +136,20 @@
 	}
 }
 
+// Delay makes all bytes to a machine, and connections to it, take a time on
+// their way, as over a link that is full.
+func (n *Network) Delay(machine string, delay time.Duration) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.delays[machine] = delay
+}
+
+func (n *Network) delayTo(machine string) time.Duration {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.delays[machine]
+}
+
 // Heal ends all cuts.
 func (n *Network) Heal() {
 	n.mutex.Lock()
@@ -226,19 +249,73 @@
 	from, to string
 	once     sync.Once
 	closed   chan struct{}
+	// late holds what is on its way since the connection's other end is behind a
+	// delay; starting begins its delivery.
+	late     chan lateBytes
+	starting sync.Once
 }
 
+// lateBytes arrive at a time.
+type lateBytes struct {
+	data []byte
+	at   time.Time
+}
+
+// lateCapacity is the number of writes that may be on their way.
+const lateCapacity = 1024
+
 func (c *memoryConnection) Write(data []byte) (int, error) {
 	if err := c.network.waitOpen(c.closed, c.from, c.to); err != nil {
 		return 0, net.ErrClosed
 	}
-	written, err := c.Conn.Write(data)
+	written, err := c.write(data)
 	c.network.mutex.Lock()
 	c.network.bytes[[2]string{c.from, c.to}] += written
 	c.network.mutex.Unlock()
 	return written, err
 }
 
+// write hands bytes to the other end, or sends them on a way that takes time.
+// Once there was a delay all later bytes go behind those on their way.
+func (c *memoryConnection) write(data []byte) (int, error) {
+	delay := c.network.delayTo(c.to)
+	if delay > 0 {
+		c.starting.Do(func() {
+			c.late = make(chan lateBytes, lateCapacity)
+			go c.deliver()
+		})
+	}
+	if c.late == nil {
+		return c.Conn.Write(data)
+	}
+	select {
+	case c.late <- lateBytes{data: slices.Clone(data), at: time.Now().Add(delay)}:
+		return len(data), nil
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+// deliver hands over what is on its way until the connection closes.
+func (c *memoryConnection) deliver() {
+	for {
+		select {
+		case <-c.closed:
+			return
+		case next := <-c.late:
+			select {
+			case <-c.closed:
+				return
+			case <-time.After(time.Until(next.at)):
+			}
+			if _, err := c.Conn.Write(next.data); err != nil {
+				_ = c.Close()
+				return
+			}
+		}
+	}
+}
+
 func (c *memoryConnection) Close() error {
 	c.once.Do(func() {
 		close(c.closed)
