Versions are sent to entry nodes at once, and full links let connections up

An entry node whose own link its callers fill has each frame a second late and later. A version came in two such ways (word of it, then the document), a new connection in three, of which none might take over 0.7 and 1 s.

Ruled out: longer pauses between questions, or more questions: they add bytes to a link that is full.

Change. coordination/follow: one control node of its zone sends each entry node a new version at once, until it is confirmed (at most 32 KB on their way, sent again after 1.5, 3, 4 s); the others tell the version only. What does not come within 0.3 s of the first word is asked for, of one node after the other; before, one unanswered node held up what all others had. transport: a try to connect that has no answer goes on while the next begins; handshakes may take 4 s.

The link is still full: a node that notices it and sends its callers elsewhere is the next step.

--- /dev/null
+++ b/internal/coordination/follow/follow_test.go
@@ -0,0 +1,145 @@
+package follow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	near      = Node{Address: "near", Zone: "a"}
+	alsoNear  = Node{Address: "near2", Zone: "a"}
+	far       = Node{Address: "far", Zone: "b"}
+	threeHave = []Node{far, near, alsoNear}
+)
+
+// follower has version 1 and heard of version 2 at time 0 from all.
+func follower() *Follower {
+	made := NewFollower("a")
+	made.Took(0, 1)
+	for _, node := range threeHave {
+		made.Heard(0, node, 2)
+	}
+	return made
+}
+
+func TestVersionThatIsOnItsWayIsNotAskedFor(t *testing.T) {
+	f := follower()
+	ask, wait := f.Next(0)
+	assert.Equal(t, ask, "")
+	assert.Equal(t, wait, sendWait)
+	f.Took(100*time.Millisecond, 2)
+	ask, wait = f.Next(time.Second)
+	assert.Equal(t, ask, "")
+	assert.Equal(t, wait, time.Duration(0))
+}
+
+// Incident CONFIG on zhf-valuation-grown, hypothesis 1: one node that does not
+// answer held up what two others have.
+func TestQuestionsWithoutAnswerGoToOneNodeAfterTheOther(t *testing.T) {
+	f := follower()
+	var asked []string
+	for now := time.Duration(0); now < 2*time.Second; now += 10 * time.Millisecond {
+		if ask, _ := f.Next(now); ask != "" {
+			asked = append(asked, fmt.Sprintf("%s at %d", ask, now.Milliseconds()))
+		}
+	}
+	assert.DeepEqual(t, asked, []string{"near at 300", "near2 at 600", "far at 1200"})
+}
+
+func TestNodeWithoutAVersionAsksAtOnce(t *testing.T) {
+	f := NewFollower("a")
+	f.Heard(time.Second, far, 7)
+	ask, _ := f.Next(time.Second)
+	assert.Equal(t, ask, "far")
+}
+
+func TestOldWordIsNotBelieved(t *testing.T) {
+	f := follower()
+	ask, wait := f.Next(wordAge + time.Millisecond)
+	assert.Equal(t, ask, "")
+	assert.Equal(t, wait, time.Duration(0))
+	f.Heard(4*time.Second, far, 2)
+	ask, _ = f.Next(4 * time.Second)
+	assert.Equal(t, ask, "far")
+}
+
+func TestAnswerOfANodeThatLagsIsNotTheEnd(t *testing.T) {
+	f := follower()
+	f.Heard(0, far, 3)
+	f.Took(100*time.Millisecond, 2)
+	ask, _ := f.Next(100*time.Millisecond + sendWait)
+	assert.Equal(t, ask, "far")
+}
+
+func TestEachEntryNodeHasOneSenderOfItsZone(t *testing.T) {
+	senders := map[string]int{}
+	for number := range 100 {
+		entry := Node{Address: fmt.Sprintf("entry-%d", number), Zone: "a"}
+		sender := ChooseSender(entry, threeHave)
+		assert.Equal(t, sender, ChooseSender(entry, []Node{alsoNear, near, far}))
+		senders[sender]++
+	}
+	assert.Equal(t, senders["far"], 0)
+	assert.Assert(t, senders["near"] > 25 && senders["near2"] > 25, "%v", senders)
+	assert.Equal(t, ChooseSender(Node{Address: "entry", Zone: "c"}, []Node{far}), "far")
+	assert.Equal(t, ChooseSender(Node{Address: "entry", Zone: "c"}, nil), "")
+}
+
+func TestVersionIsSentOnceUntilItIsOverdue(t *testing.T) {
+	p := NewPublisher()
+	p.InForce(2, 1000)
+	p.Has("e", "life", 1)
+	assert.Assert(t, p.Due(0, "e"))
+	assert.Assert(t, !p.Due(firstPatience-time.Millisecond, "e"))
+	assert.Assert(t, p.Due(firstPatience, "e"))
+	assert.Assert(t, !p.Due(2*firstPatience, "e"))
+	assert.Assert(t, p.Due(3*firstPatience, "e"))
+	p.Has("e", "life", 2)
+	assert.Assert(t, !p.Due(time.Hour, "e"))
+}
+
+func TestVersionsInSeriesAreSentAtOnceWhileTheyAreSmall(t *testing.T) {
+	p := NewPublisher()
+	p.Has("e", "life", 1)
+	sent := 0
+	for version := uint64(2); version < 50; version++ {
+		p.InForce(version, maximumUnconfirmed/4)
+		if p.Due(0, "e") {
+			sent++
+		}
+	}
+	assert.Equal(t, sent, 4)
+	// The newest goes out as soon as there is room.
+	p.Has("e", "life", 5)
+	assert.Assert(t, p.Due(0, "e"))
+	p.Has("e", "life", 49)
+	assert.Assert(t, !p.Due(time.Hour, "e"))
+}
+
+func TestLargeDocumentIsOnItsWayOnceAtATime(t *testing.T) {
+	p := NewPublisher()
+	p.Has("e", "life", 1)
+	p.InForce(2, 10*maximumUnconfirmed)
+	assert.Assert(t, p.Due(0, "e"))
+	p.InForce(3, 10*maximumUnconfirmed)
+	assert.Assert(t, !p.Due(100*time.Millisecond, "e"))
+	p.Has("e", "life", 2)
+	assert.Assert(t, p.Due(200*time.Millisecond, "e"))
+}
+
+func TestNewLifeOfANodeHoldsNothing(t *testing.T) {
+	p := NewPublisher()
+	p.InForce(2, 10)
+	p.Has("e", "one", 2)
+	assert.Assert(t, !p.Due(0, "e"))
+	p.Has("e", "two", 0)
+	assert.Assert(t, p.Due(0, "e"))
+	// A confirmation does not say its life.
+	p.Has("e", "", 2)
+	assert.Assert(t, !p.Due(time.Hour, "e"))
+	p.Forget("e")
+	assert.Assert(t, !p.Due(time.Hour, "e"))
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/coordination/follow"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/coordination/roster"
 	"github.com/ravenway/ravenway/internal/duty"
@@ -134,6 +135,7 @@
 		f.node.mesh.Forget(gone)
 		delete(f.told, gone)
 		delete(f.mismatches, gone)
+		f.node.publisher.forget(gone)
 	}
 	f.publish()
 }
@@ -238,7 +240,10 @@
 		}
 		f.compareInstances(hello)
 		if hello.Control {
-			f.node.documents.takeHello(hello)
+			f.node.documents.hear(follow.Node{Address: hello.Address, Zone: hello.Zone}, hello.Version)
+		}
+		if f.isControl() {
+			f.node.publisher.hear(hello)
 		}
 		if isNew || hello.Control {
 			// The hellos of entry nodes, by far the most, wait for the next tick.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -107,6 +107,7 @@
 	calls     *peer.Calls
 	fleet     *fleetDuty
 	documents *documentStore
+	publisher *documentPublisher
 	table     *balance.Table
 	replica   *replicaDuty
 	tokens    *tokensDuty
@@ -135,7 +136,7 @@
 		Dial: options.DialPeer, Handle: node.handleFrame, Dropped: node.stale.note, Logger: node.log,
 	})
 	node.calls = peer.NewCalls(node.send)
-	node.documents = newDocumentStore(node)
+	node.documents, node.publisher = newDocumentStore(node), newDocumentPublisher(node)
 	node.fleet = newFleetDuty(node)
 	if options.Settings.HasRole(settings.RoleControl) {
 		node.replica = newReplicaDuty(node)
@@ -305,7 +306,7 @@
 	case peer.KindDocumentNotice:
 		return peer.Dispatch(envelope, func(notice peer.DocumentNotice) { n.documents.takeNotice(from, notice.Version) })
 	case peer.KindDocumentFetch:
-		return peer.Dispatch(envelope, func(fetch peer.DocumentFetch) { n.documents.serveFetch(from, fetch) })
+		return peer.Dispatch(envelope, func(fetch peer.DocumentFetch) { n.publisher.answer(from, fetch) })
 	case peer.KindDocument:
 		return peer.Dispatch(envelope, func(data peer.DocumentData) { n.documents.take(from, data) })
 	case peer.KindConsensus:
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -317,13 +317,8 @@
 		return
 	}
 	r.published = held.Version
-	if !r.node.documents.put(r.node.address, held.Version, held.Encoded) {
-		return
-	}
-	for _, known := range r.node.fleet.view.Load().alive {
-		if known.Entry {
-			r.node.send(known.Address, peer.KindDocumentNotice, &peer.DocumentNotice{Version: held.Version})
-		}
+	if r.node.documents.put(r.node.address, held.Version, held.Encoded) {
+		r.node.publisher.publish()
 	}
 }
 
--- a/internal/protocol/peer/fleet.go
+++ b/internal/protocol/peer/fleet.go
@@ -52,6 +52,8 @@
 // DocumentFetch asks for the document in force if it is above Have.
 type DocumentFetch struct {
 	Have uint64 `msgpack:"h"`
+	// Took tells that this confirms what the receiver sent; it asks for nothing.
+	Took bool `msgpack:"t,omitempty"`
 }
 
 // DocumentData carries a document as document.Decode reads it.
--- /dev/null
+++ b/internal/transport/dial_test.go
@@ -0,0 +1,93 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// scriptedDials answers each try after its own time.
+type scriptedDials struct {
+	waits []time.Duration
+	err   error
+
+	mutex  sync.Mutex
+	opened []net.Conn
+	tries  int
+}
+
+func (s *scriptedDials) dial(ctx context.Context) (net.Conn, error) {
+	s.mutex.Lock()
+	wait := s.waits[s.tries]
+	s.tries++
+	s.mutex.Unlock()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(wait):
+	}
+	if s.err != nil {
+		return nil, s.err
+	}
+	near, _ := net.Pipe()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.opened = append(s.opened, near)
+	return near, nil
+}
+
+func inDials(t *testing.T, script *scriptedDials, test func(t *testing.T, connection net.Conn, err error, took time.Duration)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		defer cancel()
+		began := time.Now()
+		connection, err := dialStaggered(ctx, dialAgain, script.dial)
+		took := time.Since(began)
+		synctest.Wait()
+		test(t, connection, err, took)
+	})
+}
+
+// Incident CONFIG on zhf-valuation-grown: over a full link the answer to a try
+// came after the try had been given up, each time.
+func TestSlowTryGoesOnBesideTheNextOne(t *testing.T) {
+	script := &scriptedDials{waits: []time.Duration{1400 * time.Millisecond, 1400 * time.Millisecond, 1400 * time.Millisecond}}
+	inDials(t, script, func(t *testing.T, connection net.Conn, err error, took time.Duration) {
+		assert.NilError(t, err)
+		assert.Equal(t, took, 1400*time.Millisecond)
+		assert.Equal(t, connection, script.opened[0])
+	})
+}
+
+func TestLostTryDoesNotHoldUpTheNextOne(t *testing.T) {
+	script := &scriptedDials{waits: []time.Duration{time.Hour, 10 * time.Millisecond}}
+	inDials(t, script, func(t *testing.T, connection net.Conn, err error, took time.Duration) {
+		assert.NilError(t, err)
+		assert.Equal(t, took, dialAgain+10*time.Millisecond)
+		assert.Equal(t, connection, script.opened[0])
+	})
+}
+
+func TestRefusedTryEndsTheOthers(t *testing.T) {
+	script := &scriptedDials{waits: []time.Duration{time.Millisecond}, err: errors.New("refused")}
+	inDials(t, script, func(t *testing.T, _ net.Conn, err error, took time.Duration) {
+		assert.ErrorContains(t, err, "refused")
+		assert.Equal(t, took, time.Millisecond)
+	})
+}
+
+func TestTriesThatNobodyAnswersEndInTime(t *testing.T) {
+	script := &scriptedDials{waits: []time.Duration{time.Hour, time.Hour, time.Hour, time.Hour}}
+	inDials(t, script, func(t *testing.T, _ net.Conn, err error, took time.Duration) {
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		assert.Equal(t, took, dialTimeout)
+		assert.Equal(t, script.tries, 4)
+	})
+}
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -29,10 +29,14 @@
 const (
 	// outgoingCapacity bounds the frames waiting for one peer; the oldest go first.
 	outgoingCapacity = 4096
-	// The bounds are short, so that after a silent cut a new connection is
-	// there well within the time that a node has to catch up.
-	handshakeTimeout = time.Second
-	dialTimeout      = 700 * time.Millisecond
+	// A link that is full takes over a second each way, and a new connection
+	// needs three ways: to be opened, and two of the handshake.
+	handshakeTimeout = 4 * time.Second
+	dialTimeout      = 2500 * time.Millisecond
+	// dialAgain is the time after which another try to connect begins beside the
+	// first: after a silent cut a new connection is to be there well within the
+	// time that a node has to catch up.
+	dialAgain        = 700 * time.Millisecond
 	writeTimeout     = 2 * time.Second
 	userTimeout      = 1500 * time.Millisecond
 	minimumBackoff   = 50 * time.Millisecond
@@ -113,7 +117,7 @@
 // NewMesh makes a mesh; Run starts it.
 func NewMesh(options Options) *Mesh {
 	if options.Dial == nil {
-		dialer := &net.Dialer{Timeout: dialTimeout, Control: SetUserTimeout(userTimeout)}
+		dialer := &net.Dialer{Control: SetUserTimeout(userTimeout)}
 		options.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}
@@ -286,7 +290,7 @@
 
 // sendFrames opens a connection and writes frames until it fails.
 func (m *Mesh) sendFrames(ctx context.Context, link *outgoingLink, frame outgoingFrame) error {
-	connection, err := m.options.Dial(ctx, link.address)
+	connection, err := m.dial(ctx, link.address)
 	if err != nil {
 		return err
 	}
@@ -324,6 +328,12 @@
 	}
 }
 
+func (m *Mesh) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return dialStaggered(ctx, dialAgain, func(ctx context.Context) (net.Conn, error) { return m.options.Dial(ctx, address) })
+}
+
 // watchClose notices that the other side closed a one-way connection, so that
 // the next frame is not lost into it.
 func watchClose(connection net.Conn, closed chan<- struct{}) {
