An entry node with a full link asks for no more callers, and waits for engines

The platform's hash gives one node 23 times the median node's callers.

Ruled out: the peers' own bytes as what fills the link (under 5 in 100 of it).

A new connection to an engine may take 250 ms and the measured delay, 1.5 s at most.

--- a/internal/coordination/balance/loads.go
+++ b/internal/coordination/balance/loads.go
@@ -93,6 +93,8 @@
 	// Parts are the prompt parts sent elsewhere than to their homes since the
 	// report before.
 	Parts []byte `msgpack:"p,omitempty"`
+	// AgeMS is the time since the sender's process started, in milliseconds.
+	AgeMS uint64 `msgpack:"y,omitempty"`
 }
 
 // OutgoingReport is a report and its receiver.
--- /dev/null
+++ b/internal/coordination/delay/delay_test.go
@@ -0,0 +1,34 @@
+package delay
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Incident CONFIG on zhf-valuation-grown: messages came in time one after the
+// other, each of them more than a second late.
+func TestDelayIsMeasuredAgainstTheFastestMessage(t *testing.T) {
+	var meter Meter
+	heard := func(at, age time.Duration) time.Duration {
+		meter.Heard(at, age)
+		return meter.Delay()
+	}
+	assert.Equal(t, heard(5*time.Second, time.Second), time.Duration(0))
+	assert.Equal(t, heard(7200*time.Millisecond, 2*time.Second), 1200*time.Millisecond)
+	assert.Equal(t, heard(7500*time.Millisecond, 3600*time.Millisecond), time.Duration(0))
+	assert.Equal(t, heard(9*time.Second, 5*time.Second), 100*time.Millisecond)
+	// A new life has another age.
+	assert.Equal(t, heard(10*time.Second, 0), time.Duration(0))
+	assert.Assert(t, meter.IsFresh(10500*time.Millisecond, time.Second))
+	assert.Assert(t, !meter.IsFresh(12*time.Second, time.Second))
+}
+
+func TestMedianPassesOverASlowSender(t *testing.T) {
+	_, known := Median(nil)
+	assert.Assert(t, !known)
+	median, known := Median([]time.Duration{3 * time.Second, 20, 10})
+	assert.Assert(t, known)
+	assert.Equal(t, median, time.Duration(20))
+}
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/coordination/delay"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 )
 
@@ -28,18 +29,10 @@
 type Heard struct {
 	peer.Hello
 	At time.Duration
-	// leastOffset is the least difference seen between the time of a hello's
-	// arrival and its sender's age, in this life of the sender.
-	leastOffset time.Duration
+	// Meter measures how long the node's hellos are on their way.
+	delay.Meter
 }
 
-// Delay is how much longer the last hello was on its way than the fastest one
-// of the sender's life: the time that it waited behind other bytes on a full
-// link, or for a process without time.
-func (h *Heard) Delay() time.Duration { return h.offset() - h.leastOffset }
-
-func (h *Heard) offset() time.Duration { return h.At - time.Duration(h.AgeMS)*time.Millisecond }
-
 // Roster is one node's view of the others. It is not safe for concurrent use.
 type Roster struct {
 	self  string
@@ -79,10 +72,10 @@
 		hello.Nodes = known.Nodes
 	}
 	heard := &Heard{Hello: hello, At: now}
-	heard.leastOffset = heard.offset()
 	if known != nil && known.Life == hello.Life {
-		heard.leastOffset = min(heard.leastOffset, known.leastOffset)
+		heard.Meter = known.Meter
 	}
+	heard.Meter.Heard(now, time.Duration(hello.AgeMS)*time.Millisecond)
 	r.heard[hello.Address] = heard
 	if !hello.Control {
 		return isNew
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -19,8 +19,11 @@
 
 const (
 	// dialTimeout bounds a new connection: engines answer within milliseconds,
-	// a machine that is gone says nothing.
-	dialTimeout = 250 * time.Millisecond
+	// a machine that is gone says nothing. Where this node's own link is full, the
+	// answer comes as much later as all else that is sent to it, up to
+	// longestDialTimeout in all.
+	dialTimeout        = 250 * time.Millisecond
+	longestDialTimeout = 1500 * time.Millisecond
 	// engineUserTimeout ends connections whose data is not acknowledged.
 	engineUserTimeout = 2 * time.Second
 	// The probes of a silent connection end it within about two seconds.
@@ -81,22 +84,24 @@
 // pool keeps connections to engines by address.
 type pool struct {
 	dial func(ctx context.Context, address string) (net.Conn, error)
+	// linkDelay is how long what is sent to this node waits for its link.
+	linkDelay func() time.Duration
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
 }
 
-func newPool(dial func(ctx context.Context, address string) (net.Conn, error)) *pool {
+func newPool(dial func(ctx context.Context, address string) (net.Conn, error), linkDelay func() time.Duration) *pool {
 	if dial == nil {
 		dialer := &net.Dialer{
-			Timeout: dialTimeout, Control: transport.SetUserTimeout(engineUserTimeout),
+			Control:         transport.SetUserTimeout(engineUserTimeout),
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 		}
 		dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	return &pool{dial: dial, idle: map[string][]*connection{}}
+	return &pool{dial: dial, linkDelay: linkDelay, idle: map[string][]*connection{}}
 }
 
 // get returns a kept connection or opens one.
@@ -112,6 +117,8 @@
 		}
 		kept.close()
 	}
+	ctx, cancel := context.WithTimeout(ctx, min(dialTimeout+p.linkDelay(), longestDialTimeout))
+	defer cancel()
 	network, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, err
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -52,6 +52,10 @@
 	EntryNodes() int
 	// Stop tells of a planned stop.
 	Stop() StopState
+	// LinkDelay is how long what is sent to this node waits for its link.
+	LinkDelay() time.Duration
+	// Resting tells that callers are to go to other nodes for a while.
+	Resting() bool
 	// Now is a steady clock.
 	Now() time.Duration
 }
@@ -93,6 +97,7 @@
 	retries  *balance.RetryBudget
 	buffered atomic.Int64
 	active   atomic.Int64
+	received atomic.Int64
 }
 
 // Times of all requests from their arrival to the end of their answer, of the
@@ -114,12 +119,15 @@
 	if options.Log == nil {
 		options.Log = NewDecisionLog(zerolog.Nop())
 	}
-	return &Pipeline{options: options, pool: newPool(options.Dial), retries: balance.NewRetryBudget()}
+	return &Pipeline{options: options, pool: newPool(options.Dial, options.Environment.LinkDelay), retries: balance.NewRetryBudget()}
 }
 
 // Active is the number of requests in progress.
 func (p *Pipeline) Active() int64 { return p.active.Load() }
 
+// ReceivedBytes are the bytes of callers' bodies since the start.
+func (p *Pipeline) ReceivedBytes() int64 { return p.received.Load() }
+
 // Tick closes kept connections that are past their time.
 func (p *Pipeline) Tick() { p.pool.prune(time.Now()) }
 
@@ -157,7 +165,8 @@
 func (p *Pipeline) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	p.active.Add(1)
 	defer p.active.Add(-1)
-	if p.options.Environment.Stop().Begun {
+	if p.options.Environment.Stop().Begun || p.options.Environment.Resting() {
+		// The next request of this caller goes over a new connection, elsewhere.
 		writer.Header().Set("Connection", "close")
 	}
 	one := &request{pipeline: p, writer: writer, incoming: incoming, arrived: time.Now()}
@@ -281,6 +290,7 @@
 		return refuse(http.StatusServiceUnavailable, ReasonNoMemory)
 	}
 	r.body = body
+	r.pipeline.received.Add(int64(len(body)))
 	return nil
 }
 
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -57,12 +57,20 @@
 	return forward.StopState{Begun: true, Since: now - stop.began, Left: stop.cutsAt - now}
 }
 
+// LinkDelay implements forward.Environment.
+func (e *entryEnvironment) LinkDelay() time.Duration {
+	return time.Duration(e.node.link.current.Load())
+}
+
+// Resting implements forward.Environment.
+func (e *entryEnvironment) Resting() bool { return e.node.link.resting.Load() }
+
 // Now implements forward.Environment.
 func (e *entryEnvironment) Now() time.Duration { return e.node.now() }
 
 // ready tells whether this entry node should get callers.
 func (n *Node) ready() bool {
-	if n.isStopping() || n.documents.version() == 0 {
+	if n.isStopping() || n.documents.version() == 0 || n.link.resting.Load() {
 		return false
 	}
 	return n.fleet.instances.Load() > 0 || n.now() > instancesPatience
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -138,6 +138,7 @@
 		f.node.publisher.forget(gone)
 	}
 	f.publish()
+	f.node.link.look(now, f.view.Load())
 }
 
 // noteLost writes a line for each control node that is not heard any more.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -108,6 +108,7 @@
 	fleet     *fleetDuty
 	documents *documentStore
 	publisher *documentPublisher
+	link      *linkWatch
 	table     *balance.Table
 	replica   *replicaDuty
 	tokens    *tokensDuty
@@ -137,6 +138,7 @@
 	})
 	node.calls = peer.NewCalls(node.send)
 	node.documents, node.publisher = newDocumentStore(node), newDocumentPublisher(node)
+	node.link = &linkWatch{node: node}
 	node.fleet = newFleetDuty(node)
 	if options.Settings.HasRole(settings.RoleControl) {
 		node.replica = newReplicaDuty(node)
--- a/internal/lab/openfleet/fulllink_test.go
+++ b/internal/lab/openfleet/fulllink_test.go
@@ -1,6 +1,7 @@
 package openfleet
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -51,3 +52,20 @@
 		expectInForce(t, f, "entry-0", 2)
 	})
 }
+
+// The same incident: the node with the full link went on asking for callers, of
+// whom it could serve few in time, while its neighbours were idle.
+func TestNodeWhoseLinkIsFullAsksForNoMoreCallersUntilItIsFree(t *testing.T) {
+	inFleet(t, 4, func(t *testing.T, f *Fleet) {
+		readyIs := func(name string, wanted bool) func() bool { return func() bool { return f.Ready(name) == wanted } }
+		f.Network.Delay("entry-0", 500*time.Millisecond)
+		assert.NilError(t, f.WaitFor(5*time.Second, "not ready with a full link", readyIs("entry-0", false)))
+		assert.Assert(t, f.Ready("entry-3"))
+		// Requests that come all the same are served, and their connections end.
+		answer, err := f.Request("entry-0", Ask{ID: "r1", Path: "/safe/x", Key: "key-one"})
+		assert.NilError(t, err)
+		assert.Equal(t, answer.Status, http.StatusOK)
+		f.Network.Delay("entry-0", 0)
+		assert.NilError(t, f.WaitFor(10*time.Second, "ready again", readyIs("entry-0", true)))
+	})
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -240,6 +240,9 @@
 	if s.Limits.MemoryMB < 0 {
 		p.find("limits.memory_mb", "can't be below 0")
 	}
+	if s.Limits.LinkMbps < 0 {
+		p.find("limits.link_mbps", "can't be below 0")
+	}
 	if s.Limits.MaxStreams < 0 {
 		p.find("limits.max_streams", "must be above 0")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -172,6 +172,9 @@
 	// MemoryMB is what the process may use, in MiB; 0 means that it is not
 	// bounded. The garbage collector works harder as its use comes near.
 	MemoryMB int `toml:"memory_mb"`
+	// LinkMbps is what the machine's link carries in each direction, in megabits
+	// a second; 0 means that it is not known.
+	LinkMbps float64 `toml:"link_mbps"`
 }
 
 // Log configures the log.
