--- a/internal/coordination/overload/overload.go
+++ b/internal/coordination/overload/overload.go
@@ -1,5 +1,5 @@
-// Package overload decides when an entry node asks for no more callers because
-// its own link is full.
+// Package overload decides when an entry node sheds load because its own link
+// is full.
 //
 // Callers come to entry nodes in uneven shares. One whose link is full is of no
 // use to its callers: each frame and each body waits for seconds, while other
@@ -14,7 +14,7 @@
 const (
 	// fullDelay is the delay of other nodes' frames above which the link counts as
 	// full, clearDelay that below which it counts as free. Usual are under 20 ms,
-	// on the busiest node with room left under 70 ms (docs/incidents/zhf-grown-config.md).
+	// on the busiest node with room left under 70 ms (docs/incidents/zhf-grown-confis.md).
 	fullDelay  = 250 * time.Millisecond
 	clearDelay = 80 * time.Millisecond
 	// fullShare is the part of the link that callers' bodies fill at least before
@@ -23,11 +23,12 @@
 	fullShare = 0.3
 	// fullFor is how long it must be full: a burst passes by itself.
 	fullFor = 900 * time.Millisecond
-	// The node stays away for a rest, which doubles each time that the link is
-	// full again within restMemory of the last one's end.
-	firstRest  = 4 * time.Second
-	lastRest   = 16 * time.Second
-	restMemory = 20 * time.Second
+	// The node sheds load for firstPause, for twice as long each time that the link
+	// is full again within pauseMemory of the last time's end, and for lastPause at
+	// most.
+	firstPause  = 4 * time.Second
+	lastPause   = 16 * time.Second
+	pauseMemory = 20 * time.Second
 )
 
 // Reading is what a node sees of its own link at a moment.
@@ -44,63 +45,63 @@
 	Others int
 }
 
-// Gate tells whether a node asks for callers.
-type Gate struct {
-	resting   bool
+// Shedder tells whether a node sheds load: asks for no more callers.
+type Shedder struct {
+	shedding  bool
 	fullSince time.Duration
 	isFull    bool
-	rest      time.Duration
-	// restsUntil is the end of the rest under way or of the last one.
-	restsUntil time.Duration
+	// pause is the length of the last time, until its end.
+	pause time.Duration
+	until time.Duration
 	// lastBytes were read at lastAt.
 	lastBytes int64
 	lastAt    time.Duration
 }
 
-// Resting tells whether the node asks for no more callers.
-func (g *Gate) Resting() bool { return g.resting }
+// Shedding tells whether the node asks for no more callers.
+func (s *Shedder) Shedding() bool { return s.shedding }
 
 // Step takes a reading and tells whether something has changed.
-func (g *Gate) Step(now time.Duration, reading Reading) (changed bool) {
-	share := g.share(now, reading)
-	if g.resting {
-		return g.maybeReturn(now, reading)
+func (s *Shedder) Step(now time.Duration, reading Reading) (changed bool) {
+	share := s.share(now, reading)
+	if s.shedding {
+		return s.maybeEnd(now, reading)
 	}
 	if reading.Others == 0 || !reading.DelayKnown || reading.Delay < fullDelay || share < fullShare {
-		g.isFull = false
+		s.isFull = false
 		return false
 	}
-	if !g.isFull {
-		g.isFull, g.fullSince = true, now
+	if !s.isFull {
+		s.isFull, s.fullSince = true, now
 	}
-	if now-g.fullSince < fullFor {
+	if now-s.fullSince < fullFor {
 		return false
 	}
-	g.rest = min(2*g.rest, lastRest)
-	if g.rest == 0 || now-g.restsUntil > restMemory {
-		g.rest = firstRest
+	s.pause = min(2*s.pause, lastPause)
+	if s.pause == 0 || now-s.until > pauseMemory {
+		s.pause = firstPause
 	}
-	g.resting, g.restsUntil = true, now+g.rest
+	s.shedding, s.until = true, now+s.pause
 	return true
 }
 
-// maybeReturn ends a rest whose time is over once the link is free. A node that
-// hears nobody can't tell, and returns.
-func (g *Gate) maybeReturn(now time.Duration, reading Reading) bool {
-	if now < g.restsUntil || reading.DelayKnown && reading.Delay > clearDelay {
+// maybeEnd ends the shedding when its time is over and the link is free. A node
+// that hears nobody can't tell, and ends it too.
+func (s *Shedder) maybeEnd(now time.Duration, reading Reading) bool {
+	if now < s.until || reading.DelayKnown && reading.Delay > clearDelay {
 		return false
 	}
-	g.resting, g.isFull, g.restsUntil = false, false, now
+	s.shedding, s.isFull, s.until = false, false, now
 	return true
 }
 
 // share is the part of the link that callers' bodies took since the last
 // reading; 1 where the link's size is not known.
-func (g *Gate) share(now time.Duration, reading Reading) float64 {
-	bytes, time := reading.CallerBytes-g.lastBytes, now-g.lastAt
-	g.lastBytes, g.lastAt = reading.CallerBytes, now
-	if reading.LinkBytes <= 0 || time <= 0 {
+func (s *Shedder) share(now time.Duration, reading Reading) float64 {
+	bytes, elapsed := reading.CallerBytes-s.lastBytes, now-s.lastAt
+	s.lastBytes, s.lastAt = reading.CallerBytes, now
+	if reading.LinkBytes <= 0 || elapsed <= 0 {
 		return 1
 	}
-	return float64(bytes) / time.Seconds() / reading.LinkBytes
+	return float64(bytes) / elapsed.Seconds() / reading.LinkBytes
 }
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -54,8 +54,8 @@
 	Stop() StopState
 	// LinkDelay is how long what is sent to this node waits for its link.
 	LinkDelay() time.Duration
-	// Resting tells that callers are to go to other nodes for a while.
-	Resting() bool
+	// Shedding tells that callers are to go to other nodes for a while.
+	Shedding() bool
 	// Now is a steady clock.
 	Now() time.Duration
 }
@@ -165,7 +165,7 @@
 func (p *Pipeline) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	p.active.Add(1)
 	defer p.active.Add(-1)
-	if p.options.Environment.Stop().Begun || p.options.Environment.Resting() {
+	if p.options.Environment.Stop().Begun || p.options.Environment.Shedding() {
 		// The next request of this caller goes over a new connection, elsewhere.
 		writer.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/documents.go
+++ b/internal/gateway/documents.go
@@ -157,10 +157,10 @@
 }
 
 func (d *documentStore) logAsk(now time.Duration, from string) {
-	newest, word := d.newest.Load(), d.node.fleet.controlWord(now)
+	newest, freshness := d.newest.Load(), d.node.fleet.controlFreshness(now)
 	d.node.log.Info().Str("event", "document_asked").Uint64("version", newest.version).Str("from", from).
 		Uint64("have", d.version()).Int("asks", d.follower.Asks()).Int64("newest_heard_ms", (now-newest.at).Milliseconds()).
-		Ints64("control_silence_ms", word.silences).Ints64("control_delay_ms", word.delays).Send()
+		Ints64("control_silence_ms", freshness.silences).Ints64("control_delay_ms", freshness.delays).Send()
 }
 
 // take takes a document that a control node sent, and tells it what is in force
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -62,15 +62,15 @@
 	return time.Duration(e.node.link.current.Load())
 }
 
-// Resting implements forward.Environment.
-func (e *entryEnvironment) Resting() bool { return e.node.link.resting.Load() }
+// Shedding implements forward.Environment.
+func (e *entryEnvironment) Shedding() bool { return e.node.link.shedding.Load() }
 
 // Now implements forward.Environment.
 func (e *entryEnvironment) Now() time.Duration { return e.node.now() }
 
 // ready tells whether this entry node should get callers.
 func (n *Node) ready() bool {
-	if n.isStopping() || n.documents.version() == 0 || n.link.resting.Load() {
+	if n.isStopping() || n.documents.version() == 0 || n.link.shedding.Load() {
 		return false
 	}
 	return n.fleet.instances.Load() > 0 || n.now() > instancesPatience
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -24,9 +23,6 @@
 	// nodesEvery is the number of hellos after which the list of nodes is
 	// repeated though it did not change.
 	nodesEvery = 10
-	// mismatchesAllowed is how many hellos in a row may differ in their digest
-	// before the instances are exchanged whole: a change may be on its way.
-	mismatchesAllowed = 1
 	// heardTicks is the number of ticks between lists of instances heard.
 	heardTicks = 8
 	// certainFor is how long a control node's word on the newest version counts.
@@ -35,13 +31,6 @@
 	quorumFor = 1500 * time.Millisecond
 )
 
-// instancesMessage carries changes of the registry, or all of it.
-type instancesMessage struct {
-	Instances []registry.Instance `msgpack:"i"`
-	// Answer asks the receiver for all that it has.
-	Answer bool `msgpack:"a,omitempty"`
-}
-
 // fleetDuty owns the roster and the registry.
 type fleetDuty struct {
 	node     *Node
@@ -81,23 +70,23 @@
 	certainVersion uint64
 }
 
-// controlWord is how fresh this node's word of the control nodes is, for logs.
-type controlWord struct {
+// controlFreshness is how fresh this node's knowledge of the control nodes is, for logs.
+type controlFreshness struct {
 	// silences are the times since each live control node was heard, delays how
 	// long its last hello was on its way beyond the fastest one; both in
 	// milliseconds.
 	silences, delays []int64
 }
 
-func (f *fleetDuty) controlWord(now time.Duration) controlWord {
-	word := controlWord{silences: []int64{}, delays: []int64{}}
+func (f *fleetDuty) controlFreshness(now time.Duration) controlFreshness {
+	freshness := controlFreshness{silences: []int64{}, delays: []int64{}}
 	for _, known := range f.view.Load().alive {
 		if known.Control {
-			word.silences = append(word.silences, (now - known.At).Milliseconds())
-			word.delays = append(word.delays, known.Delay().Milliseconds())
+			freshness.silences = append(freshness.silences, (now - known.At).Milliseconds())
+			freshness.delays = append(freshness.delays, known.Delay().Milliseconds())
 		}
 	}
-	return word
+	return freshness
 }
 
 func newFleetDuty(node *Node) *fleetDuty {
@@ -253,73 +242,6 @@
 	})
 }
 
-// compareInstances exchanges the registry with a node that holds another one.
-func (f *fleetDuty) compareInstances(hello peer.Hello) {
-	if hello.InstancesDigest == f.registry.Digest() || !hello.Control && !f.isControl() {
-		delete(f.mismatches, hello.Address)
-		return
-	}
-	f.mismatches[hello.Address]++
-	if f.mismatches[hello.Address] <= mismatchesAllowed && len(f.registry.Live()) > 0 {
-		return
-	}
-	delete(f.mismatches, hello.Address)
-	f.node.send(hello.Address, peer.KindInstances, &instancesMessage{Instances: f.registry.Instances(), Answer: true})
-}
-
-func (f *fleetDuty) takeInstances(from string, message instancesMessage) {
-	f.duty.Offer(func() {
-		news := f.registry.Merge(f.node.now(), message.Instances)
-		if len(news) > 0 {
-			f.logInstances("merged", news)
-			f.publishInstances()
-		}
-		if message.Answer {
-			f.node.send(from, peer.KindInstances, &instancesMessage{Instances: f.registry.Instances()})
-		}
-	})
-}
-
-func (f *fleetDuty) takeHeard(heard peer.InstancesHeard) {
-	f.duty.Offer(func() { f.registry.Heard(f.node.now(), heard.IDs) })
-}
-
-// tellHeard tells the other control nodes which instances are alive.
-func (f *fleetDuty) tellHeard() {
-	ids := f.registry.TakeHeardHere()
-	if len(ids) == 0 {
-		return
-	}
-	for _, known := range f.roster.Controls(f.node.now()) {
-		f.node.send(known.Address, peer.KindInstancesHeard, &peer.InstancesHeard{IDs: ids})
-	}
-}
-
-// announce tells all nodes of changes.
-func (f *fleetDuty) announce(changes []registry.Instance) {
-	if len(changes) == 0 {
-		return
-	}
-	f.logInstances("announced", changes)
-	f.publishInstances()
-	for _, known := range f.roster.AliveNodes(f.node.now()) {
-		f.node.send(known.Address, peer.KindInstances, &instancesMessage{Instances: changes})
-	}
-}
-
-func (f *fleetDuty) logInstances(how string, changes []registry.Instance) {
-	for _, changed := range changes {
-		f.node.log.Info().Str("event", "instance").Str("how", how).Str("instance", changed.ID).Str("service", changed.Service).
-			Str("address", changed.Address).Stringer("state", changed.State).Uint64("sequence", changed.Sequence).Send()
-	}
-}
-
-func (f *fleetDuty) publishInstances() {
-	live := f.registry.Live()
-	f.instances.Store(int64(len(live)))
-	f.node.table.Update(live)
-}
-
 // publish shares the roster with the other duties.
 func (f *fleetDuty) publish() {
 	now := f.node.now()
@@ -362,30 +284,3 @@
 	place, _ := slices.BinarySearch(addresses, own)
 	return append(slices.Clone(addresses[place:]), addresses[:place]...)
 }
-
-// heartbeat takes an instance's word and tells all nodes before it returns.
-func (f *fleetDuty) heartbeat(ctx context.Context, instance registry.Instance) error {
-	result, err := duty.Ask(ctx, f.duty, func(answer func(error)) {
-		changed, err := f.registry.Heartbeat(f.node.now(), instance)
-		if changed {
-			f.announce([]registry.Instance{instance})
-		}
-		answer(err)
-	})
-	if err != nil {
-		return err
-	}
-	return result
-}
-
-// leave takes an instance's word that it ends.
-func (f *fleetDuty) leave(ctx context.Context, id string) error {
-	_, err := duty.Ask(ctx, f.duty, func(answer func(bool)) {
-		changed := f.registry.Leave(f.node.now(), id)
-		if changed {
-			f.announce([]registry.Instance{{ID: id, State: registry.Gone}})
-		}
-		answer(changed)
-	})
-	return err
-}
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -20,11 +20,11 @@
 )
 
 // linkWatch watches the entry node's own link. The fleet duty owns it; others
-// read whether the node rests.
+// read whether the node sheds load.
 type linkWatch struct {
-	node    *Node
-	gate    overload.Gate
-	resting atomic.Bool
+	node     *Node
+	shedder  overload.Shedder
+	shedding atomic.Bool
 	// current is the delay at the last look, in nanoseconds; 0 if it is not known.
 	current atomic.Int64
 	// reports is the delay of other entry nodes' load reports: what is left to go
@@ -42,9 +42,9 @@
 	}
 }
 
-// linkRests counts the times that this node's link was full and it asked for no
-// more callers.
-var linkRests = metrics.GetOrCreateCounter("ravenway_link_rests_total")
+// loadSheds counts the times that this node asked for no more callers because its
+// link was full.
+var loadSheds = metrics.GetOrCreateCounter("ravenway_load_sheds_total")
 
 // look takes a reading at a tick.
 func (l *linkWatch) look(now time.Duration, view *fleetView) {
@@ -53,14 +53,14 @@
 	}
 	reading := l.read(now, view)
 	l.current.Store(int64(reading.Delay))
-	if !l.gate.Step(now, reading) {
+	if !l.shedder.Step(now, reading) {
 		return
 	}
-	l.resting.Store(l.gate.Resting())
+	l.shedding.Store(l.shedder.Shedding())
 	event := "link_free"
-	if l.gate.Resting() {
+	if l.shedder.Shedding() {
 		event = "link_full"
-		linkRests.Inc()
+		loadSheds.Inc()
 	}
 	l.node.log.Warn().Str("event", event).Int64("control_delay_ms", reading.Delay.Milliseconds()).Bool("delay_known", reading.DelayKnown).
 		Int64("caller_bytes", reading.CallerBytes).Float64("link_bytes_a_second", reading.LinkBytes).Int("others", reading.Others).Send()
--- a/internal/gateway/lives.go
+++ b/internal/gateway/lives.go
@@ -35,13 +35,19 @@
 // closeLives ends the accounts of lives that are over: their node says that it
 // runs another one.
 func (r *replicaDuty) closeLives() {
-	running := map[string]roster.Heard{}
-	for _, node := range r.node.fleet.view.Load().alive {
-		if node.Entry {
-			running[node.Address] = node
-		}
+	command := r.livesOver()
+	if len(command.Lives) == 0 {
+		return
 	}
-	reading := r.readClocks()
+	r.propose(machine.Command{CloseLives: command}, func(_ machine.Result, err error) {
+		r.node.log.Info().Str("event", "lives_closed").Int("count", len(command.Lives)).AnErr("error", err).Send()
+	})
+}
+
+// livesOver lists the holders whose life is over, and how long each was silent
+// before its successor had started.
+func (r *replicaDuty) livesOver() *machine.CloseLivesCommand {
+	running, reading := r.runningEntries(), r.readClocks()
 	command := &machine.CloseLivesCommand{}
 	for _, holder := range r.machine.Accounts().Holders() {
 		address, life := holderAddress(holder.Node)
@@ -59,10 +65,16 @@
 		r.node.log.Info().Str("event", "life_over").Str("node", successor.Node).Str("life", life).
 			Bool("silence_known", known).Int64("silence_ms", silence.Milliseconds()).Send()
 	}
-	if len(command.Lives) == 0 {
-		return
+	return command
+}
+
+// runningEntries are the live entry nodes by address.
+func (r *replicaDuty) runningEntries() map[string]roster.Heard {
+	running := map[string]roster.Heard{}
+	for _, node := range r.node.fleet.view.Load().alive {
+		if node.Entry {
+			running[node.Address] = node
+		}
 	}
-	r.propose(machine.Command{CloseLives: command}, func(_ machine.Result, err error) {
-		r.node.log.Info().Str("event", "lives_closed").Int("count", len(command.Lives)).AnErr("error", err).Send()
-	})
+	return running
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -235,8 +235,7 @@
 		{Name: "/sched/goroutines:goroutines"},
 	}
 	metrics.Read(samples)
-	word := n.fleet.controlWord(n.now())
-	n.log.Info().Str("event", "load").Ints64("control_delay_ms", word.delays).Uint64("heap_bytes", samples[0].Value.Uint64()).
+	n.log.Info().Str("event", "load").Ints64("control_delay_ms", n.fleet.controlFreshness(n.now()).delays).Uint64("heap_bytes", samples[0].Value.Uint64()).
 		Uint64("mapped_bytes", samples[1].Value.Uint64()-samples[3].Value.Uint64()).Uint64("stack_bytes", samples[2].Value.Uint64()).
 		Uint64("goroutines", samples[4].Value.Uint64()).Dict("sent", n.sent.describe()).Dict("received", n.received.describe()).Send()
 }
