--- a/internal/coordination/delay/delay.go
+++ b/internal/coordination/delay/delay.go
@@ -19,8 +19,12 @@
 }
 
 // Heard takes a message's arrival and its sender's age. A sender that became
-// younger runs a new life.
+// younger runs a new life. One that gives no age, 0, as nodes of earlier versions
+// do, is not measured.
 func (m *Meter) Heard(at, age time.Duration) {
+	if age <= 0 {
+		return
+	}
 	if !m.heard || age < m.age || at-age < m.least {
 		m.least = at - age
 	}
