ravenway-lab losses: how long callers were kept waiting before a refusal

Cause: the report counted refusals later than a quarter of an objective. The users value the waiting itself now, without steps, and want no such window.

Change: for each reason and route the time from arrival to refusal, in all, the median and 99 in 100; its sum in each step of the time line. The count of late refusals goes.

A start only: first tries and returns can't be told apart in nodes' logs (each try has an id of its own).

--- a/internal/lab/losses/losses.go
+++ b/internal/lab/losses/losses.go
@@ -33,10 +33,29 @@
 // sum is what is known of the losses of one kind.
 type sum struct {
 	count int
-	// tokenWait is the time that the requests waited for tokens, tooSlow how many
-	// were refused later than a quarter of their objective.
+	// tokenWait is the time that the requests waited for tokens.
 	tokenWait time.Duration
-	tooSlow   int
+	// held are the times from the arrival of each refused request to its refusal.
+	held []time.Duration
+}
+
+// heldPart is the time within which a part of the refused requests had their
+// refusal, 0 if there are none.
+func (s *sum) heldPart(part float64) time.Duration {
+	if len(s.held) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(s.held))
+	return sorted[int(part*float64(len(sorted)-1))]
+}
+
+// heldSum is the time that the requests were kept waiting in all.
+func (s *sum) heldSum() time.Duration {
+	total := time.Duration(0)
+	for _, one := range s.held {
+		total += one
+	}
+	return total
 }
 
 // standing is how one tenant's tokens stood at a moment.
@@ -48,6 +67,8 @@
 type moment struct {
 	losses  map[reason]int
 	tenants map[string]int
+	// held is the time that refused requests were kept waiting.
+	held time.Duration
 	// accounts is the last standing of each tenant at its end.
 	accounts map[string]standing
 }
@@ -153,12 +174,12 @@
 	if wait, known := line.Number("token_wait_ms"); known {
 		total.tokenWait += time.Duration(wait) * time.Millisecond
 	}
-	elapsed, knownElapsed := line.Number("elapsed_ms")
-	objective, knownObjective := line.Number("objective_ms")
-	if knownElapsed && knownObjective && line.Fields["event"] == "refused" && elapsed > objective/4 {
-		total.tooSlow++
-	}
 	at := r.momentOf(line)
+	if elapsed, known := line.Number("elapsed_ms"); known && line.Fields["event"] == "refused" {
+		held := time.Duration(elapsed) * time.Millisecond
+		total.held = append(total.held, held)
+		at.held += held
+	}
 	at.losses[why]++
 	maps.Copy(at.accounts, accounts)
 	tenant := line.Fields["tenant"]
@@ -180,14 +201,15 @@
 }
 
 func (r *Report) printKinds(out io.Writer) {
-	fmt.Fprintln(out, "reason\troute\tlines\tmean wait for tokens\trefused after a quarter of the objective")
+	fmt.Fprintln(out, "reason\troute\tlines\tmean wait for tokens\tkept waiting before the refusal: in all\tmedian\t99 in 100")
 	kinds := slices.SortedFunc(maps.Keys(r.kinds), func(a, b kind) int {
 		return cmp.Or(cmp.Compare(r.kinds[b].count, r.kinds[a].count), cmp.Compare(a.reason, b.reason), cmp.Compare(a.route, b.route))
 	})
 	for _, one := range kinds {
 		total := r.kinds[one]
 		wait := (total.tokenWait / time.Duration(total.count)).Round(time.Millisecond)
-		fmt.Fprintf(out, "%s\t%s\t%d\t%v\t%d\n", one.reason, one.route, total.count, wait, total.tooSlow)
+		fmt.Fprintf(out, "%s\t%s\t%d\t%v\t%v\t%v\t%v\n", one.reason, one.route, total.count, wait,
+			total.heldSum(), total.heldPart(0.5), total.heldPart(0.99))
 	}
 	fmt.Fprintln(out)
 }
@@ -228,7 +250,7 @@
 }
 
 func (r *Report) printMoments(out io.Writer) {
-	fmt.Fprintln(out, "from\tlosses\tmost hit tenant\tall limits\tspent\theld by nodes\tleft at the root\tforfeited")
+	fmt.Fprintln(out, "from\tlosses\tkept waiting before refusals\tmost hit tenant\tall limits\tspent\theld by nodes\tleft at the root\tforfeited")
 	for _, place := range slices.Sorted(maps.Keys(r.moments)) {
 		at := r.moments[place]
 		var all standing
@@ -247,6 +269,6 @@
 			continue
 		}
 		most := slices.MaxFunc(slices.Sorted(maps.Keys(at.tenants)), func(a, b string) int { return cmp.Compare(at.tenants[a], at.tenants[b]) })
-		fmt.Fprintf(out, "%v\t%s\t%s (%d)\t%s\n", time.Duration(place)*r.step, reasons, cmp.Or(most, "-"), at.tenants[most], all)
+		fmt.Fprintf(out, "%v\t%s\t%v\t%s (%d)\t%s\n", time.Duration(place)*r.step, reasons, at.held, cmp.Or(most, "-"), at.tenants[most], all)
 	}
 }
