Lines on stale frames have a bound

Change: the 16 with the most frames have their line, all others share one. The code is in a file of its own.

--- /dev/null
+++ b/internal/gateway/stale.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+)
+
+// staleLines is the most lines on stale frames at a time: in a cut all other
+// nodes may be among their receivers.
+const staleLines = 16
+
+// staleFrames notes the frames that waited too long for their connection, by
+// receiver and kind, and writes a bounded number of lines on them.
+type staleFrames struct {
+	node *Node
+
+	mutex   sync.Mutex
+	waiting map[staleKind]staleSum
+}
+
+// staleKind is what stale frames are summed up by.
+type staleKind struct {
+	peer string
+	kind peer.Kind
+}
+
+// staleSum sums up frames of one kind to one node.
+type staleSum struct {
+	staleKind
+	frames, bytes int
+	longest       time.Duration
+}
+
+func newStaleFrames(node *Node) *staleFrames {
+	return &staleFrames{node: node, waiting: map[staleKind]staleSum{}}
+}
+
+// note counts one frame; the next summary has its line.
+func (s *staleFrames) note(to string, frame []byte, waited time.Duration) {
+	envelope, err := peer.Decode(frame)
+	if err != nil {
+		s.node.log.Error().Str("event", "own_frame_unreadable").Str("peer", to).Err(err).Send()
+		return
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("ravenway_peer_frames_stale_total{kind=%q}", envelope.Kind)).Inc()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	key := staleKind{peer: to, kind: envelope.Kind}
+	sum := s.waiting[key]
+	s.waiting[key] = staleSum{
+		staleKind: key, frames: sum.frames + 1, bytes: sum.bytes + len(frame), longest: max(sum.longest, waited),
+	}
+}
+
+// summarize writes a line for each receiver and kind with the most frames since
+// the last call, and one for all the others together.
+func (s *staleFrames) summarize() {
+	sums := s.take()
+	for _, sum := range sums[:min(len(sums), staleLines)] {
+		s.node.log.Warn().Str("event", "peer_frames_stale").Str("peer", sum.peer).Stringer("kind", sum.kind).
+			Int("frames", sum.frames).Int("bytes", sum.bytes).Int64("longest_wait_ms", sum.longest.Milliseconds()).Send()
+	}
+	if len(sums) <= staleLines {
+		return
+	}
+	var others staleSum
+	for _, sum := range sums[staleLines:] {
+		others.frames += sum.frames
+		others.bytes += sum.bytes
+		others.longest = max(others.longest, sum.longest)
+	}
+	s.node.log.Warn().Str("event", "peer_frames_stale_others").Int("receivers_and_kinds", len(sums)-staleLines).
+		Int("frames", others.frames).Int("bytes", others.bytes).Int64("longest_wait_ms", others.longest.Milliseconds()).Send()
+}
+
+// take returns the sums since the last call, those with the most frames first.
+func (s *staleFrames) take() []staleSum {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var sums []staleSum
+	for _, sum := range s.waiting {
+		sums = append(sums, sum)
+	}
+	clear(s.waiting)
+	slices.SortFunc(sums, func(a, b staleSum) int {
+		return cmp.Or(cmp.Compare(b.frames, a.frames), cmp.Compare(a.peer, b.peer), cmp.Compare(a.kind, b.kind))
+	})
+	return sums
+}
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"sync"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
@@ -38,58 +36,6 @@
 	}
 }
 
-// staleFrames notes the frames that waited too long for their connection, by
-// receiver and kind, and writes a bounded number of lines on them.
-type staleFrames struct {
-	node *Node
-
-	mutex   sync.Mutex
-	waiting map[staleKind]staleSum
-}
-
-// staleKind is what stale frames are summed up by.
-type staleKind struct {
-	peer string
-	kind peer.Kind
-}
-
-type staleSum struct {
-	frames  int
-	bytes   int
-	longest time.Duration
-}
-
-func newStaleFrames(node *Node) *staleFrames {
-	return &staleFrames{node: node, waiting: map[staleKind]staleSum{}}
-}
-
-// note counts one frame; the next summary has its line.
-func (s *staleFrames) note(to string, frame []byte, waited time.Duration) {
-	envelope, err := peer.Decode(frame)
-	if err != nil {
-		s.node.log.Error().Str("event", "own_frame_unreadable").Str("peer", to).Err(err).Send()
-		return
-	}
-	metrics.GetOrCreateCounter(fmt.Sprintf("ravenway_peer_frames_stale_total{kind=%q}", envelope.Kind)).Inc()
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	key := staleKind{peer: to, kind: envelope.Kind}
-	sum := s.waiting[key]
-	s.waiting[key] = staleSum{frames: sum.frames + 1, bytes: sum.bytes + len(frame), longest: max(sum.longest, waited)}
-}
-
-// summarize writes a line for each receiver and kind since the last call.
-func (s *staleFrames) summarize() {
-	s.mutex.Lock()
-	summed := s.waiting
-	s.waiting = map[staleKind]staleSum{}
-	s.mutex.Unlock()
-	for key, sum := range summed {
-		s.node.log.Warn().Str("event", "peer_frames_stale").Str("peer", key.peer).Stringer("kind", key.kind).
-			Int("frames", sum.frames).Int("bytes", sum.bytes).Int64("longest_wait_ms", sum.longest.Milliseconds()).Send()
-	}
-}
-
 // describe adds the bytes of each kind since the last call, for those that had
 // any.
 func (t *traffic) describe() *zerolog.Event {
