Sending versions: the ranking, the pause and the size that were there already

ChooseSender had a rendezvous hash of its own: membership.Rank does it. The publisher and the follower each doubled their pause in their own way: backoff serves both. The publisher kept a copy of the version in force and its size, which its caller has: they go with Due.

Which of a zone's control nodes sends to an entry node is drawn by another hash; how they are spread is tested as before.

Measured: tests of follow, gateway and openfleet with the race detector; the tests' assertions are the same, InForce's arguments are Due's now.

--- a/internal/coordination/follow/follow_test.go
+++ b/internal/coordination/follow/follow_test.go
@@ -90,15 +90,15 @@
 
 func TestVersionIsSentOnceUntilItIsOverdue(t *testing.T) {
 	p := NewPublisher()
-	p.InForce(2, 1000)
+	due := func(now time.Duration) bool { return p.Due(now, "e", 2, 1000) }
 	p.Has("e", "life", 1)
-	assert.Assert(t, p.Due(0, "e"))
-	assert.Assert(t, !p.Due(firstPatience-time.Millisecond, "e"))
-	assert.Assert(t, p.Due(firstPatience, "e"))
-	assert.Assert(t, !p.Due(2*firstPatience, "e"))
-	assert.Assert(t, p.Due(3*firstPatience, "e"))
+	assert.Assert(t, due(0))
+	assert.Assert(t, !due(firstPatience-time.Millisecond))
+	assert.Assert(t, due(firstPatience))
+	assert.Assert(t, !due(2*firstPatience))
+	assert.Assert(t, due(3*firstPatience))
 	p.Has("e", "life", 2)
-	assert.Assert(t, !p.Due(time.Hour, "e"))
+	assert.Assert(t, !due(time.Hour))
 }
 
 func TestVersionsInSeriesAreSentAtOnceWhileTheyAreSmall(t *testing.T) {
@@ -106,40 +106,36 @@
 	p.Has("e", "life", 1)
 	sent := 0
 	for version := uint64(2); version < 50; version++ {
-		p.InForce(version, maximumUnconfirmed/4)
-		if p.Due(0, "e") {
+		if p.Due(0, "e", version, maximumUnconfirmed/4) {
 			sent++
 		}
 	}
 	assert.Equal(t, sent, 4)
 	// The newest goes out as soon as there is room.
 	p.Has("e", "life", 5)
-	assert.Assert(t, p.Due(0, "e"))
+	assert.Assert(t, p.Due(0, "e", 49, maximumUnconfirmed/4))
 	p.Has("e", "life", 49)
-	assert.Assert(t, !p.Due(time.Hour, "e"))
+	assert.Assert(t, !p.Due(time.Hour, "e", 49, maximumUnconfirmed/4))
 }
 
 func TestLargeDocumentIsOnItsWayOnceAtATime(t *testing.T) {
 	p := NewPublisher()
 	p.Has("e", "life", 1)
-	p.InForce(2, 10*maximumUnconfirmed)
-	assert.Assert(t, p.Due(0, "e"))
-	p.InForce(3, 10*maximumUnconfirmed)
-	assert.Assert(t, !p.Due(100*time.Millisecond, "e"))
+	assert.Assert(t, p.Due(0, "e", 2, 10*maximumUnconfirmed))
+	assert.Assert(t, !p.Due(100*time.Millisecond, "e", 3, 10*maximumUnconfirmed))
 	p.Has("e", "life", 2)
-	assert.Assert(t, p.Due(200*time.Millisecond, "e"))
+	assert.Assert(t, p.Due(200*time.Millisecond, "e", 3, 10*maximumUnconfirmed))
 }
 
 func TestNewLifeOfANodeHoldsNothing(t *testing.T) {
 	p := NewPublisher()
-	p.InForce(2, 10)
 	p.Has("e", "one", 2)
-	assert.Assert(t, !p.Due(0, "e"))
+	assert.Assert(t, !p.Due(0, "e", 2, 10))
 	p.Has("e", "two", 0)
-	assert.Assert(t, p.Due(0, "e"))
+	assert.Assert(t, p.Due(0, "e", 2, 10))
 	// A confirmation does not say its life.
 	p.Has("e", "", 2)
-	assert.Assert(t, !p.Due(time.Hour, "e"))
+	assert.Assert(t, !p.Due(time.Hour, "e", 2, 10))
 	p.Forget("e")
-	assert.Assert(t, !p.Due(time.Hour, "e"))
+	assert.Assert(t, !p.Due(time.Hour, "e", 2, 10))
 }
--- a/internal/coordination/follow/follower.go
+++ b/internal/coordination/follow/follower.go
@@ -104,7 +104,7 @@
 func (f *Follower) dueAt() time.Duration {
 	switch {
 	case f.asks > 0:
-		return f.askedAt + min(firstPause<<min(f.asks-1, 8), lastPause)
+		return f.askedAt + backoff(firstPause, lastPause, f.asks)
 	case f.have == 0:
 		return f.behindSince
 	default:
--- a/internal/coordination/follow/publisher.go
+++ b/internal/coordination/follow/publisher.go
@@ -13,11 +13,10 @@
 package follow
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/ravenway/ravenway/internal/coordination/membership"
 )
 
 const (
@@ -45,17 +44,28 @@
 	if len(near) == 0 {
 		return ""
 	}
-	weight := func(control Node) uint64 { return xxhash.Sum64String(entry.Address + " " + control.Address) }
-	return slices.MaxFunc(near, func(a, b Node) int {
-		return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a.Address, b.Address))
-	}).Address
+	addresses := make([]string, len(near))
+	for position, control := range near {
+		addresses[position] = control.Address
+	}
+	return membership.Rank(entry.Address, addresses)[0]
+}
+
+// backoff is the pause before the next of some tries: it doubles with each of
+// them from the first to the last.
+func backoff(first, last time.Duration, tries int) time.Duration {
+	for range tries - 1 {
+		if first >= last {
+			break
+		}
+		first *= 2
+	}
+	return min(first, last)
 }
 
 // Publisher is a control node's knowledge of the entry nodes that it sends
 // versions to.
 type Publisher struct {
-	version uint64
-	size    int
 	// followers are the entry nodes by address.
 	followers map[string]*followerState
 }
@@ -76,13 +86,6 @@
 // NewPublisher makes a publisher of nothing.
 func NewPublisher() *Publisher { return &Publisher{followers: map[string]*followerState{}} }
 
-// InForce notes the version in force here and its size in bytes.
-func (p *Publisher) InForce(version uint64, size int) {
-	if version > p.version {
-		p.version, p.size = version, size
-	}
-}
-
 // Has notes the version that an entry node says it has.
 func (p *Publisher) Has(address, life string, version uint64) {
 	state := p.followers[address]
@@ -96,34 +99,23 @@
 	}
 }
 
-// Due tells whether the version in force is to be sent to an entry node now,
-// and takes it for sent.
-func (p *Publisher) Due(now time.Duration, address string) bool {
+// Due tells whether the version in force, of a size in bytes, is to be sent to an
+// entry node now, and takes it for sent.
+func (p *Publisher) Due(now time.Duration, address string, version uint64, size int) bool {
 	state := p.followers[address]
-	if state == nil || state.has >= p.version {
+	if state == nil || state.has >= version {
 		return false
 	}
-	isNew := state.sent < p.version && (state.unconfirmed == 0 || state.unconfirmed+p.size <= maximumUnconfirmed)
-	isOverdue := state.sends > 0 && now-state.sentAt >= patience(state.sends)
+	isNew := state.sent < version && (state.unconfirmed == 0 || state.unconfirmed+size <= maximumUnconfirmed)
+	isOverdue := state.sends > 0 && now-state.sentAt >= backoff(firstPatience, lastPatience, state.sends)
 	if !isNew && !isOverdue {
 		return false
 	}
-	state.sent, state.sentAt = p.version, now
-	state.unconfirmed += p.size
+	state.sent, state.sentAt = version, now
+	state.unconfirmed += size
 	state.sends++
 	return true
 }
 
-// patience is how long the last of several sends may be unconfirmed.
-func patience(sends int) time.Duration {
-	pause := firstPatience
-	for range sends - 1 {
-		if pause = 2 * pause; pause >= lastPatience {
-			return lastPatience
-		}
-	}
-	return pause
-}
-
 // Forget drops an entry node that is gone.
 func (p *Publisher) Forget(address string) { delete(p.followers, address) }
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -31,7 +31,7 @@
 		if !known.Entry {
 			continue
 		}
-		if !p.isSender(known, controls) {
+		if !p.isSender(known.Hello, controls) {
 			told++
 			p.node.send(known.Address, peer.KindDocumentNotice, &peer.DocumentNotice{Version: held.Version})
 			continue
@@ -50,9 +50,8 @@
 func (p *documentPublisher) due(address, life string, has uint64, held peer.DocumentData) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.publisher.InForce(held.Version, len(held.Encoded))
 	p.publisher.Has(address, life, has)
-	return p.publisher.Due(p.node.now(), address)
+	return p.publisher.Due(p.node.now(), address, held.Version, len(held.Encoded))
 }
 
 // controls are the control nodes that may send documents, this one included.
@@ -69,7 +68,7 @@
 	return controls
 }
 
-func (p *documentPublisher) isSender(entry roster.Heard, controls []follow.Node) bool {
+func (p *documentPublisher) isSender(entry peer.Hello, controls []follow.Node) bool {
 	return follow.ChooseSender(follow.Node{Address: entry.Address, Zone: entry.Zone}, controls) == p.node.address
 }
 
@@ -79,7 +78,7 @@
 	if !hello.Entry || hello.Version >= p.node.documents.version() {
 		return
 	}
-	if !p.isSender(roster.Heard{Hello: hello}, p.controls(p.node.fleet.view.Load().alive)) {
+	if !p.isSender(hello, p.controls(p.node.fleet.view.Load().alive)) {
 		return
 	}
 	p.sendIfDue(hello.Address, hello.Life, hello.Version, "hello")
