One piece for two: logs in order, reports of logs, saturating subtraction

Found by reading the change once more. losses and versions each sorted their lines and refused empty ones: logs.InOrder. Their commands differed in one call: printReport. escrow.subtract was accounts.saturatingSubtract again: it is exported. Meter.Heard read like the type Heard that embeds it: Meter.Note. A comment named a page that does not exist.

Ruled out: the quantiles of losses and versions with that of simulate, which takes another element; removing CloseCommand.Forfeit, which no code sets: entries of the log are arrays, their length counts.

--- a/internal/coordination/delay/delay.go
+++ b/internal/coordination/delay/delay.go
@@ -18,10 +18,10 @@
 	least time.Duration
 }
 
-// Heard takes a message's arrival and its sender's age. A sender that became
+// Note takes a message's arrival and its sender's age. A sender that became
 // younger runs a new life. One that gives no age, 0, as nodes of earlier versions
 // do, is not measured.
-func (m *Meter) Heard(at, age time.Duration) {
+func (m *Meter) Note(at, age time.Duration) {
 	if age <= 0 {
 		return
 	}
--- a/internal/coordination/escrow/account.go
+++ b/internal/coordination/escrow/account.go
@@ -78,7 +78,7 @@
 
 // unreserved is what is held and not in use, lent or returned, in tokens.
 func (a *account) unreserved() uint64 {
-	return subtract(a.granted+sum(a.borrowed), a.returned+a.settled+a.reserved+a.lentTotal())
+	return accounts.SaturatingSubtract(a.granted+sum(a.borrowed), a.returned+a.settled+a.reserved+a.lentTotal())
 }
 
 // free is what may be reserved now, in tokens.
@@ -86,7 +86,7 @@
 	if a.contact == nil {
 		return a.unreserved()
 	}
-	usable := subtract(a.allowed()+sum(a.borrowed), a.settled+a.reserved+a.lentTotal())
+	usable := accounts.SaturatingSubtract(a.allowed()+sum(a.borrowed), a.settled+a.reserved+a.lentTotal())
 	return min(a.unreserved(), usable)
 }
 
@@ -152,7 +152,7 @@
 	if len(a.waiters) == 0 {
 		return 0
 	}
-	return subtract(a.waiters[0].amount, a.free())
+	return accounts.SaturatingSubtract(a.waiters[0].amount, a.free())
 }
 
 // grantLack is what the first waiter needs beyond what is held.
@@ -160,7 +160,7 @@
 	if len(a.waiters) == 0 {
 		return 0
 	}
-	return subtract(a.waiters[0].amount, a.unreserved())
+	return accounts.SaturatingSubtract(a.waiters[0].amount, a.unreserved())
 }
 
 // waiting is what all waiters need, in tokens.
@@ -238,7 +238,7 @@
 		report.Request = a.request
 		report.Need = a.grantLack()
 		wanted := max(a.target(now), a.waiting())
-		report.Want = max(report.Need, subtract(wanted, a.unreserved()))
+		report.Want = max(report.Need, accounts.SaturatingSubtract(wanted, a.unreserved()))
 	}
 	if a.contact != nil {
 		report.Allowance = a.nextAllowance()
--- a/internal/coordination/escrow/allowances.go
+++ b/internal/coordination/escrow/allowances.go
@@ -107,7 +107,7 @@
 // ownUse is what the holder has used of its own grant, in tokens: all that it
 // settled, reserved and lent, less what it borrowed.
 func (a *account) ownUse() uint64 {
-	return subtract(a.settled+a.reserved+a.lentTotal(), sum(a.borrowed))
+	return accounts.SaturatingSubtract(a.settled+a.reserved+a.lentTotal(), sum(a.borrowed))
 }
 
 // allowed is the most that the holder may use of its own grant now, in tokens.
@@ -174,5 +174,3 @@
 func (h *Holder) contactDue() bool {
 	return h.options.Allowances && h.contact.heard.Index > 0 && h.contact.now-h.contact.reportedAt >= contactInterval
 }
-
-func subtract(value, subtrahend uint64) uint64 { return value - min(value, subtrahend) }
--- a/internal/coordination/overload/overload.go
+++ b/internal/coordination/overload/overload.go
@@ -14,7 +14,7 @@
 const (
 	// fullDelay is the delay of other nodes' frames above which the link counts as
 	// full, clearDelay that below which it counts as free. Usual are under 20 ms,
-	// on the busiest node with room left under 70 ms (docs/incidents/zhf-grown-confis.md).
+	// on the busiest node with room left under 70 ms (docs/incidents/zhf-grown-config.md).
 	fullDelay  = 250 * time.Millisecond
 	clearDelay = 80 * time.Millisecond
 	// fullShare is the part of the link that callers' bodies fill at least before
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -75,7 +75,7 @@
 	if known != nil && known.Life == hello.Life {
 		heard.Meter = known.Meter
 	}
-	heard.Meter.Heard(now, time.Duration(hello.AgeMS)*time.Millisecond)
+	heard.Note(now, time.Duration(hello.AgeMS)*time.Millisecond)
 	r.heard[hello.Address] = heard
 	if !hello.Control {
 		return isNew
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -74,7 +74,7 @@
 			way = &delay.Meter{}
 			l.ways[from] = way
 		}
-		way.Heard(now, time.Duration(report.AgeMS)*time.Millisecond)
+		way.Note(now, time.Duration(report.AgeMS)*time.Millisecond)
 		l.exchange.Take(now, from, report)
 	})
 }
--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -86,34 +86,34 @@
 	return deployment.ByName(command.String("deployment"))
 }
 
-func printLosses(out io.Writer, paths []string, step time.Duration) error {
-	if len(paths) == 0 || step <= 0 {
-		return fmt.Errorf("losses needs the logs of one or more nodes and a step above 0")
+// printReport reads nodes' logs and prints what a report tells of them.
+func printReport[Report interface{ Print(out io.Writer) error }](out io.Writer, paths []string, read func([]logs.Line) (Report, error)) error {
+	if len(paths) == 0 {
+		return fmt.Errorf("the logs of one or more nodes are needed")
 	}
 	lines, err := logs.Read(paths)
 	if err != nil {
 		return err
 	}
-	report, err := losses.Read(lines, step)
+	report, err := read(lines)
 	if err != nil {
 		return err
 	}
 	return report.Print(out)
 }
 
-func printVersions(out io.Writer, paths []string, limit time.Duration) error {
-	if len(paths) == 0 || limit <= 0 {
-		return fmt.Errorf("versions needs the logs of one or more nodes and a limit above 0")
-	}
-	lines, err := logs.Read(paths)
-	if err != nil {
-		return err
+func printLosses(out io.Writer, paths []string, step time.Duration) error {
+	if step <= 0 {
+		return fmt.Errorf("--step must be above 0")
 	}
-	report, err := versions.Read(lines, limit)
-	if err != nil {
-		return err
+	return printReport(out, paths, func(lines []logs.Line) (*losses.Report, error) { return losses.Read(lines, step) })
+}
+
+func printVersions(out io.Writer, paths []string, limit time.Duration) error {
+	if limit <= 0 {
+		return fmt.Errorf("--limit must be above 0")
 	}
-	return report.Print(out)
+	return printReport(out, paths, func(lines []logs.Line) (*versions.Report, error) { return versions.Read(lines, limit) })
 }
 
 func generate(_ context.Context, command *cli.Command) error {
--- a/internal/lab/losses/losses.go
+++ b/internal/lab/losses/losses.go
@@ -86,11 +86,10 @@
 
 // Read sums up the lines of nodes' logs by steps of time.
 func Read(lines []logs.Line, step time.Duration) (*Report, error) {
-	if len(lines) == 0 {
-		return nil, fmt.Errorf("the logs hold no line with a time and an event")
+	sorted, err := logs.InOrder(lines)
+	if err != nil {
+		return nil, err
 	}
-	sorted := slices.Clone(lines)
-	slices.SortStableFunc(sorted, func(a, b logs.Line) int { return a.At.Compare(b.At) })
 	report := &Report{
 		first: sorted[0].At, step: step, kinds: map[kind]*sum{}, moments: map[int]*moment{}, tenants: map[string]map[reason]int{},
 	}
--- a/internal/lab/versions/versions.go
+++ b/internal/lab/versions/versions.go
@@ -45,11 +45,10 @@
 // after a restart counts once, and a node that got it later than the limit
 // after the first one does not count: it was off or cut off.
 func Read(lines []logs.Line, limit time.Duration) (*Report, error) {
-	if len(lines) == 0 {
-		return nil, fmt.Errorf("the logs hold no line with a time and an event")
+	sorted, err := logs.InOrder(lines)
+	if err != nil {
+		return nil, err
 	}
-	sorted := slices.Clone(lines)
-	slices.SortStableFunc(sorted, func(a, b logs.Line) int { return a.At.Compare(b.At) })
 	found := map[int64]*version{}
 	for _, line := range sorted {
 		if number, valid := line.Number("version"); valid && line.Fields["event"] == "document_in_force" {
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -3,9 +3,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -56,6 +58,17 @@
 	return value, rest
 }
 
+// InOrder returns the lines in the order of their times. It is an error if there
+// are none.
+func InOrder(lines []Line) ([]Line, error) {
+	if len(lines) == 0 {
+		return nil, errors.New("the logs hold no line with a time and an event")
+	}
+	sorted := slices.Clone(lines)
+	slices.SortStableFunc(sorted, func(a, b Line) int { return a.At.Compare(b.At) })
+	return sorted, nil
+}
+
 // Read reads all lines of the files; "-" is the standard input.
 func Read(paths []string) ([]Line, error) {
 	var lines []Line
--- a/internal/state/accounts/accounts.go
+++ b/internal/state/accounts/accounts.go
@@ -60,7 +60,7 @@
 
 // Outstanding is what the holder may still spend.
 func (h *Holder) Outstanding() uint64 {
-	return saturatingSubtract(h.Granted, h.Returned+h.Settled)
+	return SaturatingSubtract(h.Granted, h.Returned+h.Settled)
 }
 
 // Budget is one root account, in tokens.
@@ -118,10 +118,10 @@
 func (b *Budget) Committed() uint64 { return b.Granted - b.Returned }
 
 // Left is what can still be granted.
-func (b *Budget) Left() uint64 { return saturatingSubtract(b.Limit, b.Committed()) }
+func (b *Budget) Left() uint64 { return SaturatingSubtract(b.Limit, b.Committed()) }
 
 // Outstanding is what holders may still spend.
-func (b *Budget) Outstanding() uint64 { return saturatingSubtract(b.Committed(), b.Settled()) }
+func (b *Budget) Outstanding() uint64 { return SaturatingSubtract(b.Committed(), b.Settled()) }
 
 // outstanding is what holders may still spend, and how many of them there are.
 func (b *Budget) outstanding() (tokens uint64, holders int) {
@@ -381,7 +381,7 @@
 		return
 	}
 	holder := b.holder(id)
-	held := saturatingSubtract(holder.Granted+borrowed, holder.Returned+lent)
+	held := SaturatingSubtract(holder.Granted+borrowed, holder.Returned+lent)
 	settled := min(held, holder.WatermarkSettled+behindWatermark)
 	if forfeit {
 		b.Forfeited += int64(held) - int64(holder.Settled)
@@ -494,7 +494,8 @@
 	return amount
 }
 
-func saturatingSubtract(value, subtrahend uint64) uint64 {
+// SaturatingSubtract is the difference, or 0 where it would be below.
+func SaturatingSubtract(value, subtrahend uint64) uint64 {
 	if subtrahend > value {
 		return 0
 	}
--- a/internal/state/accounts/allowance.go
+++ b/internal/state/accounts/allowance.go
@@ -100,7 +100,7 @@
 	if holder == nil {
 		return
 	}
-	held := saturatingSubtract(holder.Granted, holder.Returned)
+	held := SaturatingSubtract(holder.Granted, holder.Returned)
 	charged := held
 	if holder.Allowance.Sequence > 0 && silence != UnknownSilence {
 		charged = min(held, holder.Allowance.MostUsed(silence))
