What a changed message means for a fleet of two versions, told as it is

Found by reading the change once more: two comments said that a reader passes over a field that it does not know. The library refuses an array-encoded struct whose number of fields is not its own.

Ruled out here: a reader that fills what is missing. Embedded structs put their fields in the middle, so it could take one field for another; it needs a round of its own.

--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -100,8 +100,8 @@
 }
 
 // marshal writes structs as arrays: field names would be most of a small
-// message. A new field goes to the end of its struct, where an older reader
-// passes over it.
+// message. A reader refuses a struct whose number of fields is not its own, so
+// nodes of two versions don't read each other's changed messages.
 func marshal(message any) ([]byte, error) {
 	var buffer bytes.Buffer
 	encoder := msgpack.NewEncoder(&buffer)
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -200,9 +200,9 @@
 }
 
 // Encode returns the bytes of a command as the log holds it: structs as arrays
-// and short integers, since every replica is sent all of it. A new field goes to
-// the end of its struct. Entries of earlier versions, with field names, are
-// read as well.
+// and short integers, since every replica is sent all of it. Entries of earlier
+// versions with field names are read as well, those as arrays only while no
+// struct in them has got or lost a field.
 func Encode(command Command) ([]byte, error) {
 	var buffer bytes.Buffer
 	encoder := msgpack.NewEncoder(&buffer)
