Links to other nodes take memory for what waits in them only

Cause: each link held a ring of 4,096 frames from its start, and each connection two buffers of 64 KiB.

Change: ring.Growing, a bounded queue with the same policy (the oldest goes first) that takes memory for what waits; buffers of 8 and 4 KiB. Frames over a buffer's size pass it by.

--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -36,12 +36,15 @@
 	// dialAgain is the time after which another try to connect begins beside the
 	// first: after a silent cut a new connection is to be there well within the
 	// time that a node has to catch up.
-	dialAgain        = 700 * time.Millisecond
-	writeTimeout     = 2 * time.Second
-	userTimeout      = 1500 * time.Millisecond
-	minimumBackoff   = 50 * time.Millisecond
-	maximumBackoff   = 300 * time.Millisecond
-	writeBufferBytes = 64 << 10
+	dialAgain      = 700 * time.Millisecond
+	writeTimeout   = 2 * time.Second
+	userTimeout    = 1500 * time.Millisecond
+	minimumBackoff = 50 * time.Millisecond
+	maximumBackoff = 300 * time.Millisecond
+	// A connection's buffers are small: a node has one to each of hundreds of
+	// others, and frames over a buffer's size pass it by.
+	writeBufferBytes = 8 << 10
+	readBufferBytes  = 4 << 10
 	// maximumFrameAge is how long a frame may wait for its connection. After a
 	// cut all nodes would else send each other all that they had to say in it.
 	maximumFrameAge = time.Second
@@ -93,7 +96,7 @@
 type outgoingLink struct {
 	name    string
 	address string
-	frames  *ring.Ring[outgoingFrame]
+	frames  *ring.Growing[outgoingFrame]
 	// forget ends the link.
 	forget chan struct{}
 }
@@ -110,7 +113,7 @@
 func newLink(name, address string) *outgoingLink {
 	return &outgoingLink{
 		name: name, address: address, forget: make(chan struct{}),
-		frames: ring.New[outgoingFrame]("peer_outgoing", outgoingCapacity),
+		frames: ring.NewGrowing[outgoingFrame]("peer_outgoing", outgoingCapacity),
 	}
 }
 
@@ -227,7 +230,7 @@
 		return
 	}
 	_ = connection.SetDeadline(time.Time{})
-	reader := bufio.NewReaderSize(connection, writeBufferBytes)
+	reader := bufio.NewReaderSize(connection, readBufferBytes)
 	for {
 		frame, err := opener.read(reader)
 		if err != nil {
@@ -258,13 +261,9 @@
 func (m *Mesh) runLink(ctx context.Context, link *outgoingLink) {
 	backoff := minimumBackoff
 	for {
-		var first outgoingFrame
-		select {
-		case <-ctx.Done():
-			return
-		case <-link.forget:
+		first, found := m.awaitFrame(ctx, link)
+		if !found {
 			return
-		case first = <-link.frames.Out():
 		}
 		err := m.sendFrames(ctx, link, first)
 		if ctx.Err() != nil {
@@ -285,6 +284,27 @@
 	}
 }
 
+// awaitFrame takes the next frame for a peer; false means that the link has ended.
+func (m *Mesh) awaitFrame(ctx context.Context, link *outgoingLink) (outgoingFrame, bool) {
+	for {
+		select {
+		case <-link.forget:
+			return outgoingFrame{}, false
+		default:
+		}
+		if frame, found := link.frames.Take(); found {
+			return frame, true
+		}
+		select {
+		case <-ctx.Done():
+			return outgoingFrame{}, false
+		case <-link.forget:
+			return outgoingFrame{}, false
+		case <-link.frames.Ready():
+		}
+	}
+}
+
 // errConnected marks errors that came after a successful handshake.
 var errConnected = errors.New("transport: connection lost")
 
@@ -312,9 +332,11 @@
 	closed := make(chan struct{})
 	go watchClose(connection, closed)
 	writer := bufio.NewWriterSize(connection, writeBufferBytes)
-	for {
-		if err := m.writeBatch(connection, writer, seal, link, frame); err != nil {
-			return fmt.Errorf("%w: %w", errConnected, err)
+	for found := true; ; frame, found = link.frames.Take() {
+		if found {
+			if err := m.writeBatch(connection, writer, seal, link, frame); err != nil {
+				return fmt.Errorf("%w: %w", errConnected, err)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -323,7 +345,7 @@
 			return nil
 		case <-closed:
 			return errConnected
-		case frame = <-link.frames.Out():
+		case <-link.frames.Ready():
 		}
 	}
 }
@@ -344,18 +366,14 @@
 // writeBatch writes a frame and all that wait behind it with one flush.
 func (m *Mesh) writeBatch(connection net.Conn, writer *bufio.Writer, seal *sealer, link *outgoingLink, frame outgoingFrame) error {
 	_ = connection.SetWriteDeadline(time.Now().Add(writeTimeout))
-	for {
+	for found := true; found; frame, found = link.frames.Take() {
 		if waited := frame.waited(); waited > maximumFrameAge {
 			m.options.Dropped(link.name, frame.payload, waited)
 		} else if err := seal.write(writer, frame.payload); err != nil {
 			return err
 		}
-		select {
-		case frame = <-link.frames.Out():
-		default:
-			return writer.Flush()
-		}
 	}
+	return writer.Flush()
 }
 
 func (m *Mesh) track(ctx context.Context, connection net.Conn) bool {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -193,7 +193,9 @@
 			defer close(read)
 			_, _ = io.Copy(&sent, far)
 		}()
-		assert.NilError(t, mesh.writeBatch(near, bufio.NewWriter(near), newSealer(sharedKey), link, <-link.frames.Out()))
+		first, found := link.frames.Take()
+		assert.Assert(t, found)
+		assert.NilError(t, mesh.writeBatch(near, bufio.NewWriter(near), newSealer(sharedKey), link, first))
 		assert.NilError(t, near.Close())
 		<-read
 		assert.Equal(t, len(dropped), 1)
