Idle duties of a node that do not grow with the fleet

Cause, from a benchmark of one second of the periodic duties (five control nodes, 160 instances, 40 tenants): each hello computed the digest of all instances anew (a sorted copy of 160); an entry node sorted the list of 295 others 12 times a second and noted 295 names at each of 8 hellos; a control node encoded its hello, with up to 10 KB of names, once for each receiver, and looked for each receiver in a list of all; a relay added up 62 reports once for each of its 62 nodes.

What is left at the control node is the hellos to and from each entry node.

--- a/internal/coordination/balance/loads.go
+++ b/internal/coordination/balance/loads.go
@@ -44,18 +44,35 @@
 )
 
 // Encode packs loads: 4 bytes of key, 2 of tokens, 1 of requests each.
-func (l Loads) Encode() []byte {
+func (l Loads) Encode() []byte { return l.encodeBut(l.keys(), nil) }
+
+// keys are the loads' keys in order.
+func (l Loads) keys() []InstanceKey {
 	keys := make([]InstanceKey, 0, len(l))
 	for key := range l {
 		keys = append(keys, key)
 	}
 	slices.Sort(keys)
+	return keys
+}
+
+// encodeBut packs loads less a part of them, which may be nil. keys are those of
+// the loads, in order.
+func (l Loads) encodeBut(keys []InstanceKey, part Loads) []byte {
 	encoded := make([]byte, 0, len(l)*encodedLoadBytes)
 	for _, key := range keys {
-		units := min((l[key].Tokens+tokenUnit-1)/tokenUnit, 1<<16-1)
+		load := l[key]
+		if less, found := part[key]; found {
+			load.Tokens -= less.Tokens
+			load.Requests -= less.Requests
+			if load == (Load{}) {
+				continue
+			}
+		}
+		units := min((load.Tokens+tokenUnit-1)/tokenUnit, 1<<16-1)
 		encoded = binary.BigEndian.AppendUint32(encoded, uint32(key))
 		encoded = binary.BigEndian.AppendUint16(encoded, uint16(units))
-		encoded = append(encoded, byte(min(l[key].Requests, maximumRequests)))
+		encoded = append(encoded, byte(min(load.Requests, maximumRequests)))
 	}
 	return encoded
 }
@@ -143,9 +160,9 @@
 
 // NewLoadExchange makes a node's part of the exchange.
 func NewLoadExchange(self EntryNode, interval time.Duration) *LoadExchange {
-	return &LoadExchange{
-		self: self, interval: interval, relays: map[string]string{}, own: map[string]heardLoads{}, zones: map[string]heardLoads{},
-	}
+	exchange := &LoadExchange{self: self, relays: map[string]string{}, own: map[string]heardLoads{}, zones: map[string]heardLoads{}}
+	exchange.SetNodes(nil, interval)
+	return exchange
 }
 
 // SetNodes replaces the other entry nodes, and sets the time between reports.
@@ -199,7 +216,7 @@
 	if !e.isRelay() {
 		var reports []OutgoingReport
 		if len(own) > 0 || len(spilled) > 0 || !e.silent {
-			reports = append(reports, e.report(e.relays[e.self.Zone], OwnLoads, own, spilled))
+			reports = append(reports, e.report(e.relays[e.self.Zone], OwnLoads, own.Encode(), encodeParts(spilled)))
 		}
 		e.silent = len(own) == 0
 		return reports, Known{Loads: e.told.loads, Parts: otherParts}
@@ -210,51 +227,41 @@
 }
 
 // stepRelay sums up the zone for the other relays, and all others for each node
-// of the zone.
+// of the zone. The sum of all is made once and each node's own part taken off it:
+// adding up the others for each would grow with the square of the zone's nodes.
 func (e *LoadExchange) stepRelay(own Loads, zoneParts, otherParts []HeldPart) ([]OutgoingReport, Loads) {
-	others := Loads{}
+	others, zone, members := Loads{}, Loads{}, Loads{}
 	for _, heard := range e.zones {
 		others.add(heard.loads)
 	}
-	zone := Loads{}
-	zone.add(own)
 	for _, heard := range e.own {
-		zone.add(heard.loads)
+		members.add(heard.loads)
 	}
+	zone.add(own)
+	zone.add(members)
 	var reports []OutgoingReport
+	encodedZone, encodedParts := zone.Encode(), encodeParts(zoneParts)
 	for name, relay := range e.relays {
 		if name != e.self.Zone && (len(zone) > 0 || len(zoneParts) > 0 || !e.silent) {
-			reports = append(reports, e.report(relay, ZoneLoads, zone, zoneParts))
+			reports = append(reports, e.report(relay, ZoneLoads, encodedZone, encodedParts))
 		}
 	}
 	e.silent = len(zone) == 0
-	parts := appendParts(slices.Clone(zoneParts), otherParts)
+	all := Loads{}
+	all.add(others)
+	all.add(zone)
+	keys, parts := all.keys(), encodeParts(appendParts(slices.Clone(zoneParts), otherParts))
 	for _, member := range e.members {
-		if all := e.allBut(member.Address, others, own); len(all) > 0 || len(parts) > 0 {
-			reports = append(reports, e.report(member.Address, AllOtherLoads, all, parts))
+		if loads := all.encodeBut(keys, e.own[member.Address].loads); len(loads) > 0 || len(parts) > 0 {
+			reports = append(reports, e.report(member.Address, AllOtherLoads, loads, parts))
 		}
 	}
-	for _, heard := range e.own {
-		others.add(heard.loads)
-	}
+	others.add(members)
 	return reports, others
 }
 
-// allBut sums up all loads but one member's.
-func (e *LoadExchange) allBut(member string, otherZones, own Loads) Loads {
-	all := Loads{}
-	all.add(otherZones)
-	all.add(own)
-	for address, heard := range e.own {
-		if address != member {
-			all.add(heard.loads)
-		}
-	}
-	return all
-}
-
-func (e *LoadExchange) report(to string, scope LoadScope, loads Loads, parts []HeldPart) OutgoingReport {
-	return OutgoingReport{To: to, Report: LoadReport{Scope: scope, Zone: e.self.Zone, Loads: loads.Encode(), Parts: encodeParts(parts)}}
+func (e *LoadExchange) report(to string, scope LoadScope, loads, parts []byte) OutgoingReport {
+	return OutgoingReport{To: to, Report: LoadReport{Scope: scope, Zone: e.self.Zone, Loads: loads, Parts: parts}}
 }
 
 // forget drops reports that are too old to count.
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -89,6 +89,10 @@
 	instances map[string]*entry
 	// heardHere are the instances that sent heartbeats to this node of late.
 	heardHere map[string]struct{}
+	// digest is that of the live instances while digestKnown is set. Each hello is
+	// compared with it, a control node's many times a second.
+	digest      uint64
+	digestKnown bool
 }
 
 // New makes an empty registry; a lease of 0 means the default.
@@ -109,6 +113,7 @@
 	if known == nil {
 		r.instances[instance.ID] = &entry{Instance: instance, newest: instance.Sequence, heard: now}
 		r.heardHere[instance.ID] = struct{}{}
+		r.digestKnown = false
 		return true, nil
 	}
 	if known.State == Gone || instance.Sequence <= known.newest {
@@ -121,6 +126,7 @@
 		return false, nil
 	}
 	known.Instance = instance
+	r.digestKnown = false
 	return true, nil
 }
 
@@ -143,6 +149,7 @@
 		return false
 	}
 	known.State, known.ended = Gone, now
+	r.digestKnown = false
 	return true
 }
 
@@ -166,6 +173,9 @@
 		}
 		news = append(news, other)
 	}
+	if len(news) > 0 {
+		r.digestKnown = false
+	}
 	return news
 }
 
@@ -219,6 +229,9 @@
 			delete(r.instances, id)
 		}
 	}
+	if len(expired) > 0 {
+		r.digestKnown = false
+	}
 	sortByID(expired)
 	return expired
 }
@@ -245,6 +258,13 @@
 
 // Digest is equal on nodes that hold the same live instances in the same state.
 func (r *Registry) Digest() uint64 {
+	if !r.digestKnown {
+		r.digest, r.digestKnown = r.computeDigest(), true
+	}
+	return r.digest
+}
+
+func (r *Registry) computeDigest() uint64 {
 	digest := xxhash.New()
 	var number [8]byte
 	for _, instance := range r.Live() {
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -23,6 +23,10 @@
 	// listedFor is how long another node's word that a control node exists
 	// keeps it among those to be greeted.
 	listedFor = 15 * time.Second
+	// renameAfter is how long a control node's list stands before a hello without
+	// one is taken to repeat it: noting hundreds of nodes at each hello would be
+	// most of its cost.
+	renameAfter = listedFor / 3
 )
 
 // Heard is the last hello of a node.
@@ -31,6 +35,8 @@
 	At time.Duration
 	// Meter measures how long the node's hellos are on their way.
 	delay.Meter
+	// namedAt is when the nodes that it lists were last noted.
+	namedAt time.Duration
 }
 
 // Roster is one node's view of the others. It is not safe for concurrent use.
@@ -40,8 +46,22 @@
 	heard map[string]*Heard
 	// listed are control nodes that another node named, with the time of it.
 	listed map[string]time.Duration
-	// peers are the entry nodes that control nodes named.
+	// entries are the entry nodes that control nodes named.
 	entries map[string]listedEntry
+	// listing is the last answer of Entries.
+	listing entryListing
+}
+
+// entryListing is the list of entry nodes in order. It is made anew only when it
+// has changed: each of hundreds of nodes is asked for it many times a second.
+type entryListing struct {
+	entries []peer.NodeEntry
+	// generation counts the lists that differed; 0 before the first.
+	generation uint64
+	// outdated tells that a node was named that is not in it, or not so.
+	outdated bool
+	// until is when the word on the first of its nodes is too old, at the earliest.
+	until time.Duration
 }
 
 type listedEntry struct {
@@ -68,29 +88,40 @@
 	}
 	known := r.heard[hello.Address]
 	isNew = known == nil || known.Life != hello.Life || now-known.At > AliveFor
-	if known != nil && len(hello.Nodes) == 0 {
-		hello.Nodes = known.Nodes
+	heard := &Heard{At: now}
+	repeats := known != nil && len(hello.Nodes) == 0
+	if repeats {
+		hello.Nodes, heard.namedAt = known.Nodes, known.namedAt
 	}
-	heard := &Heard{Hello: hello, At: now}
+	heard.Hello = hello
 	if known != nil && known.Life == hello.Life {
 		heard.Meter = known.Meter
 	}
 	heard.Note(now, time.Duration(hello.AgeMS)*time.Millisecond)
 	r.heard[hello.Address] = heard
-	if !hello.Control {
+	if !hello.Control || repeats && now-heard.namedAt < renameAfter {
 		return isNew
 	}
+	heard.namedAt = now
 	for _, node := range hello.Nodes {
 		if node.Control && node.Address != r.self {
 			r.listed[node.Address] = now
 		}
 		if node.Entry && node.Address != r.self {
-			r.entries[node.Address] = listedEntry{NodeEntry: node, at: now}
+			r.nameEntry(now, node)
 		}
 	}
 	return isNew
 }
 
+func (r *Roster) nameEntry(now time.Duration, node peer.NodeEntry) {
+	known, found := r.entries[node.Address]
+	if !found || known.NodeEntry != node || now-known.at > listedFor {
+		r.listing.outdated = true
+	}
+	r.entries[node.Address] = listedEntry{NodeEntry: node, at: now}
+}
+
 // Get returns a node's last hello, or nil.
 func (r *Roster) Get(address string) *Heard { return r.heard[address] }
 
@@ -143,16 +174,29 @@
 }
 
 // Entries returns the other entry nodes that control nodes named of late, in
-// order.
-func (r *Roster) Entries(now time.Duration) []peer.NodeEntry {
-	var entries []peer.NodeEntry
+// order, and a number that is another one whenever they have changed. The caller
+// must not change them.
+func (r *Roster) Entries(now time.Duration) (entries []peer.NodeEntry, generation uint64) {
+	if r.listing.generation == 0 || r.listing.outdated || now > r.listing.until {
+		r.listEntries(now)
+	}
+	return r.listing.entries, r.listing.generation
+}
+
+func (r *Roster) listEntries(now time.Duration) {
+	listing := entryListing{generation: r.listing.generation, until: now + listedFor}
 	for _, listed := range r.entries {
-		if now-listed.at <= listedFor {
-			entries = append(entries, listed.NodeEntry)
+		if now-listed.at > listedFor {
+			continue
 		}
+		listing.entries = append(listing.entries, listed.NodeEntry)
+		listing.until = min(listing.until, listed.at+listedFor)
+	}
+	slices.SortFunc(listing.entries, func(a, b peer.NodeEntry) int { return cmp.Compare(a.Address, b.Address) })
+	if listing.generation == 0 || !slices.Equal(listing.entries, r.listing.entries) {
+		listing.generation++
 	}
-	slices.SortFunc(entries, func(a, b peer.NodeEntry) int { return cmp.Compare(a.Address, b.Address) })
-	return entries
+	r.listing = listing
 }
 
 // Leader returns the leader of the control group as the freshest hello with
--- a/internal/coordination/roster/roster_test.go
+++ b/internal/coordination/roster/roster_test.go
@@ -18,7 +18,8 @@
 	assert.DeepEqual(t, roster.Greet(0), []string{"a:1"})
 	assert.Assert(t, roster.Hello(0, control("a:1", "b:1", 1, peer.NodeEntry{Address: "b:1", Control: true}, peer.NodeEntry{Address: "f:1", Entry: true})))
 	assert.DeepEqual(t, roster.Greet(0), []string{"a:1", "b:1"})
-	assert.Equal(t, len(roster.Entries(0)), 0)
+	entries, _ := roster.Entries(0)
+	assert.Equal(t, len(entries), 0)
 }
 
 func TestExchangedSeedsCutNobodyOff(t *testing.T) {
@@ -59,3 +60,32 @@
 	assert.Equal(t, say(7200*time.Millisecond, 2*time.Second, "1"), 1200*time.Millisecond)
 	assert.Equal(t, say(20*time.Second, 3*time.Second, "2"), time.Duration(0))
 }
+
+// Hundreds of entry nodes are asked for many times a second: the list is made anew
+// only when it has changed.
+func TestListOfEntryNodesIsMadeAnewWhenItChanges(t *testing.T) {
+	entry := func(address, zone string) peer.NodeEntry {
+		return peer.NodeEntry{Address: address, Zone: zone, Entry: true}
+	}
+	roster := New("f:1", nil)
+	_, first := roster.Entries(0)
+	roster.Hello(0, control("a:1", "", 1, entry("g:1", "a"), entry("h:1", "b")))
+	entries, second := roster.Entries(0)
+	assert.DeepEqual(t, entries, []peer.NodeEntry{entry("g:1", "a"), entry("h:1", "b")})
+	assert.Assert(t, second != first)
+
+	roster.Hello(listedFor/2, control("a:1", "", 1, entry("h:1", "b"), entry("g:1", "a")))
+	_, repeated := roster.Entries(listedFor / 2)
+	assert.Equal(t, repeated, second)
+
+	roster.Hello(listedFor, control("a:1", "", 1, entry("h:1", "b")))
+	entries, third := roster.Entries(listedFor*3/2 + time.Millisecond)
+	assert.DeepEqual(t, entries, []peer.NodeEntry{entry("h:1", "b")})
+	assert.Assert(t, third != second)
+
+	// One that is named again after its time comes back, also at the same place.
+	_, _ = roster.Entries(listedFor * 5)
+	roster.Hello(listedFor*5, control("a:1", "", 1, entry("h:1", "b")))
+	entries, _ = roster.Entries(listedFor * 5)
+	assert.DeepEqual(t, entries, []peer.NodeEntry{entry("h:1", "b")})
+}
--- /dev/null
+++ b/internal/gateway/duties_bench_test.go
@@ -0,0 +1,250 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/coordination/escrow"
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+	"github.com/ravenway/ravenway/internal/settings"
+	"github.com/ravenway/ravenway/internal/state/accounts"
+	"github.com/ravenway/ravenway/internal/state/disk"
+)
+
+// The benchmarks give the processor time of one second's periodic duties of a node
+// without requests, by the number of entry nodes: five zones, five control nodes,
+// 160 instances, 40 tenants.
+const (
+	benchZones     = 5
+	benchControls  = 5
+	benchInstances = 160
+	benchTenants   = 40
+)
+
+var benchSizes = []int{30, 100, 300, 1000}
+
+func benchZone(number int) string { return fmt.Sprint("zone-", number%benchZones) }
+
+func benchEntry(number int) string {
+	return fmt.Sprintf("10.%d.%d.%d:7000", 1+number%benchZones, number/200, 1+number%200)
+}
+
+func benchControl(number int) string { return fmt.Sprintf("10.9.0.%d:7000", number+1) }
+
+// newIdleNode makes a node that is not run: the benchmark calls its duties.
+func newIdleNode(tb testing.TB, address, zone, role string) *Node {
+	tb.Helper()
+	options := Options{
+		Settings: &settings.Settings{
+			Node:   settings.Node{Name: address, Zone: zone, Roles: []string{role}},
+			Listen: settings.Listen{Peers: address}, Fleet: settings.Fleet{PeerPort: 7000},
+		},
+		PeerKey: []byte("a key of thirty-two bytes or more"), Logger: zerolog.Nop(),
+	}
+	if role == settings.RoleControl {
+		options.FileSystem = disk.NewSimulated(rand.New(rand.NewPCG(1, 1)))
+	}
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(tb, err)
+	tb.Cleanup(func() { _ = callers.Close() })
+	options.Listeners.Callers = callers
+	node, err := New(options)
+	assert.NilError(tb, err)
+	var instances []registry.Instance
+	for number := range benchInstances {
+		instances = append(instances, registry.Instance{
+			ID: fmt.Sprint("instance-", number), Service: "model", Address: fmt.Sprintf("10.8.0.%d:80", number+1),
+			Zone: benchZone(number), State: registry.Ready, Sequence: 1,
+		})
+	}
+	node.fleet.registry.Merge(0, instances)
+	return node
+}
+
+// controlHello is a control node's hello to a node; every tenth names all nodes.
+func controlHello(number, entries int, digest uint64, withNodes bool) peer.Hello {
+	hello := peer.Hello{
+		Address: benchControl(number), Zone: benchZone(number), Life: "1", Control: true, HasGroup: true, Leader: benchControl(0),
+		Term: 1, Version: 0, InstancesDigest: digest,
+	}
+	if withNodes {
+		for entry := range entries {
+			hello.Nodes = append(hello.Nodes, peer.NodeEntry{Address: benchEntry(entry), Zone: benchZone(entry), Entry: true})
+		}
+	}
+	return hello
+}
+
+func forgetFrames(node *Node, entries int) {
+	for number := range entries {
+		node.mesh.Forget(benchEntry(number))
+	}
+	for number := range benchControls {
+		node.mesh.Forget(benchControl(number))
+	}
+}
+
+// controlHellos are one hello of each control node.
+func controlHellos(node *Node, entries int, withNodes bool) []peer.Hello {
+	var hellos []peer.Hello
+	for number := range benchControls {
+		hellos = append(hellos, controlHello(number, entries, node.fleet.registry.Digest(), withNodes))
+	}
+	return hellos
+}
+
+func hear(node *Node, hellos []peer.Hello) {
+	for _, hello := range hellos {
+		node.fleet.noteHello(hello)
+	}
+}
+
+const (
+	hellosASecond     = float64(time.Second) / float64(helloTicks*fleetTick)
+	loadStepsASecond  = int(time.Second / (loadsInterval * manyLoadsTicks))
+	fleetTicksASecond = int(time.Second / fleetTick)
+	tokenTicksASecond = int(time.Second / tokensTick)
+)
+
+// benchSecond is the processor time of a second's duties: times calls of each part.
+func benchSecond(b *testing.B, node *Node, entries int, second func(number int)) {
+	b.ReportAllocs()
+	number := 0
+	for b.Loop() {
+		second(number)
+		number++
+		b.StopTimer()
+		forgetFrames(node, entries)
+		b.StartTimer()
+	}
+}
+
+func BenchmarkEntryNodeSecond(b *testing.B) {
+	for _, entries := range benchSizes {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			node := newIdleNode(b, benchEntry(7), benchZone(7), settings.RoleEntry)
+			long, short := controlHellos(node, entries, true), controlHellos(node, entries, false)
+			hear(node, long)
+			holdTokens(node)
+			benchSecond(b, node, entries, func(number int) {
+				if number%6 == 0 {
+					// The list of nodes is repeated each 6 s or less often.
+					hear(node, long)
+				}
+				hear(node, short)
+				entrySecond(node)
+			})
+		})
+	}
+}
+
+// entrySecond is a second's ticks of all duties, with a load report each 0.2 s.
+func entrySecond(node *Node) {
+	for range fleetTicksASecond {
+		node.fleet.tick()
+	}
+	report := benchLoads(benchInstances)
+	for range loadStepsASecond {
+		node.loads.exchange.Take(node.now(), benchEntry(2), report)
+		for range manyLoadsTicks {
+			node.loads.tick()
+		}
+	}
+	for range tokenTicksASecond {
+		node.tokens.tick()
+		node.tokens.flush()
+	}
+}
+
+// holdTokens has the node hold a part of each tenant's tokens.
+func holdTokens(node *Node) {
+	holder := node.tokens.holder
+	for number := range benchTenants {
+		name := fmt.Sprint("tenant-", number)
+		holder.Reserve(node.now(), time.Hour, name, 1000, escrow.Policy{}, func(escrow.Reservation, error) {})
+		holder.Take(node.now(), escrow.AnswerMessage{Holder: holder.ID(), Answers: []escrow.Answer{{Answer: accounts.Answer{
+			Budget: name, Granted: 1 << 20, Request: 1, Limit: 1 << 30, Left: 1 << 29,
+		}}}})
+	}
+}
+
+func benchLoads(instances int) balance.LoadReport {
+	loads := balance.Loads{}
+	for number := range instances {
+		loads[balance.KeyOf(fmt.Sprint("instance-", number))] = balance.Load{Tokens: 640, Requests: 3}
+	}
+	return balance.LoadReport{Scope: balance.AllOtherLoads, Zone: benchZone(2), Loads: loads.Encode()}
+}
+
+func BenchmarkRelaySecond(b *testing.B) {
+	for _, entries := range benchSizes {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			// The lowest address of its zone.
+			node := newIdleNode(b, benchEntry(0), benchZone(0), settings.RoleEntry)
+			hear(node, controlHellos(node, entries, true))
+			benchSecond(b, node, entries, func(int) {
+				for range loadStepsASecond {
+					hearMembers(node, entries)
+					for range manyLoadsTicks {
+						node.loads.tick()
+					}
+				}
+			})
+		})
+	}
+}
+
+// hearMembers has the relay hear a report of a few requests from each node of its
+// zone, and a whole one from each other zone.
+func hearMembers(node *Node, entries int) {
+	for member := benchZones; member < entries; member += benchZones {
+		report := balance.LoadReport{Scope: balance.OwnLoads, Zone: benchZone(0)}
+		report.Loads = balance.Loads{
+			balance.KeyOf(fmt.Sprint("instance-", member%benchInstances)):     {Tokens: 640, Requests: 1},
+			balance.KeyOf(fmt.Sprint("instance-", (member+1)%benchInstances)): {Requests: 1},
+		}.Encode()
+		node.loads.exchange.Take(node.now(), benchEntry(member), report)
+	}
+	for zone := 1; zone < benchZones; zone++ {
+		report := benchLoads(benchInstances)
+		report.Scope, report.Zone = balance.ZoneLoads, benchZone(zone)
+		node.loads.exchange.Take(node.now(), benchEntry(zone), report)
+	}
+}
+
+func BenchmarkControlNodeSecond(b *testing.B) {
+	for _, entries := range benchSizes {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			node := newIdleNode(b, benchControl(1), benchZone(1), settings.RoleControl)
+			controls, hellos := controlHellos(node, entries, false), entryHellos(node, entries)
+			hear(node, hellos)
+			benchSecond(b, node, entries, func(int) {
+				hear(node, controls)
+				hear(node, hellos)
+				hear(node, hellos[:int((hellosASecond-1)*float64(entries))])
+				for range fleetTicksASecond {
+					node.fleet.tick()
+				}
+			})
+		})
+	}
+}
+
+// entryHellos are one hello of each entry node.
+func entryHellos(node *Node, entries int) []peer.Hello {
+	var hellos []peer.Hello
+	for number := range entries {
+		hellos = append(hellos, peer.Hello{
+			Address: benchEntry(number), Zone: benchZone(number), Life: "1", Entry: true, InstancesDigest: node.fleet.registry.Digest(),
+		})
+	}
+	return hellos
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -21,8 +21,9 @@
 	// helloTicks is the number of ticks between hellos.
 	helloTicks = 2
 	// nodesEvery is the number of hellos after which the list of nodes is
-	// repeated though it did not change.
-	nodesEvery = 10
+	// repeated though it did not change: the frame with it may have been lost. With
+	// 300 nodes it is 10 KB from each control node.
+	nodesEvery = 25
 	// heardTicks is the number of ticks between lists of instances heard.
 	heardTicks = 8
 	// certainFor is how long a control node's word on the newest version counts.
@@ -54,16 +55,43 @@
 	hellos int
 }
 
+// neighbours are the other entry nodes, in lists that are made anew only when
+// they have changed.
+type neighbours struct {
+	// generation is another one whenever they have changed; 0 before the first.
+	generation uint64
+	nodes      []balance.EntryNode
+	// inZone is the number of those in the own zone.
+	inZone int
+	// lenders are the addresses, those of the own zone first.
+	lenders []string
+}
+
+// newNeighbours lists other entry nodes, given in order, as a node of a zone sees
+// them.
+func newNeighbours(self balance.EntryNode, entries []peer.NodeEntry, generation uint64) neighbours {
+	made := neighbours{generation: generation, nodes: make([]balance.EntryNode, 0, len(entries))}
+	var near, far []string
+	for _, entry := range entries {
+		made.nodes = append(made.nodes, balance.EntryNode{Address: entry.Address, Zone: entry.Zone})
+		if entry.Zone == self.Zone {
+			near = append(near, entry.Address)
+			continue
+		}
+		far = append(far, entry.Address)
+	}
+	made.inZone = len(near)
+	made.lenders = append(startingAfter(self.Address, near), startingAfter(self.Address, far)...)
+	return made
+}
+
 // fleetView is the roster as others may read it.
 type fleetView struct {
 	alive  []roster.Heard
 	leader string
 	// entries is the number of live entry nodes, this one included.
-	entries int
-	// lenders are the other entry nodes, those of the own zone first.
-	lenders []string
-	// entryNodes are the other entry nodes.
-	entryNodes []balance.EntryNode
+	entries    int
+	neighbours neighbours
 	// rootHeardAt is when a control node that has a quorum was last heard, and
 	// certainVersion the newest version then.
 	rootHeardAt    time.Duration
@@ -154,20 +182,32 @@
 	said := f.describe()
 	receivers := f.roster.Greet(now)
 	if f.isControl() {
+		greeted := len(receivers)
 		for _, known := range f.roster.AliveNodes(now) {
-			if !slices.Contains(receivers, known.Address) {
+			// Greet's are in order, and few.
+			if _, found := slices.BinarySearch(receivers[:greeted], known.Address); !found {
 				receivers = append(receivers, known.Address)
 			}
 		}
 	}
-	nodes, digest := f.listNodes(now)
+	short := f.node.encode(peer.KindHello, &said)
+	if !f.isControl() {
+		f.node.sendAll(receivers, peer.KindHello, short)
+		return
+	}
+	var digest uint64
+	said.Nodes, digest = f.listNodes(now)
+	long := f.node.encode(peer.KindHello, &said)
+	var due, others []string
 	for _, receiver := range receivers {
-		one := said
-		if f.isControl() && f.nodesDue(receiver, digest) {
-			one.Nodes = nodes
+		if f.nodesDue(receiver, digest) {
+			due = append(due, receiver)
+			continue
 		}
-		f.node.send(receiver, peer.KindHello, &one)
+		others = append(others, receiver)
 	}
+	f.node.sendAll(due, peer.KindHello, long)
+	f.node.sendAll(others, peer.KindHello, short)
 }
 
 func (f *fleetDuty) describe() peer.Hello {
@@ -214,32 +254,39 @@
 	if from != hello.Address {
 		return
 	}
-	f.duty.Offer(func() {
-		now := f.node.now()
-		isNew := f.roster.Hello(now, hello)
-		if isNew {
-			f.node.log.Info().Str("event", "node_heard").Str("peer", hello.Node).Str("address", hello.Address).
-				Str("life", hello.Life).Bool("control", hello.Control).Uint64("version", hello.Version).Send()
-			delete(f.told, hello.Address)
-			if f.isControl() {
-				// It learns at once what it would else wait for.
-				said := f.describe()
-				said.Nodes, _ = f.listNodes(now)
-				f.node.send(hello.Address, peer.KindHello, &said)
-			}
-		}
-		f.compareInstances(hello)
-		if hello.Control {
-			f.node.documents.hear(follow.Node{Address: hello.Address, Zone: hello.Zone}, hello.Version)
-		}
-		if f.isControl() {
-			f.node.publisher.hear(hello)
-		}
-		if isNew || hello.Control {
-			// The hellos of entry nodes, by far the most, wait for the next tick.
-			f.publish()
-		}
-	})
+	f.duty.Offer(func() { f.noteHello(hello) })
+}
+
+func (f *fleetDuty) noteHello(hello peer.Hello) {
+	now := f.node.now()
+	isNew := f.roster.Hello(now, hello)
+	if isNew {
+		f.greetNew(now, hello)
+	}
+	f.compareInstances(hello)
+	if hello.Control {
+		f.node.documents.hear(follow.Node{Address: hello.Address, Zone: hello.Zone}, hello.Version)
+	}
+	if f.isControl() {
+		f.node.publisher.hear(hello)
+	}
+	if isNew || hello.Control {
+		// The hellos of entry nodes, by far the most, wait for the next tick.
+		f.publish()
+	}
+}
+
+// greetNew notes a node that was not heard before, or not of late.
+func (f *fleetDuty) greetNew(now time.Duration, hello peer.Hello) {
+	f.node.log.Info().Str("event", "node_heard").Str("peer", hello.Node).Str("address", hello.Address).
+		Str("life", hello.Life).Bool("control", hello.Control).Uint64("version", hello.Version).Send()
+	delete(f.told, hello.Address)
+	if f.isControl() {
+		// It learns at once what it would else wait for.
+		said := f.describe()
+		said.Nodes, _ = f.listNodes(now)
+		f.node.send(hello.Address, peer.KindHello, &said)
+	}
 }
 
 // publish shares the roster with the other duties.
@@ -250,20 +297,15 @@
 	for _, known := range f.roster.AliveNodes(now) {
 		view.alive = append(view.alive, *known)
 	}
-	if current.HasRole(settings.RoleEntry) {
-		view.entries = 1
+	before := f.view.Load().neighbours
+	view.neighbours = before
+	if entries, generation := f.roster.Entries(now); generation != before.generation {
+		view.neighbours = newNeighbours(balance.EntryNode{Address: f.node.address, Zone: current.Node.Zone}, entries, generation)
 	}
-	var farLenders []string
-	for _, entry := range f.roster.Entries(now) {
+	view.entries = len(view.neighbours.nodes)
+	if current.HasRole(settings.RoleEntry) {
 		view.entries++
-		view.entryNodes = append(view.entryNodes, balance.EntryNode{Address: entry.Address, Zone: entry.Zone})
-		if entry.Zone == current.Node.Zone {
-			view.lenders = append(view.lenders, entry.Address)
-			continue
-		}
-		farLenders = append(farLenders, entry.Address)
 	}
-	view.lenders = append(startingAfter(f.node.address, view.lenders), startingAfter(f.node.address, farLenders)...)
 	for _, known := range f.roster.Controls(now) {
 		quorum := time.Duration(known.QuorumSilenceMS) * time.Millisecond
 		if !known.HasGroup || quorum > quorumFor {
@@ -273,9 +315,6 @@
 		view.rootHeardAt = max(view.rootHeardAt, known.At)
 	}
 	f.view.Store(view)
-	if f.node.tokens != nil {
-		f.node.tokens.setLenders(view.lenders)
-	}
 }
 
 // startingAfter turns a sorted list so that it begins behind a node's own
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -68,8 +68,9 @@
 	}
 	f.logInstances("announced", changes)
 	f.publishInstances()
+	frame := f.node.encode(peer.KindInstances, &instancesMessage{Instances: changes})
 	for _, known := range f.roster.AliveNodes(f.node.now()) {
-		f.node.send(known.Address, peer.KindInstances, &instancesMessage{Instances: changes})
+		f.node.sendFrame(known.Address, peer.KindInstances, frame)
 	}
 }
 
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -68,11 +68,8 @@
 
 func (l *linkWatch) read(now time.Duration, view *fleetView) overload.Reading {
 	current := l.node.settings.Load()
-	reading := overload.Reading{CallerBytes: l.node.pipeline.ReceivedBytes(), LinkBytes: current.Limits.LinkMbps * bytesPerMegabit}
-	for _, entry := range view.entryNodes {
-		if entry.Zone == current.Node.Zone {
-			reading.Others++
-		}
+	reading := overload.Reading{
+		CallerBytes: l.node.pipeline.ReceivedBytes(), LinkBytes: current.Limits.LinkMbps * bytesPerMegabit, Others: view.neighbours.inZone,
 	}
 	reading.Delay, reading.DelayKnown = l.delay(now, view.alive)
 	return reading
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -29,6 +29,8 @@
 	duty     *duty.Duty
 	exchange *balance.LoadExchange
 	ticks    int
+	// generation is that of the neighbours that the exchange knows.
+	generation uint64
 	// ways are the ways from the nodes that send reports here.
 	ways map[string]*delay.Meter
 }
@@ -46,15 +48,18 @@
 
 func (l *loadsDuty) tick() {
 	l.ticks++
-	entries := l.node.fleet.view.Load().entryNodes
+	neighbours := &l.node.fleet.view.Load().neighbours
 	interval := loadsInterval
-	if len(entries) >= fewEntries {
+	if len(neighbours.nodes) >= fewEntries {
 		if l.ticks%manyLoadsTicks != 0 {
 			return
 		}
 		interval *= manyLoadsTicks
 	}
-	l.exchange.SetNodes(entries, interval)
+	if neighbours.generation != l.generation {
+		l.exchange.SetNodes(neighbours.nodes, interval)
+		l.generation = neighbours.generation
+	}
 	now := l.node.now()
 	reports, known := l.exchange.Step(now, l.node.table.OwnLoads(), l.node.table.TakeSpilled())
 	l.node.table.SetOthersLoads(known.Loads)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -271,17 +271,37 @@
 
 // send encodes and sends a message to another node, or handles it here.
 func (n *Node) send(to string, kind peer.Kind, body any) {
+	n.sendFrame(to, kind, n.encode(kind, body))
+}
+
+// sendAll sends one frame to several nodes: encoding it for each of hundreds
+// would be most of its cost.
+func (n *Node) sendAll(receivers []string, kind peer.Kind, frame []byte) {
+	for _, receiver := range receivers {
+		n.sendFrame(receiver, kind, frame)
+	}
+}
+
+// encode makes a frame of a message, or nil if it can't be encoded.
+func (n *Node) encode(kind peer.Kind, body any) []byte {
 	frame, err := peer.Encode(kind, body)
 	if err != nil {
-		n.log.Error().Str("event", "peer_encode_failed").Err(err).Send()
-		return
+		n.log.Error().Str("event", "peer_encode_failed").Stringer("kind", kind).Err(err).Send()
+		return nil
 	}
-	if to == n.address {
+	return frame
+}
+
+// sendFrame sends a frame, which nobody may change any more; nil is passed over.
+func (n *Node) sendFrame(to string, kind peer.Kind, frame []byte) {
+	switch {
+	case frame == nil:
+	case to == n.address:
 		n.handleFrame(n.address, frame)
-		return
+	default:
+		n.sent.note(kind, len(frame))
+		n.mesh.Send(to, frame)
 	}
-	n.sent.note(kind, len(frame))
-	n.mesh.Send(to, frame)
 }
 
 // handleFrame hands a frame to the duty that it is for.
--- a/internal/gateway/tokens.go
+++ b/internal/gateway/tokens.go
@@ -27,6 +27,8 @@
 	node   *Node
 	duty   *duty.Duty
 	holder *escrow.Holder
+	// lenders is the generation of the neighbours that the holder may borrow from.
+	lenders uint64
 }
 
 func newTokensDuty(node *Node) *tokensDuty {
@@ -35,7 +37,7 @@
 		ID: accounts.HolderID{Node: holderName(node.address, node.life), Incarnation: onlyLife}, AnswerTimeout: rootTimeout,
 		RootReachable: node.hearsRoot, Allowances: true,
 	})
-	tokens.duty.Tick = func() { tokens.holder.Tick(node.now()) }
+	tokens.duty.Tick = tokens.tick
 	tokens.duty.Flush = tokens.flush
 	return tokens
 }
@@ -52,8 +54,12 @@
 	}
 }
 
-func (t *tokensDuty) setLenders(lenders []string) {
-	t.duty.Offer(func() { t.holder.SetLenders(lenders) })
+func (t *tokensDuty) tick() {
+	if neighbours := &t.node.fleet.view.Load().neighbours; neighbours.generation != t.lenders {
+		t.holder.SetLenders(neighbours.lenders)
+		t.lenders = neighbours.generation
+	}
+	t.holder.Tick(t.node.now())
 }
 
 // reservation is a forward.Reservation.
@@ -157,7 +163,7 @@
 	if t.node.hearsRoot() {
 		return t.returnAll(ctx)
 	}
-	for _, neighbour := range t.node.fleet.view.Load().lenders {
+	for _, neighbour := range t.node.fleet.view.Load().neighbours.lenders {
 		offered, err := duty.Ask(ctx, t.duty, func(answer func(bool)) { answer(t.holder.Offer(neighbour)) })
 		if err != nil || !offered {
 			return err
