An entry node with too much to do turns requests of heavy callers away at once

Pattern: the platform chooses a caller's entry node by a hash, so that one large caller meets one machine with a fifth of a core and 10 Mbit/s.

Change: overload.Gate, a pure step. Two readings: how long a goroutine that gives way waits for its turn (all that is ready to run), and the bytes of bodies let in, against what the link bears. While one is too high a bound on heavy callers (0.3 of the node's work or more) falls, while both are low it rises. Requests over it are refused before their body is read, with 503 and 0.03 to 0.1 s to come back, through another node; those with an objective under 0.4 s are served, since they can't bear the way. Light callers are never turned away. Bodies in memory are bounded by 0.12 of the process's memory in place of 32 MiB.

--- /dev/null
+++ b/internal/coordination/overload/gate_test.go
@@ -0,0 +1,92 @@
+package overload
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// busyNode feeds a gate with requests and readings.
+type busyNode struct {
+	gate *Gate
+	now  time.Duration
+}
+
+const lagInterval = 50 * time.Millisecond
+
+// run has callers send requests at rates a second while timers run late by a lag
+// that the work let in decides, and returns the part of each caller's requests that
+// was let in.
+func (n *busyNode) run(length time.Duration, rates map[string]float64, body int64, lag func(letIn float64) time.Duration) map[string]float64 {
+	asked, letIn, due := map[string]int{}, map[string]int{}, map[string]float64{}
+	taken := 0
+	for end := n.now + length; n.now < end; {
+		n.now += 5 * time.Millisecond
+		for caller, rate := range rates {
+			for due[caller] += rate * 0.005; due[caller] >= 1; due[caller]-- {
+				asked[caller]++
+				if n.gate.LetsIn(n.now, caller, body, false) {
+					letIn[caller]++
+					taken++
+				}
+			}
+		}
+		if n.now%lagInterval == 0 {
+			n.gate.Step(n.now, lag(float64(taken)/lagInterval.Seconds()), link)
+			taken = 0
+		}
+	}
+	parts := map[string]float64{}
+	for caller, count := range asked {
+		parts[caller] = float64(letIn[caller]) / float64(count)
+	}
+	return parts
+}
+
+// bears is a node that keeps up with a rate and is late beyond it.
+func bears(rate float64) func(float64) time.Duration {
+	return func(letIn float64) time.Duration {
+		if letIn > rate {
+			return 60 * time.Millisecond
+		}
+		return 2 * time.Millisecond
+	}
+}
+
+func TestOnlyTheHeavyCallerIsTurnedAway(t *testing.T) {
+	node := &busyNode{gate: NewGate()}
+	parts := node.run(10*time.Second, map[string]float64{"heavy": 120, "one": 5, "other": 8}, 1000, bears(80))
+	assert.Equal(t, parts["one"], 1.0)
+	assert.Equal(t, parts["other"], 1.0)
+	assert.Assert(t, parts["heavy"] > 0.35 && parts["heavy"] < 0.65, "%.2f of the heavy caller's requests were let in", parts["heavy"])
+}
+
+func TestBoundIsThereWithinHalfASecondAndGoesWithTheLoad(t *testing.T) {
+	node := &busyNode{gate: NewGate()}
+	node.run(2*time.Second, map[string]float64{"heavy": 50, "one": 5}, 1000, bears(80))
+	assert.Equal(t, node.gate.Bound(), 0.0)
+	node.run(500*time.Millisecond, map[string]float64{"heavy": 150, "one": 5}, 1000, bears(80))
+	assert.Assert(t, node.gate.Bound() > 0)
+	node.run(6*time.Second, map[string]float64{"heavy": 20, "one": 5}, 1000, bears(80))
+	assert.Equal(t, node.gate.Bound(), 0.0)
+}
+
+// The bodies that are offered fill the link before anything is late.
+func TestBoundIsThereBeforeTheLinkIsFull(t *testing.T) {
+	node := &busyNode{gate: NewGate()}
+	punctual := func(float64) time.Duration { return time.Millisecond }
+	parts := node.run(3*time.Second, map[string]float64{"heavy": 40, "one": 2}, 20_000, punctual)
+	assert.Equal(t, parts["one"], 1.0)
+	assert.Assert(t, parts["heavy"] > 0.5 && parts["heavy"] < 0.9, "%.2f of the heavy caller's requests were let in", parts["heavy"])
+}
+
+// Many callers that all take little are served, however late the node is: none of
+// them would do better elsewhere.
+func TestNobodyIsTurnedAwayWhereNobodyIsHeavy(t *testing.T) {
+	node := &busyNode{gate: NewGate()}
+	rates := map[string]float64{"a": 30, "b": 30, "c": 30, "d": 30, "e": 30}
+	for _, part := range node.run(5*time.Second, rates, 1000, bears(80)) {
+		assert.Equal(t, part, 1.0)
+	}
+}
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -56,6 +56,9 @@
 	LinkDelay() time.Duration
 	// Shedding tells that callers are to go to other nodes for a while.
 	Shedding() bool
+	// LetsIn notes a request of a caller, with a body of some bytes, and tells
+	// whether it is served here. One that must be served always is.
+	LetsIn(caller string, bodyBytes int64, mustServe bool) bool
 	// Now is a steady clock.
 	Now() time.Duration
 }
@@ -108,7 +111,8 @@
 	headSeconds    = metrics.GetOrCreateHistogram("ravenway_forward_head_seconds")
 )
 
-// DefaultBufferedBytes bounds the request bodies in memory.
+// DefaultBufferedBytes bounds the request bodies in memory where the process's
+// memory is not known.
 const DefaultBufferedBytes = 32 << 20
 
 // New makes a pipeline.
@@ -219,9 +223,21 @@
 	if !environment.Stop().takes(time.Until(r.deadline)) {
 		return refuse(http.StatusServiceUnavailable, ReasonStopping)
 	}
+	if !environment.LetsIn(r.callerAddress(), r.incoming.ContentLength, r.route.Objective < leastObjectiveElsewhere) {
+		return refuse(http.StatusServiceUnavailable, ReasonOverloaded)
+	}
 	return r.readBody()
 }
 
+// callerAddress is the machine that the request came from.
+func (r *request) callerAddress() string {
+	host, _, err := net.SplitHostPort(r.incoming.RemoteAddr)
+	if err != nil {
+		return r.incoming.RemoteAddr
+	}
+	return host
+}
+
 // requestsBehind counts requests that were taken under an older document than
 // the newest that the node had heard of.
 var requestsBehind = metrics.GetOrCreateCounter("ravenway_requests_behind_total")
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -61,6 +62,7 @@
 	stop        StopState
 	linkDelay   time.Duration
 	shedding    bool
+	overloaded  bool
 	settled     atomic.Int64
 	refusal     error
 }
@@ -72,7 +74,10 @@
 func (e *testEnvironment) EntryNodes() int                      { return 1 }
 func (e *testEnvironment) Stop() StopState                      { return e.stop }
 func (e *testEnvironment) Shedding() bool                       { return e.shedding }
-func (e *testEnvironment) Now() time.Duration                   { return time.Since(e.began) }
+func (e *testEnvironment) LetsIn(_ string, _ int64, mustServe bool) bool {
+	return !e.overloaded || mustServe
+}
+func (e *testEnvironment) Now() time.Duration { return time.Since(e.began) }
 func (e *testEnvironment) RetryPolicy() balance.RetryPolicy {
 	return balance.RetryPolicy{Window: 10 * time.Second, Ratio: 0.2, Slack: 100, Nodes: 1}
 }
@@ -525,6 +530,30 @@
 	assert.Equal(t, h.pipeline.ReceivedBytes(), int64(2*len("body")))
 }
 
+// One large caller meets one small node: what comes back through another node is
+// served in time, what waits here is not. A request whose objective can't bear the
+// way is served.
+func TestOverloadedNodeSendsRequestsThatCanBearItElsewhereBeforeItReadsThem(t *testing.T) {
+	engine := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = io.WriteString(connection, answerOf(request.Header.Get("Id"), "done"))
+	})
+	h := newHarness(t, engine)
+	h.environment.overloaded = true
+	assert.Equal(t, h.ask(t, http.MethodPost, "/once/x", "r1", "body").status, http.StatusOK)
+	for position := range h.environment.index.Document.Routes {
+		h.environment.index.Document.Routes[position].Objective = leastObjectiveElsewhere
+	}
+	turned := h.askBefore(t, "/once/x", "r2", "body")
+	assert.NilError(t, turned.err)
+	assert.Equal(t, turned.status, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(turned.body, `"not_run":true`), turned.body)
+	wait, err := strconv.ParseFloat(turned.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, wait <= leastObjectiveElsewhere.Seconds()/4, "told to come back after %v s", wait)
+	assert.Equal(t, engine.ids(), "r1")
+	assert.Equal(t, h.pipeline.ReceivedBytes(), int64(len("body")))
+}
+
 // Incident CONFIG on zhf-valuation-grown: a node whose own link was full took all
 // engines for unreachable, since none answered a new connection within 250 ms.
 func TestNewConnectionMayTakeAsMuchLongerAsTheOwnLinkIsFull(t *testing.T) {
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -23,6 +24,7 @@
 	ReasonTooLarge        Reason = "too_large"
 	ReasonNoMemory        Reason = "no_memory"
 	ReasonStopping        Reason = "stopping"
+	ReasonOverloaded      Reason = "node_overloaded"
 	ReasonSpent           Reason = "prepaid_spent"
 	ReasonNotReserved     Reason = "tokens_not_reserved"
 	ReasonNotReservedYet  Reason = "tokens_not_reserved_yet"
@@ -49,7 +51,14 @@
 // the two, so that callers don't come back all at once.
 type retryAfter struct{ minimum, maximum float64 }
 
+// leastObjectiveElsewhere is the objective from which a request may be sent to
+// another node by an overloaded one: the way there takes up to a quarter of it.
+const leastObjectiveElsewhere = 400 * time.Millisecond
+
 var (
+	// elsewhere is for what any other node serves at once: it is drawn only so
+	// that a burst does not come back as one.
+	elsewhere = retryAfter{minimum: 0.03, maximum: 0.1}
 	// soon is for what another node, or this one a moment later, can serve.
 	soon = retryAfter{minimum: 0.2, maximum: 0.7}
 	// afterStart is for what a node lacks that has just started: after a loss of
@@ -86,6 +95,8 @@
 	header := r.writer.Header()
 	header.Set("Content-Type", "application/json")
 	switch {
+	case refused.Reason == ReasonOverloaded:
+		header.Set("Retry-After", elsewhere.draw())
 	case refused.Reason == ReasonNotReserved:
 		header.Set("Retry-After", later.draw())
 	case refused.Reason == ReasonNoConfiguration, refused.Reason == ReasonNotReservedYet:
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -65,6 +65,11 @@
 // Shedding implements forward.Environment.
 func (e *entryEnvironment) Shedding() bool { return e.node.link.shedding.Load() }
 
+// LetsIn implements forward.Environment.
+func (e *entryEnvironment) LetsIn(caller string, bodyBytes int64, mustServe bool) bool {
+	return e.node.gate.letsIn(caller, bodyBytes, mustServe)
+}
+
 // Now implements forward.Environment.
 func (e *entryEnvironment) Now() time.Duration { return e.node.now() }
 
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -47,6 +47,7 @@
 }
 
 func (l *loadsDuty) tick() {
+	l.node.gate.read()
 	l.ticks++
 	neighbours := &l.node.fleet.view.Load().neighbours
 	interval := loadsInterval
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -109,6 +109,7 @@
 	documents *documentStore
 	publisher *documentPublisher
 	link      *linkWatch
+	gate      *callerGate
 	table     *balance.Table
 	replica   *replicaDuty
 	tokens    *tokensDuty
@@ -138,7 +139,7 @@
 	})
 	node.calls = peer.NewCalls(node.send)
 	node.documents, node.publisher = newDocumentStore(node), newDocumentPublisher(node)
-	node.link = &linkWatch{node: node}
+	node.link, node.gate = &linkWatch{node: node}, newCallerGate(node)
 	node.fleet = newFleetDuty(node)
 	if options.Settings.HasRole(settings.RoleControl) {
 		node.replica = newReplicaDuty(node)
@@ -149,7 +150,7 @@
 		node.decisions = forward.NewDecisionLog(node.log)
 		node.pipeline = forward.New(forward.Options{
 			Dialect: options.Dialect, Environment: &entryEnvironment{node}, Table: node.table,
-			Log: node.decisions, Dial: options.DialEngine,
+			Log: node.decisions, Dial: options.DialEngine, BufferedBytes: bodyBytes(options.Settings.Limits.MemoryMB),
 		})
 		node.callers = newCallerServer(options.Listeners.Callers, node.pipeline)
 		node.documents.changed = node.callers.adopt
@@ -157,6 +158,17 @@
 	return node, nil
 }
 
+const (
+	// bodiesShare is the part of the process's memory that callers' bodies may take:
+	// each is there twice while it is written to an engine, and the heap is kept
+	// below 0.7 of the memory.
+	bodiesShare = 0.12
+	bytesPerMB  = 1 << 20
+)
+
+// bodyBytes bounds the bodies in memory; 0 where the memory is not known.
+func bodyBytes(memoryMB int) int64 { return int64(bodiesShare * float64(memoryMB) * bytesPerMB) }
+
 // newLife names this run of the process.
 func newLife() string {
 	var drawn [8]byte
--- /dev/null
+++ b/internal/lab/simulate/heavycaller.go
@@ -0,0 +1,260 @@
+package simulate
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/overload"
+)
+
+// HeavyCallerPolicy is what an entry node with too much to do does.
+type HeavyCallerPolicy int
+
+// Policies of RunHeavyCaller.
+const (
+	// TakeAll serves whatever comes.
+	TakeAll HeavyCallerPolicy = iota
+	// ShedByReadiness asks for no more callers while the link is full.
+	ShedByReadiness
+	// TurnAwayHeavy turns requests of heavy callers away, see overload.Gate.
+	TurnAwayHeavy
+	// TurnAwayAndShed does both.
+	TurnAwayAndShed
+)
+
+// HeavyCallerOptions set up a run: a zone of small entry nodes, callers that a
+// hash spreads over them, and one caller with a large share of all requests.
+type HeavyCallerOptions struct {
+	Seed   uint64
+	Policy HeavyCallerPolicy
+	// HeavyShare is the heavy caller's part of the requests.
+	HeavyShare float64
+	Length     time.Duration
+}
+
+// HeavyCallerResult counts requests. Late ones were served, but not in time from
+// their first try on.
+type HeavyCallerResult struct {
+	Requests, InTime, Late, Refused int
+	// LightLate are late requests of the other callers.
+	LightLate, LightRequests int
+	// TurnedAway are first tries that were sent elsewhere, Moves how often the
+	// heavy caller got another entry node.
+	TurnedAway, Moves int
+	// MostWaiting is the most requests at one node at a time.
+	MostWaiting int
+}
+
+// A zone as the large deployments have it.
+const (
+	heavyNodes   = 62
+	heavyCallers = 103
+	// heavyRate is the zone's requests a second.
+	heavyRate = 172.0
+	// stageWork is a node's processor time for one of the stages of a request: on a
+	// fifth of a core some 9 ms in all, as measured at a node with 95 requests a
+	// second that was at its limit.
+	stageWork   = 1500 * time.Microsecond
+	stages      = 6
+	engineStage = 4
+	engineTime  = 150 * time.Millisecond
+	// heavyLink is what a node's link carries in a second, in bytes.
+	heavyLink      = 1_250_000.0
+	heavyBody      = 6200.0
+	heavyLongBody  = 40_000.0
+	heavyObjective = 600 * time.Millisecond
+	// The time that a caller who was turned away waits.
+	returnLeast, returnMost = 50 * time.Millisecond, 150 * time.Millisecond
+	lagReading              = 50 * time.Millisecond
+	shedReading             = 300 * time.Millisecond
+	readinessPoll           = time.Second
+)
+
+// entryMachine is one node: a processor and a link that serve in order.
+type entryMachine struct {
+	processorFree, linkFree time.Duration
+	gate                    *overload.Gate
+	shedder                 overload.Shedder
+	// received are the bytes of bodies since the start.
+	received int64
+	waiting  int
+	// isListed tells that the platform sends callers here.
+	isListed bool
+}
+
+type heavyCaller struct {
+	options  HeavyCallerOptions
+	world    *World
+	result   HeavyCallerResult
+	machines []*entryMachine
+	// at is the heavy caller's entry node.
+	at int
+}
+
+// callerRequest is one request on its way.
+type callerRequest struct {
+	caller  int
+	bytes   int64
+	first   time.Duration
+	retries int
+}
+
+// RunHeavyCaller runs one seed.
+func RunHeavyCaller(options HeavyCallerOptions) HeavyCallerResult {
+	s := &heavyCaller{options: options, world: NewWorld(options.Seed), at: -1}
+	for range heavyNodes {
+		s.machines = append(s.machines, &entryMachine{gate: overload.NewGate(), isListed: true})
+	}
+	s.world.After(0, s.arrive)
+	s.world.Every(lagReading, s.readLag)
+	s.world.Every(shedReading, s.readLinks)
+	s.world.Every(readinessPoll, s.poll)
+	s.world.RunUntil(options.Length)
+	return s.result
+}
+
+// arrive lets one request come and draws the next.
+func (s *heavyCaller) arrive() {
+	request := &callerRequest{caller: 1 + s.world.Random.IntN(heavyCallers-1), first: s.world.Now}
+	if s.world.Chance(s.options.HeavyShare) {
+		request.caller = 0
+	}
+	request.bytes = int64(s.world.Random.ExpFloat64() * heavyBody)
+	if s.world.Chance(0.02) {
+		request.bytes += heavyLongBody
+	}
+	s.result.Requests++
+	if request.caller != 0 {
+		s.result.LightRequests++
+	}
+	s.come(s.homeOf(request.caller), request)
+	s.world.After(time.Duration(s.world.Random.ExpFloat64()/heavyRate*float64(time.Second)), s.arrive)
+}
+
+// homeOf is the listed machine that a caller's hash chooses.
+func (s *heavyCaller) homeOf(caller int) int {
+	best, chosen := uint64(0), 0
+	for number, machine := range s.machines {
+		if !machine.isListed {
+			continue
+		}
+		hash := mix(uint64(caller)<<32 | uint64(number) ^ s.options.Seed<<16)
+		if hash >= best {
+			best, chosen = hash, number
+		}
+	}
+	if caller == 0 && chosen != s.at {
+		if s.at >= 0 {
+			s.result.Moves++
+		}
+		s.at = chosen
+	}
+	return chosen
+}
+
+// mix spreads the bits of a number.
+func mix(value uint64) uint64 {
+	value = (value ^ value>>30) * 0xbf58476d1ce4e5b9
+	value = (value ^ value>>27) * 0x94d049bb133111eb
+	return value ^ value>>31
+}
+
+// come brings a request to a machine over its link.
+func (s *heavyCaller) come(number int, request *callerRequest) {
+	machine := s.machines[number]
+	machine.received += request.bytes
+	machine.waiting++
+	s.result.MostWaiting = max(s.result.MostWaiting, machine.waiting)
+	machine.linkFree = max(machine.linkFree, s.world.Now) + time.Duration(float64(request.bytes)/heavyLink*float64(time.Second))
+	s.world.After(machine.linkFree-s.world.Now, func() { s.admit(number, request) })
+}
+
+func (s *heavyCaller) admit(number int, request *callerRequest) {
+	machine := s.machines[number]
+	usesGate := s.options.Policy == TurnAwayHeavy || s.options.Policy == TurnAwayAndShed
+	if !machine.gate.LetsIn(s.world.Now, fmt.Sprint(request.caller), request.bytes, !usesGate) {
+		s.work(machine, func() { s.turnAway(number, request) })
+		return
+	}
+	s.stage(number, request, 0)
+}
+
+// turnAway sends the caller elsewhere, once.
+func (s *heavyCaller) turnAway(number int, request *callerRequest) {
+	s.machines[number].waiting--
+	if request.retries > 0 {
+		s.result.Refused++
+		return
+	}
+	request.retries++
+	s.result.TurnedAway++
+	s.world.After(s.world.Between(returnLeast, returnMost), func() {
+		other := s.world.Random.IntN(len(s.machines) - 1)
+		if other >= number {
+			other++
+		}
+		s.come(other, request)
+	})
+}
+
+// work takes one stage of a machine's processor.
+func (s *heavyCaller) work(machine *entryMachine, done func()) {
+	machine.processorFree = max(machine.processorFree, s.world.Now) + stageWork
+	s.world.After(machine.processorFree-s.world.Now, done)
+}
+
+// stage takes a request through a machine: each stage waits for the processor, the
+// body's way to the engine and the engine itself lie before one of them.
+func (s *heavyCaller) stage(number int, request *callerRequest, done int) {
+	machine := s.machines[number]
+	if done == stages {
+		machine.waiting--
+		s.served(request)
+		return
+	}
+	next := func() { s.work(machine, func() { s.stage(number, request, done+1) }) }
+	if done == engineStage {
+		s.world.After(engineTime, next)
+		return
+	}
+	next()
+}
+
+func (s *heavyCaller) served(request *callerRequest) {
+	if s.world.Now-request.first <= heavyObjective {
+		s.result.InTime++
+		return
+	}
+	s.result.Late++
+	if request.caller != 0 {
+		s.result.LightLate++
+	}
+}
+
+func (s *heavyCaller) readLag() bool {
+	for _, machine := range s.machines {
+		machine.gate.Step(s.world.Now, max(0, machine.processorFree-s.world.Now), heavyLink)
+	}
+	return true
+}
+
+func (s *heavyCaller) readLinks() bool {
+	if s.options.Policy != ShedByReadiness && s.options.Policy != TurnAwayAndShed {
+		return false
+	}
+	for _, machine := range s.machines {
+		// Other nodes' frames wait for the link and for the processor.
+		delay := max(0, machine.linkFree-s.world.Now) + max(0, machine.processorFree-s.world.Now)
+		machine.shedder.Step(s.world.Now, overload.Reading{
+			Delay: delay, DelayKnown: true, CallerBytes: machine.received, LinkBytes: heavyLink, Others: len(s.machines) - 1,
+		})
+	}
+	return true
+}
+
+func (s *heavyCaller) poll() bool {
+	for _, machine := range s.machines {
+		machine.isListed = !machine.shedder.Shedding()
+	}
+	return true
+}
