--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -142,6 +142,7 @@
 		"listen.peers":     {peers, &opened.Peers},
 		"listen.health":    {loaded.Listen.Health, &opened.Health},
 		"listen.operators": {loaded.Listen.Operators, &opened.Operators},
+		"listen.debug":     {loaded.Listen.Debug, &opened.Debug},
 	} {
 		if one.address == "" {
 			continue
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -74,8 +74,10 @@
 	Control net.Listener
 	Peers   net.Listener
 	Health  net.Listener
-	// Operators is for the command line; nil means that it is not served.
+	// Operators is for the command line, Debug for profiles; nil means that they are
+	// not served.
 	Operators net.Listener
+	Debug     net.Listener
 }
 
 // Options set up a Node.
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync"
 	"time"
 
@@ -59,9 +60,19 @@
 	}
 	plain(listeners.Operators, n.operatorHandler(), controlIdleTimeout)
 	plain(listeners.Health, n.healthHandler(), controlIdleTimeout)
+	plain(listeners.Debug, debugHandler(), controlIdleTimeout)
 	return servers
 }
 
+// debugHandler serves profiles of the process.
+func debugHandler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	router.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	router.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
+	return router
+}
+
 // healthHandler serves /healthz and /metrics.
 func (n *Node) healthHandler() http.Handler {
 	router := mux.NewRouter()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -168,11 +168,14 @@
 		p.require("listen.control", s.Listen.Control)
 	}
 	for key, address := range map[string]string{
-		"listen.peers": s.Listen.Peers, "listen.peers_bind": s.Listen.PeersBind, "listen.callers": s.Listen.Callers, "listen.ready": s.Listen.Ready,
+		"listen.peers": s.Listen.Peers, "listen.peers_bind": s.Listen.PeersBind, "listen.callers": s.Listen.Callers, "listen.ready": s.Listen.Ready, "listen.debug": s.Listen.Debug,
 		"listen.control": s.Listen.Control, "listen.health": s.Listen.Health, "listen.operators": s.Listen.Operators,
 	} {
 		p.address(key, address)
 	}
+	if s.Listen.Debug != "" && !isLoopback(s.Listen.Debug) {
+		p.find("listen.debug", "%q is not a loopback address; profiles tell what the process holds in memory", s.Listen.Debug)
+	}
 	if s.Listen.Operators != "" && !isLoopback(s.Listen.Operators) && s.Security.OperatorTokenFile == "" {
 		p.find("listen.operators", "needs security.operator_token_file for an address that is not loopback")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -86,6 +86,9 @@
 	// Control is for engines and operators of a control node. Only with
 	// fleet.dialect.
 	Control string `toml:"control"`
+	// Debug serves profiles of the process (Go's /debug/pprof), on a loopback address
+	// only. It is off if it is empty. Only with fleet.dialect.
+	Debug string `toml:"debug"`
 }
 
 // Fleet is for nodes that find each other from seeds, in place of peers.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -86,3 +86,33 @@
 	assert.ErrorContains(t, err, "listen.operators: profile production needs")
 	assert.ErrorContains(t, err, "listen.peers: profile production needs")
 }
+
+func TestDebugListenerIsForLoopbackOnly(t *testing.T) {
+	file := func(debug string) string {
+		key := filepath.Join(t.TempDir(), "peer.key")
+		assert.NilError(t, os.WriteFile(key, []byte(strings.Repeat("k", 32)), 0o600))
+		return `[node]
+name = "a-1"
+zone = "a"
+roles = ["entry"]
+
+[listen]
+callers = "127.0.0.1:7001"
+peers = "127.0.0.1:7003"
+ready = "127.0.0.1:7004"
+debug = "` + debug + `"
+
+[fleet]
+dialect = "platform"
+seeds = ["127.0.0.1:7005"]
+peer_port = 7003
+
+[security]
+peer_key_file = "` + key + `"
+`
+	}
+	_, err := Parse("node.toml", []byte(file("127.0.0.1:7006")))
+	assert.NilError(t, err)
+	_, err = Parse("node.toml", []byte(file("10.0.0.1:7006")))
+	assert.ErrorContains(t, err, `node.toml:10: listen.debug: "10.0.0.1:7006" is not a loopback address`)
+}
