A node asks for no new connections before its callers fill its link

Cause: one caller's bodies took 0.45 of its entry node's link, the engines' answers as much again: other nodes' frames came 300 to 700 ms late, and so did the tokens that pool holders lent and the answers to new connections to engines. What is turned away does not unload the link: its body comes all the same (HTTP servers read it before they answer), and a return meets one other node.

Change: the gate lets half of a heavy caller's requests in at least, goes by the tenant (its requests come from a hundred addresses), and counts the bytes that were read, of known length or not, and late frames. The node asks for no new connections from 0.18 of the link filled by bodies until 0.08; open connections stay, so that the caller's come to several nodes; its answers end connections only while the link is full, as before.

--- a/internal/coordination/overload/gate.go
+++ b/internal/coordination/overload/gate.go
@@ -12,9 +12,13 @@
 	// Below calmLag it has room.
 	fullLag = 20 * time.Millisecond
 	calmLag = 8 * time.Millisecond
-	// fullLoad is the share of the link that the bodies let in may fill before it
-	// counts as full: answers and other nodes' frames share it.
-	fullLoad = 0.5
+	// fullLoad is the share of the link that bodies may fill before it counts as full:
+	// the engines' answers, other nodes' frames and bodies of requests that are turned
+	// away share it.
+	fullLoad = 0.3
+	// lateFrames is the delay of other nodes' frames above which the link counts as
+	// full whatever fills it. Usual are under 20 ms.
+	lateFrames = 60 * time.Millisecond
 	// lagWeight is the weight of one reading in the smoothed lag: four readings
 	// tell a node with too much to do from one long collection of garbage.
 	lagWeight = 0.25
@@ -30,7 +34,11 @@
 	boundFall  = 0.93
 	boundRise  = 1.02
 	// leastBound is the least bound, in work a second.
-	leastBound = 4.0
+	leastBound = 10.0
+	// leastPart is the part of a heavy caller's requests that is let in however much
+	// there is to do: what is turned away meets one other node, which has as little
+	// room, and a second refusal is final.
+	leastPart = 0.5
 	// burstTime is the time whose work a caller may have at once.
 	burstTime = 200 * time.Millisecond
 	// bytesOfWork is the length of a body that takes as much of a node as a request
@@ -61,9 +69,11 @@
 	// bound is the most work a second that a caller may have; 0 means none.
 	bound   float64
 	callers map[string]*callerRate
-	// total is the work asked for, bytes are those of the bodies let in.
-	total decayingRate
-	bytes decayingRate
+	// total is the work asked for, bytes are those of the bodies read, as of the last
+	// reading bodyBytes in all.
+	total     decayingRate
+	bytes     decayingRate
+	bodyBytes int64
 }
 
 // callerRate is one caller's work, asked for and let in.
@@ -103,16 +113,29 @@
 // Lag is the smoothed lateness of the node's timers.
 func (g *Gate) Lag() time.Duration { return g.lag }
 
-// Step takes a reading of how late a timer ran, and what the link carries in a
-// second; 0 if that is not known. It tells whether the bound was set or lifted.
-func (g *Gate) Step(now, lag time.Duration, linkBytes float64) (changed bool) {
-	g.lag += time.Duration(lagWeight * float64(lag-g.lag))
-	isFull, isCalm := g.lag > fullLag, g.lag < calmLag
-	if linkBytes > 0 {
-		load := g.bytes.perSecond(now) / linkBytes
-		isFull = isFull || load > fullLoad
-		isCalm = isCalm && load < fullLoad
+// Pressure is a reading of how much a node has to do.
+type Pressure struct {
+	// Lag is how long a goroutine waits for its turn.
+	Lag time.Duration
+	// FrameDelay is how late other nodes' frames are.
+	FrameDelay time.Duration
+	// BodyBytes are the bytes of callers' bodies since the start, of known length or
+	// not. LinkBytes is what the link carries in a second; 0 if that is not known.
+	BodyBytes int64
+	LinkBytes float64
+}
+
+// Step takes a reading and tells whether the bound was set or lifted.
+func (g *Gate) Step(now time.Duration, pressure Pressure) (changed bool) {
+	g.lag += time.Duration(lagWeight * float64(pressure.Lag-g.lag))
+	g.bytes.add(now, float64(pressure.BodyBytes-g.bodyBytes))
+	g.bodyBytes = pressure.BodyBytes
+	load := 0.0
+	if pressure.LinkBytes > 0 {
+		load = g.bytes.perSecond(now) / pressure.LinkBytes
 	}
+	isFull := g.lag > fullLag || pressure.FrameDelay > lateFrames || load > fullLoad
+	isCalm := g.lag < calmLag && pressure.FrameDelay < lateFrames/2 && load < fullLoad
 	heaviest := g.Heaviest(now).Rate
 	before := g.bound
 	switch {
@@ -163,11 +186,7 @@
 	work := Work(bodyBytes)
 	known.asked.add(now, work)
 	g.total.add(now, work)
-	if !mustServe && !g.bears(now, known, work) {
-		return false
-	}
-	g.bytes.add(now, float64(max(0, bodyBytes)))
-	return true
+	return mustServe || g.bears(now, known, work)
 }
 
 // bears tells whether a caller's request is within the bound.
@@ -176,7 +195,8 @@
 	if g.bound == 0 || rate <= g.bound || rate < heavyShare*g.total.perSecond(now) {
 		return true
 	}
-	caller.credit = min(caller.credit+g.bound*(now-caller.credited).Seconds(), max(g.bound*burstTime.Seconds(), work))
+	bound := max(g.bound, leastPart*rate)
+	caller.credit = min(caller.credit+bound*(now-caller.credited).Seconds(), max(bound*burstTime.Seconds(), work))
 	caller.credited = now
 	if caller.credit < work {
 		return false
--- a/internal/coordination/overload/overload.go
+++ b/internal/coordination/overload/overload.go
@@ -23,6 +23,14 @@
 	fullShare = 0.3
 	// fullFor is how long it must be full: a burst passes by itself.
 	fullFor = 900 * time.Millisecond
+	// busyShare is the part of the link that callers' bodies may fill before the node
+	// asks for no new connections: the engines' answers take as much again, and at 0.4
+	// other nodes' frames come 300 ms late. It asks for them again below easyShare.
+	// Kept connections stay, so that a heavy caller's requests come to several nodes.
+	busyShare = 0.18
+	easyShare = 0.08
+	// busyWeight is the weight of one reading in the smoothed share.
+	busyWeight = 0.5
 	// The node sheds load for firstPause, for twice as long each time that the link
 	// is full again within pauseMemory of the last time's end, and for lastPause at
 	// most.
@@ -56,14 +64,36 @@
 	// lastBytes were read at lastAt.
 	lastBytes int64
 	lastAt    time.Duration
+	// smoothed is the smoothed share of the link that callers' bodies fill, and busy
+	// tells that it is too large for new connections.
+	smoothed float64
+	busy     bool
 }
 
 // Shedding tells whether the node asks for no more callers.
 func (s *Shedder) Shedding() bool { return s.shedding }
 
-// Step takes a reading and tells whether something has changed.
+// Busy tells whether the node asks for no new connections, though those that are
+// open stay.
+func (s *Shedder) Busy() bool { return s.busy }
+
+func (s *Shedder) noteBusy(share float64, reading Reading) {
+	if reading.LinkBytes <= 0 || reading.Others == 0 {
+		s.busy = false
+		return
+	}
+	s.smoothed += busyWeight * (share - s.smoothed)
+	if s.busy {
+		s.busy = s.smoothed > easyShare
+		return
+	}
+	s.busy = s.smoothed > busyShare
+}
+
+// Step takes a reading and tells whether shedding has begun or ended.
 func (s *Shedder) Step(now time.Duration, reading Reading) (changed bool) {
 	share := s.share(now, reading)
+	s.noteBusy(share, reading)
 	if s.shedding {
 		return s.maybeEnd(now, reading)
 	}
--- a/internal/coordination/overload/overload_test.go
+++ b/internal/coordination/overload/overload_test.go
@@ -96,3 +96,21 @@
 	w.run(firstPause+tick, 0, 0.9, unheard)
 	assert.Assert(t, !w.shedder.Shedding())
 }
+
+// A heavy caller's new connections go elsewhere before its bodies fill the link; what
+// is open stays, and shedding begins only when the link is full.
+func TestNodeAsksForNoNewConnectionsBeforeItsLinkIsFull(t *testing.T) {
+	w := &world{}
+	w.run(3*time.Second, 5*time.Millisecond, 0.15)
+	assert.Assert(t, !w.shedder.Busy())
+	w.run(2*tick, 5*time.Millisecond, 0.6)
+	assert.Assert(t, w.shedder.Busy())
+	assert.Assert(t, !w.shedder.Shedding())
+	w.run(3*time.Second, 5*time.Millisecond, 0.15)
+	assert.Assert(t, w.shedder.Busy())
+	w.run(2*time.Second, 5*time.Millisecond, 0.05)
+	assert.Assert(t, !w.shedder.Busy())
+	// The only node of its zone takes what comes.
+	w.run(3*time.Second, 5*time.Millisecond, 0.9, func(r *Reading) { r.Others = 0 })
+	assert.Assert(t, !w.shedder.Busy())
+}
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -129,7 +129,8 @@
 // Active is the number of requests in progress.
 func (p *Pipeline) Active() int64 { return p.active.Load() }
 
-// ReceivedBytes are the bytes of callers' bodies since the start.
+// ReceivedBytes are the bytes of callers' bodies since the start, those of requests
+// that were sent elsewhere included.
 func (p *Pipeline) ReceivedBytes() int64 { return p.received.Load() }
 
 // Tick closes kept connections that are past their time.
@@ -223,14 +224,20 @@
 	if !environment.Stop().takes(time.Until(r.deadline)) {
 		return refuse(http.StatusServiceUnavailable, ReasonStopping)
 	}
-	if !environment.LetsIn(r.callerAddress(), r.incoming.ContentLength, r.route.Objective < leastObjectiveElsewhere) {
+	if !environment.LetsIn(r.callerName(), r.incoming.ContentLength, r.route.Objective < leastObjectiveElsewhere) {
+		// Its body comes over the link all the same.
+		r.pipeline.received.Add(max(0, r.incoming.ContentLength))
 		return refuse(http.StatusServiceUnavailable, ReasonOverloaded)
 	}
 	return r.readBody()
 }
 
-// callerAddress is the machine that the request came from.
-func (r *request) callerAddress() string {
+// callerName is whose requests this one is counted with: the tenant's, whatever
+// machine they come from, or without a tenant the machine's.
+func (r *request) callerName() string {
+	if r.tenant != nil {
+		return r.tenant.Name
+	}
 	host, _, err := net.SplitHostPort(r.incoming.RemoteAddr)
 	if err != nil {
 		return r.incoming.RemoteAddr
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -75,7 +75,7 @@
 
 // ready tells whether this entry node should get callers.
 func (n *Node) ready() bool {
-	if n.isStopping() || n.documents.version() == 0 || n.link.shedding.Load() {
+	if n.isStopping() || n.documents.version() == 0 || n.link.shedding.Load() || n.link.busy.Load() {
 		return false
 	}
 	return n.fleet.instances.Load() > 0 || n.now() > instancesPatience
--- a/internal/gateway/gate.go
+++ b/internal/gateway/gate.go
@@ -33,9 +33,12 @@
 func (c *callerGate) read() {
 	lag := measureLag()
 	schedulerLag.Update(lag.Seconds())
-	linkBytes := c.node.settings.Load().Limits.LinkMbps * bytesPerMegabit
+	pressure := overload.Pressure{
+		Lag: lag, FrameDelay: time.Duration(c.node.link.current.Load()),
+		BodyBytes: c.node.pipeline.ReceivedBytes(), LinkBytes: c.node.settings.Load().Limits.LinkMbps * bytesPerMegabit,
+	}
 	c.mutex.Lock()
-	changed := c.gate.Step(c.node.now(), lag, linkBytes)
+	changed := c.gate.Step(c.node.now(), pressure)
 	bound, smoothed, callers := c.gate.Bound(), c.gate.Lag(), c.gate.Heaviest(c.node.now())
 	c.mutex.Unlock()
 	if !changed {
@@ -48,7 +51,8 @@
 	}
 	c.node.log.Warn().Str("event", event).Int64("lag_ms", smoothed.Milliseconds()).Float64("bound", bound).
 		Str("heaviest_caller", callers.Name).Float64("heaviest_rate", callers.Rate).Float64("total_rate", callers.Total).
-		Float64("body_bytes_a_second", callers.Bytes).Float64("link_bytes_a_second", linkBytes).Send()
+		Float64("body_bytes_a_second", callers.Bytes).Float64("link_bytes_a_second", pressure.LinkBytes).
+		Int64("frame_delay_ms", pressure.FrameDelay.Milliseconds()).Send()
 }
 
 // measureLag is how long a goroutine that gives way waits for its next turn: the
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -25,6 +25,8 @@
 	node     *Node
 	shedder  overload.Shedder
 	shedding atomic.Bool
+	// busy tells that new connections are to go to other nodes.
+	busy atomic.Bool
 	// current is the delay at the last look, in nanoseconds; 0 if it is not known.
 	current atomic.Int64
 	// reports is the delay of other entry nodes' load reports: what is left to go
@@ -53,7 +55,12 @@
 	}
 	reading := l.read(now, view)
 	l.current.Store(int64(reading.Delay))
-	if !l.shedder.Step(now, reading) {
+	changed := l.shedder.Step(now, reading)
+	if busy := l.shedder.Busy(); l.busy.Swap(busy) != busy {
+		l.node.log.Warn().Str("event", "new_connections").Bool("asked_for", !busy).Int64("caller_bytes", reading.CallerBytes).
+			Float64("link_bytes_a_second", reading.LinkBytes).Int64("control_delay_ms", reading.Delay.Milliseconds()).Send()
+	}
+	if !changed {
 		return
 	}
 	l.shedding.Store(l.shedder.Shedding())
--- a/internal/lab/simulate/heavycaller.go
+++ b/internal/lab/simulate/heavycaller.go
@@ -233,7 +233,10 @@
 
 func (s *heavyCaller) readLag() bool {
 	for _, machine := range s.machines {
-		machine.gate.Step(s.world.Now, max(0, machine.processorFree-s.world.Now), heavyLink)
+		machine.gate.Step(s.world.Now, overload.Pressure{
+			Lag: max(0, machine.processorFree-s.world.Now), FrameDelay: max(0, machine.linkFree-s.world.Now),
+			BodyBytes: machine.received, LinkBytes: heavyLink,
+		})
 	}
 	return true
 }
