Zones can be evacuated and restored

Cause: an operator's order to give a zone's instances nothing new was answered 404, so the zone went on getting requests and the order was never acknowledged. The table of instances chooses none of an evacuated zone, for new requests and for further attempts; what runs there ends. ravenway zone evacuate|restore ZONE [--wait], ravenway status. fleet.zones names the zones that orders may be for; others get a clear error. Ruled out: acknowledging an order that seems to change nothing from the node's own state: another operator's order may stand between; a message of its own beside the hellos: hellos repeat it to whom it did not reach anyway.

--- a/api/ravenway/v1/ravenwayv1connect/ravenway.connect.go
+++ b/api/ravenway/v1/ravenwayv1connect/ravenway.connect.go
@@ -67,6 +67,9 @@
 	// OperatorServiceGetOrdersProcedure is the fully-qualified name of the OperatorService's GetOrders
 	// RPC.
 	OperatorServiceGetOrdersProcedure = "/ravenway.v1.OperatorService/GetOrders"
+	// OperatorServiceOrderZoneProcedure is the fully-qualified name of the OperatorService's OrderZone
+	// RPC.
+	OperatorServiceOrderZoneProcedure = "/ravenway.v1.OperatorService/OrderZone"
 )
 
 // OperatorServiceClient is a client for the ravenway.v1.OperatorService service.
@@ -92,6 +95,10 @@
 	Order(context.Context, *connect.Request[v1.OrderRequest]) (*connect.Response[v1.OrderResponse], error)
 	// GetOrders returns the orders and what became of them.
 	GetOrders(context.Context, *connect.Request[v1.GetOrdersRequest]) (*connect.Response[v1.GetOrdersResponse], error)
+	// OrderZone evacuates a zone (its instances get no new requests) or restores
+	// it. It is answered once the order is committed; the same order again changes
+	// nothing.
+	OrderZone(context.Context, *connect.Request[v1.OrderZoneRequest]) (*connect.Response[v1.OrderZoneResponse], error)
 }
 
 // NewOperatorServiceClient constructs a client for the ravenway.v1.OperatorService service. By
@@ -165,6 +172,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("GetOrders")),
 			connect.WithClientOptions(opts...),
 		),
+		orderZone: connect.NewClient[v1.OrderZoneRequest, v1.OrderZoneResponse](
+			httpClient,
+			baseURL+OperatorServiceOrderZoneProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("OrderZone")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -180,6 +193,7 @@
 	snapshot    *connect.Client[v1.SnapshotRequest, v1.SnapshotResponse]
 	order       *connect.Client[v1.OrderRequest, v1.OrderResponse]
 	getOrders   *connect.Client[v1.GetOrdersRequest, v1.GetOrdersResponse]
+	orderZone   *connect.Client[v1.OrderZoneRequest, v1.OrderZoneResponse]
 }
 
 // Apply calls ravenway.v1.OperatorService.Apply.
@@ -232,6 +246,11 @@
 	return c.getOrders.CallUnary(ctx, req)
 }
 
+// OrderZone calls ravenway.v1.OperatorService.OrderZone.
+func (c *operatorServiceClient) OrderZone(ctx context.Context, req *connect.Request[v1.OrderZoneRequest]) (*connect.Response[v1.OrderZoneResponse], error) {
+	return c.orderZone.CallUnary(ctx, req)
+}
+
 // OperatorServiceHandler is an implementation of the ravenway.v1.OperatorService service.
 type OperatorServiceHandler interface {
 	// Apply changes the catalog.
@@ -255,6 +274,10 @@
 	Order(context.Context, *connect.Request[v1.OrderRequest]) (*connect.Response[v1.OrderResponse], error)
 	// GetOrders returns the orders and what became of them.
 	GetOrders(context.Context, *connect.Request[v1.GetOrdersRequest]) (*connect.Response[v1.GetOrdersResponse], error)
+	// OrderZone evacuates a zone (its instances get no new requests) or restores
+	// it. It is answered once the order is committed; the same order again changes
+	// nothing.
+	OrderZone(context.Context, *connect.Request[v1.OrderZoneRequest]) (*connect.Response[v1.OrderZoneResponse], error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -324,6 +347,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("GetOrders")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceOrderZoneHandler := connect.NewUnaryHandler(
+		OperatorServiceOrderZoneProcedure,
+		svc.OrderZone,
+		connect.WithSchema(operatorServiceMethods.ByName("OrderZone")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/ravenway.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServiceApplyProcedure:
@@ -346,6 +375,8 @@
 			operatorServiceOrderHandler.ServeHTTP(w, r)
 		case OperatorServiceGetOrdersProcedure:
 			operatorServiceGetOrdersHandler.ServeHTTP(w, r)
+		case OperatorServiceOrderZoneProcedure:
+			operatorServiceOrderZoneHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -394,3 +425,7 @@
 func (UnimplementedOperatorServiceHandler) GetOrders(context.Context, *connect.Request[v1.GetOrdersRequest]) (*connect.Response[v1.GetOrdersResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.GetOrders is not implemented"))
 }
+
+func (UnimplementedOperatorServiceHandler) OrderZone(context.Context, *connect.Request[v1.OrderZoneRequest]) (*connect.Response[v1.OrderZoneResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.OrderZone is not implemented"))
+}
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -19,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/state/evacuation"
 )
 
 const (
@@ -164,6 +165,8 @@
 	spilled []HeldPart
 	// others are the loads of the other nodes; nil means that they are not heard.
 	others Loads
+	// evacuated are the zones whose instances get nothing new.
+	evacuated evacuation.Zones
 }
 
 // NewTable makes a table for a node in a zone.
@@ -196,6 +199,18 @@
 	}
 }
 
+// HasZone tells whether an instance stands in a zone.
+func (t *Table) HasZone(zone string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, one := range t.members {
+		if one.Zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
 // Size returns the number of instances of a service that take new work.
 func (t *Table) Size(service string) int {
 	t.mutex.Lock()
@@ -264,8 +279,17 @@
 	t.others = others
 }
 
+// SetEvacuated replaces the zones whose instances get nothing new. What they have
+// under way ends there.
+func (t *Table) SetEvacuated(zones evacuation.Zones) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.evacuated = zones
+}
+
 // candidates returns the instances that may be chosen: the healthy ones, or if
-// there is none, all that were not tried.
+// there is none, all that were not tried. None is in an evacuated zone, whatever
+// that leaves.
 func (t *Table) candidates(now time.Duration, request Request) []*member {
 	var healthy, others []*member
 	average := t.averageFailures(request.Service)
@@ -273,6 +297,9 @@
 		if slices.Contains(request.Exclude, one.ID) || request.MaxInFlight > 0 && one.inFlight >= request.MaxInFlight {
 			continue
 		}
+		if t.evacuated.Contains(one.Zone) {
+			continue
+		}
 		if one.isHealthy(now, average) && t.zoneIsOpen(now, one.Zone) {
 			healthy = append(healthy, one)
 			continue
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -107,27 +107,33 @@
 	return peer.Invoke[T](ctx, n.calls, leader, method, question)
 }
 
-// takeDocumentHere commits a document if this node leads.
-func (n *Node) takeDocumentHere(ctx context.Context, command machine.DocumentCommand) (machine.DocumentOutcome, error) {
+// commitHere commits a command if this node leads.
+func (n *Node) commitHere(ctx context.Context, command machine.Command) (machine.Result, error) {
 	type ended struct {
 		result machine.Result
 		err    error
 	}
 	answer, err := duty.Ask(ctx, n.replica.duty, func(answer func(ended)) {
-		n.replica.propose(machine.Command{Document: &command}, func(result machine.Result, err error) {
+		n.replica.propose(command, func(result machine.Result, err error) {
 			answer(ended{result: result, err: err})
 		})
 	})
 	if err == nil {
 		err = answer.err
 	}
-	if err == nil && answer.result.Document == nil {
+	if err == nil && answer.result.Refused != "" {
 		err = errors.New(answer.result.Refused)
 	}
+	return answer.result, err
+}
+
+// takeDocumentHere commits a document if this node leads.
+func (n *Node) takeDocumentHere(ctx context.Context, command machine.DocumentCommand) (machine.DocumentOutcome, error) {
+	result, err := n.commitHere(ctx, machine.Command{Document: &command})
 	if err != nil {
 		return machine.DocumentOutcome{}, err
 	}
-	return *answer.result.Document, nil
+	return *result.Document, nil
 }
 
 // readDocumentHere reads the newest document once a quorum has confirmed that
@@ -182,6 +188,8 @@
 		return peer.Execute(call, func(question takeQuestion) (any, error) { return n.takeDocumentHere(ctx, question.Command) })
 	case peer.MethodReadDocument:
 		return peer.Execute(call, func(question readQuestion) (any, error) { return n.readDocumentHere(ctx, question) })
+	case peer.MethodOrderZone:
+		return peer.Execute(call, func(command machine.ZoneCommand) (any, error) { return n.orderZoneHere(ctx, command) })
 	}
 	return nil, fmt.Errorf("method %q is not known here", call.Method)
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -216,7 +216,7 @@
 		Address: f.node.address, Node: current.Node.Name, Zone: current.Node.Zone, Life: f.node.life,
 		Entry: current.HasRole(settings.RoleEntry), Control: f.isControl(), Stopping: f.node.isStopping(),
 		Version: f.node.documents.version(), InstancesDigest: f.registry.Digest(),
-		AgeMS: uint64(f.node.now().Milliseconds()),
+		AgeMS: uint64(f.node.now().Milliseconds()), Evacuated: f.node.zones.inForce(),
 	}
 	if f.isControl() {
 		f.node.replica.describe(&said)
@@ -265,6 +265,7 @@
 	}
 	f.compareInstances(hello)
 	if hello.Control {
+		f.node.zones.hear(hello)
 		f.node.documents.hear(follow.Node{Address: hello.Address, Zone: hello.Zone}, hello.Version)
 	}
 	if f.isControl() {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -36,6 +36,7 @@
 	"github.com/ravenway/ravenway/internal/settings"
 	"github.com/ravenway/ravenway/internal/state/disk"
 	"github.com/ravenway/ravenway/internal/state/document"
+	"github.com/ravenway/ravenway/internal/state/evacuation"
 	"github.com/ravenway/ravenway/internal/transport"
 )
 
@@ -60,6 +61,9 @@
 	// ReadDocument returns the newest configuration as it was sent; nil if
 	// there is none yet.
 	ReadDocument(ctx context.Context) (raw []byte, err error)
+	// OrderZone evacuates a zone, or restores it, and returns the evacuated zones
+	// once the order is committed. ErrUnknownZone says that there is no such zone.
+	OrderZone(ctx context.Context, zone string, evacuated bool) (evacuation.Zones, error)
 }
 
 // ErrUnavailable says that a control node can't tell or do what it was asked;
@@ -110,6 +114,7 @@
 	fleet     *fleetDuty
 	documents *documentStore
 	publisher *documentPublisher
+	zones     *zoneStore
 	link      *linkWatch
 	gate      *callerGate
 	table     *balance.Table
@@ -141,6 +146,7 @@
 	})
 	node.calls = peer.NewCalls(node.send)
 	node.documents, node.publisher = newDocumentStore(node), newDocumentPublisher(node)
+	node.zones = newZoneStore(node)
 	node.link, node.gate = &linkWatch{node: node}, newCallerGate(node)
 	node.fleet = newFleetDuty(node)
 	if options.Settings.HasRole(settings.RoleControl) {
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -37,6 +37,8 @@
 	answer := &ravenwayv1.GetStatusResponse{
 		Node: current.Node.Name, Leader: node.leader(), Revision: node.documents.version(),
 	}
+	zones := node.zones.inForce()
+	answer.EvacuatedZones, answer.EvacuationRevision = zones.Names, zones.Revision
 	if node.replica != nil {
 		replica := node.replica.shared.Load()
 		answer.Term, answer.QuorumAgeMilliseconds = replica.term, uint64(replica.quorumSilence.Milliseconds())
@@ -45,16 +47,30 @@
 	answer.Nodes = append(answer.Nodes, &ravenwayv1.NodeStatus{
 		Name: current.Node.Name, Zone: current.Node.Zone, Control: node.replica != nil,
 		Leader: node.address == answer.Leader, Revision: answer.Revision, Stopping: node.isStopping(),
+		EvacuationRevision: zones.Revision,
 	})
 	for _, known := range view.alive {
 		answer.Nodes = append(answer.Nodes, &ravenwayv1.NodeStatus{
 			Name: known.Node, Zone: known.Zone, Control: known.Control, Leader: known.Address == answer.Leader,
 			Revision: known.Version, SilentMilliseconds: uint64((node.now() - known.At).Milliseconds()), Stopping: known.Stopping,
+			EvacuationRevision: known.Evacuated.Revision,
 		})
 	}
 	return connect.NewResponse(answer), nil
 }
 
+// OrderZone implements the schema's OrderZone at any node.
+func (o *operatorServer) OrderZone(ctx context.Context, request *connect.Request[ravenwayv1.OrderZoneRequest]) (*connect.Response[ravenwayv1.OrderZoneResponse], error) {
+	zones, err := o.node.OrderZone(ctx, request.Msg.GetZone(), request.Msg.GetEvacuated())
+	switch {
+	case errors.Is(err, ErrUnknownZone):
+		return nil, connect.NewError(connect.CodeNotFound, err)
+	case err != nil:
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&ravenwayv1.OrderZoneResponse{EvacuatedZones: zones.Names, EvacuationRevision: zones.Revision}), nil
+}
+
 // GetCatalog implements the schema's GetCatalog: the document in force here,
 // with the instances that are registered. Keys are left out.
 func (o *operatorServer) GetCatalog(ctx context.Context, _ *connect.Request[ravenwayv1.GetCatalogRequest]) (*connect.Response[ravenwayv1.GetCatalogResponse], error) {
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -310,8 +310,10 @@
 	}
 }
 
-// publish puts the document of the applied log in force here and tells all.
+// publish puts the zones and the document of the applied log in force here and
+// tells all.
 func (r *replicaDuty) publish() {
+	r.node.zones.put(r.node.address, r.machine.Evacuated())
 	held := r.machine.Document()
 	if held.Version <= r.published {
 		return
--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -377,6 +377,14 @@
 	return read, err
 }
 
+// OrderZone evacuates or restores a zone; it asks until a control node acknowledges.
+func (f *Fleet) OrderZone(zone string, evacuated bool, patience time.Duration) error {
+	return f.tryControls(patience, func(ctx context.Context, node *gateway.Node) error {
+		_, err := node.OrderZone(ctx, zone, evacuated)
+		return err
+	})
+}
+
 func (f *Fleet) tryControls(patience time.Duration, try func(context.Context, *gateway.Node) error) error {
 	err := errors.New("no control node runs")
 	for began := time.Now(); time.Since(began) < patience; time.Sleep(pollPause) {
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -279,6 +279,12 @@
 	return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("no node that answers remembers request %q", id))
 }
 
+// OrderZone implements the schema's OrderZone: zones are evacuated in fleets whose
+// members find each other from seeds.
+func (o *operatorServer) OrderZone(context.Context, *connect.Request[ravenwayv1.OrderZoneRequest]) (*connect.Response[ravenwayv1.OrderZoneResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("a fleet of fixed peers has no evacuation; drain its back ends one by one"))
+}
+
 // Snapshot implements the schema's Snapshot.
 func (o *operatorServer) Snapshot(ctx context.Context, _ *connect.Request[ravenwayv1.SnapshotRequest]) (*connect.Response[ravenwayv1.SnapshotResponse], error) {
 	if o.node.replica == nil {
--- a/internal/operatorcli/commands.go
+++ b/internal/operatorcli/commands.go
@@ -45,10 +45,8 @@
 		},
 		Commands: []*cli.Command{
 			{Name: "apply", Usage: "change the catalog to what a TOML or JSON file says", ArgsUsage: "FILE",
-				Flags: []cli.Flag{operation,
-					&cli.Uint64Flag{Name: "base", Usage: "revision that the change was made from (default: the current one)"},
-					&cli.BoolFlag{Name: "wait", Usage: "return when it is in force on every reachable node"},
-					&cli.DurationFlag{Name: "wait-timeout", Value: 10 * time.Second, Usage: "longest wait"}},
+				Flags: append(waitFlags(), operation,
+					&cli.Uint64Flag{Name: "base", Usage: "revision that the change was made from (default: the current one)"}),
 				Action: action(apply)},
 			{Name: "delete", Usage: "delete one catalog object", ArgsUsage: "KIND NAME", Flags: []cli.Flag{operation}, Action: action(deleteObject)},
 			{Name: "get", Usage: "show the catalog", Action: action(getCatalog)},
@@ -67,6 +65,10 @@
 				{Name: "order", Usage: "order a back end to load a model or adapter, or to change role", ArgsUsage: "BACKEND load-model|load-adapter|change-role TARGET [VERSION]", Flags: []cli.Flag{operation}, Action: action(order)},
 				{Name: "orders", Usage: "show orders and what became of them", Action: action(getOrders)},
 			}},
+			{Name: "zone", Usage: "take zones out of use and back", Commands: []*cli.Command{
+				{Name: "evacuate", Usage: "give the zone's instances no new requests", ArgsUsage: "ZONE", Flags: waitFlags(), Action: action(orderZone(true))},
+				{Name: "restore", Usage: "give them requests again", ArgsUsage: "ZONE", Flags: waitFlags(), Action: action(orderZone(false))},
+			}},
 			{Name: "explain", Usage: "show how a request was routed, from a node or from its logs", ArgsUsage: "REQUEST",
 				Flags:  []cli.Flag{&cli.StringSliceFlag{Name: "log", Usage: "log file of a node in place of asking it; - is the standard input"}},
 				Action: action(explain)},
@@ -75,6 +77,14 @@
 	}
 }
 
+// waitFlags are those of commands whose order may be waited for.
+func waitFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.BoolFlag{Name: "wait", Usage: "return when it is in force on every reachable node"},
+		&cli.DurationFlag{Name: "wait-timeout", Value: 10 * time.Second, Usage: "longest wait"},
+	}
+}
+
 func arguments(command *cli.Command, least, most int) ([]string, error) {
 	given := command.Args().Slice()
 	if len(given) < least || len(given) > most {
@@ -133,7 +143,7 @@
 	}); err != nil || !command.Bool("wait") {
 		return err
 	}
-	return s.waitInForce(ctx, answer.GetRevision(), command.Duration("wait-timeout"))
+	return s.waitInForce(ctx, "revision", answer.GetRevision(), command.Duration("wait-timeout"), (*ravenwayv1.NodeStatus).GetRevision)
 }
 
 const (
@@ -142,9 +152,9 @@
 	waitPoll         = 200 * time.Millisecond
 )
 
-// waitInForce waits until a revision is in force on every reachable node, and
-// names the ones that are not reached.
-func (s *session) waitInForce(ctx context.Context, revision uint64, timeout time.Duration) error {
+// waitInForce waits until a revision of what revisionAt tells is in force on every
+// reachable node, and names the ones that are not reached.
+func (s *session) waitInForce(ctx context.Context, what string, revision uint64, timeout time.Duration, revisionAt func(*ravenwayv1.NodeStatus) uint64) error {
 	deadline := time.Now().Add(timeout)
 	for {
 		status, err := s.status(ctx)
@@ -156,7 +166,7 @@
 			switch {
 			case time.Duration(node.GetSilentMilliseconds())*time.Millisecond > reachableSilence:
 				unreached = append(unreached, node.GetName())
-			case node.GetRevision() < revision:
+			case revisionAt(node) < revision:
 				behind = append(behind, node.GetName())
 			}
 		}
@@ -165,8 +175,8 @@
 			return nil
 		}
 		if time.Now().After(deadline) {
-			return exitWith(ExitFailed, "revision %d is committed, but not yet in force on: %s; not reached: %s",
-				revision, strings.Join(behind, ", "), orNone(unreached))
+			return exitWith(ExitFailed, "%s %d is committed, but not yet in force on: %s; not reached: %s",
+				what, revision, strings.Join(behind, ", "), orNone(unreached))
 		}
 		time.Sleep(waitPoll)
 	}
@@ -263,6 +273,9 @@
 		if answer.GetVoters() > 0 {
 			fmt.Fprintf(s.out, "voters %d, of which %d hold every committed entry on disk\n", answer.GetVoters(), answer.GetCaughtUpVoters())
 		}
+		if zones := answer.GetEvacuatedZones(); len(zones) > 0 {
+			fmt.Fprintf(s.out, "evacuated zones: %s\n", strings.Join(zones, ", "))
+		}
 		s.table("NODE\tZONE\tCONTROL\tLEADER\tREVISION\tSILENT\tSTATE", func(row func(...any)) {
 			for _, node := range answer.GetNodes() {
 				silent := time.Duration(node.GetSilentMilliseconds()) * time.Millisecond
--- /dev/null
+++ b/internal/operatorcli/zones.go
@@ -0,0 +1,41 @@
+package operatorcli
+
+import (
+	"context"
+	"fmt"
+
+	"connectrpc.com/connect"
+	"github.com/urfave/cli/v3"
+
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+)
+
+// orderZone evacuates or restores a zone. Sent again it changes nothing, so it
+// needs no operation id.
+func orderZone(evacuated bool) func(context.Context, *session, *cli.Command) error {
+	return func(ctx context.Context, s *session, command *cli.Command) error {
+		given, err := arguments(command, 1, 1)
+		if err != nil {
+			return err
+		}
+		request := &ravenwayv1.OrderZoneRequest{Zone: given[0], Evacuated: evacuated}
+		answer, err := call(ctx, s, func(c client) func(context.Context, *connect.Request[ravenwayv1.OrderZoneRequest]) (*connect.Response[ravenwayv1.OrderZoneResponse], error) {
+			return c.OrderZone
+		}, request)
+		if ExitCode(err) == ExitUnknownOutcome {
+			return exitWith(ExitUnknownOutcome, "%w\nthe order can be given again", err)
+		}
+		if err != nil {
+			return err
+		}
+		if err := s.show(answer, func() { s.sayZones(answer) }); err != nil || !command.Bool("wait") {
+			return err
+		}
+		return s.waitInForce(ctx, "revision of the zones", answer.GetEvacuationRevision(), command.Duration("wait-timeout"),
+			(*ravenwayv1.NodeStatus).GetEvacuationRevision)
+	}
+}
+
+func (s *session) sayZones(answer *ravenwayv1.OrderZoneResponse) {
+	fmt.Fprintf(s.out, "evacuated zones: %s (revision %d)\n", orNone(answer.GetEvacuatedZones()), answer.GetEvacuationRevision())
+}
--- a/internal/protocol/peer/fleet.go
+++ b/internal/protocol/peer/fleet.go
@@ -1,5 +1,7 @@
 package peer
 
+import "github.com/ravenway/ravenway/internal/state/evacuation"
+
 // Hello is what a node with open membership says of itself, again and again,
 // to the control nodes; control nodes say it to all nodes that they hear from.
 type Hello struct {
@@ -34,6 +36,9 @@
 	AgeMS uint64 `msgpack:"y,omitempty"`
 	// WallMS is the time of day at a control node, in milliseconds since 1970.
 	WallMS int64 `msgpack:"u,omitempty"`
+	// Evacuated are the evacuated zones as they are in force there. Entry nodes
+	// follow those of control nodes.
+	Evacuated evacuation.Zones `msgpack:"x"`
 }
 
 // NodeEntry is one node in a list of nodes.
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -155,6 +155,8 @@
 	MethodTakeDocument Method = "take_document"
 	// MethodReadDocument asks the leader for the document in force.
 	MethodReadDocument Method = "read_document"
+	// MethodOrderZone asks the leader to evacuate or restore a zone.
+	MethodOrderZone Method = "order_zone"
 	// MethodFence asks a claim holder to fence a holder's life.
 	MethodFence Method = "fence"
 )
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,6 +101,9 @@
 	Seeds []string `toml:"seeds"`
 	// PeerPort is the port of the seeds' peer listeners.
 	PeerPort int `toml:"peer_port"`
+	// Zones are all zones of the fleet; operators' orders for others are refused.
+	// Without them an order is for any zone in which a node or an instance was heard.
+	Zones []string `toml:"zones"`
 	// FirstStart tells that the whole system starts for the first time, with
 	// empty disks: the control group may be founded.
 	FirstStart bool `toml:"first_start"`
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -20,6 +20,7 @@
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 	"github.com/ravenway/ravenway/internal/state/accounts"
 	"github.com/ravenway/ravenway/internal/state/catalog"
+	"github.com/ravenway/ravenway/internal/state/evacuation"
 )
 
 const (
@@ -49,6 +50,8 @@
 	// Contact is what the proposer's clocks show, for Reports; its index is that
 	// of the entry.
 	Contact accounts.Contact `msgpack:"k"`
+	// Zone is encoded by itself, see zoneEntry.
+	Zone *ZoneCommand `msgpack:"-"`
 }
 
 // CatalogCommand changes the catalog.
@@ -155,6 +158,8 @@
 	Order   *OrderRecord     `msgpack:"o,omitempty"`
 	// Document answers a DocumentCommand.
 	Document *DocumentOutcome `msgpack:"d,omitempty"`
+	// Zones answers a ZoneCommand.
+	Zones *evacuation.Zones `msgpack:"z,omitempty"`
 }
 
 // Machine is the state. It is not safe for concurrent use.
@@ -167,6 +172,7 @@
 	nodes          map[string]NodeRecord
 	orders         map[uint64]*OrderRecord
 	document       HeldDocument
+	evacuated      evacuation.Zones
 }
 
 // New makes an empty state.
@@ -204,6 +210,9 @@
 // versions with field names are read as well, those as arrays only while no
 // struct in them has got or lost a field.
 func Encode(command Command) ([]byte, error) {
+	if command.Zone != nil {
+		return encodeZone(command.Zone)
+	}
 	var buffer bytes.Buffer
 	encoder := msgpack.NewEncoder(&buffer)
 	encoder.UseArrayEncodedStructs(true)
@@ -214,10 +223,20 @@
 	return buffer.Bytes(), nil
 }
 
+// decode reads what Encode wrote.
+func decode(data []byte) (Command, error) {
+	if zone := decodeZone(data); zone != nil {
+		return Command{Zone: zone}, nil
+	}
+	var command Command
+	err := msgpack.Unmarshal(data, &command)
+	return command, err
+}
+
 // Apply implements consensus.StateMachine; its result is a Result.
 func (m *Machine) Apply(index uint64, data []byte) any {
-	var command Command
-	if err := msgpack.Unmarshal(data, &command); err != nil {
+	command, err := decode(data)
+	if err != nil {
 		// Every replica refuses it alike.
 		return Result{Refused: fmt.Sprintf("entry %d is not a command: %v", index, err)}
 	}
@@ -256,6 +275,8 @@
 		return m.applyDocument(command.Document)
 	case command.CloseLives != nil:
 		return m.applyCloseLives(command.CloseLives)
+	case command.Zone != nil:
+		return m.applyZone(index, command.Zone)
 	}
 	return Result{Refused: "the command is of a kind that this version does not know"}
 }
--- a/internal/state/machine/snapshot.go
+++ b/internal/state/machine/snapshot.go
@@ -8,6 +8,7 @@
 
 	"github.com/ravenway/ravenway/internal/state/accounts"
 	"github.com/ravenway/ravenway/internal/state/catalog"
+	"github.com/ravenway/ravenway/internal/state/evacuation"
 )
 
 // storedOperation is one remembered answer.
@@ -24,6 +25,7 @@
 	Nodes      []NodeRecord      `msgpack:"n"`
 	Orders     []OrderRecord     `msgpack:"d"`
 	Document   HeldDocument      `msgpack:"m"`
+	Evacuated  evacuation.Zones  `msgpack:"z"`
 }
 
 // Snapshot implements consensus.StateMachine. Its bytes depend on the state
@@ -45,7 +47,7 @@
 	}
 	sort.Slice(stored.Nodes, func(i, j int) bool { return stored.Nodes[i].Name < stored.Nodes[j].Name })
 	stored.Orders = m.Orders()
-	stored.Document = m.document
+	stored.Document, stored.Evacuated = m.document, m.evacuated
 	data, err := msgpack.Marshal(&stored)
 	if err != nil {
 		return nil, fmt.Errorf("encoding the state: %w", err)
@@ -76,7 +78,7 @@
 	for _, order := range stored.Orders {
 		restored.orders[order.Fence] = &order
 	}
-	restored.document = stored.Document
+	restored.document, restored.evacuated = stored.Document, stored.Evacuated
 	*m = *restored
 	return nil
 }
