Cold instances get no more than they bear from all nodes together

Cause: an instance's word that it is cold was not read. After a start, or when an evacuated zone is restored, all nodes see an instance with nothing under way and send there at once. Change: the registry keeps until when an instance is cold (told once, aged when it is told on); a service's document says what a cold one bears. Rendezvous hashing names as many senders of each cold instance as it bears requests a second; each sends one a second. The instances of a restored zone count as cold for the service's time: their word may come late. Ruled out: asking for each request; a share of the rate for each node (6.6 a second over 85 nodes: their first requests may all come in one second). The users allow 14.9.

--- /dev/null
+++ b/internal/coordination/balance/cold_test.go
@@ -0,0 +1,194 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/state/evacuation"
+)
+
+// coldReturn is a load: 85 entry nodes before 38 engines of one zone, which
+// come back at rest, all at the same moment, and others that are at work.
+type coldReturn struct {
+	// perSecond are the requests of all nodes together.
+	perSecond int
+	// policy is what the nodes believe the cold engines to bear.
+	policy ColdPolicy
+	// unaware nodes know only some of the others: they have just come back.
+	unaware int
+	// warm are the engines that are not cold.
+	warm int
+}
+
+const (
+	coldNodes, coldEngines, warmEngines = 85, 38, 102
+	coldFor                             = 3 * time.Second
+	coldLoadsInterval                   = 200 * time.Millisecond
+	coldRequestTime                     = 900 * time.Millisecond
+)
+
+type coldResult struct {
+	// mostInASecond is the most requests that one engine got within a second while it
+	// was cold, refused the requests for which no engine was found.
+	mostInASecond, onCold, onWarm, refused int
+}
+
+func (c coldReturn) run(seed uint64) coldResult {
+	random := rand.New(rand.NewPCG(seed, 1))
+	var all []registry.Instance
+	for number := range coldEngines + c.warm {
+		zone := "warm"
+		if number < coldEngines {
+			zone = "cold"
+		}
+		all = append(all, registry.Instance{ID: fmt.Sprint("engine-", number), Service: "llm", Zone: zone, Slots: 64, State: registry.Ready})
+	}
+	var entries []EntryNode
+	for number := range coldNodes {
+		entries = append(entries, EntryNode{Address: fmt.Sprint("entry-", number), Zone: "warm"})
+	}
+	var tables []*Table
+	for number, entry := range entries {
+		table := tableOf("warm", all)
+		others := slices.Delete(slices.Clone(entries), number, number+1)
+		if number < c.unaware {
+			others = others[:coldNodes/3]
+		}
+		table.SetEntryNodes(entry.Address, others)
+		table.SetEvacuated(0, evacuation.Zones{Revision: 1, Names: []string{"cold"}})
+		tables = append(tables, table)
+	}
+	type running struct {
+		node   int
+		choice Choice
+		end    time.Duration
+	}
+	var result coldResult
+	var work []running
+	arrivals := map[string][]time.Duration{}
+	restoredAt := 2 * time.Second
+	isRestored := false
+	nextLoads := time.Duration(0)
+	pause := time.Second / time.Duration(c.perSecond)
+	for now := time.Duration(0); now < restoredAt+coldFor; now += pause {
+		if !isRestored && now >= restoredAt {
+			isRestored = true
+			for _, table := range tables {
+				table.SetEvacuated(now, evacuation.Zones{Revision: 2})
+			}
+		}
+		work = slices.DeleteFunc(work, func(one running) bool {
+			if one.end <= now {
+				tables[one.node].Done(now, one.choice, Served)
+			}
+			return one.end <= now
+		})
+		if now >= nextLoads {
+			nextLoads += coldLoadsInterval
+			exchangeLoads(tables)
+		}
+		node := random.IntN(coldNodes)
+		choice, found := tables[node].Choose(now, Request{
+			Service: "llm", Part: fmt.Sprint("part-", random.IntN(800)), Cost: 2, Tokens: 17000, SharedTokens: 13300,
+			Gap: 600 * time.Millisecond, Bytes: 17000, Cold: c.policy,
+		})
+		if !found {
+			result.refused++
+			continue
+		}
+		work = append(work, running{node: node, choice: choice, end: now + coldRequestTime})
+		if choice.Zone != "cold" {
+			if isRestored {
+				result.onWarm++
+			}
+			continue
+		}
+		result.onCold++
+		// A request is a few milliseconds on its way.
+		arrivals[choice.ID] = append(arrivals[choice.ID], now+time.Duration(random.IntN(20))*time.Millisecond)
+	}
+	for _, times := range arrivals {
+		slices.Sort(times)
+		for first := range times {
+			last := first
+			for last < len(times) && times[last] < times[first]+time.Second {
+				last++
+			}
+			result.mostInASecond = max(result.mostInASecond, last-first)
+		}
+	}
+	return result
+}
+
+// exchangeLoads tells each node of all others' requests.
+func exchangeLoads(tables []*Table) {
+	sum := Loads{}
+	own := make([]Loads, len(tables))
+	for number, table := range tables {
+		own[number] = table.OwnLoads()
+		sum.add(own[number])
+	}
+	for number, table := range tables {
+		others := Loads{}
+		others.add(sum)
+		for key, load := range own[number] {
+			others[key] = Load{Tokens: others[key].Tokens - load.Tokens, Requests: others[key].Requests - load.Requests}
+		}
+		table.SetOthersLoads(others)
+	}
+}
+
+// An engine falls over at well above 6.6 requests a second; 14.9 in a second is what
+// the users allow.
+const (
+	coldRate     = 6.6
+	coldMostEver = 14
+)
+
+func TestColdEnginesGetWhatTheyBearWhenAZoneComesBackAtOnce(t *testing.T) {
+	policy := ColdPolicy{Rate: coldRate, Time: coldFor}
+	for _, load := range []coldReturn{
+		{perSecond: 400, policy: policy, warm: warmEngines},
+		{perSecond: 3000, policy: policy, warm: warmEngines},
+		{perSecond: 1200, policy: policy, warm: warmEngines, unaware: 8},
+		// The cold ones have to do nearly all.
+		{perSecond: 150, policy: policy, warm: 2},
+	} {
+		got := load.run(1)
+		t.Logf("%d a second, %d warm, %d unaware: %+v", load.perSecond, load.warm, load.unaware, got)
+		assert.Assert(t, got.mostInASecond <= coldMostEver)
+		assert.Equal(t, got.refused, 0)
+		assert.Assert(t, got.onCold > 0)
+	}
+	// Without the bound a burst is too much for them.
+	unbound := coldReturn{perSecond: 3000, warm: warmEngines}.run(0)
+	t.Logf("without a bound: %+v", unbound)
+	assert.Assert(t, unbound.mostInASecond > coldMostEver)
+}
+
+func TestNodeThatKnowsNoOthersSendsNothingToColdInstances(t *testing.T) {
+	all := instances(2)
+	all[0].ColdUntil = time.Second
+	table := tableOf("a", all)
+	request := Request{Service: "llm", Cold: ColdPolicy{Rate: coldRate}}
+	for range 4 {
+		choice, _ := table.Choose(0, request)
+		assert.Equal(t, choice.ID, "i-1")
+	}
+	table.SetEntryNodes("self", nil)
+	sent := map[string]int{}
+	for range 4 {
+		choice, _ := table.Choose(0, request)
+		sent[choice.ID]++
+	}
+	assert.DeepEqual(t, sent, map[string]int{"i-0": 1, "i-1": 3})
+	// A service whose instances bear all their work at once is not bound.
+	choice, _ := table.Choose(0, Request{Service: "llm"})
+	assert.Equal(t, choice.ID, "i-0")
+}
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -80,6 +80,8 @@
 	// MaxInFlight is the most requests that this node may have at one
 	// instance; 0 means no bound.
 	MaxInFlight int
+	// Cold is what the service's instances bear while they are cold.
+	Cold ColdPolicy
 }
 
 // Choice is a chosen instance.
@@ -141,6 +143,13 @@
 	// replaced tells that the instance is gone for good, though the registry
 	// may not know yet.
 	replaced bool
+	// restoredAt is when its zone was last restored, if isRestored is set.
+	restoredAt time.Duration
+	isRestored bool
+	// sentColdAt is when this node last sent it a request while it was cold, if
+	// wasSentCold is set.
+	sentColdAt  time.Duration
+	wasSentCold bool
 }
 
 // zoneState is what this node knows of its way to a zone.
@@ -167,6 +176,8 @@
 	others Loads
 	// evacuated are the zones whose instances get nothing new.
 	evacuated evacuation.Zones
+	// senders tells which cold instances this node may send to.
+	senders coldSenders
 }
 
 // NewTable makes a table for a node in a zone.
@@ -238,6 +249,7 @@
 	if state := t.zones[chosen.Zone]; state != nil && now < state.pausedUntil {
 		state.probedAt = now
 	}
+	chosen.noteSentCold(now, request.Cold)
 	chosen.inFlight++
 	chosen.pending += choice.Unread
 	choice.Instance, choice.Spilled, choice.pending = chosen.Instance, spilled, choice.Unread
@@ -280,16 +292,21 @@
 }
 
 // SetEvacuated replaces the zones whose instances get nothing new. What they have
-// under way ends there.
-func (t *Table) SetEvacuated(zones evacuation.Zones) {
+// under way ends there; those of a zone that is restored are taken for cold.
+func (t *Table) SetEvacuated(now time.Duration, zones evacuation.Zones) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	for _, one := range t.members {
+		if t.evacuated.Contains(one.Zone) && !zones.Contains(one.Zone) {
+			one.restoredAt, one.isRestored = now, true
+		}
+	}
 	t.evacuated = zones
 }
 
 // candidates returns the instances that may be chosen: the healthy ones, or if
-// there is none, all that were not tried. None is in an evacuated zone, whatever
-// that leaves.
+// there is none, all that were not tried. None is in an evacuated zone or bears no
+// request of this node now, whatever that leaves.
 func (t *Table) candidates(now time.Duration, request Request) []*member {
 	var healthy, others []*member
 	average := t.averageFailures(request.Service)
@@ -297,7 +314,7 @@
 		if slices.Contains(request.Exclude, one.ID) || request.MaxInFlight > 0 && one.inFlight >= request.MaxInFlight {
 			continue
 		}
-		if t.evacuated.Contains(one.Zone) {
+		if t.evacuated.Contains(one.Zone) || !t.bears(now, one, request.Cold) {
 			continue
 		}
 		if one.isHealthy(now, average) && t.zoneIsOpen(now, one.Zone) {
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -65,6 +65,11 @@
 	State State `msgpack:"t"`
 	// Sequence is that of the heartbeat that brought this change.
 	Sequence uint64 `msgpack:"q"`
+	// ColdLeft is how much longer it is cold, from the moment of the word on it: it
+	// has just started or was at rest, and bears few requests.
+	ColdLeft time.Duration `msgpack:"c"`
+	// ColdUntil is that moment's end by this node's clock; only a registry sets it.
+	ColdUntil time.Duration `msgpack:"-"`
 }
 
 // TakesWork tells whether new work may be sent to the instance.
@@ -73,6 +78,23 @@
 // ErrIncomplete says that a heartbeat lacks something.
 var ErrIncomplete = errors.New("registry: a heartbeat needs an id, a service and an address")
 
+// coldStep is the difference in the end of being cold from which others are told.
+const coldStep = 300 * time.Millisecond
+
+// noteCold sets the end of being cold from a word that came now.
+func (i *Instance) noteCold(now time.Duration) {
+	i.ColdUntil = 0
+	if i.ColdLeft > 0 {
+		i.ColdUntil = now + i.ColdLeft
+	}
+}
+
+// coldChanged tells whether a word says another end of being cold than the one known.
+func coldChanged(now time.Duration, known, said Instance) bool {
+	difference := max(known.ColdUntil, now) - max(said.ColdUntil, now)
+	return difference.Abs() > coldStep
+}
+
 type entry struct {
 	Instance
 	// newest is the highest heartbeat sequence seen, heard the time of it.
@@ -109,6 +131,7 @@
 	if instance.ID == "" || instance.Service == "" || instance.Address == "" {
 		return false, ErrIncomplete
 	}
+	instance.noteCold(now)
 	known := r.instances[instance.ID]
 	if known == nil {
 		r.instances[instance.ID] = &entry{Instance: instance, newest: instance.Sequence, heard: now}
@@ -122,7 +145,7 @@
 	}
 	known.newest, known.heard = instance.Sequence, now
 	r.heardHere[instance.ID] = struct{}{}
-	if sameButSequence(known.Instance, instance) {
+	if sameState(known.Instance, instance) && !coldChanged(now, known.Instance, instance) {
 		return false, nil
 	}
 	known.Instance = instance
@@ -130,8 +153,9 @@
 	return true, nil
 }
 
-func sameButSequence(one, other Instance) bool {
-	one.Sequence = other.Sequence
+// sameState compares all but the sequence and the times of being cold.
+func sameState(one, other Instance) bool {
+	one.Sequence, one.ColdLeft, one.ColdUntil = other.Sequence, other.ColdLeft, other.ColdUntil
 	return one == other
 }
 
@@ -166,6 +190,7 @@
 			r.instances[other.ID] = known
 		}
 		known.Instance = other
+		known.noteCold(now)
 		known.newest = max(known.newest, other.Sequence)
 		known.heard = now
 		if !other.alive() {
@@ -236,8 +261,17 @@
 	return expired
 }
 
-// Instances returns all instances in order, those that ended included.
-func (r *Registry) Instances() []Instance {
+// Instances returns all instances in order, those that ended included, as another
+// node may be told of them now.
+func (r *Registry) Instances(now time.Duration) []Instance {
+	all := r.all()
+	for position := range all {
+		all[position].ColdLeft = max(0, all[position].ColdUntil-now)
+	}
+	return all
+}
+
+func (r *Registry) all() []Instance {
 	all := make([]Instance, 0, len(r.instances))
 	for _, known := range r.instances {
 		all = append(all, known.Instance)
@@ -248,7 +282,7 @@
 
 // Live returns the instances that have not ended, in order.
 func (r *Registry) Live() []Instance {
-	all := r.Instances()
+	all := r.all()
 	return slices.DeleteFunc(all, func(instance Instance) bool { return !instance.alive() })
 }
 
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -60,8 +60,8 @@
 func TestNodeThatLostItsMemoryTakesNothingAway(t *testing.T) {
 	front, restarted := New(0), New(0)
 	_, _ = front.Heartbeat(0, ready("i", 1))
-	assert.Equal(t, len(front.Merge(1, restarted.Instances())), 0)
-	assert.Equal(t, len(restarted.Merge(1, front.Instances())), 1)
+	assert.Equal(t, len(front.Merge(1, restarted.Instances(1))), 0)
+	assert.Equal(t, len(restarted.Merge(1, front.Instances(1))), 1)
 	assert.Equal(t, front.Digest(), restarted.Digest())
 }
 
@@ -84,3 +84,24 @@
 		assert.Equal(t, one.Digest(), other.Digest())
 	})
 }
+
+func TestColdInstanceIsToldOnceAndIsColdUntilTheSameMomentElsewhere(t *testing.T) {
+	control, entry := New(0), New(0)
+	cold := func(sequence uint64, left time.Duration) Instance {
+		instance := ready("i", sequence)
+		instance.ColdLeft = left
+		return instance
+	}
+	changed, err := control.Heartbeat(0, cold(1, 3*time.Second))
+	assert.NilError(t, err)
+	assert.Assert(t, changed)
+	changed, _ = control.Heartbeat(time.Second, cold(2, 2*time.Second))
+	assert.Assert(t, !changed, "the same end")
+	// It is told two seconds later to a node whose clock reads another time.
+	entry.Merge(50*time.Second, control.Instances(2*time.Second))
+	assert.Equal(t, entry.Live()[0].ColdUntil, 51*time.Second)
+	changed, _ = control.Heartbeat(9*time.Second, cold(3, 0))
+	assert.Assert(t, !changed, "it ended when it was to end")
+	changed, _ = control.Heartbeat(10*time.Second, cold(4, 3*time.Second))
+	assert.Assert(t, changed, "cold again")
+}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -132,7 +132,11 @@
 		Service: service, Part: r.call.attemptKey(), Cost: r.call.cost(), Exclude: r.tried, Bytes: len(r.body),
 		Tokens: int(r.call.TokensIn), SharedTokens: r.call.sharedTokens(), Gap: r.route.EventGap,
 	}
-	if configured := r.index.Service(service); configured != nil && configured.MaxConnections > 0 {
+	configured := r.index.Service(service)
+	if configured != nil {
+		wanted.Cold = balance.ColdPolicy{Rate: configured.ColdRate, Time: configured.ColdTime}
+	}
+	if configured != nil && configured.MaxConnections > 0 {
 		wanted.MaxInFlight = max(2, configured.MaxConnections/max(1, environment.EntryNodes()))
 	}
 	choice, found := r.pipeline.options.Table.Choose(environment.Now(), wanted)
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -30,7 +30,7 @@
 		return
 	}
 	delete(f.mismatches, hello.Address)
-	f.node.send(hello.Address, peer.KindInstances, &instancesMessage{Instances: f.registry.Instances(), Answer: true})
+	f.node.send(hello.Address, peer.KindInstances, &instancesMessage{Instances: f.registry.Instances(f.node.now()), Answer: true})
 }
 
 func (f *fleetDuty) takeInstances(from string, message instancesMessage) {
@@ -41,7 +41,7 @@
 			f.publishInstances()
 		}
 		if message.Answer {
-			f.node.send(from, peer.KindInstances, &instancesMessage{Instances: f.registry.Instances()})
+			f.node.send(from, peer.KindInstances, &instancesMessage{Instances: f.registry.Instances(f.node.now())})
 		}
 	})
 }
@@ -77,7 +77,8 @@
 func (f *fleetDuty) logInstances(how string, changes []registry.Instance) {
 	for _, changed := range changes {
 		f.node.log.Info().Str("event", "instance").Str("how", how).Str("instance", changed.ID).Str("service", changed.Service).
-			Str("address", changed.Address).Stringer("state", changed.State).Uint64("sequence", changed.Sequence).Send()
+			Str("address", changed.Address).Stringer("state", changed.State).Uint64("sequence", changed.Sequence).
+			Int64("cold_for_ms", changed.ColdLeft.Milliseconds()).Send()
 	}
 }
 
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -59,6 +59,7 @@
 	}
 	if neighbours.generation != l.generation {
 		l.exchange.SetNodes(neighbours.nodes, interval)
+		l.node.table.SetEntryNodes(l.node.address, neighbours.nodes)
 		l.generation = neighbours.generation
 	}
 	now := l.node.now()
--- a/internal/gateway/zones.go
+++ b/internal/gateway/zones.go
@@ -48,7 +48,7 @@
 	isNewer := zones.Supersedes(z.held)
 	if isNewer {
 		z.held = zones
-		z.node.table.SetEvacuated(zones)
+		z.node.table.SetEvacuated(z.node.now(), zones)
 	}
 	z.mutex.Unlock()
 	if !isNewer {
--- a/internal/state/document/document.go
+++ b/internal/state/document/document.go
@@ -86,6 +86,11 @@
 	Slots int `msgpack:"l"`
 	// CacheTokens is a model engine's memory in tokens.
 	CacheTokens uint64 `msgpack:"k"`
+	// ColdRate is the requests a second that a cold instance bears from all nodes
+	// together, 0 if being cold makes no difference; ColdTime how long it is cold
+	// after its start.
+	ColdRate float64       `msgpack:"cr"`
+	ColdTime time.Duration `msgpack:"ct"`
 }
 
 // Limits bound what a caller may send, and how long it may take or rest.
@@ -139,6 +144,9 @@
 			checker.find(place, "the service %q stands twice", service.Name)
 		}
 		checker.services[service.Name] = true
+		if service.ColdRate < 0 || service.ColdTime < 0 {
+			checker.find(place, "a cold instance's rate and time can't be below 0")
+		}
 	}
 	for position := range d.Routes {
 		checker.route(fmt.Sprintf("routes[%d]", position), &d.Routes[position])
