Budgets tell why lives that ended were charged

Cause: "forfeited" alone did not tell whether it was the allowance, the pace without the root, or a whole grant that a lost life was charged.

--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -127,13 +127,8 @@
 // GetBudgets implements the schema's GetBudgets on control nodes: the accounts
 // as this replica has applied them.
 func (o *operatorServer) GetBudgets(ctx context.Context, request *connect.Request[ravenwayv1.GetBudgetsRequest]) (*connect.Response[ravenwayv1.GetBudgetsResponse], error) {
-	if o.node.replica == nil {
-		return nil, connect.NewError(connect.CodeUnavailable, errors.New("this node holds no accounts; ask a control node"))
-	}
 	wanted := request.Msg.GetBudget()
-	budgets, err := duty.Ask(ctx, o.node.replica.duty, func(answer func([]*ravenwayv1.BudgetStatus)) {
-		answer(o.node.replica.describeBudgets(wanted))
-	})
+	budgets, err := o.node.Budgets(ctx, wanted)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
@@ -143,6 +138,15 @@
 	return connect.NewResponse(&ravenwayv1.GetBudgetsResponse{Budgets: budgets}), nil
 }
 
+// Budgets returns one budget, or all if none is wanted, as this node's replica has
+// applied their accounts.
+func (n *Node) Budgets(ctx context.Context, wanted string) ([]*ravenwayv1.BudgetStatus, error) {
+	if n.replica == nil {
+		return nil, errors.New("this node holds no accounts; ask a control node")
+	}
+	return duty.Ask(ctx, n.replica.duty, func(answer func([]*ravenwayv1.BudgetStatus)) { answer(n.replica.describeBudgets(wanted)) })
+}
+
 func (r *replicaDuty) describeBudgets(wanted string) []*ravenwayv1.BudgetStatus {
 	var described []*ravenwayv1.BudgetStatus
 	for _, name := range r.machine.Accounts().Names() {
@@ -152,6 +156,7 @@
 		budget := r.machine.Accounts().Budget(name)
 		described = append(described, &ravenwayv1.BudgetStatus{
 			Budget: name, Tenant: name, Limit: budget.Limit, Settled: budget.Settled(), Outstanding: budget.Outstanding(),
+			Left: budget.Left(), EndedAllowed: budget.Ended.Allowed, EndedPaced: budget.Ended.Paced, EndedWhole: budget.Ended.Whole,
 		})
 	}
 	return described
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -306,6 +306,7 @@
 	for _, budget := range budgets[:min(len(budgets), accountLines)] {
 		r.node.log.Info().Str("event", "account").Str("tenant", budget.Name).Uint64("limit", budget.Limit).
 			Uint64("spent", budget.Spent()).Int64("forfeited", budget.Forfeited).
+			Int64("ended_allowed", budget.Ended.Allowed).Int64("ended_paced", budget.Ended.Paced).Int64("ended_whole", budget.Ended.Whole).
 			Uint64("outstanding", budget.Outstanding()).Uint64("left", budget.Left()).Int("holders", len(budget.Holders)).Send()
 	}
 }
--- a/internal/operatorcli/commands.go
+++ b/internal/operatorcli/commands.go
@@ -307,9 +307,10 @@
 		return exitWith(ExitFailed, "budget %q does not exist", given[0])
 	}
 	return s.show(answer, func() {
-		s.table("BUDGET\tTENANT\tLIMIT\tSETTLED\tOUTSTANDING\tLEFT", func(row func(...any)) {
+		s.table("BUDGET\tTENANT\tLIMIT\tSETTLED\tOF LOST NODES\tOUTSTANDING\tLEFT", func(row func(...any)) {
 			for _, budget := range answer.GetBudgets() {
-				row(budget.GetBudget(), budget.GetTenant(), budget.GetLimit(), budget.GetSettled(), budget.GetOutstanding(),
+				lost := budget.GetEndedAllowed() + budget.GetEndedPaced() + budget.GetEndedWhole()
+				row(budget.GetBudget(), budget.GetTenant(), budget.GetLimit(), budget.GetSettled(), lost, budget.GetOutstanding(),
 					budget.GetLimit()-budget.GetSettled()-budget.GetOutstanding())
 			}
 		})
--- a/internal/state/accounts/accounts.go
+++ b/internal/state/accounts/accounts.go
@@ -76,6 +76,8 @@
 	// known to be spent. It is below 0 while holders that spent borrowed tokens
 	// are closed and their lenders are not.
 	Forfeited int64 `msgpack:"f"`
+	// Ended tells why Forfeited was charged, for lives with allowances.
+	Ended EndedCharges `msgpack:"ec"`
 	// Target is the limit that was asked for when more than that is granted
 	// out; the limit follows it down as grants return. It is at most Limit.
 	Target  uint64               `msgpack:"tg"`
@@ -85,6 +87,20 @@
 	Transfers map[LoanPair]uint64 `msgpack:"-"`
 }
 
+// EndedCharges are the tokens that lives which ended without a word were charged
+// beyond the use that they had reported, by the reason. What such a life had lent is
+// among them, and its borrowers' use of it is in their own accounts: so the sum is
+// Forfeited once both sides of each loan have ended.
+type EndedCharges struct {
+	// Allowed were covered by the life's allowance: reserved for requests in
+	// progress, lent, or allowed ahead.
+	Allowed int64 `msgpack:"a"`
+	// Paced are what its pace allowed in the time that it may have been without the root.
+	Paced int64 `msgpack:"p"`
+	// Whole are the rest of grants of lives of which no such time is known.
+	Whole int64 `msgpack:"w"`
+}
+
 // LoanPair is one direction between two holders.
 type LoanPair struct {
 	Lender   HolderID `msgpack:"l"`
--- a/internal/state/accounts/allowance.go
+++ b/internal/state/accounts/allowance.go
@@ -104,6 +104,11 @@
 	charged := held
 	if holder.Allowance.Sequence > 0 && silence != UnknownSilence {
 		charged = min(held, holder.Allowance.MostUsed(silence))
+		allowed := min(held, holder.Allowance.Tokens)
+		b.Ended.Allowed += int64(allowed) - int64(holder.Settled)
+		b.Ended.Paced += int64(charged - allowed)
+	} else {
+		b.Ended.Whole += int64(held) - int64(holder.Settled)
 	}
 	b.Forfeited += int64(charged) - int64(holder.Settled)
 	b.Returned += held - charged
