A request is charged what its caller was handed

Change: the charge is what was passed on to the caller: nothing before an answer begins, then the prompt and each event; a whole answer at its most. It is known for sure where it is decided, so no caution is added for events that may be on their way. The counter ravenway_tokens_total tells whole, broken and not handed out apart. The own truths (fleet tests, soak) count what callers got instead of what engines made: that is what a budget promises; the check is the same, never more than the limit.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -166,7 +166,6 @@
 	}
 	if err != nil {
 		r.mayHaveRun = true
-		r.breaks++
 		if r.incoming.Context().Err() == nil {
 			outcome = balance.Failed
 		}
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -155,11 +155,10 @@
 	// mayHaveRun tells that an engine may have begun work on it.
 	mayHaveRun  bool
 	reservation Reservation
-	// events are the events passed on to the caller, breaks how many answers
-	// broke off in which an instance may have made more of them.
-	events, breaks uint64
-	// answering tells that the head of the answer is written.
-	answering bool
+	// events are the events passed on to the caller.
+	events uint64
+	// answering tells that an answer is passed on, endedWhole that it was to its end.
+	answering, endedWhole bool
 	// tokenWait is how long it waited for its tokens.
 	tokenWait time.Duration
 	// pace is when a stream's events came.
@@ -360,20 +359,27 @@
 	return nil
 }
 
-// eventsBehind is how many events an engine may have made that did not arrive
-// when a stream was broken off.
-const eventsBehind = 8
-
-// settle charges the prompt and the events that were handed out. For each
-// answer that broke off, events on their way are charged too; one that ended as
-// it should has none.
+// settle charges what the caller was handed.
 func (r *request) settle() {
 	if r.reservation == nil {
 		return
 	}
-	if !r.mayHaveRun {
-		r.reservation.Settle(0)
-		return
+	used := r.handedOut()
+	r.reservation.Settle(used)
+	noteCharged(r, used)
+}
+
+// handedOut is what the caller was handed, in tokens: the prompt once an answer has
+// begun, and the events that were passed on. Work of an instance that no caller was
+// handed anything of is not charged, whatever became of it: its answer was lost, or
+// the caller left before it came. So the charge is known here for sure, and nothing
+// is charged for want of knowing.
+func (r *request) handedOut() uint64 {
+	switch {
+	case !r.answering:
+		return 0
+	case r.route.Kind != document.Stream:
+		return r.call.TokensIn + r.call.TokensOut
 	}
 	eventTokens := uint64(1)
 	for _, target := range r.route.Targets {
@@ -381,8 +387,27 @@
 			eventTokens = max(eventTokens, uint64(service.EventTokens))
 		}
 	}
-	out := (r.events + r.breaks*eventsBehind) * eventTokens
-	r.reservation.Settle(r.call.TokensIn + min(out, r.call.TokensOut))
+	return r.call.TokensIn + min(r.events*eventTokens, r.call.TokensOut)
+}
+
+// Tokens charged for answers that ended as they should, for those that did not, and
+// the most that requests would have been charged of which the caller was handed
+// nothing though an instance may have worked on them.
+var (
+	chargedWhole  = metrics.GetOrCreateCounter(`ravenway_tokens_total{outcome="whole"}`)
+	chargedBroken = metrics.GetOrCreateCounter(`ravenway_tokens_total{outcome="broken_off"}`)
+	notHandedOut  = metrics.GetOrCreateCounter(`ravenway_tokens_total{outcome="nothing_handed_out"}`)
+)
+
+func noteCharged(r *request, used uint64) {
+	switch {
+	case used > 0 && r.endedWhole:
+		chargedWhole.AddInt64(int64(used))
+	case used > 0:
+		chargedBroken.AddInt64(int64(used))
+	case r.mayHaveRun:
+		notHandedOut.AddInt64(int64(r.call.TokensIn + r.call.TokensOut))
+	}
 }
 
 // attemptKey is what choices of an instance go by: the last part of the prompt
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -48,7 +48,6 @@
 	buffered, err := io.ReadAll(io.LimitReader(sending.response.Body, bufferedAnswerBytes))
 	if err != nil {
 		sending.abort()
-		r.breaks++
 		r.pipeline.options.Log.Attempt(r, *choice, "answer_broken", err)
 		return balance.Failed, unknown
 	}
@@ -83,6 +82,8 @@
 		r.refuse(Refusal{Status: http.StatusBadGateway, Reason: ReasonOutcomeUnknown})
 		return
 	}
+	isSuccess := sending.response.StatusCode < http.StatusMultipleChoices
+	r.answering, r.endedWhole = isSuccess, isSuccess
 	r.writeHead(sending)
 	if r.incoming.Method != http.MethodHead {
 		r.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -99,16 +100,16 @@
 		r.writer.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	r.writer.WriteHeader(sending.response.StatusCode)
-	r.answering = true
+	r.answering = sending.response.StatusCode < http.StatusMultipleChoices
 	_, err := r.writer.Write(begun)
 	if err == nil {
 		_, err = io.Copy(r.writer, sending.response.Body)
 	}
 	if err != nil {
 		sending.abort()
-		r.breaks++
 		return r.brokenOff(err)
 	}
+	r.endedWhole = true
 	sending.finish(r.call.ID)
 	r.pipeline.options.Log.Served(r, sending.response.StatusCode, choice)
 	return balance.Served, done
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -21,13 +21,13 @@
 	lastEvent := r.call.LastEvent
 	err := r.passEvents(sending, controller, &lastEvent, choice)
 	if err == nil {
+		r.endedWhole = true
 		r.pipeline.options.Table.StreamEnded(choice.Service, r.hadLongPause())
 		sending.finish(r.call.ID)
 		r.pipeline.options.Log.Served(r, sending.response.StatusCode, *choice)
 		return balance.Served, done
 	}
 	sending.abort()
-	r.breaks++
 	r.pipeline.options.Log.Attempt(r, *choice, "stream_broken", err)
 	for ctx.Err() == nil && r.incoming.Context().Err() == nil && !errors.Is(err, errCallerGone) {
 		r.arrivals++
@@ -116,10 +116,7 @@
 		return false, errors.New("no other instance")
 	}
 	environment := r.pipeline.options.Environment
-	sending, state, err := r.pipeline.pool.send(ctx, r.pipeline.options.Dialect, choice.Address, r.outgoing(choice, *lastEvent))
-	if state == sent {
-		r.breaks++
-	}
+	sending, _, err := r.pipeline.pool.send(ctx, r.pipeline.options.Dialect, choice.Address, r.outgoing(choice, *lastEvent))
 	if err == nil && sending.response.StatusCode != http.StatusOK {
 		err = errors.New("the instance answered " + sending.response.Status)
 		sending.discard(r.call.ID)
@@ -132,10 +129,10 @@
 	r.pipeline.options.Log.Attempt(r, choice, "resumed", nil)
 	if err := r.passEvents(sending, controller, lastEvent, &choice); err != nil {
 		sending.abort()
-		r.breaks++
 		r.pipeline.options.Table.Done(environment.Now(), choice, balance.Failed)
 		return false, err
 	}
+	r.endedWhole = true
 	sending.finish(r.call.ID)
 	r.pipeline.options.Table.Done(environment.Now(), choice, balance.Served)
 	r.pipeline.options.Log.Served(r, http.StatusOK, choice)
--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -57,6 +57,11 @@
 	stopping bool
 }
 
+// keyPrefix makes a tenant's key of its name.
+const keyPrefix = "key-"
+
+func tenantOfKey(key string) string { return strings.TrimPrefix(key, keyPrefix) }
+
 // callers send calls all the time and keep what became of them.
 type callers struct {
 	fleet   *fleet
@@ -93,7 +98,7 @@
 	for number := 0; ctx.Err() == nil; number++ {
 		kind, entry := kinds[random.IntN(len(kinds))], entries[random.IntN(len(entries))]
 		tenant := fmt.Sprintf("tenant-%d", random.IntN(tenants))
-		call := standin.Call{ID: fmt.Sprintf("%08x%08x", random.Uint32(), number), Key: "key-" + tenant, Wait: callTimeout, Part: "part-" + strconv.Itoa(random.IntN(20))}
+		call := standin.Call{ID: fmt.Sprintf("%08x%08x", random.Uint32(), number), Key: keyPrefix + tenant, Wait: callTimeout, Part: "part-" + strconv.Itoa(random.IntN(20))}
 		if kind == Stream || kind == Resumable {
 			call.TokensIn, call.TokensOut = 1+uint64(random.IntN(largestPrompt)), mostOut
 		}
@@ -141,7 +146,11 @@
 	case status != http.StatusOK:
 		return Failed, response.Status
 	case kind == Stream || kind == Resumable:
-		return readStream(response.Body, call.ID)
+		outcome, detail, events := readStream(response.Body, call.ID)
+		if events > 0 {
+			c.fleet.truth.receive(tenantOfKey(call.Key), call.TokensIn+uint64(events)*eventTokens)
+		}
+		return outcome, detail
 	}
 	answer, err := io.ReadAll(response.Body)
 	if err != nil {
@@ -153,8 +162,8 @@
 	return Whole, ""
 }
 
-// readStream holds a stream against the only right one.
-func readStream(body io.Reader, id string) (Outcome, string) {
+// readStream holds a stream against the only right one, and counts its events.
+func readStream(body io.Reader, id string) (outcome Outcome, detail string, events int) {
 	reader := bufio.NewReader(body)
 	var read strings.Builder
 	_, err := io.Copy(&read, reader)
@@ -162,13 +171,14 @@
 	for number := 1; number <= streamEvents; number++ {
 		want.WriteString(eventText(id, number))
 	}
+	events = strings.Count(read.String(), "\n\n")
 	switch {
 	case err != nil && strings.HasPrefix(want.String(), read.String()):
-		return Cut, err.Error()
+		return Cut, err.Error(), events
 	case err == nil && read.String() == want.String():
-		return Whole, ""
+		return Whole, "", events
 	}
-	return Wrong, fmt.Sprintf("error %v after %.200q", err, read.String())
+	return Wrong, fmt.Sprintf("error %v after %.200q", err, read.String()), events
 }
 
 // all returns what became of the calls so far.
