A budget that can't hold a request any more refuses it for good

Change: the refusal is final (402) where what is left to grant and what all holders may still give back together can't hold the request, also if some holders did not answer. A raised limit opens it at once: the root is asked each time. Otherwise 429 with a time as before. Ruled out: 402 for each refusal after a recall: what holders give back a moment later serves some of them.

--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -60,14 +60,22 @@
 
 // ExhaustedError is an ErrExhausted with what the root knows, in tokens.
 type ExhaustedError struct {
-	// Limit is the budget's limit, Spent its use that is known for sure, Left
-	// what could still be granted.
-	Limit, Spent, Left uint64
+	// Limit is the budget's limit, Spent its use that is known for sure.
+	Limit uint64 `msgpack:"l"`
+	Spent uint64 `msgpack:"s"`
+	// Left could still be granted, Outstanding is what holders may still spend or
+	// give back.
+	Left        uint64 `msgpack:"f"`
+	Outstanding uint64 `msgpack:"o"`
 }
 
+// IsFinal tells whether the budget can't hold a request of some tokens any more
+// unless its limit is raised, whatever holders give back.
+func (e *ExhaustedError) IsFinal(amount uint64) bool { return e.Left+e.Outstanding < amount }
+
 // Error implements error.
 func (e *ExhaustedError) Error() string {
-	return fmt.Sprintf("%v: %d of %d tokens are spent, %d are left to grant", ErrExhausted, e.Spent, e.Limit, e.Left)
+	return fmt.Sprintf("%v: %d of %d tokens are spent, %d are left to grant, %d are held", ErrExhausted, e.Spent, e.Limit, e.Left, e.Outstanding)
 }
 
 // Is makes it an ErrExhausted.
@@ -458,18 +466,21 @@
 	if answer.Request == found.request {
 		found.requested = false
 		if answer.Short && found.lack() > 0 {
-			h.refuseFirst(now, found, refusalOf(answer))
+			h.refuseFirst(now, found, refusalOf(answer, found.waiters[0].amount))
 			return
 		}
 	}
 	h.serve(now, found)
 }
 
-func refusalOf(answer Answer) error {
-	if answer.Unreached > 0 {
+// refusalOf is why a request for some tokens fell short. Holders that do not answer
+// matter only where what they hold would be enough.
+func refusalOf(answer Answer, amount uint64) error {
+	exhausted := &ExhaustedError{Limit: answer.Limit, Spent: answer.Spent, Left: answer.Left, Outstanding: answer.Outstanding}
+	if answer.Unreached > 0 && !exhausted.IsFinal(amount) {
 		return fmt.Errorf("%w: %d nodes that hold a part of it do not answer", ErrUnreachable, answer.Unreached)
 	}
-	return &ExhaustedError{Limit: answer.Limit, Spent: answer.Spent, Left: answer.Left}
+	return exhausted
 }
 
 func (h *Holder) close() {
--- a/internal/coordination/escrow/holder_test.go
+++ b/internal/coordination/escrow/holder_test.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -134,3 +135,15 @@
 	}
 	assert.Equal(t, holder.Free("b"), uint64(0))
 }
+
+// A budget that what holders may still give back can't make enough is exhausted for
+// good, also for a request that some of them do not answer for; else a caller may be
+// served later.
+func TestBudgetIsExhaustedForGoodOnceNothingThatMayComeBackIsEnough(t *testing.T) {
+	short := accounts.Answer{Limit: 100, Spent: 80, Left: 2, Outstanding: 7}
+	var exhausted *ExhaustedError
+	assert.Assert(t, errors.As(refusalOf(Answer{Answer: short, Unreached: 1}, 10), &exhausted))
+	assert.Assert(t, exhausted.IsFinal(10) && !exhausted.IsFinal(9))
+	assert.Assert(t, errors.Is(refusalOf(Answer{Answer: short, Unreached: 1}, 9), ErrUnreachable))
+	assert.Assert(t, errors.Is(refusalOf(Answer{Answer: short}, 9), ErrExhausted))
+}
--- a/internal/coordination/escrow/pool.go
+++ b/internal/coordination/escrow/pool.go
@@ -43,12 +43,17 @@
 	Number   uint64            `msgpack:"i"`
 	// Stopping says that another pool holder is to be asked.
 	Stopping bool `msgpack:"s,omitempty"`
-	// Exhausted says that the budget does not hold enough; Limit, Spent and Left are
-	// then what the root knows. Else not enough can be reached.
-	Exhausted bool   `msgpack:"e,omitempty"`
-	Limit     uint64 `msgpack:"l,omitempty"`
-	Spent     uint64 `msgpack:"sp,omitempty"`
-	Left      uint64 `msgpack:"lf,omitempty"`
+	// Exhausted is set if the budget does not hold enough, as the root knows it. Else
+	// not enough can be reached.
+	Exhausted *ExhaustedError `msgpack:"e,omitempty"`
+}
+
+// Reason is why the budget does not hold enough, or nil if that is not why.
+func (r PoolRefusal) Reason() error {
+	if r.Exhausted == nil {
+		return nil
+	}
+	return r.Exhausted
 }
 
 // PoolMessage is a message between a node and a pool holder: one field is set.
@@ -148,7 +153,7 @@
 func poolRefusalOf(err error) PoolRefusal {
 	var exhausted *ExhaustedError
 	if errors.As(err, &exhausted) {
-		return PoolRefusal{Exhausted: true, Limit: exhausted.Limit, Spent: exhausted.Spent, Left: exhausted.Left}
+		return PoolRefusal{Exhausted: exhausted}
 	}
 	return PoolRefusal{}
 }
@@ -173,8 +178,8 @@
 	case refusal.Stopping:
 		found.waiters[position].search.askedAt = now - poolRoundTime
 		h.serve(now, found)
-	case refusal.Exhausted:
-		h.refuse(now, found, position, &ExhaustedError{Limit: refusal.Limit, Spent: refusal.Spent, Left: refusal.Left})
+	case refusal.Exhausted != nil:
+		h.refuse(now, found, position, refusal.Exhausted)
 	default:
 		// It has asked the other zones' pool holders too.
 		h.refuse(now, found, position, ErrUnreachable)
--- a/internal/coordination/escrow/pool_test.go
+++ b/internal/coordination/escrow/pool_test.go
@@ -77,7 +77,7 @@
 	to, _ := askedPool(t, holder)
 	assert.Equal(t, to, "q")
 
-	refusal.Exhausted, refusal.Limit, refusal.Spent = true, 100, 95
+	refusal.Exhausted = &ExhaustedError{Limit: 100, Spent: 95}
 	holder.takePoolRefusal(time.Second, refusal)
 	assert.Assert(t, errors.Is(one.err, ErrExhausted))
 	var exhausted *ExhaustedError
@@ -162,5 +162,5 @@
 	pools := pool.Pools()
 	assert.Equal(t, len(pools), 1)
 	assert.Equal(t, pools[0].To, "n")
-	assert.Assert(t, !pools[0].Message.Refusal.Exhausted)
+	assert.Assert(t, pools[0].Message.Refusal.Exhausted == nil)
 }
--- a/internal/gateway/tokens.go
+++ b/internal/gateway/tokens.go
@@ -108,7 +108,7 @@
 		return &reservation{tokens: t, held: ended.held}, nil
 	}
 	var exhausted *escrow.ExhaustedError
-	if errors.As(err, &exhausted) && exhausted.Spent+amount > exhausted.Limit {
+	if errors.As(err, &exhausted) && exhausted.IsFinal(amount) {
 		return nil, errors.Join(forward.ErrSpent, err)
 	}
 	if !errors.Is(err, escrow.ErrExhausted) && t.node.rootMayComeBack() {
@@ -158,7 +158,7 @@
 	t.duty.Offer(func() {
 		if refusal := message.Refusal; refusal != nil {
 			t.node.log.Info().Str("event", "pool_refused").Str("tenant", refusal.Budget).Bool("stopping", refusal.Stopping).
-				Bool("exhausted", refusal.Exhausted).Uint64("left", refusal.Left).Send()
+				AnErr("exhausted", refusal.Reason()).Send()
 		}
 		t.holder.TakePool(t.node.now(), message)
 	})
