--- /dev/null
+++ b/internal/lab/openfleet/ledger_test.go
@@ -0,0 +1,121 @@
+package openfleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// ledgerDistance is what the root has settled of the budget beyond what its callers
+// got, as a part of the limit. Below 0 the tenant got more than it is charged.
+func ledgerDistance(t *testing.T, f *Fleet) float64 {
+	t.Helper()
+	settled := uint64(0)
+	for _, name := range f.Names(true) {
+		budgets, err := f.Machine(name).running().Budgets(f.ctx, "one")
+		assert.NilError(t, err)
+		settled = max(settled, budgets[0].GetSettled())
+	}
+	return (float64(settled) - float64(f.Truth.Received("key-one"))) / prepaid
+}
+
+// spendWhile has callers ask each entry node for streams while something happens, one
+// in eight of them leaving early, and waits until all is settled and reported.
+func spendWhile(t *testing.T, f *Fleet, happens func(random *rand.Rand)) {
+	t.Helper()
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for number, name := range f.Names(false) {
+		callers.Go(func() {
+			for turn := 0; !isClosed(stop); turn++ {
+				patience := 2 * time.Second
+				if turn%8 == 0 {
+					patience = time.Duration(5+turn%40) * time.Millisecond
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), patience)
+				one := ask(fmt.Sprintf("l-%d-%d", number, turn), "/stream/x")
+				one.Context = ctx
+				_, _ = f.Request(name, one)
+				cancel()
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(3 * time.Second)
+	happens(rand.New(rand.NewPCG(5, 5)))
+	time.Sleep(4 * time.Second)
+	close(stop)
+	callers.Wait()
+	time.Sleep(5 * time.Second)
+}
+
+// What is settled and nobody got, the tenant can't spend. In calm, around planned
+// stops and in cuts it is next to nothing.
+func TestLedgerIsWithinHalfAHundredthOfWhatCallersGot(t *testing.T) {
+	for name, happens := range map[string]func(*Fleet, *rand.Rand){
+		"calm": func(*Fleet, *rand.Rand) { time.Sleep(4 * time.Second) },
+		"planned stops": func(f *Fleet, _ *rand.Rand) {
+			for _, entry := range f.Names(false) {
+				f.Stop(entry)
+				f.Boot(entry)
+				time.Sleep(time.Second)
+			}
+		},
+		"cuts": func(f *Fleet, _ *rand.Rand) {
+			for range 2 {
+				f.Network.CutBetween(f.Names(true), f.Names(false))
+				time.Sleep(4 * time.Second)
+				f.Network.Heal()
+				time.Sleep(2 * time.Second)
+			}
+		},
+		"answers lost": func(f *Fleet, random *rand.Rand) {
+			for range 20 {
+				engine := f.engines["llm-"+zones[random.IntN(len(zones))]]
+				engine.Set(func(e *Engine) { e.BreakAfter = random.IntN(4) })
+				time.Sleep(200 * time.Millisecond)
+			}
+			for _, zone := range zones {
+				f.engines["llm-"+zone].Set(func(e *Engine) { e.BreakAfter = 0 })
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, 3, func(t *testing.T, f *Fleet) {
+				spendWhile(t, f, func(random *rand.Rand) { happens(f, random) })
+				distance := ledgerDistance(t, f)
+				t.Logf("%d tokens got, distance %.4f", f.Truth.Received("key-one"), distance)
+				assert.Assert(t, f.Truth.Received("key-one") > prepaid/20, "too little was got to show anything")
+				assert.Assert(t, distance >= 0 && distance <= 0.005, "%.4f", distance)
+			})
+		})
+	}
+}
+
+// All machines lose power at the same moment, near the end of a budget of which three
+// in a hundred are used a second: what their lives are charged in vain nobody can spend
+// any more.
+func TestLedgerIsWithinThreeHundredthsAfterALossOfAllPowerNearABudgetsEnd(t *testing.T) {
+	inFleet(t, 3, func(t *testing.T, f *Fleet) {
+		spendWhile(t, f, func(*rand.Rand) {
+			assert.NilError(t, f.WaitFor(time.Minute, "most of the budget spent", func() bool {
+				return f.Truth.Received("key-one") > prepaid*8/10
+			}))
+			for _, name := range append(f.Names(true), f.Names(false)...) {
+				f.PowerOff(name)
+			}
+			time.Sleep(1500 * time.Millisecond)
+			for _, name := range append(f.Names(true), f.Names(false)...) {
+				f.Boot(name)
+			}
+		})
+		distance := ledgerDistance(t, f)
+		t.Logf("%d tokens got, distance %.4f", f.Truth.Received("key-one"), distance)
+		assert.Assert(t, distance >= 0 && distance <= 0.03, "%.4f", distance)
+	})
+}
