A caller that leaves while a connection comes up reaches no engine

Cause: a connection that came up after the caller had left was written to before it was closed: the engine got a request that nobody waited for. Change: the attempt ends there as not sent. Tests of a caller that leaves in each state: waiting for tokens, for a connection, for the answer, for the first event, in a stream, before another attempt; an engine is free within 0.1 s, or gets nothing. Measured: the connection's test fails three times of three without the change and passes with it; the other states held already.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -65,6 +65,11 @@
 	if err != nil {
 		return nil, notSent, fmt.Errorf("connecting to %s: %w", address, err)
 	}
+	if ctx.Err() != nil {
+		// The caller left, or the time ended, while the connection came up.
+		opened.close()
+		return nil, notSent, context.Cause(ctx)
+	}
 	if deadline, found := ctx.Deadline(); found {
 		_ = opened.network.SetDeadline(deadline)
 	}
