Control nodes that were just named are greeted at once, and ended lives closed then

Cause: an entry node greets its seeds and learns from them which control nodes there are; it said hello to those at its next turn, up to 0.6 s later. The leader need not be a seed, and looked for lives that are over each 0.3 s. Change: a hello goes to newly named control nodes at once; the leader looks at the next tick after it has heard of an entry node's new life.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -42,6 +42,8 @@
 	// told is what each node was last told of the list of nodes.
 	told       map[string]toldNodes
 	mismatches map[string]int
+	// greeted are the nodes that the last hello went to.
+	greeted map[string]bool
 	// heardBefore are the control nodes that were alive at the last look.
 	heardBefore map[string]bool
 	// view is what other goroutines may read.
@@ -122,7 +124,7 @@
 	fleet := &fleetDuty{
 		node: node, duty: duty.New("fleet", fleetTick),
 		roster: roster.New(node.address, seedAddresses(current)), registry: registry.New(0),
-		told: map[string]toldNodes{}, mismatches: map[string]int{}, heardBefore: map[string]bool{},
+		told: map[string]toldNodes{}, mismatches: map[string]int{}, greeted: map[string]bool{}, heardBefore: map[string]bool{},
 	}
 	fleet.view.Store(&fleetView{entries: 1, rootHeardAt: -certainFor})
 	fleet.duty.Tick = fleet.tick
@@ -190,6 +192,7 @@
 			}
 		}
 	}
+	f.noteGreeted(receivers)
 	short := f.node.encode(peer.KindHello, &said)
 	if !f.isControl() {
 		f.node.sendAll(receivers, peer.KindHello, short)
@@ -210,6 +213,32 @@
 	f.node.sendAll(others, peer.KindHello, short)
 }
 
+func (f *fleetDuty) noteGreeted(receivers []string) {
+	clear(f.greeted)
+	for _, receiver := range receivers {
+		f.greeted[receiver] = true
+	}
+}
+
+// greetNamed says hello to control nodes that were named since the last hello. After a
+// loss of all power that brings each node to the root, which may lead on a control node
+// that is no seed, a second sooner; until then what lives that are over held can't be
+// granted.
+func (f *fleetDuty) greetNamed(now time.Duration) {
+	var named []string
+	for _, address := range f.roster.Greet(now) {
+		if !f.greeted[address] {
+			f.greeted[address] = true
+			named = append(named, address)
+		}
+	}
+	if len(named) == 0 {
+		return
+	}
+	said := f.describe()
+	f.node.sendAll(named, peer.KindHello, f.node.encode(peer.KindHello, &said))
+}
+
 func (f *fleetDuty) describe() peer.Hello {
 	current := f.node.settings.Load()
 	said := peer.Hello{
@@ -262,11 +291,15 @@
 	isNew := f.roster.Hello(now, hello)
 	if isNew {
 		f.greetNew(now, hello)
+		if hello.Entry && f.isControl() {
+			f.node.replica.lifeBegan.Store(true)
+		}
 	}
 	f.compareInstances(hello)
 	if hello.Control {
 		f.node.zones.hear(hello)
 		f.node.documents.hear(follow.Node{Address: hello.Address, Zone: hello.Zone}, hello.Version)
+		f.greetNamed(now)
 	}
 	if f.isControl() {
 		f.node.publisher.hear(hello)
--- a/internal/lab/openfleet/ledger_test.go
+++ b/internal/lab/openfleet/ledger_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -24,6 +25,49 @@
 	return (float64(settled) - float64(f.Truth.Received("key-one"))) / prepaid
 }
 
+// After a loss of all power no token can be granted before the lives that are over are
+// closed, and for that the leader must hear of their successors; it need not be a seed.
+func TestTokensAreThereSoonAfterALossOfAllPower(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := New(6, 3, rand.New(rand.NewPCG(1, 1)))
+		defer f.Close()
+		startWithEngines(t, f)
+		time.Sleep(5 * time.Second)
+		var slowest time.Duration
+		for round := range 6 {
+			for number := range 12 {
+				_, err := f.Request(f.Names(false)[number%3], ask(fmt.Sprintf("before-%d-%d", round, number), "/stream/x"))
+				assert.NilError(t, err)
+			}
+			names := append(f.Names(true), f.Names(false)...)
+			for _, name := range names {
+				f.PowerOff(name)
+			}
+			time.Sleep(1500 * time.Millisecond)
+			// Machines come back one after the other, in another order each time.
+			f.random.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
+			for _, name := range names {
+				f.Boot(name)
+				time.Sleep(30 * time.Millisecond)
+			}
+			began := time.Now()
+			assert.NilError(t, f.WaitFor(8*time.Second, "all lives that are over closed", func() bool {
+				budgets, err := f.Machine("control-0").running().Budgets(f.ctx, "one")
+				return err == nil && budgets[0].GetOutstanding() == 0
+			}))
+			t.Logf("round %d: closed after %s", round, time.Since(began))
+			slowest = max(slowest, time.Since(began))
+			time.Sleep(5 * time.Second)
+		}
+		assert.Assert(t, slowest < closedWithin, "%s", slowest)
+	})
+}
+
+// closedWithin is the time from the start of the last machine after a loss of all power
+// until no life that is over holds tokens any more.
+const closedWithin = 400 * time.Millisecond
+
 // spendWhile has callers ask each entry node for streams while something happens, one
 // in eight of them leaving early, and waits until all is settled and reported.
 func spendWhile(t *testing.T, f *Fleet, happens func(random *rand.Rand)) {
