Lent tokens that their borrower has used are not outstanding

Cause: what a holder lent stays in its part at the root until its life ends, also once the borrower has used it. Change: answers tell no more than the budget as a whole has outstanding.

--- a/internal/state/accounts/accounts.go
+++ b/internal/state/accounts/accounts.go
@@ -139,7 +139,9 @@
 // Outstanding is what holders may still spend.
 func (b *Budget) Outstanding() uint64 { return SaturatingSubtract(b.Committed(), b.Settled()) }
 
-// outstanding is what holders may still spend, and how many of them there are.
+// outstanding is what holders may still spend, and how many of them there are. What
+// one of them lent is in its own part until its life ends, also after the borrower has
+// used it: so together they may spend no more than the budget has outstanding.
 func (b *Budget) outstanding() (tokens uint64, holders int) {
 	for _, holder := range b.Holders {
 		if left := holder.Outstanding(); left > 0 {
@@ -147,7 +149,7 @@
 			holders++
 		}
 	}
-	return tokens, holders
+	return min(tokens, b.Outstanding()), holders
 }
 
 // Wished is what all holders wish to hold ahead of demand.
