A request that the whole budget could not hold is refused at once in a cut

Change: such a request is refused at once. It is told when to come back as before: a raised limit may not have been heard of. Measured: in the test without a network no neighbour is asked and the refusal is immediate; without the change it came after the search.

--- a/internal/coordination/escrow/holder.go
+++ b/internal/coordination/escrow/holder.go
@@ -351,7 +351,13 @@
 	if len(found.waiters) == 0 || !found.requested {
 		return
 	}
-	if now-found.requestedAt < h.options.AnswerTimeout && h.rootReachable() {
+	isReachable := h.rootReachable()
+	if now-found.requestedAt < h.options.AnswerTimeout && isReachable {
+		return
+	}
+	if !isReachable && found.isKnownShort(found.waiters[0].amount) {
+		// No neighbour has what all together had not when the root was last heard.
+		h.refuseFirst(now, found, ErrUnreachable)
 		return
 	}
 	// Neighbours that had nothing for an earlier request may have it for this.
--- a/internal/coordination/escrow/holder_test.go
+++ b/internal/coordination/escrow/holder_test.go
@@ -147,3 +147,28 @@
 	assert.Assert(t, errors.Is(refusalOf(Answer{Answer: short, Unreached: 1}, 9), ErrUnreachable))
 	assert.Assert(t, errors.Is(refusalOf(Answer{Answer: short}, 9), ErrExhausted))
 }
+
+// In a cut a request that the whole budget could not hold before it is refused at once:
+// its caller was kept for 140 ms while neighbours were asked for what none of them had.
+func TestRequestThatNobodyCanHoldIsRefusedAtOnceInACut(t *testing.T) {
+	isReachable := true
+	holder := NewHolder(HolderOptions{
+		ID: accounts.HolderID{Node: "n", Incarnation: 1}, AnswerTimeout: 50 * time.Millisecond,
+		Lenders: []string{"m"}, RootReachable: func() bool { return isReachable },
+	})
+	reserve := func(now time.Duration, amount uint64) (refused error) {
+		holder.Reserve(now, now+time.Second, "b", amount, Policy{}, func(_ Reservation, err error) { refused = err })
+		return refused
+	}
+	assert.NilError(t, reserve(0, 10))
+	_, _ = holder.Report(0)
+	holder.Take(0, AnswerMessage{Holder: holder.ID(), Answers: []Answer{{Answer: accounts.Answer{
+		Budget: "b", Request: 1, Short: true, Limit: 1000, Spent: 970, Left: 5, Outstanding: 25,
+	}}}})
+	isReachable = false
+	assert.ErrorIs(t, reserve(time.Second, 40), ErrUnreachable)
+	assert.Equal(t, len(holder.Loans()), 0)
+	// One that the budget can hold is looked for.
+	assert.NilError(t, reserve(2*time.Second, 20))
+	assert.Equal(t, len(holder.Loans()), 1)
+}
--- a/internal/coordination/escrow/standing.go
+++ b/internal/coordination/escrow/standing.go
@@ -85,6 +85,10 @@
 	a.standing, a.known = standing, true
 }
 
+// isKnownShort tells whether all that was unspent of the budget, wherever it is, was
+// less than some tokens when the root last said so.
+func (a *account) isKnownShort(tokens uint64) bool { return a.known && a.standing.Unspent < tokens }
+
 // wishChanged tells whether the root believes in a wish that is long over, and
 // other holders get less for it.
 func (a *account) wishChanged(now time.Duration) bool {
