--- a/internal/coordination/consensus/replica.go
+++ b/internal/coordination/consensus/replica.go
@@ -9,8 +9,14 @@
 	"github.com/ravenway/ravenway/internal/state/journal"
 )
 
-// DefaultSnapshotEvery is the number of applied entries between snapshots.
-const DefaultSnapshotEvery = 1000
+const (
+	// DefaultSnapshotEvery is the most applied entries between snapshots.
+	DefaultSnapshotEvery = 1000
+	// leastSnapshotTail is the least: each snapshot costs two syncs. From there a
+	// snapshot is due once the entries behind the last one are as long as it is, so that
+	// what a start reads and applies is bounded by the state's size.
+	leastSnapshotTail = 300
+)
 
 // ErrOutcomeUnknown says that a proposal was appended by a leader that then
 // lost its leadership: it may or may not be committed. Sending the same
@@ -64,6 +70,8 @@
 	// snapshotIndex is the index of the newest snapshot on disk.
 	snapshotIndex uint64
 	newest        *journal.Snapshot
+	// tailBytes is the length of the commands applied since that snapshot.
+	tailBytes int
 	// RecoveredRecords counts the records read at start-up.
 	RecoveredRecords int
 	// TornBytes were cut off the journal's tail at start-up.
@@ -167,7 +175,7 @@
 		r.apply(ready.Committed)
 		r.readable = append(r.readable, ready.Reads...)
 		r.answerReads()
-		if r.applied >= r.snapshotIndex+r.options.SnapshotEvery {
+		if r.snapshotDue() {
 			if err := r.SaveSnapshot(); err != nil {
 				return err
 			}
@@ -175,6 +183,14 @@
 	}
 }
 
+func (r *Replica) snapshotDue() bool {
+	tail := r.applied - r.snapshotIndex
+	if tail >= r.options.SnapshotEvery {
+		return true
+	}
+	return tail >= leastSnapshotTail && r.newest != nil && r.tailBytes >= len(r.newest.Data)
+}
+
 // SaveSnapshot writes a snapshot of the applied state now.
 func (r *Replica) SaveSnapshot() error {
 	if r.applied == r.snapshotIndex {
@@ -187,7 +203,7 @@
 	if err := r.journal.SaveSnapshot(*snapshot, false); err != nil {
 		return err
 	}
-	r.snapshotIndex, r.newest = snapshot.Index, snapshot
+	r.snapshotIndex, r.newest, r.tailBytes = snapshot.Index, snapshot, 0
 	// Keep some entries in memory, so that a replica that is a little behind
 	// needs no snapshot.
 	if keep := r.options.SnapshotEvery; snapshot.Index > keep {
@@ -229,7 +245,7 @@
 	if err := r.options.Machine.Restore(snapshot.Data); err != nil {
 		return fmt.Errorf("restoring the snapshot at entry %d: %w", snapshot.Index, err)
 	}
-	r.applied, r.snapshotIndex, r.newest = snapshot.Index, snapshot.Index, snapshot
+	r.applied, r.snapshotIndex, r.newest, r.tailBytes = snapshot.Index, snapshot.Index, snapshot, 0
 	return nil
 }
 
@@ -256,6 +272,7 @@
 			result = r.options.Machine.Apply(entry.Index, entry.Data)
 		}
 		r.applied = entry.Index
+		r.tailBytes += len(entry.Data)
 		waiting, found := r.waiting[entry.Index]
 		if !found {
 			continue
