Control nodes know the instances again after a loss of all power

Cause: the registry was in memory only. Change: a control node writes the registry, those that left included, to its disk when it has changed, each 3 s at most and away from its duties, and begins with it; what an instance says later goes before it. The leader looks for ended lives also when a control node was heard.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -48,6 +48,8 @@
 	heardBefore map[string]bool
 	// view is what other goroutines may read.
 	view atomic.Pointer[fleetView]
+	// remembered is nil on nodes without a disk.
+	remembered *rememberedInstances
 	// instances is the number of live instances known.
 	instances atomic.Int64
 }
@@ -129,9 +131,27 @@
 	fleet.view.Store(&fleetView{entries: 1, rootHeardAt: -certainFor})
 	fleet.duty.Tick = fleet.tick
 	fleet.duty.Flush = func() {}
+	if current.HasRole(settings.RoleControl) {
+		fleet.remembered = newRememberedInstances(node)
+		fleet.recallInstances()
+	}
 	return fleet
 }
 
+// recallInstances begins with the instances that this node knew before it started.
+func (f *fleetDuty) recallInstances() {
+	instances, err := f.remembered.read()
+	if err != nil {
+		// They say who they are again.
+		f.node.log.Warn().Str("event", "instances_not_recalled").Err(err).Send()
+		return
+	}
+	if news := f.registry.Merge(f.node.now(), instances); len(news) > 0 {
+		f.logInstances("recalled", news)
+		f.publishInstances()
+	}
+}
+
 func (f *fleetDuty) setSeeds(seeds []string) {
 	f.duty.Offer(func() {
 		f.roster.SetSeeds(seeds)
@@ -148,6 +168,9 @@
 		f.tellHeard()
 		f.announce(f.registry.Expire(now))
 	}
+	if f.remembered != nil && f.ticks%rememberTicks == 0 {
+		f.remembered.offer(f.registry.Digest(), f.registry.Instances(now))
+	}
 	f.ticks++
 	f.noteLost(now)
 	for _, gone := range f.roster.Forget(now) {
@@ -291,8 +314,8 @@
 	isNew := f.roster.Hello(now, hello)
 	if isNew {
 		f.greetNew(now, hello)
-		if hello.Entry && f.isControl() {
-			f.node.replica.lifeBegan.Store(true)
+		if f.isControl() {
+			f.node.replica.nodeHeard.Store(true)
 		}
 	}
 	f.compareInstances(hello)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -205,6 +205,7 @@
 	duties.Go(func() { n.fleet.duty.Run(ctx) })
 	if n.replica != nil {
 		duties.Go(func() { n.replica.duty.Run(ctx) })
+		duties.Go(func() { n.fleet.remembered.run(ctx) })
 	}
 	if n.tokens != nil {
 		duties.Go(func() { n.tokens.duty.Run(ctx) })
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -64,9 +64,10 @@
 	wasLeader       bool
 	// leadsSince is when this node became the leader.
 	leadsSince time.Duration
-	// lifeBegan tells that an entry node was heard that runs a new life: the one before
-	// may hold tokens that nobody can be granted until it is closed.
-	lifeBegan atomic.Bool
+	// nodeHeard tells that a node was heard that runs a new life. The life before may hold
+	// tokens that nobody can be granted until it is closed, and a control node's clock may
+	// be the one that was lacking for that.
+	nodeHeard atomic.Bool
 	// founding is since when this node waits for the others to found a group.
 	founding time.Duration
 	shared   atomic.Pointer[replicaView]
@@ -192,7 +193,7 @@
 	if r.ticks%manageTicks == 0 {
 		r.manageMembers()
 	}
-	if r.lifeBegan.Swap(false) || r.ticks%closeTicks == 0 {
+	if r.nodeHeard.Swap(false) || r.ticks%closeTicks == 0 {
 		r.closeLives()
 	}
 	if r.ticks%accountTicks == 0 {
--- a/internal/lab/openfleet/engine.go
+++ b/internal/lab/openfleet/engine.go
@@ -85,6 +85,8 @@
 	Status int
 	// TurnAway makes the engine run nothing.
 	TurnAway bool
+	// isSilent engines send no heartbeats.
+	isSilent bool
 }
 
 // Set changes the engine's behaviour while it serves.
--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -289,11 +289,23 @@
 // heartbeatInterval is the time between an engine's heartbeats.
 const heartbeatInterval = time.Second
 
+// silenceEngines ends all engines' heartbeats; they go on serving.
+func (f *Fleet) silenceEngines() {
+	f.beats.Lock()
+	defer f.beats.Unlock()
+	for _, engine := range f.engines {
+		engine.isSilent = true
+	}
+}
+
 // heartbeats reports all engines to some live control node again and again.
 func (f *Fleet) heartbeats() {
 	for f.ctx.Err() == nil {
 		f.beats.Lock()
 		for _, engine := range f.engines {
+			if engine.isSilent {
+				continue
+			}
 			engine.Sequence++
 			_ = f.Heartbeat(engine.Instance)
 		}
--- /dev/null
+++ b/internal/lab/openfleet/remembered_test.go
@@ -0,0 +1,49 @@
+package openfleet
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// All machines lose power while no engine says anything: requests reach those that were
+// there before, and one that had left before is not brought back.
+func TestInstancesAreKnownAgainAfterALossOfAllPower(t *testing.T) {
+	inFleet(t, 3, func(t *testing.T, f *Fleet) {
+		assert.NilError(t, f.Machine("control-0").running().Leave(f.ctx, "app-a"))
+		time.Sleep(4 * time.Second)
+		f.silenceEngines()
+		for _, name := range append(f.Names(true), f.Names(false)...) {
+			f.PowerOff(name)
+		}
+		for _, name := range append(f.Names(true), f.Names(false)...) {
+			f.Boot(name)
+		}
+		assert.NilError(t, f.WaitFor(1500*time.Millisecond, "an answer", func() bool {
+			answer, err := f.Request("entry-0", Ask{ID: "known", Path: "/safe/x", Key: "key-one"})
+			return err == nil && answer.Status == http.StatusOK
+		}))
+		since := requestAll(t, f, "after")
+		for _, run := range f.Truth.Runs() {
+			assert.Assert(t, run.Instance != "app-a" || run.Arrived < since)
+		}
+	})
+}
+
+// A file that a loss of power has torn says nothing, and stops nothing.
+func TestTornListOfInstancesIsPassedOver(t *testing.T) {
+	inFleet(t, 1, func(t *testing.T, f *Fleet) {
+		time.Sleep(4 * time.Second)
+		for _, name := range f.Names(true) {
+			f.Kill(name)
+			assert.NilError(t, f.Machine(name).Disk.Truncate("instances", 20))
+			f.Boot(name)
+		}
+		time.Sleep(3 * time.Second)
+		answer, err := f.Request("entry-0", Ask{ID: "torn", Path: "/safe/x", Key: "key-one"})
+		assert.NilError(t, err)
+		assert.Equal(t, answer.Status, http.StatusOK)
+	})
+}
