The wait for tokens no longer goes by the objective

Cause: a request waited for its tokens a share of its objective (0.17), bounded by 40 and 120 ms. The share answered a price that is no more, and says nothing of what is waited for. Change: one patience of 120 ms: the root's answer, or two rounds of neighbours once it is silent.

--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -316,22 +316,11 @@
 	return nil
 }
 
-const (
-	// tokenShare is the part of the objective that a request may wait for its
-	// tokens: a refusal is to reach the caller well inside a quarter of it, and
-	// takes its way there too.
-	tokenShare = 0.17
-	// Most grants come within leastTokenPatience where the root is heard; behind
-	// mostTokenPatience a caller that comes back elsewhere is served sooner.
-	leastTokenPatience = 40 * time.Millisecond
-	mostTokenPatience  = 120 * time.Millisecond
-)
-
-// tokenPatience is how long the request may wait for its tokens from now on.
-func (r *request) tokenPatience() time.Duration {
-	patience := time.Duration(tokenShare*float64(r.route.Objective)) - time.Since(r.arrived)
-	return min(max(patience, leastTokenPatience), mostTokenPatience)
-}
+// tokenPatience is the longest wait for a request's tokens, whatever its objective: the
+// root's answer takes 10 to 25 ms; where it is silent, neighbours are asked after 50 ms,
+// and two rounds of 40 ms find nearly all that they have. A caller that comes back
+// elsewhere is served sooner than by a longer wait.
+const tokenPatience = 120 * time.Millisecond
 
 // reserve sets the request's tokens at their most aside.
 func (r *request) reserve(ctx context.Context) *Refusal {
@@ -343,7 +332,7 @@
 		r.tokenWait = time.Since(began)
 		reserveSeconds.Update(r.tokenWait.Seconds())
 	}()
-	reservation, err := r.pipeline.options.Environment.Reserve(ctx, r.tenant.Name, r.call.TokensIn+r.call.TokensOut, r.tokenPatience())
+	reservation, err := r.pipeline.options.Environment.Reserve(ctx, r.tenant.Name, r.call.TokensIn+r.call.TokensOut, tokenPatience)
 	switch {
 	case errors.Is(err, ErrSpent):
 		return refuse(http.StatusPaymentRequired, ReasonSpent)
