--- a/internal/coordination/escrow/account.go
+++ b/internal/coordination/escrow/account.go
@@ -36,8 +36,6 @@
 	// tells that it did.
 	standing Standing
 	known    bool
-	// budgetUse is the rate at which all nodes use the budget, as its standings show it.
-	budgetUse smoothedRate
 	// wished is the wish that the root was last told.
 	wished uint64
 
--- a/internal/coordination/escrow/allowances.go
+++ b/internal/coordination/escrow/allowances.go
@@ -15,11 +15,6 @@
 	// without the root: requests come in lumps. It weighs what a cut leaves
 	// unserved against what a loss of all machines charges for nothing.
 	paceFactor = 1.2
-	// fullPaceHorizon is how long a budget must last, at the rate at which all nodes use
-	// it, for a node to go at its full pace without the root; below it the pace falls in
-	// proportion. Of a budget that will be used up anyway, a token that a cut holds back
-	// serves a request after it; one that is charged to a lost life never does.
-	fullPaceHorizon = 40 * time.Second
 	// contactInterval is the time between a holder's reports where it has nothing
 	// else to say: the root knows it to be in touch up to the last one.
 	contactInterval = 250 * time.Millisecond
@@ -128,21 +123,11 @@
 	return uint64(a.reserving.at(a.contact.now) * allowanceAhead.Seconds())
 }
 
-// paceShare is the part of its full pace at which the holder may use the budget
-// without the root.
-func (a *account) paceShare() float64 {
-	use := a.budgetUse.at(a.contact.now)
-	if !a.known || use <= 0 {
-		return 1
-	}
-	return min(1, float64(a.standing.Unspent)/use/fullPaceHorizon.Seconds())
-}
-
 // nextAllowance makes the allowance that goes with a report. Without the root it is
 // never lowered: it would bind the holder, though nobody may ever hear of it.
 func (a *account) nextAllowance() accounts.Allowance {
 	tokens := a.ownUse() + a.waiting() + a.allowedAhead()
-	pace := uint64(paceFactor * a.paceShare() * a.reserving.at(a.contact.now))
+	pace := uint64(paceFactor * a.reserving.at(a.contact.now))
 	binding := a.allowances.binding()
 	if a.contact.silence() > accounts.SilentAfter {
 		tokens, pace = max(tokens, binding.Tokens), max(pace, binding.Pace)
