Instances are listed, names greeted and zones looked for only when there may be some

Cause: read again: a control node made and sorted its whole list of instances each 3 s to find it unchanged; each control node's hello had all control nodes listed anew, though only a list or a new node can name one; each entry of the log was first decoded as an order for a zone. Ruled out: leaving the greeting to the next turn: that was the half second it saves. Measured: all tests of state, coordination, gateway, platform and the fleets pass, among them the time until ended lives are closed and the instances known again; no behaviour changes but the checksum of a file that no release has written.

--- a/internal/coordination/balance/cold.go
+++ b/internal/coordination/balance/cold.go
@@ -1,7 +1,7 @@
 package balance
 
 import (
-	"math"
+	"slices"
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/membership"
@@ -55,21 +55,12 @@
 	}
 	rank, known := s.ranks[instance]
 	if !known {
-		rank = s.rank(instance)
+		rank = slices.Index(membership.Rank(instance, s.nodes), s.self)
 		s.ranks[instance] = rank
 	}
 	return rank < max(1, int(rate))
 }
 
-func (s *coldSenders) rank(instance string) int {
-	for place, node := range membership.Rank(instance, s.nodes) {
-		if node == s.self {
-			return place
-		}
-	}
-	return math.MaxInt
-}
-
 // pace is the least time between two requests of one sender.
 func (p ColdPolicy) pace() time.Duration {
 	if p.Rate >= 1 {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -169,7 +169,7 @@
 		f.announce(f.registry.Expire(now))
 	}
 	if f.remembered != nil && f.ticks%rememberTicks == 0 {
-		f.remembered.offer(f.registry.Digest(), f.registry.Instances(now))
+		f.remembered.look(now, f.registry)
 	}
 	f.ticks++
 	f.noteLost(now)
@@ -322,6 +322,8 @@
 	if hello.Control {
 		f.node.zones.hear(hello)
 		f.node.documents.hear(follow.Node{Address: hello.Address, Zone: hello.Zone}, hello.Version)
+	}
+	if hello.Control && (isNew || len(hello.Nodes) > 0) {
 		f.greetNamed(now)
 	}
 	if f.isControl() {
--- a/internal/gateway/remembered.go
+++ b/internal/gateway/remembered.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"errors"
 	"fmt"
+	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/state/disk"
+	"github.com/ravenway/ravenway/internal/state/journal"
 )
 
 const (
@@ -18,7 +18,6 @@
 	rememberedFile = "instances"
 	// rememberTicks is the number of ticks, 3 s, between looks whether they changed.
 	rememberTicks = 10
-	checksumBytes = 8
 )
 
 // rememberedInstances keeps the registry of a control node on its disk. Instances say
@@ -37,16 +36,17 @@
 	return &rememberedInstances{node: node, due: make(chan []registry.Instance, 1)}
 }
 
-// offer has the instances written if they have changed.
-func (r *rememberedInstances) offer(digest uint64, instances []registry.Instance) {
+// look has the instances written if they have changed.
+func (r *rememberedInstances) look(now time.Duration, known *registry.Registry) {
+	digest := known.Digest()
 	if digest == r.digest {
 		return
 	}
 	select {
-	case r.due <- instances:
+	case r.due <- known.Instances(now):
 		r.digest = digest
 	default:
-		// They are offered again.
+		// The next look finds them changed still.
 	}
 }
 
@@ -69,8 +69,11 @@
 	if err != nil {
 		return fmt.Errorf("encoding the instances: %w", err)
 	}
-	content := binary.BigEndian.AppendUint64(nil, xxhash.Sum64(encoded))
-	return disk.WriteFileSynced(r.node.options.FileSystem, rememberedFile, append(content, encoded...))
+	framed, err := journal.AppendFrame(nil, encoded)
+	if err != nil {
+		return fmt.Errorf("framing the instances: %w", err)
+	}
+	return disk.WriteFileSynced(r.node.options.FileSystem, rememberedFile, framed)
 }
 
 // read returns the instances that an earlier process wrote, or none.
@@ -82,11 +85,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("reading the instances: %w", err)
 	}
-	if len(content) < checksumBytes || binary.BigEndian.Uint64(content) != xxhash.Sum64(content[checksumBytes:]) {
+	encoded, valid := journal.FrameAt(content)
+	if !valid {
 		return nil, errors.New("reading the instances: the checksum does not match")
 	}
 	var instances []registry.Instance
-	if err := msgpack.Unmarshal(content[checksumBytes:], &instances); err != nil {
+	if err := msgpack.Unmarshal(encoded, &instances); err != nil {
 		return nil, fmt.Errorf("decoding the instances: %w", err)
 	}
 	return instances, nil
--- a/internal/lab/openfleet/evacuation_test.go
+++ b/internal/lab/openfleet/evacuation_test.go
@@ -92,12 +92,8 @@
 			}))
 			f.PowerOff(taker)
 			f.Wipe(taker)
-			for _, name := range append(f.Names(true), f.Names(false)...) {
-				f.PowerOff(name)
-			}
-			for _, name := range append(f.Names(true), f.Names(false)...) {
-				f.Boot(name)
-			}
+			f.PowerOffAll()
+			f.BootAll()
 			assert.NilError(t, f.WaitFor(10*time.Second, "all ready", func() bool {
 				return f.Ready("entry-0") && f.Ready("entry-1") && f.Ready("entry-2")
 			}))
--- a/internal/lab/openfleet/ledger_test.go
+++ b/internal/lab/openfleet/ledger_test.go
@@ -41,9 +41,7 @@
 				assert.NilError(t, err)
 			}
 			names := append(f.Names(true), f.Names(false)...)
-			for _, name := range names {
-				f.PowerOff(name)
-			}
+			f.PowerOffAll()
 			time.Sleep(1500 * time.Millisecond)
 			// Machines come back one after the other, in another order each time.
 			f.random.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
@@ -150,13 +148,9 @@
 			assert.NilError(t, f.WaitFor(time.Minute, "most of the budget spent", func() bool {
 				return f.Truth.Received("key-one") > prepaid*8/10
 			}))
-			for _, name := range append(f.Names(true), f.Names(false)...) {
-				f.PowerOff(name)
-			}
+			f.PowerOffAll()
 			time.Sleep(1500 * time.Millisecond)
-			for _, name := range append(f.Names(true), f.Names(false)...) {
-				f.Boot(name)
-			}
+			f.BootAll()
 		})
 		distance := ledgerDistance(t, f)
 		t.Logf("%d tokens got, distance %.4f", f.Truth.Received("key-one"), distance)
--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -239,6 +239,18 @@
 	f.Machine(name).Disk.Crash()
 }
 
+// PowerOffAll takes the power from all machines at once, and BootAll gives it back.
+func (f *Fleet) PowerOffAll() { f.each(f.PowerOff) }
+
+// BootAll boots all machines.
+func (f *Fleet) BootAll() { f.each(f.Boot) }
+
+func (f *Fleet) each(act func(name string)) {
+	for _, name := range append(f.Names(true), f.Names(false)...) {
+		act(name)
+	}
+}
+
 // Wipe empties a stopped machine's disk.
 func (f *Fleet) Wipe(name string) { f.Machine(name).Disk.Erase() }
 
--- a/internal/lab/openfleet/remembered_test.go
+++ b/internal/lab/openfleet/remembered_test.go
@@ -15,12 +15,8 @@
 		assert.NilError(t, f.Machine("control-0").running().Leave(f.ctx, "app-a"))
 		time.Sleep(4 * time.Second)
 		f.silenceEngines()
-		for _, name := range append(f.Names(true), f.Names(false)...) {
-			f.PowerOff(name)
-		}
-		for _, name := range append(f.Names(true), f.Names(false)...) {
-			f.Boot(name)
-		}
+		f.PowerOffAll()
+		f.BootAll()
 		assert.NilError(t, f.WaitFor(1500*time.Millisecond, "an answer", func() bool {
 			answer, err := f.Request("entry-0", Ask{ID: "known", Path: "/safe/x", Key: "key-one"})
 			return err == nil && answer.Status == http.StatusOK
--- a/internal/state/journal/journal.go
+++ b/internal/state/journal/journal.go
@@ -189,7 +189,7 @@
 	if err != nil {
 		return fmt.Errorf("encoding a snapshot: %w", err)
 	}
-	framed, err := appendFrame(nil, payload)
+	framed, err := AppendFrame(nil, payload)
 	if err != nil {
 		return err
 	}
@@ -392,7 +392,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("reading snapshot %s: %w", name, err)
 	}
-	payload, valid := frameAt(data)
+	payload, valid := FrameAt(data)
 	if !valid {
 		return nil, &CorruptionError{File: name, Detail: "its checksum does not match"}
 	}
--- a/internal/state/journal/journal_test.go
+++ b/internal/state/journal/journal_test.go
@@ -211,7 +211,7 @@
 		good, _ := decodeRecords(data, func(record) error { return nil })
 		assert.Assert(t, good >= 0 && good <= len(data))
 		for offset := 0; offset < good; {
-			payload, valid := frameAt(data[offset:])
+			payload, valid := FrameAt(data[offset:])
 			assert.Assert(t, valid)
 			offset += recordHeaderBytes + len(payload)
 		}
--- a/internal/state/journal/record.go
+++ b/internal/state/journal/record.go
@@ -66,12 +66,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("encoding a journal record: %w", err)
 	}
-	return appendFrame(buffer, payload)
+	return AppendFrame(buffer, payload)
 }
 
-// appendFrame frames a payload with its length and checksum. A record that
+// AppendFrame frames a payload with its length and checksum. A record that
 // reading would refuse as too long is refused here, before it is written.
-func appendFrame(buffer, payload []byte) ([]byte, error) {
+func AppendFrame(buffer, payload []byte) ([]byte, error) {
 	if len(payload) > MaximumRecordBytes {
 		return nil, fmt.Errorf("a journal record has %d bytes; at most %d are allowed",
 			len(payload), MaximumRecordBytes)
@@ -81,9 +81,9 @@
 	return append(buffer, payload...), nil
 }
 
-// frameAt returns the payload framed at the start of data, or false if there
+// FrameAt returns the payload framed at the start of data, or false if there
 // is no whole and undamaged frame.
-func frameAt(data []byte) (payload []byte, valid bool) {
+func FrameAt(data []byte) (payload []byte, valid bool) {
 	if len(data) < recordHeaderBytes {
 		return nil, false
 	}
@@ -102,7 +102,7 @@
 // offset up to which everything is undamaged.
 func decodeRecords(data []byte, visit func(record) error) (good int, err error) {
 	for good < len(data) {
-		payload, valid := frameAt(data[good:])
+		payload, valid := FrameAt(data[good:])
 		if !valid {
 			return good, nil
 		}
@@ -122,7 +122,7 @@
 // behind its first byte. It tells a torn tail (none) from damage in the middle.
 func anyFrameAfter(data []byte) bool {
 	for offset := 1; offset+recordHeaderBytes < len(data); offset++ {
-		if _, valid := frameAt(data[offset:]); valid {
+		if _, valid := FrameAt(data[offset:]); valid {
 			return true
 		}
 	}
--- a/internal/state/machine/zones.go
+++ b/internal/state/machine/zones.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 
 	"github.com/ravenway/ravenway/internal/state/evacuation"
 )
@@ -31,9 +32,13 @@
 
 // decodeZone returns the command of an entry, or nil if it holds another one.
 func decodeZone(data []byte) *ZoneCommand {
+	if len(data) == 0 || !msgpcode.IsFixedMap(data[0]) {
+		// Nearly all commands are arrays.
+		return nil
+	}
 	var entry zoneEntry
 	if err := msgpack.Unmarshal(data, &entry); err != nil {
-		// All other commands are arrays, which is not an error.
+		// It is refused as a command, with the reason.
 		return nil
 	}
 	return entry.Zone
