Sight: a broken run's line names the request beyond its id, and how far it was

Change: a fingerprint (path with query, caller, body) in each line on a broken run, whether its answer had begun and how long before, and a line resumed_broken. No decision goes by it yet. Ruled out: hashing each request at its arrival, which nothing needs.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -169,7 +169,7 @@
 		if r.incoming.Context().Err() == nil {
 			outcome = balance.Failed
 		}
-		r.pipeline.options.Log.Attempt(r, choice, "no_answer", err)
+		r.pipeline.options.Log.Broken(r, brokenRun{choice: choice}, "no_answer", err)
 		return nil, unknown
 	}
 	if sending.head.NotRun || sending.head.OtherInstance {
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -130,6 +130,18 @@
 		Uint64("events", r.events).AnErr("error", err).Send()
 }
 
+// Broken notes a run that broke at an instance, which may have begun it, with what
+// tells whether the request itself may be why.
+func (l *DecisionLog) Broken(r *request, run brokenRun, result string, err error) {
+	text := fmt.Sprintf("instance %s at %s: %s, %s, fingerprint %s: %v", run.choice.ID, run.choice.Address, result, run, r.fingerprintOf(), err)
+	if !l.keep(r, text) {
+		return
+	}
+	weighed(l.line(r, "attempt"), run.choice).Str("address", run.choice.Address).Str("result", result).
+		Uint64("events", r.events).Stringer("fingerprint", r.fingerprintOf()).Bool("answer_begun", run.answered).
+		Int64("answered_ms", run.answeredFor.Milliseconds()).AnErr("error", err).Send()
+}
+
 // Behind notes a request that is handled under an older document than the
 // newest one heard of.
 func (l *DecisionLog) Behind(r *request, newest uint64, since time.Duration) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -33,6 +33,9 @@
 	response   *http.Response
 	head       AnswerHead
 	sentAt     time.Time
+	// answeredAt is when the head of the answer came: an engine sends it as it begins
+	// to run a stream, and at the end of any other request.
+	answeredAt time.Time
 	// failure is the whole body of an answer that is a failure.
 	failure []byte
 	// written is closed when the whole request is written.
@@ -121,7 +124,7 @@
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
-		e.response = response
+		e.response, e.answeredAt = response, time.Now()
 		e.head = dialect.ReadAnswer(response.StatusCode, response.Header)
 		if e.head.ID == request.id || e.head.ID == "" && (e.head.NotRun || e.head.OtherInstance) {
 			return nil
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/coordination/quarantine"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
 
@@ -163,6 +164,8 @@
 	tokenWait time.Duration
 	// pace is when a stream's events came.
 	pace eventPace
+	// fingerprint is nil until it is asked for.
+	fingerprint *quarantine.Fingerprint
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -47,7 +47,7 @@
 	buffered, err := io.ReadAll(io.LimitReader(sending.response.Body, bufferedAnswerBytes))
 	if err != nil {
 		sending.abort()
-		r.pipeline.options.Log.Attempt(r, *choice, "answer_broken", err)
+		r.pipeline.options.Log.Broken(r, sending.broken(*choice), "answer_broken", err)
 		return balance.Failed, unknown
 	}
 	if len(buffered) == bufferedAnswerBytes {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -27,7 +27,7 @@
 		return balance.Served, done
 	}
 	sending.abort()
-	r.pipeline.options.Log.Attempt(r, *choice, "stream_broken", err)
+	r.pipeline.options.Log.Broken(r, sending.broken(*choice), "stream_broken", err)
 	for ctx.Err() == nil && r.incoming.Context().Err() == nil && !errors.Is(err, errCallerGone) {
 		r.arrivals++
 		if !r.mayResume(choice.Service) {
@@ -128,6 +128,7 @@
 	r.pipeline.options.Log.Attempt(r, choice, "resumed", nil)
 	if err := r.passEvents(sending, controller, lastEvent, &choice); err != nil {
 		sending.abort()
+		r.pipeline.options.Log.Broken(r, sending.broken(choice), "resumed_broken", err)
 		r.pipeline.options.Table.Done(environment.Now(), choice, balance.Failed)
 		return false, err
 	}
