A failing test: a request that ends each engine that begins it

The engine stand-in of the fleets in one process gets the fault: a body on which it ends, with all that runs beside, and comes back after 3 s. A dead address refuses connections there as a real one does. Three are allowed.

--- a/internal/lab/fleet/network.go
+++ b/internal/lab/fleet/network.go
@@ -11,13 +11,15 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/ravenway/ravenway/internal/pause"
 )
 
-// errNetworkDown is what a dial to a dead or unknown address returns.
-var errNetworkDown = errors.New("fleet: connection refused")
+// errNetworkDown is what a dial to a dead or unknown address returns, as a machine
+// answers on which nothing listens.
+var errNetworkDown = fmt.Errorf("fleet: %w", syscall.ECONNREFUSED)
 
 // Network is an in-memory network of named machines.
 type Network struct {
--- a/internal/lab/openfleet/engine.go
+++ b/internal/lab/openfleet/engine.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/registry"
@@ -17,6 +18,8 @@
 	Request  string
 	Instance string
 	Tenant   string
+	// Body is the request's body.
+	Body string
 	// Arrived and Ended are times since the fleet's start; Ended is 0 while the
 	// run goes on.
 	Arrived, Ended time.Duration
@@ -32,10 +35,10 @@
 	received map[string]uint64
 }
 
-func (t *Truth) begin(request, instance, tenant string) *Run {
+func (t *Truth) begin(request, instance, tenant, body string) *Run {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	run := &Run{Request: request, Instance: instance, Tenant: tenant, Arrived: time.Since(t.began)}
+	run := &Run{Request: request, Instance: instance, Tenant: tenant, Body: body, Arrived: time.Since(t.began)}
 	t.runs = append(t.runs, run)
 	return run
 }
@@ -85,6 +88,13 @@
 	Status int
 	// TurnAway makes the engine run nothing.
 	TurnAway bool
+	// EndsOn is the body of requests that end the engine EndsAfter they began to run,
+	// with all that runs beside them; "" means that there are none.
+	EndsOn    string
+	EndsAfter time.Duration
+	// end ends the engine, hasEnded tells that it did.
+	end      func()
+	hasEnded atomic.Bool
 	// isSilent engines send no heartbeats.
 	isSilent bool
 }
@@ -101,17 +111,22 @@
 	events, breakAfter int
 	status             int
 	turnAway           bool
+	endsOn             string
+	endsAfter          time.Duration
 }
 
 func (e *Engine) behaviour() behaviour {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return behaviour{work: e.Work, events: e.Events, breakAfter: e.BreakAfter, status: e.Status, turnAway: e.TurnAway}
+	return behaviour{
+		work: e.Work, events: e.Events, breakAfter: e.BreakAfter, status: e.Status, turnAway: e.TurnAway,
+		endsOn: e.EndsOn, endsAfter: e.EndsAfter,
+	}
 }
 
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	_, _ = io.Copy(io.Discard, request.Body)
+	body, _ := io.ReadAll(request.Body)
 	id := request.Header.Get(wire.HeaderRequest)
 	writer.Header().Set(wire.HeaderRequest, id)
 	if request.Header.Get(wire.HeaderInstance) != e.ID {
@@ -124,8 +139,11 @@
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	run := e.truth.begin(id, e.ID, request.Header.Get(wire.HeaderTenant))
+	run := e.truth.begin(id, e.ID, request.Header.Get(wire.HeaderTenant), string(body))
 	defer e.truth.end(run)
+	if how.endsOn != "" && how.endsOn == string(body) {
+		e.endBy(writer, how)
+	}
 	if how.events == 0 {
 		e.answerWhole(writer, request, how)
 		return
@@ -133,6 +151,19 @@
 	e.answerStream(writer, request, run, how)
 }
 
+// endBy ends the engine by a request that it has begun. A stream's answer has begun
+// by then.
+func (e *Engine) endBy(writer http.ResponseWriter, how behaviour) {
+	if how.events > 0 {
+		writer.Header().Set("Content-Type", "text/event-stream")
+		writer.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(writer).Flush()
+	}
+	time.Sleep(how.endsAfter)
+	e.end()
+	panic(http.ErrAbortHandler)
+}
+
 func (e *Engine) answerWhole(writer http.ResponseWriter, request *http.Request, how behaviour) {
 	select {
 	case <-time.After(how.work):
--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -285,6 +285,7 @@
 func (f *Fleet) AddEngine(id, service, zone string) *Engine {
 	engine := &Engine{truth: f.Truth, Work: 10 * time.Millisecond}
 	engine.Instance = registry.Instance{ID: id, Service: service, Address: id + ":80", Zone: zone, Slots: 8, State: registry.Ready, Sequence: 1}
+	engine.end = func() { f.EndEngine(engine) }
 	server := &http.Server{Handler: engine}
 	listener := f.Network.Listen(id, engine.Address)
 	f.running.Go(func() { _ = server.Serve(listener) })
@@ -298,6 +299,13 @@
 	return engine
 }
 
+// EndEngine ends an engine as a crash does: its connections break, new ones are
+// refused, and it says nothing any more.
+func (f *Fleet) EndEngine(engine *Engine) {
+	engine.hasEnded.Store(true)
+	f.Network.Break(engine.ID)
+}
+
 // heartbeatInterval is the time between an engine's heartbeats.
 const heartbeatInterval = time.Second
 
@@ -315,7 +323,7 @@
 	for f.ctx.Err() == nil {
 		f.beats.Lock()
 		for _, engine := range f.engines {
-			if engine.isSilent {
+			if engine.isSilent || engine.hasEnded.Load() {
 				continue
 			}
 			engine.Sequence++
@@ -457,6 +465,8 @@
 	Tokens        string
 	Wait          time.Duration
 	Context       context.Context
+	// Body is the request's body.
+	Body string
 }
 
 // Request sends a caller's request to an entry node. The error is one of the
@@ -467,7 +477,7 @@
 		ctx = f.ctx
 	}
 	address := fmt.Sprintf("%s:%d", f.Machine(name).Host, callersPort)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+ask.Path, http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+ask.Path, strings.NewReader(ask.Body))
 	if err != nil {
 		return Answer{}, err
 	}
--- /dev/null
+++ b/internal/lab/openfleet/poison_test.go
@@ -0,0 +1,128 @@
+package openfleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/state/document"
+)
+
+// Incident BUDGET on drukwacht-ravenway. Seen: three times within a day twelve engines
+// ended one after the other, 30 to 35 each time, and up to 46 streams of other callers
+// broke with one of them. A caller's request ended each engine that began to run it. It
+// came again with another id, at any entry node, 81 times in ten seconds; and of each
+// time an entry node carried it on to a second engine by itself, since its stream may be
+// resumed. Cause: what a request did to engines was forgotten with its id, and nothing
+// of it passed between nodes. Proved by the logs of the broken runs (no event passed on,
+// the answer begun some 100 ms before) and by this test.
+const (
+	poison = "a body that no engine survives"
+	// contact is the time within which nodes in touch have to know a third end.
+	contact = 3 * time.Second
+	// engineRestart is how long an engine that ended is away.
+	engineRestart = 3 * time.Second
+	// poisonRuns is the most runs of the request after the third end and contact.
+	poisonRuns = 3
+)
+
+// poisoned is a fleet whose engines end on one request, and come back.
+type poisoned struct {
+	*Fleet
+	mutex sync.Mutex
+	ends  []time.Duration
+}
+
+// addEngines adds engines that end on the request some time after they began it.
+func (p *poisoned) addEngines(service string, count, events int, after time.Duration) {
+	for number := range count {
+		p.addEngine(fmt.Sprintf("%s-%d", service, number), service, zones[number%len(zones)], events, after)
+	}
+}
+
+func (p *poisoned) addEngine(id, service, zone string, events int, after time.Duration) {
+	engine := p.AddEngine(id, service, zone)
+	engine.Set(func(e *Engine) { e.Events, e.EndsOn, e.EndsAfter, e.Work = events, poison, after, 30*time.Millisecond })
+	engine.end = func() {
+		p.mutex.Lock()
+		p.ends = append(p.ends, time.Since(p.Truth.began))
+		p.mutex.Unlock()
+		p.EndEngine(engine)
+		time.AfterFunc(engineRestart, func() {
+			if p.ctx.Err() == nil {
+				p.addEngine(id+"~", service, zone, events, after)
+			}
+		})
+	}
+}
+
+func (p *poisoned) endCount() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.ends)
+}
+
+// repeat sends the request again and again, each time with another id to a drawn
+// entry node, for a time.
+func (p *poisoned) repeat(random *rand.Rand, path string, every, lasting time.Duration) {
+	entries := p.Names(false)
+	for began := time.Now(); time.Since(began) < lasting; time.Sleep(every) {
+		name, id := entries[random.IntN(len(entries))], fmt.Sprintf("poison-%d", random.Uint64())
+		p.running.Go(func() { _, _ = p.Request(name, Ask{ID: id, Path: path, Key: "key-one", Tokens: "1,1", Body: poison}) })
+	}
+}
+
+// runsAfterContact counts the request's runs that began later than contact after its
+// third end.
+func (p *poisoned) runsAfterContact() int {
+	p.mutex.Lock()
+	ends := slices.Sorted(slices.Values(p.ends))
+	p.mutex.Unlock()
+	if len(ends) < 3 {
+		return 0
+	}
+	return len(slices.DeleteFunc(p.Truth.Runs(), func(run Run) bool { return run.Body != poison || run.Arrived <= ends[2]+contact }))
+}
+
+// inPoisonedFleet runs a test against six entry nodes before nine engines that end on
+// one request.
+func inPoisonedFleet(t *testing.T, after time.Duration, test func(t *testing.T, p *poisoned)) {
+	t.Helper()
+	inFleet(t, 6, func(t *testing.T, f *Fleet) {
+		generous := configuration(2)
+		generous.Tenants[0].Prepaid = 1 << 40
+		for position := range generous.Routes {
+			route := &generous.Routes[position]
+			if route.Kind == document.Stream {
+				route.Targets[0].Service = "model"
+			} else {
+				route.Targets[0].Service = "portal"
+			}
+		}
+		generous.Services = append(generous.Services, document.Service{Name: "model"}, document.Service{Name: "portal"})
+		p := &poisoned{Fleet: f}
+		p.addEngines("model", 9, 5, after)
+		p.addEngines("portal", 9, 0, after)
+		assert.NilError(t, f.Put(generous, 3*time.Second))
+		time.Sleep(3 * time.Second)
+		test(t, p)
+	})
+}
+
+func TestRequestThatEndsItsEnginesReachesFewMoreAfterTheThird(t *testing.T) {
+	for _, path := range []string{"/resumable/x", "/stream/x", "/safe/x", "/once/x"} {
+		t.Run(path[1:len(path)-2], func(t *testing.T) {
+			inPoisonedFleet(t, 60*time.Millisecond, func(t *testing.T, p *poisoned) {
+				p.repeat(rand.New(rand.NewPCG(36, 1)), path, 150*time.Millisecond, 25*time.Second)
+				t.Logf("%d engines ended, %d runs later than %s after the third end", p.endCount(), p.runsAfterContact(), contact)
+				assert.Assert(t, p.endCount() >= 3)
+				assert.Assert(t, p.runsAfterContact() <= poisonRuns, "%d runs later than %s after the third end", p.runsAfterContact(), contact)
+			})
+		})
+	}
+}
