Requests that end the engines which run them are quarantined by the whole fleet

Class: state that belongs to a request's identity was kept by its attempt. Change: coordination/quarantine. A request is path, caller and body. A run that breaks without our doing makes its node connect to the engine once; a refused connection shows that the engine ended. Evidence (request, life of the engine, how likely) goes to the control nodes, which weigh all of it and tell the nodes; hellos carry a digest, control nodes keep the list on disk. Quarantined at the third end that nothing else explains; cleared by any run to its end. Refused as not run, at once, without a time to come back. A suspect (two ends) is left to its caller. Open: OpenAI-style path, operators' verbs, runs under way when the verdict falls.

--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -449,6 +449,26 @@
 	return expects
 }
 
+// Ended notes that a life of an instance was seen to have ended. The instance may come
+// back under the same id, so it is paused and not forgotten.
+func (t *Table) Ended(now time.Duration, life registry.Life) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if known := t.members[life.ID]; known != nil && known.Life() == life {
+		known.pause = lastPause
+		known.pausedUntil = now + lastPause
+	}
+}
+
+// IsLeaving tells whether a life of an instance has said that it leaves, or is known to
+// be over.
+func (t *Table) IsLeaving(life registry.Life) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.members[life.ID]
+	return known == nil || known.Life() != life || !known.TakesWork()
+}
+
 // homeOf returns the instance at which a part lives: all nodes name the same.
 func homeOf(candidates []*member, part string) *member {
 	var home *member
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -13,6 +13,7 @@
 	"encoding/binary"
 	"errors"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -52,9 +53,27 @@
 	return "unknown"
 }
 
+// Life names one life of an instance: one run of its process, from a start to its end.
+type Life struct {
+	ID string `msgpack:"i"`
+	// Born is when it started, in milliseconds since 1970 as the instance itself says;
+	// 0 if it does not say.
+	Born int64 `msgpack:"b"`
+}
+
+// String returns "id@born", or the id alone.
+func (l Life) String() string {
+	if l.Born == 0 {
+		return l.ID
+	}
+	return l.ID + "@" + strconv.FormatInt(l.Born, 10)
+}
+
 // Instance is one life of a server of a service.
 type Instance struct {
-	ID      string `msgpack:"i"`
+	ID string `msgpack:"i"`
+	// Born is when this life began, see Life.
+	Born    int64  `msgpack:"b"`
 	Service string `msgpack:"s"`
 	// Address is host:port. Addresses are used again, so the id goes with it.
 	Address string `msgpack:"a"`
@@ -72,6 +91,9 @@
 	ColdUntil time.Duration `msgpack:"-"`
 }
 
+// Life names the instance's life.
+func (i Instance) Life() Life { return Life{ID: i.ID, Born: i.Born} }
+
 // TakesWork tells whether new work may be sent to the instance.
 func (i Instance) TakesWork() bool { return i.State == Ready }
 
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/coordination/quarantine"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
 
@@ -88,6 +89,10 @@
 			r.giveUp(last, reasonOf(result))
 			return
 		}
+		if r.standing() == quarantine.Quarantined {
+			r.giveUp(last, ReasonQuarantined)
+			return
+		}
 		r.pipeline.options.Log.Again(r, choice)
 	}
 }
@@ -104,7 +109,10 @@
 	if r.arrivals >= max(1, r.route.MaxAttempts) {
 		return false
 	}
-	if result != turnedAway && !r.route.Idempotent() {
+	if result != turnedAway && (!r.route.Idempotent() || r.standing() >= quarantine.Suspected) {
+		// A suspect is not carried on to the next engine by this node: in simulations of two
+		// poison requests at once 7 in 100 fewer engines end, and 2 in 100 more of the other
+		// requests are served (simulate.RunPoison).
 		return false
 	}
 	return r.pipeline.retries.Take(r.pipeline.options.Environment.Now(), service, policy)
@@ -162,6 +170,7 @@
 			outcome = balance.Unreachable
 		}
 		r.pipeline.options.Log.Attempt(r, choice, "not_sent", err)
+		r.pipeline.ends.notConnected(choice, err)
 		return nil, unreached
 	}
 	if err != nil {
@@ -169,7 +178,7 @@
 		if r.incoming.Context().Err() == nil {
 			outcome = balance.Failed
 		}
-		r.pipeline.options.Log.Broken(r, brokenRun{choice: choice}, "no_answer", err)
+		r.noteBroken(ctx, brokenRun{choice: choice}, "no_answer", err)
 		return nil, unknown
 	}
 	if sending.head.NotRun || sending.head.OtherInstance {
--- a/internal/forward/broken_test.go
+++ b/internal/forward/broken_test.go
@@ -2,14 +2,21 @@
 
 import (
 	"bufio"
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"regexp"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/coordination/quarantine"
+	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
 var fingerprintText = regexp.MustCompile(`fingerprint ([0-9a-f]{48})`)
@@ -34,3 +41,168 @@
 	assert.Equal(t, named("r2", "body"), first)
 	assert.Assert(t, named("r3", "another") != first)
 }
+
+// endingEngine answers a stream's head and then ends: with its listener, as a process
+// does, or with the connection only.
+func endingEngine(t *testing.T, endsWhole bool) *scriptedEngine {
+	t.Helper()
+	var engine *scriptedEngine
+	engine = newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: "+request.Header.Get("Id")+"\r\nContent-Length: 9\r\n\r\n")
+		if endsWhole {
+			_ = engine.listener.Close()
+		}
+		_ = connection.Close()
+	})
+	return engine
+}
+
+// withTracker gives a harness's pipeline a guard before a tracker.
+func (h *harness) withTracker() *trackerSink {
+	sink := &trackerSink{tracker: quarantine.NewTracker(quarantine.Options{}), began: time.Now()}
+	sink.guard = quarantine.NewGuard(sink)
+	h.pipeline.options.Guard = sink.guard
+	return sink
+}
+
+// trackerSink is a node's quarantine of one node.
+type trackerSink struct {
+	mutex   sync.Mutex
+	tracker *quarantine.Tracker
+	guard   *quarantine.Guard
+	began   time.Time
+	reports int
+}
+
+func (s *trackerSink) EnginesEnded(evidence []quarantine.Evidence) {
+	s.change(func(now time.Duration) {
+		for _, one := range evidence {
+			s.reports++
+			s.tracker.Report(now, one)
+		}
+	})
+}
+
+func (s *trackerSink) RanToItsEnd(fingerprint quarantine.Fingerprint) {
+	s.change(func(now time.Duration) { s.tracker.Clear(now, fingerprint) })
+}
+
+func (s *trackerSink) change(change func(now time.Duration)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change(time.Since(s.began))
+	// A second later every end counts.
+	s.tracker.Decide(time.Since(s.began) + time.Second)
+	s.guard.SetView(s.tracker.View())
+}
+
+func (s *trackerSink) reported() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reports
+}
+
+// settled waits until the ends at a number of engines were reported.
+func (s *trackerSink) settled(t *testing.T, reports int) {
+	t.Helper()
+	for began := time.Now(); s.reported() < reports; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Since(began) < 3*time.Second, "%d of %d ends were reported", s.reported(), reports)
+	}
+}
+
+func TestFourthComingOfARequestThatEndedThreeEnginesIsRefusedAsNotRun(t *testing.T) {
+	engines := []*scriptedEngine{endingEngine(t, true), endingEngine(t, true), endingEngine(t, true), endingEngine(t, true)}
+	h := newHarness(t, engines...)
+	sink := h.withTracker()
+	for number := range 3 {
+		assert.Assert(t, h.ask(t, http.MethodPost, "/stream/x", fmt.Sprintf("r%d", number), "poison").err != nil)
+		sink.settled(t, number+1)
+	}
+	refused := h.ask(t, http.MethodPost, "/stream/x", "r3", "poison")
+	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(refused.body, `"not_run":true`), refused.body)
+	assert.Equal(t, refused.header.Get("Retry-After"), "")
+	assert.Equal(t, h.environment.settled.Load(), int64(100), "the third coming is charged the prompt, the fourth nothing")
+	// Another body, and another path, are other requests.
+	assert.Assert(t, h.ask(t, http.MethodPost, "/stream/x", "r4", "another").err != nil)
+	requests := 0
+	for _, engine := range engines {
+		requests += len(strings.Fields(engine.ids()))
+	}
+	assert.Equal(t, requests, 4)
+}
+
+// A reset of connections, or an engine that breaks its answers off, takes new
+// connections on: nothing has ended.
+func TestRunsThatBreakAtALivingEngineAreHeldAgainstNobody(t *testing.T) {
+	h := newHarness(t, endingEngine(t, false))
+	sink := h.withTracker()
+	for number := range 5 {
+		assert.Assert(t, h.ask(t, http.MethodPost, "/stream/x", fmt.Sprintf("r%d", number), "innocent").err != nil)
+		time.Sleep(2 * aliveCheck)
+	}
+	assert.Equal(t, sink.reported(), 0)
+	h.pipeline.ends.mutex.Lock()
+	defer h.pipeline.ends.mutex.Unlock()
+	assert.Equal(t, len(h.pipeline.ends.engines), 0)
+}
+
+// An engine that said it leaves ends by nobody's fault.
+func TestRunsAtAnEngineThatLeavesAreHeldAgainstNobody(t *testing.T) {
+	engine := endingEngine(t, true)
+	h := newHarness(t, engine)
+	sink := h.withTracker()
+	engine.script = func(connection net.Conn, _ *bufio.Reader, request received) {
+		h.pipeline.options.Table.Update([]registry.Instance{{
+			ID: "i-0", Service: "s", Address: engine.listener.Addr().String(), Zone: "a", State: registry.Draining, Slots: 4,
+		}})
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: "+request.Header.Get("Id")+"\r\nContent-Length: 9\r\n\r\n")
+		_ = engine.listener.Close()
+		_ = connection.Close()
+	}
+	assert.Assert(t, h.ask(t, http.MethodPost, "/stream/x", "r1", "innocent").err != nil)
+	time.Sleep(2 * aliveCheck)
+	assert.Equal(t, sink.reported(), 0)
+}
+
+// A caller that leaves breaks its run itself.
+func TestRunThatItsCallerLeftIsHeldAgainstNobody(t *testing.T) {
+	left := make(chan struct{})
+	var engine *scriptedEngine
+	engine = newEngine(t, func(_ net.Conn, reader *bufio.Reader, _ received) {
+		close(left)
+		// The caller leaves; the engine notices, and ends for a reason of its own.
+		_, _ = reader.ReadByte()
+		_ = engine.listener.Close()
+	})
+	h := newHarness(t, engine)
+	sink := h.withTracker()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-left
+		cancel()
+	}()
+	assert.Assert(t, h.do(h.request(t, http.MethodPost, "/stream/x", "r1", "innocent").WithContext(ctx)).err != nil)
+	time.Sleep(2 * aliveCheck)
+	assert.Equal(t, sink.reported(), 0)
+}
+
+// A suspect is left to its caller: the node that saw an engine end under it does not
+// carry it on to the next one.
+func TestSuspectIsNotResumedAtAnotherEngine(t *testing.T) {
+	engines := []*scriptedEngine{endingEngine(t, true), endingEngine(t, true), endingEngine(t, true)}
+	h := newHarness(t, engines...)
+	sink := h.withTracker()
+	suspect := quarantine.FingerprintOf(quarantine.ScopeOf(strings.TrimPrefix(h.server.URL, "http://")+"/resumable/x", "t"), []byte("suspect"))
+	for number := range 2 {
+		sink.EnginesEnded([]quarantine.Evidence{{
+			Fingerprint: suspect, Life: registry.Life{ID: fmt.Sprintf("before-%d", number)}, Suspicion: quarantine.Likely,
+		}})
+	}
+	assert.Assert(t, h.ask(t, http.MethodPost, "/resumable/x", "r1", "suspect").err != nil)
+	requests := 0
+	for _, engine := range engines {
+		requests += len(strings.Fields(engine.ids()))
+	}
+	assert.Equal(t, requests, 1)
+}
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -117,6 +118,11 @@
 		}
 		kept.close()
 	}
+	return p.open(ctx, address)
+}
+
+// open makes a new connection.
+func (p *pool) open(ctx context.Context, address string) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, min(dialTimeout+p.linkDelay(), longestDialTimeout))
 	defer cancel()
 	network, err := p.dial(ctx, address)
@@ -127,6 +133,13 @@
 	return &connection{network: network, reader: bufio.NewReaderSize(network, readBufferBytes)}, nil
 }
 
+// holds tells whether a connection without a request stays open and quiet for a time.
+func (c *connection) holds(lasting time.Duration) bool {
+	_ = c.network.SetReadDeadline(time.Now().Add(lasting))
+	_, err := c.reader.Peek(1)
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // takeIdle takes the connection that was used last.
 func (p *pool) takeIdle(address string) *connection {
 	p.mutex.Lock()
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/coordination/quarantine"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
 
@@ -133,13 +134,20 @@
 // Broken notes a run that broke at an instance, which may have begun it, with what
 // tells whether the request itself may be why.
 func (l *DecisionLog) Broken(r *request, run brokenRun, result string, err error) {
-	text := fmt.Sprintf("instance %s at %s: %s, %s, fingerprint %s: %v", run.choice.ID, run.choice.Address, result, run, r.fingerprintOf(), err)
+	fingerprint := quarantine.FingerprintOfRequest(r.work())
+	text := fmt.Sprintf("instance %s at %s: %s, %s, fingerprint %s: %v", run.choice.ID, run.choice.Address, result, run, fingerprint, err)
 	if !l.keep(r, text) {
 		return
 	}
 	weighed(l.line(r, "attempt"), run.choice).Str("address", run.choice.Address).Str("result", result).
-		Uint64("events", r.events).Stringer("fingerprint", r.fingerprintOf()).Bool("answer_begun", run.answered).
-		Int64("answered_ms", run.answeredFor.Milliseconds()).AnErr("error", err).Send()
+		Uint64("events", r.events).Stringer("fingerprint", fingerprint).Bool("answer_begun", run.run.AnswerBegan).
+		Int64("answered_ms", run.run.BeganFor.Milliseconds()).AnErr("error", err).Send()
+}
+
+// EngineEnded notes that an engine has ended, and how many of this node's runs with it.
+func (l *DecisionLog) EngineEnded(choice balance.Choice, runs int, wasLeaving bool) {
+	l.logger.Info().Str("event", "engine_ended").Stringer("life", choice.Life()).Str("address", choice.Address).
+		Str("service", choice.Service).Int("runs", runs).Bool("was_leaving", wasLeaving).Send()
 }
 
 // Behind notes a request that is handled under an older document than the
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -92,12 +92,16 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// BufferedBytes bounds the bodies in memory.
 	BufferedBytes int64
+	// Guard knows the requests that end their engines; nil means one that is told of
+	// nothing.
+	Guard *quarantine.Guard
 }
 
 // Pipeline serves callers.
 type Pipeline struct {
 	options  Options
 	pool     *pool
+	ends     *endWatch
 	retries  *balance.RetryBudget
 	buffered atomic.Int64
 	active   atomic.Int64
@@ -124,7 +128,12 @@
 	if options.Log == nil {
 		options.Log = NewDecisionLog(zerolog.Nop())
 	}
-	return &Pipeline{options: options, pool: newPool(options.Dial, options.Environment.LinkDelay), retries: balance.NewRetryBudget()}
+	if options.Guard == nil {
+		options.Guard = quarantine.NewGuard(nil)
+	}
+	made := &Pipeline{options: options, pool: newPool(options.Dial, options.Environment.LinkDelay), retries: balance.NewRetryBudget()}
+	made.ends = newEndWatch(made)
+	return made
 }
 
 // Active is the number of requests in progress.
@@ -164,8 +173,8 @@
 	tokenWait time.Duration
 	// pace is when a stream's events came.
 	pace eventPace
-	// fingerprint is nil until it is asked for.
-	fingerprint *quarantine.Fingerprint
+	// scope is part of what the request is, 0 until it is asked for, see work.
+	scope uint64
 }
 
 // ServeHTTP implements http.Handler.
@@ -231,7 +240,14 @@
 		r.pipeline.received.Add(max(0, r.incoming.ContentLength))
 		return refuse(http.StatusServiceUnavailable, ReasonOverloaded)
 	}
-	return r.readBody()
+	if refused := r.readBody(); refused != nil {
+		return refused
+	}
+	if r.standing() == quarantine.Quarantined {
+		r.pipeline.buffered.Add(-int64(len(r.body)))
+		return refuse(http.StatusServiceUnavailable, ReasonQuarantined)
+	}
+	return nil
 }
 
 // callerName is whose requests this one is counted with: the tenant's, whatever
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -34,6 +34,8 @@
 	ReasonOutcomeUnknown  Reason = "outcome_unknown"
 	ReasonCallerLeft      Reason = "caller_left"
 	ReasonBrokenStream    Reason = "broken_stream"
+	// ReasonQuarantined: engines ended by the request, so it reaches no further one.
+	ReasonQuarantined Reason = "quarantined"
 )
 
 // Refusal is an answer of ravenway's own.
@@ -95,6 +97,8 @@
 	header := r.writer.Header()
 	header.Set("Content-Type", "application/json")
 	switch {
+	case refused.Reason == ReasonQuarantined:
+		// It will be refused again: no time is named to come back at.
 	case refused.Reason == ReasonOverloaded:
 		header.Set("Retry-After", elsewhere.draw())
 	case refused.Reason == ReasonNotReserved:
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -47,7 +47,7 @@
 	buffered, err := io.ReadAll(io.LimitReader(sending.response.Body, bufferedAnswerBytes))
 	if err != nil {
 		sending.abort()
-		r.pipeline.options.Log.Broken(r, sending.broken(*choice), "answer_broken", err)
+		r.noteBroken(ctx, sending.broken(r, *choice), "answer_broken", err)
 		return balance.Failed, unknown
 	}
 	if len(buffered) == bufferedAnswerBytes {
@@ -115,6 +115,7 @@
 // noteEnded notes that an instance's answer was passed on to its end.
 func (r *request) noteEnded(status int, choice balance.Choice) {
 	r.endedWhole = true
+	r.pipeline.options.Guard.Completed(r.work())
 	r.pipeline.options.Log.Served(r, status, choice)
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/coordination/quarantine"
 )
 
 // relayStream passes a stream's events on as they come. A stream that breaks
@@ -27,7 +28,7 @@
 		return balance.Served, done
 	}
 	sending.abort()
-	r.pipeline.options.Log.Broken(r, sending.broken(*choice), "stream_broken", err)
+	r.noteBroken(ctx, sending.broken(r, *choice), "stream_broken", err)
 	for ctx.Err() == nil && r.incoming.Context().Err() == nil && !errors.Is(err, errCallerGone) {
 		r.arrivals++
 		if !r.mayResume(choice.Service) {
@@ -100,13 +101,25 @@
 }
 
 func (r *request) mayResume(service string) bool {
-	if !r.route.Resumable || r.arrivals >= max(1, r.route.MaxAttempts) {
+	if !r.route.Resumable || r.arrivals >= max(1, r.route.MaxAttempts) || r.standing() >= quarantine.Suspected {
 		return false
 	}
 	environment := r.pipeline.options.Environment
 	return r.pipeline.retries.Take(environment.Now(), service, environment.RetryPolicy())
 }
 
+// noteNotResumed notes that no answer of another instance came.
+func (r *request) noteNotResumed(ctx context.Context, choice balance.Choice, state sendState, err error) {
+	if state == sent {
+		r.noteBroken(ctx, brokenRun{choice: choice}, "not_resumed", err)
+		return
+	}
+	r.pipeline.options.Log.Attempt(r, choice, "not_resumed", err)
+	if state == notSent {
+		r.pipeline.ends.notConnected(choice, err)
+	}
+}
+
 // resume goes on with a stream at another instance, behind the last event that
 // the caller has.
 func (r *request) resume(ctx context.Context, service string, controller *http.ResponseController, lastEvent *string) (bool, error) {
@@ -115,20 +128,20 @@
 		return false, errors.New("no other instance")
 	}
 	environment := r.pipeline.options.Environment
-	sending, _, err := r.pipeline.pool.send(ctx, r.pipeline.options.Dialect, choice.Address, r.outgoing(choice, *lastEvent))
+	sending, state, err := r.pipeline.pool.send(ctx, r.pipeline.options.Dialect, choice.Address, r.outgoing(choice, *lastEvent))
 	if err == nil && sending.response.StatusCode != http.StatusOK {
 		err = errors.New("the instance answered " + sending.response.Status)
 		sending.discard(r.call.ID)
 	}
 	if err != nil {
 		r.pipeline.options.Table.Done(environment.Now(), choice, balance.Failed)
-		r.pipeline.options.Log.Attempt(r, choice, "not_resumed", err)
+		r.noteNotResumed(ctx, choice, state, err)
 		return false, err
 	}
 	r.pipeline.options.Log.Attempt(r, choice, "resumed", nil)
 	if err := r.passEvents(sending, controller, lastEvent, &choice); err != nil {
 		sending.abort()
-		r.pipeline.options.Log.Broken(r, sending.broken(choice), "resumed_broken", err)
+		r.noteBroken(ctx, sending.broken(r, choice), "resumed_broken", err)
 		r.pipeline.options.Table.Done(environment.Now(), choice, balance.Failed)
 		return false, err
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -24,6 +24,9 @@
 	// repeated though it did not change: the frame with it may have been lost. With
 	// 300 nodes it is 10 KB from each control node.
 	nodesEvery = 25
+	// rememberTicks is the number of ticks, 3 s, between looks whether the instances have
+	// changed since they were last written to a control node's disk.
+	rememberTicks = 10
 	// heardTicks is the number of ticks between lists of instances heard.
 	heardTicks = 8
 	// certainFor is how long a control node's word on the newest version counts.
@@ -49,7 +52,7 @@
 	// view is what other goroutines may read.
 	view atomic.Pointer[fleetView]
 	// remembered is nil on nodes without a disk.
-	remembered *rememberedInstances
+	remembered *rememberedFile[[]registry.Instance]
 	// instances is the number of live instances known.
 	instances atomic.Int64
 }
@@ -131,22 +134,18 @@
 	fleet.view.Store(&fleetView{entries: 1, rootHeardAt: -certainFor})
 	fleet.duty.Tick = fleet.tick
 	fleet.duty.Flush = func() {}
-	if current.HasRole(settings.RoleControl) {
-		fleet.remembered = newRememberedInstances(node)
+	if node.isControlRole() {
+		fleet.remembered = newRememberedFile[[]registry.Instance](node, rememberedInstances)
 		fleet.recallInstances()
 	}
 	return fleet
 }
 
-// recallInstances begins with the instances that this node knew before it started.
+// recallInstances begins with the instances that this node knew before it started. One
+// that has changed since says so within a second or so; one that is gone can't be
+// reached, or refuses what is not for it.
 func (f *fleetDuty) recallInstances() {
-	instances, err := f.remembered.read()
-	if err != nil {
-		// They say who they are again.
-		f.node.log.Warn().Str("event", "instances_not_recalled").Err(err).Send()
-		return
-	}
-	if news := f.registry.Merge(f.node.now(), instances); len(news) > 0 {
+	if news := f.registry.Merge(f.node.now(), f.remembered.recall()); len(news) > 0 {
 		f.logInstances("recalled", news)
 		f.publishInstances()
 	}
@@ -169,7 +168,7 @@
 		f.announce(f.registry.Expire(now))
 	}
 	if f.remembered != nil && f.ticks%rememberTicks == 0 {
-		f.remembered.look(now, f.registry)
+		f.remembered.look(f.registry.Digest(), func() []registry.Instance { return f.registry.Instances(now) })
 	}
 	f.ticks++
 	f.noteLost(now)
@@ -269,6 +268,7 @@
 		Entry: current.HasRole(settings.RoleEntry), Control: f.isControl(), Stopping: f.node.isStopping(),
 		Version: f.node.documents.version(), InstancesDigest: f.registry.Digest(),
 		AgeMS: uint64(f.node.now().Milliseconds()), Evacuated: f.node.zones.inForce(),
+		QuarantineDigest: f.node.quarantine.digest.Load(),
 	}
 	if f.isControl() {
 		f.node.replica.describe(&said)
@@ -321,6 +321,7 @@
 	f.compareInstances(hello)
 	if hello.Control {
 		f.node.zones.hear(hello)
+		f.node.quarantine.hear(hello.Address, hello.QuarantineDigest, isNew)
 		f.node.documents.hear(follow.Node{Address: hello.Address, Zone: hello.Zone}, hello.Version)
 	}
 	if hello.Control && (isNew || len(hello.Nodes) > 0) {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -115,18 +115,20 @@
 	documents *documentStore
 	publisher *documentPublisher
 	zones     *zoneStore
-	link      *linkWatch
-	gate      *callerGate
-	table     *balance.Table
-	replica   *replicaDuty
-	tokens    *tokensDuty
-	loads     *loadsDuty
-	pipeline  *forward.Pipeline
-	decisions *forward.DecisionLog
-	callers   *callerServer
-	sent      *traffic
-	received  *traffic
-	stale     *staleFrames
+	// quarantine holds the requests that end their engines.
+	quarantine *quarantineDuty
+	link       *linkWatch
+	gate       *callerGate
+	table      *balance.Table
+	replica    *replicaDuty
+	tokens     *tokensDuty
+	loads      *loadsDuty
+	pipeline   *forward.Pipeline
+	decisions  *forward.DecisionLog
+	callers    *callerServer
+	sent       *traffic
+	received   *traffic
+	stale      *staleFrames
 
 	// stop is nil until a planned stop begins.
 	stop atomic.Pointer[plannedStop]
@@ -147,6 +149,7 @@
 	node.calls = peer.NewCalls(node.send)
 	node.documents, node.publisher = newDocumentStore(node), newDocumentPublisher(node)
 	node.zones = newZoneStore(node)
+	node.quarantine = newQuarantineDuty(node)
 	node.link, node.gate = &linkWatch{node: node}, newCallerGate(node)
 	node.fleet = newFleetDuty(node)
 	if options.Settings.HasRole(settings.RoleControl) {
@@ -159,6 +162,7 @@
 		node.pipeline = forward.New(forward.Options{
 			Dialect: options.Dialect, Environment: &entryEnvironment{node}, Table: node.table,
 			Log: node.decisions, Dial: options.DialEngine, BufferedBytes: bodyBytes(options.Settings.Limits.MemoryMB),
+			Guard: node.quarantine.guard,
 		})
 		node.callers = newCallerServer(options.Listeners.Callers, node.pipeline)
 		node.documents.changed = node.callers.adopt
@@ -192,6 +196,9 @@
 	return mathrand.New(mathrand.NewPCG(binary.BigEndian.Uint64(seed[:8]), binary.BigEndian.Uint64(seed[8:])))
 }
 
+// isControlRole tells whether the settings make this node a control node.
+func (n *Node) isControlRole() bool { return n.settings.Load().HasRole(settings.RoleControl) }
+
 // now is the time since the node started, the clock of all duties. The time of
 // day may jump; only readClocks uses it, where control nodes agree on it.
 func (n *Node) now() time.Duration { return time.Since(n.started) }
@@ -203,9 +210,11 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { n.mesh.Run(ctx) })
 	duties.Go(func() { n.fleet.duty.Run(ctx) })
+	duties.Go(func() { n.quarantine.duty.Run(ctx) })
 	if n.replica != nil {
 		duties.Go(func() { n.replica.duty.Run(ctx) })
 		duties.Go(func() { n.fleet.remembered.run(ctx) })
+		duties.Go(func() { n.quarantine.remembered.run(ctx) })
 	}
 	if n.tokens != nil {
 		duties.Go(func() { n.tokens.duty.Run(ctx) })
@@ -368,6 +377,8 @@
 			return nil
 		}
 		return peer.Dispatch(envelope, n.tokens.takePool)
+	case peer.KindQuarantine:
+		return peer.Dispatch(envelope, func(message quarantineMessage) { n.quarantine.take(from, message) })
 	case peer.KindLoads:
 		if n.loads == nil {
 			return nil
--- a/internal/gateway/remembered.go
+++ b/internal/gateway/remembered.go
@@ -4,94 +4,99 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/state/disk"
 	"github.com/ravenway/ravenway/internal/state/journal"
 )
 
+// Files that control nodes keep hints for their next start in.
 const (
-	// rememberedFile holds the instances that a control node knew.
-	rememberedFile = "instances"
-	// rememberTicks is the number of ticks, 3 s, between looks whether they changed.
-	rememberTicks = 10
+	rememberedInstances  = "instances"
+	rememberedQuarantine = "quarantine"
 )
 
-// rememberedInstances keeps the registry of a control node on its disk. Instances say
-// who they are each second or so; after a loss of all power nobody would know one of
-// them until then. What is read is a hint: an instance that has changed meanwhile says
-// so, one that is gone can't be reached or refuses what is not for it.
-type rememberedInstances struct {
+// rememberedFile keeps what a control node knows of something on its disk, as a hint for
+// its next start: after a loss of all power nobody would know it until it is told anew.
+// What is read may be outdated; whatever comes later goes before it.
+type rememberedFile[Content any] struct {
 	node *Node
-	// digest is that of the instances written last.
+	name string
+	// digest is that of the content written last.
 	digest uint64
-	// due are the instances to be written; a full channel means that the disk is slow.
-	due chan []registry.Instance
+	// due is the content to be written; a full channel means that the disk is slow.
+	due chan Content
 }
 
-func newRememberedInstances(node *Node) *rememberedInstances {
-	return &rememberedInstances{node: node, due: make(chan []registry.Instance, 1)}
+func newRememberedFile[Content any](node *Node, name string) *rememberedFile[Content] {
+	return &rememberedFile[Content]{node: node, name: name, due: make(chan Content, 1)}
 }
 
-// look has the instances written if they have changed.
-func (r *rememberedInstances) look(now time.Duration, known *registry.Registry) {
-	digest := known.Digest()
+// look has the content written if it has changed.
+func (r *rememberedFile[Content]) look(digest uint64, content func() Content) {
 	if digest == r.digest {
 		return
 	}
 	select {
-	case r.due <- known.Instances(now):
+	case r.due <- content():
 		r.digest = digest
 	default:
-		// The next look finds them changed still.
+		// The next look finds it changed still.
 	}
 }
 
 // run writes what is offered, away from all duties: a disk may hang.
-func (r *rememberedInstances) run(ctx context.Context) {
+func (r *rememberedFile[Content]) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case instances := <-r.due:
-			if err := r.write(instances); err != nil {
-				r.node.log.Warn().Str("event", "instances_not_remembered").Err(err).Send()
+		case content := <-r.due:
+			if err := r.write(content); err != nil {
+				r.node.log.Warn().Str("event", "not_remembered").Str("file", r.name).Err(err).Send()
 			}
 		}
 	}
 }
 
-func (r *rememberedInstances) write(instances []registry.Instance) error {
-	encoded, err := msgpack.Marshal(instances)
+func (r *rememberedFile[Content]) write(content Content) error {
+	encoded, err := msgpack.Marshal(content)
 	if err != nil {
-		return fmt.Errorf("encoding the instances: %w", err)
+		return fmt.Errorf("encoding %s: %w", r.name, err)
 	}
 	framed, err := journal.AppendFrame(nil, encoded)
 	if err != nil {
-		return fmt.Errorf("framing the instances: %w", err)
+		return fmt.Errorf("framing %s: %w", r.name, err)
 	}
-	return disk.WriteFileSynced(r.node.options.FileSystem, rememberedFile, framed)
+	return disk.WriteFileSynced(r.node.options.FileSystem, r.name, framed)
 }
 
-// read returns the instances that an earlier process wrote, or none.
-func (r *rememberedInstances) read() ([]registry.Instance, error) {
-	content, err := r.node.options.FileSystem.ReadFile(rememberedFile)
+// recall returns what an earlier process wrote. A file that can't be read is as good as
+// none: all that it holds is told again.
+func (r *rememberedFile[Content]) recall() (content Content) {
+	read, err := r.read()
+	if err != nil {
+		r.node.log.Warn().Str("event", "not_recalled").Str("file", r.name).Err(err).Send()
+		return content
+	}
+	return read
+}
+
+func (r *rememberedFile[Content]) read() (content Content, err error) {
+	file, err := r.node.options.FileSystem.ReadFile(r.name)
 	if errors.Is(err, disk.ErrNotExist) {
-		return nil, nil
+		return content, nil
 	}
 	if err != nil {
-		return nil, fmt.Errorf("reading the instances: %w", err)
+		return content, fmt.Errorf("reading %s: %w", r.name, err)
 	}
-	encoded, valid := journal.FrameAt(content)
+	encoded, valid := journal.FrameAt(file)
 	if !valid {
-		return nil, errors.New("reading the instances: the checksum does not match")
+		return content, fmt.Errorf("reading %s: the checksum does not match", r.name)
 	}
-	var instances []registry.Instance
-	if err := msgpack.Unmarshal(encoded, &instances); err != nil {
-		return nil, fmt.Errorf("decoding the instances: %w", err)
+	if err := msgpack.Unmarshal(encoded, &content); err != nil {
+		return content, fmt.Errorf("decoding %s: %w", r.name, err)
 	}
-	return instances, nil
+	return content, nil
 }
--- a/internal/lab/labcli/prove.go
+++ b/internal/lab/labcli/prove.go
@@ -24,6 +24,11 @@
 	"pooled-lives": func(seed uint64) *simulate.World {
 		return simulate.RunLostLives(simulate.LostLivesOptions{Seed: seed, Pooled: true}).World
 	},
+	"poison": func(seed uint64) *simulate.World {
+		return simulate.RunPoison(simulate.PoisonOptions{
+			Seed: seed, Policy: simulate.WeighEndsUncarried, Poison: 1 + int(seed%2), Failures: seed%3 == 0, Popular: seed%3 == 0, Hidden: seed%5 == 0,
+		}).World
+	},
 	"tight-budgets": func(seed uint64) *simulate.World {
 		return simulate.RunBudgets(simulate.BudgetOptions{Seed: seed, Limit: 2000, Faults: true, Tight: true, Rate: 10}).World
 	},
--- a/internal/lab/openfleet/poison_test.go
+++ b/internal/lab/openfleet/poison_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -126,3 +128,85 @@
 		})
 	}
 }
+
+// quarantinedAt are the entry nodes that refuse the request.
+func (p *poisoned) quarantinedAt() []string {
+	var names []string
+	for _, name := range p.Names(false) {
+		answer, err := p.Request(name, Ask{ID: fmt.Sprintf("probe-%s-%d", name, time.Now().UnixNano()), Path: "/stream/x", Key: "key-one", Tokens: "1,1", Body: poison})
+		if err == nil && strings.Contains(answer.Body, "quarantined") {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// endThree sends the request to three entry nodes, each of which sees one engine end.
+func (p *poisoned) endThree() {
+	for number, name := range []string{"entry-0", "entry-1", "entry-2"} {
+		_, _ = p.Request(name, Ask{ID: fmt.Sprintf("poison-%d", number), Path: "/stream/x", Key: "key-one", Tokens: "1,1", Body: poison})
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// Each of the three ends was seen at another node; all nodes have to know well before
+// contact.
+func TestThreeEndsSeenAtThreeNodesAreKnownAtAllWithinASecond(t *testing.T) {
+	inPoisonedFleet(t, 60*time.Millisecond, func(t *testing.T, p *poisoned) {
+		p.endThree()
+		time.Sleep(700 * time.Millisecond)
+		assert.Equal(t, len(p.quarantinedAt()), 6)
+		assert.Equal(t, p.endCount(), 3)
+		// The same body of another kind, and other bodies, are served.
+		served, err := p.Request("entry-0", Ask{ID: "other", Path: "/stream/x", Key: "key-one", Tokens: "1,1", Body: "harmless"})
+		assert.NilError(t, err)
+		assert.Equal(t, served.Status, http.StatusOK)
+	})
+}
+
+// Entry nodes have no disk; control nodes keep the list for them.
+func TestQuarantineOutlastsTheLossOfAllPowerAndReachesNewNodes(t *testing.T) {
+	inPoisonedFleet(t, 60*time.Millisecond, func(t *testing.T, p *poisoned) {
+		p.endThree()
+		time.Sleep(2 * time.Second)
+		p.PowerOffAll()
+		// One control node's disk is lost, too.
+		p.Wipe("control-1")
+		time.Sleep(time.Second)
+		p.BootAll()
+		time.Sleep(contact)
+		assert.Equal(t, len(p.quarantinedAt()), 6)
+		p.AddMachine("entry-new", "10.0.2.99", "a", false)
+		p.Boot("entry-new")
+		time.Sleep(contact)
+		assert.Equal(t, len(p.quarantinedAt()), 7)
+		assert.Equal(t, p.endCount(), 3)
+	})
+}
+
+// Cut off, each side counts for itself; joined, both know it.
+func TestEndsOfBothSidesOfACutCountTogetherOnceItIsHealed(t *testing.T) {
+	inPoisonedFleet(t, 60*time.Millisecond, func(t *testing.T, p *poisoned) {
+		// Zone c: its nodes, and the engines of the other zones from there on.
+		own := []string{"control-2", "entry-2", "entry-5"}
+		others := []string{"control-0", "control-1", "entry-0", "entry-1", "entry-3", "entry-4"}
+		for number := range 5 {
+			_, _ = p.Request("entry-2", Ask{ID: fmt.Sprintf("before-%d", number), Path: "/stream/x", Key: "key-one", Tokens: "1,1", Body: "harmless"})
+		}
+		p.Network.CutBetween(own, others)
+		endOne := func(name string) {
+			for before, try := p.endCount(), 0; p.endCount() == before && try < 20; try++ {
+				_, _ = p.Request(name, Ask{ID: fmt.Sprintf("%s-%d", name, try), Path: "/stream/x", Key: "key-one", Tokens: "1,1", Body: poison})
+				time.Sleep(400 * time.Millisecond)
+			}
+		}
+		endOne("entry-2")
+		endOne("entry-0")
+		endOne("entry-1")
+		assert.Equal(t, p.endCount(), 3)
+		time.Sleep(4 * time.Second)
+		p.Network.Heal()
+		time.Sleep(contact)
+		assert.Equal(t, len(p.quarantinedAt()), 6)
+	})
+}
--- a/internal/protocol/peer/fleet.go
+++ b/internal/protocol/peer/fleet.go
@@ -39,6 +39,9 @@
 	// Evacuated are the evacuated zones as they are in force there. Entry nodes
 	// follow those of control nodes.
 	Evacuated evacuation.Zones `msgpack:"x"`
+	// QuarantineDigest covers what a control node tells of requests that end their
+	// engines; 0 if it holds nothing against any.
+	QuarantineDigest uint64 `msgpack:"k,omitempty"`
 }
 
 // NodeEntry is one node in a list of nodes.
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -58,6 +58,8 @@
 	KindLoads
 	// KindPool carries requests to a zone's pool holders and their refusals.
 	KindPool
+	// KindQuarantine carries what nodes hold against requests that end their engines.
+	KindQuarantine
 	// kindEnd is behind the last kind.
 	kindEnd
 )
@@ -65,7 +67,7 @@
 // String names the kind, for metrics.
 func (k Kind) String() string {
 	names := [...]string{"none", "consensus", "call", "reply", "status", "claims", "catalog", "follow", "accounts", "lend", "fence", "reports",
-		"hello", "document_notice", "document_fetch", "document", "instances", "instances_heard", "loads", "pool",
+		"hello", "document_notice", "document_fetch", "document", "instances", "instances_heard", "loads", "pool", "quarantine",
 	}
 	if int(k) < len(names) {
 		return names[k]
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -32,6 +32,8 @@
 	s.Limits.StopTimeout = cmp.Or(s.Limits.StopTimeout, DefaultStopTimeout)
 	s.Bounds.StopGrace = cmp.Or(s.Bounds.StopGrace, DefaultStopGrace)
 	s.Bounds.RetryWindow = cmp.Or(s.Bounds.RetryWindow, DefaultRetryWindow)
+	s.Quarantine.Memory = cmp.Or(s.Quarantine.Memory, DefaultQuarantineMemory)
+	s.Quarantine.Requests = cmp.Or(s.Quarantine.Requests, DefaultQuarantineRequests)
 }
 
 // check looks at what the types can't say.
@@ -194,6 +196,12 @@
 	if s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
 		p.find("bounds", "retry_ratio and retry_slack can't be below 0")
 	}
+	if s.Quarantine.Memory < 0 {
+		p.find("quarantine.memory", "must be above 0")
+	}
+	if s.Quarantine.Requests < 0 {
+		p.find("quarantine.requests", "must be above 0")
+	}
 }
 
 // checkSelf holds this node's own entry to the rest of the file.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,20 +37,26 @@
 	DefaultStopTimeout      = 10 * time.Minute
 	DefaultStopGrace        = 8 * time.Second
 	DefaultRetryWindow      = 10 * time.Second
+	// DefaultQuarantineMemory makes a request that goes on ending engines cost one of
+	// them in half an hour, 48 a day.
+	DefaultQuarantineMemory   = 30 * time.Minute
+	DefaultQuarantineRequests = 1024
 )
 
 // Settings is a daemon's settings file.
 type Settings struct {
-	Node     Node     `toml:"node"`
-	Listen   Listen   `toml:"listen"`
-	Control  Control  `toml:"control"`
-	Peers    []Peer   `toml:"peers"`
-	Fleet    Fleet    `toml:"fleet"`
-	Bounds   Bounds   `toml:"bounds"`
-	Security Security `toml:"security"`
-	Platform Platform `toml:"platform"`
-	Limits   Limits   `toml:"limits"`
-	Log      Log      `toml:"log"`
+	Node    Node    `toml:"node"`
+	Listen  Listen  `toml:"listen"`
+	Control Control `toml:"control"`
+	Peers   []Peer  `toml:"peers"`
+	Fleet   Fleet   `toml:"fleet"`
+	Bounds  Bounds  `toml:"bounds"`
+	// Quarantine may be left out.
+	Quarantine Quarantine `toml:"quarantine"`
+	Security   Security   `toml:"security"`
+	Platform   Platform   `toml:"platform"`
+	Limits     Limits     `toml:"limits"`
+	Log        Log        `toml:"log"`
 }
 
 // Node says who this daemon is.
@@ -121,6 +127,17 @@
 	RetrySlack  float64       `toml:"retry_slack"`
 }
 
+// Quarantine is for requests that end the engines which run them. Only with
+// fleet.dialect.
+type Quarantine struct {
+	// Memory is how long an engine's end counts against the requests that were there,
+	// and how long a quarantine lasts after the last one.
+	Memory time.Duration `toml:"memory"`
+	// Requests is the most requests that something is held against, at some 300 bytes
+	// each. Beyond it those at the fewest ends are forgotten first.
+	Requests int `toml:"requests"`
+}
+
 // Control configures the replica of the durable state.
 type Control struct {
 	// DataDir is the one folder that holds everything that must survive.
