An engine's life is its id and its birth: a newer life ends the older one at once

Cause: the registry ordered words on an instance by its heartbeat count alone, since each start had an id of its own. An engine that starts again under its id counts from one: all it said was taken for late, so its lease ran out after 20 s though it was ready, and what was known of its life before (parts held, load, failures, pauses) was held for it. Change: registry.Life (id, born). Of two lives the one born later holds, by whichever way and in whichever order words come; one born earlier only once the life held has been silent for a lease, written down by an epoch, so that a clock set back swaps nobody for long and no two nodes differ. An end says which life if the engine does; one of an unknown instance holds against heartbeats for 5 s. Balance forgets all of the older life, load reports are named by life, kept connections are closed, exchanges that stay silent for 0.5 s after the newer life's word are ended and answered by their kind. Heartbeats without a birth are taken as before: engines of today's sites send none. Ruled out: ordering lives by when they are heard, which a late word undoes.

--- a/internal/coordination/balance/loads.go
+++ b/internal/coordination/balance/loads.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
 // Load is what nodes have under way at one instance.
@@ -20,8 +22,9 @@
 // with the same key only look busier than they are.
 type InstanceKey uint32
 
-// KeyOf returns an instance's key.
-func KeyOf(instanceID string) InstanceKey { return InstanceKey(xxhash.Sum64String(instanceID)) }
+// KeyOf returns the key of a life of an instance: what is said of one life says nothing
+// of the next.
+func KeyOf(life registry.Life) InstanceKey { return InstanceKey(xxhash.Sum64String(life.String())) }
 
 // Loads are loads by instance. Absent ones are 0.
 type Loads map[InstanceKey]Load
--- a/internal/coordination/balance/loads_test.go
+++ b/internal/coordination/balance/loads_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
 const testInterval = 50 * time.Millisecond
@@ -64,7 +66,7 @@
 	exchanges, all := exchangeOf(3)
 	own := map[string]Loads{}
 	for number, node := range all {
-		own[node.Address] = Loads{KeyOf("i-0"): {Tokens: tokenUnit * (number + 1), Requests: 1}}
+		own[node.Address] = Loads{KeyOf(registry.Life{ID: "i-0"}): {Tokens: tokenUnit * (number + 1), Requests: 1}}
 	}
 	now := time.Duration(0)
 	var known map[string]Loads
@@ -75,7 +77,7 @@
 	}
 	for number, node := range all {
 		want := Load{Tokens: tokenUnit * (45 - number - 1), Requests: 8}
-		assert.DeepEqual(t, known[node.Address][KeyOf("i-0")], want)
+		assert.DeepEqual(t, known[node.Address][KeyOf(registry.Life{ID: "i-0"})], want)
 	}
 	// 6 to the relays, 6 between them, 6 from them: not 72.
 	assert.Equal(t, sent, 18)
@@ -85,7 +87,7 @@
 	exchanges, all := exchangeOf(3)
 	own := map[string]Loads{}
 	for _, node := range all {
-		own[node.Address] = Loads{KeyOf("i-0"): {Tokens: 640, Requests: 1}}
+		own[node.Address] = Loads{KeyOf(registry.Life{ID: "i-0"}): {Tokens: 640, Requests: 1}}
 	}
 	now := time.Duration(0)
 	rounds := func(count int) (known map[string]Loads) {
@@ -101,7 +103,7 @@
 	delete(exchanges, relay)
 	assert.Assert(t, rounds(8)[member] == nil)
 	meet(exchanges, all)
-	assert.Equal(t, rounds(5)[member][KeyOf("i-0")].Requests, 7)
+	assert.Equal(t, rounds(5)[member][KeyOf(registry.Life{ID: "i-0"})].Requests, 7)
 }
 
 func TestLoadsAreReadAsWritten(t *testing.T) {
@@ -119,12 +121,12 @@
 	assert.Assert(t, !home.Spilled)
 	table.Done(0, home, Served)
 	// Some wait at home is better than reading the shared part anew elsewhere.
-	table.SetOthersLoads(Loads{KeyOf(home.ID): {Tokens: 20_000, Requests: 2}})
+	table.SetOthersLoads(Loads{KeyOf(home.Life()): {Tokens: 20_000, Requests: 2}})
 	patient, _ := table.Choose(0, request)
 	assert.Equal(t, patient.ID, home.ID)
 	assert.Assert(t, patient.AheadKnown && patient.Ahead == 20_000 && patient.Unread == 4_000)
 	table.Done(0, patient, Served)
-	table.SetOthersLoads(Loads{KeyOf(home.ID): {Tokens: 90_000, Requests: 9}})
+	table.SetOthersLoads(Loads{KeyOf(home.Life()): {Tokens: 90_000, Requests: 9}})
 	spilled, _ := table.Choose(0, request)
 	assert.Assert(t, spilled.ID != home.ID && spilled.Spilled)
 	// Where the part was sent it is held now too.
@@ -135,9 +137,9 @@
 func TestReadPromptsAreNotAheadOfOthers(t *testing.T) {
 	table := tableOf("a", instances(3))
 	choice, _ := table.Choose(0, Request{Service: "llm", Part: "part", Tokens: 5_000})
-	assert.Equal(t, table.OwnLoads()[KeyOf(choice.ID)], Load{Tokens: 5_000, Requests: 1})
+	assert.Equal(t, table.OwnLoads()[KeyOf(choice.Life())], Load{Tokens: 5_000, Requests: 1})
 	table.Started(&choice, 0)
-	assert.Equal(t, table.OwnLoads()[KeyOf(choice.ID)], Load{Requests: 1})
+	assert.Equal(t, table.OwnLoads()[KeyOf(choice.Life())], Load{Requests: 1})
 	table.Done(0, choice, Served)
 	assert.Equal(t, len(table.OwnLoads()), 0)
 }
@@ -146,7 +148,7 @@
 // where another node had sent them, which only that node knew.
 func TestPartsThatWentElsewhereAreKnownToAllNodes(t *testing.T) {
 	exchanges, all := exchangeOf(3)
-	spilled := HeldPart{Part: keyOfPart("part"), Instance: KeyOf("i-2")}
+	spilled := HeldPart{Part: keyOfPart("part"), Instance: KeyOf(registry.Life{ID: "i-2"})}
 	heard := map[string]int{}
 	now := time.Duration(0)
 	for round := range 5 {
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -178,23 +178,42 @@
 	evacuated evacuation.Zones
 	// senders tells which cold instances this node may send to.
 	senders coldSenders
+	// over are the latest lives that newer ones have replaced.
+	over []overLife
 }
 
+// overLife is a life of an instance that is over, and whether it had said before that it
+// leaves.
+type overLife struct {
+	registry.Life
+	wasLeaving bool
+}
+
+// overKept bounds the former lives that are remembered: the requests that were at their
+// ends ask for them within moments.
+const overKept = 128
+
 // NewTable makes a table for a node in a zone.
 func NewTable(zone string) *Table {
 	return &Table{zone: zone, members: map[string]*member{}, byService: map[string][]*member{}, zones: map[string]*zoneState{}, speeds: map[string]*readSpeed{}}
 }
 
-// Update replaces the instances by what the registry holds.
-func (t *Table) Update(instances []registry.Instance) {
+// Update replaces the instances by what the registry holds. It returns those whose lives
+// newer ones have replaced: nothing that was known of them holds any more.
+func (t *Table) Update(instances []registry.Instance) (replaced []registry.Instance) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	seen := map[string]bool{}
 	t.byService = map[string][]*member{}
 	for _, instance := range instances {
 		known := t.members[instance.ID]
+		if known != nil && known.Life() != instance.Life() {
+			replaced = append(replaced, known.Instance)
+			t.noteOver(known)
+			known = nil
+		}
 		if known == nil {
-			known = &member{key: KeyOf(instance.ID), held: map[PartKey]time.Duration{}}
+			known = &member{key: KeyOf(instance.Life()), held: map[PartKey]time.Duration{}}
 			t.members[instance.ID] = known
 		}
 		known.Instance = instance
@@ -208,6 +227,21 @@
 			delete(t.members, id)
 		}
 	}
+	return replaced
+}
+
+func (t *Table) noteOver(one *member) {
+	t.over = append(t.over, overLife{Life: one.Life(), wasLeaving: !one.TakesWork()})
+	t.over = t.over[max(0, len(t.over)-overKept):]
+}
+
+// member returns what is known of a life, nil if it is over or was never heard of.
+func (t *Table) member(life registry.Life) *member {
+	known := t.members[life.ID]
+	if known == nil || known.Life() != life {
+		return nil
+	}
+	return known
 }
 
 // HasZone tells whether an instance stands in a zone.
@@ -264,7 +298,7 @@
 	if choice.Ahead == 0 && choice.AheadKnown && choice.pending > 0 {
 		t.speedOf(choice.Service).observeRead(choice.pending, took)
 	}
-	if known := t.members[choice.ID]; known != nil {
+	if known := t.member(choice.Life()); known != nil {
 		known.pending -= choice.pending
 	}
 	choice.pending = 0
@@ -454,19 +488,25 @@
 func (t *Table) Ended(now time.Duration, life registry.Life) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if known := t.members[life.ID]; known != nil && known.Life() == life {
+	if known := t.member(life); known != nil {
 		known.pause = lastPause
 		known.pausedUntil = now + lastPause
 	}
 }
 
-// IsLeaving tells whether a life of an instance has said that it leaves, or is known to
-// be over.
+// IsLeaving tells whether a life of an instance had said that it leaves, or is not known.
 func (t *Table) IsLeaving(life registry.Life) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known := t.members[life.ID]
-	return known == nil || known.Life() != life || !known.TakesWork()
+	if known := t.member(life); known != nil {
+		return !known.TakesWork()
+	}
+	for _, one := range t.over {
+		if one.Life == life {
+			return one.wasLeaving
+		}
+	}
+	return true
 }
 
 // homeOf returns the instance at which a part lives: all nodes name the same.
@@ -508,7 +548,7 @@
 func (t *Table) Done(now time.Duration, choice Choice, outcome Outcome) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known := t.members[choice.ID]
+	known := t.member(choice.Life())
 	if known == nil {
 		return
 	}
--- /dev/null
+++ b/internal/coordination/registry/lives_test.go
@@ -0,0 +1,117 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// word is something that a registry may be told of an instance.
+type word struct {
+	name string
+	say  func(r *Registry, now time.Duration)
+}
+
+func heartbeat(born int64, sequence uint64, state State) word {
+	return word{name: fmt.Sprintf("heartbeat %d of %d, %s", sequence, born, state), say: func(r *Registry, now time.Duration) {
+		instance := ready("i", sequence)
+		instance.Born, instance.State = born, state
+		_, _ = r.Heartbeat(now, instance)
+	}}
+}
+
+func merged(born int64, sequence uint64, state State) word {
+	return word{name: fmt.Sprintf("word %d of %d, %s", sequence, born, state), say: func(r *Registry, now time.Duration) {
+		instance := ready("i", sequence)
+		instance.Born, instance.State = born, state
+		r.Merge(now, []Instance{instance})
+	}}
+}
+
+func leaving(born int64) word {
+	return word{name: fmt.Sprintf("leave of %d", born), say: func(r *Registry, now time.Duration) { r.Leave(now, Life{ID: "i", Born: born}) }}
+}
+
+// permutations calls with each order of some words.
+func permutations(words []word, call func([]word)) {
+	if len(words) == 0 {
+		call(nil)
+	}
+	for position := range words {
+		rest := append(append([]word{}, words[:position]...), words[position+1:]...)
+		permutations(rest, func(order []word) { call(append([]word{words[position]}, order...)) })
+	}
+}
+
+// An engine that starts again under its id counts its heartbeats anew, so that the
+// higher counts of its life before come late. Whatever comes in which order and by
+// which way, the newer life holds with its newest word.
+func TestNewerLifeHoldsInEachOrderOfTheWordsOfTwoLives(t *testing.T) {
+	for name, words := range map[string][]word{
+		"crash":        {heartbeat(100, 7, Ready), heartbeat(100, 8, Ready), heartbeat(200, 1, Ready), heartbeat(200, 2, Ready), merged(100, 9, Draining)},
+		"planned":      {heartbeat(100, 7, Draining), leaving(100), heartbeat(200, 1, Ready), heartbeat(200, 2, Ready), merged(100, 9, Gone)},
+		"other nodes'": {merged(100, 7, Ready), merged(100, 30, Expired), merged(200, 1, Ready), heartbeat(200, 2, Ready), heartbeat(100, 31, Ready)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			orders := 0
+			permutations(words, func(order []word) {
+				orders++
+				registry := New(0)
+				text := ""
+				for position, one := range order {
+					text += "; " + one.name
+					// Farther apart than heartbeats come late after the word of an unknown end.
+					one.say(registry, time.Duration(position)*2*lateHeartbeat)
+				}
+				live := registry.Live()
+				assert.Equal(t, len(live), 1, text)
+				assert.Equal(t, live[0].Born, int64(200), text)
+				assert.Equal(t, live[0].State, Ready, text)
+			})
+			assert.Equal(t, orders, 120)
+		})
+	}
+}
+
+// Its clock was set back while it was away: the life held is silent for a lease first,
+// then the other one is written down as the newer, and stays so.
+func TestLifeBornBeforeTheOneHeldHoldsOnlyOnceThatIsOver(t *testing.T) {
+	control, other := New(10*time.Second), New(10*time.Second)
+	heartbeat(200, 50, Ready).say(control, 0)
+	other.Merge(0, control.Instances(0))
+	heartbeat(100, 1, Ready).say(control, time.Second)
+	assert.Equal(t, control.Live()[0].Born, int64(200))
+	assert.Equal(t, len(control.Expire(11*time.Second)), 1)
+	heartbeat(100, 9, Ready).say(control, 12*time.Second)
+	assert.Equal(t, control.Live()[0].Born, int64(100))
+	other.Merge(12*time.Second, control.Instances(12*time.Second))
+	assert.Equal(t, other.Live()[0].Born, int64(100))
+	// Late words of the other life don't swap them back, at either node.
+	for _, one := range []*Registry{control, other} {
+		heartbeat(200, 60, Ready).say(one, 13*time.Second)
+		merged(200, 61, Ready).say(one, 13*time.Second)
+		assert.Equal(t, one.Live()[0].Born, int64(100))
+	}
+	assert.Equal(t, control.Digest(), other.Digest())
+}
+
+// An end of which nothing else was ever heard holds against the heartbeats that were on
+// their way, and not against the life that starts seconds later.
+func TestEndOfAnUnknownInstanceHoldsAgainstLateHeartbeatsOnly(t *testing.T) {
+	registry := New(0)
+	leaving(0).say(registry, 0)
+	heartbeat(100, 9, Ready).say(registry, time.Second)
+	assert.Equal(t, len(registry.Live()), 0)
+	heartbeat(200, 1, Ready).say(registry, lateHeartbeat+time.Second)
+	assert.Equal(t, registry.Live()[0].Born, int64(200))
+}
+
+// A control node that starts from what it remembered of an earlier life.
+func TestRememberedInstanceOfAnEarlierLifeChangesNothing(t *testing.T) {
+	registry := New(0)
+	heartbeat(200, 1, Ready).say(registry, 0)
+	assert.Equal(t, len(registry.Merge(0, []Instance{{ID: "i", Service: "llm", Address: "10.0.0.1:1", State: Ready, Born: 100, Sequence: 90}})), 0)
+	assert.Equal(t, registry.Live()[0].Born, int64(200))
+}
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -2,10 +2,10 @@
 // listen, and whether they take new work.
 //
 // Every node holds the whole registry and merges what others say, in any
-// order and any number of times, with the same end: for one instance, the
-// change with the highest heartbeat sequence holds, and "gone" holds over
-// everything, since each start of an instance has an id of its own. Absence
-// says nothing: a node that lost its memory takes nothing away from others.
+// order and any number of times, with the same end: of one instance's lives the
+// newest holds, see lives.go; of one life the change with the highest heartbeat
+// sequence, and "gone" over everything. Absence says nothing: a node that lost
+// its memory takes nothing away from others.
 package registry
 
 import (
@@ -13,7 +13,6 @@
 	"encoding/binary"
 	"errors"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,27 +52,12 @@
 	return "unknown"
 }
 
-// Life names one life of an instance: one run of its process, from a start to its end.
-type Life struct {
-	ID string `msgpack:"i"`
-	// Born is when it started, in milliseconds since 1970 as the instance itself says;
-	// 0 if it does not say.
-	Born int64 `msgpack:"b"`
-}
-
-// String returns "id@born", or the id alone.
-func (l Life) String() string {
-	if l.Born == 0 {
-		return l.ID
-	}
-	return l.ID + "@" + strconv.FormatInt(l.Born, 10)
-}
-
 // Instance is one life of a server of a service.
 type Instance struct {
 	ID string `msgpack:"i"`
-	// Born is when this life began, see Life.
+	// Born is when this life began, see Life, and Epoch orders lives whose Born can't.
 	Born    int64  `msgpack:"b"`
+	Epoch   uint32 `msgpack:"e"`
 	Service string `msgpack:"s"`
 	// Address is host:port. Addresses are used again, so the id goes with it.
 	Address string `msgpack:"a"`
@@ -91,9 +75,6 @@
 	ColdUntil time.Duration `msgpack:"-"`
 }
 
-// Life names the instance's life.
-func (i Instance) Life() Life { return Life{ID: i.ID, Born: i.Born} }
-
 // TakesWork tells whether new work may be sent to the instance.
 func (i Instance) TakesWork() bool { return i.State == Ready }
 
@@ -124,6 +105,8 @@
 	heard  time.Duration
 	// ended is when the instance was found gone or expired.
 	ended time.Duration
+	// over are the Born of its latest lives before this one.
+	over []int64
 }
 
 // Registry is one node's view. It is not safe for concurrent use. Times are
@@ -156,9 +139,19 @@
 	instance.noteCold(now)
 	known := r.instances[instance.ID]
 	if known == nil {
-		r.instances[instance.ID] = &entry{Instance: instance, newest: instance.Sequence, heard: now}
-		r.heardHere[instance.ID] = struct{}{}
-		r.digestKnown = false
+		known = &entry{}
+		r.instances[instance.ID] = known
+		known.begin(now, instance)
+		r.noteBegun(instance.ID)
+		return true, nil
+	}
+	instance.Epoch = known.Epoch
+	if instance.Born != known.Born {
+		if !known.isReplacedBy(now, &instance) {
+			return false, nil
+		}
+		known.begin(now, instance)
+		r.noteBegun(instance.ID)
 		return true, nil
 	}
 	if known.State == Gone || instance.Sequence <= known.newest {
@@ -175,23 +168,29 @@
 	return true, nil
 }
 
+// noteBegun notes that an instance began a life that this node was the first to hear.
+func (r *Registry) noteBegun(id string) {
+	r.heardHere[id] = struct{}{}
+	r.digestKnown = false
+}
+
 // sameState compares all but the sequence and the times of being cold.
 func sameState(one, other Instance) bool {
 	one.Sequence, one.ColdLeft, one.ColdUntil = other.Sequence, other.ColdLeft, other.ColdUntil
 	return one == other
 }
 
-// Leave takes an instance's word that it ends. It returns whether others
-// should be told.
-func (r *Registry) Leave(now time.Duration, id string) bool {
-	known := r.instances[id]
+// Leave takes an instance's word that a life of it ends; without Born it is the one
+// known here. It returns whether others should be told.
+func (r *Registry) Leave(now time.Duration, life Life) bool {
+	known := r.instances[life.ID]
 	if known == nil {
 		// Not heard of yet: a heartbeat that is still on its way must not
 		// bring it back.
-		known = &entry{Instance: Instance{ID: id}}
-		r.instances[id] = known
+		known = &entry{Instance: Instance{ID: life.ID, Born: life.Born}}
+		r.instances[life.ID] = known
 	}
-	if known.State == Gone {
+	if known.State == Gone || life.Born != 0 && life.Born != known.Born {
 		return false
 	}
 	known.State, known.ended = Gone, now
@@ -199,6 +198,15 @@
 	return true
 }
 
+// Get returns what is known of an instance.
+func (r *Registry) Get(id string) (Instance, bool) {
+	known := r.instances[id]
+	if known == nil {
+		return Instance{}, false
+	}
+	return known.Instance, true
+}
+
 // Merge takes what another node says and returns what was new in it.
 func (r *Registry) Merge(now time.Duration, others []Instance) []Instance {
 	var news []Instance
@@ -207,13 +215,20 @@
 		if known != nil && !supersedes(other, known.Instance) {
 			continue
 		}
-		if known == nil {
+		switch {
+		case known == nil:
 			known = &entry{}
 			r.instances[other.ID] = known
+			known.begin(now, other)
+		case other.endsAnyLife():
+			known.State = Gone
+		case other.Born != known.Born:
+			known.begin(now, other)
+		default:
+			known.Instance = other
+			known.noteCold(now)
+			known.newest = max(known.newest, other.Sequence)
 		}
-		known.Instance = other
-		known.noteCold(now)
-		known.newest = max(known.newest, other.Sequence)
 		known.heard = now
 		if !other.alive() {
 			known.ended = now
@@ -230,6 +245,9 @@
 
 // supersedes tells whether a word on an instance is newer than another one.
 func supersedes(other, known Instance) bool {
+	if order := compareLives(other, known); order != 0 && !other.endsAnyLife() {
+		return order > 0
+	}
 	if known.State == Gone || other.State == Gone {
 		return known.State != Gone
 	}
@@ -325,8 +343,10 @@
 	var number [8]byte
 	for _, instance := range r.Live() {
 		_, _ = digest.WriteString(instance.ID)
-		binary.BigEndian.PutUint64(number[:], instance.Sequence<<8|uint64(instance.State))
-		_, _ = digest.Write(number[:])
+		for _, part := range []uint64{instance.Sequence<<8 | uint64(instance.State), uint64(instance.Born), uint64(instance.Epoch)} {
+			binary.BigEndian.PutUint64(number[:], part)
+			_, _ = digest.Write(number[:])
+		}
 	}
 	return digest.Sum64()
 }
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -33,11 +33,11 @@
 
 func TestHeartbeatAfterLeavingDoesNotBringBack(t *testing.T) {
 	registry := New(0)
-	assert.Assert(t, registry.Leave(0, "i"))
+	assert.Assert(t, registry.Leave(0, Life{ID: "i"}))
 	_, err := registry.Heartbeat(1, ready("i", 9))
 	assert.NilError(t, err)
 	assert.Equal(t, len(registry.Live()), 0)
-	assert.Assert(t, !registry.Leave(2, "i"))
+	assert.Assert(t, !registry.Leave(2, Life{ID: "i"}))
 }
 
 func TestIncompleteHeartbeatIsRefused(t *testing.T) {
@@ -70,6 +70,8 @@
 		words := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Instance {
 			instance := ready(rapid.SampledFrom([]string{"i", "j"}).Draw(t, "id"), rapid.Uint64Range(1, 4).Draw(t, "sequence"))
 			instance.State = State(rapid.IntRange(int(Ready), int(Gone)).Draw(t, "state"))
+			instance.Born = rapid.Int64Range(1, 3).Draw(t, "born")
+			instance.Epoch = rapid.Uint32Range(0, 1).Draw(t, "epoch")
 			return instance
 		}), 1, 8).Draw(t, "words")
 		seed := rapid.Uint64().Draw(t, "seed")
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -223,7 +223,7 @@
 	}
 	return outgoing{
 		id: r.call.ID, method: r.incoming.Method, target: r.incoming.RequestURI, host: r.incoming.Host,
-		header: r.pipeline.options.Dialect.EngineHeader(attempt), body: r.body,
+		header: r.pipeline.options.Dialect.EngineHeader(attempt), body: r.body, life: choice.Life(),
 	}
 }
 
--- a/internal/forward/broken.go
+++ b/internal/forward/broken.go
@@ -206,6 +206,21 @@
 	w.report(life)
 }
 
+// lifeOver notes that a newer life has replaced one: runs that break there from now on,
+// and those that just did, were at its end.
+func (w *endWatch) lifeOver(life registry.Life) {
+	w.mutex.Lock()
+	w.forgetOld()
+	engine := w.engines[life]
+	if engine == nil {
+		engine = &brokenEngine{}
+		w.engines[life] = engine
+	}
+	engine.hasEnded, engine.since = true, time.Now()
+	w.mutex.Unlock()
+	w.report(life)
+}
+
 // report hands on who was at an engine that has ended. One that was leaving ended as it
 // said, by nobody's fault.
 func (w *endWatch) report(life registry.Life) {
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -10,11 +10,13 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/transport"
 )
 
@@ -54,6 +56,30 @@
 	previousID string
 	// keepUntil is when the engine may close it.
 	keepUntil time.Time
+	// lastRead is when bytes last came, as time.Time's UnixNano.
+	lastRead atomic.Int64
+}
+
+// newConnection serves requests over a network connection.
+func newConnection(network net.Conn) *connection {
+	made := &connection{network: network}
+	made.reader = bufio.NewReaderSize(readNoter{network, &made.lastRead}, readBufferBytes)
+	return made
+}
+
+// readNoter notes when bytes come.
+type readNoter struct {
+	net.Conn
+	last *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (r readNoter) Read(into []byte) (int, error) {
+	read, err := r.Conn.Read(into)
+	if read > 0 {
+		r.last.Store(time.Now().UnixNano())
+	}
+	return read, err
 }
 
 func (c *connection) close() { _ = c.network.Close() }
@@ -90,6 +116,8 @@
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
+	// active are the exchanges under way with each life of an engine.
+	active map[registry.Life]map[*exchange]struct{}
 }
 
 func newPool(dial func(ctx context.Context, address string) (net.Conn, error), linkDelay func() time.Duration) *pool {
@@ -102,7 +130,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	return &pool{dial: dial, linkDelay: linkDelay, idle: map[string][]*connection{}}
+	return &pool{dial: dial, linkDelay: linkDelay, idle: map[string][]*connection{}, active: map[registry.Life]map[*exchange]struct{}{}}
 }
 
 // get returns a kept connection or opens one.
@@ -130,7 +158,7 @@
 		return nil, err
 	}
 	connectionsOpened.Inc()
-	return &connection{network: network, reader: bufio.NewReaderSize(network, readBufferBytes)}, nil
+	return newConnection(network), nil
 }
 
 // holds tells whether a connection without a request stays open and quiet for a time.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
 // sendState tells how far a request came.
@@ -29,6 +31,7 @@
 type exchange struct {
 	pool       *pool
 	address    string
+	life       registry.Life
 	connection *connection
 	response   *http.Response
 	head       AnswerHead
@@ -55,6 +58,8 @@
 	host   string
 	header http.Header
 	body   []byte
+	// life is the life of the engine that it is for.
+	life registry.Life
 }
 
 // asynchronousBytes is the size from which a body is written while the answer
@@ -76,9 +81,10 @@
 	if deadline, found := ctx.Deadline(); found {
 		_ = opened.network.SetDeadline(deadline)
 	}
-	sending := &exchange{pool: p, address: address, connection: opened, sentAt: time.Now(), written: make(chan struct{})}
+	sending := &exchange{pool: p, address: address, life: request.life, connection: opened, sentAt: time.Now(), written: make(chan struct{})}
 	// A caller that leaves, or a time that is over, frees the engine at once.
 	sending.stop = context.AfterFunc(ctx, opened.close)
+	p.begin(sending)
 	if err := sending.write(request); err != nil {
 		sending.abort()
 		return nil, sent, fmt.Errorf("writing to %s: %w", address, err)
@@ -144,6 +150,7 @@
 // finish ends an exchange whose answer was read whole, and keeps the
 // connection if it can serve another request.
 func (e *exchange) finish(id string) {
+	e.pool.end(e)
 	if !e.stop() {
 		return
 	}
@@ -170,6 +177,7 @@
 
 // abort closes the connection: the engine drops the request.
 func (e *exchange) abort() {
+	e.pool.end(e)
 	e.stop()
 	e.connection.close()
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -42,7 +42,7 @@
 }
 
 // Leave implements Control.
-func (n *Node) Leave(ctx context.Context, id string) error { return n.fleet.leave(ctx, id) }
+func (n *Node) Leave(ctx context.Context, life registry.Life) error { return n.fleet.leave(ctx, life) }
 
 // TakeDocument implements Control.
 func (n *Node) TakeDocument(ctx context.Context, taken *document.Document, raw []byte) (uint64, error) {
--- a/internal/gateway/duties_bench_test.go
+++ b/internal/gateway/duties_bench_test.go
@@ -179,7 +179,7 @@
 func benchLoads(instances int) balance.LoadReport {
 	loads := balance.Loads{}
 	for number := range instances {
-		loads[balance.KeyOf(fmt.Sprint("instance-", number))] = balance.Load{Tokens: 640, Requests: 3}
+		loads[balance.KeyOf(registry.Life{ID: fmt.Sprint("instance-", number)})] = balance.Load{Tokens: 640, Requests: 3}
 	}
 	return balance.LoadReport{Scope: balance.AllOtherLoads, Zone: benchZone(2), Loads: loads.Encode()}
 }
@@ -208,8 +208,8 @@
 	for member := benchZones; member < entries; member += benchZones {
 		report := balance.LoadReport{Scope: balance.OwnLoads, Zone: benchZone(0)}
 		report.Loads = balance.Loads{
-			balance.KeyOf(fmt.Sprint("instance-", member%benchInstances)):     {Tokens: 640, Requests: 1},
-			balance.KeyOf(fmt.Sprint("instance-", (member+1)%benchInstances)): {Requests: 1},
+			balance.KeyOf(registry.Life{ID: fmt.Sprint("instance-", member%benchInstances)}):     {Tokens: 640, Requests: 1},
+			balance.KeyOf(registry.Life{ID: fmt.Sprint("instance-", (member+1)%benchInstances)}): {Requests: 1},
 		}.Encode()
 		node.loads.exchange.Take(node.now(), benchEntry(member), report)
 	}
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -76,7 +76,7 @@
 
 func (f *fleetDuty) logInstances(how string, changes []registry.Instance) {
 	for _, changed := range changes {
-		f.node.log.Info().Str("event", "instance").Str("how", how).Str("instance", changed.ID).Str("service", changed.Service).
+		f.node.log.Info().Str("event", "instance").Str("how", how).Stringer("life", changed.Life()).Str("service", changed.Service).
 			Str("address", changed.Address).Stringer("state", changed.State).Uint64("sequence", changed.Sequence).
 			Int64("cold_for_ms", changed.ColdLeft.Milliseconds()).Send()
 	}
@@ -85,7 +85,9 @@
 func (f *fleetDuty) publishInstances() {
 	live := f.registry.Live()
 	f.instances.Store(int64(len(live)))
-	f.node.table.Update(live)
+	if replaced := f.node.table.Update(live); len(replaced) > 0 && f.node.pipeline != nil {
+		f.node.pipeline.LivesOver(replaced)
+	}
 }
 
 // heartbeat takes an instance's word and tells all nodes before it returns.
@@ -103,12 +105,12 @@
 	return result
 }
 
-// leave takes an instance's word that it ends.
-func (f *fleetDuty) leave(ctx context.Context, id string) error {
+// leave takes an instance's word that a life of it ends.
+func (f *fleetDuty) leave(ctx context.Context, life registry.Life) error {
 	_, err := duty.Ask(ctx, f.duty, func(answer func(bool)) {
-		changed := f.registry.Leave(f.node.now(), id)
-		if changed {
-			f.announce([]registry.Instance{{ID: id, State: registry.Gone}})
+		changed := f.registry.Leave(f.node.now(), life)
+		if left, found := f.registry.Get(life.ID); changed && found {
+			f.announce([]registry.Instance{left})
 		}
 		answer(changed)
 	})
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -53,8 +53,9 @@
 type Control interface {
 	// Heartbeat takes an instance's word; nil acknowledges it.
 	Heartbeat(ctx context.Context, instance registry.Instance) error
-	// Leave takes an instance's word that it ends.
-	Leave(ctx context.Context, id string) error
+	// Leave takes an instance's word that a life of it ends; without Born it is the
+	// one known.
+	Leave(ctx context.Context, life registry.Life) error
 	// TakeDocument makes a checked configuration last. It returns the version
 	// held afterwards, which is higher if a higher one was there.
 	TakeDocument(ctx context.Context, taken *document.Document, raw []byte) (held uint64, err error)
--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -284,7 +284,7 @@
 // AddEngine starts an engine stand-in and registers it from now on.
 func (f *Fleet) AddEngine(id, service, zone string) *Engine {
 	engine := &Engine{truth: f.Truth, Work: 10 * time.Millisecond}
-	engine.Instance = registry.Instance{ID: id, Service: service, Address: id + ":80", Zone: zone, Slots: 8, State: registry.Ready, Sequence: 1}
+	engine.Instance = registry.Instance{ID: id, Service: service, Address: id + ":80", Zone: zone, Slots: 8, State: registry.Ready, Sequence: 1, Born: time.Now().UnixMilli()}
 	engine.end = func() { f.EndEngine(engine) }
 	server := &http.Server{Handler: engine}
 	listener := f.Network.Listen(id, engine.Address)
--- a/internal/lab/openfleet/remembered_test.go
+++ b/internal/lab/openfleet/remembered_test.go
@@ -6,13 +6,15 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
 // All machines lose power while no engine says anything: requests reach those that were
 // there before, and one that had left before is not brought back.
 func TestInstancesAreKnownAgainAfterALossOfAllPower(t *testing.T) {
 	inFleet(t, 3, func(t *testing.T, f *Fleet) {
-		assert.NilError(t, f.Machine("control-0").running().Leave(f.ctx, "app-a"))
+		assert.NilError(t, f.Machine("control-0").running().Leave(f.ctx, registry.Life{ID: "app-a"}))
 		time.Sleep(4 * time.Second)
 		f.silenceEngines()
 		f.PowerOffAll()
