Operators list and release quarantined requests; the soak plays requests that end engines

Cause: a verdict could only be read from logs, and nothing took one back; the soak with real processes did not know the fault. A fleet of fixed peers answers both calls as not implemented, with the reason.

--- a/api/ravenway/v1/ravenwayv1connect/ravenway.connect.go
+++ b/api/ravenway/v1/ravenwayv1connect/ravenway.connect.go
@@ -70,6 +70,12 @@
 	// OperatorServiceOrderZoneProcedure is the fully-qualified name of the OperatorService's OrderZone
 	// RPC.
 	OperatorServiceOrderZoneProcedure = "/ravenway.v1.OperatorService/OrderZone"
+	// OperatorServiceGetQuarantineProcedure is the fully-qualified name of the OperatorService's
+	// GetQuarantine RPC.
+	OperatorServiceGetQuarantineProcedure = "/ravenway.v1.OperatorService/GetQuarantine"
+	// OperatorServiceReleaseQuarantinedProcedure is the fully-qualified name of the OperatorService's
+	// ReleaseQuarantined RPC.
+	OperatorServiceReleaseQuarantinedProcedure = "/ravenway.v1.OperatorService/ReleaseQuarantined"
 )
 
 // OperatorServiceClient is a client for the ravenway.v1.OperatorService service.
@@ -99,6 +105,12 @@
 	// it. It is answered once the order is committed; the same order again changes
 	// nothing.
 	OrderZone(context.Context, *connect.Request[v1.OrderZoneRequest]) (*connect.Response[v1.OrderZoneResponse], error)
+	// GetQuarantine lists what a node holds against requests that were at the ends of
+	// engines; control nodes hold what all nodes saw.
+	GetQuarantine(context.Context, *connect.Request[v1.GetQuarantineRequest]) (*connect.Response[v1.GetQuarantineResponse], error)
+	// ReleaseQuarantined forgets all ends of a request, at all nodes. It may reach engines
+	// again, and comes back into quarantine at its third end.
+	ReleaseQuarantined(context.Context, *connect.Request[v1.ReleaseQuarantinedRequest]) (*connect.Response[v1.ReleaseQuarantinedResponse], error)
 }
 
 // NewOperatorServiceClient constructs a client for the ravenway.v1.OperatorService service. By
@@ -178,22 +190,36 @@
 			connect.WithSchema(operatorServiceMethods.ByName("OrderZone")),
 			connect.WithClientOptions(opts...),
 		),
+		getQuarantine: connect.NewClient[v1.GetQuarantineRequest, v1.GetQuarantineResponse](
+			httpClient,
+			baseURL+OperatorServiceGetQuarantineProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("GetQuarantine")),
+			connect.WithClientOptions(opts...),
+		),
+		releaseQuarantined: connect.NewClient[v1.ReleaseQuarantinedRequest, v1.ReleaseQuarantinedResponse](
+			httpClient,
+			baseURL+OperatorServiceReleaseQuarantinedProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("ReleaseQuarantined")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // operatorServiceClient implements OperatorServiceClient.
 type operatorServiceClient struct {
-	apply       *connect.Client[v1.ApplyRequest, v1.ApplyResponse]
-	getCatalog  *connect.Client[v1.GetCatalogRequest, v1.GetCatalogResponse]
-	topUpBudget *connect.Client[v1.TopUpBudgetRequest, v1.BudgetChangeResponse]
-	lowerBudget *connect.Client[v1.LowerBudgetRequest, v1.BudgetChangeResponse]
-	getBudgets  *connect.Client[v1.GetBudgetsRequest, v1.GetBudgetsResponse]
-	getStatus   *connect.Client[v1.GetStatusRequest, v1.GetStatusResponse]
-	explain     *connect.Client[v1.ExplainRequest, v1.ExplainResponse]
-	snapshot    *connect.Client[v1.SnapshotRequest, v1.SnapshotResponse]
-	order       *connect.Client[v1.OrderRequest, v1.OrderResponse]
-	getOrders   *connect.Client[v1.GetOrdersRequest, v1.GetOrdersResponse]
-	orderZone   *connect.Client[v1.OrderZoneRequest, v1.OrderZoneResponse]
+	apply              *connect.Client[v1.ApplyRequest, v1.ApplyResponse]
+	getCatalog         *connect.Client[v1.GetCatalogRequest, v1.GetCatalogResponse]
+	topUpBudget        *connect.Client[v1.TopUpBudgetRequest, v1.BudgetChangeResponse]
+	lowerBudget        *connect.Client[v1.LowerBudgetRequest, v1.BudgetChangeResponse]
+	getBudgets         *connect.Client[v1.GetBudgetsRequest, v1.GetBudgetsResponse]
+	getStatus          *connect.Client[v1.GetStatusRequest, v1.GetStatusResponse]
+	explain            *connect.Client[v1.ExplainRequest, v1.ExplainResponse]
+	snapshot           *connect.Client[v1.SnapshotRequest, v1.SnapshotResponse]
+	order              *connect.Client[v1.OrderRequest, v1.OrderResponse]
+	getOrders          *connect.Client[v1.GetOrdersRequest, v1.GetOrdersResponse]
+	orderZone          *connect.Client[v1.OrderZoneRequest, v1.OrderZoneResponse]
+	getQuarantine      *connect.Client[v1.GetQuarantineRequest, v1.GetQuarantineResponse]
+	releaseQuarantined *connect.Client[v1.ReleaseQuarantinedRequest, v1.ReleaseQuarantinedResponse]
 }
 
 // Apply calls ravenway.v1.OperatorService.Apply.
@@ -251,6 +277,16 @@
 	return c.orderZone.CallUnary(ctx, req)
 }
 
+// GetQuarantine calls ravenway.v1.OperatorService.GetQuarantine.
+func (c *operatorServiceClient) GetQuarantine(ctx context.Context, req *connect.Request[v1.GetQuarantineRequest]) (*connect.Response[v1.GetQuarantineResponse], error) {
+	return c.getQuarantine.CallUnary(ctx, req)
+}
+
+// ReleaseQuarantined calls ravenway.v1.OperatorService.ReleaseQuarantined.
+func (c *operatorServiceClient) ReleaseQuarantined(ctx context.Context, req *connect.Request[v1.ReleaseQuarantinedRequest]) (*connect.Response[v1.ReleaseQuarantinedResponse], error) {
+	return c.releaseQuarantined.CallUnary(ctx, req)
+}
+
 // OperatorServiceHandler is an implementation of the ravenway.v1.OperatorService service.
 type OperatorServiceHandler interface {
 	// Apply changes the catalog.
@@ -278,6 +314,12 @@
 	// it. It is answered once the order is committed; the same order again changes
 	// nothing.
 	OrderZone(context.Context, *connect.Request[v1.OrderZoneRequest]) (*connect.Response[v1.OrderZoneResponse], error)
+	// GetQuarantine lists what a node holds against requests that were at the ends of
+	// engines; control nodes hold what all nodes saw.
+	GetQuarantine(context.Context, *connect.Request[v1.GetQuarantineRequest]) (*connect.Response[v1.GetQuarantineResponse], error)
+	// ReleaseQuarantined forgets all ends of a request, at all nodes. It may reach engines
+	// again, and comes back into quarantine at its third end.
+	ReleaseQuarantined(context.Context, *connect.Request[v1.ReleaseQuarantinedRequest]) (*connect.Response[v1.ReleaseQuarantinedResponse], error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -353,6 +395,18 @@
 		connect.WithSchema(operatorServiceMethods.ByName("OrderZone")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceGetQuarantineHandler := connect.NewUnaryHandler(
+		OperatorServiceGetQuarantineProcedure,
+		svc.GetQuarantine,
+		connect.WithSchema(operatorServiceMethods.ByName("GetQuarantine")),
+		connect.WithHandlerOptions(opts...),
+	)
+	operatorServiceReleaseQuarantinedHandler := connect.NewUnaryHandler(
+		OperatorServiceReleaseQuarantinedProcedure,
+		svc.ReleaseQuarantined,
+		connect.WithSchema(operatorServiceMethods.ByName("ReleaseQuarantined")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/ravenway.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServiceApplyProcedure:
@@ -377,6 +431,10 @@
 			operatorServiceGetOrdersHandler.ServeHTTP(w, r)
 		case OperatorServiceOrderZoneProcedure:
 			operatorServiceOrderZoneHandler.ServeHTTP(w, r)
+		case OperatorServiceGetQuarantineProcedure:
+			operatorServiceGetQuarantineHandler.ServeHTTP(w, r)
+		case OperatorServiceReleaseQuarantinedProcedure:
+			operatorServiceReleaseQuarantinedHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -429,3 +487,11 @@
 func (UnimplementedOperatorServiceHandler) OrderZone(context.Context, *connect.Request[v1.OrderZoneRequest]) (*connect.Response[v1.OrderZoneResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.OrderZone is not implemented"))
 }
+
+func (UnimplementedOperatorServiceHandler) GetQuarantine(context.Context, *connect.Request[v1.GetQuarantineRequest]) (*connect.Response[v1.GetQuarantineResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.GetQuarantine is not implemented"))
+}
+
+func (UnimplementedOperatorServiceHandler) ReleaseQuarantined(context.Context, *connect.Request[v1.ReleaseQuarantinedRequest]) (*connect.Response[v1.ReleaseQuarantinedResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.ReleaseQuarantined is not implemented"))
+}
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -374,3 +374,31 @@
 	}
 	return digest
 }
+
+// Held is what is held against one request, for operators.
+type Held struct {
+	Record
+	IsQuarantined bool
+	Counted       int
+}
+
+// Held lists what is held, those in quarantine first and then those that most ends count
+// against.
+func (t *Tracker) Held(now time.Duration) []Held {
+	var held []Held
+	for _, one := range t.suspects {
+		if len(one.ends) > 0 {
+			held = append(held, Held{Record: one.record(now), IsQuarantined: one.isQuarantined, Counted: one.counted})
+		}
+	}
+	rank := func(one Held) int {
+		if one.IsQuarantined {
+			return endsKept + 1
+		}
+		return one.Counted
+	}
+	slices.SortFunc(held, func(a, b Held) int {
+		return cmp.Or(cmp.Compare(rank(b), rank(a)), a.Fingerprint.compare(b.Fingerprint))
+	})
+	return held
+}
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -10,6 +10,7 @@
 
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 	"github.com/ravenway/ravenway/api/ravenway/v1/ravenwayv1connect"
+	"github.com/ravenway/ravenway/internal/coordination/quarantine"
 	"github.com/ravenway/ravenway/internal/duty"
 	"github.com/ravenway/ravenway/internal/protocol/operator"
 	"github.com/ravenway/ravenway/internal/state/document"
@@ -170,3 +171,44 @@
 	}
 	return connect.NewResponse(answer), nil
 }
+
+// GetQuarantine implements the schema's GetQuarantine.
+func (o *operatorServer) GetQuarantine(ctx context.Context, _ *connect.Request[ravenwayv1.GetQuarantineRequest]) (*connect.Response[ravenwayv1.GetQuarantineResponse], error) {
+	held, err := o.node.quarantine.held(ctx)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	answer := &ravenwayv1.GetQuarantineResponse{}
+	for _, one := range held {
+		answer.Requests = append(answer.Requests, describeHeld(one))
+	}
+	return connect.NewResponse(answer), nil
+}
+
+func describeHeld(one quarantine.Held) *ravenwayv1.HeldRequest {
+	described := &ravenwayv1.HeldRequest{
+		Fingerprint: one.Fingerprint.String(), Route: one.Route, Tenant: one.Tenant, Quarantined: one.IsQuarantined,
+		CountedEnds: uint32(one.Counted), Generation: one.Generation,
+	}
+	for _, end := range one.Ends {
+		described.Ends = append(described.Ends, &ravenwayv1.EngineEnd{
+			Engine: end.Life.String(), AgeMilliseconds: uint64(end.Age.Milliseconds()), Suspicion: end.Suspicion.String(),
+		})
+	}
+	return described
+}
+
+// ReleaseQuarantined implements the schema's ReleaseQuarantined at any node.
+func (o *operatorServer) ReleaseQuarantined(ctx context.Context, request *connect.Request[ravenwayv1.ReleaseQuarantinedRequest]) (*connect.Response[ravenwayv1.ReleaseQuarantinedResponse], error) {
+	fingerprint, err := quarantine.ParseFingerprint(request.Msg.GetFingerprint())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	switch err := o.node.quarantine.release(ctx, fingerprint); {
+	case errors.Is(err, ErrNotHeld):
+		return nil, connect.NewError(connect.CodeNotFound, err)
+	case err != nil:
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&ravenwayv1.ReleaseQuarantinedResponse{}), nil
+}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -233,3 +235,21 @@
 	}
 	q.sendTo([]string{from}, ask)
 }
+
+// ErrNotHeld says that nothing is held against a request.
+var ErrNotHeld = errors.New("gateway: nothing is held against the request")
+
+// held lists what this node holds against requests: those in quarantine first, then
+// those with the most ends.
+func (q *quarantineDuty) held(ctx context.Context) ([]quarantine.Held, error) {
+	return duty.Ask(ctx, q.duty, func(answer func([]quarantine.Held)) { answer(q.tracker.Held(q.node.now())) })
+}
+
+// release forgets the ends of a request; all nodes are told.
+func (q *quarantineDuty) release(ctx context.Context, fingerprint quarantine.Fingerprint) error {
+	wasHeld, err := duty.Ask(ctx, q.duty, func(answer func(bool)) { answer(q.clear(fingerprint, "released by an operator")) })
+	if err == nil && !wasHeld {
+		err = ErrNotHeld
+	}
+	return err
+}
--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -19,6 +19,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/ravenway/ravenway/api/ravenway/v1/ravenwayv1connect"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/gateway"
 	"github.com/ravenway/ravenway/internal/lab/fleet"
@@ -36,6 +37,7 @@
 	controlPort   = 7001
 	callersPort   = 7002
 	readyPort     = 7003
+	operatorsPort = 7004
 	pollPause     = 20 * time.Millisecond
 )
 
@@ -166,7 +168,7 @@
 	}
 	options := gateway.Options{
 		Settings: loaded, PeerKey: []byte(peerKey), Dialect: wire.Dialect{}, Logger: f.Logger.With().Str("node", name).Logger(),
-		Listeners: gateway.Listeners{Peers: listen(peerPort)},
+		Listeners: gateway.Listeners{Peers: listen(peerPort), Operators: listen(operatorsPort)},
 		DialPeer:  f.dialer(name), DialEngine: f.dialer(name),
 	}
 	if machine.Control {
@@ -450,6 +452,11 @@
 	return err == nil && answer.Status == http.StatusOK
 }
 
+// Operators is a client of a node's operator listener.
+func (f *Fleet) Operators(name string) ravenwayv1connect.OperatorServiceClient {
+	return ravenwayv1connect.NewOperatorServiceClient(&http.Client{Transport: f.callers}, fmt.Sprintf("http://%s:%d", f.Machine(name).Host, operatorsPort))
+}
+
 // Answer is what a caller got.
 type Answer struct {
 	Status int
--- a/internal/lab/openfleet/poison_test.go
+++ b/internal/lab/openfleet/poison_test.go
@@ -10,8 +10,10 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
 
@@ -210,3 +212,33 @@
 		assert.Equal(t, len(p.quarantinedAt()), 6)
 	})
 }
+
+// An operator sees the request and what is held against it, and takes the verdict back.
+func TestOperatorListsAndReleasesAQuarantinedRequest(t *testing.T) {
+	inPoisonedFleet(t, 60*time.Millisecond, func(t *testing.T, p *poisoned) {
+		p.endThree()
+		time.Sleep(time.Second)
+		control, entry := p.Operators("control-0"), p.Operators("entry-3")
+		listed, err := control.GetQuarantine(p.ctx, connect.NewRequest(&ravenwayv1.GetQuarantineRequest{}))
+		assert.NilError(t, err)
+		assert.Equal(t, len(listed.Msg.GetRequests()), 1)
+		held := listed.Msg.GetRequests()[0]
+		assert.Assert(t, held.GetQuarantined())
+		assert.Equal(t, held.GetRoute(), "stream")
+		assert.Equal(t, held.GetTenant(), "one")
+		assert.Equal(t, len(held.GetEnds()), 3)
+		release := func(fingerprint string) error {
+			_, err := entry.ReleaseQuarantined(p.ctx, connect.NewRequest(&ravenwayv1.ReleaseQuarantinedRequest{Fingerprint: fingerprint}))
+			return err
+		}
+		assert.Equal(t, connect.CodeOf(release("not one")), connect.CodeInvalidArgument)
+		assert.Equal(t, connect.CodeOf(release(strings.Repeat("0", 48))), connect.CodeNotFound)
+		assert.NilError(t, release(held.GetFingerprint()))
+		time.Sleep(2 * time.Second)
+		// It may reach engines again, and ends three more.
+		p.endThree()
+		assert.Equal(t, p.endCount(), 6)
+		time.Sleep(time.Second)
+		assert.Equal(t, len(p.quarantinedAt()), 6)
+	})
+}
--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -127,9 +127,13 @@
 }
 
 func (c *callers) send(ctx context.Context, kind Kind, entry *machine, call standin.Call) (Outcome, string) {
+	return c.sendBody(ctx, kind, entry, call, "body of "+call.ID)
+}
+
+func (c *callers) sendBody(ctx context.Context, kind Kind, entry *machine, call standin.Call, text string) (Outcome, string) {
 	url := "http://" + entry.address(callersPort) + "/" + string(kind) + "/x"
 	// A body without a way to read it again: net/http does not send it twice.
-	body := struct{ io.Reader }{strings.NewReader("body of " + call.ID)}
+	body := struct{ io.Reader }{strings.NewReader(text)}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
 	if err != nil {
 		return Failed, err.Error()
--- a/internal/lab/soak/engine.go
+++ b/internal/lab/soak/engine.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,9 +31,26 @@
 	// tokens are what the callers of each tenant got: of a stream of which an event
 	// came, the prompt once and each event.
 	tokens map[string]uint64
+	// poisonEnds are how many engines each request ended that does so.
+	poisonEnds map[string]int
 }
 
-func newTruth() *Truth { return &Truth{runs: map[string]int{}, tokens: map[string]uint64{}} }
+func newTruth() *Truth {
+	return &Truth{runs: map[string]int{}, tokens: map[string]uint64{}, poisonEnds: map[string]int{}}
+}
+
+func (t *Truth) endedBy(request string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.poisonEnds[request]++
+}
+
+// PoisonEnds returns how many engines a request has ended.
+func (t *Truth) PoisonEnds(request string) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.poisonEnds[request]
+}
 
 func (t *Truth) begin(request standin.EngineRequest) {
 	t.mutex.Lock()
@@ -67,15 +86,17 @@
 	server *http.Server
 	mutex  sync.Mutex
 	state  registry.State
+	// end ends the engine by the request with a body that it can't bear.
+	end func(ended *engine, body string)
 }
 
 // startEngine listens at an address and serves.
-func startEngine(instance registry.Instance, wire standin.Wire, truth *Truth) (*engine, error) {
+func startEngine(instance registry.Instance, wire standin.Wire, truth *Truth, end func(*engine, string)) (*engine, error) {
 	listener, err := net.Listen("tcp", instance.Address)
 	if err != nil {
 		return nil, fmt.Errorf("starting engine %s: %w", instance.ID, err)
 	}
-	made := &engine{Instance: instance, wire: wire, truth: truth, state: registry.Ready}
+	made := &engine{Instance: instance, wire: wire, truth: truth, state: registry.Ready, end: end}
 	made.server = &http.Server{Handler: made}
 	go func() { _ = made.server.Serve(listener) }()
 	return made, nil
@@ -102,7 +123,7 @@
 
 // ServeHTTP implements http.Handler.
 func (e *engine) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
-	_, _ = io.Copy(io.Discard, incoming.Body)
+	body, _ := io.ReadAll(incoming.Body)
 	request := e.wire.ReadRequest(incoming.Header)
 	isHere := request.Instance == e.ID
 	for name, values := range e.wire.AnswerHeader(request.ID, e.ID, !isHere) {
@@ -113,6 +134,14 @@
 		return
 	}
 	e.truth.begin(request)
+	if strings.HasPrefix(string(body), poisonBody) {
+		writer.Header().Set("Content-Type", "text/event-stream")
+		writer.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(writer).Flush()
+		time.Sleep(poisonLeast + rand.N(poisonMost-poisonLeast))
+		e.end(e, string(body))
+		panic(http.ErrAbortHandler)
+	}
 	if request.TokensIn > 0 {
 		e.stream(writer, incoming, request)
 		return
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -285,6 +285,19 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("a fleet of fixed peers has no evacuation; drain its back ends one by one"))
 }
 
+// errNoQuarantine says that nothing is held against requests here.
+var errNoQuarantine = errors.New("a fleet of fixed peers holds nothing against requests that end back ends")
+
+// GetQuarantine implements the schema's GetQuarantine.
+func (o *operatorServer) GetQuarantine(context.Context, *connect.Request[ravenwayv1.GetQuarantineRequest]) (*connect.Response[ravenwayv1.GetQuarantineResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errNoQuarantine)
+}
+
+// ReleaseQuarantined implements the schema's ReleaseQuarantined.
+func (o *operatorServer) ReleaseQuarantined(context.Context, *connect.Request[ravenwayv1.ReleaseQuarantinedRequest]) (*connect.Response[ravenwayv1.ReleaseQuarantinedResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errNoQuarantine)
+}
+
 // Snapshot implements the schema's Snapshot.
 func (o *operatorServer) Snapshot(ctx context.Context, _ *connect.Request[ravenwayv1.SnapshotRequest]) (*connect.Response[ravenwayv1.SnapshotResponse], error) {
 	if o.node.replica == nil {
--- a/internal/operatorcli/commands.go
+++ b/internal/operatorcli/commands.go
@@ -69,6 +69,10 @@
 				{Name: "evacuate", Usage: "give the zone's instances no new requests", ArgsUsage: "ZONE", Flags: waitFlags(), Action: action(orderZone(true))},
 				{Name: "restore", Usage: "give them requests again", ArgsUsage: "ZONE", Flags: waitFlags(), Action: action(orderZone(false))},
 			}},
+			{Name: "quarantine", Usage: "requests that end the engines which run them", Commands: []*cli.Command{
+				{Name: "list", Usage: "show what is held against requests; a control node knows what all nodes saw", Action: action(getQuarantine)},
+				{Name: "release", Usage: "forget the ends of a request: it may reach engines again", ArgsUsage: "FINGERPRINT", Action: action(releaseQuarantined)},
+			}},
 			{Name: "explain", Usage: "show how a request was routed, from a node or from its logs", ArgsUsage: "REQUEST",
 				Flags:  []cli.Flag{&cli.StringSliceFlag{Name: "log", Usage: "log file of a node in place of asking it; - is the standard input"}},
 				Action: action(explain)},
