A heartbeat of another writer names no engine to use; its fault is logged with its place

Cause: a heartbeat that lacked its zone, slots or count, or had an unknown type in a field that is not used, was taken; a refused one left nothing in the logs but a counter. Change: all fields are checked (present, type, address, slots, state, birth), each fault names its field or byte; one line for each engine and fault in 10 s; a refused heartbeat changes nothing, so a known engine is used on with its last good word until its lease of 20 s ends. Ruled out: taking what can be read of a bad heartbeat, which would use an engine on another writer's word.

--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -53,6 +53,8 @@
 type Control interface {
 	// Heartbeat takes an instance's word; nil acknowledges it.
 	Heartbeat(ctx context.Context, instance registry.Instance) error
+	// HeartbeatRefused notes a heartbeat that can't be used, and why.
+	HeartbeatRefused(id string, err error)
 	// Leave takes an instance's word that a life of it ends; without Born it is the
 	// one known.
 	Leave(ctx context.Context, life registry.Life) error
@@ -130,6 +132,7 @@
 	sent       *traffic
 	received   *traffic
 	stale      *staleFrames
+	refused    refusedHeartbeats
 
 	// stop is nil until a planned stop begins.
 	stop atomic.Pointer[plannedStop]
