--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -74,7 +75,7 @@
 			last = failure{exchange: ended, choice: choice}
 		}
 		if ctx.Err() != nil || time.Until(r.deadline) < leastTimeLeft {
-			r.giveUp(last, ReasonTimeout)
+			r.giveUp(last, reasonOfEnd(ctx))
 			return
 		}
 		if result == unreached {
@@ -97,6 +98,14 @@
 	}
 }
 
+// reasonOfEnd tells why a request has no more time.
+func reasonOfEnd(ctx context.Context) Reason {
+	if errors.Is(context.Cause(ctx), errQuarantined) {
+		return ReasonQuarantined
+	}
+	return ReasonTimeout
+}
+
 func reasonOf(result verdict) Reason {
 	if result == turnedAway {
 		return ReasonTurnedAway
--- a/internal/forward/broken_test.go
+++ b/internal/forward/broken_test.go
@@ -206,3 +206,31 @@
 	}
 	assert.Equal(t, requests, 1)
 }
+
+// In the incident several returns of the request waited at engines, for up to two
+// seconds, when its third engine ended: they are taken back before they begin.
+func TestQuarantinedRequestThatWaitsAtAnEngineIsTakenBack(t *testing.T) {
+	arrived, closed := make(chan struct{}), make(chan struct{})
+	engine := newEngine(t, func(_ net.Conn, reader *bufio.Reader, _ received) {
+		close(arrived)
+		_, _ = reader.ReadByte()
+		close(closed)
+	})
+	h := newHarness(t, engine)
+	sink := h.withTracker()
+	answers := make(chan result, 1)
+	go func() { answers <- h.ask(t, http.MethodPost, "/resumable/x", "r1", "poison") }()
+	<-arrived
+	h.pipeline.Quarantined(quarantine.FingerprintOf(quarantine.ScopeOf("elsewhere/resumable/x", "t"), []byte("poison")))
+	h.pipeline.Quarantined(quarantine.FingerprintOf(quarantine.ScopeOf(strings.TrimPrefix(h.server.URL, "http://")+"/resumable/x", "t"), []byte("poison")))
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the engine still has the request")
+	}
+	answer := <-answers
+	assert.Equal(t, answer.status, http.StatusBadGateway, "the engine may have begun it")
+	assert.Assert(t, strings.Contains(answer.body, "quarantined"), answer.body)
+	assert.Equal(t, engine.ids(), "r1")
+	assert.Equal(t, sink.reported(), 0)
+}
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -99,9 +99,11 @@
 
 // Pipeline serves callers.
 type Pipeline struct {
-	options  Options
-	pool     *pool
-	ends     *endWatch
+	options Options
+	pool    *pool
+	ends    *endWatch
+	// waiting are the requests of which no answer has begun yet.
+	waiting  waitingRequests
 	retries  *balance.RetryBudget
 	buffered atomic.Int64
 	active   atomic.Int64
@@ -194,6 +196,10 @@
 	defer p.buffered.Add(-int64(len(one.body)))
 	ctx, cancel := context.WithDeadline(incoming.Context(), one.deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	p.waiting.add(one, end)
+	defer p.waiting.remove(one)
 	if refused := one.reserve(ctx); refused != nil {
 		one.refuse(*refused)
 		return
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -156,6 +156,7 @@
 
 func (r *request) writeHead(sending *exchange) {
 	headSeconds.UpdateDuration(r.arrived)
+	r.pipeline.waiting.remove(r)
 	header := r.writer.Header()
 	for name, values := range EndToEnd(sending.response.Header) {
 		header[name] = values
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -122,11 +122,15 @@
 		return
 	}
 	q.decidedAt = now
-	for _, verdict := range q.tracker.Decide(now) {
+	verdicts := q.tracker.Decide(now)
+	// A list of a thousand requests is made anew in a sixth of a millisecond.
+	q.guard.SetView(q.tracker.View())
+	for _, verdict := range verdicts {
 		q.logVerdict(verdict)
+		if verdict.IsQuarantined && q.node.pipeline != nil {
+			q.node.pipeline.Quarantined(verdict.Fingerprint)
+		}
 	}
-	// A list of a thousand requests is made anew in a quarter of a millisecond.
-	q.guard.SetView(q.tracker.View())
 	digest := q.tracker.Digest()
 	q.digest.Store(digest)
 	news := q.tracker.TakeNews(now)
