--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -214,13 +214,20 @@
 		return
 	}
 	q.duty.Offer(func() {
-		if records := q.tracker.Records(q.node.now()); isNew && len(records) > 0 {
-			q.sendTo([]string{from}, quarantineMessage{Records: records})
+		if isNew {
+			q.sendAllTo(from)
 		}
 		q.compare(from, digest)
 	})
 }
 
+// sendAllTo sends all that is held here to one node.
+func (q *quarantineDuty) sendAllTo(receiver string) {
+	if records := q.tracker.Records(q.node.now()); len(records) > 0 {
+		q.sendTo([]string{receiver}, quarantineMessage{Records: records})
+	}
+}
+
 func (q *quarantineDuty) compare(from string, digest uint64) {
 	if digest == q.known || digest == q.tracker.Digest() {
 		q.mismatches = 0
