A comment on urgent changes says what the code does

Cause: read again as a newcomer, the comment on isUrgent says that another life of an instance is told at once; the code asks only whether the instance takes no more work, and a new life waits up to 50 ms with other changes, as any that begins. Change: the comment alone.

--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -72,7 +72,7 @@
 }
 
 // isUrgent tells whether a change must be known at once: an instance that takes no more
-// work, or that is another life.
+// work. One that begins, in whichever life, may wait for others.
 func isUrgent(changes []registry.Instance) bool {
 	return slices.ContainsFunc(changes, func(changed registry.Instance) bool { return !changed.TakesWork() })
 }
