--- a/internal/lab/labcli/soak.go
+++ b/internal/lab/labcli/soak.go
@@ -22,11 +22,15 @@
 		Name: "soak", Usage: "run the real daemons as processes under faults from outside, and check the promises",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "daemon", Value: "bin/ravenwayd", Usage: "the daemon's program"},
+			&cli.StringFlag{Name: "earlier", Usage: "the daemon of an earlier build: the fleet starts on it and is upgraded to --daemon, one machine after the other"},
+			&cli.BoolFlag{Name: "earlier-has-quarantine", Usage: "the earlier build holds requests that end their engines in quarantine"},
+			&cli.StringFlag{Name: "order", Value: "all", Usage: "order of the upgrade: control (first), entry (first), mixed, or all of them by turns"},
 			&cli.Uint64Flag{Name: "first", Value: 1, Usage: "first seed"},
 			&cli.Uint64Flag{Name: "seeds", Value: 1, Usage: "number of seeds"},
 			&cli.IntFlag{Name: "entries", Value: 4, Usage: "entry nodes; there are always three control nodes"},
 			&cli.DurationFlag{Name: "length", Value: 20 * time.Second, Usage: "how long faults are played; 0s for none"},
 			&cli.IntFlag{Name: "lanes", Value: 1, Usage: "runs side by side"},
+			&cli.IntFlag{Name: "first-lane", Usage: "first lane's number: commands side by side need other lanes, each a range of loopback addresses"},
 			&cli.StringFlag{Name: "keep", Usage: "folder that keeps the report and the logs of each seed"},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error { return runSoak(ctx, out, wire, command) },
@@ -41,7 +45,7 @@
 	for lane := range command.Int("lanes") {
 		lanes.Go(func() {
 			for seed := range seeds {
-				summary, err := soakSeed(ctx, wire, command, seed, lane)
+				summary, err := soakSeed(ctx, wire, command, seed, command.Int("first-lane")+lane)
 				mutex.Lock()
 				fmt.Fprintf(out, "seed %d: %d calls %v, %d faults, %d cut by planned stops, error %v\n",
 					seed, summary.Calls, summary.Outcomes, summary.Faults, summary.CutByStops, err)
@@ -62,6 +66,10 @@
 }
 
 func soakSeed(ctx context.Context, wire standin.Wire, command *cli.Command, seed uint64, lane int) (soak.Summary, error) {
+	order, err := orderOf(command.String("order"), seed)
+	if err != nil {
+		return soak.Summary{}, err
+	}
 	folder, err := soakFolder(command.String("keep"), seed)
 	if err != nil {
 		return soak.Summary{}, err
@@ -75,11 +83,20 @@
 	}
 	defer report.Close()
 	return soak.Run(ctx, soak.Options{
-		Daemon: command.String("daemon"), Wire: wire, Seed: seed, Entries: command.Int("entries"), Length: command.Duration("length"),
+		Daemon: command.String("daemon"), Earlier: command.String("earlier"), EarlierHasQuarantine: command.Bool("earlier-has-quarantine"), Order: order, Wire: wire, Seed: seed, Entries: command.Int("entries"), Length: command.Duration("length"),
 		Folder: folder, Lane: lane, Report: report,
 	})
 }
 
+// orderOf is the order of a seed's upgrade.
+func orderOf(name string, seed uint64) (soak.Order, error) {
+	if name == "all" {
+		orders := soak.Orders()
+		return orders[seed%uint64(len(orders))], nil
+	}
+	return soak.ParseOrder(name)
+}
+
 func soakFolder(keep string, seed uint64) (string, error) {
 	if keep == "" {
 		return os.MkdirTemp("", "ravenway-soak-")
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -17,7 +17,7 @@
 func judged(results ...result) *run {
 	entry := &machine{name: "entry-0", host: "127.0.0.1"}
 	of := &fleet{truth: newTruth(), prepaid: map[string]uint64{}, wanted: firstConfiguration()}
-	r := &run{fleet: of, callers: newCallers(of, time.Now()), report: io.Discard, held: map[*machine]bool{}}
+	r := &run{fleet: of, callers: newCallers(of, time.Now()), report: io.Discard, held: map[*machine]bool{}, endsBeforeQuarantine: map[Kind]int{}}
 	for _, one := range results {
 		one.entry = entry
 		r.callers.results = append(r.callers.results, one)
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -108,7 +108,7 @@
 }
 
 func (r *run) startAgain(one *machine) {
-	if err := one.start(r.fleet.daemon, r.fleet.wire, r.fleet.seeds, false); err != nil {
+	if err := one.start(r.fleet.wire, r.fleet.seeds, false); err != nil {
 		r.breaks("%s does not start: %v", one.name, err)
 	}
 }
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -42,7 +42,6 @@
 // fleet is the whole deployment: machines, engines, and what the operator and
 // the engines know.
 type fleet struct {
-	daemon string
 	// lane is the second number of the run's loopback addresses, from firstLane.
 	lane    int
 	wire    standin.Wire
@@ -72,7 +71,7 @@
 // the run's number, so that runs may stand side by side.
 func newFleet(options Options) (*fleet, error) {
 	made := &fleet{
-		daemon: options.Daemon, lane: options.Lane, wire: options.Wire, random: rand.New(rand.NewPCG(options.Seed, 1)), truth: newTruth(),
+		lane: options.Lane, wire: options.Wire, random: rand.New(rand.NewPCG(options.Seed, 1)), truth: newTruth(),
 		client:  &http.Client{Timeout: controlWait, Transport: &http.Transport{DisableKeepAlives: true}},
 		engines: map[string]*engine{}, prepaid: map[string]uint64{},
 	}
@@ -90,6 +89,9 @@
 		}
 		one.host = fmt.Sprintf("127.%d.1.%d", firstLane+options.Lane, number+1)
 		one.folder = filepath.Join(options.Folder, one.name)
+		if one.daemon = options.Daemon; options.Earlier != "" {
+			one.daemon = options.Earlier
+		}
 		if err := os.MkdirAll(one.folder, folderMode); err != nil {
 			return nil, err
 		}
@@ -135,7 +137,7 @@
 		}
 	}
 	for _, one := range f.members {
-		if err := one.start(f.daemon, f.wire, f.seeds, true); err != nil {
+		if err := one.start(f.wire, f.seeds, true); err != nil {
 			return err
 		}
 	}
@@ -271,21 +273,37 @@
 
 func (f *fleet) allReady() bool {
 	for _, one := range f.members {
-		if one.control {
-			continue
-		}
-		response, err := f.client.Get("http://" + one.address(readyPort) + f.wire.ReadyPath())
-		if err != nil {
-			return false
-		}
-		_ = response.Body.Close()
-		if response.StatusCode != http.StatusOK {
+		if !one.control && !f.isReady(one) {
 			return false
 		}
 	}
 	return true
 }
 
+// isReady asks an entry node whether it is to get callers.
+func (f *fleet) isReady(one *machine) bool {
+	response, err := f.client.Get("http://" + one.address(readyPort) + f.wire.ReadyPath())
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// serves tells whether a machine does its part: an entry node is ready, a control node
+// gives the configuration.
+func (f *fleet) serves(ctx context.Context, one *machine) bool {
+	if !one.control {
+		return f.isReady(one)
+	}
+	f.mutex.Lock()
+	wanted := f.wanted
+	f.mutex.Unlock()
+	path, _ := f.wire.Configuration(wanted)
+	_, status := f.callOne(ctx, one, http.MethodGet, path, nil)
+	return status == http.StatusOK
+}
+
 func (f *fleet) waitFor(ctx context.Context, longest time.Duration, what string, holds func() bool) error {
 	until := time.Now().Add(longest)
 	for time.Now().Before(until) && ctx.Err() == nil {
--- a/internal/lab/soak/poison.go
+++ b/internal/lab/soak/poison.go
@@ -94,11 +94,18 @@
 	return slices.Clone(f.rough)
 }
 
+// noteQuarantine notes that all nodes have a build with a quarantine from now on.
+func (r *run) noteQuarantine() {
+	for _, kind := range poisonKinds {
+		r.endsBeforeQuarantine[kind] = r.fleet.truth.PoisonEnds(string(kind))
+	}
+}
+
 // checkPoison holds how many engines ended by each request against the bound.
 func (r *run) checkPoison() {
 	for _, kind := range poisonKinds {
-		ends := r.fleet.truth.PoisonEnds(string(kind))
-		r.note("%d engines ended by the %s request", ends, kind)
+		ends := r.fleet.truth.PoisonEnds(string(kind)) - r.endsBeforeQuarantine[kind]
+		r.note("%d engines ended by the %s request, %d more before nodes had a quarantine", ends, kind, r.endsBeforeQuarantine[kind])
 		if ends > mostPoisonEnds {
 			r.breaks("%d engines ended by one request (%s), at most %d may", ends, kind, mostPoisonEnds)
 		}
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -38,6 +38,8 @@
 	control bool
 	folder  string
 	relay   *relay
+	// daemon is the program that starts here next; who holds the machine may change it.
+	daemon string
 
 	mutex   sync.Mutex
 	command *exec.Cmd
@@ -87,7 +89,7 @@
 }
 
 // start runs the daemon. Its log is added to the machine's.
-func (m *machine) start(daemon string, wire standin.Wire, seeds []string, firstStart bool) error {
+func (m *machine) start(wire standin.Wire, seeds []string, firstStart bool) error {
 	path, err := m.settings(wire, seeds, firstStart)
 	if err != nil {
 		return err
@@ -96,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	command := exec.Command(daemon, "run", path)
+	command := exec.Command(m.daemon, "run", path)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		_ = log.Close()
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -23,8 +23,16 @@
 type Options struct {
 	// Daemon is the program of ravenwayd.
 	Daemon string
-	Wire   standin.Wire
-	Seed   uint64
+	// Earlier is the daemon of an earlier build, if the fleet is to start on that and be
+	// upgraded to Daemon while faults are played; "" means no upgrade.
+	Earlier string
+	// EarlierHasQuarantine tells that the earlier build holds requests that end their
+	// engines in quarantine.
+	EarlierHasQuarantine bool
+	// Order is the order in which an upgrade replaces the machines.
+	Order Order
+	Wire  standin.Wire
+	Seed  uint64
 	// Entries is the number of entry nodes; there are always three control nodes.
 	Entries int
 	// Length is how long faults are played.
@@ -56,6 +64,11 @@
 	fleet   *fleet
 	callers *callers
 	began   time.Time
+	// isUpgrade tells that the machines are given another build meanwhile.
+	isUpgrade bool
+	// endsBeforeQuarantine are the engines that each request ended before all nodes
+	// had a build with a quarantine.
+	endsBeforeQuarantine map[Kind]int
 
 	mutex      sync.Mutex
 	report     io.Writer
@@ -88,8 +101,13 @@
 	if options.Report == nil {
 		options.Report = io.Discard
 	}
-	if _, err := os.Stat(options.Daemon); err != nil {
-		return Summary{}, fmt.Errorf("the daemon's program: %w", err)
+	for _, program := range []string{options.Daemon, options.Earlier} {
+		if program == "" {
+			continue
+		}
+		if _, err := os.Stat(program); err != nil {
+			return Summary{}, fmt.Errorf("the daemon's program: %w", err)
+		}
 	}
 	made, err := newFleet(options)
 	if err != nil {
@@ -98,7 +116,7 @@
 	defer made.close()
 	began := time.Now()
 	made.began = began
-	r := &run{fleet: made, callers: newCallers(made, began), began: began, report: options.Report, held: map[*machine]bool{}}
+	r := &run{fleet: made, callers: newCallers(made, began), began: began, report: options.Report, held: map[*machine]bool{}, isUpgrade: options.Earlier != "", endsBeforeQuarantine: map[Kind]int{}}
 	r.note("seed %d, %d entry nodes, faults for %s", options.Seed, options.Entries, options.Length)
 	background, stopBackground := context.WithCancel(ctx)
 	defer stopBackground()
@@ -119,6 +137,10 @@
 	var called sync.WaitGroup
 	called.Go(func() { r.callers.run(calling, rand.New(rand.NewPCG(options.Seed, 2))) })
 	for number, kind := range poisonKinds {
+		if options.Length == 0 {
+			// Without faults engines don't end either.
+			break
+		}
 		called.Go(func() {
 			r.callers.sendPoison(calling, kind, rand.New(rand.NewPCG(options.Seed, poisonStream+uint64(number))))
 		})
@@ -126,6 +148,9 @@
 	faulty, stopFaults := context.WithTimeout(ctx, options.Length)
 	defer stopFaults()
 	var playing sync.WaitGroup
+	if options.Earlier != "" {
+		playing.Go(func() { r.upgrade(ctx, options) })
+	}
 	for number := range series {
 		playing.Go(func() { r.playSeries(ctx, faulty, rand.New(rand.NewPCG(options.Seed, 3+uint64(number)))) })
 	}
@@ -140,6 +165,9 @@
 	for faulty.Err() == nil {
 		pause.For(faulty, time.Duration(random.Int64N(int64(2*faultPause))))
 		one := faults[random.IntN(len(faults))]
+		if r.isUpgrade && !isUpgradeFault(one.name) {
+			continue
+		}
 		r.note("fault %s", one.name)
 		if strings.HasPrefix(one.name, "planned_stop") || one.name == "configuration" || one.name == "drain_engine" {
 			one.play(ctx, r, random)
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -26,6 +26,7 @@
 // A short run of real processes with a fixed seed: a series of faults that
 // overlap, and all processes killed at the end.
 func TestPromisesHoldForRealProcessesUnderFaults(t *testing.T) {
+	t.Parallel()
 	daemon := buildDaemon(t)
 	folder := t.TempDir()
 	report, err := os.Create(filepath.Join(folder, "report.txt"))
--- /dev/null
+++ b/internal/lab/soak/upgrade.go
@@ -0,0 +1,190 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/pause"
+)
+
+// Order is the order in which the machines of a fleet are given another build.
+type Order string
+
+// Orders of an upgrade.
+const (
+	// ControlFirst replaces the control nodes, then the entry nodes.
+	ControlFirst Order = "control"
+	// EntryFirst replaces the entry nodes, then the control nodes.
+	EntryFirst Order = "entry"
+	// MixedOrder replaces all nodes in a drawn order.
+	MixedOrder Order = "mixed"
+)
+
+// Orders are all orders of an upgrade.
+func Orders() []Order { return []Order{ControlFirst, EntryFirst, MixedOrder} }
+
+// ParseOrder finds an order by its name.
+func ParseOrder(name string) (Order, error) {
+	if slices.Contains(Orders(), Order(name)) {
+		return Order(name), nil
+	}
+	return "", fmt.Errorf("order %q is not known; there are %v", name, Orders())
+}
+
+const (
+	// replacePause is the time between a machine that is back and the next one's stop:
+	// a control node counts only once it holds the log again.
+	replacePause = time.Second
+	// replaceWait bounds the wait for a replaced machine.
+	replaceWait = 15 * time.Second
+	// changePause is the time between the operator's changes during an upgrade.
+	changePause = 700 * time.Millisecond
+	// servedWindow is the length of the spans whose calls are compared.
+	servedWindow = time.Second
+	// An upgrade may leave as many calls unserved as the same stops of one build, and
+	// these more for chance: a window holds some 40 plain calls, of which one in ten is
+	// two standard deviations where few fail.
+	moreUnserved, moreUnservedInWindow = 0.02, 0.15
+	// upgradeStream is the seed's stream that upgrades draw from.
+	upgradeStream = 2000
+)
+
+// upgrade replaces all machines by the new build, one after the other, and then once
+// more by the same build, and holds the calls of the first round against the second's.
+func (r *run) upgrade(ctx context.Context, options Options) {
+	random := rand.New(rand.NewPCG(options.Seed, upgradeStream))
+	changing, stopChanging := context.WithCancel(ctx)
+	changed := make(chan struct{})
+	go func() {
+		defer close(changed)
+		r.keepChanging(changing)
+	}()
+	machines := inOrder(r.fleet.members, options.Order, random)
+	mixed := r.replaceAll(ctx, machines, options.Daemon, "upgrade")
+	if !options.EarlierHasQuarantine {
+		r.noteQuarantine()
+	}
+	same := r.replaceAll(ctx, machines, options.Daemon, "restart")
+	stopChanging()
+	<-changed
+	if options.Length == 0 {
+		r.compareRounds(mixed, same)
+	}
+}
+
+// inOrder sorts machines for an upgrade.
+func inOrder(machines []*machine, order Order, random *rand.Rand) []*machine {
+	sorted := slices.Clone(machines)
+	random.Shuffle(len(sorted), func(one, other int) { sorted[one], sorted[other] = sorted[other], sorted[one] })
+	if order != MixedOrder {
+		slices.SortStableFunc(sorted, func(one, other *machine) int {
+			if one.control == other.control {
+				return 0
+			}
+			if one.control == (order == ControlFirst) {
+				return -1
+			}
+			return 1
+		})
+	}
+	return sorted
+}
+
+// replaceAll stops machines as planned, one after the other, and starts each with a
+// build. It returns the span in which it did so.
+func (r *run) replaceAll(ctx context.Context, machines []*machine, daemon, name string) span {
+	round := span{from: time.Since(r.began)}
+	for _, one := range machines {
+		for !r.hold(one) && ctx.Err() == nil {
+			pause.For(ctx, silentPoll)
+		}
+		r.note("%s: planned stop of %s", name, one.name)
+		one.signal(syscall.SIGTERM)
+		if !one.waitEnd(stopGrace) {
+			r.note("%s has not ended within its grace", one.name)
+			one.kill()
+		}
+		one.daemon = daemon
+		r.startAgain(one)
+		r.release(one)
+		if err := r.fleet.waitFor(ctx, replaceWait, one.name+" in service", func() bool { return r.fleet.serves(ctx, one) }); err != nil {
+			r.breaks("%s: %v", name, err)
+		}
+		pause.For(ctx, replacePause)
+	}
+	round.until = time.Since(r.began)
+	return round
+}
+
+// keepChanging changes the configuration again and again, each change acknowledged
+// before the next one.
+func (r *run) keepChanging(ctx context.Context) {
+	for number := 0; ctx.Err() == nil; number++ {
+		r.fleet.change(number)
+		err := r.fleet.waitFor(ctx, replaceWait, "an acknowledgement", func() bool { return r.fleet.order(ctx) })
+		if err != nil && ctx.Err() == nil {
+			r.breaks("%v", err)
+		}
+		pause.For(ctx, changePause)
+	}
+}
+
+// round is what became of the plain calls in a span. Streams may be out of tokens.
+type round struct {
+	sent, unserved int
+	// worst is the largest part of a window's calls that was not served.
+	worst float64
+}
+
+func (r *run) countRound(during span) round {
+	var total round
+	windows := map[time.Duration]round{}
+	for _, one := range r.callers.all() {
+		if one.began < during.from || one.began > during.until || one.kind == Stream || one.kind == Resumable {
+			continue
+		}
+		window := windows[one.began/servedWindow]
+		window.sent++
+		total.sent++
+		if one.outcome != Whole {
+			window.unserved++
+			total.unserved++
+		}
+		windows[one.began/servedWindow] = window
+	}
+	for _, window := range windows {
+		total.worst = max(total.worst, window.share())
+	}
+	return total
+}
+
+func (r round) share() float64 {
+	if r.sent == 0 {
+		return 0
+	}
+	return float64(r.unserved) / float64(r.sent)
+}
+
+func (r round) String() string {
+	return fmt.Sprintf("%d of %d plain calls unserved, at most %.3f of a second's", r.unserved, r.sent, r.worst)
+}
+
+// compareRounds holds an upgrade against the same stops of one build.
+func (r *run) compareRounds(mixed, same span) {
+	upgraded, restarted := r.countRound(mixed), r.countRound(same)
+	r.note("upgrade: %s; restart of one build: %s", upgraded, restarted)
+	if upgraded.sent == 0 || restarted.sent == 0 {
+		r.breaks("no plain calls during the upgrade or the restart")
+	}
+	if upgraded.share() > restarted.share()+moreUnserved || upgraded.worst > restarted.worst+moreUnservedInWindow {
+		r.breaks("an upgrade serves worse than a restart of one build: %s; %s", upgraded, restarted)
+	}
+}
+
+// isUpgradeFault tells whether a fault may be played beside an upgrade: a control node
+// whose disk is lost while another one is stopped is one more than the fleet bears.
+func isUpgradeFault(name string) bool { return name != "lose_disk" }
