Nodes of two builds read each other's messages; frames of earlier builds are kept as tests

Maps alone are read by both strict builds, which pass over keys that they don't know, but cost a half of the bytes and twice the encoding. Arrays whose reader fills what is missing cost nothing and are refused by the strict builds. A version for each connection needs the answer of the handshake before a frame is encoded, and the same two forms.

A node that has not told its dialect gets maps; one that has gets arrays, and reads those of fewer and more fields. Hellos, the first word, are always maps (the list of nodes in them stays arrays). Who reads how is told by hellos, of entry nodes by the control nodes' lists.

--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -75,6 +75,17 @@
 	ColdUntil time.Duration `msgpack:"-"`
 }
 
+// fieldsBeforeLives is the number of fields that builds without lives of instances write.
+const fieldsBeforeLives = 9
+
+// OlderFields implements peer.OlderFields: Born and Epoch came to stand behind the ID.
+func (Instance) OlderFields(count int) []string {
+	if count != fieldsBeforeLives {
+		return nil
+	}
+	return []string{"i", "s", "a", "z", "v", "l", "t", "q", "c"}
+}
+
 // TakesWork tells whether new work may be sent to the instance.
 func (i Instance) TakesWork() bool { return i.State == Ready }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -176,8 +176,10 @@
 	}
 	f.ticks++
 	f.noteLost(now)
+	f.forgetList(now)
 	for _, gone := range f.roster.Forget(now) {
 		f.node.mesh.Forget(gone)
+		f.node.dialects.forget(gone)
 		delete(f.told, gone)
 		delete(f.mismatches, gone)
 		f.node.publisher.forget(gone)
@@ -219,14 +221,13 @@
 		}
 	}
 	f.noteGreeted(receivers)
-	short := f.node.encode(peer.KindHello, &said)
+	short := peer.NewMessage(peer.KindHello, said)
 	if !f.isControl() {
-		f.node.sendAll(receivers, peer.KindHello, short)
+		f.node.sendAll(receivers, short)
 		return
 	}
-	var digest uint64
-	said.Nodes, digest = f.listNodes(now)
-	long := f.node.encode(peer.KindHello, &said)
+	digest := f.listNodes(now, &said)
+	long := peer.NewMessage(peer.KindHello, said)
 	var due, others []string
 	for _, receiver := range receivers {
 		if f.nodesDue(receiver, digest) {
@@ -235,8 +236,8 @@
 		}
 		others = append(others, receiver)
 	}
-	f.node.sendAll(due, peer.KindHello, long)
-	f.node.sendAll(others, peer.KindHello, short)
+	f.node.sendAll(due, long)
+	f.node.sendAll(others, short)
 }
 
 func (f *fleetDuty) noteGreeted(receivers []string) {
@@ -261,8 +262,7 @@
 	if len(named) == 0 {
 		return
 	}
-	said := f.describe()
-	f.node.sendAll(named, peer.KindHello, f.node.encode(peer.KindHello, &said))
+	f.node.sendAll(named, peer.NewMessage(peer.KindHello, f.describe()))
 }
 
 func (f *fleetDuty) describe() peer.Hello {
@@ -272,7 +272,7 @@
 		Entry: current.HasRole(settings.RoleEntry), Control: f.isControl(), Stopping: f.node.isStopping(),
 		Version: f.node.documents.version(), InstancesDigest: f.registry.Digest(),
 		AgeMS: uint64(f.node.now().Milliseconds()), Evacuated: f.node.zones.inForce(),
-		QuarantineDigest: f.node.quarantine.digest.Load(),
+		QuarantineDigest: f.node.quarantine.digest.Load(), Dialect: peer.OwnDialect,
 	}
 	if f.isControl() {
 		f.node.replica.describe(&said)
@@ -280,13 +280,10 @@
 	return said
 }
 
-// listNodes lists the nodes that this control node hears from, itself included.
-func (f *fleetDuty) listNodes(now time.Duration) ([]peer.NodeEntry, uint64) {
-	if !f.isControl() {
-		return nil, 0
-	}
-	current := f.node.settings.Load()
-	nodes := []peer.NodeEntry{{Address: f.node.address, Zone: current.Node.Zone, Control: true}}
+// listNodes adds the nodes that this control node hears from to a hello, itself included,
+// and returns the list's digest.
+func (f *fleetDuty) listNodes(now time.Duration, said *peer.Hello) uint64 {
+	nodes := []peer.NodeEntry{{Address: f.node.address, Zone: said.Zone, Control: true}}
 	digest := xxhash.New()
 	for _, known := range f.roster.AliveNodes(now) {
 		if known.Stopping {
@@ -294,8 +291,13 @@
 		}
 		nodes = append(nodes, peer.NodeEntry{Address: known.Address, Zone: known.Zone, Entry: known.Entry, Control: known.Control})
 		_, _ = digest.WriteString(known.Address)
+		if known.Dialect != peer.OwnDialect {
+			// A node that is given another build is told of anew.
+			_, _ = digest.Write([]byte{byte(known.Dialect)})
+		}
 	}
-	return nodes, digest.Sum64()
+	said.Nodes, said.OlderNodes = nodes, f.node.dialects.older(nodes)
+	return digest.Sum64()
 }
 
 func (f *fleetDuty) nodesDue(receiver string, digest uint64) bool {
@@ -310,6 +312,7 @@
 	if from != hello.Address {
 		return
 	}
+	f.node.dialects.note(hello)
 	f.duty.Offer(func() { f.noteHello(hello) })
 }
 
@@ -348,8 +351,8 @@
 	if f.isControl() {
 		// It learns at once what it would else wait for.
 		said := f.describe()
-		said.Nodes, _ = f.listNodes(now)
-		f.node.send(hello.Address, peer.KindHello, &said)
+		f.listNodes(now, &said)
+		f.node.send(hello.Address, peer.KindHello, said)
 	}
 }
 
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -37,9 +37,9 @@
 
 // instanceList is the whole registry as it was last encoded for other nodes.
 type instanceList struct {
-	frame  []byte
-	digest uint64
-	at     time.Duration
+	message *peer.Message
+	digest  uint64
+	at      time.Duration
 }
 
 // gathered is work that changes ask for, done at once or together with that of others.
@@ -109,28 +109,35 @@
 	}
 	if before.hasAsked {
 		delete(f.mismatches, hello.Address)
-		f.node.sendFrame(hello.Address, peer.KindInstances, f.wholeList())
+		f.node.sendMessage(hello.Address, f.wholeList())
 	} else {
 		f.mismatches[hello.Address] = mismatch{own: own, other: hello.InstancesDigest, since: now, hasAsked: true}
 	}
 	f.node.send(hello.Address, peer.KindInstances, &instancesMessage{Answer: true})
 }
 
-// wholeList is the frame of all instances.
-func (f *fleetDuty) wholeList() []byte {
+// wholeList is the message of all instances.
+func (f *fleetDuty) wholeList() *peer.Message {
 	now, digest := f.node.now(), f.registry.Digest()
-	if f.list.frame == nil || f.list.digest != digest || now-f.list.at > listReuse {
-		frame := f.node.encode(peer.KindInstances, &instancesMessage{Instances: f.registry.Instances(now)})
-		f.list = instanceList{frame: frame, digest: digest, at: now}
+	if f.list.message == nil || f.list.digest != digest || now-f.list.at > listReuse {
+		message := peer.NewMessage(peer.KindInstances, &instancesMessage{Instances: f.registry.Instances(now)})
+		f.list = instanceList{message: message, digest: digest, at: now}
+	}
+	return f.list.message
+}
+
+// forgetList gives up the memory of a whole list that serves nobody any more.
+func (f *fleetDuty) forgetList(now time.Duration) {
+	if f.list.message != nil && now-f.list.at > listReuse {
+		f.list = instanceList{}
 	}
-	return f.list.frame
 }
 
 func (f *fleetDuty) takeInstances(from string, message instancesMessage) {
 	f.duty.Offer(func() {
 		f.mergeInstances(message.Instances)
 		if message.Answer {
-			f.node.sendFrame(from, peer.KindInstances, f.wholeList())
+			f.node.sendMessage(from, f.wholeList())
 		}
 	})
 }
@@ -189,10 +196,10 @@
 
 // sendAnnounced tells all nodes of the changes gathered.
 func (f *fleetDuty) sendAnnounced() {
-	frame := f.node.encode(peer.KindInstances, &instancesMessage{Instances: f.unannounced})
+	message := peer.NewMessage(peer.KindInstances, &instancesMessage{Instances: f.unannounced})
 	f.unannounced = nil
 	for _, known := range f.roster.AliveNodes(f.node.now()) {
-		f.node.sendFrame(known.Address, peer.KindInstances, frame)
+		f.node.sendMessage(known.Address, message)
 	}
 }
 
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -132,6 +132,7 @@
 	sent       *traffic
 	received   *traffic
 	stale      *staleFrames
+	dialects   *peerDialects
 	refused    refusedHeartbeats
 
 	// stop is nil until a planned stop begins.
@@ -143,6 +144,7 @@
 	node := &Node{
 		options: options, address: options.Settings.Listen.Peers, life: newLife(), started: time.Now(), log: options.Logger,
 		table: balance.NewTable(options.Settings.Node.Zone), sent: newTraffic("sent"), received: newTraffic("received"),
+		dialects: newPeerDialects(),
 	}
 	node.settings.Store(options.Settings)
 	node.stale = newStaleFrames(node)
@@ -303,39 +305,36 @@
 	return addresses
 }
 
-// send encodes and sends a message to another node, or handles it here.
+// send sends a body to another node, or handles it here.
 func (n *Node) send(to string, kind peer.Kind, body any) {
-	n.sendFrame(to, kind, n.encode(kind, body))
+	n.sendMessage(to, peer.NewMessage(kind, body))
 }
 
-// sendAll sends one frame to several nodes: encoding it for each of hundreds
+// sendAll sends one message to several nodes: encoding it for each of hundreds
 // would be most of its cost.
-func (n *Node) sendAll(receivers []string, kind peer.Kind, frame []byte) {
+func (n *Node) sendAll(receivers []string, message *peer.Message) {
 	for _, receiver := range receivers {
-		n.sendFrame(receiver, kind, frame)
+		n.sendMessage(receiver, message)
 	}
 }
 
-// encode makes a frame of a message, or nil if it can't be encoded.
-func (n *Node) encode(kind peer.Kind, body any) []byte {
-	frame, err := peer.Encode(kind, body)
+// sendMessage sends a message as the receiver reads it.
+func (n *Node) sendMessage(to string, message *peer.Message) {
+	reader := peer.OwnDialect
+	if to != n.address {
+		reader = n.dialects.reader(to)
+	}
+	frame, err := message.Frame(reader)
 	if err != nil {
-		n.log.Error().Str("event", "peer_encode_failed").Stringer("kind", kind).Err(err).Send()
-		return nil
+		n.log.Error().Str("event", "peer_encode_failed").Stringer("kind", message.Kind()).Err(err).Send()
+		return
 	}
-	return frame
-}
-
-// sendFrame sends a frame, which nobody may change any more; nil is passed over.
-func (n *Node) sendFrame(to string, kind peer.Kind, frame []byte) {
-	switch {
-	case frame == nil:
-	case to == n.address:
+	if to == n.address {
 		n.handleFrame(n.address, frame)
-	default:
-		n.sent.note(kind, len(frame))
-		n.mesh.Send(to, frame)
+		return
 	}
+	n.sent.note(message.Kind(), len(frame))
+	n.mesh.Send(to, frame)
 }
 
 // handleFrame hands a frame to the duty that it is for.
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -26,8 +26,8 @@
 	held := p.node.documents.held()
 	alive := p.node.fleet.view.Load().alive
 	controls := p.controls(alive)
-	notice := p.node.encode(peer.KindDocumentNotice, &peer.DocumentNotice{Version: held.Version})
-	whole := p.node.encode(peer.KindDocument, &held)
+	notice := peer.NewMessage(peer.KindDocumentNotice, &peer.DocumentNotice{Version: held.Version})
+	whole := peer.NewMessage(peer.KindDocument, &held)
 	sent, told := 0, 0
 	for _, known := range alive {
 		if !known.Entry {
@@ -35,12 +35,12 @@
 		}
 		if !p.isSender(known.Hello, controls) {
 			told++
-			p.node.sendFrame(known.Address, peer.KindDocumentNotice, notice)
+			p.node.sendMessage(known.Address, notice)
 			continue
 		}
 		if p.due(known.Address, known.Life, known.Version, held) {
 			sent++
-			p.node.sendFrame(known.Address, peer.KindDocument, whole)
+			p.node.sendMessage(known.Address, whole)
 		}
 	}
 	p.node.log.Info().Str("event", "document_published").Uint64("version", held.Version).Int("bytes", len(held.Encoded)).
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -188,7 +188,7 @@
 
 func (q *quarantineDuty) sendTo(receivers []string, message quarantineMessage) {
 	if len(receivers) > 0 {
-		q.node.sendAll(receivers, peer.KindQuarantine, q.node.encode(peer.KindQuarantine, &message))
+		q.node.sendAll(receivers, peer.NewMessage(peer.KindQuarantine, &message))
 	}
 }
 
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -9,7 +9,6 @@
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
-	"github.com/ravenway/ravenway/internal/settings"
 )
 
 // recordOf is a request at some ends, as nodes tell each other of it.
@@ -30,8 +29,8 @@
 // 47 ends had 7.7 broken runs in the mean, within 40 s at eight nodes.
 func TestWordOfARequestAtAnEngineEndIsSmall(t *testing.T) {
 	for ends, most := range map[int]int{1: 90, 3: 150, 8: 300} {
-		node := newIdleNode(t, benchEntry(7), benchZone(7), settings.RoleEntry)
-		frame := node.encode(peer.KindQuarantine, &quarantineMessage{Records: []quarantine.Record{recordOf(ends)}})
+		frame, err := peer.Encode(peer.KindQuarantine, &quarantineMessage{Records: []quarantine.Record{recordOf(ends)}})
+		assert.NilError(t, err)
 		t.Logf("%d ends: %d bytes", ends, len(frame))
 		assert.Assert(t, len(frame) <= most, "%d ends: %d bytes", ends, len(frame))
 	}
--- /dev/null
+++ b/internal/gateway/wire_test.go
@@ -0,0 +1,397 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/coordination/consensus"
+	"github.com/ravenway/ravenway/internal/coordination/escrow"
+	"github.com/ravenway/ravenway/internal/coordination/quarantine"
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+	"github.com/ravenway/ravenway/internal/settings"
+	"github.com/ravenway/ravenway/internal/state/accounts"
+	"github.com/ravenway/ravenway/internal/state/evacuation"
+	"github.com/ravenway/ravenway/internal/state/journal"
+	"github.com/ravenway/ravenway/internal/state/machine"
+)
+
+var writeShapes = flag.Bool("write-shapes", false, "write testdata/shapes.txt anew")
+
+// wireSample is one message as a node may send it.
+type wireSample struct {
+	name string
+	kind peer.Kind
+	body any
+}
+
+var sampleHolder = accounts.HolderID{Node: "10.1.0.40:7340#0123456789abcdef", Incarnation: 1}
+
+// samplesOfStrictBuilds are messages with the fields that the builds before dialects know.
+// The frames that those builds write of them are under testdata.
+func samplesOfStrictBuilds() []wireSample {
+	contact := accounts.Contact{Index: 12, Clock: 3, SteadyMS: 1234, WallMS: 1700000000000}
+	allowance := accounts.Allowance{Sequence: 3, Tokens: 4000, Pace: 100}
+	loan := accounts.Loan{Lender: sampleHolder, Borrower: accounts.HolderID{Node: "b#1", Incarnation: 2}, Budget: "hule930", Total: 77}
+	return []wireSample{
+		{"hello of an entry node", peer.KindHello, &peer.Hello{
+			Address: "10.1.0.40:7340", Node: "front-a-1", Zone: "a", Life: "0123456789abcdef", Entry: true, Stopping: true, Version: 77,
+			InstancesDigest: 1 << 60, AgeMS: 20000,
+		}},
+		{"hello of a control node", peer.KindHello, &peer.Hello{
+			Address: "10.1.0.43:7340", Node: "core-a-1", Zone: "a", Life: "fedcba9876543210", Control: true, Version: 78, InstancesDigest: 5,
+			Replica: 1 << 61, HasGroup: true, Leader: "10.1.0.44:7340", Term: 9, QuorumSilenceMS: 12, AgeMS: 300, WallMS: 1700000000000,
+			Nodes:     []peer.NodeEntry{{Address: "10.1.0.43:7340", Zone: "a", Control: true}, {Address: "10.1.0.40:7340", Zone: "a", Entry: true}},
+			Evacuated: evacuation.Zones{Revision: 4, Names: []string{"b"}},
+		}},
+		{"instances", peer.KindInstances, &instancesMessage{Answer: true, Instances: []registry.Instance{
+			{ID: "i-1", Service: "huvo11a", Address: "10.8.0.1:8080", Zone: "a", Version: "v1", Slots: 64, State: registry.Ready, Sequence: 12, ColdLeft: 5e9},
+			{ID: "i-2", Service: "wuno96b", Address: "10.8.0.2:8080", Zone: "b", Version: "v2", Slots: 6, State: registry.Draining, Sequence: 300},
+		}}},
+		{"instances heard", peer.KindInstancesHeard, &peer.InstancesHeard{IDs: []string{"i-1", "i-2"}}},
+		{"notice", peer.KindDocumentNotice, &peer.DocumentNotice{Version: 78}},
+		{"fetch", peer.KindDocumentFetch, &peer.DocumentFetch{Have: 77, Took: true}},
+		{"document", peer.KindDocument, &peer.DocumentData{Version: 78, Encoded: []byte("document")}},
+		{"append", peer.KindConsensus, &consensus.Message{
+			Kind: consensus.MessageAppend, From: 1 << 60, To: 3, Term: 9, Index: 400, LogTerm: 8, Commit: 399, Entries: []journal.Entry{{Index: 401, Term: 9, Data: []byte("command")}},
+			Reject: true, Hint: 7, ReadSequence: 12, Transfer: true,
+		}},
+		{"snapshot", peer.KindConsensus, &consensus.Message{
+			Kind: consensus.MessageSnapshot, From: 1, To: 2, Term: 9, Snapshot: &journal.Snapshot{Index: 300, Term: 8, Configuration: []byte("members"), Data: []byte("state")},
+		}},
+		{"report", peer.KindAccounts, &escrow.AccountsMessage{Report: &escrow.ReportMessage{
+			Holder: sampleHolder, Allowances: true, Heard: contact, Recalled: []escrow.RecallMessage{{Holder: sampleHolder, Budget: "hule930", Number: 4, Granted: 500}},
+			Reports: []accounts.Report{{Budget: "hule930", Settled: 12000, Returned: 100, Watermark: 20000, WatermarkSettled: 11000, Request: 3, Need: 4, Want: 5, Wish: 3000, Allowance: allowance}},
+		}}},
+		{"answer", peer.KindAccounts, &escrow.AccountsMessage{Answer: &escrow.AnswerMessage{Holder: sampleHolder, Contact: contact, Answers: []escrow.Answer{{
+			Unreached: 2, Answer: accounts.Answer{
+				Budget: "hule930", Granted: 30000, Settled: 12000, Returned: 100, Watermark: 20000, Request: 3, Short: true, Left: 100000, Limit: 400000, Spent: 200000,
+				Outstanding: 30000, Holders: 73, Wished: 9, Unknown: true, Closed: true, Allowance: allowance,
+			},
+		}}}}},
+		{"recall", peer.KindAccounts, &escrow.AccountsMessage{Recall: &escrow.RecallMessage{Holder: sampleHolder, Budget: "hule930", Number: 4, Granted: 500}}},
+		{"standings", peer.KindAccounts, &escrow.AccountsMessage{Standings: &escrow.StandingsMessage{Holder: sampleHolder, Standings: []escrow.Standing{{Budget: "hule930", Limit: 9, Unspent: 8, Wished: 7}}}}},
+		{"loan offered", peer.KindLend, &escrow.LendMessage{Offer: &escrow.LoanOffer{Lender: sampleHolder, Budgets: []escrow.OfferedBudget{{Budget: "hule930", Free: 50}}}}},
+		{"loan asked for", peer.KindLend, &escrow.LendMessage{Request: &escrow.LoanRequest{Borrower: sampleHolder, Budget: "hule930", Need: 70}}},
+		{"loan given", peer.KindLend, &escrow.LendMessage{Given: &loan}},
+		{"loan taken", peer.KindLend, &escrow.LendMessage{Taken: &loan}},
+		{"pool asked", peer.KindPool, &escrow.PoolMessage{Request: &escrow.PoolRequest{Borrower: sampleHolder, Budget: "hule930", Need: 70, Number: 2, PatienceMS: 100}}},
+		{"pool refused", peer.KindPool, &escrow.PoolMessage{Refusal: &escrow.PoolRefusal{Borrower: sampleHolder, Budget: "hule930", Number: 2, Stopping: true, Exhausted: &escrow.ExhaustedError{Limit: 9, Spent: 8, Left: 1, Outstanding: 1}}}},
+		{"loads", peer.KindLoads, &balance.LoadReport{Scope: balance.ZoneLoads, Zone: "a", Loads: []byte("loads"), Parts: []byte("parts"), AgeMS: 20000}},
+		{"call", peer.KindCall, &peer.Call{ID: 9, Method: peer.MethodReadDocument, Body: mustMarshal(&readQuestion{Have: 77})}},
+		{"reply", peer.KindReply, &peer.Reply{ID: 9, Code: peer.CodeNotLeader, Detail: "it leads no more", Body: mustMarshal(&readAnswer{Raw: []byte("raw"), Same: true})}},
+	}
+}
+
+func mustMarshal(message any) []byte {
+	encoded, err := msgpack.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	return encoded
+}
+
+// samples are messages with all fields of this build.
+func samples() []wireSample {
+	all := samplesOfStrictBuilds()
+	for _, one := range all {
+		switch body := one.body.(type) {
+		case *peer.Hello:
+			body.QuarantineDigest, body.Dialect = 99, peer.OwnDialect
+			if body.Control {
+				body.OlderNodes = map[string]peer.Dialect{"10.1.0.40:7340": peer.DialectStrict}
+			}
+		case *instancesMessage:
+			body.Instances[0].Born, body.Instances[0].Epoch = 1700000000000, 1
+		}
+	}
+	return append(all, wireSample{"quarantine", peer.KindQuarantine, &quarantineMessage{Records: []quarantine.Record{recordOf(2)}, Digest: 4, IsList: true, Answer: true}})
+}
+
+// decodeInto reads a frame as this build does.
+func decodeInto(frame []byte, like any) (any, error) {
+	envelope, err := peer.Decode(frame)
+	if err != nil {
+		return nil, err
+	}
+	switch like.(type) {
+	case *peer.Hello:
+		return decodedBody[peer.Hello](envelope)
+	case *instancesMessage:
+		return decodedBody[instancesMessage](envelope)
+	case *peer.InstancesHeard:
+		return decodedBody[peer.InstancesHeard](envelope)
+	case *peer.DocumentNotice:
+		return decodedBody[peer.DocumentNotice](envelope)
+	case *peer.DocumentFetch:
+		return decodedBody[peer.DocumentFetch](envelope)
+	case *peer.DocumentData:
+		return decodedBody[peer.DocumentData](envelope)
+	case *consensus.Message:
+		return decodedBody[consensus.Message](envelope)
+	case *escrow.AccountsMessage:
+		return decodedBody[escrow.AccountsMessage](envelope)
+	case *escrow.LendMessage:
+		return decodedBody[escrow.LendMessage](envelope)
+	case *escrow.PoolMessage:
+		return decodedBody[escrow.PoolMessage](envelope)
+	case *balance.LoadReport:
+		return decodedBody[balance.LoadReport](envelope)
+	case *peer.Call:
+		return decodedBody[peer.Call](envelope)
+	case *peer.Reply:
+		return decodedBody[peer.Reply](envelope)
+	case *quarantineMessage:
+		return decodedBody[quarantineMessage](envelope)
+	}
+	return nil, fmt.Errorf("messages of type %T are not decoded here", like)
+}
+
+func decodedBody[T any](envelope peer.Envelope) (any, error) {
+	body, err := peer.DecodeBody[T](envelope)
+	return &body, err
+}
+
+// decodeStrictly reads a body as the builds before dialects do.
+func decodeStrictly(frame []byte, like any) (any, error) {
+	var envelope peer.Envelope
+	if err := msgpack.Unmarshal(frame, &envelope); err != nil {
+		return nil, err
+	}
+	into := reflect.New(reflect.TypeOf(like).Elem()).Interface()
+	return into, msgpack.Unmarshal(envelope.Body, into)
+}
+
+// strictBuilds are the builds before dialects that a fleet may be upgraded from.
+var strictBuilds = []string{"2b8f16a", "619b733"}
+
+// goldenFrames reads the frames that a build wrote, by the names of the samples.
+func goldenFrames(t *testing.T, build string) map[string][]byte {
+	t.Helper()
+	file, err := os.Open(filepath.Join("testdata", "frames-"+build+".txt"))
+	assert.NilError(t, err)
+	defer file.Close()
+	frames := map[string][]byte{}
+	lines := bufio.NewScanner(file)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		name, text, found := strings.Cut(lines.Text(), ": ")
+		assert.Assert(t, found, "%q", lines.Text())
+		frames[name], err = hex.DecodeString(text)
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, lines.Err())
+	return frames
+}
+
+// An upgrade mixes builds: all that an earlier one says is understood, each field in its
+// place, and what it does not know is zero.
+func TestFramesOfEarlierBuildsAreRead(t *testing.T) {
+	for _, build := range strictBuilds {
+		frames := goldenFrames(t, build)
+		for _, sample := range samplesOfStrictBuilds() {
+			frame, found := frames[sample.name]
+			assert.Assert(t, found, "%s has no frame %q", build, sample.name)
+			read, err := decodeInto(frame, sample.body)
+			assert.NilError(t, err, "%s of %s", sample.name, build)
+			assert.DeepEqual(t, read, sample.body)
+		}
+	}
+}
+
+// The builds before dialects read all messages that this one writes for them, each by
+// their own rules and with their own structs.
+func TestFramesForEarlierBuildsAreReadByThem(t *testing.T) {
+	for _, sample := range samples() {
+		frame, err := peer.NewMessage(sample.kind, sample.body).Frame(peer.DialectStrict)
+		assert.NilError(t, err)
+		read, err := decodeStrictly(frame, sample.body)
+		assert.NilError(t, err, sample.name)
+		assert.DeepEqual(t, read, sample.body)
+		switch sample.body.(type) {
+		case *peer.Hello:
+			before, err := decodeStrictly(frame, &helloBeforeQuarantine{})
+			assert.NilError(t, err)
+			assert.Equal(t, before.(*helloBeforeQuarantine).Address, sample.body.(*peer.Hello).Address)
+			assert.DeepEqual(t, before.(*helloBeforeQuarantine).Nodes, sample.body.(*peer.Hello).Nodes)
+		case *instancesMessage:
+			before, err := decodeStrictly(frame, &instancesBeforeLives{})
+			assert.NilError(t, err)
+			assert.Equal(t, before.(*instancesBeforeLives).Instances[1].Address, "10.8.0.2:8080")
+			assert.Equal(t, before.(*instancesBeforeLives).Instances[1].Sequence, uint64(300))
+		}
+	}
+}
+
+// helloBeforeQuarantine is a part of 2b8f16a's Hello; a map's other fields are passed over.
+type helloBeforeQuarantine struct {
+	Address string           `msgpack:"a"`
+	Nodes   []peer.NodeEntry `msgpack:"m,omitempty"`
+}
+
+// instancesBeforeLives is a part of 2b8f16a's list of instances.
+type instancesBeforeLives struct {
+	Instances []struct {
+		ID       string `msgpack:"i"`
+		Address  string `msgpack:"a"`
+		Sequence uint64 `msgpack:"q"`
+	} `msgpack:"i"`
+}
+
+// Messages between two nodes of this build.
+func TestFramesOfThisBuildAreReadWhole(t *testing.T) {
+	for _, sample := range samples() {
+		frame, err := peer.NewMessage(sample.kind, sample.body).Frame(peer.OwnDialect)
+		assert.NilError(t, err)
+		read, err := decodeInto(frame, sample.body)
+		assert.NilError(t, err, sample.name)
+		assert.DeepEqual(t, read, sample.body)
+	}
+}
+
+// shapes are those of all messages between nodes.
+func shapes() []string {
+	var lines []string
+	for _, sample := range samples() {
+		for _, line := range peer.Shape(reflect.TypeOf(sample.body)) {
+			if !slices.Contains(lines, line) {
+				lines = append(lines, line)
+			}
+		}
+	}
+	for _, body := range []any{takeQuestion{}, readQuestion{}, readAnswer{}, machine.DocumentOutcome{}, machine.ZoneCommand{}} {
+		for _, line := range peer.Shape(reflect.TypeOf(body)) {
+			if !slices.Contains(lines, line) {
+				lines = append(lines, line)
+			}
+		}
+	}
+	return lines
+}
+
+// A message that changes is a matter for nodes of two builds: whoever changes one sees it
+// here, and that earlier builds' fields still stand where those builds look for them.
+func TestShapesOfMessagesChangeOnlyByFieldsBehindTheOthers(t *testing.T) {
+	today := shapes()
+	if *writeShapes {
+		assert.NilError(t, os.WriteFile(filepath.Join("testdata", "shapes.txt"), []byte(strings.Join(today, "\n")+"\n"), 0o600))
+	}
+	assert.DeepEqual(t, today, readShapes(t, "shapes.txt"))
+	fields := byStruct(today)
+	for owner, earlier := range byStruct(readShapes(t, "shapes-619b733.txt")) {
+		assert.Assert(t, len(fields[owner]) >= len(earlier), "%s lost a field", owner)
+		assert.DeepEqual(t, fields[owner][:len(earlier)], earlier)
+	}
+}
+
+// byStruct sorts the lines of shapes, "package.Struct.field kind", by their structs.
+func byStruct(lines []string) map[string][]string {
+	fields := map[string][]string{}
+	for _, line := range lines {
+		name, _, _ := strings.Cut(line, " ")
+		owner := name[:strings.LastIndex(name, ".")]
+		fields[owner] = append(fields[owner], line)
+	}
+	return fields
+}
+
+func readShapes(t *testing.T, name string) []string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("testdata", name))
+	assert.NilError(t, err)
+	return strings.Split(strings.TrimSpace(string(text)), "\n")
+}
+
+// withFields returns a frame whose body, an array, has some fields more or fewer.
+func withFields(t *testing.T, frame []byte, more int) []byte {
+	t.Helper()
+	envelope, err := peer.Decode(frame)
+	assert.NilError(t, err)
+	var fields []msgpack.RawMessage
+	assert.NilError(t, msgpack.Unmarshal(envelope.Body, &fields))
+	for range more {
+		fields = append(fields, mustMarshal("a field of a newer build"))
+	}
+	fields = fields[:len(fields)+min(more, 0)]
+	envelope.Body = mustMarshal(fields)
+	var changed bytes.Buffer
+	encoder := msgpack.NewEncoder(&changed)
+	encoder.UseArrayEncodedStructs(true)
+	assert.NilError(t, encoder.Encode(&envelope))
+	return changed.Bytes()
+}
+
+// The next build's messages have more fields, and this one's fewer than that reads.
+func TestArraysOfMoreAndOfFewerFieldsAreRead(t *testing.T) {
+	for _, sample := range samples() {
+		if sample.kind == peer.KindHello {
+			continue
+		}
+		frame, err := peer.NewMessage(sample.kind, sample.body).Frame(peer.OwnDialect)
+		assert.NilError(t, err)
+		read, err := decodeInto(withFields(t, frame, 2), sample.body)
+		assert.NilError(t, err, sample.name)
+		assert.DeepEqual(t, read, sample.body)
+
+		read, err = decodeInto(withFields(t, frame, -1), sample.body)
+		assert.NilError(t, err, sample.name)
+		whole, cut := reflect.ValueOf(sample.body).Elem(), reflect.ValueOf(read).Elem()
+		last := whole.NumField() - 1
+		assert.Assert(t, cut.Field(last).IsZero(), "%s: %v", sample.name, read)
+		for position := range last {
+			assert.DeepEqual(t, cut.Field(position).Interface(), whole.Field(position).Interface())
+		}
+	}
+}
+
+// Whatever comes is an error or a message, never a panic; and what is read as a report
+// names the holder that the bytes name.
+func FuzzMessagesOfAnyBuild(f *testing.F) {
+	for _, sample := range samples() {
+		for _, reader := range []peer.Dialect{peer.DialectStrict, peer.OwnDialect} {
+			frame, err := peer.NewMessage(sample.kind, sample.body).Frame(reader)
+			assert.NilError(f, err)
+			f.Add(frame)
+		}
+	}
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		for _, sample := range samples() {
+			read, err := decodeInto(frame, sample.body)
+			message, isAccounts := read.(*escrow.AccountsMessage)
+			if err != nil || !isAccounts || message.Report == nil {
+				continue
+			}
+			assert.Assert(t, bytes.Contains(frame, []byte(message.Report.Holder.Node)))
+		}
+	})
+}
+
+// Who reads how is known from hellos, and of entry nodes from the control nodes' lists.
+func TestDialectsAreKnownFromHellosAndLists(t *testing.T) {
+	node := newIdleNode(t, benchEntry(0), benchZone(0), settings.RoleEntry)
+	hello := controlHello(0, 3, 1, true)
+	assert.Equal(t, node.dialects.reader(hello.Address), peer.DialectStrict, "an unknown node")
+	hello.Dialect, hello.OlderNodes = peer.OwnDialect, map[string]peer.Dialect{benchEntry(2): peer.DialectStrict}
+	node.fleet.takeHello(hello.Address, hello)
+	assert.Equal(t, node.dialects.reader(hello.Address), peer.OwnDialect)
+	assert.Equal(t, node.dialects.reader(benchEntry(1)), peer.OwnDialect)
+	assert.Equal(t, node.dialects.reader(benchEntry(2)), peer.DialectStrict)
+	// It is given the earlier build again, which can't tell how the others read.
+	node.fleet.takeHello(hello.Address, controlHello(0, 3, 1, true))
+	for _, address := range []string{hello.Address, benchEntry(1), benchEntry(2)} {
+		assert.Equal(t, node.dialects.reader(address), peer.DialectStrict)
+	}
+}
--- a/internal/protocol/peer/calls.go
+++ b/internal/protocol/peer/calls.go
@@ -62,7 +62,7 @@
 // Execute decodes a call's question and does what is asked.
 func Execute[T any](call Call, execute func(T) (any, error)) (any, error) {
 	var question T
-	if err := msgpack.Unmarshal(call.Body, &question); err != nil {
+	if err := unmarshal(call.Body, &question); err != nil {
 		return nil, fmt.Errorf("decoding call %s: %w", call.Method, err)
 	}
 	return execute(question)
@@ -86,7 +86,7 @@
 		if reply.Code != "" {
 			return answer, &ReplyError{Code: reply.Code, Detail: reply.Detail}
 		}
-		if err := msgpack.Unmarshal(reply.Body, &answer); err != nil {
+		if err := unmarshal(reply.Body, &answer); err != nil {
 			return answer, fmt.Errorf("decoding the answer to call %s: %w", method, err)
 		}
 		return answer, nil
--- a/internal/protocol/peer/fleet.go
+++ b/internal/protocol/peer/fleet.go
@@ -1,6 +1,12 @@
 package peer
 
-import "github.com/ravenway/ravenway/internal/state/evacuation"
+import (
+	"cmp"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ravenway/ravenway/internal/state/evacuation"
+)
 
 // Hello is what a node with open membership says of itself, again and again,
 // to the control nodes; control nodes say it to all nodes that they hear from.
@@ -42,9 +48,14 @@
 	// QuarantineDigest covers what a control node tells of requests that end their
 	// engines; 0 if it holds nothing against any.
 	QuarantineDigest uint64 `msgpack:"k,omitempty"`
+	// Dialect is the sender's.
+	Dialect Dialect `msgpack:"b,omitempty"`
+	// OlderNodes are the dialects of those in Nodes that have not the sender's.
+	OlderNodes map[string]Dialect `msgpack:"o,omitempty"`
 }
 
-// NodeEntry is one node in a list of nodes.
+// NodeEntry is one node in a list of nodes. It can't get another field: a list of
+// hundreds is written as arrays for builds of any dialect.
 type NodeEntry struct {
 	Address string `msgpack:"a"`
 	Zone    string `msgpack:"z"`
@@ -52,6 +63,15 @@
 	Control bool   `msgpack:"c,omitempty"`
 }
 
+// nodeEntryFields is the number of fields of a NodeEntry.
+const nodeEntryFields = 4
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (n NodeEntry) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	return cmp.Or(encoder.EncodeArrayLen(nodeEntryFields), encoder.EncodeString(n.Address), encoder.EncodeString(n.Zone),
+		encoder.EncodeBool(n.Entry), encoder.EncodeBool(n.Control))
+}
+
 // DocumentNotice tells that a document is in force at the sender.
 type DocumentNotice struct {
 	Version uint64 `msgpack:"v"`
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -90,26 +90,19 @@
 	Body msgpack.RawMessage `msgpack:"b"`
 }
 
-// Encode returns a frame for a body.
-func Encode(kind Kind, body any) ([]byte, error) {
-	encoded, err := marshal(body)
-	if err != nil {
-		return nil, fmt.Errorf("encoding a peer message of kind %d: %w", kind, err)
-	}
-	frame, err := marshal(&Envelope{Kind: kind, Body: encoded})
-	if err != nil {
-		return nil, fmt.Errorf("encoding a peer envelope of kind %d: %w", kind, err)
-	}
-	return frame, nil
-}
+// Encode returns a frame for a body that only nodes of this build's fields read.
+func Encode(kind Kind, body any) ([]byte, error) { return NewMessage(kind, body).Frame(OwnDialect) }
+
+// marshalArrays writes structs as arrays: field names would be most of a small message.
+func marshalArrays(message any) ([]byte, error) { return marshal(message, true) }
+
+// marshalNamed writes structs as maps, whose fields are found by their names.
+func marshalNamed(message any) ([]byte, error) { return marshal(message, false) }
 
-// marshal writes structs as arrays: field names would be most of a small
-// message. A reader refuses a struct whose number of fields is not its own, so
-// nodes of two versions don't read each other's changed messages.
-func marshal(message any) ([]byte, error) {
+func marshal(message any, asArrays bool) ([]byte, error) {
 	var buffer bytes.Buffer
 	encoder := msgpack.NewEncoder(&buffer)
-	encoder.UseArrayEncodedStructs(true)
+	encoder.UseArrayEncodedStructs(asArrays)
 	encoder.UseCompactInts(true)
 	err := encoder.Encode(message)
 	return buffer.Bytes(), err
@@ -130,7 +123,7 @@
 // DecodeBody reads an envelope's body into a message.
 func DecodeBody[T any](envelope Envelope) (T, error) {
 	var message T
-	if err := msgpack.Unmarshal(envelope.Body, &message); err != nil {
+	if err := unmarshal(envelope.Body, &message); err != nil {
 		return message, fmt.Errorf("decoding a peer message of kind %d: %w", envelope.Kind, err)
 	}
 	return message, nil
--- /dev/null
+++ b/internal/protocol/peer/tolerant.go
@@ -0,0 +1,253 @@
+package peer
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
+)
+
+// OlderFields is implemented by structs that got a field elsewhere than behind their
+// last one.
+type OlderFields interface {
+	// OlderFields returns the keys of an array of some number of fields in their order,
+	// as earlier builds write it; nil if they wrote none of that length.
+	OlderFields(count int) []string
+}
+
+// unmarshal reads a message of this or another build. Messages of this build, nearly all,
+// are read by the library; where that refuses one, its arrays are given the names of
+// their fields first.
+func unmarshal(data []byte, message any) error {
+	err := msgpack.Unmarshal(data, message)
+	if err == nil {
+		return nil
+	}
+	target := reflect.ValueOf(message).Elem()
+	named, nameErr := nameFields(data, target.Type())
+	if nameErr != nil {
+		// The data is damaged: the library has said where.
+		return err
+	}
+	target.SetZero()
+	return msgpack.Unmarshal(named, message)
+}
+
+// nameFields rewrites the structs of a message that are arrays as maps.
+func nameFields(data []byte, of reflect.Type) ([]byte, error) {
+	reader := bytes.NewReader(data)
+	var named bytes.Buffer
+	n := namer{decoder: msgpack.NewDecoder(reader), encoder: msgpack.NewEncoder(&named)}
+	if err := n.value(of); err != nil {
+		return nil, err
+	}
+	return named.Bytes(), nil
+}
+
+// namer copies one message from its decoder to its encoder.
+type namer struct {
+	decoder *msgpack.Decoder
+	encoder *msgpack.Encoder
+}
+
+var customDecoder = reflect.TypeFor[msgpack.CustomDecoder]()
+
+// value copies a value that is read into a type.
+func (n *namer) value(of reflect.Type) error {
+	for of.Kind() == reflect.Pointer {
+		of = of.Elem()
+	}
+	code, err := n.decoder.PeekCode()
+	if err != nil {
+		return err
+	}
+	isArray := msgpcode.IsFixedArray(code) || code == msgpcode.Array16 || code == msgpcode.Array32
+	isMap := msgpcode.IsFixedMap(code) || code == msgpcode.Map16 || code == msgpcode.Map32
+	switch {
+	case reflect.PointerTo(of).Implements(customDecoder):
+		return n.raw()
+	case of.Kind() == reflect.Struct && isArray:
+		return n.arrayOfFields(of)
+	case of.Kind() == reflect.Struct && isMap:
+		return n.mapOfFields(of)
+	case of.Kind() == reflect.Slice && isArray:
+		return n.list(of.Elem())
+	}
+	return n.raw()
+}
+
+// raw copies a value as it is.
+func (n *namer) raw() error {
+	value, err := n.decoder.DecodeRaw()
+	if err != nil {
+		return err
+	}
+	return n.encoder.Encode(value)
+}
+
+func (n *namer) list(element reflect.Type) error {
+	length, err := n.decoder.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if err := n.encoder.EncodeArrayLen(length); err != nil {
+		return err
+	}
+	for range length {
+		if err := n.value(element); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *namer) arrayOfFields(of reflect.Type) error {
+	count, err := n.decoder.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	known := fieldsAs(of, count)
+	if err := n.encoder.EncodeMapLen(min(count, len(known))); err != nil {
+		return err
+	}
+	for position := range count {
+		if position >= len(known) {
+			// A newer build's field.
+			if err := n.decoder.Skip(); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := n.encoder.EncodeString(known[position].name); err != nil {
+			return err
+		}
+		if err := n.value(known[position].of); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *namer) mapOfFields(of reflect.Type) error {
+	count, err := n.decoder.DecodeMapLen()
+	if err != nil {
+		return err
+	}
+	if err := n.encoder.EncodeMapLen(count); err != nil {
+		return err
+	}
+	types := map[string]reflect.Type{}
+	for _, known := range fieldsOf(of) {
+		types[known.name] = known.of
+	}
+	for range count {
+		name, err := n.decoder.DecodeString()
+		if err != nil {
+			return err
+		}
+		if err := n.encoder.EncodeString(name); err != nil {
+			return err
+		}
+		known, found := types[name]
+		if !found {
+			known = reflect.TypeFor[any]()
+		}
+		if err := n.value(known); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// field is a field of a struct as messages hold it.
+type field struct {
+	name string
+	of   reflect.Type
+}
+
+// fieldsAs are the fields of an array of some length: this build's, unless earlier builds
+// wrote another order in that length.
+func fieldsAs(of reflect.Type, count int) []field {
+	fields := fieldsOf(of)
+	older, grew := reflect.Zero(of).Interface().(OlderFields)
+	if !grew {
+		return fields
+	}
+	names := older.OlderFields(count)
+	if names == nil {
+		return fields
+	}
+	var ordered []field
+	for _, name := range names {
+		for _, one := range fields {
+			if one.name == name {
+				ordered = append(ordered, one)
+			}
+		}
+	}
+	return ordered
+}
+
+// fieldsOf lists the fields of a struct in the library's order: those of embedded structs
+// stand in their place.
+func fieldsOf(of reflect.Type) []field {
+	var fields []field
+	for one := range of.Fields() {
+		name, _, _ := strings.Cut(one.Tag.Get("msgpack"), ",")
+		switch {
+		case name == "-" || !one.IsExported() && !one.Anonymous:
+		case one.Anonymous && name == "" && one.Type.Kind() == reflect.Struct:
+			fields = append(fields, fieldsOf(one.Type)...)
+		case name == "":
+			fields = append(fields, field{name: one.Name, of: one.Type})
+		default:
+			fields = append(fields, field{name: name, of: one.Type})
+		}
+	}
+	return fields
+}
+
+// Shape describes how messages hold a type: for each struct in it the names and kinds of
+// its fields in order, one line a field. Two builds whose shapes of a message are alike
+// write it alike.
+func Shape(of reflect.Type) []string {
+	var lines []string
+	seen := map[reflect.Type]bool{}
+	var visit func(reflect.Type)
+	visit = func(one reflect.Type) {
+		for one.Kind() == reflect.Pointer || one.Kind() == reflect.Slice {
+			one = one.Elem()
+		}
+		if one.Kind() != reflect.Struct || seen[one] {
+			return
+		}
+		seen[one] = true
+		for _, known := range fieldsOf(one) {
+			lines = append(lines, fmt.Sprintf("%s.%s %s", one, known.name, wireKind(known.of)))
+			visit(known.of)
+		}
+	}
+	visit(of)
+	return lines
+}
+
+// wireKind is how a value of a type is written.
+func wireKind(of reflect.Type) string {
+	switch of.Kind() {
+	case reflect.Pointer:
+		return wireKind(of.Elem())
+	case reflect.Slice:
+		if of.Elem().Kind() == reflect.Uint8 {
+			return "bytes"
+		}
+		return "list of " + wireKind(of.Elem())
+	case reflect.Struct:
+		return of.String()
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64, reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		return "integer"
+	}
+	return of.Kind().String()
+}
