Requests that a route or a tenant binds to regions are served there only

Cause: `allowed_regions` of a configuration was passed over, so requests went to whichever engine was soonest.

Where the service has none there the request is refused at once, not run, with a reason of its own. A region without a name is a finding; one in which no zone of the fleet stands is a warning with its place, since the users' list of what makes a configuration invalid does not have it.

Ruled out: places on a disk or in another node that keep what a request holds: the quarantine keeps hashes of bodies, no content; nothing of an answer is kept; copies and moves of an engine's memory are not used.

--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -82,6 +82,8 @@
 	MaxInFlight int
 	// Cold is what the service's instances bear while they are cold.
 	Cold ColdPolicy
+	// Regions are where the request may be served.
+	Regions Regions
 }
 
 // Choice is a chosen instance.
@@ -168,6 +170,8 @@
 	// byService are the members that take new work.
 	byService map[string][]*member
 	zones     map[string]*zoneState
+	// regionOfZone is the region in which each zone stands, where that is known.
+	regionOfZone map[string]string
 	// speeds are how fast the services' instances were seen to read.
 	speeds map[string]*readSpeed
 	// spilled are the parts sent elsewhere than to their homes and not told yet.
@@ -339,8 +343,8 @@
 }
 
 // candidates returns the instances that may be chosen: the healthy ones, or if
-// there is none, all that were not tried. None is in an evacuated zone or bears no
-// request of this node now, whatever that leaves.
+// there is none, all that were not tried. None is in an evacuated zone, in a region that
+// the request is not allowed in, or bears no request of this node now, whatever that leaves.
 func (t *Table) candidates(now time.Duration, request Request) []*member {
 	var healthy, others []*member
 	average := t.averageFailures(request.Service)
@@ -348,7 +352,7 @@
 		if slices.Contains(request.Exclude, one.ID) || request.MaxInFlight > 0 && one.inFlight >= request.MaxInFlight {
 			continue
 		}
-		if t.evacuated.Contains(one.Zone) || !t.bears(now, one, request.Cold) {
+		if t.evacuated.Contains(one.Zone) || !request.Regions.Contains(t.regionOfZone[one.Zone]) || !t.bears(now, one, request.Cold) {
 			continue
 		}
 		if one.isHealthy(now, average) && t.zoneIsOpen(now, one.Zone) {
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -60,7 +60,7 @@
 	for {
 		choice, found := r.choose(service)
 		if !found {
-			r.giveUp(last, ReasonNoInstance)
+			r.giveUp(last, r.reasonOfNone(service))
 			return
 		}
 		ended, result := r.attempt(ctx, choice)
@@ -98,6 +98,14 @@
 	}
 }
 
+// reasonOfNone tells why no instance could be chosen.
+func (r *request) reasonOfNone(service string) Reason {
+	if regions := r.regions(); regions.IsBound && !r.pipeline.options.Table.HasInRegions(service, regions) {
+		return ReasonNoRegion
+	}
+	return ReasonNoInstance
+}
+
 // reasonOfEnd tells why a request has no more time.
 func reasonOfEnd(ctx context.Context) Reason {
 	if errors.Is(context.Cause(ctx), errQuarantined) {
@@ -143,11 +151,20 @@
 	return r.route.Targets[0].Service
 }
 
+// regions are where the request may be served: in those that both its route and its
+// tenant allow.
+func (r *request) regions() balance.Regions {
+	if r.tenant == nil {
+		return balance.BoundTo(r.route.Regions)
+	}
+	return balance.BoundTo(r.route.Regions, r.tenant.Regions)
+}
+
 func (r *request) choose(service string) (balance.Choice, bool) {
 	environment := r.pipeline.options.Environment
 	wanted := balance.Request{
 		Service: service, Part: r.call.attemptKey(), Cost: r.call.cost(), Exclude: r.tried, Bytes: len(r.body),
-		Tokens: int(r.call.TokensIn), SharedTokens: r.call.sharedTokens(), Gap: r.route.EventGap,
+		Tokens: int(r.call.TokensIn), SharedTokens: r.call.sharedTokens(), Gap: r.route.EventGap, Regions: r.regions(),
 	}
 	configured := r.index.Service(service)
 	if configured != nil {
@@ -251,7 +268,7 @@
 		if reason == ReasonTimeout {
 			status = http.StatusGatewayTimeout
 		}
-		if reason == ReasonNoInstance || reason == ReasonTurnedAway {
+		if reason == ReasonNoInstance || reason == ReasonNoRegion || reason == ReasonTurnedAway {
 			reason = ReasonOutcomeUnknown
 		}
 		r.refuse(Refusal{Status: status, Reason: reason})
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -29,11 +29,14 @@
 	ReasonNotReserved     Reason = "tokens_not_reserved"
 	ReasonNotReservedYet  Reason = "tokens_not_reserved_yet"
 	ReasonNoInstance      Reason = "no_instance"
-	ReasonTurnedAway      Reason = "engines_turned_it_away"
-	ReasonTimeout         Reason = "timeout"
-	ReasonOutcomeUnknown  Reason = "outcome_unknown"
-	ReasonCallerLeft      Reason = "caller_left"
-	ReasonBrokenStream    Reason = "broken_stream"
+	// ReasonNoRegion: the service has no instance in the regions that the request is
+	// bound to.
+	ReasonNoRegion       Reason = "no_instance_in_allowed_regions"
+	ReasonTurnedAway     Reason = "engines_turned_it_away"
+	ReasonTimeout        Reason = "timeout"
+	ReasonOutcomeUnknown Reason = "outcome_unknown"
+	ReasonCallerLeft     Reason = "caller_left"
+	ReasonBrokenStream   Reason = "broken_stream"
 	// ReasonQuarantined: engines ended by the request, so it reaches no further one.
 	ReasonQuarantined Reason = "quarantined"
 )
@@ -66,8 +69,9 @@
 	// afterStart is for what a node lacks that has just started: after a loss of
 	// all machines' power a leader is there in 0.6 s and all are served in 1.2 s.
 	afterStart = retryAfter{minimum: 0.9, maximum: 1.8}
-	// later is for tokens that can't be had: that lasts as long as a cut does,
-	// and a caller that comes back too early is only refused once more.
+	// later is for tokens that can't be had, and for instances of an allowed region: that
+	// lasts as long as a cut does, and a caller that comes back too early is only refused
+	// once more.
 	later = retryAfter{minimum: 2.5, maximum: 4.5}
 )
 
@@ -101,7 +105,7 @@
 		// It will be refused again: no time is named to come back at.
 	case refused.Reason == ReasonOverloaded:
 		header.Set("Retry-After", elsewhere.draw())
-	case refused.Reason == ReasonNotReserved:
+	case refused.Reason == ReasonNotReserved, refused.Reason == ReasonNoRegion:
 		header.Set("Retry-After", later.draw())
 	case refused.Reason == ReasonNoConfiguration, refused.Reason == ReasonNotReservedYet:
 		header.Set("Retry-After", afterStart.draw())
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -50,6 +50,7 @@
 		// It is in the log here, so a higher or equal version is committed.
 		return held, nil
 	}
+	n.warnOfRegions(taken)
 	encoded, err := taken.Encode()
 	if err != nil {
 		return 0, err
@@ -72,6 +73,30 @@
 	return outcome.Held, nil
 }
 
+// warnOfRegions writes a line for each region that a configuration binds requests to and
+// in which no zone of the fleet stands: nothing is served there. It is taken all the
+// same: a region may come to have zones.
+func (n *Node) warnOfRegions(taken *document.Document) {
+	known := map[string]bool{"": true}
+	for _, region := range n.settings.Load().Fleet.Regions {
+		known[region] = true
+	}
+	warn := func(place string, regions []string) {
+		for position, region := range regions {
+			if !known[region] {
+				n.log.Warn().Str("event", "region_not_known").Uint64("version", taken.Version).
+					Str("place", fmt.Sprintf("%s.regions[%d]", place, position)).Str("region", region).Send()
+			}
+		}
+	}
+	for position, route := range taken.Routes {
+		warn(fmt.Sprintf("routes[%d]", position), route.Regions)
+	}
+	for position, tenant := range taken.Tenants {
+		warn(fmt.Sprintf("tenants[%d]", position), tenant.Regions)
+	}
+}
+
 // ReadDocument implements Control.
 func (n *Node) ReadDocument(ctx context.Context) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -147,6 +147,7 @@
 		dialects: newPeerDialects(),
 	}
 	node.settings.Store(options.Settings)
+	node.table.SetRegions(options.Settings.Fleet.Regions)
 	node.stale = newStaleFrames(node)
 	node.mesh = transport.NewMesh(transport.Options{
 		Self: node.address, Key: options.PeerKey, OpenMembership: true, Listener: options.Listeners.Peers,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -110,6 +110,9 @@
 	// Zones are all zones of the fleet; operators' orders for others are refused.
 	// Without them an order is for any zone in which a node or an instance was heard.
 	Zones []string `toml:"zones"`
+	// Regions are the regions in which the zones stand, by zone. Requests that are bound
+	// to regions are served in zones that stand here only.
+	Regions map[string]string `toml:"regions"`
 	// FirstStart tells that the whole system starts for the first time, with
 	// empty disks: the control group may be founded.
 	FirstStart bool `toml:"first_start"`
--- a/internal/state/document/document.go
+++ b/internal/state/document/document.go
@@ -61,6 +61,8 @@
 	Sticky bool `msgpack:"y"`
 	// Resumable streams may go on at another engine.
 	Resumable bool `msgpack:"e"`
+	// Regions are the only ones in which requests may be served; empty means any.
+	Regions []string `msgpack:"ar,omitempty"`
 }
 
 // Idempotent tells whether a request may run more than once.
@@ -112,6 +114,9 @@
 	// set.
 	Prepaid    uint64 `msgpack:"p"`
 	HasPrepaid bool   `msgpack:"r"`
+	// Regions are the only ones in which the tenant's requests may be served; empty
+	// means any.
+	Regions []string `msgpack:"ar,omitempty"`
 }
 
 // Finding is one thing wrong with a document, with its place.
@@ -159,6 +164,7 @@
 		}
 		tenants[tenant.Name] = true
 		checker.tenantKeys(place, tenant)
+		checker.regions(place, tenant.Regions)
 	}
 	return checker.findings
 }
@@ -202,6 +208,16 @@
 	if total <= 0 {
 		c.find(place, "the weights add up to 0")
 	}
+	c.regions(place, route.Regions)
+}
+
+// regions looks for names that are none: a list with one would bind requests to nowhere.
+func (c *checker) regions(place string, names []string) {
+	for position, name := range names {
+		if name == "" {
+			c.find(fmt.Sprintf("%s.regions[%d]", place, position), "the region has no name")
+		}
+	}
 }
 
 func (c *checker) tenantKeys(place string, tenant Tenant) {
