Rollouts: the orders in the log, the table's split of requests, and the judge of a new version

Not wired yet: no node takes an order. The parts, each a pure step: - state/rollout: orders and stages (canary, moving, done, rolled back) in the replicated log, with field names, beside the orders for zones. The same order is taken once, also when its version was rolled back before it was repeated. - balance: a canary gets its share from each node alone (a credit a request), at a tenth of the new instances in each zone. - coordination/rollout: what nodes record and how the leader judges it.

Slowness: an answer is slow beside what its own node has from the old version on its route, for each token to be read, so that one test takes failures and slowness. (Merged histograms would cost each node's histogram by route and version a report.)

--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -10,6 +10,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -145,6 +146,11 @@
 	// replaced tells that the instance is gone for good, though the registry
 	// may not know yet.
 	replaced bool
+	// isOffered tells that it is among its service's members that take new work.
+	isOffered bool
+	// hasEnded tells that the registry knows it to have ended; it is forgotten once no
+	// request is at it.
+	hasEnded bool
 	// restoredAt is when its zone was last restored, if isRestored is set.
 	restoredAt time.Duration
 	isRestored bool
@@ -180,6 +186,8 @@
 	others Loads
 	// evacuated are the zones whose instances get nothing new.
 	evacuated evacuation.Zones
+	// rollouts are the services' versions that replace others, by service.
+	rollouts map[string]*serviceRollout
 	// senders tells which cold instances this node may send to.
 	senders coldSenders
 	// over are the latest lives that newer ones have replaced.
@@ -202,38 +210,112 @@
 	return &Table{zone: zone, members: map[string]*member{}, byService: map[string][]*member{}, zones: map[string]*zoneState{}, speeds: map[string]*readSpeed{}}
 }
 
-// Update replaces the instances by what the registry holds. It returns those whose lives
-// newer ones have replaced: nothing that was known of them holds any more.
+// Update replaces the instances by what the registry holds.
 func (t *Table) Update(instances []registry.Instance) (replaced []registry.Instance) {
+	ended := t.endedBut(instances)
+	return t.Apply(append(ended, instances...))
+}
+
+// endedBut returns all known instances but some, as ended.
+func (t *Table) endedBut(instances []registry.Instance) []registry.Instance {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	seen := map[string]bool{}
-	t.byService = map[string][]*member{}
+	kept := map[string]bool{}
 	for _, instance := range instances {
+		kept[instance.ID] = true
+	}
+	var ended []registry.Instance
+	for id, known := range t.members {
+		if !kept[id] {
+			gone := known.Instance
+			gone.State = registry.Gone
+			ended = append(ended, gone)
+		}
+	}
+	return ended
+}
+
+// Apply takes changes of the registry. It returns the instances whose lives newer ones
+// have replaced: nothing that was known of them holds any more.
+func (t *Table) Apply(changes []registry.Instance) (replaced []registry.Instance) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, instance := range changes {
 		known := t.members[instance.ID]
 		if known != nil && known.Life() != instance.Life() {
 			replaced = append(replaced, known.Instance)
 			t.noteOver(known)
+			t.forget(known)
 			known = nil
 		}
-		if known == nil {
-			known = &member{key: KeyOf(instance.Life()), held: map[PartKey]time.Duration{}}
-			t.members[instance.ID] = known
-		}
-		known.Instance = instance
-		seen[instance.ID] = true
-		if instance.TakesWork() && !known.replaced {
-			t.byService[instance.Service] = append(t.byService[instance.Service], known)
+		if instance.HasEnded() {
+			t.end(known)
+			continue
 		}
+		t.take(known, instance)
 	}
-	for id, known := range t.members {
-		if !seen[id] && known.inFlight == 0 {
-			delete(t.members, id)
-		}
+	if len(t.rollouts) > 0 {
+		t.chooseCanaries()
 	}
 	return replaced
 }
 
+// take notes a live instance's state.
+func (t *Table) take(known *member, instance registry.Instance) {
+	if known == nil {
+		known = &member{key: KeyOf(instance.Life()), held: map[PartKey]time.Duration{}}
+		t.members[instance.ID] = known
+	}
+	wasOffered := known.isOffered
+	if wasOffered && (known.Service != instance.Service || !instance.TakesWork()) {
+		t.withdraw(known)
+		wasOffered = false
+	}
+	known.Instance, known.hasEnded = instance, false
+	if !wasOffered && instance.TakesWork() && !known.replaced {
+		t.offer(known)
+	}
+}
+
+// end notes that an instance has ended; nil is one that was never known.
+func (t *Table) end(known *member) {
+	if known == nil {
+		return
+	}
+	t.withdraw(known)
+	known.hasEnded = true
+	if known.inFlight == 0 {
+		delete(t.members, known.ID)
+	}
+}
+
+func (t *Table) forget(known *member) {
+	t.withdraw(known)
+	delete(t.members, known.ID)
+}
+
+// offer lets new work go to an instance; withdraw ends that. A service's instances are in
+// order, so that all nodes see them alike.
+func (t *Table) offer(one *member) {
+	members := t.byService[one.Service]
+	place, _ := slices.BinarySearchFunc(members, one.ID, compareID)
+	t.byService[one.Service] = slices.Insert(members, place, one)
+	one.isOffered = true
+}
+
+func (t *Table) withdraw(one *member) {
+	if !one.isOffered {
+		return
+	}
+	members := t.byService[one.Service]
+	if place, found := slices.BinarySearchFunc(members, one.ID, compareID); found {
+		t.byService[one.Service] = slices.Delete(members, place, place+1)
+	}
+	one.isOffered = false
+}
+
+func compareID(one *member, id string) int { return cmp.Compare(one.ID, id) }
+
 func (t *Table) noteOver(one *member) {
 	t.over = append(t.over, overLife{Life: one.Life(), wasLeaving: !one.TakesWork()})
 	t.over = t.over[max(0, len(t.over)-overKept):]
@@ -272,7 +354,7 @@
 func (t *Table) Choose(now time.Duration, request Request) (Choice, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	candidates := t.candidates(now, request)
+	candidates := t.allCandidates(now, request)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
@@ -342,14 +424,31 @@
 	t.evacuated = zones
 }
 
-// candidates returns the instances that may be chosen: the healthy ones, or if
+// allCandidates returns the instances that may be chosen.
+func (t *Table) allCandidates(now time.Duration, request Request) []*member {
+	if running := t.rollouts[request.Service]; running != nil {
+		return t.candidatesInRollout(now, request, running)
+	}
+	return t.candidates(now, request, anyMember)
+}
+
+func anyMember(*member) bool { return true }
+
+// candidates returns those of some instances that may be chosen: the healthy ones, or if
 // there is none, all that were not tried. None is in an evacuated zone, in a region that
 // the request is not allowed in, or bears no request of this node now, whatever that leaves.
-func (t *Table) candidates(now time.Duration, request Request) []*member {
-	var healthy, others []*member
+func (t *Table) candidates(now time.Duration, request Request, isAmong func(*member) bool) []*member {
+	healthy, others := t.sortCandidates(now, request, isAmong)
+	if len(healthy) > 0 {
+		return healthy
+	}
+	return others
+}
+
+func (t *Table) sortCandidates(now time.Duration, request Request, isAmong func(*member) bool) (healthy, others []*member) {
 	average := t.averageFailures(request.Service)
 	for _, one := range t.byService[request.Service] {
-		if slices.Contains(request.Exclude, one.ID) || request.MaxInFlight > 0 && one.inFlight >= request.MaxInFlight {
+		if !isAmong(one) || slices.Contains(request.Exclude, one.ID) || request.MaxInFlight > 0 && one.inFlight >= request.MaxInFlight {
 			continue
 		}
 		if t.evacuated.Contains(one.Zone) || !request.Regions.Contains(t.regionOfZone[one.Zone]) || !t.bears(now, one, request.Cold) {
@@ -361,10 +460,7 @@
 		}
 		others = append(others, one)
 	}
-	if len(healthy) > 0 {
-		return healthy
-	}
-	return others
+	return healthy, others
 }
 
 // zoneIsOpen tells whether a zone's instances may be chosen. A zone that is
@@ -559,6 +655,9 @@
 	t.noteZone(now, known.Instance, outcome)
 	known.inFlight--
 	known.pending -= choice.pending
+	if known.hasEnded && known.inFlight == 0 {
+		delete(t.members, known.ID)
+	}
 	switch outcome {
 	case Served:
 		known.pause = 0
@@ -570,7 +669,7 @@
 		known.pausedUntil = now + known.pause
 	case Replaced:
 		known.replaced = true
-		t.byService[known.Service] = slices.DeleteFunc(t.byService[known.Service], func(one *member) bool { return one == known })
+		t.withdraw(known)
 	case Full, Abandoned:
 	}
 }
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -21,6 +21,7 @@
 	"github.com/ravenway/ravenway/internal/state/accounts"
 	"github.com/ravenway/ravenway/internal/state/catalog"
 	"github.com/ravenway/ravenway/internal/state/evacuation"
+	"github.com/ravenway/ravenway/internal/state/rollout"
 )
 
 const (
@@ -50,8 +51,9 @@
 	// Contact is what the proposer's clocks show, for Reports; its index is that
 	// of the entry.
 	Contact accounts.Contact `msgpack:"k"`
-	// Zone is encoded by itself, see zoneEntry.
-	Zone *ZoneCommand `msgpack:"-"`
+	// Zone and Rollout are encoded by themselves, see namedEntry.
+	Zone    *ZoneCommand    `msgpack:"-"`
+	Rollout *RolloutCommand `msgpack:"-"`
 }
 
 // CatalogCommand changes the catalog.
@@ -158,8 +160,9 @@
 	Order   *OrderRecord     `msgpack:"o,omitempty"`
 	// Document answers a DocumentCommand.
 	Document *DocumentOutcome `msgpack:"d,omitempty"`
-	// Zones answers a ZoneCommand.
-	Zones *evacuation.Zones `msgpack:"z,omitempty"`
+	// Zones answers a ZoneCommand, Rollout a RolloutCommand.
+	Zones   *evacuation.Zones `msgpack:"z,omitempty"`
+	Rollout *RolloutOutcome   `msgpack:"l,omitempty"`
 }
 
 // Machine is the state. It is not safe for concurrent use.
@@ -173,6 +176,7 @@
 	orders         map[uint64]*OrderRecord
 	document       HeldDocument
 	evacuated      evacuation.Zones
+	rollouts       rollout.Set
 }
 
 // New makes an empty state.
@@ -210,8 +214,8 @@
 // versions with field names are read as well, those as arrays only while no
 // struct in them has got or lost a field.
 func Encode(command Command) ([]byte, error) {
-	if command.Zone != nil {
-		return encodeZone(command.Zone)
+	if command.isNamed() {
+		return encodeNamed(command)
 	}
 	var buffer bytes.Buffer
 	encoder := msgpack.NewEncoder(&buffer)
@@ -225,8 +229,8 @@
 
 // decode reads what Encode wrote.
 func decode(data []byte) (Command, error) {
-	if zone := decodeZone(data); zone != nil {
-		return Command{Zone: zone}, nil
+	if named, found := decodeNamed(data); found {
+		return named, nil
 	}
 	var command Command
 	err := msgpack.Unmarshal(data, &command)
@@ -277,6 +281,8 @@
 		return m.applyCloseLives(command.CloseLives)
 	case command.Zone != nil:
 		return m.applyZone(index, command.Zone)
+	case command.Rollout != nil:
+		return m.applyRollout(index, command.Rollout)
 	}
 	return Result{Refused: "the command is of a kind that this version does not know"}
 }
--- a/internal/state/machine/snapshot.go
+++ b/internal/state/machine/snapshot.go
@@ -9,6 +9,7 @@
 	"github.com/ravenway/ravenway/internal/state/accounts"
 	"github.com/ravenway/ravenway/internal/state/catalog"
 	"github.com/ravenway/ravenway/internal/state/evacuation"
+	"github.com/ravenway/ravenway/internal/state/rollout"
 )
 
 // storedOperation is one remembered answer.
@@ -26,6 +27,7 @@
 	Orders     []OrderRecord     `msgpack:"d"`
 	Document   HeldDocument      `msgpack:"m"`
 	Evacuated  evacuation.Zones  `msgpack:"z"`
+	Rollouts   rollout.Set       `msgpack:"l"`
 }
 
 // Snapshot implements consensus.StateMachine. Its bytes depend on the state
@@ -47,7 +49,7 @@
 	}
 	sort.Slice(stored.Nodes, func(i, j int) bool { return stored.Nodes[i].Name < stored.Nodes[j].Name })
 	stored.Orders = m.Orders()
-	stored.Document, stored.Evacuated = m.document, m.evacuated
+	stored.Document, stored.Evacuated, stored.Rollouts = m.document, m.evacuated, m.rollouts
 	data, err := msgpack.Marshal(&stored)
 	if err != nil {
 		return nil, fmt.Errorf("encoding the state: %w", err)
@@ -78,7 +80,7 @@
 	for _, order := range stored.Orders {
 		restored.orders[order.Fence] = &order
 	}
-	restored.document, restored.evacuated = stored.Document, stored.Evacuated
+	restored.document, restored.evacuated, restored.rollouts = stored.Document, stored.Evacuated, stored.Rollouts
 	*m = *restored
 	return nil
 }
--- /dev/null
+++ b/internal/state/rollout/rollout_test.go
@@ -0,0 +1,59 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func order(service, version string, atSecond int64) Order {
+	return Order{Service: service, Version: version, Duration: 12 * time.Second, OrderedMS: atSecond * 1000}
+}
+
+func TestOrderIsTakenOnce(t *testing.T) {
+	set, answer := Set{}.Take(7, order("llm", "v2", 0))
+	assert.Equal(t, answer, Begun)
+	again, answer := set.Take(8, order("llm", "v2", 3))
+	assert.Equal(t, answer, UnderWay)
+	assert.Equal(t, again.Revision, uint64(7))
+	_, answer = set.Take(9, order("llm", "v3", 3))
+	assert.Equal(t, answer, OtherUnderWay)
+	other, answer := set.Take(10, order("app", "v3", 3))
+	assert.Equal(t, answer, Begun)
+	assert.Equal(t, other.Rollouts[0].Service, "app")
+	assert.Equal(t, other.Rollouts[1].Service, "llm")
+	assert.Equal(t, len(set.Rollouts), 1, "a value never changes")
+}
+
+// The acknowledgement was lost, and the version was rolled back before the operator sent
+// its order again: that must not bring the version back.
+func TestRepeatedOrderDoesNotBringABadVersionBack(t *testing.T) {
+	set, _ := Set{}.Take(7, order("llm", "v2", 0))
+	set = set.Advance(8, Step{Service: "llm", Rollout: 7, Stage: RolledBack, Reason: "it fails"})
+	_, answer := set.Take(9, order("llm", "v2", 4))
+	assert.Equal(t, answer, UnderWay)
+	later, answer := set.Take(10, order("llm", "v2", 60))
+	assert.Equal(t, answer, Begun)
+	begun, _ := later.Find("llm")
+	assert.Equal(t, begun.Stage, Canary)
+	_, answer = set.Take(11, order("llm", "v3", 4))
+	assert.Equal(t, answer, Begun)
+}
+
+func TestRolloutMovesOnlyForward(t *testing.T) {
+	set, _ := Set{}.Take(7, order("llm", "v2", 0))
+	for index, step := range []struct {
+		rollout uint64
+		stage   Stage
+		want    Stage
+	}{{6, RolledBack, Canary}, {7, Canary, Canary}, {7, Moving, Moving}, {7, Canary, Moving}, {7, Done, Done}, {7, RolledBack, Done}} {
+		set = set.Advance(uint64(20+index), Step{Service: "llm", Rollout: step.rollout, Stage: step.stage})
+		known, found := set.Find("llm")
+		assert.Assert(t, found)
+		assert.Equal(t, known.Stage, step.want, "step %d", index)
+	}
+	assert.Equal(t, set.Revision, uint64(24))
+	_, found := set.Find("app")
+	assert.Assert(t, !found)
+}
