--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -452,9 +452,7 @@
 	f.publishedAt, f.isPublishDue = now, false
 	current := f.node.settings.Load()
 	view := &fleetView{leader: f.roster.Leader(now), rootHeardAt: -certainFor}
-	for _, known := range f.roster.AliveNodes(now) {
-		view.alive = append(view.alive, known)
-	}
+	view.alive = f.roster.AliveNodes(now)
 	before := f.view.Load().neighbours
 	view.neighbours = before
 	if entries, generation := f.roster.Entries(now); generation != before.generation {
--- a/internal/lab/simulate/rollout.go
+++ b/internal/lab/simulate/rollout.go
@@ -22,9 +22,6 @@
 	OneRoute, UnderLoad bool
 }
 
-// isBad tells whether the version is worse at all.
-func (h Harm) isBad() bool { return h.Failing > 0 || h.Slow > 0 }
-
 // RolloutFault is a fault beside a rollout.
 type RolloutFault string
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -32,6 +32,7 @@
 	s.Limits.StopTimeout = cmp.Or(s.Limits.StopTimeout, DefaultStopTimeout)
 	s.Bounds.StopGrace = cmp.Or(s.Bounds.StopGrace, DefaultStopGrace)
 	s.Bounds.RetryWindow = cmp.Or(s.Bounds.RetryWindow, DefaultRetryWindow)
+	s.Bounds.ExposureShare = cmp.Or(s.Bounds.ExposureShare, DefaultExposureShare)
 	s.Quarantine.Memory = cmp.Or(s.Quarantine.Memory, DefaultQuarantineMemory)
 	s.Quarantine.Requests = cmp.Or(s.Quarantine.Requests, DefaultQuarantineRequests)
 }
@@ -193,6 +194,9 @@
 	if len(s.Peers) > 0 {
 		p.find("peers", "can't be given together with fleet.dialect")
 	}
+	if s.Bounds.ExposureShare < 0 || s.Bounds.ExposureShare > 1 {
+		p.find("bounds.exposure_share", "must be from 0 to 1, not %v", s.Bounds.ExposureShare)
+	}
 	if s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
 		p.find("bounds", "retry_ratio and retry_slack can't be below 0")
 	}
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -110,6 +110,11 @@
 			p.table(key, table, target)
 			return
 		}
+	case reflect.Map:
+		if table, isTable := raw.(map[string]any); isTable {
+			p.names(key, table, target)
+			return
+		}
 	case reflect.Slice:
 		if list, isList := raw.([]any); isList {
 			p.list(key, list, target)
@@ -161,9 +166,20 @@
 	target.Set(list)
 }
 
+// names fills a map from a table whose keys are names.
+func (p *parser) names(key string, raw map[string]any, target reflect.Value) {
+	named := reflect.MakeMapWithSize(target.Type(), len(raw))
+	for _, name := range slices.Sorted(maps.Keys(raw)) {
+		value := reflect.New(target.Type().Elem()).Elem()
+		p.value(joinKey(key, name), raw[name], value)
+		named.SetMapIndex(reflect.ValueOf(name), value)
+	}
+	target.Set(named)
+}
+
 func kindName(kind reflect.Kind) string {
 	switch kind {
-	case reflect.Struct:
+	case reflect.Struct, reflect.Map:
 		return "table"
 	case reflect.Slice:
 		return "list"
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,8 @@
 	DefaultStopTimeout      = 10 * time.Minute
 	DefaultStopGrace        = 8 * time.Second
 	DefaultRetryWindow      = 10 * time.Second
+	// DefaultExposureShare is what the users' deployments allow.
+	DefaultExposureShare = 0.1
 	// DefaultQuarantineMemory makes a request that goes on ending engines cost one of
 	// them in half an hour, 48 a day.
 	DefaultQuarantineMemory   = 30 * time.Minute
@@ -128,6 +130,9 @@
 	RetryWindow time.Duration `toml:"retry_window"`
 	RetryRatio  float64       `toml:"retry_ratio"`
 	RetrySlack  float64       `toml:"retry_slack"`
+	// ExposureShare is the most of a service's requests that a version of its engines may
+	// get that turns out to be bad.
+	ExposureShare float64 `toml:"exposure_share"`
 }
 
 // Quarantine is for requests that end the engines which run them. Only with
