Rollouts: ordered by operators, canaried by all nodes, judged and ended by the leading control node

Cause: a service whose engines were replaced by another version gave the new ones all the work that they would take at once, bad or not, and an order for it met a 404.

Change: an order (POST, `ravenway rollout start`) is checked by the leader, committed, told with hellos; entry nodes give the canary its share (0.8 of the exposure that the settings allow) and report each 0.25 s how instances answered; the leader judges each 0.1 s. A good version takes all new work in the last 0.3 of its time (1.5 to 5 s), is done once no node has a request at the old one, at the latest 0.7 s before the deadline. A bad one gets nothing more. While a node is heard whose build knows no rollouts, orders are unavailable: a replica of that build could not apply them. A new leader judges from the nodes' whole counts.

Where a version is judged by an operator's deadline without a verdict: few answers (under 10), or evidence of harm that is no verdict yet, roll it back; otherwise it moves on.

Tests (whole fleets in virtual time): each answer of the new version fails: rolled back within half the time, at most a tenth of the requests and 50, none a second later; a good one done in time and 3 s of calls after all old engines end at once, all 200; orders over the loss of node, disk and power; leaders that die meanwhile; refusals; operators' view.

--- a/api/ravenway/v1/ravenwayv1connect/ravenway.connect.go
+++ b/api/ravenway/v1/ravenwayv1connect/ravenway.connect.go
@@ -70,6 +70,9 @@
 	// OperatorServiceOrderZoneProcedure is the fully-qualified name of the OperatorService's OrderZone
 	// RPC.
 	OperatorServiceOrderZoneProcedure = "/ravenway.v1.OperatorService/OrderZone"
+	// OperatorServiceOrderRolloutProcedure is the fully-qualified name of the OperatorService's
+	// OrderRollout RPC.
+	OperatorServiceOrderRolloutProcedure = "/ravenway.v1.OperatorService/OrderRollout"
 	// OperatorServiceGetQuarantineProcedure is the fully-qualified name of the OperatorService's
 	// GetQuarantine RPC.
 	OperatorServiceGetQuarantineProcedure = "/ravenway.v1.OperatorService/GetQuarantine"
@@ -105,6 +108,10 @@
 	// it. It is answered once the order is committed; the same order again changes
 	// nothing.
 	OrderZone(context.Context, *connect.Request[v1.OrderZoneRequest]) (*connect.Response[v1.OrderZoneResponse], error)
+	// OrderRollout has a service's work move to back ends of a version: few requests first,
+	// all once that has shown to be as good as the old one. It is answered once the order is
+	// committed; a version that is worse is rolled back.
+	OrderRollout(context.Context, *connect.Request[v1.OrderRolloutRequest]) (*connect.Response[v1.OrderRolloutResponse], error)
 	// GetQuarantine lists what a node holds against requests that were at the ends of
 	// engines; control nodes hold what all nodes saw.
 	GetQuarantine(context.Context, *connect.Request[v1.GetQuarantineRequest]) (*connect.Response[v1.GetQuarantineResponse], error)
@@ -190,6 +197,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("OrderZone")),
 			connect.WithClientOptions(opts...),
 		),
+		orderRollout: connect.NewClient[v1.OrderRolloutRequest, v1.OrderRolloutResponse](
+			httpClient,
+			baseURL+OperatorServiceOrderRolloutProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("OrderRollout")),
+			connect.WithClientOptions(opts...),
+		),
 		getQuarantine: connect.NewClient[v1.GetQuarantineRequest, v1.GetQuarantineResponse](
 			httpClient,
 			baseURL+OperatorServiceGetQuarantineProcedure,
@@ -218,6 +231,7 @@
 	order              *connect.Client[v1.OrderRequest, v1.OrderResponse]
 	getOrders          *connect.Client[v1.GetOrdersRequest, v1.GetOrdersResponse]
 	orderZone          *connect.Client[v1.OrderZoneRequest, v1.OrderZoneResponse]
+	orderRollout       *connect.Client[v1.OrderRolloutRequest, v1.OrderRolloutResponse]
 	getQuarantine      *connect.Client[v1.GetQuarantineRequest, v1.GetQuarantineResponse]
 	releaseQuarantined *connect.Client[v1.ReleaseQuarantinedRequest, v1.ReleaseQuarantinedResponse]
 }
@@ -277,6 +291,11 @@
 	return c.orderZone.CallUnary(ctx, req)
 }
 
+// OrderRollout calls ravenway.v1.OperatorService.OrderRollout.
+func (c *operatorServiceClient) OrderRollout(ctx context.Context, req *connect.Request[v1.OrderRolloutRequest]) (*connect.Response[v1.OrderRolloutResponse], error) {
+	return c.orderRollout.CallUnary(ctx, req)
+}
+
 // GetQuarantine calls ravenway.v1.OperatorService.GetQuarantine.
 func (c *operatorServiceClient) GetQuarantine(ctx context.Context, req *connect.Request[v1.GetQuarantineRequest]) (*connect.Response[v1.GetQuarantineResponse], error) {
 	return c.getQuarantine.CallUnary(ctx, req)
@@ -314,6 +333,10 @@
 	// it. It is answered once the order is committed; the same order again changes
 	// nothing.
 	OrderZone(context.Context, *connect.Request[v1.OrderZoneRequest]) (*connect.Response[v1.OrderZoneResponse], error)
+	// OrderRollout has a service's work move to back ends of a version: few requests first,
+	// all once that has shown to be as good as the old one. It is answered once the order is
+	// committed; a version that is worse is rolled back.
+	OrderRollout(context.Context, *connect.Request[v1.OrderRolloutRequest]) (*connect.Response[v1.OrderRolloutResponse], error)
 	// GetQuarantine lists what a node holds against requests that were at the ends of
 	// engines; control nodes hold what all nodes saw.
 	GetQuarantine(context.Context, *connect.Request[v1.GetQuarantineRequest]) (*connect.Response[v1.GetQuarantineResponse], error)
@@ -395,6 +418,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("OrderZone")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceOrderRolloutHandler := connect.NewUnaryHandler(
+		OperatorServiceOrderRolloutProcedure,
+		svc.OrderRollout,
+		connect.WithSchema(operatorServiceMethods.ByName("OrderRollout")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceGetQuarantineHandler := connect.NewUnaryHandler(
 		OperatorServiceGetQuarantineProcedure,
 		svc.GetQuarantine,
@@ -431,6 +460,8 @@
 			operatorServiceGetOrdersHandler.ServeHTTP(w, r)
 		case OperatorServiceOrderZoneProcedure:
 			operatorServiceOrderZoneHandler.ServeHTTP(w, r)
+		case OperatorServiceOrderRolloutProcedure:
+			operatorServiceOrderRolloutHandler.ServeHTTP(w, r)
 		case OperatorServiceGetQuarantineProcedure:
 			operatorServiceGetQuarantineHandler.ServeHTTP(w, r)
 		case OperatorServiceReleaseQuarantinedProcedure:
@@ -488,6 +519,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.OrderZone is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) OrderRollout(context.Context, *connect.Request[v1.OrderRolloutRequest]) (*connect.Response[v1.OrderRolloutResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.OrderRollout is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) GetQuarantine(context.Context, *connect.Request[v1.GetQuarantineRequest]) (*connect.Response[v1.GetQuarantineResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.GetQuarantine is not implemented"))
 }
--- a/internal/coordination/balance/rollout.go
+++ b/internal/coordination/balance/rollout.go
@@ -131,6 +131,19 @@
 	return healthy
 }
 
+// Versions are those of a service's instances that take new work.
+func (t *Table) Versions(service string) []string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var versions []string
+	for _, one := range t.byService[service] {
+		if !slices.Contains(versions, one.Version) {
+			versions = append(versions, one.Version)
+		}
+	}
+	return versions
+}
+
 // OldUnderWay is the number of this node's requests at instances of a service that have
 // not the version of its rollout.
 func (t *Table) OldUnderWay(service string) int {
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -9,6 +9,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
+	"github.com/ravenway/ravenway/internal/coordination/rollout"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
 
@@ -184,13 +185,17 @@
 // for the caller. An exchange that is returned holds a failure's head and body.
 func (r *request) attempt(ctx context.Context, choice balance.Choice) (*exchange, verdict) {
 	outcome := balance.Abandoned
+	var sending *exchange
 	// relay notes in the choice that the instance has begun.
 	defer func() {
 		r.pipeline.options.Table.Done(r.pipeline.options.Environment.Now(), choice, outcome)
+		r.recordAnswer(choice, outcome, sending)
 	}()
 	ctx, cancel := r.attemptContext(ctx)
 	defer cancel()
-	sending, state, err := r.pipeline.pool.send(ctx, r.pipeline.options.Dialect, choice.Address, r.outgoing(choice, r.call.LastEvent))
+	var state sendState
+	var err error
+	sending, state, err = r.pipeline.pool.send(ctx, r.pipeline.options.Dialect, choice.Address, r.outgoing(choice, r.call.LastEvent))
 	if state == notSent {
 		if ctx.Err() == nil {
 			outcome = balance.Unreachable
@@ -227,6 +232,33 @@
 	return nil, result
 }
 
+// leastPaceEvents are the events that a stream needs for the pace of its events to say
+// something.
+const leastPaceEvents = 3
+
+// recordAnswer records how an instance answered, for those who compare its version with
+// another one.
+func (r *request) recordAnswer(choice balance.Choice, outcome balance.Outcome, sending *exchange) {
+	if outcome != balance.Served && outcome != balance.Failed {
+		return
+	}
+	answer := rollout.Answer{
+		Service: choice.Service, Version: choice.Version, Instance: choice.ID, Route: r.route.Name, IsFailed: outcome == balance.Failed,
+		Tokens: choice.Ahead + choice.Unread,
+	}
+	switch {
+	case sending == nil:
+	case r.route.Kind != document.Stream:
+		answer.First = sending.answeredAt.Sub(sending.sentAt)
+	case r.events > 0:
+		answer.First = r.arrived.Add(r.pace.first).Sub(sending.sentAt)
+		if r.events >= leastPaceEvents {
+			answer.Pace = (r.pace.last - r.pace.first) / time.Duration(r.events-1)
+		}
+	}
+	r.pipeline.options.Recorder.Note(answer)
+}
+
 // attemptContext limits the wait for a repeatable request's answer, so that
 // there is time left for another instance.
 func (r *request) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -15,6 +15,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
+	"github.com/ravenway/ravenway/internal/coordination/rollout"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
 
@@ -95,6 +96,8 @@
 	// Guard knows the requests that end their engines; nil means one that is told of
 	// nothing.
 	Guard *quarantine.Guard
+	// Recorder records how instances answer; nil means that nobody asks.
+	Recorder *rollout.Recorder
 }
 
 // Pipeline serves callers.
@@ -133,6 +136,9 @@
 	if options.Guard == nil {
 		options.Guard = quarantine.NewGuard(nil)
 	}
+	if options.Recorder == nil {
+		options.Recorder = rollout.NewRecorder()
+	}
 	made := &Pipeline{options: options, pool: newPool(options.Dial, options.Environment.LinkDelay), retries: balance.NewRetryBudget()}
 	made.ends = newEndWatch(made)
 	return made
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -12,6 +12,7 @@
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/document"
 	"github.com/ravenway/ravenway/internal/state/machine"
+	"github.com/ravenway/ravenway/internal/state/rollout"
 )
 
 // orderTimeout bounds the work on an operator's order: who waits longer asks
@@ -164,9 +165,21 @@
 // readDocumentHere reads the newest document once a quorum has confirmed that
 // this node leads.
 func (n *Node) readDocumentHere(ctx context.Context, question readQuestion) (readAnswer, error) {
+	held, err := readHere(ctx, n, (*machine.Machine).Document)
+	switch {
+	case err != nil:
+		return readAnswer{}, err
+	case held.Version > 0 && held.Version == question.Have:
+		return readAnswer{Same: true}, nil
+	}
+	return readAnswer{Raw: held.Raw}, nil
+}
+
+// readHere reads committed state once a quorum has confirmed that this node leads.
+func readHere[T any](ctx context.Context, n *Node, read func(*machine.Machine) T) (T, error) {
 	type ended struct {
-		held machine.HeldDocument
-		err  error
+		value T
+		err   error
 	}
 	answer, err := duty.Ask(ctx, n.replica.duty, func(answer func(ended)) {
 		if n.replica.replica == nil {
@@ -174,19 +187,13 @@
 			return
 		}
 		n.replica.replica.Read(func(err error) {
-			answer(ended{held: n.replica.machine.Document(), err: err})
+			answer(ended{value: read(n.replica.machine), err: err})
 		})
 	})
 	if err == nil {
 		err = answer.err
 	}
-	if err != nil {
-		return readAnswer{}, err
-	}
-	if answer.held.Version > 0 && answer.held.Version == question.Have {
-		return readAnswer{Same: true}, nil
-	}
-	return readAnswer{Raw: answer.held.Raw}, nil
+	return answer.value, err
 }
 
 // serveCall answers another node's call.
@@ -215,6 +222,10 @@
 		return peer.Execute(call, func(question readQuestion) (any, error) { return n.readDocumentHere(ctx, question) })
 	case peer.MethodOrderZone:
 		return peer.Execute(call, func(command machine.ZoneCommand) (any, error) { return n.orderZoneHere(ctx, command) })
+	case peer.MethodOrderRollout:
+		return peer.Execute(call, func(order rollout.Order) (any, error) { return n.orderRolloutHere(ctx, order) })
+	case peer.MethodReadRollout:
+		return peer.Execute(call, func(question rolloutQuestion) (any, error) { return n.readRolloutHere(ctx, question) })
 	}
 	return nil, fmt.Errorf("method %q is not known here", call.Method)
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -364,6 +364,7 @@
 	}
 	if f.isControl() {
 		f.node.replica.describe(&said)
+		said.Rollouts = f.node.rollouts.told()
 	}
 	return said
 }
@@ -402,6 +403,7 @@
 	f.compareInstances(hello)
 	if hello.Control {
 		f.node.zones.hear(hello)
+		f.node.rollouts.hear(hello)
 		f.node.quarantine.hear(hello.Address, hello.QuarantineDigest, isNew)
 		f.node.documents.hear(follow.Node{Address: hello.Address, Zone: hello.Zone}, hello.Version)
 	}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -37,6 +37,7 @@
 	"github.com/ravenway/ravenway/internal/state/disk"
 	"github.com/ravenway/ravenway/internal/state/document"
 	"github.com/ravenway/ravenway/internal/state/evacuation"
+	"github.com/ravenway/ravenway/internal/state/rollout"
 	"github.com/ravenway/ravenway/internal/transport"
 )
 
@@ -64,6 +65,12 @@
 	// ReadDocument returns the newest configuration as it was sent; nil if
 	// there is none yet.
 	ReadDocument(ctx context.Context) (raw []byte, err error)
+	// OrderRollout has a service's work move to instances of a version, and returns once the
+	// order is committed. The errors are ErrUnknownService, ErrRolloutUnderWay,
+	// ErrOtherRollout, ErrVersionRuns, ErrRolloutDuration and ErrUnavailable.
+	OrderRollout(ctx context.Context, service, version string, duration time.Duration) error
+	// Rollout returns a service's newest rollout. ErrNoRollout says that there is none.
+	Rollout(ctx context.Context, service string) (rollout.Rollout, error)
 	// OrderZone evacuates a zone, or restores it, and returns the evacuated zones
 	// once the order is committed. ErrUnknownZone says that there is no such zone.
 	OrderZone(ctx context.Context, zone string, evacuated bool) (evacuation.Zones, error)
@@ -118,6 +125,9 @@
 	documents *documentStore
 	publisher *documentPublisher
 	zones     *zoneStore
+	rollouts  *rolloutStore
+	// judging reports on rollouts, or judges them.
+	judging *rolloutsDuty
 	// quarantine holds the requests that end their engines.
 	quarantine *quarantineDuty
 	link       *linkWatch
@@ -156,6 +166,7 @@
 	node.calls = peer.NewCalls(node.send)
 	node.documents, node.publisher = newDocumentStore(node), newDocumentPublisher(node)
 	node.zones = newZoneStore(node)
+	node.rollouts, node.judging = newRolloutStore(node), newRolloutsDuty(node)
 	node.quarantine = newQuarantineDuty(node)
 	node.link, node.gate = &linkWatch{node: node}, newCallerGate(node)
 	node.fleet = newFleetDuty(node)
@@ -169,7 +180,7 @@
 		node.pipeline = forward.New(forward.Options{
 			Dialect: options.Dialect, Environment: &entryEnvironment{node}, Table: node.table,
 			Log: node.decisions, Dial: options.DialEngine, BufferedBytes: bodyBytes(options.Settings.Limits.MemoryMB),
-			Guard: node.quarantine.guard,
+			Guard: node.quarantine.guard, Recorder: node.rollouts.recorder,
 		})
 		node.callers = newCallerServer(options.Listeners.Callers, node.pipeline)
 		node.documents.changed = node.callers.adopt
@@ -218,6 +229,7 @@
 	duties.Go(func() { n.mesh.Run(ctx) })
 	duties.Go(func() { n.fleet.duty.Run(ctx) })
 	duties.Go(func() { n.quarantine.duty.Run(ctx) })
+	duties.Go(func() { n.judging.duty.Run(ctx) })
 	if n.replica != nil {
 		duties.Go(func() { n.replica.duty.Run(ctx) })
 		duties.Go(func() { n.fleet.remembered.run(ctx) })
@@ -383,6 +395,8 @@
 		return peer.Dispatch(envelope, n.tokens.takePool)
 	case peer.KindQuarantine:
 		return peer.Dispatch(envelope, func(message quarantineMessage) { n.quarantine.take(from, message) })
+	case peer.KindRollouts:
+		return peer.Dispatch(envelope, func(message evidenceMessage) { n.judging.take(from, message) })
 	case peer.KindLoads:
 		if n.loads == nil {
 			return nil
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -13,6 +14,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
 	"github.com/ravenway/ravenway/internal/duty"
 	"github.com/ravenway/ravenway/internal/protocol/operator"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
 
@@ -40,6 +42,12 @@
 	}
 	zones := node.zones.inForce()
 	answer.EvacuatedZones, answer.EvacuationRevision = zones.Names, zones.Revision
+	for _, one := range node.rollouts.inForce().Rollouts {
+		answer.Rollouts = append(answer.Rollouts, &ravenwayv1.Rollout{
+			Service: one.Service, Version: one.Version, DurationMilliseconds: uint64(one.Duration.Milliseconds()),
+			Stage: one.Stage.String(), Reason: one.Reason, Revision: one.Revision,
+		})
+	}
 	if node.replica != nil {
 		replica := node.replica.shared.Load()
 		answer.Term, answer.QuorumAgeMilliseconds = replica.term, uint64(replica.quorumSilence.Milliseconds())
@@ -48,18 +56,37 @@
 	answer.Nodes = append(answer.Nodes, &ravenwayv1.NodeStatus{
 		Name: current.Node.Name, Zone: current.Node.Zone, Control: node.replica != nil,
 		Leader: node.address == answer.Leader, Revision: answer.Revision, Stopping: node.isStopping(),
-		EvacuationRevision: zones.Revision,
+		EvacuationRevision: zones.Revision, Dialect: uint32(peer.OwnDialect),
 	})
 	for _, known := range view.alive {
 		answer.Nodes = append(answer.Nodes, &ravenwayv1.NodeStatus{
 			Name: known.Node, Zone: known.Zone, Control: known.Control, Leader: known.Address == answer.Leader,
 			Revision: known.Version, SilentMilliseconds: uint64((node.now() - known.At).Milliseconds()), Stopping: known.Stopping,
-			EvacuationRevision: known.Evacuated.Revision,
+			EvacuationRevision: known.Evacuated.Revision, Dialect: uint32(known.Dialect),
 		})
 	}
 	return connect.NewResponse(answer), nil
 }
 
+// OrderRollout implements the schema's OrderRollout at any node that knows a leader.
+func (o *operatorServer) OrderRollout(ctx context.Context, request *connect.Request[ravenwayv1.OrderRolloutRequest]) (*connect.Response[ravenwayv1.OrderRolloutResponse], error) {
+	duration := time.Duration(request.Msg.GetDurationMilliseconds()) * time.Millisecond
+	err := o.node.OrderRollout(ctx, request.Msg.GetService(), request.Msg.GetVersion(), duration)
+	switch {
+	case err == nil:
+		return connect.NewResponse(&ravenwayv1.OrderRolloutResponse{}), nil
+	case errors.Is(err, ErrUnknownService):
+		return nil, connect.NewError(connect.CodeNotFound, err)
+	case errors.Is(err, ErrRolloutDuration):
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	case errors.Is(err, ErrRolloutUnderWay), errors.Is(err, ErrVersionRuns):
+		return nil, connect.NewError(connect.CodeAlreadyExists, err)
+	case errors.Is(err, ErrOtherRollout):
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	return nil, connect.NewError(connect.CodeUnavailable, err)
+}
+
 // OrderZone implements the schema's OrderZone at any node.
 func (o *operatorServer) OrderZone(ctx context.Context, request *connect.Request[ravenwayv1.OrderZoneRequest]) (*connect.Response[ravenwayv1.OrderZoneResponse], error) {
 	zones, err := o.node.OrderZone(ctx, request.Msg.GetZone(), request.Msg.GetEvacuated())
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -116,6 +116,7 @@
 	r.node.log.Info().Str("event", "replica_opened").Uint64("replica", id).Uint64("applied", r.replica.Applied()).
 		Uint64("version", r.machine.Document().Version).Int("records_read", r.replica.RecoveredRecords).
 		Int("torn_bytes", r.replica.TornBytes).Send()
+	r.node.rollouts.put(r.node.address, r.machine.Rollouts(), true)
 	r.publish()
 	r.share()
 }
@@ -315,10 +316,11 @@
 	}
 }
 
-// publish puts the zones and the document of the applied log in force here and
-// tells all.
+// publish puts the zones, the rollouts and the document of the applied log in force here
+// and tells all.
 func (r *replicaDuty) publish() {
 	r.node.zones.put(r.node.address, r.machine.Evacuated())
+	r.node.rollouts.put(r.node.address, r.machine.Rollouts(), false)
 	held := r.machine.Document()
 	if held.Version <= r.published {
 		return
--- a/internal/gateway/wire_test.go
+++ b/internal/gateway/wire_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
@@ -21,12 +22,14 @@
 	"github.com/ravenway/ravenway/internal/coordination/escrow"
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	judging "github.com/ravenway/ravenway/internal/coordination/rollout"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/settings"
 	"github.com/ravenway/ravenway/internal/state/accounts"
 	"github.com/ravenway/ravenway/internal/state/evacuation"
 	"github.com/ravenway/ravenway/internal/state/journal"
 	"github.com/ravenway/ravenway/internal/state/machine"
+	"github.com/ravenway/ravenway/internal/state/rollout"
 )
 
 var writeShapes = flag.Bool("write-shapes", false, "write testdata/shapes.txt anew")
@@ -112,12 +115,21 @@
 		case *peer.Hello:
 			body.QuarantineDigest, body.InstancesSum, body.Dialect = 99, 98, peer.OwnDialect
 			if body.Control {
+				body.Rollouts = &rollout.Set{Revision: 9, Rollouts: []rollout.Rollout{{
+					Order:    rollout.Order{Service: "huvo11a", Version: "v2", Duration: 12 * time.Second, OrderedMS: 1700000000000},
+					Revision: 9, Stage: rollout.Canary, Reason: "ordered",
+				}}}
 				body.OlderNodes = map[string]peer.Dialect{"10.1.0.40:7340": peer.DialectStrict}
 			}
 		case *instancesMessage:
 			body.Instances[0].Born, body.Instances[0].Epoch = 1700000000000, 1
 		}
 	}
+	evidence := judging.Evidence{
+		Service: "huvo11a", Rollout: 9, Routes: []judging.RouteCounts{{Route: "r", New: judging.Counts{Answers: 5, Bad: 1}, Old: judging.Counts{Answers: 50, Bad: 2}}},
+		Instances: []judging.InstanceCounts{{Instance: "i-1", Counts: judging.Counts{Answers: 5, Bad: 1}}}, Stage: rollout.Moving, OldUnderWay: 3,
+	}
+	all = append(all, wireSample{"rollouts", peer.KindRollouts, &evidenceMessage{Life: "0123456789abcdef", Evidence: []judging.Evidence{evidence}}})
 	return append(all, wireSample{"quarantine", peer.KindQuarantine, &quarantineMessage{Records: []quarantine.Record{recordOf(2)}, Digest: 4, IsList: true, Answer: true}})
 }
 
@@ -156,6 +168,8 @@
 		return decodedBody[peer.Reply](envelope)
 	case *quarantineMessage:
 		return decodedBody[quarantineMessage](envelope)
+	case *evidenceMessage:
+		return decodedBody[evidenceMessage](envelope)
 	}
 	return nil, fmt.Errorf("messages of type %T are not decoded here", like)
 }
@@ -272,7 +286,7 @@
 			}
 		}
 	}
-	for _, body := range []any{takeQuestion{}, readQuestion{}, readAnswer{}, machine.DocumentOutcome{}, machine.ZoneCommand{}} {
+	for _, body := range []any{takeQuestion{}, readQuestion{}, readAnswer{}, rolloutQuestion{}, rolloutAnswer{}, machine.DocumentOutcome{}, machine.ZoneCommand{}} {
 		for _, line := range peer.Shape(reflect.TypeOf(body)) {
 			if !slices.Contains(lines, line) {
 				lines = append(lines, line)
--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -160,7 +160,7 @@
 		Node:   settings.Node{Name: name, Zone: machine.Zone, Roles: []string{settings.RoleEntry}},
 		Listen: settings.Listen{Peers: machine.Peer()},
 		Fleet:  settings.Fleet{Dialect: "lab", PeerPort: peerPort, FirstStart: !f.hasRun},
-		Bounds: settings.Bounds{StopGrace: settings.DefaultStopGrace, RetryWindow: settings.DefaultRetryWindow, RetryRatio: 0.2, RetrySlack: 50},
+		Bounds: settings.Bounds{StopGrace: settings.DefaultStopGrace, RetryWindow: settings.DefaultRetryWindow, RetryRatio: 0.2, RetrySlack: 50, ExposureShare: settings.DefaultExposureShare},
 	}
 	loaded.Fleet.Seeds = f.seeds()
 	listen := func(port int) net.Listener {
@@ -285,8 +285,13 @@
 
 // AddEngine starts an engine stand-in and registers it from now on.
 func (f *Fleet) AddEngine(id, service, zone string) *Engine {
+	return f.AddVersion(id, service, zone, "")
+}
+
+// AddVersion starts an engine stand-in of a version of its service.
+func (f *Fleet) AddVersion(id, service, zone, version string) *Engine {
 	engine := &Engine{truth: f.Truth, Work: 10 * time.Millisecond}
-	engine.Instance = registry.Instance{ID: id, Service: service, Address: id + ":80", Zone: zone, Slots: 8, State: registry.Ready, Sequence: 1, Born: time.Now().UnixMilli()}
+	engine.Instance = registry.Instance{ID: id, Service: service, Address: id + ":80", Zone: zone, Version: version, Slots: 8, State: registry.Ready, Sequence: 1, Born: time.Now().UnixMilli()}
 	engine.end = func() { f.EndEngine(engine) }
 	server := &http.Server{Handler: engine}
 	listener := f.Network.Listen(id, engine.Address)
--- /dev/null
+++ b/internal/lab/openfleet/rollout_test.go
@@ -0,0 +1,239 @@
+package openfleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+	"github.com/ravenway/ravenway/internal/gateway"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+	"github.com/ravenway/ravenway/internal/state/rollout"
+)
+
+const (
+	// newVersion is the version that the service app moves to; its engines' ids begin so.
+	newVersion  = "v2"
+	rolloutTime = 10 * time.Second
+	// callersPause makes some 100 requests a second at each of three entry nodes.
+	callersPause = 10 * time.Millisecond
+)
+
+// orderRollout orders a rollout of the service app until a control node answers it.
+func orderRollout(f *Fleet, patience time.Duration) error {
+	return f.tryControls(patience, func(ctx context.Context, node *gateway.Node) error {
+		err := node.OrderRollout(ctx, "app", newVersion, rolloutTime)
+		if errors.Is(err, gateway.ErrRolloutUnderWay) {
+			return nil
+		}
+		return err
+	})
+}
+
+// stageOf reads the rollout of the service app at any control node.
+func stageOf(f *Fleet) rollout.Stage {
+	var stage rollout.Stage
+	_ = f.tryControls(2*time.Second, func(ctx context.Context, node *gateway.Node) error {
+		found, err := node.Rollout(ctx, "app")
+		stage = found.Stage
+		return err
+	})
+	return stage
+}
+
+// startNewVersion starts engines of the new version beside the old ones.
+func startNewVersion(f *Fleet, change func(*Engine)) {
+	for _, zone := range zones {
+		f.AddVersion(newVersion+"-"+zone, "app", zone, newVersion).Set(change)
+	}
+}
+
+// callAll sends requests at all entry nodes until it is stopped, and returns how many were
+// answered by which status.
+func callAll(f *Fleet) (stop func() map[int]int) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	var callers sync.WaitGroup
+	var mutex sync.Mutex
+	statuses := map[int]int{}
+	for _, entry := range f.Names(false) {
+		callers.Go(func() {
+			var calls sync.WaitGroup
+			for number := 0; ctx.Err() == nil; number++ {
+				calls.Go(func() {
+					path := []string{"/safe/x", "/once/x"}[number%2]
+					answer, err := f.Request(entry, Ask{ID: fmt.Sprintf("call-%s-%d", entry, number), Path: path, Key: "key-one"})
+					mutex.Lock()
+					defer mutex.Unlock()
+					if err != nil || answer.Broken != nil {
+						answer.Status = 0
+					}
+					statuses[answer.Status]++
+				})
+				time.Sleep(callersPause)
+			}
+			calls.Wait()
+		})
+	}
+	return func() map[int]int {
+		cancel()
+		callers.Wait()
+		return statuses
+	}
+}
+
+// runsOfNewVersion counts the runs at engines of the new version, and the last one's time.
+func runsOfNewVersion(f *Fleet) (count int, last time.Duration) {
+	for _, run := range f.Truth.Runs() {
+		if strings.HasPrefix(run.Instance, newVersion) {
+			count++
+			last = max(last, run.Arrived)
+		}
+	}
+	return count, last
+}
+
+// Each answer of the new version fails: it is rolled back, few requests reached it, and
+// none does any more.
+func TestBadVersionIsRolledBackAtAllNodes(t *testing.T) {
+	inFleet(t, 3, func(t *testing.T, f *Fleet) {
+		stop := callAll(f)
+		time.Sleep(2 * time.Second)
+		before := len(f.Truth.Runs())
+		assert.NilError(t, orderRollout(f, 3*time.Second))
+		startNewVersion(f, func(e *Engine) { e.Status = http.StatusInternalServerError })
+		assert.NilError(t, f.WaitFor(rolloutTime/2, "rolled back", func() bool { return stageOf(f) == rollout.RolledBack }))
+		time.Sleep(time.Second)
+		rolledBackAt := time.Since(f.Truth.began)
+		time.Sleep(rolloutTime)
+		stop()
+		count, last := runsOfNewVersion(f)
+		assert.Assert(t, count > 0 && float64(count) <= 0.1*float64(len(f.Truth.Runs())-before)+50, "%d runs", count)
+		assert.Assert(t, last < rolledBackAt, "a run %s after the rollback", last-rolledBackAt)
+		assert.Equal(t, stageOf(f), rollout.RolledBack)
+	})
+}
+
+// A good version takes all work before the deadline, and nothing is cut when the old
+// engines end at once as soon as it is done.
+func TestGoodVersionTakesOverWithoutALostRequest(t *testing.T) {
+	inFleet(t, 3, func(t *testing.T, f *Fleet) {
+		stop := callAll(f)
+		time.Sleep(2 * time.Second)
+		began := time.Now()
+		assert.NilError(t, orderRollout(f, 3*time.Second))
+		startNewVersion(f, func(*Engine) {})
+		assert.NilError(t, f.WaitFor(rolloutTime, "done", func() bool { return stageOf(f) == rollout.Done }))
+		assert.Assert(t, time.Since(began) < rolloutTime, "%s", time.Since(began))
+		for _, zone := range zones {
+			f.EndEngine(f.engines["app-"+zone])
+		}
+		time.Sleep(3 * time.Second)
+		statuses := stop()
+		assert.Equal(t, len(statuses), 1, "%v", statuses)
+		assert.Assert(t, statuses[http.StatusOK] > 1000, "%v", statuses)
+	})
+}
+
+// The order is kept over the loss of the node that acknowledged it, of its disk and of all
+// power, and sent again it does not begin anew.
+func TestAcknowledgedRolloutSurvivesALossOfAllPower(t *testing.T) {
+	inFleet(t, 3, func(t *testing.T, f *Fleet) {
+		taker := f.Machine("control-0").running()
+		assert.NilError(t, f.WaitFor(3*time.Second, "an acknowledgement", func() bool {
+			err := taker.OrderRollout(f.ctx, "app", newVersion, rolloutTime)
+			return err == nil || errors.Is(err, gateway.ErrRolloutUnderWay)
+		}))
+		f.PowerOff("control-0")
+		f.Wipe("control-0")
+		f.PowerOffAll()
+		f.BootAll()
+		assert.NilError(t, f.WaitFor(10*time.Second, "the rollout is known", func() bool { return stageOf(f) == rollout.Canary || stageOf(f) == rollout.RolledBack }))
+		err := f.tryControls(3*time.Second, func(ctx context.Context, node *gateway.Node) error {
+			err := node.OrderRollout(ctx, "app", newVersion, rolloutTime)
+			if errors.Is(err, gateway.ErrUnavailable) {
+				return err
+			}
+			assert.Check(t, errors.Is(err, gateway.ErrRolloutUnderWay), "%v", err)
+			return nil
+		})
+		assert.NilError(t, err)
+		// No engine of the version ever came: it is not taken for good.
+		assert.NilError(t, f.WaitFor(2*rolloutTime, "rolled back", func() bool { return stageOf(f) == rollout.RolledBack }))
+	})
+}
+
+// Leaders die and the core is cut while a bad version is out: it is rolled back all the
+// same, and its share is kept meanwhile.
+func TestBadVersionIsRolledBackThoughLeadersDie(t *testing.T) {
+	inFleet(t, 3, func(t *testing.T, f *Fleet) {
+		stop := callAll(f)
+		time.Sleep(2 * time.Second)
+		before := len(f.Truth.Runs())
+		assert.NilError(t, orderRollout(f, 3*time.Second))
+		startNewVersion(f, func(e *Engine) { e.Status = http.StatusInternalServerError })
+		for _, name := range f.Names(true) {
+			f.Kill(name)
+			time.Sleep(300 * time.Millisecond)
+			f.Boot(name)
+			time.Sleep(700 * time.Millisecond)
+		}
+		assert.NilError(t, f.WaitFor(rolloutTime, "rolled back", func() bool { return stageOf(f) == rollout.RolledBack }))
+		stop()
+		count, _ := runsOfNewVersion(f)
+		assert.Assert(t, float64(count) <= 0.1*float64(len(f.Truth.Runs())-before)+50, "%d runs", count)
+	})
+}
+
+func TestOrderForARolloutIsRefusedWithItsReason(t *testing.T) {
+	inFleet(t, 1, func(t *testing.T, f *Fleet) {
+		// answer is the first one that a control node gives which can tell.
+		answer := func(service, version string, duration time.Duration) (answered error) {
+			err := f.tryControls(3*time.Second, func(ctx context.Context, node *gateway.Node) error {
+				answered = node.OrderRollout(ctx, service, version, duration)
+				if errors.Is(answered, gateway.ErrUnavailable) {
+					return answered
+				}
+				return nil
+			})
+			assert.NilError(t, err)
+			return answered
+		}
+		assert.ErrorIs(t, answer("nowhere", newVersion, rolloutTime), gateway.ErrUnknownService)
+		assert.ErrorIs(t, answer("app", newVersion, time.Second), gateway.ErrRolloutDuration)
+		assert.ErrorIs(t, answer("app", "", rolloutTime), gateway.ErrVersionRuns)
+		_, err := f.Machine("control-0").running().Rollout(f.ctx, "app")
+		assert.Assert(t, errors.Is(err, gateway.ErrNoRollout), "%v", err)
+		assert.NilError(t, answer("app", newVersion, rolloutTime))
+		assert.ErrorIs(t, answer("app", "v3", rolloutTime), gateway.ErrOtherRollout)
+		assert.ErrorIs(t, answer("app", newVersion, rolloutTime), gateway.ErrRolloutUnderWay)
+	})
+}
+
+// Operators order rollouts and see them at any node, entry nodes too.
+func TestOperatorsSeeRolloutsAtEachNode(t *testing.T) {
+	inFleet(t, 2, func(t *testing.T, f *Fleet) {
+		request := &ravenwayv1.OrderRolloutRequest{Service: "app", Version: newVersion, DurationMilliseconds: uint64(rolloutTime.Milliseconds())}
+		_, err := f.Operators("entry-0").OrderRollout(f.ctx, connect.NewRequest(request))
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		for _, name := range append(f.Names(true), f.Names(false)...) {
+			status, err := f.Operators(name).GetStatus(f.ctx, connect.NewRequest(&ravenwayv1.GetStatusRequest{}))
+			assert.NilError(t, err)
+			assert.Equal(t, len(status.Msg.GetRollouts()), 1, name)
+			assert.Equal(t, status.Msg.GetRollouts()[0].GetStage(), "canary")
+			for _, node := range status.Msg.GetNodes() {
+				assert.Equal(t, node.GetDialect(), uint32(peer.OwnDialect))
+			}
+		}
+		_, err = f.Operators("entry-1").OrderRollout(f.ctx, connect.NewRequest(request))
+		assert.Equal(t, connect.CodeOf(err), connect.CodeAlreadyExists)
+	})
+}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -279,6 +279,12 @@
 	return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("no node that answers remembers request %q", id))
 }
 
+// OrderRollout implements the schema's OrderRollout: versions are rolled out in fleets whose
+// engines register themselves.
+func (o *operatorServer) OrderRollout(context.Context, *connect.Request[ravenwayv1.OrderRolloutRequest]) (*connect.Response[ravenwayv1.OrderRolloutResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("rollouts need fleet.dialect in the settings"))
+}
+
 // OrderZone implements the schema's OrderZone: zones are evacuated in fleets whose
 // members find each other from seeds.
 func (o *operatorServer) OrderZone(context.Context, *connect.Request[ravenwayv1.OrderZoneRequest]) (*connect.Response[ravenwayv1.OrderZoneResponse], error) {
--- a/internal/operatorcli/commands.go
+++ b/internal/operatorcli/commands.go
@@ -69,6 +69,11 @@
 				{Name: "evacuate", Usage: "give the zone's instances no new requests", ArgsUsage: "ZONE", Flags: waitFlags(), Action: action(orderZone(true))},
 				{Name: "restore", Usage: "give them requests again", ArgsUsage: "ZONE", Flags: waitFlags(), Action: action(orderZone(false))},
 			}},
+			{Name: "rollout", Usage: "move a service's work to back ends of another version", Commands: []*cli.Command{
+				{Name: "start", Usage: "order it: few requests first, all once the version is as good as the old one; else it is rolled back", ArgsUsage: "SERVICE VERSION",
+					Flags: []cli.Flag{&cli.DurationFlag{Name: "within", Value: time.Minute, Usage: "the time until it has to have ended"}}, Action: action(startRollout)},
+				{Name: "list", Usage: "show the newest rollout of each service", Action: action(listRollouts)},
+			}},
 			{Name: "quarantine", Usage: "requests that end the engines which run them", Commands: []*cli.Command{
 				{Name: "list", Usage: "show what is held against requests; a control node knows what all nodes saw", Action: action(getQuarantine)},
 				{Name: "release", Usage: "forget the ends of a request: it may reach engines again", ArgsUsage: "FINGERPRINT", Action: action(releaseQuarantined)},
@@ -280,7 +285,8 @@
 		if zones := answer.GetEvacuatedZones(); len(zones) > 0 {
 			fmt.Fprintf(s.out, "evacuated zones: %s\n", strings.Join(zones, ", "))
 		}
-		s.table("NODE\tZONE\tCONTROL\tLEADER\tREVISION\tSILENT\tSTATE", func(row func(...any)) {
+		s.sayRollouts(answer)
+		s.table("NODE\tZONE\tCONTROL\tLEADER\tREVISION\tDIALECT\tSILENT\tSTATE", func(row func(...any)) {
 			for _, node := range answer.GetNodes() {
 				silent := time.Duration(node.GetSilentMilliseconds()) * time.Millisecond
 				state := "live"
@@ -290,7 +296,7 @@
 				if silent > reachableSilence {
 					state = "not heard from"
 				}
-				row(node.GetName(), node.GetZone(), node.GetControl(), node.GetLeader(), node.GetRevision(), silent.Round(100*time.Millisecond), state)
+				row(node.GetName(), node.GetZone(), node.GetControl(), node.GetLeader(), node.GetRevision(), node.GetDialect(), silent.Round(100*time.Millisecond), state)
 			}
 		})
 	})
--- /dev/null
+++ b/internal/operatorcli/rollouts.go
@@ -0,0 +1,56 @@
+package operatorcli
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/urfave/cli/v3"
+
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+)
+
+// startRollout orders a rollout. Sent again it is answered as under way, so it needs no
+// operation id.
+func startRollout(ctx context.Context, s *session, command *cli.Command) error {
+	given, err := arguments(command, 2, 2)
+	if err != nil {
+		return err
+	}
+	request := &ravenwayv1.OrderRolloutRequest{
+		Service: given[0], Version: given[1], DurationMilliseconds: uint64(max(0, command.Duration("within").Milliseconds())),
+	}
+	_, err = call(ctx, s, func(c client) func(context.Context, *connect.Request[ravenwayv1.OrderRolloutRequest]) (*connect.Response[ravenwayv1.OrderRolloutResponse], error) {
+		return c.OrderRollout
+	}, request)
+	if ExitCode(err) == ExitUnknownOutcome {
+		return exitWith(ExitUnknownOutcome, "%w\nthe order can be given again", err)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(s.out, "ordered; see ravenway rollout list")
+	return nil
+}
+
+// listRollouts shows the rollouts that the answering node keeps to.
+func listRollouts(ctx context.Context, s *session, _ *cli.Command) error {
+	answer, err := s.status(ctx)
+	if err != nil {
+		return err
+	}
+	return s.show(answer, func() { s.sayRollouts(answer) })
+}
+
+func (s *session) sayRollouts(answer *ravenwayv1.GetStatusResponse) {
+	if len(answer.GetRollouts()) == 0 {
+		return
+	}
+	s.table("SERVICE\tVERSION\tSTAGE\tWITHIN\tORDER\tREASON", func(row func(...any)) {
+		for _, one := range answer.GetRollouts() {
+			within := time.Duration(one.GetDurationMilliseconds()) * time.Millisecond
+			row(one.GetService(), one.GetVersion(), one.GetStage(), within, one.GetRevision(), one.GetReason())
+		}
+	})
+}
--- a/internal/protocol/peer/fleet.go
+++ b/internal/protocol/peer/fleet.go
@@ -6,6 +6,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/ravenway/ravenway/internal/state/evacuation"
+	"github.com/ravenway/ravenway/internal/state/rollout"
 )
 
 // Hello is what a node with open membership says of itself, again and again,
@@ -51,6 +52,8 @@
 	// InstancesSum covers the live instances as InstancesDigest does, which only builds
 	// before DialectSums are told.
 	InstancesSum uint64 `msgpack:"h,omitempty"`
+	// Rollouts are those in force at a control node; nil if it has nothing to tell of any.
+	Rollouts *rollout.Set `msgpack:"f,omitempty"`
 	// Dialect is the sender's.
 	Dialect Dialect `msgpack:"b,omitempty"`
 	// OlderNodes are the dialects of those in Nodes that have not the sender's.
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -60,6 +60,8 @@
 	KindPool
 	// KindQuarantine carries what nodes hold against requests that end their engines.
 	KindQuarantine
+	// KindRollouts carries how instances of old and new versions answer, to the leader.
+	KindRollouts
 	// kindEnd is behind the last kind.
 	kindEnd
 )
@@ -67,7 +69,7 @@
 // String names the kind, for metrics.
 func (k Kind) String() string {
 	names := [...]string{"none", "consensus", "call", "reply", "status", "claims", "catalog", "follow", "accounts", "lend", "fence", "reports",
-		"hello", "document_notice", "document_fetch", "document", "instances", "instances_heard", "loads", "pool", "quarantine",
+		"hello", "document_notice", "document_fetch", "document", "instances", "instances_heard", "loads", "pool", "quarantine", "rollouts",
 	}
 	if int(k) < len(names) {
 		return names[k]
@@ -152,6 +154,9 @@
 	MethodReadDocument Method = "read_document"
 	// MethodOrderZone asks the leader to evacuate or restore a zone.
 	MethodOrderZone Method = "order_zone"
+	// MethodOrderRollout asks the leader to begin a rollout, MethodReadRollout for one.
+	MethodOrderRollout Method = "order_rollout"
+	MethodReadRollout  Method = "read_rollout"
 	// MethodFence asks a claim holder to fence a holder's life.
 	MethodFence Method = "fence"
 )
