--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -63,6 +63,8 @@
 	hasAsked bool
 	// unannounced are changes of instances that the others are yet to be told of.
 	unannounced []registry.Instance
+	// merged are changes that other nodes told and that have no line in the log yet.
+	merged []registry.Instance
 	// unpublished are the instances whose changes are yet to come into force here.
 	unpublished            map[string]struct{}
 	list                   instanceList
@@ -202,6 +204,7 @@
 	}
 	f.ticks++
 	f.noteLost(now)
+	f.logMerged()
 	f.forgetList(now)
 	for _, gone := range f.roster.Forget(now) {
 		f.node.mesh.Forget(gone)
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -179,7 +179,7 @@
 
 func (f *fleetDuty) mergeInstances(others []registry.Instance) {
 	if news := f.registry.Merge(f.node.now(), others); len(news) > 0 {
-		f.logInstances("merged", news)
+		f.merged = append(f.merged, news...)
 		f.publishLater(news)
 	}
 }
@@ -251,6 +251,14 @@
 // register while a deployment starts, and each node hears of each.
 const instanceLines = 8
 
+// logMerged writes the changes that other nodes told since the last tick.
+func (f *fleetDuty) logMerged() {
+	if len(f.merged) > 0 {
+		f.logInstances("merged", f.merged)
+		f.merged = nil
+	}
+}
+
 func (f *fleetDuty) logInstances(how string, changes []registry.Instance) {
 	if len(changes) > instanceLines {
 		states := map[string]int{}
