Callers that don't read are given up after 8 s, and their answers take a bounded part of the memory

Cause: nothing bounded how long a write to a caller may take, so a caller that read nothing held its handler, both connections and the engine until it went away; and each answer up to 256 KB was read whole before its caller got it, whatever others held.

Change: each write to a caller has 8 s (callers give a stream up after 2 to 7 s without an event); an answer is read whole up to an eighth of what is left of the memory for bodies (4 KB at least), and longer ones at the pace of their caller.

--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -91,8 +91,11 @@
 	Log         *DecisionLog
 	// Dial opens connections to engines; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// BufferedBytes bounds the bodies in memory.
+	// BufferedBytes bounds the bodies and the answers in memory.
 	BufferedBytes int64
+	// UnreadPatience is how long a caller may leave what it is sent unread; 0 means
+	// DefaultUnreadPatience.
+	UnreadPatience time.Duration
 	// Guard knows the requests that end their engines; nil means one that is told of
 	// nothing.
 	Guard *quarantine.Guard
@@ -125,8 +128,16 @@
 // memory is not known.
 const DefaultBufferedBytes = 32 << 20
 
+// DefaultUnreadPatience is how long a caller may leave what it is sent unread. Until then
+// its connections, here and to the engine, are held, some 50 KB for a stream; beyond, nobody
+// waits for it any more: callers give a stream up after 2 to 7 s without an event.
+const DefaultUnreadPatience = 8 * time.Second
+
 // New makes a pipeline.
 func New(options Options) *Pipeline {
+	if options.UnreadPatience == 0 {
+		options.UnreadPatience = DefaultUnreadPatience
+	}
 	if options.BufferedBytes == 0 {
 		options.BufferedBytes = DefaultBufferedBytes
 	}
@@ -194,6 +205,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	one := &request{pipeline: p, writer: writer, incoming: incoming, arrived: time.Now()}
+	one.awaitReader()
 	defer requestSeconds.UpdateDuration(one.arrived)
 	if refused := one.admit(); refused != nil {
 		one.refuse(*refused)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -44,13 +44,16 @@
 	if r.route.Kind == document.Stream && sending.isSuccess() {
 		return r.relayStream(ctx, sending, choice)
 	}
-	buffered, err := io.ReadAll(io.LimitReader(sending.response.Body, bufferedAnswerBytes))
+	limit := r.pipeline.answerLimit()
+	buffered, err := io.ReadAll(io.LimitReader(sending.response.Body, int64(limit)))
+	r.pipeline.buffered.Add(int64(len(buffered)))
+	defer r.pipeline.buffered.Add(-int64(len(buffered)))
 	if err != nil {
 		sending.abort()
 		r.noteBroken(ctx, sending.broken(r, *choice), "answer_broken", err)
 		return balance.Failed, unknown
 	}
-	if len(buffered) == bufferedAnswerBytes {
+	if len(buffered) == limit {
 		return r.relayLong(sending, buffered, *choice)
 	}
 	sending.finish(r.call.ID)
@@ -82,6 +85,7 @@
 		return
 	}
 	r.answering = sending.isSuccess()
+	r.awaitReader()
 	r.writeHead(sending)
 	if r.incoming.Method != http.MethodHead {
 		r.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -99,9 +103,9 @@
 	}
 	r.writer.WriteHeader(sending.response.StatusCode)
 	r.answering = sending.isSuccess()
-	_, err := r.writer.Write(begun)
+	err := r.passOn(begun)
 	if err == nil {
-		_, err = io.Copy(r.writer, sending.response.Body)
+		_, err = io.Copy(callerWriter{r}, sending.response.Body)
 	}
 	if err != nil {
 		sending.abort()
@@ -112,6 +116,19 @@
 	return balance.Served, done
 }
 
+// callerWriter writes to a request's caller, who has its time to read each piece.
+type callerWriter struct{ request *request }
+
+func (w callerWriter) Write(piece []byte) (int, error) {
+	w.request.awaitReader()
+	return w.request.writer.Write(piece)
+}
+
+func (r *request) passOn(piece []byte) error {
+	_, err := callerWriter{r}.Write(piece)
+	return err
+}
+
 // noteEnded notes that an instance's answer was passed on to its end.
 func (r *request) noteEnded(status int, choice balance.Choice) {
 	r.endedWhole = true
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -88,7 +88,7 @@
 		if next.id != "" {
 			*lastEvent = next.id
 		}
-		if _, err := r.writer.Write(next.raw); err != nil {
+		if err := r.passOn(next.raw); err != nil {
 			return errors.Join(errCallerGone, err)
 		}
 		if reader.buffered() {
