Lists of nodes are told as changes

Change: a control node numbers its list and keeps its last 32 changes; who has the version before is told what joined and what left.

--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -92,9 +92,17 @@
 	known := r.heard[hello.Address]
 	isNew = known == nil || known.Life != hello.Life || now-known.At > AliveFor
 	heard := &Heard{At: now}
-	repeats := known != nil && len(hello.Nodes) == 0
+	hasList := len(hello.Nodes) > 0 || known != nil && takeChanges(&hello, known)
+	repeats := known != nil && !hasList
+	if !hasList {
+		// Changes of a list that is not known here are of no use.
+		hello.ListVersion, hello.Joined, hello.Left = 0, nil, nil
+	}
 	if repeats {
 		hello.Nodes, heard.namedAt = known.Nodes, known.namedAt
+		if known.Life == hello.Life {
+			hello.ListVersion = known.ListVersion
+		}
 	}
 	heard.Hello = hello
 	if known != nil && known.Life == hello.Life {
@@ -121,6 +129,27 @@
 	return isNew
 }
 
+// takeChanges makes a hello's list of that before and its changes. It returns false if it
+// has none, or if those before were lost: the whole list comes again.
+func takeChanges(hello *peer.Hello, before *Heard) bool {
+	if hello.ListBase == 0 || hello.ListBase != before.ListVersion || hello.Life != before.Life {
+		return false
+	}
+	left := make(map[string]bool, len(hello.Left))
+	for _, address := range hello.Left {
+		left[address] = true
+	}
+	nodes := make([]peer.NodeEntry, 0, len(before.Nodes)+len(hello.Joined))
+	for _, node := range before.Nodes {
+		if !left[node.Address] {
+			nodes = append(nodes, node)
+		}
+	}
+	hello.Nodes = append(nodes, hello.Joined...)
+	hello.Joined, hello.Left = nil, nil
+	return true
+}
+
 func (r *Roster) nameEntry(now time.Duration, node peer.NodeEntry) {
 	known, found := r.entries[node.Address]
 	if !found || known.NodeEntry != node || now-known.at > listedFor {
--- a/internal/gateway/dialects.go
+++ b/internal/gateway/dialects.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/ravenway/ravenway/internal/protocol/peer"
@@ -31,7 +32,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.of[hello.Address] = hello.Dialect
-	for _, listed := range hello.Nodes {
+	for _, listed := range slices.Concat(hello.Nodes, hello.Joined) {
 		if listed.Control {
 			// Control nodes tell their own to all.
 			continue
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -40,15 +40,12 @@
 	roster   *roster.Roster
 	registry *registry.Registry
 	ticks    int
-	// told is what each node was last told of the list of nodes.
-	told map[string]toldNodes
-	// tellers are the control nodes that tell others of entry nodes, controlsDigest covers
-	// them.
-	tellers        []follow.Node
-	controlsDigest uint64
-	publishedAt    time.Duration
-	isPublishDue   bool
-	mismatches     map[string]mismatch
+	// nodes are those that a control node tells of, told what each node was told of them.
+	nodes        nodeList
+	told         map[string]toldNodes
+	publishedAt  time.Duration
+	isPublishDue bool
+	mismatches   map[string]mismatch
 	// askedAt is when another node was last asked for its instances, if hasAsked is set.
 	askedAt  time.Duration
 	hasAsked bool
@@ -238,14 +235,10 @@
 		f.node.sendAll(receivers, short)
 		return
 	}
-	lists := f.makeLists(now, said)
+	lists := f.newListHellos(now, said)
 	for _, receiver := range receivers {
-		list := lists.controls
-		if f.tellsAll(receiver) {
-			list = lists.all
-		}
-		if f.nodesDue(receiver, list.digest) {
-			f.node.sendMessage(receiver, list.hello)
+		if hello := lists.forReceiver(receiver); hello != nil {
+			f.node.sendMessage(receiver, hello)
 			continue
 		}
 		f.node.sendMessage(receiver, short)
@@ -358,12 +351,9 @@
 	delete(f.told, hello.Address)
 	if f.isControl() {
 		// It learns at once what it would else wait for.
-		lists := f.makeLists(now, f.describe())
-		list := lists.controls
-		if f.tellsAll(hello.Address) {
-			list = lists.all
+		if list := f.newListHellos(now, f.describe()).forReceiver(hello.Address); list != nil {
+			f.node.sendMessage(hello.Address, list)
 		}
-		f.node.sendMessage(hello.Address, list.hello)
 	}
 }
 
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -268,7 +268,7 @@
 }
 
 // relays tells whether changes that are not urgent reach entry nodes over one control node.
-func (f *fleetDuty) relays() bool { return f.isControl() && len(f.tellers) >= relayFrom }
+func (f *fleetDuty) relays() bool { return f.isControl() && len(f.nodes.controls) >= relayFrom }
 
 // sendRelayed passes on what other nodes told.
 func (f *fleetDuty) sendRelayed() {
--- a/internal/protocol/peer/fleet.go
+++ b/internal/protocol/peer/fleet.go
@@ -54,6 +54,12 @@
 	InstancesSum uint64 `msgpack:"h,omitempty"`
 	// Rollouts are those in force at a control node; nil if it has nothing to tell of any.
 	Rollouts *rollout.Set `msgpack:"f,omitempty"`
+	// ListVersion is the version of the sender's list of all nodes, if the hello tells of
+	// it: whole in Nodes, or as what has changed since ListBase.
+	ListVersion uint64      `msgpack:"lv,omitempty"`
+	ListBase    uint64      `msgpack:"lb,omitempty"`
+	Joined      []NodeEntry `msgpack:"lj,omitempty"`
+	Left        []string    `msgpack:"ll,omitempty"`
 	// Dialect is the sender's.
 	Dialect Dialect `msgpack:"b,omitempty"`
 	// OlderNodes are the dialects of those in Nodes that have not the sender's.
