Of many control nodes an entry node greets closely those that it needs

Change: from 8 control nodes on, an entry node and a control node greet each other each 1.8 s, unless the control node tells it of all others or holds a replica of the group, whose word of a quorum nodes need within a second. A forced hello (a zone, a rollout, seeds) goes to all at once.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/follow"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
@@ -22,6 +24,10 @@
 	// for each node in it: a view of 1,000 nodes takes 0.1 ms, and without a pause tens of
 	// control nodes' hellos a second would each bring one about.
 	publishPause = 100 * time.Microsecond
+	// farHellos is the number of rounds, 1.8 s, between hellos of an entry node and a control
+	// node that have little to say to each other. One that is lost is noticed late: they
+	// count each other as silent after 2.5 s.
+	farHellos = 3
 	// rememberTicks is the number of ticks, 3 s, between looks whether the instances have
 	// changed since they were last written to a control node's disk.
 	rememberTicks = 10
@@ -41,9 +47,11 @@
 	registry *registry.Registry
 	ticks    int
 	// nodes are those that a control node tells of, told what each node was told of them.
-	nodes        nodeList
-	told         map[string]toldNodes
-	publishedAt  time.Duration
+	nodes       nodeList
+	told        map[string]toldNodes
+	publishedAt time.Duration
+	// helloRounds is the number of hellos at ticks.
+	helloRounds  int
 	isPublishDue bool
 	mismatches   map[string]mismatch
 	// askedAt is when another node was last asked for its instances, if hasAsked is set.
@@ -173,7 +181,8 @@
 func (f *fleetDuty) tick() {
 	now := f.node.now()
 	if f.ticks%helloTicks == 0 {
-		f.hello()
+		f.helloRounds++
+		f.sayHello(f.isTurn)
 	}
 	if f.isControl() && f.ticks%heardTicks == 0 {
 		f.tellHeard()
@@ -214,9 +223,42 @@
 
 func (f *fleetDuty) isControl() bool { return f.node.replica != nil }
 
-// hello tells the control nodes, and a control node tells all that it hears
-// from, what this node is.
-func (f *fleetDuty) hello() {
+// hello tells all whom this node greets at once what it is.
+func (f *fleetDuty) hello() { f.sayHello(func(string) bool { return true }) }
+
+// isTurn tells whether a node is greeted in this round. Of many control nodes an entry node
+// needs few closely: those that tell it of all others, and those of the group, who know the
+// root; the others greet it, and it them, each third time.
+func (f *fleetDuty) isTurn(receiver string) bool {
+	known := f.roster.Get(receiver)
+	if known == nil || f.view.Load().controls < relayFrom {
+		return true
+	}
+	if !f.isControl() {
+		return known.HasGroup || slices.Contains(f.tellers(), receiver) || f.isFarTurn(receiver)
+	}
+	return known.Control || f.node.replica.shared.Load().hasGroup || f.decideOn(receiver).isTeller || f.isFarTurn(receiver)
+}
+
+// isFarTurn spreads the nodes that are greeted now and then over the rounds.
+func (f *fleetDuty) isFarTurn(receiver string) bool {
+	return (uint64(f.helloRounds)+xxhash.Sum64String(receiver))%farHellos == 0
+}
+
+// tellers are the control nodes that tell this entry node of all others.
+func (f *fleetDuty) tellers() []string {
+	var controls []follow.Node
+	for _, known := range f.view.Load().alive {
+		if known.Control && !known.Stopping {
+			controls = append(controls, follow.Node{Address: known.Address, Zone: known.Zone})
+		}
+	}
+	return follow.ChooseSenders(follow.Node{Address: f.node.address, Zone: f.node.settings.Load().Node.Zone}, controls, listTellers)
+}
+
+// sayHello tells the control nodes, and a control node tells all that it hears
+// from, what this node is, as far as it is their turn.
+func (f *fleetDuty) sayHello(isTurn func(receiver string) bool) {
 	now := f.node.now()
 	said := f.describe()
 	receivers := f.roster.Greet(now)
@@ -230,6 +272,7 @@
 		}
 	}
 	f.noteGreeted(receivers)
+	receivers = slices.DeleteFunc(receivers, func(receiver string) bool { return !isTurn(receiver) })
 	short := peer.NewMessage(peer.KindHello, said)
 	if !f.isControl() {
 		f.node.sendAll(receivers, short)
