--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -50,8 +50,10 @@
 	nodes       nodeList
 	told        map[string]toldNodes
 	publishedAt time.Duration
-	// helloRounds is the number of hellos at ticks.
+	// helloRounds is the number of hellos at ticks, ownTellers are the control nodes that
+	// tell this entry node of all others.
 	helloRounds  int
+	ownTellers   []string
 	isPublishDue bool
 	mismatches   map[string]mismatch
 	// askedAt is when another node was last asked for its instances, if hasAsked is set.
@@ -182,6 +184,7 @@
 	now := f.node.now()
 	if f.ticks%helloTicks == 0 {
 		f.helloRounds++
+		f.ownTellers = f.tellers()
 		f.sayHello(f.isTurn)
 	}
 	if f.isControl() && f.ticks%heardTicks == 0 {
@@ -235,7 +238,7 @@
 		return true
 	}
 	if !f.isControl() {
-		return known.HasGroup || slices.Contains(f.tellers(), receiver) || f.isFarTurn(receiver)
+		return known.HasGroup || slices.Contains(f.ownTellers, receiver) || f.isFarTurn(receiver)
 	}
 	return known.Control || f.node.replica.shared.Load().hasGroup || f.decideOn(receiver).isTeller || f.isFarTurn(receiver)
 }
@@ -247,6 +250,9 @@
 
 // tellers are the control nodes that tell this entry node of all others.
 func (f *fleetDuty) tellers() []string {
+	if f.isControl() {
+		return nil
+	}
 	var controls []follow.Node
 	for _, known := range f.view.Load().alive {
 		if known.Control && !known.Stopping {
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -74,3 +74,36 @@
 	assert.Equal(t, complete.Digest(), lacking.Digest())
 	assert.Equal(t, len(complete.Differing(0, lacking.Sums())), 0)
 }
+
+// An entry node greets those of many control nodes closely that it needs, and the others often
+// enough to count as alive there.
+func TestEntryNodeGreetsClosely(t *testing.T) {
+	node := newIdleNode(t, benchEntry(0), benchZone(0), settings.RoleEntry)
+	const controls, replicas, rounds = 25, 7, 30
+	for number := range controls {
+		hello := controlHello(number, 0, 1, false)
+		hello.HasGroup = number < replicas
+		node.fleet.noteHello(hello)
+	}
+	node.fleet.publish()
+	lastGreeted := map[string]int{}
+	greetings := 0
+	for round := range rounds {
+		node.fleet.helloRounds++
+		node.fleet.ownTellers = node.fleet.tellers()
+		assert.Equal(t, len(node.fleet.ownTellers), listTellers)
+		for number := range controls {
+			address := benchControl(number)
+			if !node.fleet.isTurn(address) {
+				assert.Assert(t, number >= replicas, "a replica of the group is greeted each time")
+				continue
+			}
+			greetings++
+			assert.Assert(t, round-lastGreeted[address] <= farHellos, "%s was not greeted for %d rounds", address, round-lastGreeted[address])
+			lastGreeted[address] = round
+		}
+	}
+	most := rounds * (replicas + listTellers + (controls-replicas+farHellos-1)/farHellos + 1)
+	assert.Assert(t, greetings <= most, "%d greetings, at most %d", greetings, most)
+	assert.Assert(t, time.Duration(farHellos*helloTicks)*fleetTick < 2500*time.Millisecond, "they count as alive")
+}
