--- a/cmd/ravenwayd/main.go
+++ b/cmd/ravenwayd/main.go
@@ -35,6 +35,13 @@
 					return daemon.Run(ctx, path, daemon.Dialects{platform.Name: platform.New()})
 				},
 			},
+			{
+				Name: "version", Usage: "tell which build this is",
+				Action: func(context.Context, *cli.Command) error {
+					fmt.Println(daemon.ReadBuild())
+					return nil
+				},
+			},
 			{
 				Name: "check", Usage: "check a settings file and report everything wrong with it", ArgsUsage: "SETTINGS",
 				Action: func(_ context.Context, command *cli.Command) error {
--- /dev/null
+++ b/internal/daemon/build.go
@@ -0,0 +1,45 @@
+package daemon
+
+import (
+	"fmt"
+	"runtime/debug"
+
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+)
+
+// Build describes the program that runs: the commit that it was built from where the build
+// tells it, the Go version, and the dialect of its messages, by which the nodes of a fleet
+// that is being upgraded tell each other apart.
+type Build struct {
+	Commit, Go string
+	IsModified bool
+	Dialect    peer.Dialect
+}
+
+// ReadBuild reads what the build left in the program.
+func ReadBuild() Build {
+	build := Build{Commit: "unknown", Dialect: peer.OwnDialect}
+	information, found := debug.ReadBuildInfo()
+	if !found {
+		return build
+	}
+	build.Go = information.GoVersion
+	for _, setting := range information.Settings {
+		switch setting.Key {
+		case "vcs.revision":
+			build.Commit = setting.Value
+		case "vcs.modified":
+			build.IsModified = setting.Value == "true"
+		}
+	}
+	return build
+}
+
+// String is one line for people.
+func (b Build) String() string {
+	modified := ""
+	if b.IsModified {
+		modified = ", modified"
+	}
+	return fmt.Sprintf("ravenwayd of commit %s%s, %s, dialect %d", b.Commit, modified, b.Go, b.Dialect)
+}
