Slow answers are not held against a version while all work moves to it; what a recorder remembers is bounded

Cause: by reading. While all work moves, the new version's caches are cold and its load is another one, and the old version answers nothing to compare with: a good one could be rolled back for it. Failures still count.

--- a/internal/coordination/rollout/recorder.go
+++ b/internal/coordination/rollout/recorder.go
@@ -29,6 +29,9 @@
 	// leastDeviation is the least standard deviation of the logarithm of a time that is
 	// believed.
 	leastDeviation = 0.15
+	// routesKept bounds the routes of which it is known what is usual, at some 100 bytes each:
+	// configurations come and go with their routes.
+	routesKept = 4096
 	// baseTokens are added to the tokens that an instance has to read before an answer:
 	// what an answer takes that reads none.
 	baseTokens = 1500
@@ -153,12 +156,18 @@
 	defer r.mutex.Unlock()
 	usual := r.usual[answer.Route]
 	if usual == nil {
+		if len(r.usual) >= routesKept {
+			clear(r.usual)
+		}
 		usual = &routeTimes{}
 		r.usual[answer.Route] = usual
 	}
 	running := r.watched[answer.Service]
 	isNew := running != nil && answer.Version == running.Version
-	isBad := answer.IsFailed || usual.isSlow(answer)
+	// While all work moves the new version has another load than the old one had: that it is
+	// slower then says nothing.
+	isMoving := running != nil && running.Stage == state.Moving
+	isBad := answer.IsFailed || !isMoving && usual.isSlow(answer)
 	if !answer.IsFailed && !isNew {
 		usual.learn(answer)
 	}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -135,6 +135,15 @@
 		}
 		s.seen[one.Revision] = now - age
 	}
+	isHeld := func(revision uint64) bool {
+		return slices.ContainsFunc(set.Rollouts, func(one rollout.Rollout) bool { return one.Revision == revision })
+	}
+	for revision := range s.seen {
+		if !isHeld(revision) {
+			delete(s.seen, revision)
+			delete(s.steppedAt, revision)
+		}
+	}
 }
 
 func (s *rolloutStore) share() balance.RolloutShare {
