--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -57,6 +57,14 @@
 					return runSimulations(out, command.String("only"), command.Uint64("first"), command.Uint64("seeds"))
 				}},
 			soakCommand(out, wire),
+			{Name: "rollouts", Usage: "simulate rollouts of good and bad versions and tell what became of them",
+				Flags: []cli.Flag{&cli.IntFlag{Name: "seeds", Value: 100, Usage: "rollouts of each kind of version beside each fault"}},
+				Action: func(_ context.Context, command *cli.Command) error {
+					if command.Int("seeds") < 1 {
+						return fmt.Errorf("--seeds must be above 0")
+					}
+					return printRollouts(out, command.Int("seeds"))
+				}},
 			{Name: "losses", Usage: "tell from nodes' logs where requests were refused, late or broken off", ArgsUsage: "LOG... (- for the standard input)",
 				Flags: []cli.Flag{&cli.DurationFlag{Name: "step", Value: 2 * time.Second, Usage: "length of a step of the time line"}},
 				Action: func(_ context.Context, command *cli.Command) error {
--- /dev/null
+++ b/internal/lab/labcli/rollouts.go
@@ -0,0 +1,104 @@
+package labcli
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/lab/simulate"
+	state "github.com/ravenway/ravenway/internal/state/rollout"
+)
+
+// The simulated deployment is the users' smallest one with rollouts.
+const (
+	rolloutDuration = 12 * time.Second
+	rolloutRate     = 590
+	rolloutShare    = 0.08
+	// What the users allow a bad version: a part of the requests and some more, and none
+	// sent later than a time after its 50th bad answer.
+	exposureShare, exposureSlack = 0.1, 50
+	rollbackWithin               = 5 * time.Second
+)
+
+// rolloutKinds are versions that are good, or bad in some way.
+var rolloutKinds = []struct {
+	name string
+	harm simulate.Harm
+}{
+	{"good", simulate.Harm{}},
+	{"0.02 fail", simulate.Harm{Failing: 0.02}}, {"0.05 fail", simulate.Harm{Failing: 0.05}}, {"0.1 fail", simulate.Harm{Failing: 0.1}},
+	{"0.2 fail", simulate.Harm{Failing: 0.2}}, {"0.5 fail", simulate.Harm{Failing: 0.5}},
+	{"0.1 fail from 4 s on", simulate.Harm{Failing: 0.1, From: 4 * time.Second}}, {"0.5 fail from 4 s on", simulate.Harm{Failing: 0.5, From: 4 * time.Second}},
+	{"0.1 of one route of five", simulate.Harm{Failing: 0.1, OneRoute: true}}, {"0.5 of one route of five", simulate.Harm{Failing: 0.5, OneRoute: true}},
+	{"0.2 under load", simulate.Harm{Failing: 0.2, UnderLoad: true}},
+	{"2 times slower", simulate.Harm{Slow: 1, SlowBy: 2}}, {"4 times slower", simulate.Harm{Slow: 1, SlowBy: 4}}, {"8 times slower", simulate.Harm{Slow: 1, SlowBy: 8}},
+	{"0.3 of answers 4 times slower", simulate.Harm{Slow: 0.3, SlowBy: 4}}, {"one route 3 times slower", simulate.Harm{Slow: 1, SlowBy: 3, OneRoute: true}},
+}
+
+// printRollouts plays each kind of version with each fault over some seeds, and prints what
+// became of them.
+func printRollouts(out io.Writer, seeds int) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "version\tbeside\trolled back\tverdict after, median\tat most\tbad answers, median\tat most\texposed too much\ttoo late")
+	for _, kind := range rolloutKinds {
+		for _, fault := range simulate.RolloutFaults() {
+			sum := sumRollouts(playRollouts(kind.harm, fault, seeds), kind.harm != simulate.Harm{})
+			fmt.Fprintf(table, "%s\t%s\t%d of %d\t%s\t%s\t%d\t%d\t%d\t%d\n", kind.name, fault, sum.rolledBack, seeds,
+				middle(sum.verdicts), slices.Max(sum.verdicts), middle(sum.badAnswers), slices.Max(sum.badAnswers), sum.exposed, sum.late)
+		}
+	}
+	return table.Flush()
+}
+
+// playRollouts runs seeds side by side.
+func playRollouts(harm simulate.Harm, fault simulate.RolloutFault, seeds int) []simulate.RolloutResult {
+	results := make([]simulate.RolloutResult, seeds)
+	places := make(chan struct{}, runtime.GOMAXPROCS(0))
+	var playing sync.WaitGroup
+	for seed := range seeds {
+		places <- struct{}{}
+		playing.Go(func() {
+			results[seed] = simulate.RunRollout(simulate.RolloutOptions{
+				Seed: uint64(seed), Harm: harm, Fault: fault, Duration: rolloutDuration, Rate: rolloutRate, Share: rolloutShare,
+			})
+			<-places
+		})
+	}
+	playing.Wait()
+	return results
+}
+
+// rolloutSum sums up the runs of one kind.
+type rolloutSum struct {
+	rolledBack, exposed, late int
+	verdicts                  []time.Duration
+	badAnswers                []int
+}
+
+func sumRollouts(results []simulate.RolloutResult, isBad bool) rolloutSum {
+	var sum rolloutSum
+	for _, one := range results {
+		if one.Stage == state.RolledBack {
+			sum.rolledBack++
+		}
+		if isBad && float64(one.ToNew) > exposureShare*float64(one.Requests)+exposureSlack {
+			sum.exposed++
+		}
+		if one.Fiftieth > 0 && one.LastToNew > one.Fiftieth+rollbackWithin {
+			sum.late++
+		}
+		sum.verdicts = append(sum.verdicts, one.VerdictAt.Round(10*time.Millisecond))
+		sum.badAnswers = append(sum.badAnswers, one.BadAnswers)
+	}
+	return sum
+}
+
+// middle is the median of some values.
+func middle[Value time.Duration | int](values []Value) Value {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
--- a/internal/lab/simulate/rollout.go
+++ b/internal/lab/simulate/rollout.go
@@ -41,6 +41,11 @@
 	LeaderLost RolloutFault = "leader_lost"
 )
 
+// RolloutFaults are all faults beside a rollout.
+func RolloutFaults() []RolloutFault {
+	return []RolloutFault{NoRolloutFault, EnginesCrash, EnginesIll, EnginesSlow, NodeFreezes, LeaderLost}
+}
+
 // RolloutOptions set up a run.
 type RolloutOptions struct {
 	Seed  uint64
