--- a/internal/lab/soak/engine.go
+++ b/internal/lab/soak/engine.go
@@ -28,6 +28,8 @@
 type Truth struct {
 	mutex sync.Mutex
 	runs  map[string]int
+	// plainRuns are the runs of plain calls by the version of their engines.
+	plainRuns map[string]int
 	// tokens are what the callers of each tenant got: of a stream of which an event
 	// came, the prompt once and each event.
 	tokens map[string]uint64
@@ -36,7 +38,7 @@
 }
 
 func newTruth() *Truth {
-	return &Truth{runs: map[string]int{}, tokens: map[string]uint64{}, poisonEnds: map[string]int{}}
+	return &Truth{runs: map[string]int{}, plainRuns: map[string]int{}, tokens: map[string]uint64{}, poisonEnds: map[string]int{}}
 }
 
 func (t *Truth) endedBy(request string) {
@@ -64,6 +66,25 @@
 	t.tokens[tenant] += tokens
 }
 
+func (t *Truth) beginPlain(version string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.plainRuns[version]++
+}
+
+// RunsOf returns the runs of plain calls at engines of a version; "" is any.
+func (t *Truth) RunsOf(version string) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	total := 0
+	for of, count := range t.plainRuns {
+		if version == "" || of == version {
+			total += count
+		}
+	}
+	return total
+}
+
 // Runs returns how often a request ran.
 func (t *Truth) Runs(request string) int {
 	t.mutex.Lock()
@@ -86,6 +107,8 @@
 	server *http.Server
 	mutex  sync.Mutex
 	state  registry.State
+	// fails tells that it fails each plain call.
+	fails bool
 	// end ends the engine by the request with a body that it can't bear.
 	end func(ended *engine, body string)
 }
@@ -146,7 +169,11 @@
 		e.stream(writer, incoming, request)
 		return
 	}
+	e.truth.beginPlain(e.Version)
 	time.Sleep(plainWork)
+	if e.fails {
+		writer.WriteHeader(http.StatusInternalServerError)
+	}
 	_, _ = fmt.Fprint(writer, plainBody(request.ID))
 }
 
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -54,6 +54,8 @@
 	mutex   sync.Mutex
 	engines map[string]*engine
 	lives   int
+	// plainVersion is the version of the plain service's engines that start.
+	plainVersion string
 	// began is when the run began, rough are the spans of engines' ends by requests.
 	began time.Time
 	rough []span
@@ -73,7 +75,7 @@
 	made := &fleet{
 		lane: options.Lane, wire: options.Wire, random: rand.New(rand.NewPCG(options.Seed, 1)), truth: newTruth(),
 		client:  &http.Client{Timeout: controlWait, Transport: &http.Transport{DisableKeepAlives: true}},
-		engines: map[string]*engine{}, prepaid: map[string]uint64{},
+		engines: map[string]*engine{}, plainVersion: oldVersion, prepaid: map[string]uint64{},
 	}
 	key := make([]byte, peerKeyLength)
 	for position := range key {
@@ -160,6 +162,22 @@
 func (f *fleet) addEngine(service string, place int, id string) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	version := oldVersion
+	if service == servicePlain {
+		version = f.plainVersion
+	}
+	return f.startAt(service, version, place, id, false)
+}
+
+// addVersion starts an engine of a version that maybe fails all plain calls.
+func (f *fleet) addVersion(service, version string, place int, fails bool) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.startAt(service, version, place, "", fails)
+}
+
+// startAt starts an engine. The caller holds the mutex.
+func (f *fleet) startAt(service, version string, place int, id string, fails bool) error {
 	if f.isClosed {
 		return nil
 	}
@@ -171,11 +189,12 @@
 	host := fmt.Sprintf("127.%d.2.%d", firstLane+f.lane, place+1)
 	started, err := startEngine(registry.Instance{
 		ID: id, Born: time.Now().UnixMilli(), Service: service, Address: net.JoinHostPort(host, fmt.Sprint(enginePort)),
-		Zone: zones[place%len(zones)], Version: "v1", Slots: 64,
+		Zone: zones[place%len(zones)], Version: version, Slots: 64,
 	}, f.wire, f.truth, func(ended *engine, body string) { f.endBy(ended, place, body) })
 	if err != nil {
 		return err
 	}
+	started.fails = fails
 	f.engines[name] = started
 	return nil
 }
--- /dev/null
+++ b/internal/lab/soak/rollout.go
@@ -0,0 +1,100 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/lab/standin"
+	"github.com/ravenway/ravenway/internal/pause"
+)
+
+const (
+	// newVersion is the version that the plain service is rolled out to, oldVersion the one
+	// that all engines begin with.
+	oldVersion, newVersion = "v1", "v2"
+	// newPlaces are the places of the new version's engines, behind the others.
+	firstNewPlace, newPlaces = 6, 3
+	rolloutDuration          = 8 * time.Second
+	// rolloutWait bounds the wait for the rollout's end: beside faults control nodes are
+	// down or cut off for seconds again and again.
+	rolloutWait = 25 * time.Second
+	// A bad version may get a tenth of the service's requests and 50.
+	exposureShare, exposureSlack = 0.1, 50
+	// rolloutStream is the seed's stream that rollouts draw from.
+	rolloutStream = 3000
+)
+
+// rollout orders the plain service's move to a version, good or bad by the seed, while
+// faults are played, and does with the engines what the outcome says.
+func (r *run) rollout(ctx context.Context, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, rolloutStream))
+	isBad := random.IntN(2) == 0
+	pause.For(ctx, time.Duration(random.Int64N(int64(2*time.Second))))
+	before := r.fleet.truth.RunsOf("")
+	if err := r.fleet.waitFor(ctx, rolloutWait, "an answer to the order for a rollout", func() bool { return r.fleet.orderRollout(ctx) }); err != nil {
+		r.breaks("%v", err)
+		return
+	}
+	for place := firstNewPlace; place < firstNewPlace+newPlaces; place++ {
+		if err := r.fleet.addVersion(servicePlain, newVersion, place, isBad); err != nil {
+			r.breaks("%v", err)
+		}
+	}
+	state := standin.RolloutRunning
+	err := r.fleet.waitFor(ctx, rolloutWait, "the end of a rollout", func() bool {
+		state = r.fleet.rolloutState(ctx)
+		return state == standin.RolloutDone || state == standin.RolloutRolledBack
+	})
+	if err != nil {
+		r.breaks("%v", err)
+	}
+	all, toNew := r.fleet.truth.RunsOf("")-before, r.fleet.truth.RunsOf(newVersion)
+	r.note("rollout of a version that is bad %v: %s, %d of %d runs", isBad, state, toNew, all)
+	switch {
+	case isBad && state == standin.RolloutDone:
+		r.breaks("a version whose answers all fail was rolled out")
+	case isBad && float64(toNew) > exposureShare*float64(all)+exposureSlack:
+		r.breaks("a bad version got %d of %d requests", toNew, all)
+	}
+	r.fleet.endVersion(state == standin.RolloutDone)
+}
+
+// orderRollout sends the order and tells whether it was acknowledged, as new or as under
+// way.
+func (f *fleet) orderRollout(ctx context.Context) bool {
+	path, body := f.wire.Rollout(servicePlain, newVersion, rolloutDuration)
+	for _, position := range rand.Perm(controls) {
+		_, status := f.callOne(ctx, f.members[position], http.MethodPost, path, body)
+		if status == http.StatusOK || status == http.StatusConflict {
+			return true
+		}
+	}
+	return false
+}
+
+// rolloutState reads how far the rollout is; "" if no control node tells.
+func (f *fleet) rolloutState(ctx context.Context) standin.RolloutState {
+	answer, found := f.callControl(ctx, http.MethodGet, f.wire.RolloutPath(servicePlain), nil)
+	if !found {
+		return ""
+	}
+	return f.wire.ReadRollout(answer)
+}
+
+// endVersion ends the engines that the rollout leaves without work: at once the old ones if
+// it is done, else the new ones after a word that they leave.
+func (f *fleet) endVersion(isDone bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if isDone {
+		f.plainVersion = newVersion
+	}
+	for name, one := range f.engines {
+		if one.Service == servicePlain && (one.Version == newVersion) != isDone {
+			delete(f.engines, name)
+			one.crash()
+		}
+	}
+}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -151,6 +151,9 @@
 	if options.Earlier != "" {
 		playing.Go(func() { r.upgrade(ctx, options) })
 	}
+	if options.Earlier == "" && options.Length > 0 {
+		playing.Go(func() { r.rollout(ctx, options.Seed) })
+	}
 	for number := range series {
 		playing.Go(func() { r.playSeries(ctx, faulty, rand.New(rand.NewPCG(options.Seed, 3+uint64(number)))) })
 	}
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -25,10 +25,25 @@
 	Heartbeat(instance registry.Instance) (path string, body []byte)
 	// Configuration returns the path and the body of an operator's order.
 	Configuration(wanted *document.Document) (path string, body []byte)
+	// Rollout returns the path and the body of an operator's order for a rollout, RolloutPath
+	// where its state is read, and ReadRollout reads that.
+	Rollout(service, version string, duration time.Duration) (path string, body []byte)
+	RolloutPath(service string) string
+	ReadRollout(body []byte) RolloutState
 	// ReadyPath is where an entry node tells whether it wants callers.
 	ReadyPath() string
 }
 
+// RolloutState is what an operator is told of a rollout; "" if that can't be read.
+type RolloutState string
+
+// States of a rollout.
+const (
+	RolloutRunning    RolloutState = "running"
+	RolloutDone       RolloutState = "done"
+	RolloutRolledBack RolloutState = "rolled_back"
+)
+
 // Call is one request of a caller.
 type Call struct {
 	ID   string
