A new leader hears what nodes recorded before it judges; a leader that has just started calls no service unknown

A leader that took over when a rollout had to move on rolled it back at once for "too few answers: 0": nodes had not told it yet. It waits for the word of all live nodes now, 1.5 s at most, and not beyond the last 0.7 s. A control node that came back with an empty disk, taken for the leader by the others, answered that the service is unknown, which ends an operator's call for good. The leader confirms itself by a quorum first, and answers "unavailable" until its configuration is read.

--- a/internal/coordination/rollout/judge.go
+++ b/internal/coordination/rollout/judge.go
@@ -41,6 +41,9 @@
 	// doneMargin is how long before the deadline the rollout is done, whatever is under way:
 	// the word of it takes a quorum's disks and a hello.
 	doneMargin = 700 * time.Millisecond
+	// hearTime is how long a judge that begins late, as a new leader's does, waits for nodes
+	// to tell it what they have recorded: some reports of each.
+	hearTime = 1500 * time.Millisecond
 	// settleTime is how long after a move began no node's word counts that nothing is under
 	// way: it may be from before.
 	settleTime = 700 * time.Millisecond
@@ -61,6 +64,9 @@
 	answers             Counts
 	steppedAt, movingAt time.Duration
 	isMoving            bool
+	// begunAt is the time since the order at its first step.
+	begunAt  time.Duration
+	hasBegun bool
 }
 
 // routeTest compares the versions on one route.
@@ -117,18 +123,25 @@
 	if bad != "" {
 		return Decision{Stage: state.RolledBack, Reason: bad}
 	}
+	if !j.hasBegun {
+		j.hasBegun, j.begunAt = true, elapsed
+	}
 	if stage == state.Canary {
-		return j.decideOnMove(elapsed)
+		return j.decideOnMove(elapsed, live)
 	}
 	return j.decideOnEnd(elapsed, live)
 }
 
 // decideOnMove tells whether a canary that has shown no harm moves on.
-func (j *Judge) decideOnMove(elapsed time.Duration) Decision {
+func (j *Judge) decideOnMove(elapsed time.Duration, live []string) Decision {
 	move := min(max(time.Duration(moveShare*float64(j.duration)), leastMove), mostMove)
 	if elapsed < j.duration-move {
 		return Decision{Stage: state.Canary}
 	}
+	if elapsed-j.begunAt < hearTime && elapsed < j.duration-doneMargin && !j.hasHeard(live) {
+		// A new leader: nodes tell it what they have recorded within moments.
+		return Decision{Stage: state.Canary}
+	}
 	text := fmt.Sprintf("%d answers, %d bad, evidence of harm %.1f", j.answers.Answers, j.answers.Bad, j.all.sum)
 	switch {
 	case j.answers.Answers < leastAnswers:
@@ -139,6 +152,14 @@
 	return Decision{Stage: state.Moving, Reason: "as good as the old version: " + text}
 }
 
+// hasHeard tells whether all nodes have told what they have recorded.
+func (j *Judge) hasHeard(live []string) bool {
+	return !slices.ContainsFunc(live, func(node string) bool {
+		_, found := j.nodes[node]
+		return !found
+	})
+}
+
 // decideOnEnd tells whether a rollout that moves is done: nothing is under way at the old
 // version, or there is no more time.
 func (j *Judge) decideOnEnd(elapsed time.Duration, live []string) Decision {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -51,6 +51,8 @@
 	ErrRolloutDuration = errors.New("gateway: a rollout can't take that time")
 	// ErrNoRollout says that no rollout of the service was ordered.
 	ErrNoRollout = errors.New("gateway: no rollout of the service was ordered")
+	// errConfigurationNotRead says that the leader does not know the configuration yet.
+	errConfigurationNotRead = errors.New("the leader has not read its configuration yet")
 	// errOlderNodes says that nodes run builds that know no rollouts.
 	errOlderNodes = errors.New("nodes run a build that knows no rollouts")
 )
@@ -369,6 +371,14 @@
 
 // orderRolloutHere commits an order if this node leads.
 func (n *Node) orderRolloutHere(ctx context.Context, order rollout.Order) (rolloutAnswer, error) {
+	held, err := readHere(ctx, n, (*machine.Machine).Document)
+	if err != nil {
+		return rolloutAnswer{}, err
+	}
+	if held.Version == 0 || n.documents.version() < held.Version {
+		// This node has just started: it can't tell which services there are.
+		return rolloutAnswer{}, errConfigurationNotRead
+	}
 	if refused := n.refusesRollout(order); refused != rolloutTaken {
 		return rolloutAnswer{Refused: refused}, nil
 	}
@@ -383,7 +393,7 @@
 // refusesRollout tells why an order can't be taken as things are.
 func (n *Node) refusesRollout(order rollout.Order) rolloutRefusal {
 	index := n.documents.index.Load()
-	if index == nil || index.Service(order.Service) == nil {
+	if index.Service(order.Service) == nil {
 		return refusedUnknownService
 	}
 	for _, known := range n.fleet.view.Load().alive {
--- a/internal/lab/openfleet/rollout_test.go
+++ b/internal/lab/openfleet/rollout_test.go
@@ -237,3 +237,63 @@
 		assert.Equal(t, connect.CodeOf(err), connect.CodeAlreadyExists)
 	})
 }
+
+// Seed 500 of the soak: the leader died shortly before the rollout had to move on. The next
+// one judged by what nodes had told it until then, which was nothing.
+func TestNewLeaderWaitsForWhatNodesHaveRecorded(t *testing.T) {
+	for _, after := range []time.Duration{6500 * time.Millisecond, 6800 * time.Millisecond, 7 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			inFleet(t, 3, func(t *testing.T, f *Fleet) {
+				stop := callAll(f)
+				time.Sleep(2 * time.Second)
+				assert.NilError(t, orderRollout(f, 3*time.Second))
+				startNewVersion(f, func(*Engine) {})
+				time.Sleep(after)
+				leader := leaderOf(f)
+				f.Kill(leader)
+				time.Sleep(2 * time.Second)
+				f.Boot(leader)
+				err := f.WaitFor(rolloutTime, "the end", func() bool { return !stageOf(f).IsRunning() })
+				stop()
+				assert.NilError(t, err)
+				assert.Equal(t, stageOf(f), rollout.Done)
+			})
+		})
+	}
+}
+
+// leaderOf is the name of the control node that leads, as the first one knows it.
+func leaderOf(f *Fleet) string {
+	for _, name := range f.Names(true) {
+		status, err := f.Operators(name).GetStatus(f.ctx, connect.NewRequest(&ravenwayv1.GetStatusRequest{}))
+		if err != nil {
+			continue
+		}
+		for _, other := range f.Names(true) {
+			if f.Machine(other).Peer() == status.Msg.GetLeader() {
+				return other
+			}
+		}
+	}
+	return f.Names(true)[0]
+}
+
+// Seed 503 of the soak: the leader came back at once with an empty disk, and the others still
+// took it for the leader. It knows no configuration, and must not call a service unknown.
+func TestOrderForARolloutIsNeverRefusedForAConfigurationNotReadYet(t *testing.T) {
+	inFleet(t, 1, func(t *testing.T, f *Fleet) {
+		leader := leaderOf(f)
+		f.Kill(leader)
+		f.Wipe(leader)
+		f.Boot(leader)
+		taken := false
+		for began := time.Now(); !taken && time.Since(began) < 8*time.Second; time.Sleep(5 * time.Millisecond) {
+			for _, name := range f.Names(true) {
+				err := f.Machine(name).running().OrderRollout(f.ctx, "app", newVersion, rolloutTime)
+				assert.Assert(t, !errors.Is(err, gateway.ErrUnknownService), "%s: %v", name, err)
+				taken = taken || err == nil || errors.Is(err, gateway.ErrRolloutUnderWay)
+			}
+		}
+		assert.Assert(t, taken)
+	})
+}
