--- a/internal/coordination/rollout/judge.go
+++ b/internal/coordination/rollout/judge.go
@@ -31,6 +31,9 @@
 	// little of its version, however many answers it takes along.
 	worstInstances = 1.0 / 3
 	restBar        = 4.0
+	// In doubt at the deadline less is enough: what harms one route of many is thin at each
+	// instance.
+	doubtRestBar = 1.0
 	// leastAnswers of the new version are needed to move on.
 	leastAnswers = 10
 	// The rollout moves in the last part of its time: so that old requests have ended
@@ -146,7 +149,7 @@
 	switch {
 	case j.answers.Answers < leastAnswers:
 		return Decision{Stage: state.RolledBack, Reason: "too few answers to judge by: " + text}
-	case j.highest() >= doubtBar && j.rest() >= restBar:
+	case j.highest() >= doubtBar && j.rest() >= doubtRestBar:
 		return Decision{Stage: state.RolledBack, Reason: "undecided at the time to move, and in doubt: " + text}
 	}
 	return Decision{Stage: state.Moving, Reason: "as good as the old version: " + text}
