Simulations: five long tests run in parallel

Its stack stands in TestForgottenPoisonRequestsGoOnEndingEngines, computing. Ruled out by the stack: a wait or a deadlock. Change: five tests that ran one after the other run in parallel; each has its own world and seeds. Nothing is skipped.

--- a/internal/lab/simulate/budgets_test.go
+++ b/internal/lab/simulate/budgets_test.go
@@ -29,6 +29,7 @@
 
 // While connected, a refusal is true: recalling makes it so.
 func TestRefusalsAreTrueWhileConnected(t *testing.T) {
+	t.Parallel()
 	falseRefusals := map[BudgetPolicy]int{}
 	for _, policy := range []BudgetPolicy{PolicyEscrow, PolicyNoRecall, PolicyStaticSplit} {
 		for seed := range uint64(40) {
@@ -46,6 +47,7 @@
 // In a cut-off zone the escrow refuses fewer than a central check, which can
 // serve nothing there, and than a static split over a whole run.
 func TestCutZonesAreServedBetterThanByTheBaselines(t *testing.T) {
+	t.Parallel()
 	refusals := map[BudgetPolicy]int{}
 	for _, policy := range []BudgetPolicy{PolicyEscrow, PolicyCentralCheck, PolicyStaticSplit} {
 		for seed := range uint64(60) {
--- a/internal/lab/simulate/cutloans_test.go
+++ b/internal/lab/simulate/cutloans_test.go
@@ -11,6 +11,7 @@
 // worth of tokens of each of 40 tenants now and then: split over all nodes they are
 // too few at any of them, though the zone has enough.
 func TestPoolsServeInACutWhatSplitTokensDoNot(t *testing.T) {
+	t.Parallel()
 	names := []string{"search", "pool", "one holder"}
 	results := make([]CutLoansResult, len(names))
 	var runs sync.WaitGroup
--- a/internal/lab/simulate/lostlives_test.go
+++ b/internal/lab/simulate/lostlives_test.go
@@ -34,6 +34,7 @@
 // ahead of a cut; that a request may wait for the log costs as many refusals here
 // as that saves.
 func TestAllowancesWasteHalfOfWhatWholeGrantsWasteAndServeAsMuch(t *testing.T) {
+	t.Parallel()
 	var sums [2]LostLivesResult
 	for position, whole := range []bool{false, true} {
 		for seed := range uint64(40) {
--- a/internal/lab/simulate/routing_test.go
+++ b/internal/lab/simulate/routing_test.go
@@ -11,6 +11,7 @@
 // finds more prompts cached, and waits are no longer than with the better
 // baseline but for a bounded part.
 func TestRoutingAgainstTheBaselines(t *testing.T) {
+	t.Parallel()
 	const allowance = 50 * time.Millisecond
 	for _, load := range []float64{0.5, 0.8, 1.0, 1.3} {
 		for _, slow := range []bool{false, true} {
