--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -23,7 +23,7 @@
 
 func tableOf(zone string, all []registry.Instance) *Table {
 	table := NewTable(zone)
-	table.Update(all)
+	table.Apply(all)
 	return table
 }
 
@@ -147,7 +147,7 @@
 	choice, _ := table.Choose(0, Request{Service: "llm"})
 	table.Done(0, choice, Replaced)
 	for second := range 100 {
-		table.Update(instances(2))
+		table.Apply(instances(2))
 		next, found := table.Choose(time.Duration(second)*time.Second, Request{Service: "llm"})
 		assert.Assert(t, found && next.ID != choice.ID)
 		table.Done(0, next, Served)
--- a/internal/coordination/balance/regions_test.go
+++ b/internal/coordination/balance/regions_test.go
@@ -42,7 +42,7 @@
 				ID: fmt.Sprint("i-", number), Service: "llm", Zone: fmt.Sprint("zone-", rapid.IntRange(0, 6).Draw(t, "zone")), Slots: 4, State: registry.Ready,
 			})
 		}
-		table.Update(instances)
+		table.Apply(instances)
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		regions := BoundTo(rapid.SliceOfN(rapid.SampledFrom(regionNames), 0, 2).Draw(t, "route"), rapid.SliceOfN(rapid.SampledFrom(regionNames), 0, 2).Draw(t, "tenant"))
 		allowed := slices.ContainsFunc(instances, func(one registry.Instance) bool { return regions.Contains(regionOfZone[one.Zone]) })
--- a/internal/coordination/balance/rollout_test.go
+++ b/internal/coordination/balance/rollout_test.go
@@ -28,6 +28,14 @@
 	return []rollout.Rollout{{Order: rollout.Order{Service: "llm", Version: "v2"}, Revision: 9, Stage: stage}}
 }
 
+// ended are instances whose lives are over.
+func ended(instances []registry.Instance) []registry.Instance {
+	for position := range instances {
+		instances[position].State = registry.Gone
+	}
+	return instances
+}
+
 // chosenVersions sends requests through a table and counts them by version and instance.
 func chosenVersions(t *testing.T, table *Table, requests int) (byVersion, byInstance map[string]int) {
 	t.Helper()
@@ -53,7 +61,7 @@
 	total, instances := 0, map[string]int{}
 	for range nodes {
 		table := NewTable("zone-0")
-		table.Update(twoVersions(60))
+		table.Apply(twoVersions(60))
 		table.SetRollouts(inStage(rollout.Canary), RolloutShare{Share: share, Nodes: nodes})
 		byVersion, byInstance := chosenVersions(t, table, requests)
 		total += byVersion["v2"]
@@ -70,7 +78,7 @@
 
 func TestRequestThatFailedIsNotSentToTheCanary(t *testing.T) {
 	table := NewTable("zone-0")
-	table.Update(twoVersions(3))
+	table.Apply(twoVersions(3))
 	table.SetRollouts(inStage(rollout.Canary), RolloutShare{Share: 1, Nodes: 1})
 	for range 50 {
 		choice, found := table.Choose(0, Request{Service: "llm", Exclude: []string{"v2-0"}})
@@ -82,19 +90,20 @@
 func TestStagesOfARolloutSayWhereRequestsGo(t *testing.T) {
 	for stage, want := range map[rollout.Stage]string{rollout.Moving: "v2", rollout.Done: "v2", rollout.RolledBack: "v1"} {
 		table := NewTable("zone-0")
-		table.Update(twoVersions(6))
+		table.Apply(twoVersions(6))
 		table.SetRollouts(inStage(stage), RolloutShare{Share: 0.1, Nodes: 1})
 		byVersion, _ := chosenVersions(t, table, 200)
 		assert.Equal(t, byVersion[want], 200, "%s: %v", stage, byVersion)
 	}
 	// What moves has nowhere to go yet: the old version goes on.
 	table := NewTable("zone-0")
-	table.Update(twoVersions(6)[:6])
+	table.Apply(twoVersions(6)[:6])
 	table.SetRollouts(inStage(rollout.Moving), RolloutShare{Share: 0.1, Nodes: 1})
 	byVersion, _ := chosenVersions(t, table, 20)
 	assert.Equal(t, byVersion["v1"], 20)
 	// What was rolled back gets nothing, whatever that leaves.
-	table.Update(twoVersions(6)[6:])
+	table.Apply(ended(twoVersions(6)[:6]))
+	table.Apply(twoVersions(6)[6:])
 	table.SetRollouts(inStage(rollout.RolledBack), RolloutShare{Share: 0.1, Nodes: 1})
 	_, found := table.Choose(0, Request{Service: "llm"})
 	assert.Assert(t, !found)
@@ -102,7 +111,7 @@
 
 func TestOldRequestsUnderWayAreCounted(t *testing.T) {
 	table := NewTable("zone-0")
-	table.Update(twoVersions(6))
+	table.Apply(twoVersions(6))
 	first, _ := table.Choose(0, Request{Service: "llm"})
 	second, _ := table.Choose(0, Request{Service: "llm", Exclude: []string{first.ID}})
 	assert.Equal(t, table.OldUnderWay("llm"), 0, "no rollout")
--- a/internal/forward/broken_test.go
+++ b/internal/forward/broken_test.go
@@ -153,7 +153,7 @@
 	h := newHarness(t, engine)
 	sink := h.withTracker()
 	engine.script = func(connection net.Conn, _ *bufio.Reader, request received) {
-		h.pipeline.options.Table.Update([]registry.Instance{{
+		h.pipeline.options.Table.Apply([]registry.Instance{{
 			ID: "i-0", Service: "s", Address: engine.listener.Addr().String(), Zone: "a", State: registry.Draining, Slots: 4,
 		}})
 		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: "+request.Header.Get("Id")+"\r\nContent-Length: 9\r\n\r\n")
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -202,7 +202,7 @@
 			ID: fmt.Sprintf("i-%d", number), Service: "s", Address: engine.listener.Addr().String(), Zone: "a", State: registry.Ready, Slots: 4,
 		})
 	}
-	table.Update(instances)
+	table.Apply(instances)
 	made.pipeline = New(Options{Dialect: testDialect{}, Environment: made.environment, Table: table, Log: made.log})
 	made.server = httptest.NewServer(made.pipeline)
 	t.Cleanup(made.server.Close)
--- a/internal/forward/regions_test.go
+++ b/internal/forward/regions_test.go
@@ -26,7 +26,7 @@
 		{ID: "i-0", Service: "s", Address: broken.listener.Addr().String(), Zone: "a", State: registry.Ready, Slots: 4},
 		{ID: "i-1", Service: "s", Address: elsewhere.listener.Addr().String(), Zone: "b", State: registry.Ready, Slots: 4},
 	}
-	table.Update(instances)
+	table.Apply(instances)
 	table.SetRegions(map[string]string{"a": "north", "b": "south"})
 	for position := range h.environment.index.Document.Routes {
 		h.environment.index.Document.Routes[position].Regions = []string{"north", "west"}
