The digest of what is held against requests is kept between changes

Cause: Tracker.Digest hashed all that is held at each hello of a control node whose digest is another one than that last taken; a control node takes no list, so it did so at each: with 25 control nodes some 40 times a second. Ruled out: the duty's copy of the digest, which is that of the last decision and not of what came since. Change: the tracker keeps the digest and gives it up where it notes a change (outdate) and where it decides.

--- a/internal/coordination/quarantine/decide.go
+++ b/internal/coordination/quarantine/decide.go
@@ -33,7 +33,7 @@
 		before[fingerprint] = one.isQuarantined
 	}
 	found := t.weigh(now)
-	t.isOutdated = false
+	t.isOutdated, t.isDigestKnown = false, false
 	var verdicts []Verdict
 	for _, one := range t.inOrder() {
 		if one.isQuarantined == before[one.Fingerprint] {
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -101,6 +101,10 @@
 	// last returned of each.
 	news map[Fingerprint]struct{}
 	told map[Fingerprint]uint64
+	// digest is that of what is told, while isDigestKnown: it is compared with each hello
+	// of a control node, some 40 a second of 25, and made anew only after a change.
+	digest        uint64
+	isDigestKnown bool
 }
 
 // NewTracker makes an empty tracker.
@@ -134,7 +138,7 @@
 	one.generation++
 	clear(one.ends)
 	one.changed = now
-	t.isOutdated = true
+	t.outdate()
 	t.news[fingerprint] = struct{}{}
 	return true
 }
@@ -158,7 +162,7 @@
 	if record.Generation > one.generation {
 		one.generation = record.Generation
 		clear(one.ends)
-		t.isOutdated = true
+		t.outdate()
 	}
 	one.route, one.tenant = cmp.Or(one.route, record.Route), cmp.Or(one.tenant, record.Tenant)
 	for _, told := range record.Ends {
@@ -224,11 +228,14 @@
 	)
 }
 
+// outdate notes a change of what is held.
+func (t *Tracker) outdate() { t.isOutdated, t.isDigestKnown = true, false }
+
 func (t *Tracker) forget(fingerprint Fingerprint) {
 	delete(t.suspects, fingerprint)
 	delete(t.news, fingerprint)
 	delete(t.told, fingerprint)
-	t.isOutdated = true
+	t.outdate()
 }
 
 // addEnd notes an end and tells whether that is new.
@@ -242,7 +249,7 @@
 	}
 	one.ends[told.Life] = end{suspicion: told.Suspicion, at: at}
 	one.changed = max(one.changed, at)
-	t.isOutdated = true
+	t.outdate()
 	return true
 }
 
@@ -268,7 +275,7 @@
 			one.ends[life] = end{suspicion: Likely, at: now - settleTime}
 		}
 		one.changed = now
-		t.isOutdated = true
+		t.outdate()
 	}
 }
 
@@ -368,6 +375,13 @@
 
 // Digest is equal on nodes that would tell the same; 0 on those with nothing to tell.
 func (t *Tracker) Digest() uint64 {
+	if !t.isDigestKnown {
+		t.digest, t.isDigestKnown = t.computeDigest(), true
+	}
+	return t.digest
+}
+
+func (t *Tracker) computeDigest() uint64 {
 	digest := uint64(0)
 	for _, one := range t.suspects {
 		if one.isTold() {
--- a/internal/coordination/quarantine/tracker_test.go
+++ b/internal/coordination/quarantine/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -314,3 +315,47 @@
 		tracker.View()
 	}
 }
+
+// The digest is kept between changes, and must not be that of before one.
+func TestKeptDigestIsThatMadeAnewAfterEachChange(t *testing.T) {
+	random := rand.New(rand.NewPCG(42, 1))
+	one, other := NewTracker(Options{Requests: 12, Memory: time.Minute}), NewTracker(Options{Requests: 12, Memory: time.Minute})
+	now := time.Duration(0)
+	for step := range 5000 {
+		now += time.Duration(random.Int64N(int64(200 * time.Millisecond)))
+		request := named(random.IntN(16))
+		switch random.IntN(6) {
+		case 0, 1:
+			one.Report(now, Evidence{Fingerprint: request, Life: life(random.IntN(40)), Suspicion: Excused + Suspicion(random.IntN(4))})
+		case 2:
+			other.Report(now, Evidence{Fingerprint: request, Life: life(random.IntN(40)), Suspicion: Likely})
+		case 3:
+			one.Merge(now, other.Records(now))
+		case 4:
+			one.Decide(now)
+		case 5:
+			one.Clear(now, request)
+		}
+		assert.Equal(t, one.Digest(), one.computeDigest(), "step %d", step)
+	}
+}
+
+// A node compares its digest with each hello of a control node.
+func BenchmarkDigest(b *testing.B) {
+	tracker := NewTracker(Options{})
+	for number := range DefaultRequests {
+		for end := range suspectEnds {
+			at(tracker, 0, life(number*suspectEnds+end), Likely, named(number))
+		}
+	}
+	b.Run("kept", func(b *testing.B) {
+		for b.Loop() {
+			tracker.Digest()
+		}
+	})
+	b.Run("anew", func(b *testing.B) {
+		for b.Loop() {
+			tracker.computeDigest()
+		}
+	})
+}
