Simulations: no trackers for policies that ask none; seeds side by side once

And the loop that plays a rollout over seeds stood in the test and in the command, each with the deployment's rate, share and time. Change: policies that don't weigh ends report nothing to trackers and hold no rounds; RunRollouts plays seeds for both. Assertions and seeds are the same; in the two baselines (ForgetRequests, CountPresence) the same seed draws another run, since the trackers' messages drew from it too.

--- a/internal/lab/labcli/rollouts.go
+++ b/internal/lab/labcli/rollouts.go
@@ -3,9 +3,7 @@
 import (
 	"fmt"
 	"io"
-	"runtime"
 	"slices"
-	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -13,11 +11,7 @@
 	state "github.com/ravenway/ravenway/internal/state/rollout"
 )
 
-// The simulated deployment is the users' smallest one with rollouts.
 const (
-	rolloutDuration = 12 * time.Second
-	rolloutRate     = 590
-	rolloutShare    = 0.08
 	// What the users allow a bad version: a part of the requests and some more, and none
 	// sent later than a time after its 50th bad answer.
 	exposureShare, exposureSlack = 0.1, 50
@@ -46,7 +40,7 @@
 	fmt.Fprintln(table, "version\tbeside\trolled back\tverdict after, median\tat most\tbad answers, median\tat most\texposed too much\ttoo late")
 	for _, kind := range rolloutKinds {
 		for _, fault := range simulate.RolloutFaults() {
-			sum := sumRollouts(playRollouts(kind.harm, fault, seeds), kind.harm != simulate.Harm{})
+			sum := sumRollouts(simulate.RunRollouts(kind.harm, fault, seeds), kind.harm != simulate.Harm{})
 			fmt.Fprintf(table, "%s\t%s\t%d of %d\t%s\t%s\t%d\t%d\t%d\t%d\n", kind.name, fault, sum.rolledBack, seeds,
 				middle(sum.verdicts), slices.Max(sum.verdicts), middle(sum.badAnswers), slices.Max(sum.badAnswers), sum.exposed, sum.late)
 		}
@@ -54,24 +48,6 @@
 	return table.Flush()
 }
 
-// playRollouts runs seeds side by side.
-func playRollouts(harm simulate.Harm, fault simulate.RolloutFault, seeds int) []simulate.RolloutResult {
-	results := make([]simulate.RolloutResult, seeds)
-	places := make(chan struct{}, runtime.GOMAXPROCS(0))
-	var playing sync.WaitGroup
-	for seed := range seeds {
-		places <- struct{}{}
-		playing.Go(func() {
-			results[seed] = simulate.RunRollout(simulate.RolloutOptions{
-				Seed: uint64(seed), Harm: harm, Fault: fault, Duration: rolloutDuration, Rate: rolloutRate, Share: rolloutShare,
-			})
-			<-places
-		})
-	}
-	playing.Wait()
-	return results
-}
-
 // rolloutSum sums up the runs of one kind.
 type rolloutSum struct {
 	rolledBack, exposed, late int
--- a/internal/lab/simulate/poison.go
+++ b/internal/lab/simulate/poison.go
@@ -28,6 +28,9 @@
 	WeighEndsUncarried
 )
 
+// weighs tells whether the policy is one that trackers are asked in.
+func (p PoisonPolicy) weighs() bool { return p >= WeighEnds }
+
 // PoisonOptions set up a run: entry nodes, control nodes that tell them of each other's
 // evidence, engines that run streams, and callers.
 type PoisonOptions struct {
@@ -168,7 +171,9 @@
 		poison := poisonBody{scope: uint64(1_000_000 + number)}
 		w.After(5*time.Second+w.between(0, 3*time.Second), func() { w.repeat(poison) })
 	}
-	w.Every(100*time.Millisecond, func() bool { w.exchange(); return true })
+	if w.options.Policy.weighs() {
+		w.Every(100*time.Millisecond, func() bool { w.exchange(); return true })
+	}
 	if w.options.Failures {
 		w.Every(2*time.Second, func() bool { w.fail(w.engines[w.Random.IntN(len(w.engines))]); return true })
 		for _, at := range []time.Duration{10 * time.Second, 13 * time.Second} {
@@ -384,13 +389,16 @@
 	if ends := w.ends[fingerprint]; len(ends) >= 3 && w.Now > ends[2]+poisonContact {
 		w.late[fingerprint]++
 	}
-	if w.options.Policy >= WeighEnds && !w.options.Cut && w.late[fingerprint] > poisonDefectLate {
+	if w.options.Policy.weighs() && !w.options.Cut && w.late[fingerprint] > poisonDefectLate {
 		w.Broken = fmt.Errorf("a request that had ended three engines was sent to engines %d times more", w.late[fingerprint])
 	}
 }
 
 // EnginesEnded implements quarantine.Sink.
 func (n *poisonNode) EnginesEnded(evidence []quarantine.Evidence) {
+	if !n.world.options.Policy.weighs() {
+		return
+	}
 	for _, one := range evidence {
 		n.tracker.Report(n.world.Now, one)
 	}
--- a/internal/lab/simulate/rollout.go
+++ b/internal/lab/simulate/rollout.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"runtime"
+	"sync"
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/rollout"
@@ -80,6 +82,9 @@
 	rolloutInstances = 70
 	rolloutCanaries  = 7
 	rolloutRoutes    = 5
+	rolloutRate      = 590
+	rolloutShare     = 0.08
+	shortestRollout  = 12 * time.Second
 	// Usual answers: the logarithm of their times has this deviation, and a few fail.
 	usualDeviation = 0.4
 	usualFailures  = 0.004
@@ -117,6 +122,25 @@
 	result    RolloutResult
 }
 
+// RunRollouts runs a kind of version beside a fault over some seeds, side by side, in the
+// modelled deployment with its requests and the users' shortest rollout.
+func RunRollouts(harm Harm, fault RolloutFault, seeds int) []RolloutResult {
+	results := make([]RolloutResult, seeds)
+	places := make(chan struct{}, runtime.GOMAXPROCS(0))
+	var playing sync.WaitGroup
+	for seed := range seeds {
+		places <- struct{}{}
+		playing.Go(func() {
+			results[seed] = RunRollout(RolloutOptions{
+				Seed: uint64(seed), Harm: harm, Fault: fault, Duration: shortestRollout, Rate: rolloutRate, Share: rolloutShare,
+			})
+			<-places
+		})
+	}
+	playing.Wait()
+	return results
+}
+
 // RunRollout runs one seed.
 func RunRollout(options RolloutOptions) RolloutResult {
 	w := &rolloutWorld{
--- a/internal/lab/simulate/rollout_test.go
+++ b/internal/lab/simulate/rollout_test.go
@@ -1,7 +1,6 @@
 package simulate
 
 import (
-	"sync"
 	"testing"
 	"time"
 
@@ -10,19 +9,6 @@
 	state "github.com/ravenway/ravenway/internal/state/rollout"
 )
 
-// rolloutRuns plays a kind of version with a fault over some seeds.
-func rolloutRuns(harm Harm, fault RolloutFault, runs int) []RolloutResult {
-	results := make([]RolloutResult, runs)
-	var group sync.WaitGroup
-	for seed := range runs {
-		group.Go(func() {
-			results[seed] = RunRollout(RolloutOptions{Seed: uint64(seed), Harm: harm, Fault: fault, Duration: 12 * time.Second, Rate: 590, Share: 0.08})
-		})
-	}
-	group.Wait()
-	return results
-}
-
 func rolledBack(results []RolloutResult) int {
 	count := 0
 	for _, one := range results {
@@ -45,7 +31,7 @@
 		"a third is slow": {Slow: 0.3, SlowBy: 4}, "a fifth fails under load": {Failing: 0.2, UnderLoad: true},
 	} {
 		for _, fault := range []RolloutFault{NoRolloutFault, EnginesCrash, LeaderLost} {
-			results := rolloutRuns(harm, fault, rolloutSeeds)
+			results := RunRollouts(harm, fault, rolloutSeeds)
 			assert.Equal(t, rolledBack(results), rolloutSeeds, "%s, %s", name, fault)
 			for seed, one := range results {
 				assert.Assert(t, float64(one.ToNew) <= 0.1*float64(one.Requests)+50, "%s, %s, seed %d: %d of %d", name, fault, seed, one.ToNew, one.Requests)
@@ -58,7 +44,7 @@
 // What harms both versions, or ends or ills some of the new one's instances, is no verdict.
 func TestGoodVersionIsDoneInTimeBesideFaults(t *testing.T) {
 	for _, fault := range []RolloutFault{NoRolloutFault, EnginesCrash, NodeFreezes, LeaderLost} {
-		for seed, one := range rolloutRuns(Harm{}, fault, rolloutSeeds) {
+		for seed, one := range RunRollouts(Harm{}, fault, rolloutSeeds) {
 			assert.Equal(t, one.Stage, state.Done, "%s, seed %d: %s", fault, seed, one.Reason)
 			assert.Assert(t, one.EndedAt < 12*time.Second)
 		}
