Fleet tests: one set-up for fleets of any number of control nodes

Cause: the test with eleven control nodes had copied inFleet's set-up. Change: inFleetOf takes the number of control nodes; inFleet is it with three.

--- a/internal/lab/openfleet/manycontrols_test.go
+++ b/internal/lab/openfleet/manycontrols_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -19,20 +17,8 @@
 // them dies or is cut off, all entry nodes use new instances soon, and leave those that drain
 // at once.
 func TestInstancesAreKnownEverywhereWhicheverControlNodeDies(t *testing.T) {
-	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		f := New(11, 6, rand.New(rand.NewPCG(1, 1)))
-		defer f.Close()
-		startWithEngines(t, f)
-		assert.NilError(t, f.WaitFor(8*time.Second, "all entry nodes ready", func() bool {
-			for _, name := range f.Names(false) {
-				if !f.Ready(name) {
-					return false
-				}
-			}
-			return true
-		}))
-		time.Sleep(3 * time.Second)
+	inFleetOf(t, 11, 6, func(t *testing.T, f *Fleet) {
+		time.Sleep(time.Second)
 		for round, victim := range f.Names(true) {
 			if round%2 == 0 {
 				f.Kill(victim)
--- a/internal/lab/openfleet/openfleet_test.go
+++ b/internal/lab/openfleet/openfleet_test.go
@@ -44,10 +44,16 @@
 // inFleet runs a test against a fleet with a first configuration and engines in
 // each zone, in virtual time.
 func inFleet(t *testing.T, entries int, test func(t *testing.T, f *Fleet)) {
+	t.Helper()
+	inFleetOf(t, 3, entries, test)
+}
+
+// inFleetOf is inFleet with a number of control nodes.
+func inFleetOf(t *testing.T, controls, entries int, test func(t *testing.T, f *Fleet)) {
 	t.Helper()
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		f := New(3, entries, rand.New(rand.NewPCG(1, 1)))
+		f := New(controls, entries, rand.New(rand.NewPCG(1, 1)))
 		defer f.Close()
 		startWithEngines(t, f)
 		assert.NilError(t, f.WaitFor(8*time.Second, "all entry nodes ready", func() bool {
