Rollouts and streams: work that need not be done

Cause, by reading: the leader listed all entry nodes ten times a second with no rollout running; an order listed a service's versions before it knew that they matter; each event of a stream made a response controller; a set found a service by a comparison written out. Change: each is done where it is needed; the request keeps its controller, and stream functions have a parameter less. Behaviour is the same.

--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -169,14 +169,16 @@
 type request struct {
 	pipeline *Pipeline
 	writer   http.ResponseWriter
-	incoming *http.Request
-	index    *document.Index
-	route    *document.Route
-	tenant   *document.Tenant
-	call     *Call
-	body     []byte
-	arrived  time.Time
-	deadline time.Time
+	// controller sets the writer's deadlines and flushes it, with each event of a stream.
+	controller *http.ResponseController
+	incoming   *http.Request
+	index      *document.Index
+	route      *document.Route
+	tenant     *document.Tenant
+	call       *Call
+	body       []byte
+	arrived    time.Time
+	deadline   time.Time
 	// tried are the instances that the request was offered to, arrivals how
 	// many of them it reached.
 	tried    []string
@@ -204,7 +206,7 @@
 		// The next request of this caller goes over a new connection, elsewhere.
 		writer.Header().Set("Connection", "close")
 	}
-	one := &request{pipeline: p, writer: writer, incoming: incoming, arrived: time.Now()}
+	one := &request{pipeline: p, writer: writer, controller: http.NewResponseController(writer), incoming: incoming, arrived: time.Now()}
 	one.awaitReader()
 	defer requestSeconds.UpdateDuration(one.arrived)
 	if refused := one.admit(); refused != nil {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -18,9 +18,8 @@
 	r.writeHead(sending)
 	r.writer.WriteHeader(sending.response.StatusCode)
 	r.answering = true
-	controller := http.NewResponseController(r.writer)
 	lastEvent := r.call.LastEvent
-	err := r.passEvents(sending, controller, &lastEvent, choice)
+	err := r.passEvents(sending, &lastEvent, choice)
 	if err == nil {
 		r.pipeline.options.Table.StreamEnded(choice.Service, r.hadLongPause())
 		sending.finish(r.call.ID)
@@ -35,7 +34,7 @@
 			break
 		}
 		var resumed bool
-		if resumed, err = r.resume(ctx, choice.Service, controller, &lastEvent); resumed {
+		if resumed, err = r.resume(ctx, choice.Service, &lastEvent); resumed {
 			return balance.Failed, done
 		}
 	}
@@ -68,7 +67,7 @@
 
 // passEvents passes whole events on until the stream's end; nil means a clean
 // one.
-func (r *request) passEvents(sending *exchange, controller *http.ResponseController, lastEvent *string, choice *balance.Choice) error {
+func (r *request) passEvents(sending *exchange, lastEvent *string, choice *balance.Choice) error {
 	reader := newEventReader(sending.response.Body)
 	isFirst := true
 	for {
@@ -94,7 +93,7 @@
 		if reader.buffered() {
 			continue
 		}
-		if err := controller.Flush(); err != nil {
+		if err := r.controller.Flush(); err != nil {
 			return errors.Join(errCallerGone, err)
 		}
 	}
@@ -122,7 +121,7 @@
 
 // resume goes on with a stream at another instance, behind the last event that
 // the caller has.
-func (r *request) resume(ctx context.Context, service string, controller *http.ResponseController, lastEvent *string) (bool, error) {
+func (r *request) resume(ctx context.Context, service string, lastEvent *string) (bool, error) {
 	choice, found := r.choose(service)
 	if !found {
 		return false, errors.New("no other instance")
@@ -139,7 +138,7 @@
 		return false, err
 	}
 	r.pipeline.options.Log.Attempt(r, choice, "resumed", nil)
-	if err := r.passEvents(sending, controller, lastEvent, &choice); err != nil {
+	if err := r.passEvents(sending, lastEvent, &choice); err != nil {
 		sending.abort()
 		r.noteBroken(ctx, sending.broken(r, choice), "resumed_broken", err)
 		r.pipeline.options.Table.Done(environment.Now(), choice, balance.Failed)
--- a/internal/forward/unread.go
+++ b/internal/forward/unread.go
@@ -1,9 +1,6 @@
 package forward
 
-import (
-	"net/http"
-	"time"
-)
+import "time"
 
 const (
 	// An answer that is read whole before the caller gets it takes at most this part of the
@@ -19,7 +16,7 @@
 // caller does not read is closed after that, and its engine is freed.
 func (r *request) awaitReader() {
 	// A writer without deadlines is a test's.
-	_ = http.NewResponseController(r.writer).SetWriteDeadline(time.Now().Add(r.pipeline.options.UnreadPatience))
+	_ = r.controller.SetWriteDeadline(time.Now().Add(r.pipeline.options.UnreadPatience))
 }
 
 // answerLimit is the size up to which an answer is read whole before the caller gets it.
--- a/internal/gateway/judging.go
+++ b/internal/gateway/judging.go
@@ -100,16 +100,14 @@
 		return
 	}
 	var live []string
-	for _, known := range d.node.fleet.view.Load().alive {
-		if known.Entry {
-			live = append(live, holderName(known.Address, known.Life))
-		}
-	}
 	for _, one := range d.node.rollouts.inForce().Rollouts {
 		if !one.Stage.IsRunning() {
 			delete(d.judges, one.Revision)
 			continue
 		}
+		if live == nil {
+			live = d.liveEntries()
+		}
 		judge := d.judges[one.Revision]
 		if judge == nil {
 			judge = judging.NewJudge(one.Duration)
@@ -122,6 +120,17 @@
 	}
 }
 
+// liveEntries are the names of the entry nodes that are heard: holderName of each.
+func (d *rolloutsDuty) liveEntries() []string {
+	var live []string
+	for _, known := range d.node.fleet.view.Load().alive {
+		if known.Entry {
+			live = append(live, holderName(known.Address, known.Life))
+		}
+	}
+	return live
+}
+
 // propose commits a rollout's next stage. What is not committed is decided again.
 func (d *rolloutsDuty) propose(one rollout.Rollout, decision judging.Decision) {
 	d.isProposing = true
--- a/internal/gateway/rolloutorders.go
+++ b/internal/gateway/rolloutorders.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/ravenway/ravenway/internal/protocol/peer"
@@ -128,11 +127,10 @@
 			return refusedOlderNodes
 		}
 	}
-	versions := n.table.Versions(order.Service)
 	if running, found := n.rollouts.inForce().Find(order.Service); found && running.Stage.IsRunning() {
 		return rolloutTaken
 	}
-	if len(versions) == 1 && slices.Contains(versions, order.Version) {
+	if versions := n.table.Versions(order.Service); len(versions) == 1 && versions[0] == order.Version {
 		return refusedVersionRuns
 	}
 	return rolloutTaken
--- a/internal/state/rollout/rollout.go
+++ b/internal/state/rollout/rollout.go
@@ -3,6 +3,7 @@
 package rollout
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -77,15 +78,7 @@
 }
 
 func (s Set) position(service string) (int, bool) {
-	return slices.BinarySearchFunc(s.Rollouts, service, func(one Rollout, wanted string) int {
-		switch {
-		case one.Service < wanted:
-			return -1
-		case one.Service > wanted:
-			return 1
-		}
-		return 0
-	})
+	return slices.BinarySearchFunc(s.Rollouts, service, func(one Rollout, wanted string) int { return cmp.Compare(one.Service, wanted) })
 }
 
 // Answer is what an order has come to.
