Answers that come together keep the bound of memory

An answer's part was an eighth of what was left when its head came, and counted only once it was read: answers that came in the same moment each saw the memory empty. Change: an answer takes memory piece by piece before it reads each, and is passed on at its caller's pace once its part, or all, is taken.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -44,27 +44,22 @@
 	if r.route.Kind == document.Stream && sending.isSuccess() {
 		return r.relayStream(ctx, sending, choice)
 	}
-	limit := r.pipeline.answerLimit()
-	buffered, err := io.ReadAll(io.LimitReader(sending.response.Body, int64(limit)))
-	r.pipeline.buffered.Add(int64(len(buffered)))
-	defer r.pipeline.buffered.Add(-int64(len(buffered)))
+	answer, isWhole, err := r.pipeline.readAnswer(sending.response.Body)
+	defer answer.release()
 	if err != nil {
 		sending.abort()
 		r.noteBroken(ctx, sending.broken(r, *choice), "answer_broken", err)
 		return balance.Failed, unknown
 	}
-	if len(buffered) == limit {
-		return r.relayLong(sending, buffered, *choice)
+	if !isWhole {
+		return r.relayLong(sending, answer.bytes, *choice)
 	}
 	sending.finish(r.call.ID)
 	if sending.response.StatusCode >= http.StatusInternalServerError {
-		sending.failure = buffered
-		if sending.failure == nil {
-			sending.failure = []byte{}
-		}
+		sending.failure = answer.bytes
 		return balance.Failed, failed
 	}
-	r.writeWhole(sending, buffered, *choice)
+	r.writeWhole(sending, answer.bytes, *choice)
 	return balance.Served, done
 }
 
--- a/internal/forward/unread.go
+++ b/internal/forward/unread.go
@@ -1,6 +1,10 @@
 package forward
 
-import "time"
+import (
+	"errors"
+	"io"
+	"time"
+)
 
 const (
 	// An answer that is read whole before the caller gets it takes at most this part of the
@@ -19,8 +23,53 @@
 	_ = r.controller.SetWriteDeadline(time.Now().Add(r.pipeline.options.UnreadPatience))
 }
 
-// answerLimit is the size up to which an answer is read whole before the caller gets it.
-func (p *Pipeline) answerLimit() int {
-	left := max(0, p.options.BufferedBytes-p.buffered.Load())
-	return min(bufferedAnswerBytes, max(leastBufferedAnswer, int(answerShare*float64(left))))
+// heldAnswer is an answer that is read whole before the caller gets it, and its part of the
+// memory for bodies and answers.
+type heldAnswer struct {
+	pipeline *Pipeline
+	bytes    []byte
+}
+
+// readAnswer reads an answer as far as it may be held; isWhole tells that this is all of it.
+// The memory is taken piece by piece before each is read, so that answers which come
+// together keep the bound: beyond it each has leastBufferedAnswer. release gives it back.
+func (p *Pipeline) readAnswer(body io.Reader) (answer *heldAnswer, isWhole bool, err error) {
+	answer = &heldAnswer{pipeline: p, bytes: make([]byte, 0, leastBufferedAnswer)}
+	p.buffered.Add(leastBufferedAnswer)
+	for {
+		if len(answer.bytes) == cap(answer.bytes) && !answer.grow() {
+			return answer, false, nil
+		}
+		read, err := body.Read(answer.bytes[len(answer.bytes):cap(answer.bytes)])
+		answer.bytes = answer.bytes[:len(answer.bytes)+read]
+		if errors.Is(err, io.EOF) {
+			return answer, true, nil
+		}
+		if err != nil {
+			return answer, false, err
+		}
+	}
 }
+
+// grow doubles what the answer may hold, as far as its part of the memory allows. It returns
+// false if that is all taken.
+func (a *heldAnswer) grow() bool {
+	held := cap(a.bytes)
+	others := a.pipeline.buffered.Load() - int64(held)
+	limit := min(bufferedAnswerBytes, int(answerShare*float64(a.pipeline.options.BufferedBytes-others)))
+	more := min(held, limit-held)
+	if more <= 0 {
+		return false
+	}
+	if a.pipeline.buffered.Add(int64(more)) > a.pipeline.options.BufferedBytes {
+		a.pipeline.buffered.Add(-int64(more))
+		return false
+	}
+	grown := make([]byte, len(a.bytes), held+more)
+	copy(grown, a.bytes)
+	a.bytes = grown
+	return true
+}
+
+// release gives the memory back.
+func (a *heldAnswer) release() { a.pipeline.buffered.Add(-int64(cap(a.bytes))) }
--- a/internal/forward/unread_test.go
+++ b/internal/forward/unread_test.go
@@ -104,3 +104,34 @@
 	got := h.ask(t, http.MethodPost, "/once/x", "reads", "b")
 	assert.Equal(t, got.status, http.StatusOK)
 }
+
+// The finding of CI: answers that came in the same moment each took their part of what was
+// left before any of them, and together four times the memory that there is for all.
+func TestAnswersThatComeTogetherKeepTheBoundOfMemory(t *testing.T) {
+	const callers, bound = 30, 1 << 20
+	bodies := make(chan struct{})
+	long := bytes.Repeat([]byte("y"), bufferedAnswerBytes-1)
+	engine := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n", request.Header.Get("Id"), len(long))
+		<-bodies
+		// Part of it comes, and no end: all that is read is held.
+		_, _ = connection.Write(long[:len(long)-1])
+	})
+	h := newHarness(t, engine)
+	h.pipeline.options.BufferedBytes, h.pipeline.options.UnreadPatience = bound, time.Second
+	for number := range callers {
+		h.unread(t, "/safe/x", fmt.Sprint("together-", number))
+	}
+	waitUntil(t, "all are at the engine", func() bool { return len(strings.Fields(engine.ids())) >= callers })
+	// Their heads are read meanwhile.
+	time.Sleep(200 * time.Millisecond)
+	close(bodies)
+	most := int64(0)
+	waitUntil(t, "all are given up", func() bool {
+		most = max(most, h.pipeline.buffered.Load())
+		return h.pipeline.Active() == 0
+	})
+	assert.Assert(t, most <= bound+callers*leastBufferedAnswer, "%d bytes", most)
+	assert.Assert(t, most > 0)
+	assert.Equal(t, h.pipeline.buffered.Load(), int64(0))
+}
