--- a/internal/lab/openfleet/engine.go
+++ b/internal/lab/openfleet/engine.go
@@ -92,6 +92,9 @@
 	// with all that runs beside them; "" means that there are none.
 	EndsOn    string
 	EndsAfter time.Duration
+	// RateLimit is the requests a second that the engine names in its answers; "" means
+	// that it names none.
+	RateLimit string
 	// end ends the engine, hasEnded tells that it did.
 	end      func()
 	hasEnded atomic.Bool
@@ -113,6 +116,7 @@
 	turnAway           bool
 	endsOn             string
 	endsAfter          time.Duration
+	rateLimit          string
 }
 
 func (e *Engine) behaviour() behaviour {
@@ -120,7 +124,7 @@
 	defer e.mutex.Unlock()
 	return behaviour{
 		work: e.Work, events: e.Events, breakAfter: e.BreakAfter, status: e.Status, turnAway: e.TurnAway,
-		endsOn: e.EndsOn, endsAfter: e.EndsAfter,
+		endsOn: e.EndsOn, endsAfter: e.EndsAfter, rateLimit: e.RateLimit,
 	}
 }
 
@@ -134,6 +138,9 @@
 		return
 	}
 	how := e.behaviour()
+	if how.rateLimit != "" {
+		writer.Header().Set(wire.HeaderRateLimit, how.rateLimit)
+	}
 	if how.turnAway {
 		writer.Header().Set(wire.HeaderNotRun, "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -479,6 +479,8 @@
 	Context       context.Context
 	// Body is the request's body.
 	Body string
+	// Part is a part of the prompt that requests share, "" if there is none.
+	Part string
 }
 
 // Request sends a caller's request to an entry node. The error is one of the
@@ -501,6 +503,9 @@
 	if ask.Tokens != "" {
 		request.Header.Set(wire.HeaderTokens, ask.Tokens)
 	}
+	if ask.Part != "" {
+		request.Header.Set(wire.HeaderPart, ask.Part)
+	}
 	if ask.Wait > 0 {
 		request.Header.Set(wire.HeaderWait, ask.Wait.String())
 	}
--- a/internal/lab/wire/wire.go
+++ b/internal/lab/wire/wire.go
@@ -25,6 +25,9 @@
 	HeaderTokens   = "Lab-Tokens"
 	HeaderPart     = "Lab-Part"
 	HeaderAfter    = "Lab-After"
+	// HeaderRateLimit is the requests a second that an engine takes from all nodes
+	// together.
+	HeaderRateLimit = "Lab-Rate-Limit"
 )
 
 // ReadyPath is where an entry node says whether it is ready.
