Sight: nodes tell of the limits that engines name, and what they send there

Cause of the change: that an engine in need names a limit stood in no log and no metric, and a request that is served leaves no line, so that the record could not tell whether nodes know the limit and each keeps it for itself. Change: the heads of all answers are read for a limit, also those of failures and refusals; lines as one begins, changes, ends or can't be read; each two seconds what the node wrote to engines with a limit. No request goes another way.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -9,6 +9,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/rollout"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
@@ -282,6 +283,10 @@
 	return outgoing{
 		id: r.call.ID, method: r.incoming.Method, target: r.incoming.RequestURI, host: r.incoming.Host,
 		header: r.pipeline.options.Dialect.EngineHeader(attempt), body: r.body, life: choice.Life(),
+		written: func() { r.pipeline.options.RateLimits.Written(choice.Instance) },
+		learn: func(said ratelimit.Said, writtenAt time.Time) {
+			r.pipeline.options.RateLimits.Learn(choice.Instance, said, writtenAt)
+		},
 	}
 }
 
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -12,6 +12,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 )
 
 // Call is what a caller's request says to the pipeline.
@@ -62,6 +64,8 @@
 	NotRun bool
 	// OtherInstance tells that another instance has the address now.
 	OtherInstance bool
+	// RateLimit is what it says of the instance's limit.
+	RateLimit ratelimit.Said
 }
 
 // Dialect is one wire interface between callers, ravenway and engines.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
@@ -60,6 +61,10 @@
 	body   []byte
 	// life is the life of the engine that it is for.
 	life registry.Life
+	// written notes that the request is written, learn what the head of an answer says of
+	// its engine's limit; the zero time stands for a request before this one.
+	written func()
+	learn   func(said ratelimit.Said, writtenAt time.Time)
 }
 
 // asynchronousBytes is the size from which a body is written while the answer
@@ -85,6 +90,7 @@
 	// A caller that leaves, or a time that is over, frees the engine at once.
 	sending.stop = context.AfterFunc(ctx, opened.close)
 	p.begin(sending)
+	request.written()
 	if err := sending.write(request); err != nil {
 		sending.abort()
 		return nil, sent, fmt.Errorf("writing to %s: %w", address, err)
@@ -133,12 +139,16 @@
 		e.response, e.answeredAt = response, time.Now()
 		e.head = dialect.ReadAnswer(response.StatusCode, response.Header)
 		if e.head.ID == request.id || e.head.ID == "" && (e.head.NotRun || e.head.OtherInstance) {
+			if !e.head.OtherInstance {
+				request.learn(e.head.RateLimit, e.sentAt)
+			}
 			return nil
 		}
 		surplus := e.head.ID != "" && e.head.ID == e.connection.previousID && response.ContentLength >= 0
 		if !surplus {
 			return errOtherAnswer
 		}
+		request.learn(e.head.RateLimit, time.Time{})
 		if _, err := drain(response.Body); err != nil {
 			return err
 		}
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -101,6 +101,8 @@
 	Guard *quarantine.Guard
 	// Recorder records how instances answer; nil means that nobody asks.
 	Recorder *rollout.Recorder
+	// RateLimits knows the limits that instances name; nil means that nobody asks.
+	RateLimits RateLimits
 }
 
 // Pipeline serves callers.
@@ -150,6 +152,9 @@
 	if options.Recorder == nil {
 		options.Recorder = rollout.NewRecorder()
 	}
+	if options.RateLimits == nil {
+		options.RateLimits = noRateLimits{}
+	}
 	made := &Pipeline{options: options, pool: newPool(options.Dial, options.Environment.LinkDelay), retries: balance.NewRetryBudget()}
 	made.ends = newEndWatch(made)
 	return made
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -329,7 +329,19 @@
 	}
 	clear(f.unpublished)
 	f.instances.Store(int64(f.registry.LiveCount()))
-	if replaced := f.node.table.Apply(changes); len(replaced) > 0 && f.node.pipeline != nil {
+	replaced := f.node.table.Apply(changes)
+	if f.node.pipeline == nil {
+		return
+	}
+	for _, over := range replaced {
+		f.node.limits.limits.Forget(over.Life())
+	}
+	for _, changed := range changes {
+		if changed.HasEnded() {
+			f.node.limits.limits.Forget(changed.Life())
+		}
+	}
+	if len(replaced) > 0 {
 		f.node.pipeline.LivesOver(replaced)
 	}
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -136,6 +136,7 @@
 	replica    *replicaDuty
 	tokens     *tokensDuty
 	loads      *loadsDuty
+	limits     *limitKeeper
 	pipeline   *forward.Pipeline
 	decisions  *forward.DecisionLog
 	callers    *callerServer
@@ -176,11 +177,12 @@
 	if options.Settings.HasRole(settings.RoleEntry) {
 		node.tokens = newTokensDuty(node)
 		node.loads = newLoadsDuty(node)
+		node.limits = newLimitKeeper(node)
 		node.decisions = forward.NewDecisionLog(node.log)
 		node.pipeline = forward.New(forward.Options{
 			Dialect: options.Dialect, Environment: &entryEnvironment{node}, Table: node.table,
 			Log: node.decisions, Dial: options.DialEngine, BufferedBytes: bodyBytes(options.Settings.Limits.MemoryMB),
-			Guard: node.quarantine.guard, Recorder: node.rollouts.recorder,
+			Guard: node.quarantine.guard, Recorder: node.rollouts.recorder, RateLimits: node.limits,
 		})
 		node.callers = newCallerServer(options.Listeners.Callers, node.pipeline)
 		node.documents.changed = node.callers.adopt
@@ -268,6 +270,7 @@
 			if n.pipeline != nil {
 				n.pipeline.Tick()
 				n.decisions.Summarize()
+				n.limits.summarize()
 			}
 			n.stale.summarize()
 			n.logLoad()
--- a/internal/lab/wire/wire.go
+++ b/internal/lab/wire/wire.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/forward"
 	"github.com/ravenway/ravenway/internal/gateway"
 )
@@ -81,7 +82,7 @@
 func (Dialect) ReadAnswer(status int, header http.Header) forward.AnswerHead {
 	return forward.AnswerHead{
 		ID: header.Get(HeaderRequest), NotRun: header.Get(HeaderNotRun) != "",
-		OtherInstance: status == http.StatusMisdirectedRequest,
+		OtherInstance: status == http.StatusMisdirectedRequest, RateLimit: ratelimit.Read(header[HeaderRateLimit]),
 	}
 }
 
