--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -57,6 +57,9 @@
 	Cold ColdPolicy
 	// Regions are where the request may be served.
 	Regions Regions
+	// PermitPatience is how long the request may wait for a permit of an instance that
+	// names a limit.
+	PermitPatience time.Duration
 }
 
 // Choice is a chosen instance.
@@ -79,6 +82,8 @@
 	// Paused is the weight of the streams there that the prompt's reading would
 	// hold up, in tokens.
 	Paused int
+	// Permit is the weight of the permit that the instance's limit asks for, in tokens.
+	Permit int
 }
 
 // Choose picks an instance and counts the request as in flight there until
@@ -87,16 +92,16 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	candidates := t.allCandidates(now, request)
-	if len(candidates) == 0 {
+	if len(candidates.open) == 0 {
 		return Choice{}, false
 	}
 	var chosen *member
 	spilled := false
-	choice := Choice{Candidates: len(candidates)}
+	choice := Choice{Candidates: len(candidates.open)}
 	if request.Part != "" {
 		chosen, spilled = t.chooseSoonest(now, candidates, request, &choice)
 	} else {
-		chosen = t.chooseLeastBusy(candidates)
+		chosen = t.chooseLeastBusy(candidates.open)
 	}
 	if state := t.zones[chosen.Zone]; state != nil && now < state.pausedUntil {
 		state.probedAt = now
@@ -108,8 +113,26 @@
 	return choice, true
 }
 
+// candidateSet are the instances that a choice is made among.
+type candidateSet struct {
+	// open may be chosen now.
+	open []*member
+	// limited have no permit for the request soon enough. They keep the prompt parts that
+	// live there: their limits have room again in a moment.
+	limited []*member
+}
+
+// add puts an instance where it belongs.
+func (s *candidateSet) add(one *member, isLimited bool) {
+	if isLimited {
+		s.limited = append(s.limited, one)
+		return
+	}
+	s.open = append(s.open, one)
+}
+
 // allCandidates returns the instances that may be chosen.
-func (t *Table) allCandidates(now time.Duration, request Request) []*member {
+func (t *Table) allCandidates(now time.Duration, request Request) candidateSet {
 	if running := t.rollouts[request.Service]; running != nil {
 		return t.candidatesInRollout(now, request, running)
 	}
@@ -121,15 +144,15 @@
 // candidates returns those of some instances that may be chosen: the healthy ones, or if
 // there is none, all that were not tried. None is in an evacuated zone, in a region that
 // the request is not allowed in, or bears no request of this node now, whatever that leaves.
-func (t *Table) candidates(now time.Duration, request Request, isAmong func(*member) bool) []*member {
+func (t *Table) candidates(now time.Duration, request Request, isAmong func(*member) bool) candidateSet {
 	healthy, others := t.sortCandidates(now, request, isAmong)
-	if len(healthy) > 0 {
+	if len(healthy.open) > 0 {
 		return healthy
 	}
 	return others
 }
 
-func (t *Table) sortCandidates(now time.Duration, request Request, isAmong func(*member) bool) (healthy, others []*member) {
+func (t *Table) sortCandidates(now time.Duration, request Request, isAmong func(*member) bool) (healthy, others candidateSet) {
 	average := t.averageFailures(request.Service)
 	for _, one := range t.byService[request.Service] {
 		if !isAmong(one) || slices.Contains(request.Exclude, one.ID) || request.MaxInFlight > 0 && one.inFlight >= request.MaxInFlight {
@@ -138,11 +161,12 @@
 		if t.evacuated.Contains(one.Zone) || !request.Regions.Contains(t.regionOfZone[one.Zone]) || !t.bears(now, one, request.Cold) {
 			continue
 		}
+		isLimited := t.weighPermit(now, one, request.PermitPatience)
 		if one.isHealthy(now, average) && t.zoneIsOpen(now, one.Zone) {
-			healthy = append(healthy, one)
+			healthy.add(one, isLimited)
 			continue
 		}
-		others = append(others, one)
+		others.add(one, isLimited)
 	}
 	return healthy, others
 }
@@ -151,18 +175,20 @@
 type expected struct {
 	ahead, unread, requests      int
 	reread, far, scatter, paused float64
+	// permit is the weight of the permit that the instance's limit asks for.
+	permit float64
 }
 
 func (e expected) total() float64 {
-	return float64(e.ahead+e.unread) + e.reread + e.far + e.scatter + e.paused
+	return float64(e.ahead+e.unread) + e.reread + e.far + e.scatter + e.paused + e.permit
 }
 
 // chooseSoonest takes the instance at which the first token is expected first.
-func (t *Table) chooseSoonest(now time.Duration, candidates []*member, request Request, choice *Choice) (*member, bool) {
+func (t *Table) chooseSoonest(now time.Duration, candidates candidateSet, request Request, choice *Choice) (*member, bool) {
 	home := homeOf(candidates, request.Part)
 	var chosen *member
 	var best expected
-	for _, one := range candidates {
+	for _, one := range candidates.open {
 		expects := t.expect(now, one, request, one == home)
 		if chosen == nil || expects.total() < best.total() {
 			chosen, best = one, expects
@@ -170,7 +196,7 @@
 	}
 	choice.Ahead, choice.Unread, choice.AheadKnown = best.ahead, best.unread, t.others != nil
 	choice.Reread, choice.Far, choice.Streams = int(best.reread), int(best.far), best.requests
-	choice.Paused = int(best.paused)
+	choice.Paused, choice.Permit = int(best.paused), int(best.permit)
 	part := keyOfPart(request.Part)
 	chosen.hold(now, part)
 	if chosen != home && request.SharedTokens > 0 {
@@ -180,7 +206,7 @@
 }
 
 func (t *Table) expect(now time.Duration, one *member, request Request, isHome bool) expected {
-	expects := expected{ahead: one.pending, unread: request.Tokens}
+	expects := expected{ahead: one.pending, unread: request.Tokens, permit: one.permitTokens}
 	requests := one.inFlight
 	if request.Tokens == 0 {
 		expects.unread = int(request.Cost * MiddleTokens)
@@ -211,12 +237,14 @@
 }
 
 // homeOf returns the instance at which a part lives: all nodes name the same.
-func homeOf(candidates []*member, part string) *member {
+func homeOf(candidates candidateSet, part string) *member {
 	var home *member
 	var homeWeight uint64
-	for _, one := range candidates {
-		if weight := rendezvous(part, one.ID); home == nil || weight > homeWeight {
-			home, homeWeight = one, weight
+	for _, among := range [...][]*member{candidates.open, candidates.limited} {
+		for _, one := range among {
+			if weight := rendezvous(part, one.ID); home == nil || weight > homeWeight {
+				home, homeWeight = one, weight
+			}
 		}
 	}
 	return home
@@ -238,6 +266,7 @@
 		if one.Zone != t.zone {
 			score += otherZonePenalty
 		}
+		score += one.permitTokens / tokensOverSlots
 		if score < bestScore {
 			best, bestScore = one, score
 		}
--- a/internal/coordination/balance/loads.go
+++ b/internal/coordination/balance/loads.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
@@ -115,8 +116,26 @@
 	Parts []byte `msgpack:"p,omitempty"`
 	// AgeMS is the time since the sender's process started, in milliseconds.
 	AgeMS uint64 `msgpack:"y,omitempty"`
+	// Limits are the instances' limits that have begun, changed or ended since the report
+	// before.
+	Limits []ratelimit.Word `msgpack:"m,omitempty"`
 }
 
+// News is what happens once and is told once, beside the loads.
+type News struct {
+	// Parts are the prompt parts sent elsewhere than to their homes.
+	Parts []HeldPart
+	// Limits are the instances' limits that have begun, changed or ended.
+	Limits []ratelimit.Word
+}
+
+func (n *News) add(other News) {
+	n.Parts = appendParts(n.Parts, other.Parts)
+	n.Limits = append(n.Limits, other.Limits...)
+}
+
+func (n *News) isEmpty() bool { return len(n.Parts) == 0 && len(n.Limits) == 0 }
+
 // OutgoingReport is a report and its receiver.
 type OutgoingReport struct {
 	To     string
@@ -151,9 +170,9 @@
 	told  heardLoads
 	// silent tells that the last own report was empty.
 	silent bool
-	// zoneParts and otherParts are what was heard of held parts since the last
-	// step: from this zone's nodes, and from or through other relays.
-	zoneParts, otherParts []HeldPart
+	// zoneNews and otherNews are what was heard since the last step: from this zone's
+	// nodes, and from or through other relays.
+	zoneNews, otherNews News
 }
 
 type heardLoads struct {
@@ -188,16 +207,17 @@
 // Take notes another node's report.
 func (e *LoadExchange) Take(now time.Duration, from string, report LoadReport) {
 	heard := heardLoads{loads: DecodeLoads(report.Loads), at: now}
+	news := News{Parts: decodeParts(report.Parts), Limits: ratelimit.Received(now, report.Limits)}
 	switch report.Scope {
 	case OwnLoads:
 		e.own[from] = heard
-		e.zoneParts = appendParts(e.zoneParts, decodeParts(report.Parts))
+		e.zoneNews.add(news)
 	case ZoneLoads:
 		e.zones[report.Zone] = heard
-		e.otherParts = appendParts(e.otherParts, decodeParts(report.Parts))
+		e.otherNews.add(news)
 	case AllOtherLoads:
 		e.told = heard
-		e.otherParts = appendParts(e.otherParts, decodeParts(report.Parts))
+		e.otherNews.add(news)
 	}
 }
 
@@ -205,34 +225,46 @@
 type Known struct {
 	// Loads are what all others have under way; nil if they are not heard.
 	Loads Loads
-	// Parts are held parts heard of since the last step.
-	Parts []HeldPart
+	// News is what was heard since the last step.
+	News
 }
 
 // Step returns the reports that are due, and what is known of all other nodes.
-// spilled are this node's parts sent elsewhere than to their homes since the last
-// step.
-func (e *LoadExchange) Step(now time.Duration, own Loads, spilled []HeldPart) ([]OutgoingReport, Known) {
+// happened is this node's own news since the last step.
+func (e *LoadExchange) Step(now time.Duration, own Loads, happened News) ([]OutgoingReport, Known) {
 	e.forget(now)
-	zoneParts, otherParts := e.zoneParts, e.otherParts
-	e.zoneParts, e.otherParts = nil, nil
+	zoneNews, otherNews := e.zoneNews, e.otherNews
+	e.zoneNews, e.otherNews = News{}, News{}
 	if !e.isRelay() {
 		var reports []OutgoingReport
-		if len(own) > 0 || len(spilled) > 0 || !e.silent {
-			reports = append(reports, e.report(e.relays[e.self.Zone], OwnLoads, own.Encode(), encodeParts(spilled)))
+		if len(own) > 0 || !happened.isEmpty() || !e.silent {
+			reports = append(reports, e.report(e.relays[e.self.Zone], OwnLoads, own.Encode(), encodeNews(now, happened)))
 		}
 		e.silent = len(own) == 0
-		return reports, Known{Loads: e.told.loads, Parts: otherParts}
+		return reports, Known{Loads: e.told.loads, News: otherNews}
 	}
-	zoneParts = appendParts(zoneParts, spilled)
-	reports, others := e.stepRelay(own, zoneParts, otherParts)
-	return reports, Known{Loads: others, Parts: append(zoneParts, otherParts...)}
+	zoneNews.add(happened)
+	reports, others := e.stepRelay(now, own, zoneNews, otherNews)
+	zoneNews.add(otherNews)
+	return reports, Known{Loads: others, News: zoneNews}
+}
+
+// encodedNews is news as a report carries it.
+type encodedNews struct {
+	parts  []byte
+	limits []ratelimit.Word
 }
 
+func encodeNews(now time.Duration, news News) encodedNews {
+	return encodedNews{parts: encodeParts(news.Parts), limits: ratelimit.ForSending(now, news.Limits)}
+}
+
+func (n encodedNews) isEmpty() bool { return len(n.parts) == 0 && len(n.limits) == 0 }
+
 // stepRelay sums up the zone for the other relays, and all others for each node
 // of the zone. The sum of all is made once and each node's own part taken off it:
 // adding up the others for each would grow with the square of the zone's nodes.
-func (e *LoadExchange) stepRelay(own Loads, zoneParts, otherParts []HeldPart) ([]OutgoingReport, Loads) {
+func (e *LoadExchange) stepRelay(now time.Duration, own Loads, zoneNews, otherNews News) ([]OutgoingReport, Loads) {
 	others, zone, members := Loads{}, Loads{}, Loads{}
 	for _, heard := range e.zones {
 		others.add(heard.loads)
@@ -243,28 +275,31 @@
 	zone.add(own)
 	zone.add(members)
 	var reports []OutgoingReport
-	encodedZone, encodedParts := zone.Encode(), encodeParts(zoneParts)
+	encodedZone, encodedZoneNews := zone.Encode(), encodeNews(now, zoneNews)
 	for name, relay := range e.relays {
-		if name != e.self.Zone && (len(zone) > 0 || len(zoneParts) > 0 || !e.silent) {
-			reports = append(reports, e.report(relay, ZoneLoads, encodedZone, encodedParts))
+		if name != e.self.Zone && (len(zone) > 0 || !zoneNews.isEmpty() || !e.silent) {
+			reports = append(reports, e.report(relay, ZoneLoads, encodedZone, encodedZoneNews))
 		}
 	}
 	e.silent = len(zone) == 0
 	all := Loads{}
 	all.add(others)
 	all.add(zone)
-	keys, parts := all.keys(), encodeParts(appendParts(slices.Clone(zoneParts), otherParts))
+	var allNews News
+	allNews.add(zoneNews)
+	allNews.add(otherNews)
+	keys, news := all.keys(), encodeNews(now, allNews)
 	for _, member := range e.members {
-		if loads := all.encodeBut(keys, e.own[member.Address].loads); len(loads) > 0 || len(parts) > 0 {
-			reports = append(reports, e.report(member.Address, AllOtherLoads, loads, parts))
+		if loads := all.encodeBut(keys, e.own[member.Address].loads); len(loads) > 0 || !news.isEmpty() {
+			reports = append(reports, e.report(member.Address, AllOtherLoads, loads, news))
 		}
 	}
 	others.add(members)
 	return reports, others
 }
 
-func (e *LoadExchange) report(to string, scope LoadScope, loads, parts []byte) OutgoingReport {
-	return OutgoingReport{To: to, Report: LoadReport{Scope: scope, Zone: e.self.Zone, Loads: loads, Parts: parts}}
+func (e *LoadExchange) report(to string, scope LoadScope, loads []byte, news encodedNews) OutgoingReport {
+	return OutgoingReport{To: to, Report: LoadReport{Scope: scope, Zone: e.self.Zone, Loads: loads, Parts: news.parts, Limits: news.limits}}
 }
 
 // forget drops reports that are too old to count.
--- a/internal/coordination/balance/loads_test.go
+++ b/internal/coordination/balance/loads_test.go
@@ -47,7 +47,7 @@
 	}
 	var deliveries []delivery
 	for address, exchange := range exchanges {
-		reports, others := exchange.Step(now, own[address], nil)
+		reports, others := exchange.Step(now, own[address], News{})
 		known[address] = others.Loads
 		for _, one := range reports {
 			deliveries = append(deliveries, delivery{from: address, one: one})
@@ -158,7 +158,7 @@
 			if round == 0 && address == all[4].Address {
 				own = []HeldPart{spilled}
 			}
-			reports, known := exchange.Step(now, nil, own)
+			reports, known := exchange.Step(now, nil, News{Parts: own})
 			for _, part := range known.Parts {
 				assert.Equal(t, part, spilled)
 				heard[address]++
--- a/internal/coordination/balance/rollout.go
+++ b/internal/coordination/balance/rollout.go
@@ -93,11 +93,11 @@
 
 // candidatesInRollout returns the instances that may be chosen while a service's version
 // is replaced.
-func (t *Table) candidatesInRollout(now time.Duration, request Request, running *serviceRollout) []*member {
+func (t *Table) candidatesInRollout(now time.Duration, request Request, running *serviceRollout) candidateSet {
 	isOld := func(one *member) bool { return !running.isNew(one) }
 	switch running.Stage {
 	case rollout.Canary:
-		if chosen := t.canariesFor(now, request, running); len(chosen) > 0 {
+		if chosen := t.canariesFor(now, request, running); len(chosen.open) > 0 {
 			return chosen
 		}
 		if slices.ContainsFunc(t.byService[request.Service], isOld) {
@@ -107,7 +107,7 @@
 	case rollout.RolledBack:
 		return t.candidates(now, request, isOld)
 	case rollout.Moving, rollout.Done:
-		if chosen := t.candidates(now, request, running.isNew); len(chosen) > 0 {
+		if chosen := t.candidates(now, request, running.isNew); len(chosen.open) > 0 {
 			return chosen
 		}
 	}
@@ -116,16 +116,16 @@
 
 // canariesFor returns the canary's instances if the request is one of its share. A request
 // that was tried elsewhere is none: what failed once is not risked again.
-func (t *Table) canariesFor(now time.Duration, request Request, running *serviceRollout) []*member {
+func (t *Table) canariesFor(now time.Duration, request Request, running *serviceRollout) candidateSet {
 	if len(request.Exclude) > 0 {
-		return nil
+		return candidateSet{}
 	}
 	running.credit = min(running.credit+running.share, mostCredit)
 	if running.credit < 1 {
-		return nil
+		return candidateSet{}
 	}
 	healthy, _ := t.sortCandidates(now, request, func(one *member) bool { return running.canaries[one.ID] })
-	if len(healthy) > 0 {
+	if len(healthy.open) > 0 {
 		running.credit--
 	}
 	return healthy
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/state/evacuation"
 )
@@ -51,6 +52,9 @@
 	// wasSentCold is set.
 	sentColdAt  time.Duration
 	wasSentCold bool
+	// permitTokens is what the permit that a request needs counts for, as it was weighed
+	// for the choice that is being made.
+	permitTokens float64
 }
 
 // Table is safe for concurrent use. Times are those of a steady clock.
@@ -77,6 +81,8 @@
 	senders coldSenders
 	// over are the latest lives that newer ones have replaced.
 	over []overLife
+	// limits are the limits that instances in need name; nil means that none does.
+	limits *ratelimit.Limits
 }
 
 // NewTable makes a table for a node in a zone.
--- a/internal/coordination/membership/pool.go
+++ b/internal/coordination/membership/pool.go
@@ -108,11 +108,7 @@
 	}
 	scores := make([]scored, len(names))
 	for position, name := range names {
-		digest := xxhash.New()
-		_, _ = digest.WriteString(name)
-		_, _ = digest.Write([]byte{0})
-		_, _ = digest.WriteString(key)
-		scores[position] = scored{name: name, score: digest.Sum64()}
+		scores[position] = scored{name: name, score: score(key, name)}
 	}
 	slices.SortFunc(scores, func(a, b scored) int {
 		if a.score != b.score {
@@ -127,6 +123,27 @@
 	return ranked
 }
 
+// Highest is the first of Rank, "" without any names.
+func Highest(key string, names []string) string {
+	var best string
+	var bestScore uint64
+	for position, name := range names {
+		one := score(key, name)
+		if position == 0 || one > bestScore || one == bestScore && name < best {
+			best, bestScore = name, one
+		}
+	}
+	return best
+}
+
+func score(key, name string) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(name)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(key)
+	return digest.Sum64()
+}
+
 func firstOf(names []string, count int) []string {
 	return slices.Clone(names[:min(count, len(names))])
 }
--- /dev/null
+++ b/internal/coordination/ratelimit/permits.go
@@ -0,0 +1,145 @@
+package ratelimit
+
+import (
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+)
+
+const (
+	// PermitLife is how long after it was asked for a permit may be used: a node that
+	// stood still meanwhile asks again.
+	PermitLife = time.Second
+	// unusedTime is how far back unused permits count: small differences in when requests
+	// come cost none of the rate, and a rest earns no burst.
+	unusedTime = 250 * time.Millisecond
+	// silentHolder is how long an instance is left alone whose holder did not answer, or
+	// that has none.
+	silentHolder = 300 * time.Millisecond
+	// longestFree bounds the wait for a permit that a holder may tell of.
+	longestFree = time.Minute
+)
+
+// Ask asks the holder for a permit.
+type Ask struct {
+	// Word is what the asking node knows of the limit.
+	Word Word   `msgpack:"w"`
+	Zone string `msgpack:"z"`
+	// PatienceMS is how long the request can wait for its permit.
+	PatienceMS uint64 `msgpack:"p,omitempty"`
+}
+
+// Answer is the holder's.
+type Answer struct {
+	IsGranted bool `msgpack:"g,omitempty"`
+	// DelayMS is the time until a granted permit may be used.
+	DelayMS uint64 `msgpack:"d,omitempty"`
+	// FreeMS is the time until the holder has another one.
+	FreeMS uint64 `msgpack:"f,omitempty"`
+	// Words is the holder's word of the limit if it knows a newer one.
+	Words []Word `msgpack:"w,omitempty"`
+}
+
+// slots are the moments at which permits may be used.
+type slots struct {
+	// next is the first that was not given out.
+	next time.Duration
+}
+
+// begin starts without any permit: what was sent before is not known.
+func (s *slots) begin(now, between time.Duration) { s.next = now + between }
+
+// take gives out the next slot if it comes within a patience.
+func (s *slots) take(now, between, patience time.Duration) (wait time.Duration, isTaken bool) {
+	slot := max(s.next, now-min(unusedTime, between))
+	if slot-now > patience {
+		return slot - now, false
+	}
+	s.next = slot + between
+	return max(0, slot-now), true
+}
+
+// Ask prepares to ask for a permit: whom, and with what. It is not limited if the life has
+// no limit; without a holder nobody may send for now.
+func (l *Limits) Ask(now time.Duration, life registry.Life, zone string, patience time.Duration) (ask Ask, holder string, isLimited bool) {
+	if !l.Any() {
+		return Ask{}, "", false
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	known := l.inForce(life)
+	if known == nil {
+		return Ask{}, "", false
+	}
+	word := known.word(life)
+	word.AgeMS = uint64(max(0, now-word.At).Milliseconds())
+	return Ask{Word: word, Zone: zone, PatienceMS: uint64(patience.Milliseconds())}, l.holders.of(now, life.ID, zone), true
+}
+
+// Grant answers another node, or this one, as the holder.
+func (l *Limits) Grant(now time.Duration, ask Ask) Answer {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	word := ask.Word
+	word.At = now - time.Duration(word.AgeMS)*time.Millisecond
+	l.hear(now, word)
+	known := l.entries[word.Life]
+	if known == nil {
+		// What the other node says of the limit makes no sense here.
+		return Answer{FreeMS: uint64(silentHolder.Milliseconds())}
+	}
+	answer := Answer{}
+	if known.at > word.At {
+		answer.Words = ForSending(now, []Word{known.word(word.Life)})
+	}
+	if known.hasEnded {
+		return answer
+	}
+	part, wait := l.holders.part(now, word.Life.ID, ask.Zone)
+	if part <= 0 {
+		answer.FreeMS = uint64(max(wait, silentHolder).Milliseconds())
+		return answer
+	}
+	between := time.Duration(float64(interval(known.perSecond)) / part)
+	delay, isTaken := known.slots.take(now, between, time.Duration(ask.PatienceMS)*time.Millisecond)
+	answer.IsGranted = isTaken
+	if isTaken {
+		answer.DelayMS = uint64(delay.Milliseconds())
+	}
+	answer.FreeMS = uint64(max(0, min(longestFree, known.slots.next-now)).Milliseconds())
+	return answer
+}
+
+// Answered notes a holder's answer.
+func (l *Limits) Answered(now time.Duration, life registry.Life, answer Answer) []Change {
+	changes := l.Hear(now, Received(now, answer.Words))
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	known := l.inForce(life)
+	if known == nil {
+		return changes
+	}
+	scarce := 1.0
+	switch {
+	case !answer.IsGranted:
+		known.denied++
+	case answer.DelayMS > 0:
+		known.granted++
+	default:
+		known.granted++
+		scarce = 0
+	}
+	pressure := known.pressureNow(now)
+	known.pressure, known.pressureAt = pressure+(scarce-pressure)*pressureWeight, now
+	known.freeAt = now + min(longestFree, time.Duration(answer.FreeMS)*time.Millisecond)
+	return changes
+}
+
+// Unanswered notes that a holder did not answer, or that there is none.
+func (l *Limits) Unanswered(now time.Duration, life registry.Life) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if known := l.inForce(life); known != nil {
+		known.freeAt = now + silentHolder
+	}
+}
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -51,8 +51,9 @@
 	listed map[string]time.Duration
 	// entries are the entry nodes that control nodes named.
 	entries map[string]listedEntry
-	// listing is the last answer of Entries.
+	// listing is the last answer of Entries, live that of LiveEntries.
 	listing entryListing
+	live    liveListing
 }
 
 // entryListing is the list of entry nodes in order. It is made anew only when it
@@ -232,13 +233,15 @@
 		listing.entries = append(listing.entries, listed.NodeEntry)
 		listing.until = min(listing.until, listed.at+listedFor)
 	}
-	slices.SortFunc(listing.entries, func(a, b peer.NodeEntry) int { return cmp.Compare(a.Address, b.Address) })
+	slices.SortFunc(listing.entries, compareEntries)
 	if listing.generation == 0 || !slices.Equal(listing.entries, r.listing.entries) {
 		listing.generation++
 	}
 	r.listing = listing
 }
 
+func compareEntries(one, other peer.NodeEntry) int { return cmp.Compare(one.Address, other.Address) }
+
 // Leader returns the leader of the control group as the freshest hello with
 // the highest term names it, or "". While no control node is heard it is the
 // last one known: the first to be tried once a cut is over.
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -9,7 +9,6 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
-	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/rollout"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
@@ -42,6 +41,8 @@
 	failed
 	// brokenOff: the answer had begun and can't be completed.
 	brokenOff
+	// noPermit: the instance's limit has no room; no byte reached it.
+	noPermit
 )
 
 // failure is an instance's own failure, the caller's answer if nothing better
@@ -80,6 +81,13 @@
 			r.giveUp(last, reasonOfEnd(ctx))
 			return
 		}
+		if result == noPermit {
+			if r.permitsRefused < maximumRefusals {
+				continue
+			}
+			r.giveUp(last, r.reasonOfNone(service))
+			return
+		}
 		if result == unreached {
 			if dials++; dials < maximumDials {
 				continue
@@ -105,6 +113,9 @@
 	if regions := r.regions(); regions.IsBound && !r.pipeline.options.Table.HasInRegions(service, regions) {
 		return ReasonNoRegion
 	}
+	if r.isLimited(service) {
+		return ReasonRateLimited
+	}
 	return ReasonNoInstance
 }
 
@@ -162,11 +173,13 @@
 	return balance.BoundTo(r.route.Regions, r.tenant.Regions)
 }
 
-func (r *request) choose(service string) (balance.Choice, bool) {
+// wanted describes the request for the choice of an instance.
+func (r *request) wanted(service string) balance.Request {
 	environment := r.pipeline.options.Environment
 	wanted := balance.Request{
 		Service: service, Part: r.call.attemptKey(), Cost: r.call.cost(), Exclude: r.tried, Bytes: len(r.body),
 		Tokens: int(r.call.TokensIn), SharedTokens: r.call.sharedTokens(), Gap: r.route.EventGap, Regions: r.regions(),
+		PermitPatience: r.permitPatience(),
 	}
 	configured := r.index.Service(service)
 	if configured != nil {
@@ -175,7 +188,11 @@
 	if configured != nil && configured.MaxConnections > 0 {
 		wanted.MaxInFlight = max(2, configured.MaxConnections/max(1, environment.EntryNodes()))
 	}
-	choice, found := r.pipeline.options.Table.Choose(environment.Now(), wanted)
+	return wanted
+}
+
+func (r *request) choose(service string) (balance.Choice, bool) {
+	choice, found := r.pipeline.options.Table.Choose(r.pipeline.options.Environment.Now(), r.wanted(service))
 	if found {
 		r.tried = append(r.tried, choice.ID)
 	}
@@ -196,7 +213,11 @@
 	defer cancel()
 	var state sendState
 	var err error
-	sending, state, err = r.pipeline.pool.send(ctx, r.pipeline.options.Dialect, choice.Address, r.outgoing(choice, r.call.LastEvent))
+	sending, state, err = r.send(ctx, choice, r.call.LastEvent)
+	if errors.Is(err, ErrNoPermit) {
+		r.notePermitRefused(choice, err)
+		return nil, noPermit
+	}
 	if state == notSent {
 		if ctx.Err() == nil {
 			outcome = balance.Unreachable
@@ -283,10 +304,6 @@
 	return outgoing{
 		id: r.call.ID, method: r.incoming.Method, target: r.incoming.RequestURI, host: r.incoming.Host,
 		header: r.pipeline.options.Dialect.EngineHeader(attempt), body: r.body, life: choice.Life(),
-		written: func() { r.pipeline.options.RateLimits.Written(choice.Instance) },
-		learn: func(said ratelimit.Said, writtenAt time.Time) {
-			r.pipeline.options.RateLimits.Learn(choice.Instance, said, writtenAt)
-		},
 	}
 }
 
@@ -305,7 +322,7 @@
 		if reason == ReasonTimeout {
 			status = http.StatusGatewayTimeout
 		}
-		if reason == ReasonNoInstance || reason == ReasonNoRegion || reason == ReasonTurnedAway {
+		if reason == ReasonNoInstance || reason == ReasonNoRegion || reason == ReasonTurnedAway || reason == ReasonRateLimited {
 			reason = ReasonOutcomeUnknown
 		}
 		r.refuse(Refusal{Status: status, Reason: reason})
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -199,6 +199,20 @@
 	p.idle[address] = append(p.idle[address], done)
 }
 
+// giveBack keeps a connection over which nothing was sent.
+func (p *pool) giveBack(address string, unused *connection) {
+	if unused.keepUntil.IsZero() {
+		unused.keepUntil = time.Now().Add(defaultIdle)
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.idle[address]) >= maximumIdle {
+		unused.close()
+		return
+	}
+	p.idle[address] = append(p.idle[address], unused)
+}
+
 // prune closes kept connections that are past their time.
 func (p *pool) prune(now time.Time) {
 	p.mutex.Lock()
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -117,6 +117,9 @@
 	if r.route != nil {
 		line = line.Int64("objective_ms", r.route.Objective.Milliseconds())
 	}
+	if refused.Reason == ReasonRateLimited {
+		line = line.Int64("come_back_ms", r.comeBack.Milliseconds()).Int("permits_refused", r.permitsRefused)
+	}
 	line.Int64("token_wait_ms", r.tokenWait.Milliseconds()).
 		Bool("may_have_run", r.mayHaveRun).Uint64("events", r.events).Strs("tried", r.tried).Send()
 }
@@ -208,7 +211,7 @@
 func weighed(line *zerolog.Event, choice balance.Choice) *zerolog.Event {
 	return line.Str("instance", choice.ID).Int("candidates", choice.Candidates).Bool("spilled", choice.Spilled).
 		Int("ahead", choice.Ahead).Bool("ahead_known", choice.AheadKnown).Int("unread", choice.Unread).
-		Int("reread", choice.Reread).Int("far", choice.Far).Int("streams", choice.Streams).Int("paused", choice.Paused)
+		Int("reread", choice.Reread).Int("far", choice.Far).Int("streams", choice.Streams).Int("paused", choice.Paused).Int("permit", choice.Permit)
 }
 
 // Summarize writes what was not written line by line since the last call.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -61,10 +61,11 @@
 	body   []byte
 	// life is the life of the engine that it is for.
 	life registry.Life
-	// written notes that the request is written, learn what the head of an answer says of
-	// its engine's limit; the zero time stands for a request before this one.
-	written func()
-	learn   func(said ratelimit.Said, writtenAt time.Time)
+	// permit waits for the leave to write the request now, if its engine names a limit.
+	permit func(ctx context.Context) error
+	// learn takes what the head of an answer says of the engine's limit; the zero time
+	// stands for a request before this one.
+	learn func(said ratelimit.Said, writtenAt time.Time)
 }
 
 // asynchronousBytes is the size from which a body is written while the answer
@@ -83,6 +84,11 @@
 		opened.close()
 		return nil, notSent, context.Cause(ctx)
 	}
+	// The last before it is written: nothing of the request waits any more.
+	if err := request.permit(ctx); err != nil {
+		p.giveBack(address, opened)
+		return nil, notSent, err
+	}
 	if deadline, found := ctx.Deadline(); found {
 		_ = opened.network.SetDeadline(deadline)
 	}
@@ -90,7 +96,6 @@
 	// A caller that leaves, or a time that is over, frees the engine at once.
 	sending.stop = context.AfterFunc(ctx, opened.close)
 	p.begin(sending)
-	request.written()
 	if err := sending.write(request); err != nil {
 		sending.abort()
 		return nil, sent, fmt.Errorf("writing to %s: %w", address, err)
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -1,16 +1,24 @@
 package forward
 
 import (
+	"context"
+	"errors"
+	"strconv"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
-// RateLimits knows the limits that instances name.
+// ErrNoPermit says that an instance's limit leaves no room for a request soon enough.
+var ErrNoPermit = errors.New("forward: the instance's limit has no room for the request")
+
+// RateLimits keeps the limits that instances name, for all nodes together.
 type RateLimits interface {
-	// Written notes a request that is written to an instance.
-	Written(instance registry.Instance)
+	// Permit waits until one request may be written to an instance, no longer than a
+	// patience. The error is ErrNoPermit or the context's.
+	Permit(ctx context.Context, instance registry.Instance, patience time.Duration) error
 	// Learn takes what an answer of an instance says, to a request written at a time; the
 	// zero time stands for one of which that is not known.
 	Learn(instance registry.Instance, said ratelimit.Said, writtenAt time.Time)
@@ -18,6 +26,60 @@
 
 type noRateLimits struct{}
 
-func (noRateLimits) Written(registry.Instance) {}
+func (noRateLimits) Permit(context.Context, registry.Instance, time.Duration) error { return nil }
 
 func (noRateLimits) Learn(registry.Instance, ratelimit.Said, time.Time) {}
+
+const (
+	// maximumRefusals bounds the instances whose holders refuse a request a permit: each
+	// takes a round trip.
+	maximumRefusals = 3
+	// permitShare is the part of the objective that a request waits for a permit, and
+	// resumedPermitShare that of a stream in progress, whose caller has waited already.
+	permitShare        = 0.125
+	resumedPermitShare = 0.5
+)
+
+// permitPatience is how long the request waits for a permit.
+func (r *request) permitPatience() time.Duration {
+	share := permitShare
+	if r.answering {
+		share = resumedPermitShare
+	}
+	return time.Duration(share * float64(r.route.Objective))
+}
+
+// send sends the request to an instance, once it has the permit that the instance's limit
+// asks for.
+func (r *request) send(ctx context.Context, choice balance.Choice, lastEvent string) (*exchange, sendState, error) {
+	limits := r.pipeline.options.RateLimits
+	prepared := r.outgoing(choice, lastEvent)
+	prepared.permit = func(ctx context.Context) error { return limits.Permit(ctx, choice.Instance, r.permitPatience()) }
+	prepared.learn = func(said ratelimit.Said, writtenAt time.Time) { limits.Learn(choice.Instance, said, writtenAt) }
+	return r.pipeline.pool.send(ctx, r.pipeline.options.Dialect, choice.Address, prepared)
+}
+
+// notePermitRefused notes an instance whose limit has no room. The request was not offered
+// to it, and may come to it later.
+func (r *request) notePermitRefused(choice balance.Choice, err error) {
+	r.permitsRefused++
+	r.tried = r.tried[:len(r.tried)-1]
+	r.pipeline.options.Log.Attempt(r, choice, "no_permit", err)
+}
+
+// isLimited tells whether only limits keep the request from a service's instances, and
+// when it may come back.
+func (r *request) isLimited(service string) bool {
+	environment := r.pipeline.options.Environment
+	now := environment.Now()
+	room, isLimited := r.pipeline.options.Table.LimitedRoom(now, r.wanted(service))
+	if isLimited {
+		r.comeBack = r.pipeline.returns.Next(now, service, room.Wait, room.PerSecond/float64(max(1, environment.EntryNodes())))
+	}
+	return isLimited
+}
+
+// seconds writes a time for Retry-After.
+func seconds(after time.Duration) string {
+	return strconv.FormatFloat(after.Seconds(), 'f', 2, 64)
+}
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -15,6 +15,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/rollout"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
@@ -101,7 +102,7 @@
 	Guard *quarantine.Guard
 	// Recorder records how instances answer; nil means that nobody asks.
 	Recorder *rollout.Recorder
-	// RateLimits knows the limits that instances name; nil means that nobody asks.
+	// RateLimits keeps the limits that instances name; nil means that they are not kept.
 	RateLimits RateLimits
 }
 
@@ -113,6 +114,7 @@
 	// waiting are the requests of which no answer has begun yet.
 	waiting  waitingRequests
 	retries  *balance.RetryBudget
+	returns  *ratelimit.Returns
 	buffered atomic.Int64
 	active   atomic.Int64
 	received atomic.Int64
@@ -155,7 +157,7 @@
 	if options.RateLimits == nil {
 		options.RateLimits = noRateLimits{}
 	}
-	made := &Pipeline{options: options, pool: newPool(options.Dial, options.Environment.LinkDelay), retries: balance.NewRetryBudget()}
+	made := &Pipeline{options: options, returns: ratelimit.NewReturns(), pool: newPool(options.Dial, options.Environment.LinkDelay), retries: balance.NewRetryBudget()}
 	made.ends = newEndWatch(made)
 	return made
 }
@@ -188,6 +190,10 @@
 	// many of them it reached.
 	tried    []string
 	arrivals int
+	// permitsRefused counts the instances that had no permit for it.
+	permitsRefused int
+	// comeBack is when the limits that kept it from all instances have room for it.
+	comeBack time.Duration
 	// mayHaveRun tells that an engine may have begun work on it.
 	mayHaveRun  bool
 	reservation Reservation
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -31,8 +31,10 @@
 	ReasonNoInstance      Reason = "no_instance"
 	// ReasonNoRegion: the service has no instance in the regions that the request is
 	// bound to.
-	ReasonNoRegion       Reason = "no_instance_in_allowed_regions"
-	ReasonTurnedAway     Reason = "engines_turned_it_away"
+	ReasonNoRegion   Reason = "no_instance_in_allowed_regions"
+	ReasonTurnedAway Reason = "engines_turned_it_away"
+	// ReasonRateLimited: the limits that the service's instances name have no room for it.
+	ReasonRateLimited    Reason = "instances_rate_limited"
 	ReasonTimeout        Reason = "timeout"
 	ReasonOutcomeUnknown Reason = "outcome_unknown"
 	ReasonCallerLeft     Reason = "caller_left"
@@ -103,6 +105,8 @@
 	switch {
 	case refused.Reason == ReasonQuarantined:
 		// It will be refused again: no time is named to come back at.
+	case refused.Reason == ReasonRateLimited:
+		header.Set("Retry-After", seconds(r.comeBack))
 	case refused.Reason == ReasonOverloaded:
 		header.Set("Retry-After", elsewhere.draw())
 	case refused.Reason == ReasonNotReserved, refused.Reason == ReasonNoRegion:
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -29,8 +29,12 @@
 	sending.abort()
 	r.noteBroken(ctx, sending.broken(r, *choice), "stream_broken", err)
 	for ctx.Err() == nil && r.incoming.Context().Err() == nil && !errors.Is(err, errCallerGone) {
-		r.arrivals++
-		if !r.mayResume(choice.Service) {
+		if errors.Is(err, ErrNoPermit) {
+			// It was not sent, so another instance may be asked in its place.
+			if r.permitsRefused >= maximumRefusals {
+				break
+			}
+		} else if r.arrivals++; !r.mayResume(choice.Service) {
 			break
 		}
 		var resumed bool
@@ -127,7 +131,12 @@
 		return false, errors.New("no other instance")
 	}
 	environment := r.pipeline.options.Environment
-	sending, state, err := r.pipeline.pool.send(ctx, r.pipeline.options.Dialect, choice.Address, r.outgoing(choice, *lastEvent))
+	sending, state, err := r.send(ctx, choice, *lastEvent)
+	if errors.Is(err, ErrNoPermit) {
+		r.pipeline.options.Table.Done(environment.Now(), choice, balance.Abandoned)
+		r.notePermitRefused(choice, err)
+		return false, err
+	}
 	if err == nil && sending.response.StatusCode != http.StatusOK {
 		err = errors.New("the instance answered " + sending.response.Status)
 		sending.discard(r.call.ID)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/consensus"
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/duty"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
@@ -212,6 +213,9 @@
 }
 
 func (n *Node) executeCall(ctx context.Context, call peer.Call) (any, error) {
+	if call.Method == peer.MethodPermit && n.limits != nil {
+		return peer.Execute(call, func(ask ratelimit.Ask) (any, error) { return n.limits.grant(ask), nil })
+	}
 	if n.replica == nil {
 		return nil, consensus.ErrNotLeader
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -120,6 +120,8 @@
 	// entries is the number of live entry nodes, this one included.
 	entries    int
 	neighbours neighbours
+	// live are the entry nodes that control nodes hear now.
+	live roster.LiveEntries
 	// rootHeardAt is when a control node that has a quorum was last heard, and
 	// certainVersion the newest version then.
 	rootHeardAt    time.Duration
@@ -422,6 +424,7 @@
 	if current.HasRole(settings.RoleEntry) {
 		view.entries++
 	}
+	view.live = f.liveEntries(now, view.alive)
 	for _, known := range f.roster.Controls(now) {
 		view.controls++
 		quorum := time.Duration(known.QuorumSilenceMS) * time.Millisecond
@@ -434,6 +437,21 @@
 	f.view.Store(view)
 }
 
+// liveEntries are the entry nodes that control nodes hear now. A control node hears them
+// itself, and tells the others of itself while it has a quorum.
+func (f *fleetDuty) liveEntries(now time.Duration, alive []*roster.Heard) roster.LiveEntries {
+	if !f.isControl() {
+		return f.roster.LiveEntries(now)
+	}
+	live := roster.LiveEntries{NamesSelf: f.node.hearsRoot()}
+	for _, known := range alive {
+		if known.Entry && !known.Stopping {
+			live.Nodes = append(live.Nodes, peer.NodeEntry{Address: known.Address, Zone: known.Zone, Entry: true, Control: known.Control})
+		}
+	}
+	return live
+}
+
 // startingAfter turns a sorted list so that it begins behind a node's own
 // place: the first in the list would else be asked by all.
 func startingAfter(own string, addresses []string) []string {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -1,32 +1,100 @@
 package gateway
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/forward"
+	"github.com/ravenway/ravenway/internal/pause"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+)
+
+const (
+	// holderPatience is how long a holder's answer is waited for beyond the request's own
+	// patience: a round trip within a region takes some milliseconds, between regions up
+	// to 150.
+	holderPatience = 200 * time.Millisecond
+	// limitLinesPerTick bounds the lines on limits that begin, change or end, in a tick of
+	// limitLineTick: hundreds of instances may name one at the same moment. What is left
+	// out is counted.
+	limitLinesPerTick = 10
+	limitLineTick     = time.Second
 )
 
 var (
 	limitsBegan      = metrics.GetOrCreateCounter("ravenway_instance_limits_begun_total")
 	limitsEnded      = metrics.GetOrCreateCounter("ravenway_instance_limits_ended_total")
 	limitsUnreadable = metrics.GetOrCreateCounter("ravenway_instance_limits_unreadable_total")
+	permitsUsed      = metrics.GetOrCreateCounter(`ravenway_permits_total{result="granted"}`)
+	permitsDenied    = metrics.GetOrCreateCounter(`ravenway_permits_total{result="denied"}`)
+	permitsSilent    = metrics.GetOrCreateCounter(`ravenway_permits_total{result="no_holder"}`)
+	permitsStale     = metrics.GetOrCreateCounter(`ravenway_permits_total{result="stale"}`)
+	permitsGiven     = metrics.GetOrCreateCounter("ravenway_permits_given_total")
+	permitSeconds    = metrics.GetOrCreateHistogram("ravenway_permit_wait_seconds")
 )
 
-// limitKeeper is what this entry node knows of the limits that instances name.
+// limitKeeper is this entry node's part in keeping the limits that instances name.
 type limitKeeper struct {
 	node   *Node
 	limits *ratelimit.Limits
+	// generation is that of the live entry nodes that the limits know.
+	generation uint64
+	lines      lineBudget
+}
+
+// lineBudget bounds the lines on limits.
+type lineBudget struct {
+	tick    atomic.Int64
+	written atomic.Int64
+	leftOut atomic.Int64
+}
+
+// take tells whether one more line may be written.
+func (b *lineBudget) take(now time.Duration) bool {
+	tick := int64(now / limitLineTick)
+	if b.tick.Swap(tick) != tick {
+		b.written.Store(0)
+	}
+	if b.written.Add(1) <= limitLinesPerTick {
+		return true
+	}
+	b.leftOut.Add(1)
+	return false
 }
 
 func newLimitKeeper(node *Node) *limitKeeper {
-	return &limitKeeper{node: node, limits: ratelimit.New()}
+	return &limitKeeper{node: node, limits: ratelimit.New(node.address)}
+}
+
+// look tells the limits who is live. The loads' duty calls it.
+func (k *limitKeeper) look() {
+	now, view := k.node.now(), k.node.fleet.view.Load()
+	isControl := k.node.replica != nil
+	if isControl || view.live.Generation != k.generation {
+		k.generation = view.live.Generation
+		k.limits.SetNodes(now, k.nodes(view))
+	}
+	k.limits.SetSure(now, view.live.NamesSelf && !k.node.isStopping())
+	k.limits.Prune(now)
 }
 
-// Written implements forward.RateLimits.
-func (k *limitKeeper) Written(instance registry.Instance) { k.limits.Written(instance.Life()) }
+// nodes are the live entry nodes that give out permits, this one included.
+func (k *limitKeeper) nodes(view *fleetView) []ratelimit.Node {
+	nodes := []ratelimit.Node{{Address: k.node.address, Zone: k.node.settings.Load().Node.Zone}}
+	for _, entry := range view.live.Nodes {
+		if entry.Address != k.node.address && k.node.dialects.reader(entry.Address) >= peer.DialectPermits {
+			nodes = append(nodes, ratelimit.Node{Address: entry.Address, Zone: entry.Zone})
+		}
+	}
+	return nodes
+}
 
 // Learn implements forward.RateLimits.
 func (k *limitKeeper) Learn(instance registry.Instance, said ratelimit.Said, writtenAt time.Time) {
@@ -34,28 +102,111 @@
 	if writtenAt.IsZero() {
 		written = 0
 	}
-	change := k.limits.Learn(k.node.now(), instance.Life(), said, written)
-	event := "instance_limit"
-	switch change.Kind {
-	case ratelimit.Unchanged:
-		return
-	case ratelimit.Began:
-		limitsBegan.Inc()
-	case ratelimit.Ended:
-		limitsEnded.Inc()
-	case ratelimit.Unreadable:
-		limitsUnreadable.Inc()
-		event = "instance_limit_unreadable"
-	case ratelimit.Changed:
-	}
-	k.node.log.Info().Str("event", event).Stringer("life", change.Life).Stringer("change", change.Kind).
-		Float64("per_second", change.PerSecond).Float64("before", change.Before).AnErr("error", change.Fault).Send()
-}
-
-// summarize writes what this node has sent to instances with limits since the last call.
+	k.note("answer", k.limits.Learn(k.node.now(), instance.Life(), said, written))
+}
+
+// hear takes what other nodes tell of limits.
+func (k *limitKeeper) hear(words []ratelimit.Word) {
+	k.note("peer", k.limits.Hear(k.node.now(), words)...)
+}
+
+// note writes a line for each change, with how it was learnt.
+func (k *limitKeeper) note(how string, changes ...ratelimit.Change) {
+	for _, change := range changes {
+		event := "instance_limit"
+		switch change.Kind {
+		case ratelimit.Unchanged:
+			continue
+		case ratelimit.Began:
+			limitsBegan.Inc()
+		case ratelimit.Ended:
+			limitsEnded.Inc()
+		case ratelimit.Unreadable:
+			limitsUnreadable.Inc()
+			event = "instance_limit_unreadable"
+		case ratelimit.Changed:
+		}
+		if !k.lines.take(k.node.now()) {
+			continue
+		}
+		k.node.log.Info().Str("event", event).Stringer("life", change.Life).Stringer("change", change.Kind).
+			Float64("per_second", change.PerSecond).Float64("before", change.Before).Int64("age_ms", change.Age.Milliseconds()).
+			Str("how", how).AnErr("error", change.Fault).Send()
+	}
+}
+
+// Permit implements forward.RateLimits.
+func (k *limitKeeper) Permit(ctx context.Context, instance registry.Instance, patience time.Duration) error {
+	if !k.limits.Any() {
+		return nil
+	}
+	life, began := instance.Life(), k.node.now()
+	ask, holder, isLimited := k.limits.Ask(began, life, instance.Zone, patience)
+	if !isLimited {
+		return nil
+	}
+	answer, err := k.ask(ctx, holder, ask, patience)
+	now := k.node.now()
+	if err != nil {
+		permitsSilent.Inc()
+		k.limits.Unanswered(now, life)
+		return fmt.Errorf("%w: the holder %q of %s gave no answer: %w", forward.ErrNoPermit, holder, life, err)
+	}
+	k.note("holder", k.limits.Answered(now, life, answer)...)
+	if !answer.IsGranted {
+		if _, isStill := k.limits.Room(now, life); !isStill {
+			return nil
+		}
+		permitsDenied.Inc()
+		return fmt.Errorf("%w: the holder %s of %s has one in %d ms", forward.ErrNoPermit, holder, life, answer.FreeMS)
+	}
+	if !pause.For(ctx, time.Duration(answer.DelayMS)*time.Millisecond) {
+		return context.Cause(ctx)
+	}
+	if k.node.now()-began > patience+ratelimit.PermitLife {
+		permitsStale.Inc()
+		return fmt.Errorf("%w: that for %s came too late", forward.ErrNoPermit, life)
+	}
+	permitsUsed.Inc()
+	permitSeconds.Update((k.node.now() - began).Seconds())
+	return nil
+}
+
+var errNoHolder = errors.New("gateway: no node holds the limit")
+
+// ask asks the holder for a permit.
+func (k *limitKeeper) ask(ctx context.Context, holder string, ask ratelimit.Ask, patience time.Duration) (ratelimit.Answer, error) {
+	switch holder {
+	case "":
+		return ratelimit.Answer{}, errNoHolder
+	case k.node.address:
+		return k.grant(ask), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience+holderPatience)
+	defer cancel()
+	return peer.Invoke[ratelimit.Answer](ctx, k.node.calls, holder, peer.MethodPermit, ask)
+}
+
+// grant answers a node that asks for a permit.
+func (k *limitKeeper) grant(ask ratelimit.Ask) ratelimit.Answer {
+	answer := k.limits.Grant(k.node.now(), ask)
+	if answer.IsGranted {
+		permitsGiven.Inc()
+	}
+	return answer
+}
+
+// summarize writes what this node made of the limits since the last call, and how many
+// lines on limits were left out.
 func (k *limitKeeper) summarize() {
-	for _, use := range k.limits.TakeUse() {
-		k.node.log.Info().Str("event", "instance_limit_use").Stringer("life", use.Life).Float64("per_second", use.PerSecond).
-			Int("written", use.Written).Send()
+	now := k.node.now()
+	for _, use := range k.limits.TakeUse(now) {
+		if k.lines.take(now) {
+			k.node.log.Info().Str("event", "instance_limit_use").Stringer("life", use.Life).Float64("per_second", use.PerSecond).
+				Int("granted", use.Granted).Int("denied", use.Denied).Int64("free_in_ms", use.Wait.Milliseconds()).Send()
+		}
+	}
+	if leftOut := k.lines.leftOut.Swap(0); leftOut > 0 {
+		k.node.log.Info().Str("event", "instance_limits").Int64("lines_left_out", leftOut).Int("in_force", len(k.limits.List(now))).Send()
 	}
 }
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -63,7 +63,10 @@
 		l.generation = neighbours.generation
 	}
 	now := l.node.now()
-	reports, known := l.exchange.Step(now, l.node.table.OwnLoads(), l.node.table.TakeSpilled())
+	l.node.limits.look()
+	news := balance.News{Parts: l.node.table.TakeSpilled(), Limits: l.node.limits.limits.TakeNews()}
+	reports, known := l.exchange.Step(now, l.node.table.OwnLoads(), news)
+	l.node.limits.hear(known.Limits)
 	l.node.table.SetOthersLoads(known.Loads)
 	l.node.table.NoteHeld(now, known.Parts)
 	l.node.link.noteReports(now, l.delays(now))
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -178,6 +178,7 @@
 		node.tokens = newTokensDuty(node)
 		node.loads = newLoadsDuty(node)
 		node.limits = newLimitKeeper(node)
+		node.table.SetLimits(node.limits.limits)
 		node.decisions = forward.NewDecisionLog(node.log)
 		node.pipeline = forward.New(forward.Options{
 			Dialect: options.Dialect, Environment: &entryEnvironment{node}, Table: node.table,
--- a/internal/gateway/wire_test.go
+++ b/internal/gateway/wire_test.go
@@ -21,6 +21,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/consensus"
 	"github.com/ravenway/ravenway/internal/coordination/escrow"
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	judging "github.com/ravenway/ravenway/internal/coordination/rollout"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
@@ -123,6 +124,8 @@
 			}
 		case *instancesMessage:
 			body.Instances[0].Born, body.Instances[0].Epoch = 1700000000000, 1
+		case *balance.LoadReport:
+			body.Limits = []ratelimit.Word{{Life: registry.Life{ID: "i-1", Born: 1700000000000}, PerSecond: 0.25, HasEnded: true, AgeMS: 40}}
 		}
 	}
 	evidence := judging.Evidence{
@@ -286,7 +289,7 @@
 			}
 		}
 	}
-	for _, body := range []any{takeQuestion{}, readQuestion{}, readAnswer{}, rolloutQuestion{}, rolloutAnswer{}, machine.DocumentOutcome{}, machine.ZoneCommand{}} {
+	for _, body := range []any{takeQuestion{}, readQuestion{}, readAnswer{}, rolloutQuestion{}, rolloutAnswer{}, machine.DocumentOutcome{}, machine.ZoneCommand{}, ratelimit.Ask{}, ratelimit.Answer{}} {
 		for _, line := range peer.Shape(reflect.TypeOf(body)) {
 			if !slices.Contains(lines, line) {
 				lines = append(lines, line)
--- a/internal/protocol/peer/dialect.go
+++ b/internal/protocol/peer/dialect.go
@@ -17,6 +17,8 @@
 	DialectTolerant
 	// DialectSums nodes compare InstancesSum of hellos, and know of rollouts.
 	DialectSums
+	// DialectPermits nodes give out permits for the limits that instances name.
+	DialectPermits
 	// dialectEnd is behind the newest dialect.
 	dialectEnd
 )
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -157,6 +157,8 @@
 	// MethodOrderRollout asks the leader to begin a rollout, MethodReadRollout for one.
 	MethodOrderRollout Method = "order_rollout"
 	MethodReadRollout  Method = "read_rollout"
+	// MethodPermit asks the holder of an instance's limit for the leave to send one request.
+	MethodPermit Method = "permit"
 	// MethodFence asks a claim holder to fence a holder's life.
 	MethodFence Method = "fence"
 )
