--- a/internal/lab/openfleet/ratelimit_test.go
+++ b/internal/lab/openfleet/ratelimit_test.go
@@ -37,6 +37,17 @@
 	mutex   sync.Mutex
 	// answers are the callers' answers by status.
 	answers map[int]int
+	// refusals are those with 503.
+	refusals []refusal
+}
+
+// refusal is an answer of a node's own.
+type refusal struct {
+	// after is how long the caller waited for it.
+	after time.Duration
+	// comeBack is its Retry-After.
+	comeBack string
+	body     string
 }
 
 // inLimitedFleet runs a test against entry nodes before twelve engines in three zones.
@@ -68,21 +79,40 @@
 
 // call sends streams, some with a shared prompt part, to drawn entry nodes for a time.
 func (l *limited) call(random *rand.Rand, perSecond float64, lasting time.Duration) {
-	entries := l.Names(false)
+	l.callFor(random, "/stream/x", perSecond, lasting)
+}
+
+// callFor sends requests with a path.
+func (l *limited) callFor(random *rand.Rand, path string, perSecond float64, lasting time.Duration) {
 	for began := time.Now(); time.Since(began) < lasting; time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))) {
-		name, id, part := entries[random.IntN(len(entries))], fmt.Sprintf("call-%d", random.Uint64()), "part-"+strconv.Itoa(random.IntN(80))
+		entries := l.Names(false)
+		name, id, part := entries[random.IntN(len(entries))], fmt.Sprintf("call-%d", random.Uint64()), ""
+		if strings.HasPrefix(path, "/stream") {
+			part = "part-" + strconv.Itoa(random.IntN(80))
+		}
 		l.running.Go(func() {
-			answer, err := l.Request(name, Ask{ID: id, Path: "/stream/x", Key: "key-one", Tokens: "1000,5", Part: part})
+			sent := time.Now()
+			answer, err := l.Request(name, Ask{ID: id, Path: path, Key: "key-one", Tokens: "1000,5", Part: part})
 			if err != nil || answer.Broken != nil {
 				answer.Status = 0
 			}
 			l.mutex.Lock()
 			defer l.mutex.Unlock()
 			l.answers[answer.Status]++
+			if answer.Status == http.StatusServiceUnavailable {
+				l.refusals = append(l.refusals, refusal{after: time.Since(sent), comeBack: answer.Header.Get("Retry-After"), body: answer.Body})
+			}
 		})
 	}
 }
 
+// nameLimit has some engines name a limit; "" ends it.
+func nameLimit(engines []*Engine, perSecond string) {
+	for _, engine := range engines {
+		engine.Set(func(e *Engine) { e.RateLimit = perSecond })
+	}
+}
+
 // now is the time since the fleet's start, as the engines note it.
 func (f *Fleet) now() time.Duration { return time.Since(f.Truth.began) }
 
@@ -130,9 +160,7 @@
 		t.Run(strings.ReplaceAll(fmt.Sprintf("%g a second", perSecond), " ", "_"), func(t *testing.T) {
 			inLimitedFleet(t, 8, func(t *testing.T, l *limited) {
 				named := l.now()
-				for _, engine := range l.engines[:2] {
-					engine.Set(func(e *Engine) { e.RateLimit = fmt.Sprint(perSecond) })
-				}
+				nameLimit(l.engines[:2], fmt.Sprint(perSecond))
 				// Three times the limit for each engine, if all get their part.
 				l.call(rand.New(rand.NewPCG(45, 1)), 36*perSecond, 20*time.Second)
 				l.assertWithinLimit(t, l.engines[0], perSecond, named)
@@ -144,3 +172,147 @@
 		})
 	}
 }
+
+// Whatever the requests are, and whatever becomes of them, they count: those of routes
+// that may run once, those that engines fail or turn away, and what nodes send again.
+func TestFailedAndRepeatedRequestsCountTowardsALimit(t *testing.T) {
+	for name, change := range map[string]func(*Engine){
+		"failing":      func(e *Engine) { e.Events, e.Status = 0, http.StatusInternalServerError },
+		"turning_away": func(e *Engine) { e.TurnAway = true },
+		"breaking_off": func(e *Engine) { e.Events, e.BreakAfter = 5, 2 },
+	} {
+		for _, path := range []string{"/safe/x", "/once/x", "/resumable/x"} {
+			t.Run(name+strings.TrimSuffix(path, "/x"), func(t *testing.T) {
+				inLimitedFleet(t, 8, func(t *testing.T, l *limited) {
+					if path != "/resumable/x" {
+						l.setEngines(func(e *Engine) { e.Events = 0 })
+					}
+					named := l.now()
+					for _, engine := range l.engines[:3] {
+						engine.Set(change)
+					}
+					nameLimit(l.engines[:3], "2")
+					l.callFor(rand.New(rand.NewPCG(45, 2)), path, 90, 15*time.Second)
+					for _, engine := range l.engines[:3] {
+						l.assertWithinLimit(t, engine, 2, named)
+					}
+				})
+			})
+		}
+	}
+}
+
+func TestLimitThatEndsIsInNobodysWayAnyMore(t *testing.T) {
+	for _, perSecond := range []string{"0", "0.5", "5"} {
+		t.Run(perSecond, func(t *testing.T) {
+			inLimitedFleet(t, 8, func(t *testing.T, l *limited) {
+				random := rand.New(rand.NewPCG(45, 3))
+				nameLimit(l.engines[:4], perSecond)
+				l.call(random, 100, 12*time.Second)
+				ended := l.now()
+				nameLimit(l.engines[:4], "")
+				l.call(random, 100, 30*time.Second)
+				for _, engine := range l.engines[:4] {
+					arrivals := l.arrivalsAt(engine, ended)
+					assert.Assert(t, len(arrivals) > 0, "%s gets nothing any more", engine.ID)
+					late := len(l.arrivalsAt(engine, ended+25*time.Second))
+					t.Logf("%s: asked again %s after the end, %d requests in the last 5 s", engine.ID, arrivals[0]-ended, late)
+					// Its part of 100 a second is 8; engines that hold its prompts by now keep some.
+					assert.Check(t, late >= 15, "%s: %d requests in 5 s", engine.ID, late)
+				}
+			})
+		})
+	}
+}
+
+func TestWhatNoLimitHasRoomForIsRefusedAtOnceWithAMomentToComeBack(t *testing.T) {
+	inLimitedFleet(t, 8, func(t *testing.T, l *limited) {
+		named := l.now()
+		nameLimit(l.engines, "2")
+		l.call(rand.New(rand.NewPCG(45, 4)), 60, 20*time.Second)
+		time.Sleep(time.Second)
+		used := 0
+		for _, engine := range l.engines {
+			l.assertWithinLimit(t, engine, 2, named)
+			used += len(l.arrivalsAt(engine, named+10*time.Second))
+		}
+		// 12 engines take 24 a second.
+		t.Logf("%d of 240 requests got through in the last 10 s, %d refused in all", used, len(l.refusals))
+		assert.Check(t, used >= 200, "%d requests got through", used)
+		objective := 200 * time.Millisecond
+		moments := map[string]bool{}
+		for _, refused := range l.refusals {
+			assert.Assert(t, strings.Contains(refused.body, "instances_rate_limited"), refused.body)
+			assert.Assert(t, refused.after <= objective/4, "refused after %s", refused.after)
+			after, err := strconv.ParseFloat(refused.comeBack, 64)
+			assert.NilError(t, err)
+			assert.Assert(t, after > 0 && after <= 10, refused.comeBack)
+			moments[refused.comeBack] = true
+		}
+		assert.Assert(t, len(moments) > len(l.refusals)/10, "%d moments for %d returns", len(moments), len(l.refusals))
+	})
+}
+
+// Each engine's requests in 4 s are counted from its side, those of nodes that were
+// disturbed included.
+func TestLimitsHoldWhileNodesEndStartAndAreCutOff(t *testing.T) {
+	disturbances := map[string]func(l *limited, step int){
+		"nodes_are_killed_and_start_again": func(l *limited, step int) {
+			name := l.Names(false)[step%8]
+			l.Kill(name)
+			time.Sleep(time.Second)
+			l.Boot(name)
+		},
+		"nodes_stop_as_planned": func(l *limited, step int) {
+			name := l.Names(false)[step%8]
+			l.Stop(name)
+			l.Boot(name)
+		},
+		"nodes_are_added": func(l *limited, step int) {
+			name := fmt.Sprintf("added-%d", step)
+			l.AddMachine(name, fmt.Sprintf("10.0.2.%d", 100+step), zones[step%3], false)
+			l.Boot(name)
+		},
+		"control_nodes_are_cut_off": func(l *limited, step int) {
+			if step%3 == 1 {
+				l.Network.Heal()
+				return
+			}
+			l.Network.CutBetween(l.Names(true), l.Names(false))
+		},
+		"single_nodes_are_cut_off": func(l *limited, step int) {
+			l.Network.Heal()
+			cut := l.Names(false)[step%8]
+			l.Network.CutBetween([]string{cut}, slices.DeleteFunc(append(l.Names(true), l.Names(false)...), func(name string) bool { return name == cut }))
+		},
+		"a_zone_is_cut_off_that_reaches_all_engines": func(l *limited, step int) {
+			if step%3 == 1 {
+				l.Network.Heal()
+				return
+			}
+			own := func(name string) bool { return l.Machine(name).Zone == "b" }
+			all := append(l.Names(true), l.Names(false)...)
+			l.Network.CutBetween(slices.DeleteFunc(slices.Clone(all), func(name string) bool { return !own(name) }), slices.DeleteFunc(all, own))
+		},
+	}
+	for name, disturb := range disturbances {
+		t.Run(name, func(t *testing.T) {
+			inLimitedFleet(t, 8, func(t *testing.T, l *limited) {
+				named := l.now()
+				nameLimit(l.engines[:6], "1")
+				nameLimit(l.engines[6:9], "5")
+				l.running.Go(func() { l.call(rand.New(rand.NewPCG(45, 5)), 100, 45*time.Second) })
+				time.Sleep(5 * time.Second)
+				for step := range 8 {
+					disturb(l, step)
+					time.Sleep(4500 * time.Millisecond)
+				}
+				l.Network.Heal()
+				time.Sleep(5 * time.Second)
+				for position, engine := range l.engines[:9] {
+					l.assertWithinLimit(t, engine, []float64{1, 5}[position/6], named)
+				}
+			})
+		})
+	}
+}
