Simulated limits; nodes that start are told the limits in force

A node had started again, knew of no limit, and stood still for ten seconds; what its callers had sent meanwhile went to the engine at once. Cause: limits are told as they begin, change or end, and never to a node that starts later. Ruled out: the holder, who gave out 5 permits in these 4 s. Change: a node that starts asks the first other node of its zone, or of all, with its load reports until it is answered.

--- a/internal/coordination/balance/loads.go
+++ b/internal/coordination/balance/loads.go
@@ -104,6 +104,10 @@
 	ZoneLoads
 	// AllOtherLoads go from a relay to a node of its zone: all but the node's own.
 	AllOtherLoads
+	// LimitsWanted is the question of a node that has just started for the limits in
+	// force, LimitsTold the answer.
+	LimitsWanted
+	LimitsTold
 )
 
 // LoadReport is one message of the exchange.
@@ -169,7 +173,8 @@
 	zones map[string]heardLoads
 	told  heardLoads
 	// silent tells that the last own report was empty.
-	silent bool
+	silent    bool
+	greetings greetings
 	// zoneNews and otherNews are what was heard since the last step: from this zone's
 	// nodes, and from or through other relays.
 	zoneNews, otherNews News
@@ -182,7 +187,7 @@
 
 // NewLoadExchange makes a node's part of the exchange.
 func NewLoadExchange(self EntryNode, interval time.Duration) *LoadExchange {
-	exchange := &LoadExchange{self: self, relays: map[string]string{}, own: map[string]heardLoads{}, zones: map[string]heardLoads{}}
+	exchange := &LoadExchange{self: self, greetings: newGreetings(self), relays: map[string]string{}, own: map[string]heardLoads{}, zones: map[string]heardLoads{}}
 	exchange.SetNodes(nil, interval)
 	return exchange
 }
@@ -190,6 +195,7 @@
 // SetNodes replaces the other entry nodes, and sets the time between reports.
 func (e *LoadExchange) SetNodes(others []EntryNode, interval time.Duration) {
 	e.interval = interval
+	e.greetings.setNodes(others)
 	e.members = e.members[:0]
 	clear(e.relays)
 	for _, node := range append(slices.Clone(others), e.self) {
@@ -218,6 +224,11 @@
 	case AllOtherLoads:
 		e.told = heard
 		e.otherNews.add(news)
+	case LimitsWanted:
+		e.greetings.asked[from] = true
+	case LimitsTold:
+		e.greetings.asks = 0
+		e.otherNews.add(news)
 	}
 }
 
@@ -230,8 +241,14 @@
 }
 
 // Step returns the reports that are due, and what is known of all other nodes.
-// happened is this node's own news since the last step.
-func (e *LoadExchange) Step(now time.Duration, own Loads, happened News) ([]OutgoingReport, Known) {
+// happened is this node's own news since the last step, inForce tells the limits for a
+// node that has just started.
+func (e *LoadExchange) Step(now time.Duration, own Loads, happened News, inForce func() []ratelimit.Word) ([]OutgoingReport, Known) {
+	reports, known := e.step(now, own, happened)
+	return append(reports, e.greetings.step(now, inForce)...), known
+}
+
+func (e *LoadExchange) step(now time.Duration, own Loads, happened News) ([]OutgoingReport, Known) {
 	e.forget(now)
 	zoneNews, otherNews := e.zoneNews, e.otherNews
 	e.zoneNews, e.otherNews = News{}, News{}
--- a/internal/coordination/balance/loads_test.go
+++ b/internal/coordination/balance/loads_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
@@ -38,6 +39,8 @@
 	}
 }
 
+func noLimits() []ratelimit.Word { return nil }
+
 // runRound lets each node report once; it returns what each knows of the others.
 func runRound(now time.Duration, exchanges map[string]*LoadExchange, own map[string]Loads) (map[string]Loads, int) {
 	known, sent := map[string]Loads{}, 0
@@ -47,7 +50,7 @@
 	}
 	var deliveries []delivery
 	for address, exchange := range exchanges {
-		reports, others := exchange.Step(now, own[address], News{})
+		reports, others := exchange.Step(now, own[address], News{}, noLimits)
 		known[address] = others.Loads
 		for _, one := range reports {
 			deliveries = append(deliveries, delivery{from: address, one: one})
@@ -158,7 +161,7 @@
 			if round == 0 && address == all[4].Address {
 				own = []HeldPart{spilled}
 			}
-			reports, known := exchange.Step(now, nil, News{Parts: own})
+			reports, known := exchange.Step(now, nil, News{Parts: own}, noLimits)
 			for _, part := range known.Parts {
 				assert.Equal(t, part, spilled)
 				heard[address]++
--- a/internal/coordination/ratelimit/words.go
+++ b/internal/coordination/ratelimit/words.go
@@ -25,22 +25,43 @@
 	return words
 }
 
-// ForSending sets the age of words that are about to be sent. Those beyond maximumWords
-// are left out: their nodes learn from the instances themselves.
+// ForSending sets the age of words that are about to be sent. Those beyond MaximumInForce
+// are left out: nodes learn of them from the instances themselves.
 func ForSending(now time.Duration, words []Word) []Word {
 	if len(words) == 0 {
 		return nil
 	}
-	sent := make([]Word, 0, min(len(words), maximumWords))
-	for _, word := range words[:min(len(words), maximumWords)] {
+	sent := make([]Word, 0, min(len(words), MaximumInForce))
+	for _, word := range words[:min(len(words), MaximumInForce)] {
 		word.AgeMS = uint64(max(0, now-word.At).Milliseconds())
 		sent = append(sent, word)
 	}
 	return sent
 }
 
-// maximumWords bounds the words of one message, to some 10 KB.
-const maximumWords = 256
+const (
+	// maximumNews bounds the words that a node tells at a time, to some 10 KB.
+	maximumNews = 256
+	// MaximumInForce bounds the words of one message, to some 160 KB: what a node that
+	// starts is told, and what the nodes of a zone tell together.
+	MaximumInForce = 4096
+)
+
+// InForce returns the words of all limits in force, for a node that has just started.
+func (l *Limits) InForce() []Word {
+	if !l.Any() {
+		return nil
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var words []Word
+	for life, known := range l.entries {
+		if !known.hasEnded {
+			words = append(words, known.word(life))
+		}
+	}
+	return words
+}
 
 // Hear takes words of other nodes. The newest of a life's words holds.
 func (l *Limits) Hear(now time.Duration, words []Word) []Change {
@@ -79,7 +100,7 @@
 	defer l.mutex.Unlock()
 	var words []Word
 	for life := range l.news {
-		if len(words) >= maximumWords {
+		if len(words) >= maximumNews {
 			break
 		}
 		words = append(words, l.entries[life].word(life))
--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -52,7 +52,7 @@
 			{Name: "simulate", Usage: "run the simulations over many seeds",
 				Flags: []cli.Flag{
 					&cli.Uint64Flag{Name: "seeds", Value: 200}, &cli.Uint64Flag{Name: "first", Usage: "first seed"},
-					&cli.StringFlag{Name: "only", Usage: "consensus, claims, budgets, tight-budgets, lost-lives or pooled-lives"}},
+					&cli.StringFlag{Name: "only", Usage: "consensus, claims, budgets, tight-budgets, lost-lives, pooled-lives, poison or rate-limits"}},
 				Action: func(_ context.Context, command *cli.Command) error {
 					return runSimulations(out, command.String("only"), command.Uint64("first"), command.Uint64("seeds"))
 				}},
@@ -65,6 +65,7 @@
 					}
 					return printRollouts(out, command.Int("seeds"))
 				}},
+			limitsCommand(out),
 			{Name: "losses", Usage: "tell from nodes' logs where requests were refused, late or broken off", ArgsUsage: "LOG... (- for the standard input)",
 				Flags: []cli.Flag{&cli.DurationFlag{Name: "step", Value: 2 * time.Second, Usage: "length of a step of the time line"}},
 				Action: func(_ context.Context, command *cli.Command) error {
--- /dev/null
+++ b/internal/lab/labcli/limits.go
@@ -0,0 +1,109 @@
+package labcli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"runtime"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/ravenway/ravenway/internal/lab/simulate"
+)
+
+// limitRates are the limits that engines name in the table, in requests a second.
+var limitRates = []float64{0.1, 1, 5, 50}
+
+var limitPolicies = []simulate.LimitPolicy{simulate.EachForItself, simulate.EqualParts, simulate.FewSenders, simulate.HolderPermits}
+
+func limitsCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "limits", Usage: "simulate the ways to keep the limits that engines name and tell what became of them",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "seeds", Value: 10, Usage: "runs of each case"},
+			&cli.IntSliceFlag{Name: "nodes", Value: []int{8, 60}, Usage: "entry nodes of the fleets"},
+			&cli.StringFlag{Name: "only", Usage: "one of the ways"},
+		},
+		Action: func(_ context.Context, command *cli.Command) error {
+			policies := limitPolicies
+			if only := command.String("only"); only != "" {
+				policies = []simulate.LimitPolicy{simulate.LimitPolicy(only)}
+			}
+			return printLimits(out, command.IntSlice("nodes"), command.Int("seeds"), policies)
+		},
+	}
+}
+
+var errLimitArguments = errors.New("--seeds and --nodes must be above 0")
+
+// printLimits plays each way to keep limits over some seeds and prints what became of it.
+func printLimits(out io.Writer, nodes []int, seeds int, policies []simulate.LimitPolicy) error {
+	if seeds < 1 {
+		return errLimitArguments
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "nodes\tlimit\tfaults\ttraffic\tway\tworst 4 s\tallowed\tbroken\tused\tbytes/s/node\tmessages/s/node\twait, 0.99")
+	for _, count := range nodes {
+		if count < 1 {
+			return errLimitArguments
+		}
+		for _, perSecond := range limitRates {
+			for _, faults := range []bool{false, true} {
+				for _, isOneSided := range []bool{false, true} {
+					for _, policy := range policies {
+						options := simulate.LimitOptions{Policy: policy, Nodes: count, PerSecond: perSecond, IsOneSided: isOneSided, Faults: faults}
+						printLimitCase(table, options, seeds)
+					}
+				}
+			}
+		}
+		if err := table.Flush(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printLimitCase(table io.Writer, options simulate.LimitOptions, seeds int) {
+	results := runLimits(options, seeds)
+	worst, broken, used, bytes, messages := 0, 0, 0.0, 0, 0
+	var longest time.Duration
+	for _, one := range results {
+		worst = max(worst, one.Worst)
+		if one.Broken != nil {
+			broken++
+		}
+		used += one.Used() / float64(seeds)
+		bytes, messages = bytes+one.Bytes, messages+one.Messages
+		longest = max(longest, one.LongestWait(0.99))
+	}
+	traffic := "even"
+	if options.IsOneSided {
+		traffic = "one-sided"
+	}
+	perNode := float64(seeds) * float64(options.Nodes) * results[0].Now.Seconds()
+	fmt.Fprintf(table, "%d\t%g\t%t\t%s\t%s\t%d\t%d\t%d of %d\t%.2f\t%.0f\t%.1f\t%s\n", options.Nodes, options.PerSecond, options.Faults, traffic,
+		options.Policy, worst, results[0].Allowed, broken, seeds, used, float64(bytes)/perNode, float64(messages)/perNode, longest.Round(time.Millisecond))
+}
+
+// runLimits runs seeds side by side.
+func runLimits(options simulate.LimitOptions, seeds int) []simulate.LimitResult {
+	results := make([]simulate.LimitResult, seeds)
+	places := make(chan struct{}, max(1, runtime.NumCPU()/2))
+	var running sync.WaitGroup
+	for seed := range seeds {
+		places <- struct{}{}
+		running.Go(func() {
+			defer func() { <-places }()
+			one := options
+			one.Seed = uint64(seed)
+			results[seed] = simulate.RunLimits(one)
+		})
+	}
+	running.Wait()
+	return results
+}
--- a/internal/lab/labcli/prove.go
+++ b/internal/lab/labcli/prove.go
@@ -29,6 +29,11 @@
 			Seed: seed, Policy: simulate.WeighEndsUncarried, Poison: 1 + int(seed%2), Failures: seed%3 == 0, Popular: seed%3 == 0, Hidden: seed%5 == 0,
 		}).World
 	},
+	"rate-limits": func(seed uint64) *simulate.World {
+		return simulate.RunLimits(simulate.LimitOptions{
+			Seed: seed, Policy: simulate.HolderPermits, Nodes: 8, PerSecond: limitRates[seed%4], IsOneSided: seed%3 == 0, Faults: true,
+		}).World
+	},
 	"tight-budgets": func(seed uint64) *simulate.World {
 		return simulate.RunBudgets(simulate.BudgetOptions{Seed: seed, Limit: 2000, Faults: true, Tight: true, Rate: 10}).World
 	},
--- /dev/null
+++ b/internal/lab/simulate/ratelimit.go
@@ -0,0 +1,520 @@
+package simulate
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/membership"
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+)
+
+// LimitPolicy is how nodes keep the limits that engines name.
+type LimitPolicy string
+
+// Policies.
+const (
+	// EachForItself: each node keeps the whole limit.
+	EachForItself LimitPolicy = "each_for_itself"
+	// EqualParts: each node keeps the limit divided by the nodes that it knows.
+	EqualParts LimitPolicy = "equal_parts"
+	// FewSenders: as many nodes as the limit has requests a second may send, named by
+	// rendezvous hashing, each its part of it.
+	FewSenders LimitPolicy = "few_senders"
+	// HolderPermits: one node gives permits out, as ratelimit.Limits does.
+	HolderPermits LimitPolicy = "holder_permits"
+)
+
+// LimitOptions set up a run.
+type LimitOptions struct {
+	Seed   uint64
+	Policy LimitPolicy
+	Nodes  int
+	// PerSecond is the limit that each engine names.
+	PerSecond float64
+	// IsOneSided has four of five requests come to an eighth of the nodes.
+	IsOneSided bool
+	Faults     bool
+}
+
+// LimitResult is what a run came to.
+type LimitResult struct {
+	*World
+	// Worst is the most requests that came to one engine in 4 s, Allowed what may come.
+	Worst, Allowed int
+	// Got are the requests that reached the engines, Room what their limits had room for.
+	Got  int
+	Room float64
+	// Messages and Bytes are those between nodes.
+	Messages, Bytes int
+	// Waits are those of the requests that got a permit.
+	Waits []time.Duration
+}
+
+// Used is the part of the limits that was made use of.
+func (r LimitResult) Used() float64 { return float64(r.Got) / r.Room }
+
+const (
+	limitZones   = 3
+	limitEngines = 4
+	// limitWarmUp is how long the nodes know each other before the engines name limits.
+	limitWarmUp = 5 * time.Second
+	limitLength = 60 * time.Second
+	// limitContact is when nodes in touch have to keep a limit.
+	limitContact   = 3 * time.Second
+	limitWindow    = 4 * time.Second
+	limitTolerance = 1.5
+	limitSlack     = 5
+	// limitDemand is how many times their limit the engines are wanted.
+	limitDemand = 3
+	// limitPatience is how long a request waits for a permit, limitTimeout how long for a
+	// holder.
+	limitPatience, limitTimeout = 100 * time.Millisecond, 300 * time.Millisecond
+	limitHello                  = 600 * time.Millisecond
+	limitAliveFor               = 2500 * time.Millisecond
+	limitFaultEvery             = 5 * time.Second
+	// Sizes of messages with their frames.
+	limitAskBytes, limitAnswerBytes, limitWordBytes = 110, 60, 45
+)
+
+type limitWorld struct {
+	*World
+	options LimitOptions
+	result  *LimitResult
+	nodes   []*limitNode
+	engines []*limitEngine
+	byName  map[string]*limitNode
+	// lists are what the control nodes of each side tell of who is live.
+	lists [2][]ratelimit.Node
+	heard [2]map[string]time.Duration
+	// isZoneCut tells that the nodes of zone 0 are on a side of their own, isCoreCut that
+	// no node hears a control node.
+	isZoneCut, isCoreCut bool
+}
+
+type limitEngine struct {
+	life     registry.Life
+	zone     string
+	arrivals []time.Duration
+}
+
+// limitNode is an entry node.
+type limitNode struct {
+	world  *limitWorld
+	number int
+	name   string
+	zone   string
+	limits *ratelimit.Limits
+	// process counts its starts; isUp tells that it runs.
+	process int
+	isUp    bool
+	// standsUntil is when a node that stands still goes on; stood is the time that its
+	// clock did not count.
+	standsUntil, stood time.Duration
+	// isCut tells that it reaches neither nodes nor control nodes, but the engines.
+	isCut  bool
+	toldAt time.Duration
+	told   []ratelimit.Node
+	next   map[registry.Life]time.Duration
+	isTold map[registry.Life]bool
+}
+
+// RunLimits runs one seed.
+func RunLimits(options LimitOptions) LimitResult {
+	world := NewWorld(options.Seed)
+	result := &LimitResult{World: world, Allowed: int(limitTolerance*options.PerSecond*limitWindow.Seconds()) + limitSlack}
+	w := &limitWorld{World: world, options: options, result: result, byName: map[string]*limitNode{}}
+	for side := range w.heard {
+		w.heard[side] = map[string]time.Duration{}
+	}
+	for number := range options.Nodes {
+		node := &limitNode{world: w, number: number, name: fmt.Sprintf("entry-%d", number), zone: fmt.Sprintf("zone-%d", number%limitZones)}
+		w.nodes, w.byName[node.name] = append(w.nodes, node), node
+		node.start()
+	}
+	for number := range limitEngines {
+		w.engines = append(w.engines, &limitEngine{
+			life: registry.Life{ID: fmt.Sprintf("engine-%d-%d", number, options.Seed), Born: 1}, zone: fmt.Sprintf("zone-%d", number%limitZones),
+		})
+	}
+	w.Every(limitHello/6, func() bool { w.listLive(); return true })
+	w.After(limitWarmUp, w.beginRequests)
+	if options.Faults {
+		w.After(limitWarmUp+limitFaultEvery, w.disturb)
+	}
+	w.RunUntil(limitWarmUp + limitLength)
+	w.judge()
+	return *result
+}
+
+// start starts a node's process, which knows nothing.
+func (n *limitNode) start() {
+	w := n.world
+	n.process++
+	n.isUp, n.standsUntil, n.told, n.toldAt = true, 0, nil, w.Now
+	n.limits = ratelimit.New(n.name)
+	n.next, n.isTold = map[registry.Life]time.Duration{}, map[registry.Life]bool{}
+	process := n.process
+	w.After(w.Between(0, limitHello), func() {
+		w.Every(limitHello, func() bool {
+			if n.process != process {
+				return false
+			}
+			n.run(n.hello)
+			return true
+		})
+	})
+}
+
+// now is the node's steady clock.
+func (n *limitNode) now() time.Duration { return time.Minute + n.world.Now - n.stood }
+
+// run runs an action of the node's process: later if it stands still, never if it ends
+// before.
+func (n *limitNode) run(action func()) {
+	process := n.process
+	var attempt func()
+	attempt = func() {
+		switch {
+		case !n.isUp || n.process != process:
+		case n.world.Now < n.standsUntil:
+			n.world.After(n.standsUntil-n.world.Now+n.world.Between(0, time.Millisecond), attempt)
+		default:
+			action()
+		}
+	}
+	attempt()
+}
+
+// after runs an action of the node's process after a time.
+func (n *limitNode) after(delay time.Duration, action func()) {
+	process := n.process
+	n.world.After(delay, func() {
+		if n.process == process {
+			n.run(action)
+		}
+	})
+}
+
+func (n *limitNode) side() int {
+	if n.world.isZoneCut && n.zone == "zone-0" {
+		return 1
+	}
+	return 0
+}
+
+// reaches tells whether a message from this node comes to another one now.
+func (n *limitNode) reaches(other *limitNode) bool {
+	return n == other || !n.isCut && !other.isCut && n.side() == other.side() && other.isUp
+}
+
+// hello tells the control nodes of its side of the node, and the node of the others.
+func (n *limitNode) hello() {
+	w, side := n.world, n.side()
+	if n.isCut || w.isCoreCut {
+		if w.Now-n.toldAt > limitAliveFor {
+			n.limits.SetSure(n.now(), false)
+		}
+		return
+	}
+	w.heard[side][n.name] = w.Now
+	list := w.lists[side]
+	n.toldAt = w.Now
+	if n.told == nil {
+		n.greet(list)
+	}
+	if len(list) != len(n.told) || len(list) > 0 && &list[0] != &n.told[0] {
+		n.told = list
+		n.limits.SetNodes(n.now(), list)
+	}
+	n.limits.SetSure(n.now(), slices.ContainsFunc(list, func(live ratelimit.Node) bool { return live.Address == n.name }))
+}
+
+// greet has a node that has started told the limits in force, by the first of its zone that
+// it reaches.
+func (n *limitNode) greet(list []ratelimit.Node) {
+	for _, live := range list {
+		other := n.world.byName[live.Address]
+		if other == n || other.zone != n.zone || !n.reaches(other) {
+			continue
+		}
+		n.after(n.world.Between(100*time.Millisecond, 400*time.Millisecond), func() {
+			other.run(func() {
+				words := ratelimit.ForSending(other.now(), other.limits.InForce())
+				known := maps.Clone(other.isTold)
+				other.message(n, limitWordBytes*len(words), func() {
+					n.limits.Hear(n.now(), ratelimit.Received(n.now(), words))
+					maps.Copy(n.isTold, known)
+				})
+			})
+		})
+		return
+	}
+}
+
+// listLive makes the lists of live nodes anew where they have changed.
+func (w *limitWorld) listLive() {
+	for side := range w.lists {
+		var live []ratelimit.Node
+		for _, node := range w.nodes {
+			if at, isHeard := w.heard[side][node.name]; isHeard && w.Now-at <= limitAliveFor {
+				live = append(live, ratelimit.Node{Address: node.name, Zone: node.zone})
+			}
+		}
+		if !slices.Equal(live, w.lists[side]) {
+			w.lists[side] = live
+		}
+	}
+}
+
+func (w *limitWorld) beginRequests() {
+	for _, engine := range w.engines {
+		var next func()
+		next = func() {
+			node := w.drawNode()
+			node.run(func() { node.want(engine) })
+			w.After(w.pause(), next)
+		}
+		w.After(w.pause(), next)
+	}
+}
+
+func (w *limitWorld) pause() time.Duration {
+	return time.Duration(w.Random.ExpFloat64() / (limitDemand * w.options.PerSecond) * float64(time.Second))
+}
+
+func (w *limitWorld) drawNode() *limitNode {
+	if w.options.IsOneSided && w.Chance(0.8) {
+		return w.nodes[w.Random.IntN(max(1, len(w.nodes)/8))]
+	}
+	return w.nodes[w.Random.IntN(len(w.nodes))]
+}
+
+// want sends a request to an engine if the policy lets the node.
+func (n *limitNode) want(engine *limitEngine) {
+	if n.world.options.Policy == HolderPermits {
+		n.askFor(engine)
+		return
+	}
+	rate, between := n.world.options.PerSecond, time.Duration(0)
+	switch live := addresses(n.told); {
+	case !n.isTold[engine.life]:
+		n.send(engine)
+		return
+	case n.world.options.Policy == EachForItself:
+	case n.world.options.Policy == EqualParts:
+		rate /= float64(max(1, len(live)))
+	case n.world.options.Policy == FewSenders:
+		senders := min(max(1, len(live)), max(1, int(rate)))
+		if rank := slices.Index(membership.Rank(engine.life.ID, live), n.name); rank < 0 || rank >= senders {
+			return
+		}
+		rate /= float64(senders)
+	}
+	between = time.Duration(float64(time.Second) / rate)
+	if n.now() < n.next[engine.life] {
+		return
+	}
+	n.next[engine.life] = n.now() + between
+	n.send(engine)
+}
+
+func addresses(nodes []ratelimit.Node) []string {
+	names := make([]string, 0, len(nodes))
+	for _, node := range nodes {
+		names = append(names, node.Address)
+	}
+	return names
+}
+
+// askFor asks the engine's holder for a permit and sends the request with it.
+func (n *limitNode) askFor(engine *limitEngine) {
+	began := n.now()
+	ask, holderName, isLimited := n.limits.Ask(began, engine.life, engine.zone, limitPatience)
+	if !isLimited {
+		n.send(engine)
+		return
+	}
+	if room, _ := n.limits.Room(began, engine.life); room.Wait > limitPatience {
+		return
+	}
+	holder := n.world.byName[holderName]
+	if holder == nil {
+		n.limits.Unanswered(began, engine.life)
+		return
+	}
+	answered := false
+	n.message(holder, limitAskBytes, func() {
+		answer := holder.limits.Grant(holder.now(), ask)
+		holder.message(n, limitAnswerBytes, func() {
+			if !answered {
+				answered = true
+				n.take(engine, answer, began)
+			}
+		})
+	})
+	n.after(limitTimeout, func() {
+		if !answered {
+			answered = true
+			n.limits.Unanswered(n.now(), engine.life)
+		}
+	})
+}
+
+// take takes a holder's answer.
+func (n *limitNode) take(engine *limitEngine, answer ratelimit.Answer, began time.Duration) {
+	n.limits.Answered(n.now(), engine.life, answer)
+	if !answer.IsGranted {
+		return
+	}
+	n.after(time.Duration(answer.DelayMS)*time.Millisecond, func() {
+		if n.now()-began <= limitPatience+ratelimit.PermitLife {
+			n.world.result.Waits = append(n.world.result.Waits, n.now()-began)
+			n.send(engine)
+		}
+	})
+}
+
+// message does something at another node, if it reaches it.
+func (n *limitNode) message(to *limitNode, size int, deliver func()) {
+	w := n.world
+	if n == to {
+		deliver()
+		return
+	}
+	w.result.Messages++
+	w.result.Bytes += size
+	process := to.process
+	w.After(w.Between(time.Millisecond, 5*time.Millisecond), func() {
+		if n.reaches(to) && to.process == process {
+			to.run(deliver)
+		}
+	})
+}
+
+// send sends a request, whose answer names the limit.
+func (n *limitNode) send(engine *limitEngine) {
+	w := n.world
+	engine.arrivals = append(engine.arrivals, w.Now+time.Millisecond)
+	written := n.now()
+	n.after(w.Between(20*time.Millisecond, 200*time.Millisecond), func() {
+		n.isTold[engine.life] = true
+		n.limits.Learn(n.now(), engine.life, ratelimit.Said{IsNamed: true, PerSecond: w.options.PerSecond}, written)
+		if words := n.limits.TakeNews(); len(words) > 0 {
+			n.tell(words)
+		}
+	})
+}
+
+// tell passes words on to all nodes that can be reached, as the load exchange does.
+func (n *limitNode) tell(words []ratelimit.Word) {
+	w := n.world
+	for position := range words {
+		words[position].AgeMS = uint64((n.now() - words[position].At).Milliseconds())
+	}
+	for _, other := range w.nodes {
+		if other == n {
+			continue
+		}
+		delay := w.Between(100*time.Millisecond, 400*time.Millisecond)
+		process := other.process
+		w.result.Messages++
+		w.result.Bytes += limitWordBytes * len(words)
+		w.After(delay, func() {
+			if n.reaches(other) && other.process == process {
+				other.run(func() {
+					other.limits.Hear(other.now(), ratelimit.Received(other.now(), slices.Clone(words)))
+					for _, word := range words {
+						other.isTold[word.Life] = true
+					}
+				})
+			}
+		})
+	}
+}
+
+// disturb brings a fault about, and the next one later.
+func (w *limitWorld) disturb() {
+	w.After(w.Between(limitFaultEvery/2, limitFaultEvery*3/2), w.disturb)
+	node := w.nodes[w.Random.IntN(len(w.nodes))]
+	lasting := w.Between(time.Second, 8*time.Second)
+	kinds := []func(){
+		func() { w.endNode(node, lasting) },
+		func() {
+			w.Fault("freeze")
+			node.standsUntil = max(node.standsUntil, w.Now+lasting)
+		},
+		func() {
+			w.Fault("suspend")
+			node.standsUntil = max(node.standsUntil, w.Now+lasting)
+			node.stood += lasting
+		},
+		func() {
+			w.Fault("node_cut")
+			node.isCut = true
+			w.After(lasting, func() { node.isCut = false })
+		},
+		func() {
+			w.Fault("zone_cut")
+			w.isZoneCut = true
+			w.After(lasting, func() { w.isZoneCut = false })
+		},
+		func() {
+			w.Fault("core_cut")
+			w.isCoreCut = true
+			w.After(lasting, func() { w.isCoreCut = false })
+		},
+	}
+	kinds[w.Random.IntN(len(kinds))]()
+}
+
+// endNode ends a node's process; it starts again later.
+func (w *limitWorld) endNode(node *limitNode, lasting time.Duration) {
+	if !node.isUp {
+		return
+	}
+	w.Fault("end")
+	node.isUp = false
+	node.process++
+	w.After(lasting, node.start)
+}
+
+// judge counts each engine's requests in all spans of limitWindow.
+func (w *limitWorld) judge() {
+	from := limitWarmUp + limitContact
+	for _, engine := range w.engines {
+		slices.Sort(engine.arrivals)
+		counted := engine.arrivals[len(engine.arrivals)-len(later(engine.arrivals, from)):]
+		first := 0
+		for last := range counted {
+			for counted[last]-counted[first] > limitWindow {
+				first++
+			}
+			w.result.Worst = max(w.result.Worst, last-first+1)
+		}
+		w.result.Got += len(counted)
+	}
+	w.result.Room = float64(limitEngines) * w.options.PerSecond * (limitLength - limitContact).Seconds()
+	if w.result.Worst > w.result.Allowed {
+		w.Check(fmt.Errorf("an engine with a limit of %g a second got %d requests in %s, allowed %d", w.options.PerSecond, w.result.Worst, limitWindow, w.result.Allowed))
+	}
+}
+
+// later are those of some sorted moments that are not before a time.
+func later(moments []time.Duration, from time.Duration) []time.Duration {
+	place, _ := slices.BinarySearch(moments, from)
+	return moments[place:]
+}
+
+// LongestWait is the wait of which the given part of the requests with a permit had none
+// longer.
+func (r LimitResult) LongestWait(part float64) time.Duration {
+	if len(r.Waits) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(r.Waits))
+	return sorted[min(len(sorted)-1, int(math.Floor(part*float64(len(sorted)))))]
+}
--- /dev/null
+++ b/internal/lab/simulate/ratelimit_test.go
@@ -0,0 +1,76 @@
+package simulate
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// limitSeedsInCI are the seeds of each case below.
+const limitSeedsInCI = 3
+
+// Counted from the engines' side, whatever nodes end, stand still or are cut off.
+func TestPermitsKeepLimitsWhateverTheNodesDo(t *testing.T) {
+	t.Parallel()
+	for _, nodes := range []int{8, 60} {
+		for _, perSecond := range []float64{0.1, 1, 5, 50} {
+			for _, isOneSided := range []bool{false, true} {
+				for seed := range uint64(limitSeedsInCI) {
+					result := RunLimits(LimitOptions{
+						Seed: seed, Policy: HolderPermits, Nodes: nodes, PerSecond: perSecond, IsOneSided: isOneSided, Faults: true,
+					})
+					assert.NilError(t, result.Broken, "%d nodes, seed %d", nodes, seed)
+				}
+			}
+		}
+	}
+}
+
+// Without faults the permits are used, also where few of the nodes want them.
+func TestPermitsGoToTheNodesThatWantThem(t *testing.T) {
+	t.Parallel()
+	for _, perSecond := range []float64{1, 5} {
+		for _, isOneSided := range []bool{false, true} {
+			result := RunLimits(LimitOptions{Seed: 1, Policy: HolderPermits, Nodes: 60, PerSecond: perSecond, IsOneSided: isOneSided})
+			assert.NilError(t, result.Broken)
+			assert.Assert(t, result.Used() >= 0.8, "%g a second: %.2f of the limits used", perSecond, result.Used())
+			assert.Assert(t, result.LongestWait(0.99) <= limitPatience+limitPatience/2, "waited %s", result.LongestWait(0.99))
+		}
+	}
+}
+
+// Why one node counts for all: the ways that need no messages break the limit, or leave
+// most of it unused where traffic is one-sided.
+func TestOtherWaysToKeepALimitFailWhereNodesAreMany(t *testing.T) {
+	t.Parallel()
+	run := func(policy LimitPolicy, nodes int, perSecond float64) LimitResult {
+		return RunLimits(LimitOptions{Seed: 1, Policy: policy, Nodes: nodes, PerSecond: perSecond, IsOneSided: true})
+	}
+	assert.Assert(t, run(EachForItself, 60, 1).Broken != nil)
+	assert.Assert(t, run(EachForItself, 60, 50).Broken != nil)
+	assert.Assert(t, RunLimits(LimitOptions{Seed: 1, Policy: EqualParts, Nodes: 60, PerSecond: 1}).Broken != nil)
+	assert.Assert(t, run(EqualParts, 8, 5).Used() < 0.6)
+	assert.Assert(t, run(FewSenders, 60, 5).Used() < 0.3)
+}
+
+// A node that wants more asks more, not each node of each engine: what passes between
+// nodes grows with the requests.
+func TestBytesForPermitsDoNotGrowWithTheNodes(t *testing.T) {
+	t.Parallel()
+	bytesOf := func(nodes int) int {
+		result := RunLimits(LimitOptions{Seed: 1, Policy: HolderPermits, Nodes: nodes, PerSecond: 5})
+		assert.NilError(t, result.Broken)
+		return result.Bytes
+	}
+	few, many := bytesOf(30), bytesOf(120)
+	assert.Assert(t, many <= few*3/2, "%d bytes with 30 nodes, %d with 120 for the same requests", few, many)
+}
+
+// A node started again, learned of no limit, and stood still for ten seconds: all that its
+// callers had sent meanwhile went to an engine with a limit at once, 9 requests beside the 5
+// that had permits. Limits were told as they began, and never to a node that started later.
+func TestNodeThatStartsIsToldTheLimitsInForce(t *testing.T) {
+	t.Parallel()
+	result := RunLimits(LimitOptions{Seed: 245, Policy: HolderPermits, Nodes: 8, PerSecond: 1, Faults: true})
+	assert.NilError(t, result.Broken)
+}
