A holder that can't tell who is live gives out the parts of those that ask it

Callers of a limited engine waited for nothing during a cut from the control nodes: the holder, unsure who is live, gave out its own part alone, a third of the limit with three nodes in the zone and a hundredth with a hundred. Cause: its part was counted by what control nodes tell, and nothing else. A node asks one holder at a time, so the parts that two holders count are apart.

--- a/internal/coordination/ratelimit/holders.go
+++ b/internal/coordination/ratelimit/holders.go
@@ -42,10 +42,14 @@
 	// isSure tells that this node knows who is live, since sureSince.
 	isSure    bool
 	sureSince time.Duration
+	// asked is when other nodes last asked this one for a permit.
+	asked map[string]time.Duration
 }
 
 func newHolders(self string) holders {
-	return holders{self: self, views: map[string][]view{}, absent: map[string]map[string]time.Duration{}}
+	return holders{
+		self: self, views: map[string][]view{}, absent: map[string]map[string]time.Duration{}, asked: map[string]time.Duration{},
+	}
 }
 
 // SetNodes tells which entry nodes are live, this one included.
@@ -105,6 +109,11 @@
 			delete(absent, node)
 		}
 	}
+	for node, at := range h.asked {
+		if now-at >= TakeoverTime {
+			delete(h.asked, node)
+		}
+	}
 	// A view that was replaced before the last TakeoverTime matters no more.
 	for len(views) > 1 && (now-views[1].since >= TakeoverTime || len(views) >= viewsKept) {
 		views = views[1:]
@@ -158,16 +167,28 @@
 		}
 		return 0, TakeoverTime - (now - views[position+1].since)
 	}
-	live := len(views[len(views)-1].nodes)
-	all := live
+	known := views[len(views)-1].nodes
+	live, all := len(known), len(known)
 	for _, seen := range h.absent[domain] {
 		if now-seen <= AbsentMemory {
 			all++
 		}
 	}
 	if !h.isSure || now-h.sureSince < TakeoverTime {
-		// Others may have taken its place, or still give out their parts in it.
-		live = 1
+		// Others may have taken its place for the nodes that don't ask here.
+		live = h.countAsking(now, known)
 	}
 	return float64(live) / float64(all), 0
 }
+
+// countAsking is how many of some nodes count on this one: itself, and those that asked it
+// of late. A node asks one holder at a time.
+func (h *holders) countAsking(now time.Duration, nodes []string) int {
+	asking := 1
+	for _, node := range nodes {
+		if at, hasAsked := h.asked[node]; hasAsked && node != h.self && now-at < TakeoverTime {
+			asking++
+		}
+	}
+	return asking
+}
--- a/internal/coordination/ratelimit/permits.go
+++ b/internal/coordination/ratelimit/permits.go
@@ -76,10 +76,11 @@
 	return Ask{Word: word, Zone: zone, PatienceMS: uint64(patience.Milliseconds())}, l.holders.of(now, life.ID, zone), true
 }
 
-// Grant answers another node, or this one, as the holder.
-func (l *Limits) Grant(now time.Duration, ask Ask) Answer {
+// Grant answers a node, this one or another, as the holder.
+func (l *Limits) Grant(now time.Duration, from string, ask Ask) Answer {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.holders.asked[from] = now
 	word := ask.Word
 	word.At = now - time.Duration(word.AgeMS)*time.Millisecond
 	l.hear(now, word)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -201,7 +201,7 @@
 func (n *Node) serveCall(from string, call peer.Call) {
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
-	answer, err := n.executeCall(ctx, call)
+	answer, err := n.executeCall(ctx, from, call)
 	n.calls.Answer(from, call, answer, err, errorCode)
 }
 
@@ -212,9 +212,9 @@
 	return peer.CodeUnknownOutcome
 }
 
-func (n *Node) executeCall(ctx context.Context, call peer.Call) (any, error) {
+func (n *Node) executeCall(ctx context.Context, from string, call peer.Call) (any, error) {
 	if call.Method == peer.MethodPermit && n.limits != nil {
-		return peer.Execute(call, func(ask ratelimit.Ask) (any, error) { return n.limits.grant(ask), nil })
+		return peer.Execute(call, func(ask ratelimit.Ask) (any, error) { return n.limits.grant(from, ask), nil })
 	}
 	if n.replica == nil {
 		return nil, consensus.ErrNotLeader
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -180,7 +180,7 @@
 	case "":
 		return ratelimit.Answer{}, errNoHolder
 	case k.node.address:
-		return k.grant(ask), nil
+		return k.grant(holder, ask), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience+holderPatience)
 	defer cancel()
@@ -188,8 +188,8 @@
 }
 
 // grant answers a node that asks for a permit.
-func (k *limitKeeper) grant(ask ratelimit.Ask) ratelimit.Answer {
-	answer := k.limits.Grant(k.node.now(), ask)
+func (k *limitKeeper) grant(from string, ask ratelimit.Ask) ratelimit.Answer {
+	answer := k.limits.Grant(k.node.now(), from, ask)
 	if answer.IsGranted {
 		permitsGiven.Inc()
 	}
