Soak: engines name limits, change them and end them, beside all other faults

Each engine counts from its side what comes in any 4 s from 3 s after the first answer with a limit to its end, whatever became of the nodes meanwhile; some limits can't be read. The report tells how many came, what there was room for, and the fullest span.

--- a/internal/lab/soak/engine.go
+++ b/internal/lab/soak/engine.go
@@ -109,6 +109,8 @@
 	state  registry.State
 	// fails tells that it fails each plain call.
 	fails bool
+	// limit is what it names as its limit, and what it got.
+	limit limitRecord
 	// end ends the engine by the request with a body that it can't bear.
 	end func(ended *engine, body string)
 }
@@ -156,6 +158,7 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.noteArrival(writer.Header())
 	e.truth.begin(request)
 	if strings.HasPrefix(string(body), poisonBody) {
 		writer.Header().Set("Content-Type", "text/event-stream")
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -54,6 +54,8 @@
 	mutex   sync.Mutex
 	engines map[string]*engine
 	lives   int
+	// everyLife are all lives of engines.
+	everyLife []*engine
 	// plainVersion is the version of the plain service's engines that start.
 	plainVersion string
 	// began is when the run began, rough are the spans of engines' ends by requests.
@@ -196,6 +198,7 @@
 	}
 	started.fails = fails
 	f.engines[name] = started
+	f.everyLife = append(f.everyLife, started)
 	return nil
 }
 
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -21,6 +21,8 @@
 	ReadRequest(header http.Header) EngineRequest
 	// AnswerHeader returns the headers of an engine's answer.
 	AnswerHeader(request, instance string, notRun bool) http.Header
+	// LimitHeader returns the headers by which an engine's answer names a limit.
+	LimitHeader(value string) http.Header
 	// Heartbeat returns the path and the body of an instance's heartbeat.
 	Heartbeat(instance registry.Instance) (path string, body []byte)
 	// Configuration returns the path and the body of an operator's order.
