A request that two limits refuse goes to an instance without a limit

Seen in a fleet test: 4 of 3,021 callers were refused though seven of twelve engines had no limit. Cause: after three refused permits a request gave up, instead of taking the next best instance without a limit. Change: after two refused permits it is for instances without a limit only.

--- a/internal/coordination/balance/limited.go
+++ b/internal/coordination/balance/limited.go
@@ -12,6 +12,9 @@
 // the limit is met, and those whose prompt it holds in large part still come.
 const permitTokens = 6000
 
+// NoPermits is the patience of a request that is for instances without a limit only.
+const NoPermits = time.Duration(-1)
+
 // SetLimits tells the table who knows the limits that instances in need name.
 func (t *Table) SetLimits(limits *ratelimit.Limits) {
 	t.mutex.Lock()
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -82,11 +82,7 @@
 			return
 		}
 		if result == noPermit {
-			if r.permitsRefused < maximumRefusals {
-				continue
-			}
-			r.giveUp(last, r.reasonOfNone(service))
-			return
+			continue
 		}
 		if result == unreached {
 			if dials++; dials < maximumDials {
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -31,9 +31,9 @@
 func (noRateLimits) Learn(registry.Instance, ratelimit.Said, time.Time) {}
 
 const (
-	// maximumRefusals bounds the instances whose holders refuse a request a permit: each
-	// takes a round trip.
-	maximumRefusals = 3
+	// maximumRefusals is how many holders may refuse a request a permit before it asks no
+	// more and goes to an instance without a limit: each takes a round trip.
+	maximumRefusals = 2
 	// permitShare is the part of the objective that a request waits for a permit, and
 	// resumedPermitShare that of a stream in progress, whose caller has waited already.
 	permitShare        = 0.125
@@ -42,6 +42,9 @@
 
 // permitPatience is how long the request waits for a permit.
 func (r *request) permitPatience() time.Duration {
+	if r.permitsRefused >= maximumRefusals {
+		return balance.NoPermits
+	}
 	share := permitShare
 	if r.answering {
 		share = resumedPermitShare
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -29,13 +29,12 @@
 	sending.abort()
 	r.noteBroken(ctx, sending.broken(r, *choice), "stream_broken", err)
 	for ctx.Err() == nil && r.incoming.Context().Err() == nil && !errors.Is(err, errCallerGone) {
-		if errors.Is(err, ErrNoPermit) {
-			// It was not sent, so another instance may be asked in its place.
-			if r.permitsRefused >= maximumRefusals {
+		// What had no permit was not sent, so another instance is chosen in its place.
+		if !errors.Is(err, ErrNoPermit) {
+			r.arrivals++
+			if !r.mayResume(choice.Service) {
 				break
 			}
-		} else if r.arrivals++; !r.mayResume(choice.Service) {
-			break
 		}
 		var resumed bool
 		if resumed, err = r.resume(ctx, choice.Service, &lastEvent); resumed {
--- a/internal/lab/openfleet/ratelimit_test.go
+++ b/internal/lab/openfleet/ratelimit_test.go
@@ -316,3 +316,46 @@
 		})
 	}
 }
+
+// The requests that a limited engine would have got go to the others evenly.
+func TestOthersAreNotOverrunBesideEnginesWithLimits(t *testing.T) {
+	inZone := func(zone string) func(*Engine) bool { return func(e *Engine) bool { return e.Zone == zone } }
+	for name, isLimited := range map[string]func(*Engine) bool{
+		"a_third": func(e *Engine) bool {
+			return strings.HasSuffix(e.ID, "0") || strings.HasSuffix(e.ID, "4") || e.ID == "model-2" || e.ID == "model-9"
+		},
+		"all_of_a_zone": inZone("a"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			inLimitedFleet(t, 8, func(t *testing.T, l *limited) {
+				named := l.now()
+				var others []*Engine
+				for _, engine := range l.engines {
+					if isLimited(engine) {
+						nameLimit([]*Engine{engine}, "1")
+						continue
+					}
+					others = append(others, engine)
+				}
+				// 12.5 a second for each engine, if all get their part.
+				l.call(rand.New(rand.NewPCG(45, 6)), 150, 20*time.Second)
+				time.Sleep(2 * time.Second)
+				var got []int
+				total := 0
+				for _, engine := range l.engines {
+					if isLimited(engine) {
+						l.assertWithinLimit(t, engine, 1, named)
+					}
+				}
+				for _, engine := range others {
+					got = append(got, l.mostInWindow(engine, named+contact))
+					total += len(l.arrivalsAt(engine, named+contact))
+				}
+				mean := float64(total) / float64(len(others)) * limitWindow.Seconds() / 17
+				t.Logf("in 4 s the others got at most %v, %.1f in the mean; answers %v", got, mean, l.answers)
+				assert.Check(t, float64(slices.Max(got)) <= 2*mean)
+				assert.DeepEqual(t, l.answers, map[int]int{http.StatusOK: l.answers[http.StatusOK]})
+			})
+		})
+	}
+}
