--- a/internal/coordination/ratelimit/permits.go
+++ b/internal/coordination/ratelimit/permits.go
@@ -13,6 +13,9 @@
 	// unusedTime is how far back unused permits count: small differences in when requests
 	// come cost none of the rate, and a rest earns no burst.
 	unusedTime = 250 * time.Millisecond
+	// heldShare is the part of the unused time for which a slot is held back from the least
+	// urgent requests.
+	heldShare = 0.8
 	// silentHolder is how long an instance is left alone whose holder did not answer, or
 	// that has none.
 	silentHolder = 300 * time.Millisecond
@@ -25,10 +28,20 @@
 	// Word is what the asking node knows of the limit.
 	Word Word   `msgpack:"w"`
 	Zone string `msgpack:"z"`
-	// PatienceMS is how long the request can wait for its permit.
+	Need `msgpack:",inline"`
+}
+
+// Need is what a request needs of a permit.
+type Need struct {
+	// PatienceMS is how long the request can wait for it.
 	PatienceMS uint64 `msgpack:"p,omitempty"`
+	// Priority is its rank, the most urgent first.
+	Priority uint8 `msgpack:"u,omitempty"`
 }
 
+// Patience is how long the request can wait.
+func (n Need) Patience() time.Duration { return time.Duration(n.PatienceMS) * time.Millisecond }
+
 // Answer is the holder's.
 type Answer struct {
 	IsGranted bool `msgpack:"g,omitempty"`
@@ -49,11 +62,15 @@
 // begin starts without any permit: what was sent before is not known.
 func (s *slots) begin(now, between time.Duration) { s.next = now + between }
 
-// take gives out the next slot if it comes within a patience.
-func (s *slots) take(now, between, patience time.Duration) (wait time.Duration, isTaken bool) {
-	slot := max(s.next, now-min(unusedTime, between))
-	if slot-now > patience {
-		return slot - now, false
+// take gives out the next slot if it comes within a request's patience. One that is less
+// urgent takes only a slot that has been free for a moment: what is scarce goes to the
+// urgent first, and what they leave to the others.
+func (s *slots) take(now, between time.Duration, need Need) (wait time.Duration, isTaken bool) {
+	unused := min(unusedTime, between)
+	slot := max(s.next, now-unused)
+	held := time.Duration(heldShare * float64(unused) * float64(need.Priority) / float64(1+int(need.Priority)))
+	if slot+held-now > need.Patience() {
+		return slot + held - now, false
 	}
 	s.next = slot + between
 	return max(0, slot-now), true
@@ -61,7 +78,7 @@
 
 // Ask prepares to ask for a permit: whom, and with what. It is not limited if the life has
 // no limit; without a holder nobody may send for now.
-func (l *Limits) Ask(now time.Duration, life registry.Life, zone string, patience time.Duration) (ask Ask, holder string, isLimited bool) {
+func (l *Limits) Ask(now time.Duration, life registry.Life, zone string, need Need) (ask Ask, holder string, isLimited bool) {
 	if !l.Any() {
 		return Ask{}, "", false
 	}
@@ -73,7 +90,7 @@
 	}
 	word := known.word(life)
 	word.AgeMS = uint64(max(0, now-word.At).Milliseconds())
-	return Ask{Word: word, Zone: zone, PatienceMS: uint64(patience.Milliseconds())}, l.holders.of(now, life.ID, zone), true
+	return Ask{Word: word, Zone: zone, Need: need}, l.holders.of(now, life.ID, zone), true
 }
 
 // Grant answers a node, this one or another, as the holder.
@@ -102,7 +119,7 @@
 		return answer
 	}
 	between := time.Duration(float64(interval(known.perSecond)) / part)
-	delay, isTaken := known.slots.take(now, between, time.Duration(ask.PatienceMS)*time.Millisecond)
+	delay, isTaken := known.slots.take(now, between, ask.Need)
 	answer.IsGranted = isTaken
 	if isTaken {
 		answer.DelayMS = uint64(delay.Milliseconds())
--- a/internal/coordination/ratelimit/ratelimit_test.go
+++ b/internal/coordination/ratelimit/ratelimit_test.go
@@ -50,7 +50,7 @@
 func granted(limits *Limits, from, lasting time.Duration, zone string) []time.Duration {
 	var moments []time.Duration
 	for now := from; now < from+lasting; now += 10 * time.Millisecond {
-		ask, _, isLimited := limits.Ask(now, engine, zone, 0)
+		ask, _, isLimited := limits.Ask(now, engine, zone, Need{})
 		if !isLimited {
 			return moments
 		}
@@ -95,7 +95,7 @@
 func TestNewLifeOfAnInstanceHasNoLimit(t *testing.T) {
 	limits := limitsAt("a-0", nodesOf("a", 1))
 	limits.Learn(start, engine, two, start)
-	_, _, isLimited := limits.Ask(start, registry.Life{ID: engine.ID, Born: 8}, "a", 0)
+	_, _, isLimited := limits.Ask(start, registry.Life{ID: engine.ID, Born: 8}, "a", Need{})
 	assert.Assert(t, !isLimited)
 	limits.Forget(engine)
 	assert.Assert(t, !limits.Any())
@@ -144,7 +144,7 @@
 	limits := limitsAt("a-0", nodesOf("a", 1))
 	limits.Learn(start, engine, Said{IsNamed: true, PerSecond: 10}, start)
 	now := start + time.Second
-	ask, _, _ := limits.Ask(now, engine, "a", 150*time.Millisecond)
+	ask, _, _ := limits.Ask(now, engine, "a", Need{PatienceMS: 150})
 	var delays []uint64
 	for range 4 {
 		if answer := limits.Grant(now, limits.holders.self, ask); answer.IsGranted {
@@ -162,7 +162,7 @@
 	for _, node := range nodes {
 		limits := limitsAt(node.Address, nodes)
 		limits.Learn(start, engine, two, start)
-		_, holder, _ := limits.Ask(start, engine, "b", 0)
+		_, holder, _ := limits.Ask(start, engine, "b", Need{})
 		assert.Equal(t, holder, expected)
 		if len(granted(limits, start, 5*time.Second, "b")) > 0 {
 			holders++
@@ -220,20 +220,20 @@
 	limits := limitsAt("a-0", nodes)
 	limits.Learn(start, engine, two, start)
 	limits.SetNodes(start, nodesOf("a", 2))
-	_, holder, isLimited := limits.Ask(start+time.Minute, engine, "b", 0)
+	_, holder, isLimited := limits.Ask(start+time.Minute, engine, "b", Need{})
 	assert.Assert(t, isLimited)
 	assert.Equal(t, holder, "")
-	_, holder, _ = limits.Ask(start+AbsentMemory+time.Second, engine, "b", 0)
+	_, holder, _ = limits.Ask(start+AbsentMemory+time.Second, engine, "b", Need{})
 	assert.Equal(t, holder, membership.Highest(engine.ID, addressesOf(nodesOf("a", 2))))
 }
 
 func TestHolderTellsANodeThatALimitHasEnded(t *testing.T) {
 	limits, asking := limitsAt("a-0", nodesOf("a", 2)), limitsAt("a-1", nodesOf("a", 2))
 	asking.Learn(start, engine, two, start)
-	ask, _, _ := asking.Ask(start, engine, "a", 0)
+	ask, _, _ := asking.Ask(start, engine, "a", Need{})
 	limits.Grant(start, "a-1", ask)
 	limits.Learn(start+time.Second, engine, none, start+time.Millisecond)
-	ask, _, _ = asking.Ask(start+2*time.Second, engine, "a", 0)
+	ask, _, _ = asking.Ask(start+2*time.Second, engine, "a", Need{})
 	answer := limits.Grant(start+2*time.Second, "a-1", ask)
 	changes := asking.Answered(start+2*time.Second, engine, answer)
 	assert.Equal(t, changes[0].Kind, Ended)
@@ -269,3 +269,17 @@
 	}
 	assert.Equal(t, returns.Next(start, "portal", 0, 2), leastReturn)
 }
+
+// A slot that is free now is the urgent request's; the other takes it once it was free for
+// a part of the time for which unused slots count.
+func TestSlotIsHeldBackFromLessUrgentRequests(t *testing.T) {
+	take := func(priority uint8, freeFor time.Duration) bool {
+		held := slots{next: start - freeFor}
+		_, isTaken := held.take(start, time.Second, Need{Priority: priority})
+		return isTaken
+	}
+	assert.Assert(t, take(0, 0))
+	assert.Assert(t, !take(1, 90*time.Millisecond) && take(1, 110*time.Millisecond))
+	assert.Assert(t, !take(3, 140*time.Millisecond) && take(3, 160*time.Millisecond))
+	assert.Assert(t, take(255, unusedTime))
+}
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"strconv"
 	"time"
 
@@ -16,9 +17,9 @@
 
 // RateLimits keeps the limits that instances name, for all nodes together.
 type RateLimits interface {
-	// Permit waits until one request may be written to an instance, no longer than a
-	// patience. The error is ErrNoPermit or the context's.
-	Permit(ctx context.Context, instance registry.Instance, patience time.Duration) error
+	// Permit waits until one request may be written to an instance. The error is
+	// ErrNoPermit or the context's.
+	Permit(ctx context.Context, instance registry.Instance, need ratelimit.Need) error
 	// Learn takes what an answer of an instance says, to a request written at a time; the
 	// zero time stands for one of which that is not known.
 	Learn(instance registry.Instance, said ratelimit.Said, writtenAt time.Time)
@@ -26,7 +27,7 @@
 
 type noRateLimits struct{}
 
-func (noRateLimits) Permit(context.Context, registry.Instance, time.Duration) error { return nil }
+func (noRateLimits) Permit(context.Context, registry.Instance, ratelimit.Need) error { return nil }
 
 func (noRateLimits) Learn(registry.Instance, ratelimit.Said, time.Time) {}
 
@@ -52,12 +53,22 @@
 	return time.Duration(share * float64(r.route.Objective))
 }
 
+// permitNeed is what the request needs of a permit. A stream in progress comes before all
+// others: its caller has a part of the answer.
+func (r *request) permitNeed() ratelimit.Need {
+	need := ratelimit.Need{PatienceMS: uint64(max(0, r.permitPatience()).Milliseconds())}
+	if !r.answering {
+		need.Priority = uint8(min(max(0, r.route.Priority), math.MaxUint8))
+	}
+	return need
+}
+
 // send sends the request to an instance, once it has the permit that the instance's limit
 // asks for.
 func (r *request) send(ctx context.Context, choice balance.Choice, lastEvent string) (*exchange, sendState, error) {
 	limits := r.pipeline.options.RateLimits
 	prepared := r.outgoing(choice, lastEvent)
-	prepared.permit = func(ctx context.Context) error { return limits.Permit(ctx, choice.Instance, r.permitPatience()) }
+	prepared.permit = func(ctx context.Context) error { return limits.Permit(ctx, choice.Instance, r.permitNeed()) }
 	prepared.learn = func(said ratelimit.Said, writtenAt time.Time) { limits.Learn(choice.Instance, said, writtenAt) }
 	return r.pipeline.pool.send(ctx, r.pipeline.options.Dialect, choice.Address, prepared)
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -136,16 +136,16 @@
 }
 
 // Permit implements forward.RateLimits.
-func (k *limitKeeper) Permit(ctx context.Context, instance registry.Instance, patience time.Duration) error {
+func (k *limitKeeper) Permit(ctx context.Context, instance registry.Instance, need ratelimit.Need) error {
 	if !k.limits.Any() {
 		return nil
 	}
 	life, began := instance.Life(), k.node.now()
-	ask, holder, isLimited := k.limits.Ask(began, life, instance.Zone, patience)
+	ask, holder, isLimited := k.limits.Ask(began, life, instance.Zone, need)
 	if !isLimited {
 		return nil
 	}
-	answer, err := k.ask(ctx, holder, ask, patience)
+	answer, err := k.ask(ctx, holder, ask)
 	now := k.node.now()
 	if err != nil {
 		permitsSilent.Inc()
@@ -163,7 +163,7 @@
 	if !pause.For(ctx, time.Duration(answer.DelayMS)*time.Millisecond) {
 		return context.Cause(ctx)
 	}
-	if k.node.now()-began > patience+ratelimit.PermitLife {
+	if k.node.now()-began > need.Patience()+ratelimit.PermitLife {
 		permitsStale.Inc()
 		return fmt.Errorf("%w: that for %s came too late", forward.ErrNoPermit, life)
 	}
@@ -175,14 +175,14 @@
 var errNoHolder = errors.New("gateway: no node holds the limit")
 
 // ask asks the holder for a permit.
-func (k *limitKeeper) ask(ctx context.Context, holder string, ask ratelimit.Ask, patience time.Duration) (ratelimit.Answer, error) {
+func (k *limitKeeper) ask(ctx context.Context, holder string, ask ratelimit.Ask) (ratelimit.Answer, error) {
 	switch holder {
 	case "":
 		return ratelimit.Answer{}, errNoHolder
 	case k.node.address:
 		return k.grant(holder, ask), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, patience+holderPatience)
+	ctx, cancel := context.WithTimeout(ctx, ask.Patience()+holderPatience)
 	defer cancel()
 	return peer.Invoke[ratelimit.Answer](ctx, k.node.calls, holder, peer.MethodPermit, ask)
 }
--- a/internal/lab/openfleet/ratelimit_test.go
+++ b/internal/lab/openfleet/ratelimit_test.go
@@ -37,6 +37,8 @@
 	mutex   sync.Mutex
 	// answers are the callers' answers by status.
 	answers map[int]int
+	// served are those with 200 by path.
+	served map[string]int
 	// refusals are those with 503.
 	refusals []refusal
 }
@@ -59,8 +61,10 @@
 		for position := range generous.Routes {
 			generous.Routes[position].Targets[0].Service = "model"
 		}
+		// The resumable streams are less urgent than the others.
+		generous.Routes[3].Priority = 2
 		generous.Services = append(generous.Services, document.Service{Name: "model"})
-		l := &limited{Fleet: f, answers: map[int]int{}}
+		l := &limited{Fleet: f, answers: map[int]int{}, served: map[string]int{}}
 		for number := range 12 {
 			l.engines = append(l.engines, f.AddEngine(fmt.Sprintf("model-%d", number), "model", zones[number%len(zones)]))
 		}
@@ -99,6 +103,9 @@
 			l.mutex.Lock()
 			defer l.mutex.Unlock()
 			l.answers[answer.Status]++
+			if answer.Status == http.StatusOK {
+				l.served[path]++
+			}
 			if answer.Status == http.StatusServiceUnavailable {
 				l.refusals = append(l.refusals, refusal{after: time.Since(sent), comeBack: answer.Header.Get("Retry-After"), body: answer.Body})
 			}
@@ -317,6 +324,20 @@
 	}
 }
 
+func TestScarceRoomGoesToTheMoreUrgentAndNobodyStarves(t *testing.T) {
+	inLimitedFleet(t, 8, func(t *testing.T, l *limited) {
+		nameLimit(l.engines, "2")
+		// 24 a second have room.
+		l.running.Go(func() { l.callFor(rand.New(rand.NewPCG(45, 7)), "/resumable/x", 30, 20*time.Second) })
+		l.callFor(rand.New(rand.NewPCG(45, 8)), "/stream/x", 30, 20*time.Second)
+		time.Sleep(2 * time.Second)
+		urgent, other := l.served["/stream/x"], l.served["/resumable/x"]
+		t.Logf("%d urgent ones served, %d others", urgent, other)
+		assert.Check(t, urgent > other)
+		assert.Check(t, other > 50)
+	})
+}
+
 // The requests that a limited engine would have got go to the others evenly.
 func TestOthersAreNotOverrunBesideEnginesWithLimits(t *testing.T) {
 	inZone := func(zone string) func(*Engine) bool { return func(e *Engine) bool { return e.Zone == zone } }
--- a/internal/lab/simulate/ratelimit.go
+++ b/internal/lab/simulate/ratelimit.go
@@ -333,7 +333,7 @@
 // askFor asks the engine's holder for a permit and sends the request with it.
 func (n *limitNode) askFor(engine *limitEngine) {
 	began := n.now()
-	ask, holderName, isLimited := n.limits.Ask(began, engine.life, engine.zone, limitPatience)
+	ask, holderName, isLimited := n.limits.Ask(began, engine.life, engine.zone, ratelimit.Need{PatienceMS: uint64(limitPatience.Milliseconds())})
 	if !isLimited {
 		n.send(engine)
 		return
