--- /dev/null
+++ b/internal/coordination/ratelimit/ratelimit_bench_test.go
@@ -0,0 +1,123 @@
+package ratelimit
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+)
+
+// Sizes of fleets in the benchmarks.
+var fleetSizes = []int{300, 1000, 2000}
+
+const (
+	fleetZones = 28
+	// limitedEngines is a third of 10,000.
+	limitedEngines = 3333
+)
+
+func fleetOf(count int) []Node {
+	nodes := make([]Node, 0, count)
+	for number := range count {
+		nodes = append(nodes, Node{Address: fmt.Sprintf("10.%d.0.%d:7340", number%fleetZones, number), Zone: fmt.Sprintf("zone-%d", number%fleetZones)})
+	}
+	return nodes
+}
+
+func lifeOf(number int) registry.Life {
+	return registry.Life{ID: fmt.Sprintf("i-%010d", number), Born: 1700000000000}
+}
+
+// withLimits are a node's limits when a third of 10,000 engines has named one.
+func withLimits(nodes []Node) *Limits {
+	limits := limitsAt(nodes[0].Address, nodes)
+	for number := range limitedEngines {
+		limits.Learn(start, lifeOf(number), two, start)
+	}
+	return limits
+}
+
+// What each request pays while no engine names a limit.
+func BenchmarkRequestWithoutAnyLimit(b *testing.B) {
+	limits := limitsAt("a-0", nodesOf("a", 3))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, isLimited := limits.Ask(start, engine, "a", Need{}); isLimited {
+			b.Fatal("a limit")
+		}
+		limits.Learn(start, engine, none, start)
+	}
+}
+
+// What the holder pays for a permit.
+func BenchmarkPermit(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			nodes := fleetOf(size)
+			limits := withLimits(nodes)
+			now := start
+			b.ReportAllocs()
+			for number := 0; b.Loop(); number++ {
+				now += time.Millisecond
+				ask, _, _ := limits.Ask(now, lifeOf(number%limitedEngines), nodes[0].Zone, Need{PatienceMS: 100})
+				limits.Grant(now, nodes[1].Address, ask)
+			}
+		})
+	}
+}
+
+// What a node pays when another one starts or ends.
+func BenchmarkNodesChange(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			nodes := fleetOf(size)
+			limits := withLimits(nodes)
+			now := start
+			b.ReportAllocs()
+			for number := 0; b.Loop(); number++ {
+				now += 100 * time.Millisecond
+				limits.SetNodes(now, nodes[:size-number%2])
+			}
+		})
+	}
+}
+
+// What a node hears when a third of 10,000 engines names limits.
+func BenchmarkHearThousandsOfLimits(b *testing.B) {
+	words := withLimits(fleetOf(300)).InForce()
+	b.ReportAllocs()
+	for b.Loop() {
+		New("a-0").Hear(start+time.Second, words)
+	}
+}
+
+// The memory for limits follows the engines that name one, and not the nodes.
+func TestMemoryOfThousandsOfLimitsIsBounded(t *testing.T) {
+	heap := func() int64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return int64(stats.HeapAlloc)
+	}
+	before := heap()
+	kept := withLimits(fleetOf(1000))
+	grown := heap() - before
+	t.Logf("%d bytes for %d limits", grown, limitedEngines)
+	// A hundredth of a node's 256 MB for control.
+	assert.Assert(t, grown < 256<<20/100)
+	runtime.KeepAlive(kept)
+}
+
+func TestRequestPaysNothingWhileNoEngineNamesALimit(t *testing.T) {
+	limits := limitsAt("a-0", nodesOf("a", 3))
+	allocated := testing.AllocsPerRun(100, func() {
+		limits.Ask(start, engine, "a", Need{})
+		limits.Room(start, engine)
+		limits.Learn(start, engine, none, start)
+	})
+	assert.Equal(t, allocated, 0.0)
+}
