--- a/api/ravenway/v1/ravenwayv1connect/ravenway.connect.go
+++ b/api/ravenway/v1/ravenwayv1connect/ravenway.connect.go
@@ -79,6 +79,9 @@
 	// OperatorServiceReleaseQuarantinedProcedure is the fully-qualified name of the OperatorService's
 	// ReleaseQuarantined RPC.
 	OperatorServiceReleaseQuarantinedProcedure = "/ravenway.v1.OperatorService/ReleaseQuarantined"
+	// OperatorServiceGetLimitsProcedure is the fully-qualified name of the OperatorService's GetLimits
+	// RPC.
+	OperatorServiceGetLimitsProcedure = "/ravenway.v1.OperatorService/GetLimits"
 )
 
 // OperatorServiceClient is a client for the ravenway.v1.OperatorService service.
@@ -118,6 +121,9 @@
 	// ReleaseQuarantined forgets all ends of a request, at all nodes. It may reach engines
 	// again, and comes back into quarantine at its third end.
 	ReleaseQuarantined(context.Context, *connect.Request[v1.ReleaseQuarantinedRequest]) (*connect.Response[v1.ReleaseQuarantinedResponse], error)
+	// GetLimits lists the limits that instances name, the scarcest first. Entry nodes know
+	// them.
+	GetLimits(context.Context, *connect.Request[v1.GetLimitsRequest]) (*connect.Response[v1.GetLimitsResponse], error)
 }
 
 // NewOperatorServiceClient constructs a client for the ravenway.v1.OperatorService service. By
@@ -215,6 +221,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("ReleaseQuarantined")),
 			connect.WithClientOptions(opts...),
 		),
+		getLimits: connect.NewClient[v1.GetLimitsRequest, v1.GetLimitsResponse](
+			httpClient,
+			baseURL+OperatorServiceGetLimitsProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("GetLimits")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -234,6 +246,7 @@
 	orderRollout       *connect.Client[v1.OrderRolloutRequest, v1.OrderRolloutResponse]
 	getQuarantine      *connect.Client[v1.GetQuarantineRequest, v1.GetQuarantineResponse]
 	releaseQuarantined *connect.Client[v1.ReleaseQuarantinedRequest, v1.ReleaseQuarantinedResponse]
+	getLimits          *connect.Client[v1.GetLimitsRequest, v1.GetLimitsResponse]
 }
 
 // Apply calls ravenway.v1.OperatorService.Apply.
@@ -306,6 +319,11 @@
 	return c.releaseQuarantined.CallUnary(ctx, req)
 }
 
+// GetLimits calls ravenway.v1.OperatorService.GetLimits.
+func (c *operatorServiceClient) GetLimits(ctx context.Context, req *connect.Request[v1.GetLimitsRequest]) (*connect.Response[v1.GetLimitsResponse], error) {
+	return c.getLimits.CallUnary(ctx, req)
+}
+
 // OperatorServiceHandler is an implementation of the ravenway.v1.OperatorService service.
 type OperatorServiceHandler interface {
 	// Apply changes the catalog.
@@ -343,6 +361,9 @@
 	// ReleaseQuarantined forgets all ends of a request, at all nodes. It may reach engines
 	// again, and comes back into quarantine at its third end.
 	ReleaseQuarantined(context.Context, *connect.Request[v1.ReleaseQuarantinedRequest]) (*connect.Response[v1.ReleaseQuarantinedResponse], error)
+	// GetLimits lists the limits that instances name, the scarcest first. Entry nodes know
+	// them.
+	GetLimits(context.Context, *connect.Request[v1.GetLimitsRequest]) (*connect.Response[v1.GetLimitsResponse], error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -436,6 +457,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("ReleaseQuarantined")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceGetLimitsHandler := connect.NewUnaryHandler(
+		OperatorServiceGetLimitsProcedure,
+		svc.GetLimits,
+		connect.WithSchema(operatorServiceMethods.ByName("GetLimits")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/ravenway.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServiceApplyProcedure:
@@ -466,6 +493,8 @@
 			operatorServiceGetQuarantineHandler.ServeHTTP(w, r)
 		case OperatorServiceReleaseQuarantinedProcedure:
 			operatorServiceReleaseQuarantinedHandler.ServeHTTP(w, r)
+		case OperatorServiceGetLimitsProcedure:
+			operatorServiceGetLimitsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -530,3 +559,7 @@
 func (UnimplementedOperatorServiceHandler) ReleaseQuarantined(context.Context, *connect.Request[v1.ReleaseQuarantinedRequest]) (*connect.Response[v1.ReleaseQuarantinedResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.ReleaseQuarantined is not implemented"))
 }
+
+func (UnimplementedOperatorServiceHandler) GetLimits(context.Context, *connect.Request[v1.GetLimitsRequest]) (*connect.Response[v1.GetLimitsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.GetLimits is not implemented"))
+}
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -171,6 +171,17 @@
 
 func compareID(one *member, id string) int { return cmp.Compare(one.ID, id) }
 
+// Instance returns what is known of a life; false if it is over or was never heard of.
+func (t *Table) Instance(life registry.Life) (registry.Instance, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.member(life)
+	if known == nil {
+		return registry.Instance{}, false
+	}
+	return known.Instance, true
+}
+
 // HasZone tells whether an instance stands in a zone.
 func (t *Table) HasZone(zone string) bool {
 	t.mutex.Lock()
--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -21,6 +21,8 @@
 package ratelimit
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -237,6 +239,9 @@
 	return known
 }
 
+// Count is the number of limits that are known, those that ended a moment ago included.
+func (l *Limits) Count() int64 { return l.known.Load() }
+
 // Any tells whether any limit is known.
 func (l *Limits) Any() bool { return l != nil && l.known.Load() > 0 }
 
@@ -261,7 +266,11 @@
 	if known == nil {
 		return Room{}, false
 	}
-	return Room{Wait: max(0, known.freeAt-now), Pressure: known.pressureNow(now), PerSecond: known.perSecond}, true
+	return known.room(now), true
+}
+
+func (e *entry) room(now time.Duration) Room {
+	return Room{Wait: max(0, e.freeAt-now), Pressure: e.pressureNow(now), PerSecond: e.perSecond}
 }
 
 // pressureNow is the pressure, which fades with the time since it was seen: an instance
@@ -300,21 +309,32 @@
 
 // Listed is one limit in force, for operators.
 type Listed struct {
-	Life      registry.Life
-	PerSecond float64
+	Life registry.Life
+	Room
 	// Age is the time since the newest word of it.
 	Age time.Duration
 }
 
-// List returns the limits in force.
+// List returns the limits in force, the scarcest first.
 func (l *Limits) List(now time.Duration) []Listed {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	var listed []Listed
 	for life, known := range l.entries {
 		if !known.hasEnded {
-			listed = append(listed, Listed{Life: life, PerSecond: known.perSecond, Age: now - known.at})
+			listed = append(listed, Listed{Life: life, Room: known.room(now), Age: now - known.at})
 		}
 	}
+	slices.SortFunc(listed, func(one, other Listed) int {
+		return cmp.Or(cmp.Compare(other.Pressure, one.Pressure), cmp.Compare(one.Life.ID, other.Life.ID), cmp.Compare(one.Life.Born, other.Life.Born))
+	})
 	return listed
 }
+
+// Holder returns the node that gives out the permits of an instance in a zone, "" if none
+// may now.
+func (l *Limits) Holder(now time.Duration, instance, zone string) string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.holders.of(now, instance, zone)
+}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -37,6 +37,7 @@
 	permitsSilent    = metrics.GetOrCreateCounter(`ravenway_permits_total{result="no_holder"}`)
 	permitsStale     = metrics.GetOrCreateCounter(`ravenway_permits_total{result="stale"}`)
 	permitsGiven     = metrics.GetOrCreateCounter("ravenway_permits_given_total")
+	limitsInForce    = metrics.GetOrCreateGauge("ravenway_instance_limits_in_force", nil)
 	permitSeconds    = metrics.GetOrCreateHistogram("ravenway_permit_wait_seconds")
 )
 
@@ -83,6 +84,7 @@
 	}
 	k.limits.SetSure(now, view.live.NamesSelf && !k.node.isStopping())
 	k.limits.Prune(now)
+	limitsInForce.Set(float64(k.limits.Count()))
 }
 
 // nodes are the live entry nodes that give out permits, this one included.
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -212,6 +212,30 @@
 	return connect.NewResponse(answer), nil
 }
 
+// errNoLimits says that a node keeps no limits of instances.
+var errNoLimits = errors.New("only entry nodes know the limits that instances name")
+
+// GetLimits implements the schema's GetLimits.
+func (o *operatorServer) GetLimits(context.Context, *connect.Request[ravenwayv1.GetLimitsRequest]) (*connect.Response[ravenwayv1.GetLimitsResponse], error) {
+	if o.node.limits == nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errNoLimits)
+	}
+	answer := &ravenwayv1.GetLimitsResponse{}
+	now := o.node.now()
+	for _, one := range o.node.limits.limits.List(now) {
+		described := &ravenwayv1.InstanceLimit{
+			Instance: one.Life.String(), RequestsPerSecond: one.PerSecond, AgeMilliseconds: one.Age.Milliseconds(),
+			NextPermitMilliseconds: one.Wait.Milliseconds(), Pressure: one.Pressure,
+		}
+		if instance, isKnown := o.node.table.Instance(one.Life); isKnown {
+			described.Service, described.Zone = instance.Service, instance.Zone
+			described.Holder = o.node.limits.limits.Holder(now, one.Life.ID, instance.Zone)
+		}
+		answer.Limits = append(answer.Limits, described)
+	}
+	return connect.NewResponse(answer), nil
+}
+
 func describeHeld(one quarantine.Held) *ravenwayv1.HeldRequest {
 	described := &ravenwayv1.HeldRequest{
 		Fingerprint: one.Fingerprint.String(), Route: one.Route, Tenant: one.Tenant, Quarantined: one.IsQuarantined,
--- a/internal/lab/openfleet/ratelimit_test.go
+++ b/internal/lab/openfleet/ratelimit_test.go
@@ -11,8 +11,10 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
 
@@ -380,3 +382,21 @@
 		})
 	}
 }
+
+func TestOperatorListsTheLimitsInForce(t *testing.T) {
+	inLimitedFleet(t, 3, func(t *testing.T, l *limited) {
+		nameLimit(l.engines[:1], "0.5")
+		l.call(rand.New(rand.NewPCG(45, 9)), 40, 8*time.Second)
+		listed, err := l.Operators("entry-1").GetLimits(l.ctx, connect.NewRequest(&ravenwayv1.GetLimitsRequest{}))
+		assert.NilError(t, err)
+		assert.Equal(t, len(listed.Msg.GetLimits()), 1)
+		one := listed.Msg.GetLimits()[0]
+		assert.Assert(t, strings.HasPrefix(one.GetInstance(), l.engines[0].ID), one.GetInstance())
+		assert.Equal(t, one.GetRequestsPerSecond(), 0.5)
+		assert.Equal(t, one.GetService(), "model")
+		// The only entry node of the engine's zone.
+		assert.Equal(t, one.GetHolder(), l.Machine("entry-0").Peer())
+		_, err = l.Operators("control-0").GetLimits(l.ctx, connect.NewRequest(&ravenwayv1.GetLimitsRequest{}))
+		assert.Equal(t, connect.CodeOf(err), connect.CodeFailedPrecondition)
+	})
+}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -304,6 +304,11 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errNoQuarantine)
 }
 
+// GetLimits implements the schema's GetLimits.
+func (o *operatorServer) GetLimits(context.Context, *connect.Request[ravenwayv1.GetLimitsRequest]) (*connect.Response[ravenwayv1.GetLimitsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("a fleet of fixed peers keeps no limits that back ends name"))
+}
+
 // Snapshot implements the schema's Snapshot.
 func (o *operatorServer) Snapshot(ctx context.Context, _ *connect.Request[ravenwayv1.SnapshotRequest]) (*connect.Response[ravenwayv1.SnapshotResponse], error) {
 	if o.node.replica == nil {
--- a/internal/operatorcli/commands.go
+++ b/internal/operatorcli/commands.go
@@ -78,6 +78,9 @@
 				{Name: "list", Usage: "show what is held against requests; a control node knows what all nodes saw", Action: action(getQuarantine)},
 				{Name: "release", Usage: "forget the ends of a request: it may reach engines again", ArgsUsage: "FINGERPRINT", Action: action(releaseQuarantined)},
 			}},
+			{Name: "limits", Usage: "limits that instances in need name", Commands: []*cli.Command{
+				{Name: "list", Usage: "show what an entry node knows of them, the scarcest first", Action: action(getLimits)},
+			}},
 			{Name: "explain", Usage: "show how a request was routed, from a node or from its logs", ArgsUsage: "REQUEST",
 				Flags:  []cli.Flag{&cli.StringSliceFlag{Name: "log", Usage: "log file of a node in place of asking it; - is the standard input"}},
 				Action: action(explain)},
