The replicated log has a version: what only newer builds read waits for all of them

What operators met: a rollout ordered in the middle of an upgrade made going back unsafe, since a replica of the earlier build refuses its entry and holds another state than the others from there on, and nothing said so. Cause: who reads what was known from hellos of the moment, and not from the log itself. Ruled out: a refusal by the dialects of live nodes alone, as before: a member of the group that is down is not heard. Change: a version in the log, which only rises. The leader raises it when all control nodes and members of the group have told that they read it, for a settling time of 10 s; at once in a group that no earlier build has held. Orders for rollouts wait for it. A replica doesn't open a log of a later version. ravenway status shows builds, the version, and whom it waits for; the soak plays going back (--going-back).

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -16,9 +16,23 @@
 	Dialect    peer.Dialect
 }
 
+// shortCommit is the length of a commit's name that people read.
+const shortCommit = 8
+
+// unknownCommit stands for the commit of a program whose build doesn't tell.
+const unknownCommit = "unknown"
+
+// ShortCommit is the beginning of the commit's name, "" if it is not known.
+func (b Build) ShortCommit() string {
+	if b.Commit == unknownCommit {
+		return ""
+	}
+	return b.Commit[:min(len(b.Commit), shortCommit)]
+}
+
 // ReadBuild reads what the build left in the program.
 func ReadBuild() Build {
-	build := Build{Commit: "unknown", Dialect: peer.OwnDialect}
+	build := Build{Commit: unknownCommit, Dialect: peer.OwnDialect}
 	information, found := debug.ReadBuildInfo()
 	if !found {
 		return build
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -39,7 +39,7 @@
 	build := ReadBuild()
 	logger.Info().Str("event", "build").Str("commit", build.Commit).Bool("modified", build.IsModified).Str("go", build.Go).
 		Uint8("dialect", uint8(build.Dialect)).Send()
-	options := gateway.Options{Settings: loaded, Dialect: dialect, Logger: logger}
+	options := gateway.Options{Settings: loaded, Dialect: dialect, Logger: logger, Build: build.ShortCommit()}
 	var err error
 	if options.PeerKey, err = settings.ReadSecret(loaded.Security.PeerKeyFile); err != nil {
 		return err
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -328,7 +328,7 @@
 		Entry: current.HasRole(settings.RoleEntry), Control: f.isControl(), Stopping: f.node.isStopping(),
 		Version: f.node.documents.version(), InstancesSum: f.registry.Digest(),
 		AgeMS: uint64(f.node.now().Milliseconds()), Evacuated: f.node.zones.inForce(),
-		QuarantineDigest: f.node.quarantine.digest.Load(), Dialect: peer.OwnDialect,
+		QuarantineDigest: f.node.quarantine.digest.Load(), Dialect: peer.OwnDialect, Build: f.node.options.Build,
 	}
 	if f.hearsOlder() {
 		said.InstancesDigest = f.registry.OrderedDigest()
--- /dev/null
+++ b/internal/gateway/logversion_test.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/coordination/consensus"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+	"github.com/ravenway/ravenway/internal/settings"
+	"github.com/ravenway/ravenway/internal/state/machine"
+)
+
+// newFoundedReplica is the replica of a control node that has founded a group of its own.
+func newFoundedReplica(t *testing.T) *replicaDuty {
+	t.Helper()
+	node := newIdleNode(t, benchControl(0), benchZone(0), settings.RoleControl)
+	replica := node.replica
+	replica.found([]consensus.Member{{ID: replica.id, Node: node.address}})
+	runUntil(t, replica, replica.leading)
+	return replica
+}
+
+// runUntil runs the duty's ticks until something holds.
+func runUntil(t *testing.T, replica *replicaDuty, holds func() bool) {
+	t.Helper()
+	for range 100 {
+		replica.tick()
+		replica.flush()
+		if holds() {
+			return
+		}
+	}
+	t.Fatal("not within 100 ticks")
+}
+
+func hearControl(replica *replicaDuty, dialect peer.Dialect, logVersion uint32) {
+	hello := controlHello(1, 3, 1, true)
+	hello.Dialect, hello.LogVersion = dialect, logVersion
+	replica.node.fleet.roster.Hello(replica.node.now(), hello)
+	replica.node.fleet.publish()
+}
+
+func TestLogVersionIsRaisedOnceAllControlNodesReadItAndHaveSettled(t *testing.T) {
+	replica := newFoundedReplica(t)
+	replica.node.settings.Load().Fleet.UpgradeSettling = 20 * time.Millisecond
+	hearControl(replica, peer.DialectTolerant, 0)
+	for range 3 * manageTicks {
+		replica.tick()
+		replica.flush()
+	}
+	assert.Equal(t, replica.machine.LogVersion(), machine.VersionFirst)
+	assert.DeepEqual(t, replica.shared.Load().waitsFor, []string{benchControl(1)})
+	// It is given a build that knows rollouts, and tells no version.
+	hearControl(replica, peer.DialectSums, 0)
+	began := time.Now()
+	runUntil(t, replica, func() bool {
+		time.Sleep(time.Millisecond)
+		return replica.machine.LogVersion() == machine.OwnLogVersion
+	})
+	assert.Assert(t, time.Since(began) >= 20*time.Millisecond)
+	assert.Equal(t, len(replica.shared.Load().waitsFor), 0)
+}
+
+func TestGroupThatNoEarlierBuildHasHeldHasTheNewestLogVersionAtOnce(t *testing.T) {
+	node := newIdleNode(t, benchControl(0), benchZone(0), settings.RoleControl)
+	node.settings.Load().Fleet.FirstStart, node.settings.Load().Fleet.UpgradeSettling = true, time.Hour
+	node.replica.reopen()
+	node.replica.found([]consensus.Member{{ID: node.replica.id, Node: node.address}})
+	runUntil(t, node.replica, func() bool { return node.replica.machine.LogVersion() == machine.OwnLogVersion })
+}
+
+// The build that is taken again must not go on with what it can't read.
+func TestReplicaDoesNotOpenALogOfALaterVersion(t *testing.T) {
+	replica := newFoundedReplica(t)
+	assert.Assert(t, replica.replica != nil)
+	replica.propose(machine.Command{Version: &machine.VersionCommand{Version: machine.OwnLogVersion + 1}}, func(machine.Result, error) {})
+	runUntil(t, replica, func() bool { return replica.replica == nil })
+	replica.reopen()
+	assert.Assert(t, replica.replica == nil)
+	assert.ErrorIs(t, checkLogVersion(replica.machine), errNewerLog)
+	assert.Assert(t, !replica.shared.Load().hasGroup)
+}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -108,6 +108,8 @@
 	DialPeer   func(ctx context.Context, address string) (net.Conn, error)
 	DialEngine func(ctx context.Context, address string) (net.Conn, error)
 	Logger     zerolog.Logger
+	// Build is the commit that the program was built from, "" if it is not known.
+	Build string
 }
 
 // Node is one daemon.
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -16,6 +16,7 @@
 	"github.com/ravenway/ravenway/internal/protocol/operator"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/document"
+	"github.com/ravenway/ravenway/internal/state/machine"
 )
 
 // operatorServer serves what an operator may ask of a node. Changes come as
@@ -52,17 +53,20 @@
 		replica := node.replica.shared.Load()
 		answer.Term, answer.QuorumAgeMilliseconds = replica.term, uint64(replica.quorumSilence.Milliseconds())
 		answer.Voters, answer.CaughtUpVoters = uint32(replica.voters), uint32(replica.caughtUpVoters)
+		answer.LogVersion, answer.NewestLogVersion = uint32(replica.logVersion), uint32(machine.OwnLogVersion)
+		answer.LogVersionWaitsFor = replica.waitsFor
 	}
 	answer.Nodes = append(answer.Nodes, &ravenwayv1.NodeStatus{
 		Name: current.Node.Name, Zone: current.Node.Zone, Control: node.replica != nil,
 		Leader: node.address == answer.Leader, Revision: answer.Revision, Stopping: node.isStopping(),
-		EvacuationRevision: zones.Revision, Dialect: uint32(peer.OwnDialect),
+		EvacuationRevision: zones.Revision, Dialect: uint32(peer.OwnDialect), Build: node.options.Build,
+		LogVersion: answer.GetNewestLogVersion(),
 	})
 	for _, known := range view.alive {
 		answer.Nodes = append(answer.Nodes, &ravenwayv1.NodeStatus{
 			Name: known.Node, Zone: known.Zone, Control: known.Control, Leader: known.Address == answer.Leader,
 			Revision: known.Version, SilentMilliseconds: uint64((node.now() - known.At).Milliseconds()), Stopping: known.Stopping,
-			EvacuationRevision: known.Evacuated.Revision, Dialect: uint32(known.Dialect),
+			EvacuationRevision: known.Evacuated.Revision, Dialect: uint32(known.Dialect), Build: known.Build, LogVersion: known.LogVersion,
 		})
 	}
 	return connect.NewResponse(answer), nil
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -70,6 +70,7 @@
 	nodeHeard atomic.Bool
 	// founding is since when this node waits for the others to found a group.
 	founding time.Duration
+	raise    logVersionRaise
 	shared   atomic.Pointer[replicaView]
 }
 
@@ -84,6 +85,10 @@
 	// voters and caughtUpVoters are known to the leader only: its group's
 	// voters, and those that hold every committed entry on disk.
 	voters, caughtUpVoters int
+	// logVersion is that of the applied log; waitsFor are the control nodes for which its
+	// raise waits.
+	logVersion machine.LogVersion
+	waitsFor   []string
 }
 
 func newReplicaDuty(node *Node) *replicaDuty {
@@ -105,6 +110,11 @@
 		r.id = consensus.ReplicaID(id)
 		r.replica, err = r.open(nil)
 	}
+	if err == nil {
+		if err = checkLogVersion(r.machine); err != nil {
+			err = errors.Join(err, r.replica.Close())
+		}
+	}
 	if err != nil {
 		r.replica = nil
 		r.node.log.Error().Str("event", "disk_unusable").Err(err).Send()
@@ -113,6 +123,7 @@
 	}
 	r.root = escrow.NewRoot(r.rootOptions())
 	r.wasLeader = false
+	r.raise = logVersionRaise{isNewGroup: r.node.settings.Load().Fleet.FirstStart && !r.hasGroup()}
 	r.node.log.Info().Str("event", "replica_opened").Uint64("replica", id).Uint64("applied", r.replica.Applied()).
 		Uint64("version", r.machine.Document().Version).Int("records_read", r.replica.RecoveredRecords).
 		Int("torn_bytes", r.replica.TornBytes).Send()
@@ -188,11 +199,15 @@
 		r.foundIfFirst()
 		return
 	}
+	if r.ticks%manageTicks == 0 {
+		r.lookAtLogVersion()
+	}
 	if !r.leading() {
 		return
 	}
 	if r.ticks%manageTicks == 0 {
 		r.manageMembers()
+		r.raiseLogVersion()
 	}
 	if r.nodeHeard.Swap(false) || r.ticks%closeTicks == 0 {
 		r.closeLives()
@@ -215,7 +230,11 @@
 		r.node.log.Info().Str("event", "leadership").Bool("leading", r.wasLeader).Uint64("term", r.replica.Core().Term()).Send()
 	}
 	r.proposeReports()
-	if err := r.replica.Flush(); err != nil {
+	err := r.replica.Flush()
+	if err == nil {
+		err = checkLogVersion(r.machine)
+	}
+	if err != nil {
 		r.fail(err)
 		return
 	}
@@ -338,6 +357,7 @@
 		view.leading, view.term, view.replica = r.leading(), core.Term(), r.id
 		view.quorumSilence = time.Duration(core.QuorumSilence()) * replicaTick
 		view.hasGroup = r.hasGroup()
+		view.logVersion, view.waitsFor = r.machine.LogVersion(), r.raise.waitsFor
 		if member, found := core.Configuration().Member(core.Leader()); found {
 			view.leader = member.Node
 		}
@@ -365,6 +385,7 @@
 	hello.Leader, hello.Term = view.leader, view.term
 	hello.QuorumSilenceMS = uint64(view.quorumSilence.Milliseconds())
 	hello.WallMS = time.Now().UnixMilli()
+	hello.LogVersion = uint32(machine.OwnLogVersion)
 }
 
 func (r *replicaDuty) manageMembers() {
--- a/internal/gateway/rolloutorders.go
+++ b/internal/gateway/rolloutorders.go
@@ -122,6 +122,9 @@
 	if index.Service(order.Service) == nil {
 		return refusedUnknownService
 	}
+	if n.replica.shared.Load().logVersion < machine.VersionRollouts {
+		return refusedOlderNodes
+	}
 	for _, known := range n.fleet.view.Load().alive {
 		if known.Dialect < peer.DialectSums {
 			return refusedOlderNodes
--- a/internal/lab/labcli/soak.go
+++ b/internal/lab/labcli/soak.go
@@ -24,6 +24,7 @@
 			&cli.StringFlag{Name: "daemon", Value: "bin/ravenwayd", Usage: "the daemon's program"},
 			&cli.StringFlag{Name: "earlier", Usage: "the daemon of an earlier build: the fleet starts on it and is upgraded to --daemon, one machine after the other"},
 			&cli.BoolFlag{Name: "earlier-has-quarantine", Usage: "the earlier build holds requests that end their engines in quarantine"},
+			&cli.BoolFlag{Name: "going-back", Usage: "half of the machines are given the earlier build again before the upgrade goes on"},
 			&cli.StringFlag{Name: "order", Value: "all", Usage: "order of the upgrade: control (first), entry (first), mixed, or all of them by turns"},
 			&cli.Uint64Flag{Name: "first", Value: 1, Usage: "first seed"},
 			&cli.Uint64Flag{Name: "seeds", Value: 1, Usage: "number of seeds"},
@@ -83,7 +84,7 @@
 	}
 	defer report.Close()
 	return soak.Run(ctx, soak.Options{
-		Daemon: command.String("daemon"), Earlier: command.String("earlier"), EarlierHasQuarantine: command.Bool("earlier-has-quarantine"), Order: order, Wire: wire, Seed: seed, Entries: command.Int("entries"), Length: command.Duration("length"),
+		Daemon: command.String("daemon"), Earlier: command.String("earlier"), EarlierHasQuarantine: command.Bool("earlier-has-quarantine"), GoesBack: command.Bool("going-back"), Order: order, Wire: wire, Seed: seed, Entries: command.Int("entries"), Length: command.Duration("length"),
 		Folder: folder, Lane: lane, Report: report,
 	})
 }
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -29,6 +29,9 @@
 	// EarlierHasQuarantine tells that the earlier build holds requests that end their
 	// engines in quarantine.
 	EarlierHasQuarantine bool
+	// GoesBack has half of the machines given the earlier build again before the upgrade
+	// goes on.
+	GoesBack bool
 	// Order is the order in which an upgrade replaces the machines.
 	Order Order
 	Wire  standin.Wire
--- a/internal/lab/soak/upgrade.go
+++ b/internal/lab/soak/upgrade.go
@@ -64,6 +64,11 @@
 		r.keepChanging(changing)
 	}()
 	machines := inOrder(r.fleet.members, options.Order, random)
+	if options.GoesBack {
+		half := machines[:len(machines)/2]
+		r.replaceAll(ctx, half, options.Daemon, "first half of the upgrade")
+		r.replaceAll(ctx, half, options.Earlier, "going back")
+	}
 	mixed := r.replaceAll(ctx, machines, options.Daemon, "upgrade")
 	if !options.EarlierHasQuarantine {
 		r.noteQuarantine()
--- a/internal/operatorcli/commands.go
+++ b/internal/operatorcli/commands.go
@@ -1,6 +1,7 @@
 package operatorcli
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
@@ -275,33 +276,52 @@
 		return err
 	}
 	return s.show(answer, func() {
-		leader := answer.GetLeader()
-		if leader == "" {
-			leader = "unknown"
-		}
-		quorumAge := time.Duration(answer.GetQuorumAgeMilliseconds()) * time.Millisecond
-		fmt.Fprintf(s.out, "as seen by %s: leader %s, term %d, commit %d, revision %d, last word of a quorum %v ago\n",
-			answer.GetNode(), leader, answer.GetTerm(), answer.GetCommitIndex(), answer.GetRevision(), quorumAge)
-		if answer.GetVoters() > 0 {
-			fmt.Fprintf(s.out, "voters %d, of which %d hold every committed entry on disk\n", answer.GetVoters(), answer.GetCaughtUpVoters())
-		}
+		s.sayGroup(answer)
 		if zones := answer.GetEvacuatedZones(); len(zones) > 0 {
 			fmt.Fprintf(s.out, "evacuated zones: %s\n", strings.Join(zones, ", "))
 		}
 		s.sayRollouts(answer)
-		s.table("NODE\tZONE\tCONTROL\tLEADER\tREVISION\tDIALECT\tSILENT\tSTATE", func(row func(...any)) {
-			for _, node := range answer.GetNodes() {
-				silent := time.Duration(node.GetSilentMilliseconds()) * time.Millisecond
-				state := "live"
-				if node.GetStopping() {
-					state = "stopping"
-				}
-				if silent > reachableSilence {
-					state = "not heard from"
-				}
-				row(node.GetName(), node.GetZone(), node.GetControl(), node.GetLeader(), node.GetRevision(), node.GetDialect(), silent.Round(100*time.Millisecond), state)
+		s.sayNodes(answer.GetNodes())
+	})
+}
+
+// sayGroup tells how the group of control replicas stands.
+func (s *session) sayGroup(answer *ravenwayv1.GetStatusResponse) {
+	leader := answer.GetLeader()
+	if leader == "" {
+		leader = "unknown"
+	}
+	quorumAge := time.Duration(answer.GetQuorumAgeMilliseconds()) * time.Millisecond
+	fmt.Fprintf(s.out, "as seen by %s: leader %s, term %d, commit %d, revision %d, last word of a quorum %v ago\n",
+		answer.GetNode(), leader, answer.GetTerm(), answer.GetCommitIndex(), answer.GetRevision(), quorumAge)
+	if answer.GetVoters() > 0 {
+		fmt.Fprintf(s.out, "voters %d, of which %d hold every committed entry on disk\n", answer.GetVoters(), answer.GetCaughtUpVoters())
+	}
+	if version, newest := answer.GetLogVersion(), answer.GetNewestLogVersion(); version < newest {
+		fmt.Fprintf(s.out, "log version %d, to be raised to %d; the earlier build may be taken again until then", version, newest)
+		if waiting := answer.GetLogVersionWaitsFor(); len(waiting) > 0 {
+			fmt.Fprintf(s.out, "; waits for %s", strings.Join(waiting, ", "))
+		}
+		fmt.Fprintln(s.out)
+	} else if newest > 0 {
+		fmt.Fprintf(s.out, "log version %d\n", version)
+	}
+}
+
+func (s *session) sayNodes(nodes []*ravenwayv1.NodeStatus) {
+	s.table("NODE\tZONE\tCONTROL\tLEADER\tREVISION\tBUILD\tDIALECT\tSILENT\tSTATE", func(row func(...any)) {
+		for _, node := range nodes {
+			silent := time.Duration(node.GetSilentMilliseconds()) * time.Millisecond
+			state := "live"
+			if node.GetStopping() {
+				state = "stopping"
 			}
-		})
+			if silent > reachableSilence {
+				state = "not heard from"
+			}
+			row(node.GetName(), node.GetZone(), node.GetControl(), node.GetLeader(), node.GetRevision(), cmp.Or(node.GetBuild(), "unknown"),
+				node.GetDialect(), silent.Round(100*time.Millisecond), state)
+		}
 	})
 }
 
--- a/internal/protocol/peer/fleet.go
+++ b/internal/protocol/peer/fleet.go
@@ -64,6 +64,11 @@
 	Dialect Dialect `msgpack:"b,omitempty"`
 	// OlderNodes are the dialects of those in Nodes that have not the sender's.
 	OlderNodes map[string]Dialect `msgpack:"o,omitempty"`
+	// LogVersion is the newest version of the replicated log that a control node reads; 0
+	// of builds that don't tell.
+	LogVersion uint32 `msgpack:"vl,omitempty"`
+	// Build is the commit of the sender's program, "" if it is not known.
+	Build string `msgpack:"bu,omitempty"`
 }
 
 // NodeEntry is one node in a list of nodes. It can't get another field: a list of
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -33,6 +33,7 @@
 	s.Bounds.StopGrace = cmp.Or(s.Bounds.StopGrace, DefaultStopGrace)
 	s.Bounds.RetryWindow = cmp.Or(s.Bounds.RetryWindow, DefaultRetryWindow)
 	s.Bounds.ExposureShare = cmp.Or(s.Bounds.ExposureShare, DefaultExposureShare)
+	s.Fleet.UpgradeSettling = cmp.Or(s.Fleet.UpgradeSettling, DefaultUpgradeSettling)
 	s.Quarantine.Memory = cmp.Or(s.Quarantine.Memory, DefaultQuarantineMemory)
 	s.Quarantine.Requests = cmp.Or(s.Quarantine.Requests, DefaultQuarantineRequests)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,8 @@
 	DefaultStopTimeout      = 10 * time.Minute
 	DefaultStopGrace        = 8 * time.Second
 	DefaultRetryWindow      = 10 * time.Second
+	// DefaultUpgradeSettling is about as long as it takes to see that a fleet serves.
+	DefaultUpgradeSettling = 10 * time.Second
 	// DefaultExposureShare is what the users' deployments allow.
 	DefaultExposureShare = 0.1
 	// DefaultQuarantineMemory makes a request that goes on ending engines cost one of
@@ -118,6 +120,10 @@
 	// FirstStart tells that the whole system starts for the first time, with
 	// empty disks: the control group may be founded.
 	FirstStart bool `toml:"first_start"`
+	// UpgradeSettling is how long all control nodes must have run a newer build before the
+	// replicated log holds what the earlier one can't read. Until then the fleet may be
+	// given the earlier build again.
+	UpgradeSettling time.Duration `toml:"upgrade_settling"`
 }
 
 // Bounds are the promises that the platform's users were given. Only with
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -51,9 +51,10 @@
 	// Contact is what the proposer's clocks show, for Reports; its index is that
 	// of the entry.
 	Contact accounts.Contact `msgpack:"k"`
-	// Zone and Rollout are encoded by themselves, see namedEntry.
+	// Zone, Rollout and Version are encoded by themselves, see namedEntry.
 	Zone    *ZoneCommand    `msgpack:"-"`
 	Rollout *RolloutCommand `msgpack:"-"`
+	Version *VersionCommand `msgpack:"-"`
 }
 
 // CatalogCommand changes the catalog.
@@ -177,6 +178,7 @@
 	document       HeldDocument
 	evacuated      evacuation.Zones
 	rollouts       rollout.Set
+	logVersion     LogVersion
 }
 
 // New makes an empty state.
@@ -283,6 +285,8 @@
 		return m.applyZone(index, command.Zone)
 	case command.Rollout != nil:
 		return m.applyRollout(index, command.Rollout)
+	case command.Version != nil:
+		return m.applyVersion(command.Version)
 	}
 	return Result{Refused: "the command is of a kind that this version does not know"}
 }
--- a/internal/state/machine/named.go
+++ b/internal/state/machine/named.go
@@ -36,13 +36,14 @@
 type namedEntry struct {
 	Zone    *ZoneCommand    `msgpack:"zone_command,omitempty"`
 	Rollout *RolloutCommand `msgpack:"rollout_command,omitempty"`
+	Version *VersionCommand `msgpack:"version_command,omitempty"`
 }
 
 // isNamed tells whether the log holds a command with field names.
-func (c *Command) isNamed() bool { return c.Zone != nil || c.Rollout != nil }
+func (c *Command) isNamed() bool { return c.Zone != nil || c.Rollout != nil || c.Version != nil }
 
 func encodeNamed(command Command) ([]byte, error) {
-	data, err := msgpack.Marshal(&namedEntry{Zone: command.Zone, Rollout: command.Rollout})
+	data, err := msgpack.Marshal(&namedEntry{Zone: command.Zone, Rollout: command.Rollout, Version: command.Version})
 	if err != nil {
 		return nil, fmt.Errorf("encoding an order: %w", err)
 	}
@@ -60,7 +61,7 @@
 		// It is refused as a command, with the reason.
 		return Command{}, false
 	}
-	command := Command{Zone: entry.Zone, Rollout: entry.Rollout}
+	command := Command{Zone: entry.Zone, Rollout: entry.Rollout, Version: entry.Version}
 	return command, command.isNamed()
 }
 
--- a/internal/state/machine/snapshot.go
+++ b/internal/state/machine/snapshot.go
@@ -28,6 +28,7 @@
 	Document   HeldDocument      `msgpack:"m"`
 	Evacuated  evacuation.Zones  `msgpack:"z"`
 	Rollouts   rollout.Set       `msgpack:"l"`
+	LogVersion LogVersion        `msgpack:"v,omitempty"`
 }
 
 // Snapshot implements consensus.StateMachine. Its bytes depend on the state
@@ -50,6 +51,7 @@
 	sort.Slice(stored.Nodes, func(i, j int) bool { return stored.Nodes[i].Name < stored.Nodes[j].Name })
 	stored.Orders = m.Orders()
 	stored.Document, stored.Evacuated, stored.Rollouts = m.document, m.evacuated, m.rollouts
+	stored.LogVersion = m.logVersion
 	data, err := msgpack.Marshal(&stored)
 	if err != nil {
 		return nil, fmt.Errorf("encoding the state: %w", err)
@@ -81,6 +83,7 @@
 		restored.orders[order.Fence] = &order
 	}
 	restored.document, restored.evacuated, restored.rollouts = stored.Document, stored.Evacuated, stored.Rollouts
+	restored.logVersion = stored.LogVersion
 	*m = *restored
 	return nil
 }
