Limits: read once more

A holder repeats the end of a limit to whoever asks. Limits that are over are looked for once a second.

--- a/internal/coordination/balance/greetings.go
+++ b/internal/coordination/balance/greetings.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
@@ -30,17 +32,23 @@
 // setNodes takes the other entry nodes.
 func (g *greetings) setNodes(others []EntryNode) {
 	g.greeter = ""
-	isInZone := false
-	for _, node := range others {
-		isNear := node.Zone == g.self.Zone
-		switch {
-		case g.greeter != "" && isInZone && !isNear:
-		case g.greeter == "" || isNear && !isInZone || node.Address < g.greeter:
-			g.greeter, isInZone = node.Address, isNear
-		}
+	if len(others) > 0 {
+		g.greeter = slices.MinFunc(others, g.compare).Address
 	}
 }
 
+// compare orders nodes of the own zone before others, and then by their addresses.
+func (g *greetings) compare(one, other EntryNode) int {
+	isNear, isOtherNear := one.Zone == g.self.Zone, other.Zone == g.self.Zone
+	switch {
+	case isNear == isOtherNear:
+		return cmp.Compare(one.Address, other.Address)
+	case isNear:
+		return -1
+	}
+	return 1
+}
+
 // step returns the question of this node, and its answers to others.
 func (g *greetings) step(now time.Duration, inForce func() []ratelimit.Word) []OutgoingReport {
 	var reports []OutgoingReport
--- a/internal/coordination/ratelimit/permits.go
+++ b/internal/coordination/ratelimit/permits.go
@@ -107,7 +107,7 @@
 		return Answer{FreeMS: uint64(silentHolder.Milliseconds())}
 	}
 	answer := Answer{}
-	if known.at > word.At {
+	if known.at > word.At || known.hasEnded {
 		answer.Words = ForSending(now, []Word{known.word(word.Life)})
 	}
 	if known.hasEnded {
--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -10,8 +10,8 @@
 //
 // Who is live may be seen differently for a while, and always errs to fewer permits: a
 // node gives none before it was the holder in all it knew for TakeoverTime; while nodes of
-// the zone are missing, the holder gives out the parts of those that it sees, and its own
-// part alone while it can't tell who is there.
+// the zone are missing, the holder gives out the parts of those that it sees, and while it
+// can't tell who is there its own part and those of the nodes that ask it.
 //
 // What is known of limits passes between the nodes beside their loads (Words). None of it
 // has to come: a node that doesn't know a limit learns it with the first answer, one that
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -109,7 +109,7 @@
 	if regions := r.regions(); regions.IsBound && !r.pipeline.options.Table.HasInRegions(service, regions) {
 		return ReasonNoRegion
 	}
-	if r.isLimited(service) {
+	if r.planReturn(service) {
 		return ReasonRateLimited
 	}
 	return ReasonNoInstance
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -81,9 +81,9 @@
 	r.pipeline.options.Log.Attempt(r, choice, "no_permit", err)
 }
 
-// isLimited tells whether only limits keep the request from a service's instances, and
-// when it may come back.
-func (r *request) isLimited(service string) bool {
+// planReturn plans when the request's caller may come back, if only limits keep it from a
+// service's instances; false if something else does.
+func (r *request) planReturn(service string) bool {
 	environment := r.pipeline.options.Environment
 	now := environment.Now()
 	room, isLimited := r.pipeline.options.Table.LimitedRoom(now, r.wanted(service))
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -45,11 +45,22 @@
 type limitKeeper struct {
 	node   *Node
 	limits *ratelimit.Limits
-	// generation is that of the live entry nodes that the limits know.
+	// nodes are the live entry nodes that the limits know.
+	nodes    nodesOfLimits
+	prunedAt time.Duration
+	lines    lineBudget
+}
+
+// nodesOfLimits names a list of entry nodes.
+type nodesOfLimits struct {
 	generation uint64
-	lines      lineBudget
+	// isLive tells that control nodes tell who is live; else they only name nodes.
+	isLive bool
 }
 
+// pruneInterval is the time between looks for limits that are over.
+const pruneInterval = time.Second
+
 // lineBudget bounds the lines on limits.
 type lineBudget struct {
 	tick    atomic.Int64
@@ -77,25 +88,43 @@
 // look tells the limits who is live. The loads' duty calls it.
 func (k *limitKeeper) look() {
 	now, view := k.node.now(), k.node.fleet.view.Load()
-	isControl := k.node.replica != nil
-	if isControl || view.live.Generation != k.generation {
-		k.generation = view.live.Generation
-		k.limits.SetNodes(now, k.nodes(view))
-	}
+	k.takeNodes(now, view)
 	k.limits.SetSure(now, view.live.NamesSelf && !k.node.isStopping())
-	k.limits.Prune(now)
+	if now-k.prunedAt >= pruneInterval {
+		k.limits.Prune(now)
+		k.prunedAt = now
+	}
 	limitsInForce.Set(float64(k.limits.Count()))
 }
 
-// nodes are the live entry nodes that give out permits, this one included.
-func (k *limitKeeper) nodes(view *fleetView) []ratelimit.Node {
+// takeNodes tells the limits which entry nodes give out permits, this one included. Control
+// nodes of builds that don't tell who is live are taken at their word of who is there.
+func (k *limitKeeper) takeNodes(now time.Duration, view *fleetView) {
+	isControl := k.node.replica != nil
+	current := nodesOfLimits{generation: view.live.Generation, isLive: isControl || view.live.Generation > 0}
+	if !current.isLive {
+		current.generation = view.neighbours.generation
+	}
+	if current == k.nodes && !isControl {
+		return
+	}
+	k.nodes = current
 	nodes := []ratelimit.Node{{Address: k.node.address, Zone: k.node.settings.Load().Node.Zone}}
-	for _, entry := range view.live.Nodes {
-		if entry.Address != k.node.address && k.node.dialects.reader(entry.Address) >= peer.DialectPermits {
-			nodes = append(nodes, ratelimit.Node{Address: entry.Address, Zone: entry.Zone})
+	add := func(address, zone string) {
+		if address != k.node.address && k.node.dialects.reader(address) >= peer.DialectPermits {
+			nodes = append(nodes, ratelimit.Node{Address: address, Zone: zone})
+		}
+	}
+	if current.isLive {
+		for _, entry := range view.live.Nodes {
+			add(entry.Address, entry.Zone)
+		}
+	} else {
+		for _, entry := range view.neighbours.nodes {
+			add(entry.Address, entry.Zone)
 		}
 	}
-	return nodes
+	k.limits.SetNodes(now, nodes)
 }
 
 // Learn implements forward.RateLimits.
