One hash of two strings, for homes, holders and requests' names

Ruled out: one function that picks the highest of a list, too: homes are sought among members, holders among names, and a shared one would take a callback for each comparison on the path of each request.

--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -6,9 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/pairhash"
 )
 
 const (
@@ -242,7 +241,7 @@
 	var homeWeight uint64
 	for _, among := range [...][]*member{candidates.open, candidates.limited} {
 		for _, one := range among {
-			if weight := rendezvous(part, one.ID); home == nil || weight > homeWeight {
+			if weight := pairhash.Of(part, one.ID); home == nil || weight > homeWeight {
 				home, homeWeight = one, weight
 			}
 		}
@@ -250,14 +249,6 @@
 	return home
 }
 
-func rendezvous(part, id string) uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(part)
-	_, _ = digest.Write([]byte{0})
-	_, _ = digest.WriteString(id)
-	return digest.Sum64()
-}
-
 func (t *Table) chooseLeastBusy(candidates []*member) *member {
 	var best *member
 	bestScore := math.Inf(1)
--- a/internal/coordination/balance/rollout.go
+++ b/internal/coordination/balance/rollout.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/pairhash"
 	"github.com/ravenway/ravenway/internal/state/rollout"
 )
 
@@ -76,7 +77,7 @@
 		draw := strconv.FormatUint(one.Revision, 10)
 		for _, members := range byZone {
 			slices.SortFunc(members, func(a, b *member) int {
-				if rendezvous(draw, a.ID) > rendezvous(draw, b.ID) {
+				if pairhash.Of(draw, a.ID) > pairhash.Of(draw, b.ID) {
 					return -1
 				}
 				return 1
--- a/internal/coordination/membership/pool.go
+++ b/internal/coordination/membership/pool.go
@@ -8,7 +8,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/ravenway/ravenway/internal/pairhash"
 )
 
 // HoldersPerKey is the number of holders of each claim.
@@ -108,7 +108,7 @@
 	}
 	scores := make([]scored, len(names))
 	for position, name := range names {
-		scores[position] = scored{name: name, score: score(key, name)}
+		scores[position] = scored{name: name, score: pairhash.Of(name, key)}
 	}
 	slices.SortFunc(scores, func(a, b scored) int {
 		if a.score != b.score {
@@ -128,7 +128,7 @@
 	var best string
 	var bestScore uint64
 	for position, name := range names {
-		one := score(key, name)
+		one := pairhash.Of(name, key)
 		if position == 0 || one > bestScore || one == bestScore && name < best {
 			best, bestScore = name, one
 		}
@@ -136,14 +136,6 @@
 	return best
 }
 
-func score(key, name string) uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(name)
-	_, _ = digest.Write([]byte{0})
-	_, _ = digest.WriteString(key)
-	return digest.Sum64()
-}
-
 func firstOf(names []string, count int) []string {
 	return slices.Clone(names[:min(count, len(names))])
 }
--- a/internal/coordination/quarantine/fingerprint.go
+++ b/internal/coordination/quarantine/fingerprint.go
@@ -7,6 +7,8 @@
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/ravenway/ravenway/internal/pairhash"
 )
 
 // Fingerprint names a request whatever its id, its node, its connection or its key:
@@ -23,13 +25,7 @@
 
 // ScopeOf covers what is known of a request before its body: the target with its
 // host, and the caller's name.
-func ScopeOf(target, caller string) uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(target)
-	_, _ = digest.Write([]byte{0})
-	_, _ = digest.WriteString(caller)
-	return digest.Sum64()
-}
+func ScopeOf(target, caller string) uint64 { return pairhash.Of(target, caller) }
 
 // FingerprintOf names a request.
 func FingerprintOf(scope uint64, body []byte) Fingerprint {
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -18,11 +18,12 @@
 var allowed = map[string][]string{
 	"state":        {"api/", "internal/state"},
 	"protocol":     {"api/", "internal/protocol", "internal/state"},
+	"pairhash":     {},
 	"pause":        {},
 	"ring":         {},
 	"duty":         {"internal/ring"},
 	"transport":    {"internal/pause", "internal/protocol", "internal/ring"},
-	"coordination": {"api/", "internal/coordination", "internal/protocol", "internal/state"},
+	"coordination": {"api/", "internal/coordination", "internal/pairhash", "internal/protocol", "internal/state"},
 	"settings":     {},
 	"node":         {"api/", "internal/coordination", "internal/duty", "internal/pause", "internal/protocol", "internal/ring", "internal/settings", "internal/state", "internal/transport"},
 	"forward":      {"internal/coordination", "internal/state", "internal/transport"},
