One budget of log lines and one place that keeps idle connections

Cause: the limits' keeper bounded its lines a second with a counter of its own, beside the decision log's; a connection that nothing was sent over was kept by the same lines as one whose answer was read. Change: forward.LineBudget serves the decision log and the limits, pool.keep both kinds of connections. Ruled out: a mutex less in the decision log by giving the budget atomics: a line costs more than either.

--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -190,13 +190,7 @@
 	}
 	_ = done.network.SetDeadline(time.Time{})
 	done.keepUntil = time.Now().Add(keep)
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if len(p.idle[address]) >= maximumIdle {
-		done.close()
-		return
-	}
-	p.idle[address] = append(p.idle[address], done)
+	p.keep(address, done)
 }
 
 // giveBack keeps a connection over which nothing was sent.
@@ -204,13 +198,18 @@
 	if unused.keepUntil.IsZero() {
 		unused.keepUntil = time.Now().Add(defaultIdle)
 	}
+	p.keep(address, unused)
+}
+
+// keep keeps an idle connection, as long as there are not too many to its engine.
+func (p *pool) keep(address string, idle *connection) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if len(p.idle[address]) >= maximumIdle {
-		unused.close()
+		idle.close()
 		return
 	}
-	p.idle[address] = append(p.idle[address], unused)
+	p.idle[address] = append(p.idle[address], idle)
 }
 
 // prune closes kept connections that are past their time.
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -25,14 +25,12 @@
 // sums up the rest, and keeps the latest ones for Explain.
 type DecisionLog struct {
 	logger zerolog.Logger
+	lines  *LineBudget
 
-	mutex  sync.Mutex
-	second int64
-	lines  int
-	// served, late and leftOut are counts since the last summary, refused those by
-	// reason.
-	served, lateCount, leftOut int
-	refused                    map[Reason]int
+	mutex sync.Mutex
+	// served and late are counts since the last summary, refused those by reason.
+	served, lateCount int
+	refused           map[Reason]int
 	// kept is a ring of the latest decisions; next is its oldest place.
 	kept []keptDecision
 	next int
@@ -45,7 +43,7 @@
 
 // NewDecisionLog makes a log.
 func NewDecisionLog(logger zerolog.Logger) *DecisionLog {
-	return &DecisionLog{logger: logger, refused: map[Reason]int{}}
+	return &DecisionLog{logger: logger, lines: NewLineBudget(linesPerSecond), refused: map[Reason]int{}}
 }
 
 // Explain returns what was decided on a request of late, oldest first.
@@ -64,26 +62,21 @@
 
 // keep remembers a decision and tells whether its line may be written.
 func (l *DecisionLog) keep(r *request, text string) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	if r.call != nil {
-		one := keptDecision{request: r.call.ID, text: fmt.Sprintf("after %d ms: %s", time.Since(r.arrived).Milliseconds(), text)}
-		if len(l.kept) < decisionsKept {
-			l.kept = append(l.kept, one)
-		} else {
-			l.kept[l.next] = one
-			l.next = (l.next + 1) % decisionsKept
-		}
+		l.remember(keptDecision{request: r.call.ID, text: fmt.Sprintf("after %d ms: %s", time.Since(r.arrived).Milliseconds(), text)})
 	}
-	if now := time.Now().Unix(); now != l.second {
-		l.second, l.lines = now, 0
-	}
-	l.lines++
-	if l.lines > linesPerSecond {
-		l.leftOut++
-		return false
+	return l.lines.Take()
+}
+
+func (l *DecisionLog) remember(one keptDecision) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if len(l.kept) < decisionsKept {
+		l.kept = append(l.kept, one)
+		return
 	}
-	return true
+	l.kept[l.next] = one
+	l.next = (l.next + 1) % decisionsKept
 }
 
 func (l *DecisionLog) line(r *request, event string) *zerolog.Event {
@@ -217,9 +210,10 @@
 // Summarize writes what was not written line by line since the last call.
 func (l *DecisionLog) Summarize() {
 	l.mutex.Lock()
-	served, late, leftOut, refused := l.served, l.lateCount, l.leftOut, l.refused
-	l.served, l.lateCount, l.leftOut, l.refused = 0, 0, 0, map[Reason]int{}
+	served, late, refused := l.served, l.lateCount, l.refused
+	l.served, l.lateCount, l.refused = 0, 0, map[Reason]int{}
 	l.mutex.Unlock()
+	leftOut := l.lines.TakeLeftOut()
 	if served == 0 && leftOut == 0 && len(refused) == 0 {
 		return
 	}
--- /dev/null
+++ b/internal/forward/lines.go
@@ -0,0 +1,42 @@
+package forward
+
+import (
+	"sync"
+	"time"
+)
+
+// LineBudget bounds the lines that are written in a second. Safe for concurrent use.
+type LineBudget struct {
+	perSecond int
+	mutex     sync.Mutex
+	second    int64
+	lines     int
+	leftOut   int
+}
+
+// NewLineBudget makes a budget of some lines a second.
+func NewLineBudget(perSecond int) *LineBudget { return &LineBudget{perSecond: perSecond} }
+
+// Take tells whether one more line may be written now.
+func (b *LineBudget) Take() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if now := time.Now().Unix(); now != b.second {
+		b.second, b.lines = now, 0
+	}
+	b.lines++
+	if b.lines > b.perSecond {
+		b.leftOut++
+		return false
+	}
+	return true
+}
+
+// TakeLeftOut returns how many lines were left out since the last call.
+func (b *LineBudget) TakeLeftOut() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	leftOut := b.leftOut
+	b.leftOut = 0
+	return leftOut
+}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -21,11 +20,9 @@
 	// patience: a round trip within a region takes some milliseconds, between regions up
 	// to 150.
 	holderPatience = 200 * time.Millisecond
-	// limitLinesPerTick bounds the lines on limits that begin, change or end, in a tick of
-	// limitLineTick: hundreds of instances may name one at the same moment. What is left
-	// out is counted.
-	limitLinesPerTick = 10
-	limitLineTick     = time.Second
+	// limitLinesPerSecond bounds the lines on limits: hundreds of instances may name one at
+	// the same moment. What is left out is counted.
+	limitLinesPerSecond = 10
 )
 
 var (
@@ -48,7 +45,7 @@
 	// nodes are the live entry nodes that the limits know.
 	nodes    nodesOfLimits
 	prunedAt time.Duration
-	lines    lineBudget
+	lines    *forward.LineBudget
 }
 
 // nodesOfLimits names a list of entry nodes.
@@ -61,28 +58,8 @@
 // pruneInterval is the time between looks for limits that are over.
 const pruneInterval = time.Second
 
-// lineBudget bounds the lines on limits.
-type lineBudget struct {
-	tick    atomic.Int64
-	written atomic.Int64
-	leftOut atomic.Int64
-}
-
-// take tells whether one more line may be written.
-func (b *lineBudget) take(now time.Duration) bool {
-	tick := int64(now / limitLineTick)
-	if b.tick.Swap(tick) != tick {
-		b.written.Store(0)
-	}
-	if b.written.Add(1) <= limitLinesPerTick {
-		return true
-	}
-	b.leftOut.Add(1)
-	return false
-}
-
 func newLimitKeeper(node *Node) *limitKeeper {
-	return &limitKeeper{node: node, limits: ratelimit.New(node.address)}
+	return &limitKeeper{node: node, limits: ratelimit.New(node.address), lines: forward.NewLineBudget(limitLinesPerSecond)}
 }
 
 // look tells the limits who is live. The loads' duty calls it.
@@ -157,7 +134,7 @@
 			event = "instance_limit_unreadable"
 		case ratelimit.Changed:
 		}
-		if !k.lines.take(k.node.now()) {
+		if !k.lines.Take() {
 			continue
 		}
 		k.node.log.Info().Str("event", event).Stringer("life", change.Life).Stringer("change", change.Kind).
@@ -232,12 +209,12 @@
 func (k *limitKeeper) summarize() {
 	now := k.node.now()
 	for _, use := range k.limits.TakeUse(now) {
-		if k.lines.take(now) {
+		if k.lines.Take() {
 			k.node.log.Info().Str("event", "instance_limit_use").Stringer("life", use.Life).Float64("per_second", use.PerSecond).
 				Int("granted", use.Granted).Int("denied", use.Denied).Int64("free_in_ms", use.Wait.Milliseconds()).Send()
 		}
 	}
-	if leftOut := k.lines.leftOut.Swap(0); leftOut > 0 {
-		k.node.log.Info().Str("event", "instance_limits").Int64("lines_left_out", leftOut).Int("in_force", len(k.limits.List(now))).Send()
+	if leftOut := k.lines.TakeLeftOut(); leftOut > 0 {
+		k.node.log.Info().Str("event", "instance_limits").Int("lines_left_out", leftOut).Int("in_force", len(k.limits.List(now))).Send()
 	}
 }
