Who is live is listed where limits are kept, and by the roster alone

Cause, found by reading: control nodes without callers made the list of live entry nodes at each look at the roster, and nobody there reads it; and the limits' keeper had a special case each for control nodes, whose list had no generation, and for control nodes of builds that don't count their lists. Change: the roster gives one list with one generation in all three cases, and only entry nodes ask for it. Why it holds: a list is still taken from what control nodes count, and from what they name only until any of them has counted; tests of both.

--- a/internal/coordination/roster/live.go
+++ b/internal/coordination/roster/live.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -31,7 +32,8 @@
 }
 
 // LiveEntries returns what the control nodes that are heard tell. While none is heard that
-// lists entry nodes, it is what was told last, without this node. The caller must not
+// lists entry nodes, it is what was told last, without this node; before any did, as while
+// all control nodes have builds that don't, it is what Entries knows. The caller must not
 // change it.
 func (r *Roster) LiveEntries(now time.Duration) LiveEntries {
 	var sources []listSource
@@ -45,6 +47,9 @@
 		sources = append(sources, listSource{address: control.Address, life: control.Life, version: control.ListVersion})
 	}
 	if len(sources) == 0 {
+		if entries, _ := r.Entries(now); r.live.sources == nil && len(entries) > 0 {
+			r.setLive(entries)
+		}
 		known := r.live.LiveEntries
 		known.NamesSelf = false
 		return known
@@ -65,12 +70,24 @@
 			}
 		}
 	}
-	nodes := make([]peer.NodeEntry, 0, len(entries))
-	for _, node := range entries {
-		nodes = append(nodes, node)
-	}
-	slices.SortFunc(nodes, compareEntries)
 	_, r.live.NamesSelf = entries[r.self]
+	r.setLive(slices.SortedFunc(maps.Values(entries), compareEntries))
+}
+
+// HeardEntries returns the other entry nodes that this node hears itself, for a control
+// node, which may count itself in.
+func (r *Roster) HeardEntries(now time.Duration, namesSelf bool) LiveEntries {
+	var nodes []peer.NodeEntry
+	for _, known := range r.alive(now, func(known *Heard) bool { return known.Entry && !known.Stopping }) {
+		nodes = append(nodes, peer.NodeEntry{Address: known.Address, Zone: known.Zone, Entry: true, Control: known.Control})
+	}
+	r.setLive(nodes)
+	r.live.NamesSelf = namesSelf
+	return r.live.LiveEntries
+}
+
+// setLive takes the live entry nodes, in order.
+func (r *Roster) setLive(nodes []peer.NodeEntry) {
 	if r.live.Generation == 0 || !slices.Equal(nodes, r.live.Nodes) {
 		r.live.Nodes = nodes
 		r.live.Generation++
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -120,7 +120,7 @@
 	// entries is the number of live entry nodes, this one included.
 	entries    int
 	neighbours neighbours
-	// live are the entry nodes that control nodes hear now.
+	// live are the entry nodes that control nodes hear now, at entry nodes only.
 	live roster.LiveEntries
 	// rootHeardAt is when a control node that has a quorum was last heard, and
 	// certainVersion the newest version then.
@@ -424,7 +424,9 @@
 	if current.HasRole(settings.RoleEntry) {
 		view.entries++
 	}
-	view.live = f.liveEntries(now, view.alive)
+	if f.node.limits != nil {
+		view.live = f.liveEntries(now)
+	}
 	for _, known := range f.roster.Controls(now) {
 		view.controls++
 		quorum := time.Duration(known.QuorumSilenceMS) * time.Millisecond
@@ -438,18 +440,12 @@
 }
 
 // liveEntries are the entry nodes that control nodes hear now. A control node hears them
-// itself, and tells the others of itself while it has a quorum.
-func (f *fleetDuty) liveEntries(now time.Duration, alive []*roster.Heard) roster.LiveEntries {
-	if !f.isControl() {
-		return f.roster.LiveEntries(now)
-	}
-	live := roster.LiveEntries{NamesSelf: f.node.hearsRoot()}
-	for _, known := range alive {
-		if known.Entry && !known.Stopping {
-			live.Nodes = append(live.Nodes, peer.NodeEntry{Address: known.Address, Zone: known.Zone, Entry: true, Control: known.Control})
-		}
+// itself, and counts as heard while it has a quorum.
+func (f *fleetDuty) liveEntries(now time.Duration) roster.LiveEntries {
+	if f.isControl() {
+		return f.roster.HeardEntries(now, f.node.hearsRoot())
 	}
-	return live
+	return f.roster.LiveEntries(now)
 }
 
 // startingAfter turns a sorted list so that it begins behind a node's own
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -10,6 +10,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/coordination/roster"
 	"github.com/ravenway/ravenway/internal/forward"
 	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
@@ -42,17 +43,10 @@
 type limitKeeper struct {
 	node   *Node
 	limits *ratelimit.Limits
-	// nodes are the live entry nodes that the limits know.
-	nodes    nodesOfLimits
-	prunedAt time.Duration
-	lines    *forward.LineBudget
-}
-
-// nodesOfLimits names a list of entry nodes.
-type nodesOfLimits struct {
+	// generation is that of the live entry nodes that the limits know.
 	generation uint64
-	// isLive tells that control nodes tell who is live; else they only name nodes.
-	isLive bool
+	prunedAt   time.Duration
+	lines      *forward.LineBudget
 }
 
 // pruneInterval is the time between looks for limits that are over.
@@ -64,9 +58,9 @@
 
 // look tells the limits who is live. The loads' duty calls it.
 func (k *limitKeeper) look() {
-	now, view := k.node.now(), k.node.fleet.view.Load()
-	k.takeNodes(now, view)
-	k.limits.SetSure(now, view.live.NamesSelf && !k.node.isStopping())
+	now, live := k.node.now(), k.node.fleet.view.Load().live
+	k.takeNodes(now, live)
+	k.limits.SetSure(now, live.NamesSelf && !k.node.isStopping())
 	if now-k.prunedAt >= pruneInterval {
 		k.limits.Prune(now)
 		k.prunedAt = now
@@ -74,31 +68,16 @@
 	limitsInForce.Set(float64(k.limits.Count()))
 }
 
-// takeNodes tells the limits which entry nodes give out permits, this one included. Control
-// nodes of builds that don't tell who is live are taken at their word of who is there.
-func (k *limitKeeper) takeNodes(now time.Duration, view *fleetView) {
-	isControl := k.node.replica != nil
-	current := nodesOfLimits{generation: view.live.Generation, isLive: isControl || view.live.Generation > 0}
-	if !current.isLive {
-		current.generation = view.neighbours.generation
-	}
-	if current == k.nodes && !isControl {
+// takeNodes tells the limits which entry nodes give out permits, this one included.
+func (k *limitKeeper) takeNodes(now time.Duration, live roster.LiveEntries) {
+	if live.Generation == k.generation {
 		return
 	}
-	k.nodes = current
+	k.generation = live.Generation
 	nodes := []ratelimit.Node{{Address: k.node.address, Zone: k.node.settings.Load().Node.Zone}}
-	add := func(address, zone string) {
-		if address != k.node.address && k.node.dialects.reader(address) >= peer.DialectPermits {
-			nodes = append(nodes, ratelimit.Node{Address: address, Zone: zone})
-		}
-	}
-	if current.isLive {
-		for _, entry := range view.live.Nodes {
-			add(entry.Address, entry.Zone)
-		}
-	} else {
-		for _, entry := range view.neighbours.nodes {
-			add(entry.Address, entry.Zone)
+	for _, entry := range live.Nodes {
+		if entry.Address != k.node.address && k.node.dialects.reader(entry.Address) >= peer.DialectPermits {
+			nodes = append(nodes, ratelimit.Node{Address: entry.Address, Zone: entry.Zone})
 		}
 	}
 	k.limits.SetNodes(now, nodes)
