Limits: one place for a word's age, for where a request may go, and for a room

Cause, found by reading: the age of a word was set and read back in two places each; who may serve a request was checked by the same three conditions in the choice and in the sum of what limits leave; the use of a limit had its own copy of its room; homes were sought by two nested loops. Change: Word.sentAt and receivedAt, Table.mayServe, Use has a Room, a walk over both kinds of candidates; the benchmarks at three sizes share their set-up. Result: nothing decides otherwise; the tests of the packages pass unchanged.

--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -121,6 +121,20 @@
 	limited []*member
 }
 
+// all goes through both kinds.
+func (s candidateSet) all(yield func(*member) bool) {
+	for _, one := range s.open {
+		if !yield(one) {
+			return
+		}
+	}
+	for _, one := range s.limited {
+		if !yield(one) {
+			return
+		}
+	}
+}
+
 // add puts an instance where it belongs.
 func (s *candidateSet) add(one *member, isLimited bool) {
 	if isLimited {
@@ -154,10 +168,7 @@
 func (t *Table) sortCandidates(now time.Duration, request Request, isAmong func(*member) bool) (healthy, others candidateSet) {
 	average := t.averageFailures(request.Service)
 	for _, one := range t.byService[request.Service] {
-		if !isAmong(one) || slices.Contains(request.Exclude, one.ID) || request.MaxInFlight > 0 && one.inFlight >= request.MaxInFlight {
-			continue
-		}
-		if t.evacuated.Contains(one.Zone) || !request.Regions.Contains(t.regionOfZone[one.Zone]) || !t.bears(now, one, request.Cold) {
+		if !isAmong(one) || !t.mayServe(one, request) || request.MaxInFlight > 0 && one.inFlight >= request.MaxInFlight || !t.bears(now, one, request.Cold) {
 			continue
 		}
 		isLimited := t.weighPermit(now, one, request.PermitPatience)
@@ -170,6 +181,12 @@
 	return healthy, others
 }
 
+// mayServe tells whether a request may go to an instance that it was not offered to yet, as
+// far as the instance's place matters.
+func (t *Table) mayServe(one *member, request Request) bool {
+	return !slices.Contains(request.Exclude, one.ID) && !t.evacuated.Contains(one.Zone) && request.Regions.Contains(t.regionOfZone[one.Zone])
+}
+
 // expected is what a choice weighs for one instance, in tokens.
 type expected struct {
 	ahead, unread, requests      int
@@ -239,11 +256,9 @@
 func homeOf(candidates candidateSet, part string) *member {
 	var home *member
 	var homeWeight uint64
-	for _, among := range [...][]*member{candidates.open, candidates.limited} {
-		for _, one := range among {
-			if weight := pairhash.Of(part, one.ID); home == nil || weight > homeWeight {
-				home, homeWeight = one, weight
-			}
+	for one := range candidates.all {
+		if weight := pairhash.Of(part, one.ID); home == nil || weight > homeWeight {
+			home, homeWeight = one, weight
 		}
 	}
 	return home
--- a/internal/coordination/balance/limited.go
+++ b/internal/coordination/balance/limited.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"slices"
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
@@ -55,8 +54,7 @@
 	found, isFirst := LimitedRoom{}, true
 	for _, one := range t.byService[request.Service] {
 		room, hasLimit := t.limits.Room(now, one.Life())
-		if !hasLimit || room.Wait <= request.PermitPatience || slices.Contains(request.Exclude, one.ID) ||
-			t.evacuated.Contains(one.Zone) || !request.Regions.Contains(t.regionOfZone[one.Zone]) {
+		if !hasLimit || room.Wait <= request.PermitPatience || !t.mayServe(one, request) {
 			continue
 		}
 		found.PerSecond += max(room.PerSecond, ratelimit.LeastRate)
--- a/internal/coordination/ratelimit/permits.go
+++ b/internal/coordination/ratelimit/permits.go
@@ -88,9 +88,7 @@
 	if known == nil {
 		return Ask{}, "", false
 	}
-	word := known.word(life)
-	word.AgeMS = uint64(max(0, now-word.At).Milliseconds())
-	return Ask{Word: word, Zone: zone, Need: need}, l.holders.of(now, life.ID, zone), true
+	return Ask{Word: known.word(life).sentAt(now), Zone: zone, Need: need}, l.holders.of(now, life.ID, zone), true
 }
 
 // Grant answers a node, this one or another, as the holder.
@@ -98,8 +96,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.holders.asked[from] = now
-	word := ask.Word
-	word.At = now - time.Duration(word.AgeMS)*time.Millisecond
+	word := ask.Word.receivedAt(now)
 	l.hear(now, word)
 	known := l.entries[word.Life]
 	if known == nil {
--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -281,12 +281,10 @@
 
 // Use is what this node made of a limit.
 type Use struct {
-	Life      registry.Life
-	PerSecond float64
+	Life registry.Life
+	Room
 	// Granted and Denied are its permits.
 	Granted, Denied int
-	// Wait is how long it is until the next one, as far as is known here.
-	Wait time.Duration
 }
 
 // TakeUse returns the use of the limits in force since the last call.
@@ -301,7 +299,7 @@
 		if known.granted+known.denied == 0 {
 			continue
 		}
-		used = append(used, Use{Life: life, PerSecond: known.perSecond, Granted: known.granted, Denied: known.denied, Wait: max(0, known.freeAt-now)})
+		used = append(used, Use{Life: life, Room: known.room(now), Granted: known.granted, Denied: known.denied})
 		known.granted, known.denied = 0, 0
 	}
 	return used
--- a/internal/coordination/ratelimit/ratelimit_bench_test.go
+++ b/internal/coordination/ratelimit/ratelimit_bench_test.go
@@ -53,37 +53,33 @@
 	}
 }
 
-// What the holder pays for a permit.
-func BenchmarkPermit(b *testing.B) {
+// atFleetSizes runs a benchmark with the nodes and the limits of fleets of each size.
+func atFleetSizes(b *testing.B, step func(number int, now time.Duration, nodes []Node, limits *Limits)) {
 	for _, size := range fleetSizes {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			nodes := fleetOf(size)
 			limits := withLimits(nodes)
-			now := start
 			b.ReportAllocs()
 			for number := 0; b.Loop(); number++ {
-				now += time.Millisecond
-				ask, _, _ := limits.Ask(now, lifeOf(number%limitedEngines), nodes[0].Zone, Need{PatienceMS: 100})
-				limits.Grant(now, nodes[1].Address, ask)
+				step(number, start+time.Duration(number)*time.Millisecond, nodes, limits)
 			}
 		})
 	}
 }
 
+// What the holder pays for a permit.
+func BenchmarkPermit(b *testing.B) {
+	atFleetSizes(b, func(number int, now time.Duration, nodes []Node, limits *Limits) {
+		ask, _, _ := limits.Ask(now, lifeOf(number%limitedEngines), nodes[0].Zone, Need{PatienceMS: 100})
+		limits.Grant(now, nodes[1].Address, ask)
+	})
+}
+
 // What a node pays when another one starts or ends.
 func BenchmarkNodesChange(b *testing.B) {
-	for _, size := range fleetSizes {
-		b.Run(fmt.Sprint(size), func(b *testing.B) {
-			nodes := fleetOf(size)
-			limits := withLimits(nodes)
-			now := start
-			b.ReportAllocs()
-			for number := 0; b.Loop(); number++ {
-				now += 100 * time.Millisecond
-				limits.SetNodes(now, nodes[:size-number%2])
-			}
-		})
-	}
+	atFleetSizes(b, func(number int, now time.Duration, nodes []Node, limits *Limits) {
+		limits.SetNodes(now, nodes[:len(nodes)-number%2])
+	})
 }
 
 // What a node hears when a third of 10,000 engines names limits.
--- a/internal/coordination/ratelimit/words.go
+++ b/internal/coordination/ratelimit/words.go
@@ -17,10 +17,22 @@
 	At time.Duration `msgpack:"-"`
 }
 
+// sentAt is the word as it is sent at a time, with its age.
+func (w Word) sentAt(now time.Duration) Word {
+	w.AgeMS = uint64(max(0, now-w.At).Milliseconds())
+	return w
+}
+
+// receivedAt is a word that another node sent, with its moment.
+func (w Word) receivedAt(now time.Duration) Word {
+	w.At = now - time.Duration(w.AgeMS)*time.Millisecond
+	return w
+}
+
 // Received sets the moment of words that another node sent.
 func Received(now time.Duration, words []Word) []Word {
-	for position := range words {
-		words[position].At = now - time.Duration(words[position].AgeMS)*time.Millisecond
+	for position, word := range words {
+		words[position] = word.receivedAt(now)
 	}
 	return words
 }
@@ -33,8 +45,7 @@
 	}
 	sent := make([]Word, 0, min(len(words), MaximumInForce))
 	for _, word := range words[:min(len(words), MaximumInForce)] {
-		word.AgeMS = uint64(max(0, now-word.At).Milliseconds())
-		sent = append(sent, word)
+		sent = append(sent, word.sentAt(now))
 	}
 	return sent
 }
