One count of what engines with limits get, for tests, simulations and the soak

Change: lab/limitcheck holds the bound and the count, with tests; the soak's engines name an empty limit as one; machine's apply and one beginning of a bad rollout serve all their tests. Assertions and bounds are as they were.

--- /dev/null
+++ b/internal/lab/limitcheck/limitcheck_test.go
@@ -0,0 +1,27 @@
+package limitcheck
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestAllowedIsOneAndAHalfTimesTheLimitAndFive(t *testing.T) {
+	for perSecond, allowed := range map[float64]int{0: 5, 0.1: 5, 1: 11, 4: 29, 50: 305} {
+		assert.Equal(t, Allowed(perSecond), allowed)
+	}
+}
+
+func TestFullestWindowIsFoundWhereverItBegins(t *testing.T) {
+	assert.Equal(t, Most(nil), 0)
+	seconds := func(moments ...float64) []time.Duration {
+		var arrivals []time.Duration
+		for _, moment := range moments {
+			arrivals = append(arrivals, time.Duration(moment*float64(time.Second)))
+		}
+		return arrivals
+	}
+	assert.Equal(t, Most(seconds(0, 4, 8, 12)), 2, "a window holds both of its ends")
+	assert.Equal(t, Most(seconds(0, 3.9, 4.1, 5, 7.8, 12)), 4)
+}
--- a/internal/lab/openfleet/ratelimit_test.go
+++ b/internal/lab/openfleet/ratelimit_test.go
@@ -16,23 +16,10 @@
 	"gotest.tools/v3/assert"
 
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+	"github.com/ravenway/ravenway/internal/lab/limitcheck"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
 
-// Incident LIMIT on drukwacht-ravenway. Seen: two of twelve engines, in need, named in
-// their answers the requests a second that they take from all nodes together, and went on
-// getting as many as before, up to 20 in 4 s at a limit of 1 a second. They turned none
-// away, so nothing but the header told of it. Cause: no node read the header; the choice
-// of an engine knew free places and work under way, and no rate. Proved by the rate at the
-// two engines, which stayed what it was when they named the limit, and by this test.
-const (
-	// limitWindow is the span in which the requests to a limited engine are counted.
-	limitWindow = 4 * time.Second
-	// limitTolerance and limitSlack are how far above its limit an engine may get.
-	limitTolerance = 1.5
-	limitSlack     = 5
-)
-
 // limited is a fleet with engines of the service model, some of which name a limit.
 type limited struct {
 	*Fleet
@@ -152,33 +139,20 @@
 	return arrivals
 }
 
-// mostInWindow is the highest number of requests that came to an engine in any span of
-// limitWindow from a time on.
-func (f *Fleet) mostInWindow(engine *Engine, from time.Duration) int {
-	arrivals := f.arrivalsAt(engine, from)
-	most, first := 0, 0
-	for last := range arrivals {
-		for arrivals[last]-arrivals[first] > limitWindow {
-			first++
-		}
-		most = max(most, last-first+1)
-	}
-	return most
-}
-
-// allowedInWindow is the most that may come to an engine with a limit in limitWindow.
-func allowedInWindow(perSecond float64) int {
-	return int(limitTolerance*perSecond*limitWindow.Seconds()) + limitSlack
-}
-
 // assertWithinLimit checks an engine that named a limit at a time.
 func (l *limited) assertWithinLimit(t *testing.T, engine *Engine, perSecond float64, named time.Duration) {
 	t.Helper()
-	most, allowed := l.mostInWindow(engine, named+contact), allowedInWindow(perSecond)
+	most, allowed := limitcheck.Most(l.arrivalsAt(engine, named+limitcheck.Contact)), limitcheck.Allowed(perSecond)
 	t.Logf("%s: %d in 4 s at most, %d allowed", engine.ID, most, allowed)
-	assert.Check(t, most <= allowed, "%s got %d requests in %s, allowed %d", engine.ID, most, limitWindow, allowed)
+	assert.Check(t, most <= allowed, "%s got %d requests in %s, allowed %d", engine.ID, most, limitcheck.Window, allowed)
 }
 
+// Incident LIMIT on drukwacht-ravenway. Seen: two of twelve engines, in need, named in
+// their answers the requests a second that they take from all nodes together, and went on
+// getting as many as before, up to 20 in 4 s at a limit of 1 a second. They turned none
+// away, so nothing but the header told of it. Cause: no node read the header; the choice
+// of an engine knew free places and work under way, and no rate. Proved by the rate at the
+// two engines, which stayed what it was when they named the limit, and by this test.
 func TestEngineThatNamesALimitGetsNoMoreFromAllNodesTogether(t *testing.T) {
 	for _, perSecond := range []float64{1, 4} {
 		t.Run(strings.ReplaceAll(fmt.Sprintf("%g a second", perSecond), " ", "_"), func(t *testing.T) {
@@ -387,10 +361,11 @@
 					}
 				}
 				for _, engine := range others {
-					got = append(got, l.mostInWindow(engine, named+contact))
-					total += len(l.arrivalsAt(engine, named+contact))
+					arrivals := l.arrivalsAt(engine, named+limitcheck.Contact)
+					got = append(got, limitcheck.Most(arrivals))
+					total += len(arrivals)
 				}
-				mean := float64(total) / float64(len(others)) * limitWindow.Seconds() / 7
+				mean := float64(total) / float64(len(others)) * limitcheck.Window.Seconds() / 7
 				t.Logf("in 4 s the others got at most %v, %.1f in the mean", got, mean)
 				assert.Check(t, float64(slices.Max(got)) <= 2*mean)
 				l.assertAllServed(t)
--- a/internal/lab/openfleet/rollout_test.go
+++ b/internal/lab/openfleet/rollout_test.go
@@ -100,15 +100,23 @@
 	return count, last
 }
 
+// beginBadRollout orders a rollout of a version whose answers all fail while callers go on.
+// It returns how many runs there were before, and ends the callers.
+func beginBadRollout(t *testing.T, f *Fleet) (before int, stop func() map[int]int) {
+	t.Helper()
+	stop = callAll(f)
+	time.Sleep(2 * time.Second)
+	before = len(f.Truth.Runs())
+	assert.NilError(t, orderRollout(f, 3*time.Second))
+	startNewVersion(f, func(e *Engine) { e.Status = http.StatusInternalServerError })
+	return before, stop
+}
+
 // Each answer of the new version fails: it is rolled back, few requests reached it, and
 // none does any more.
 func TestBadVersionIsRolledBackAtAllNodes(t *testing.T) {
 	inFleet(t, 3, func(t *testing.T, f *Fleet) {
-		stop := callAll(f)
-		time.Sleep(2 * time.Second)
-		before := len(f.Truth.Runs())
-		assert.NilError(t, orderRollout(f, 3*time.Second))
-		startNewVersion(f, func(e *Engine) { e.Status = http.StatusInternalServerError })
+		before, stop := beginBadRollout(t, f)
 		assert.NilError(t, f.WaitFor(rolloutTime/2, "rolled back", func() bool { return stageOf(f) == rollout.RolledBack }))
 		time.Sleep(time.Second)
 		rolledBackAt := time.Since(f.Truth.began)
@@ -174,11 +182,7 @@
 // same, and its share is kept meanwhile.
 func TestBadVersionIsRolledBackThoughLeadersDie(t *testing.T) {
 	inFleet(t, 3, func(t *testing.T, f *Fleet) {
-		stop := callAll(f)
-		time.Sleep(2 * time.Second)
-		before := len(f.Truth.Runs())
-		assert.NilError(t, orderRollout(f, 3*time.Second))
-		startNewVersion(f, func(e *Engine) { e.Status = http.StatusInternalServerError })
+		before, stop := beginBadRollout(t, f)
 		for _, name := range f.Names(true) {
 			f.Kill(name)
 			time.Sleep(300 * time.Millisecond)
--- a/internal/lab/simulate/ratelimit.go
+++ b/internal/lab/simulate/ratelimit.go
@@ -10,6 +10,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/membership"
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/lab/limitcheck"
 )
 
 // LimitPolicy is how nodes keep the limits that engines name.
@@ -63,11 +64,6 @@
 	// limitWarmUp is how long the nodes know each other before the engines name limits.
 	limitWarmUp = 5 * time.Second
 	limitLength = 60 * time.Second
-	// limitContact is when nodes in touch have to keep a limit.
-	limitContact   = 3 * time.Second
-	limitWindow    = 4 * time.Second
-	limitTolerance = 1.5
-	limitSlack     = 5
 	// limitDemand is how many times their limit the engines are wanted.
 	limitDemand = 3
 	// limitPatience is how long a request waits for a permit, limitTimeout how long for a
@@ -125,7 +121,7 @@
 // RunLimits runs one seed.
 func RunLimits(options LimitOptions) LimitResult {
 	world := NewWorld(options.Seed)
-	result := &LimitResult{World: world, Allowed: int(limitTolerance*options.PerSecond*limitWindow.Seconds()) + limitSlack}
+	result := &LimitResult{World: world, Allowed: limitcheck.Allowed(options.PerSecond)}
 	w := &limitWorld{World: world, options: options, result: result, byName: map[string]*limitNode{}}
 	for side := range w.heard {
 		w.heard[side] = map[string]time.Duration{}
@@ -482,24 +478,18 @@
 	w.After(lasting, node.start)
 }
 
-// judge counts each engine's requests in all spans of limitWindow.
+// judge counts each engine's requests in all windows once nodes have to keep the limits.
 func (w *limitWorld) judge() {
-	from := limitWarmUp + limitContact
+	from := limitWarmUp + limitcheck.Contact
 	for _, engine := range w.engines {
 		slices.Sort(engine.arrivals)
-		counted := engine.arrivals[len(engine.arrivals)-len(later(engine.arrivals, from)):]
-		first := 0
-		for last := range counted {
-			for counted[last]-counted[first] > limitWindow {
-				first++
-			}
-			w.result.Worst = max(w.result.Worst, last-first+1)
-		}
+		counted := later(engine.arrivals, from)
+		w.result.Worst = max(w.result.Worst, limitcheck.Most(counted))
 		w.result.Got += len(counted)
 	}
-	w.result.Room = float64(limitEngines) * w.options.PerSecond * (limitLength - limitContact).Seconds()
+	w.result.Room = float64(limitEngines) * w.options.PerSecond * (limitLength - limitcheck.Contact).Seconds()
 	if w.result.Worst > w.result.Allowed {
-		w.Check(fmt.Errorf("an engine with a limit of %g a second got %d requests in %s, allowed %d", w.options.PerSecond, w.result.Worst, limitWindow, w.result.Allowed))
+		w.Check(fmt.Errorf("an engine with a limit of %g a second got %d requests in %s, allowed %d", w.options.PerSecond, w.result.Worst, limitcheck.Window, w.result.Allowed))
 	}
 }
 
--- a/internal/lab/soak/limits.go
+++ b/internal/lab/soak/limits.go
@@ -7,30 +7,30 @@
 	"slices"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/lab/limitcheck"
 	"github.com/ravenway/ravenway/internal/pause"
 )
 
 const (
 	// limitStream is the seed's stream that limits draw from.
 	limitStream = 4000
-	// limitContact is when the nodes have to keep a limit that was named, or lowered.
-	limitContact = 3 * time.Second
-	// In any limitWindow an engine may get limitTolerance times what its limit allows, and
-	// limitSlack requests more.
-	limitWindow    = 4 * time.Second
-	limitTolerance = 1.5
-	limitSlack     = 5
 	// A limit stands for a time, is changed at times, and the next ones come after a pause.
 	limitLeast, limitMost = 5 * time.Second, 9 * time.Second
 	limitPause            = 2 * time.Second
 )
 
-// engineLimits are what engines in need name, in requests a second, and some that nobody
-// can read.
+// engineLimit is what an engine in need names.
+type engineLimit struct {
+	value string
+	// perSecond is what that means, if isReadable is set.
+	perSecond  float64
+	isReadable bool
+}
+
+// engineLimits are what engines name, unreadableLimits what nobody can read.
 var (
-	engineLimits     = []string{"0", "0.5", "1", "2.5", "8"}
-	limitRates       = map[string]float64{"0": 0, "0.5": 0.5, "1": 1, "2.5": 2.5, "8": 8}
-	unreadableLimits = []string{"", "many", "-1", "NaN"}
+	engineLimits     = []engineLimit{{"0", 0, true}, {"0.5", 0.5, true}, {"1", 1, true}, {"2.5", 2.5, true}, {"8", 8, true}}
+	unreadableLimits = []engineLimit{{value: ""}, {value: "many"}, {value: "-1"}, {value: "NaN"}}
 )
 
 // limitStep is a limit that an engine names from a moment on; without IsNamed it names
@@ -43,18 +43,27 @@
 
 // limitRecord is what one life of an engine named, and what it got.
 type limitRecord struct {
-	value string
+	// named is what it names now, if isNamed is set.
+	named   engineLimit
+	isNamed bool
 	// steps are the limits since the first answer that named each.
 	steps    []limitStep
 	arrivals []time.Time
 }
 
-// nameLimit has the engine name a limit in its answers; "" ends it.
-func (e *engine) nameLimit(value string) {
+// nameLimit has the engine name a limit in its answers.
+func (e *engine) nameLimit(named engineLimit) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.limit.named, e.limit.isNamed = named, true
+}
+
+// endLimit has the engine name none any more.
+func (e *engine) endLimit() {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.limit.value = value
-	if value == "" && len(e.limit.steps) > 0 {
+	e.limit.isNamed = false
+	if len(e.limit.steps) > 0 {
 		e.limit.steps = append(e.limit.steps, limitStep{at: time.Now()})
 	}
 }
@@ -65,19 +74,19 @@
 	defer e.mutex.Unlock()
 	now := time.Now()
 	e.limit.arrivals = append(e.limit.arrivals, now)
-	if e.limit.value == "" {
+	if !e.limit.isNamed {
 		return
 	}
-	for name, values := range e.wire.LimitHeader(e.limit.value) {
+	named := e.limit.named
+	for name, values := range e.wire.LimitHeader(named.value) {
 		header[name] = values
 	}
-	perSecond, isReadable := limitRates[e.limit.value]
-	if !isReadable {
+	if !named.isReadable {
 		return
 	}
 	last := len(e.limit.steps) - 1
-	if last < 0 || !e.limit.steps[last].isNamed || e.limit.steps[last].perSecond != perSecond {
-		e.limit.steps = append(e.limit.steps, limitStep{at: now, isNamed: true, perSecond: perSecond})
+	if last < 0 || !e.limit.steps[last].isNamed || e.limit.steps[last].perSecond != named.perSecond {
+		e.limit.steps = append(e.limit.steps, limitStep{at: now, isNamed: true, perSecond: named.perSecond})
 	}
 }
 
@@ -110,7 +119,7 @@
 			until = following[place].at
 			following = following[:place]
 		}
-		l.judge(&use, following, step.at.Add(limitContact), until)
+		l.judge(&use, following, step.at.Add(limitcheck.Contact), until)
 	}
 	return use
 }
@@ -124,11 +133,11 @@
 		use.arrived++
 		count := 0
 		for _, arrival := range l.arrivals[first:] {
-			if arrival.Sub(begin) <= limitWindow && !arrival.After(until) {
+			if arrival.Sub(begin) <= limitcheck.Window && !arrival.After(until) {
 				count++
 			}
 		}
-		allowed := int(limitTolerance*highestRate(steps, begin.Add(-limitContact), begin.Add(limitWindow))*limitWindow.Seconds()) + limitSlack
+		allowed := limitcheck.Allowed(highestRate(steps, begin.Add(-limitcheck.Contact), begin.Add(limitcheck.Window)))
 		use.noteSpan(count, allowed)
 	}
 	for position, step := range steps {
@@ -175,19 +184,19 @@
 		}
 		pause.For(faulty, lasting/2)
 		for _, one := range limited {
-			one.nameLimit("")
+			one.endLimit()
 		}
 	}
 }
 
 func (r *run) nameLimits(limited []*engine, random *rand.Rand) {
 	for _, one := range limited {
-		value := engineLimits[random.IntN(len(engineLimits))]
+		named := engineLimits[random.IntN(len(engineLimits))]
 		if random.IntN(8) == 0 {
-			value = unreadableLimits[random.IntN(len(unreadableLimits))]
+			named = unreadableLimits[random.IntN(len(unreadableLimits))]
 		}
-		r.note("engine %s names the limit %q", one.ID, value)
-		one.nameLimit(value)
+		r.note("engine %s names the limit %q", one.ID, named.value)
+		one.nameLimit(named)
 	}
 }
 
@@ -226,9 +235,9 @@
 			worst.noteSpan(use.got, use.allowed)
 		}
 		if use.got > use.allowed {
-			r.breaks("engine %s got %d requests in %s, its limit allowed %d", one.ID, use.got, limitWindow, use.allowed)
+			r.breaks("engine %s got %d requests in %s, its limit allowed %d", one.ID, use.got, limitcheck.Window, use.allowed)
 		}
 	}
 	r.note("%d engines with limits got %d requests where those had room for %.0f; the fullest %s: %d, allowed %d",
-		limited, arrived, room, limitWindow, worst.got, worst.allowed)
+		limited, arrived, room, limitcheck.Window, worst.got, worst.allowed)
 }
--- a/internal/state/machine/version_test.go
+++ b/internal/state/machine/version_test.go
@@ -9,18 +9,11 @@
 	"github.com/ravenway/ravenway/internal/state/rollout"
 )
 
-func applyEncoded(t *testing.T, m *Machine, index uint64, command Command) Result {
-	t.Helper()
-	encoded, err := Encode(command)
-	assert.NilError(t, err)
-	return m.Apply(index, encoded).(Result)
-}
-
 func TestLogVersionOnlyRisesAndIsKeptInSnapshots(t *testing.T) {
 	m := New()
 	assert.Equal(t, m.LogVersion(), VersionFirst)
-	assert.Equal(t, applyEncoded(t, m, 1, Command{Version: &VersionCommand{Version: VersionRollouts}}).Refused, "")
-	applyEncoded(t, m, 2, Command{Version: &VersionCommand{Version: VersionFirst}})
+	assert.Equal(t, apply(t, m, 1, Command{Version: &VersionCommand{Version: VersionRollouts}}).Refused, "")
+	apply(t, m, 2, Command{Version: &VersionCommand{Version: VersionFirst}})
 	assert.Equal(t, m.LogVersion(), VersionRollouts)
 	snapshot, err := m.Snapshot()
 	assert.NilError(t, err)
@@ -32,17 +25,17 @@
 // A replica of this build must see that it reads a log of a later one.
 func TestLogOfALaterVersionIsKnownAsSuch(t *testing.T) {
 	m := New()
-	applyEncoded(t, m, 1, Command{Version: &VersionCommand{Version: OwnLogVersion + 3}})
+	apply(t, m, 1, Command{Version: &VersionCommand{Version: OwnLogVersion + 3}})
 	assert.Assert(t, m.LogVersion() > OwnLogVersion)
 }
 
 // The snapshot of a log that was never raised is the one that earlier builds write.
 func TestSnapshotWithoutALogVersionHasNoFieldForIt(t *testing.T) {
 	m := New()
-	applyEncoded(t, m, 1, Command{Rollout: &RolloutCommand{Order: &rollout.Order{Service: "s", Version: "v2", Duration: time.Second}}})
+	apply(t, m, 1, Command{Rollout: &RolloutCommand{Order: &rollout.Order{Service: "s", Version: "v2", Duration: time.Second}}})
 	before, err := m.Snapshot()
 	assert.NilError(t, err)
-	applyEncoded(t, m, 2, Command{Version: &VersionCommand{Version: VersionRollouts}})
+	apply(t, m, 2, Command{Version: &VersionCommand{Version: VersionRollouts}})
 	after, err := m.Snapshot()
 	assert.NilError(t, err)
 	assert.Equal(t, len(after)-len(before), 7, "a key of two bytes and a number of five")
