A failing test: a refusal that names no limit ends it for all nodes

The fleet test of requests that engines fail or turn away counted runs, and an engine that turns a request away runs nothing: that case could not fail.

Added: an engine that turns every second request away with an answer that says nothing else.

--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -21,6 +21,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
@@ -49,7 +50,7 @@
 }
 
 func (testDialect) ReadAnswer(_ int, header http.Header) AnswerHead {
-	return AnswerHead{ID: header.Get("Id"), NotRun: header.Get("Not-Run") != ""}
+	return AnswerHead{ID: header.Get("Id"), NotRun: header.Get("Not-Run") != "", RateLimit: ratelimit.Read(header.Values("Limit"))}
 }
 
 // testEnvironment is a node with one document and a counted reserve.
--- a/internal/lab/openfleet/engine.go
+++ b/internal/lab/openfleet/engine.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -30,6 +32,8 @@
 	began time.Time
 	mutex sync.Mutex
 	runs  []*Run
+	// arrivals are when requests came to each instance, also those that it turned away.
+	arrivals map[string][]time.Duration
 	// received are the tokens that the callers with each key got: of a request of
 	// which anything came, the prompt once and each event.
 	received map[string]uint64
@@ -43,6 +47,19 @@
 	return run
 }
 
+func (t *Truth) arrive(instance string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.arrivals[instance] = append(t.arrivals[instance], time.Since(t.began))
+}
+
+// Arrivals returns when requests came to an instance, in order.
+func (t *Truth) Arrivals(instance string) []time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return slices.Clone(t.arrivals[instance])
+}
+
 func (t *Truth) receive(key string, tokens uint64) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -95,6 +112,9 @@
 	// RateLimit is the requests a second that the engine names in its answers; "" means
 	// that it names none.
 	RateLimit string
+	// BareRefusals is the part of its requests that the engine turns away with an answer
+	// that says nothing else, a limit included.
+	BareRefusals float64
 	// end ends the engine, hasEnded tells that it did.
 	end      func()
 	hasEnded atomic.Bool
@@ -117,6 +137,7 @@
 	endsOn             string
 	endsAfter          time.Duration
 	rateLimit          string
+	bareRefusals       float64
 }
 
 func (e *Engine) behaviour() behaviour {
@@ -124,7 +145,7 @@
 	defer e.mutex.Unlock()
 	return behaviour{
 		work: e.Work, events: e.Events, breakAfter: e.BreakAfter, status: e.Status, turnAway: e.TurnAway,
-		endsOn: e.EndsOn, endsAfter: e.EndsAfter, rateLimit: e.RateLimit,
+		endsOn: e.EndsOn, endsAfter: e.EndsAfter, rateLimit: e.RateLimit, bareRefusals: e.BareRefusals,
 	}
 }
 
@@ -137,7 +158,13 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.truth.arrive(e.ID)
 	how := e.behaviour()
+	if rand.Float64() < how.bareRefusals {
+		writer.Header().Set(wire.HeaderNotRun, "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if how.rateLimit != "" {
 		writer.Header().Set(wire.HeaderRateLimit, how.rateLimit)
 	}
--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -100,7 +100,7 @@
 func New(controls, entries int, random *rand.Rand) *Fleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	made := &Fleet{
-		Network: fleet.NewNetwork(), Truth: &Truth{began: time.Now(), received: map[string]uint64{}}, Logger: zerolog.Nop(),
+		Network: fleet.NewNetwork(), Truth: &Truth{began: time.Now(), received: map[string]uint64{}, arrivals: map[string][]time.Duration{}}, Logger: zerolog.Nop(),
 		machines: map[string]*Machine{}, engines: map[string]*Engine{}, lost: map[string]bool{}, random: random, ctx: ctx, cancel: cancel,
 	}
 	made.callers = &http.Transport{DialContext: made.Network.Dialer(callerMachine), DisableKeepAlives: true}
--- a/internal/lab/openfleet/ratelimit_test.go
+++ b/internal/lab/openfleet/ratelimit_test.go
@@ -129,14 +129,7 @@
 
 // arrivalsAt are the moments from a time on at which requests came to an engine.
 func (f *Fleet) arrivalsAt(engine *Engine, from time.Duration) []time.Duration {
-	var arrivals []time.Duration
-	for _, run := range f.Truth.Runs() {
-		if run.Instance == engine.ID && run.Arrived >= from {
-			arrivals = append(arrivals, run.Arrived)
-		}
-	}
-	slices.Sort(arrivals)
-	return arrivals
+	return slices.DeleteFunc(f.Truth.Arrivals(engine.ID), func(at time.Duration) bool { return at < from })
 }
 
 // assertWithinLimit checks an engine that named a limit at a time.
@@ -178,7 +171,11 @@
 	for name, change := range map[string]func(*Engine){
 		"failing":      func(e *Engine) { e.Events, e.Status = 0, http.StatusInternalServerError },
 		"turning_away": func(e *Engine) { e.TurnAway = true },
-		"breaking_off": func(e *Engine) { e.Events, e.BreakAfter = 5, 2 },
+		// Seen in this test: up to as many as without a limit. A refusal without the word for
+		// the limit was taken for the limit's end, told to all nodes, until the next answer
+		// that named it.
+		"turning_half_away_without_naming_it": func(e *Engine) { e.BareRefusals = 0.5 },
+		"breaking_off":                        func(e *Engine) { e.Events, e.BreakAfter = 5, 2 },
 	} {
 		t.Run(name, func(t *testing.T) {
 			inLimitedFleet(t, 8, func(t *testing.T, l *limited) {
