A refusal or failure that names no limit does not end one

Callers saw nothing of it; an engine in need got 18 requests in 4 s at a limit of 2 a second (17 allowed) from eight nodes, in the fleet test of an engine that turns every second request away with an answer that says nothing else.

Cause: an answer without the field ends a limit, whatever the answer is. A bare refusal, as from a full engine, did so, and the word went to all nodes, until the next answer named the limit again. Ruled out: permits given twice (each request had one while the limit was known), requests resumed or sent again (the same engine without bare refusals gets 7 in 4 s).

Change: an answer that the request was not run, or a 5xx, says nothing of the end of a limit; one that names it still counts. It errs to too few requests: an engine whose limit is over and that only refuses stays limited until it serves one, at the rate of its limit.

Conclusion: proved for our test; whether the users' engines refuse so is not known.

--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -133,10 +133,11 @@
 	defer l.mutex.Unlock()
 	known := l.entries[life]
 	isOvertaken := known != nil && writtenAt < known.at
+	isEnd := !said.IsNamed && !said.IsFailure && !isOvertaken
 	switch {
 	case said.Fault != nil:
 		return l.noteUnreadable(life, said.Fault)
-	case !said.IsNamed && (known == nil || known.hasEnded || isOvertaken):
+	case !said.IsNamed && (known == nil || known.hasEnded || !isEnd):
 		return Change{}
 	case known != nil && !known.hasEnded && isOvertaken && said.PerSecond > known.perSecond:
 		return Change{}
--- a/internal/coordination/ratelimit/ratelimit_test.go
+++ b/internal/coordination/ratelimit/ratelimit_test.go
@@ -70,6 +70,14 @@
 	assert.Assert(t, !isLimited)
 }
 
+func TestFailureThatNamesNoLimitDoesNotEndIt(t *testing.T) {
+	limits := limitsAt("a-0", nodesOf("a", 1))
+	limits.Learn(start, engine, two, start)
+	assert.Equal(t, limits.Learn(start+2, engine, Said{IsFailure: true}, start+1).Kind, Unchanged)
+	assert.Equal(t, limits.Learn(start+3, engine, Said{IsFailure: true, IsNamed: true, PerSecond: 1}, start+2).Kind, Changed)
+	assert.Equal(t, limits.Learn(start+5, engine, none, start+4).Kind, Ended)
+}
+
 func TestOvertakenAnswerLowersALimitAndDoesNotRaiseIt(t *testing.T) {
 	limits := limitsAt("a-0", nodesOf("a", 1))
 	limits.Learn(start, engine, two, start)
--- a/internal/coordination/ratelimit/said.go
+++ b/internal/coordination/ratelimit/said.go
@@ -19,6 +19,9 @@
 	// IsNamed tells that it names one, of PerSecond requests a second.
 	IsNamed   bool
 	PerSecond float64
+	// IsFailure tells that the instance turned the request away or failed it: such an answer
+	// may say nothing else, so that it names no limit does not end one.
+	IsFailure bool
 	// Fault is why what it names can't be read. Such an answer neither sets a limit nor
 	// lifts one.
 	Fault error
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -145,7 +145,7 @@
 		e.head = dialect.ReadAnswer(response.StatusCode, response.Header)
 		if e.head.ID == request.id || e.head.ID == "" && (e.head.NotRun || e.head.OtherInstance) {
 			if !e.head.OtherInstance {
-				request.learn(e.head.RateLimit, e.sentAt)
+				request.learn(e.limitSaid(), e.sentAt)
 			}
 			return nil
 		}
@@ -153,7 +153,7 @@
 		if !surplus {
 			return errOtherAnswer
 		}
-		request.learn(e.head.RateLimit, time.Time{})
+		request.learn(e.limitSaid(), time.Time{})
 		if _, err := drain(response.Body); err != nil {
 			return err
 		}
@@ -162,6 +162,13 @@
 	}
 }
 
+// limitSaid is what the answer says of the engine's limit.
+func (e *exchange) limitSaid() ratelimit.Said {
+	said := e.head.RateLimit
+	said.IsFailure = e.head.NotRun || e.response.StatusCode >= http.StatusInternalServerError
+	return said
+}
+
 // finish ends an exchange whose answer was read whole, and keeps the
 // connection if it can serve another request.
 func (e *exchange) finish(id string) {
