Soak: one in two failures of an engine with a limit does not name it

The stand-ins of the soak named their limit in every answer, so that a node which takes a bare failure for the limit's end was not met by real processes. Test code only.

--- a/internal/lab/soak/engine.go
+++ b/internal/lab/soak/engine.go
@@ -158,7 +158,8 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	e.noteArrival(writer.Header())
+	isFailure := e.fails && request.TokensIn == 0
+	e.noteArrival(writer.Header(), isFailure)
 	e.truth.begin(request)
 	if strings.HasPrefix(string(body), poisonBody) {
 		writer.Header().Set("Content-Type", "text/event-stream")
@@ -174,7 +175,7 @@
 	}
 	e.truth.beginPlain(e.Version)
 	time.Sleep(plainWork)
-	if e.fails {
+	if isFailure {
 		writer.WriteHeader(http.StatusInternalServerError)
 	}
 	_, _ = fmt.Fprint(writer, plainBody(request.ID))
--- a/internal/lab/soak/limits.go
+++ b/internal/lab/soak/limits.go
@@ -68,13 +68,14 @@
 	}
 }
 
-// noteArrival notes a request, and writes the limit into the head of its answer.
-func (e *engine) noteArrival(header http.Header) {
+// noteArrival notes a request, and writes the limit into the head of its answer. One in two
+// failures names none.
+func (e *engine) noteArrival(header http.Header, isFailure bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	now := time.Now()
 	e.limit.arrivals = append(e.limit.arrivals, now)
-	if !e.limit.isNamed {
+	if !e.limit.isNamed || isFailure && rand.IntN(2) == 0 {
 		return
 	}
 	named := e.limit.named
