Limits: engines that change, end, fail and start again, in simulation; one record of what they got

The simulation's engines named one limit for good in every answer, and all words between nodes came.

What a machine sends within the contact time of its start or of standing still is excused by the promise; all else counts, cuts included.

What an engine with a limit got is judged in one place, limitcheck.Record, for simulation and soak; the soak's test of it moved along. In both a life's limit ends with the life: what its limits had room for was counted on to the end of the run.

--- /dev/null
+++ b/internal/lab/limitcheck/record_test.go
@@ -0,0 +1,65 @@
+package limitcheck
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// arrivals notes some requests in each tenth of a second of a span.
+func arrivals(record *Record, from, until time.Duration, each int) {
+	for at := from; at < until; at += 100 * time.Millisecond {
+		for range each {
+			record.Arrive(at)
+		}
+	}
+}
+
+func TestRequestsCountFromContactAfterTheFirstAnswerToTheLimitsEnd(t *testing.T) {
+	record := &Record{}
+	record.Name(time.Second, 1)
+	record.Name(2*time.Second, 1)
+	arrivals(record, time.Second, time.Second+Contact, 5)
+	arrivals(record, time.Second+Contact, 10*time.Second, 1)
+	record.End(10 * time.Second)
+	arrivals(record, 10*time.Second+1, 20*time.Second, 5)
+	use := record.Use(20 * time.Second)
+	// A window holds both of its ends.
+	assert.Equal(t, use.Got, 41)
+	assert.Equal(t, use.Allowed, Allowed(1))
+	assert.Equal(t, use.Arrived, 60)
+	assert.Equal(t, use.Room, 6.0)
+}
+
+// A limit of 2 a second allows 17 requests in 4 s, once it was named for 3 s.
+func TestCheckNoticesAnEngineThatGetsMoreThanItsLimit(t *testing.T) {
+	record := Record{steps: []step{{isNamed: true, perSecond: 2}, {at: 20 * time.Second}}}
+	add := func(from time.Duration, count int) {
+		for number := range count {
+			record.Arrive(from + time.Duration(number)*time.Millisecond)
+		}
+	}
+	add(time.Second, 50)
+	add(8*time.Second, 17)
+	add(21*time.Second, 50)
+	use := record.Use(time.Minute)
+	assert.Equal(t, use.Got, 17)
+	assert.Equal(t, use.Allowed, 17)
+	record.arrivals = nil
+	add(8*time.Second, 18)
+	assert.Equal(t, record.Use(time.Minute).Got, 18)
+	// Lowered from 20, which allows 125 until the word of it has come.
+	record.steps = []step{{isNamed: true, perSecond: 20}, {at: 7 * time.Second, isNamed: true, perSecond: 2}}
+	assert.Equal(t, record.Use(time.Minute).Allowed, 125)
+	record.arrivals = nil
+	add(11*time.Second, 18)
+	assert.Equal(t, record.Use(time.Minute).Allowed, 17)
+}
+
+func TestEngineThatNamesNothingHasNothingToKeep(t *testing.T) {
+	record := &Record{}
+	arrivals(record, 0, 10*time.Second, 9)
+	record.End(10 * time.Second)
+	assert.Equal(t, record.Use(20*time.Second), Use{})
+}
--- a/internal/lab/simulate/ratelimit_test.go
+++ b/internal/lab/simulate/ratelimit_test.go
@@ -26,6 +26,17 @@
 	}
 }
 
+// Engines in need don't stay as they are, and what nodes tell each other may be late or lost.
+func TestPermitsKeepLimitsThatChangeOfEnginesThatFailAndStartAgain(t *testing.T) {
+	t.Parallel()
+	for _, perSecond := range []float64{0.1, 1, 5, 50} {
+		for seed := range uint64(limitSeedsInCI) {
+			result := RunLimits(LimitOptions{Seed: seed, Policy: HolderPermits, Nodes: 8, PerSecond: perSecond, Faults: true, IsUnsettled: true})
+			assert.NilError(t, result.Broken, "%g a second, seed %d", perSecond, seed)
+		}
+	}
+}
+
 // Without faults the permits are used, also where few of the nodes want them.
 func TestPermitsGoToTheNodesThatWantThem(t *testing.T) {
 	t.Parallel()
--- a/internal/lab/soak/engine.go
+++ b/internal/lab/soak/engine.go
@@ -121,14 +121,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("starting engine %s: %w", instance.ID, err)
 	}
-	made := &engine{Instance: instance, wire: wire, truth: truth, state: registry.Ready, end: end}
+	made := &engine{Instance: instance, wire: wire, truth: truth, state: registry.Ready, end: end, limit: limitRecord{began: time.Now()}}
 	made.server = &http.Server{Handler: made}
 	go func() { _ = made.server.Serve(listener) }()
 	return made, nil
 }
 
 // crash ends the engine without a word.
-func (e *engine) crash() { _ = e.server.Close() }
+func (e *engine) crash() {
+	e.endLimit()
+	_ = e.server.Close()
+}
 
 func (e *engine) setState(state registry.State) {
 	e.mutex.Lock()
