When the log's version may rise is decided apart from the network

Refactoring, no behaviour: the decision stood in the gateway's replica duty, where only tests with a node could reach it. coordination/logversion holds it as a pure step, as rate limits and quarantine have theirs, so that fleets of mixed builds can be simulated. The gateway tells it who is heard. Four tests of its own; those of the gateway are unchanged and pass.

--- /dev/null
+++ b/internal/coordination/logversion/logversion_test.go
@@ -0,0 +1,66 @@
+package logversion
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/state/machine"
+)
+
+const settling = time.Minute
+
+var members = []string{"one", "two", "three"}
+
+// controls are some control nodes that read a version, and "older", which reads none.
+func controls(names ...string) []Control {
+	var made []Control
+	for _, name := range names {
+		reads := machine.OwnLogVersion
+		if name == "older" {
+			reads = machine.VersionFirst
+		}
+		made = append(made, Control{Address: name, Reads: reads})
+	}
+	return made
+}
+
+func TestVersionRisesOnceAllHaveReadItForTheSettlingTime(t *testing.T) {
+	raise := New(false)
+	raise.Look(0, controls(members...), members)
+	assert.Assert(t, !raise.IsDue(settling-1, settling))
+	assert.Assert(t, raise.IsDue(settling, settling))
+	assert.Equal(t, raise.ReadyFor(settling), settling)
+}
+
+func TestVersionWaitsForMembersThatAreNotHeardAndForOlderBuilds(t *testing.T) {
+	for name, heard := range map[string][]Control{
+		"three": controls("one", "two"), "older": controls("one", "two", "three", "older"),
+	} {
+		raise := New(true)
+		raise.Look(0, controls(members...), members)
+		raise.Look(time.Second, heard, members)
+		assert.DeepEqual(t, raise.WaitsFor(), []string{name})
+		assert.Assert(t, !raise.IsDue(2*settling, settling), name)
+		assert.Equal(t, raise.ReadyFor(2*settling), time.Duration(0))
+	}
+}
+
+// A node that was given the earlier build again, and then the newer one, begins the settling
+// time anew.
+func TestSettlingBeginsAnewWhenANodeWasBehind(t *testing.T) {
+	raise := New(true)
+	raise.Look(0, controls(members...), members)
+	raise.Look(settling/2, controls("one", "two", "three", "older"), members)
+	raise.Look(settling/2+1, controls(members...), members)
+	assert.Assert(t, !raise.IsNewGroup(), "an earlier build was heard")
+	assert.Assert(t, !raise.IsDue(settling, settling))
+	assert.Assert(t, raise.IsDue(settling+settling/2+1, settling))
+}
+
+func TestNewGroupNeedNotSettle(t *testing.T) {
+	raise := New(true)
+	raise.Look(0, controls(members...), members)
+	assert.Assert(t, raise.IsDue(0, settling))
+}
--- a/internal/gateway/logversion.go
+++ b/internal/gateway/logversion.go
@@ -3,8 +3,8 @@
 import (
 	"errors"
 	"fmt"
-	"time"
 
+	"github.com/ravenway/ravenway/internal/coordination/logversion"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/state/machine"
 )
@@ -30,67 +30,31 @@
 	return machine.LogVersion(hello.LogVersion)
 }
 
-// logVersionRaise is when the log's version may be raised.
-type logVersionRaise struct {
-	// readySince is since when all control nodes read the newest one, if isReady is set.
-	readySince time.Duration
-	isReady    bool
-	// isNewGroup tells that the group was founded since this node started, and that no
-	// earlier build was heard: none has held its log.
-	isNewGroup bool
-	// waitsFor are the control nodes that don't read it, or are not heard.
-	waitsFor []string
-}
-
-// lookAtLogVersion finds out who the raise of the log's version waits for, at each control
-// node, so that a new leader knows since when nobody has.
+// lookAtLogVersion finds out who the raise of the log's version waits for.
 func (r *replicaDuty) lookAtLogVersion() {
-	now := r.node.now()
-	var hasOlder bool
-	r.raise.waitsFor, hasOlder = r.behindLogVersion()
-	r.raise.isNewGroup = r.raise.isNewGroup && !hasOlder
-	isReady := len(r.raise.waitsFor) == 0
-	if isReady && !r.raise.isReady {
-		r.raise.readySince = now
-	}
-	r.raise.isReady = isReady
-}
-
-// behindLogVersion are the control nodes that don't read the newest version of the log,
-// and members of the group that are not heard; hasOlder tells that there are some of the
-// former.
-func (r *replicaDuty) behindLogVersion() (behind []string, hasOlder bool) {
-	reads := map[string]bool{r.node.address: true}
+	heard := []logversion.Control{{Address: r.node.address, Reads: machine.OwnLogVersion}}
 	for _, known := range r.node.fleet.view.Load().alive {
-		if !known.Control {
-			continue
-		}
-		reads[known.Address] = true
-		if logVersionOf(known.Hello) < machine.OwnLogVersion {
-			behind, hasOlder = append(behind, known.Address), true
+		if known.Control {
+			heard = append(heard, logversion.Control{Address: known.Address, Reads: logVersionOf(known.Hello)})
 		}
 	}
+	var members []string
 	for _, member := range r.replica.Core().Configuration().Members {
-		if !reads[member.Node] {
-			behind = append(behind, member.Node)
-		}
+		members = append(members, member.Node)
 	}
-	return behind, hasOlder
+	r.raise.Look(r.node.now(), heard, members)
 }
 
-// raiseLogVersion raises the log's version once all control nodes have read the newest one
-// for the settling time, in which the fleet may be given the earlier build again.
+// raiseLogVersion raises the log's version once it is due.
 func (r *replicaDuty) raiseLogVersion() {
-	if r.machine.LogVersion() >= machine.OwnLogVersion || !r.raise.isReady {
-		return
-	}
-	settling := r.node.settings.Load().Fleet.UpgradeSettling
-	if !r.raise.isNewGroup && r.node.now()-r.raise.readySince < settling {
+	now := r.node.now()
+	if r.machine.LogVersion() >= machine.OwnLogVersion || !r.raise.IsDue(now, r.node.settings.Load().Fleet.UpgradeSettling) {
 		return
 	}
 	command := machine.Command{Version: &machine.VersionCommand{Version: machine.OwnLogVersion}}
+	isNewGroup, ready := r.raise.IsNewGroup(), r.raise.ReadyFor(now)
 	r.propose(command, func(_ machine.Result, err error) {
 		r.node.log.Info().Str("event", "log_version_raised").Uint32("version", uint32(machine.OwnLogVersion)).
-			Bool("new_group", r.raise.isNewGroup).Int64("ready_ms", (r.node.now()-r.raise.readySince).Milliseconds()).AnErr("error", err).Send()
+			Bool("new_group", isNewGroup).Int64("ready_ms", ready.Milliseconds()).AnErr("error", err).Send()
 	})
 }
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -9,6 +9,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/consensus"
 	"github.com/ravenway/ravenway/internal/coordination/escrow"
+	"github.com/ravenway/ravenway/internal/coordination/logversion"
 	"github.com/ravenway/ravenway/internal/coordination/replicaset"
 	"github.com/ravenway/ravenway/internal/duty"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
@@ -70,7 +71,7 @@
 	nodeHeard atomic.Bool
 	// founding is since when this node waits for the others to found a group.
 	founding time.Duration
-	raise    logVersionRaise
+	raise    logversion.Raise
 	shared   atomic.Pointer[replicaView]
 }
 
@@ -123,7 +124,7 @@
 	}
 	r.root = escrow.NewRoot(r.rootOptions())
 	r.wasLeader = false
-	r.raise = logVersionRaise{isNewGroup: r.node.settings.Load().Fleet.FirstStart && !r.hasGroup()}
+	r.raise = logversion.New(r.node.settings.Load().Fleet.FirstStart && !r.hasGroup())
 	r.node.log.Info().Str("event", "replica_opened").Uint64("replica", id).Uint64("applied", r.replica.Applied()).
 		Uint64("version", r.machine.Document().Version).Int("records_read", r.replica.RecoveredRecords).
 		Int("torn_bytes", r.replica.TornBytes).Send()
@@ -357,7 +358,7 @@
 		view.leading, view.term, view.replica = r.leading(), core.Term(), r.id
 		view.quorumSilence = time.Duration(core.QuorumSilence()) * replicaTick
 		view.hasGroup = r.hasGroup()
-		view.logVersion, view.waitsFor = r.machine.LogVersion(), r.raise.waitsFor
+		view.logVersion, view.waitsFor = r.machine.LogVersion(), r.raise.WaitsFor()
 		if member, found := core.Configuration().Member(core.Leader()); found {
 			view.leader = member.Node
 		}
