Simulation: a group of replicas is given another build one after the other, and some the earlier again

Now the decision to raise the log's version (the real one, coordination/logversion) and the replicated log run with nodes of two builds in virtual time: replaced in random orders, 0.3 of them going back, beside cuts, standstills, ends, lost disks and changes of leader.

Not simulated: budgets and configurations beside it, entry nodes of two builds.

--- a/internal/lab/labcli/prove.go
+++ b/internal/lab/labcli/prove.go
@@ -14,6 +14,7 @@
 // simulations are the mechanisms that run over many seeds.
 var simulations = map[string]func(seed uint64) *simulate.World{
 	"consensus": func(seed uint64) *simulate.World { return simulate.RunConsensus(seed, simulate.NoDefect) },
+	"upgrades":  func(seed uint64) *simulate.World { return simulate.RunUpgrade(seed, simulate.UpgradeNoDefect) },
 	"claims":    func(seed uint64) *simulate.World { return simulate.RunClaims(seed, simulate.ClaimsNoDefect) },
 	"budgets": func(seed uint64) *simulate.World {
 		return simulate.RunBudgets(simulate.BudgetOptions{Seed: seed, Limit: 400_000, TopUp: 200_000, Faults: true, Rate: 25}).World
@@ -34,6 +35,11 @@
 			Seed: seed, Policy: simulate.HolderPermits, Nodes: 8, PerSecond: limitRates[seed%4], IsOneSided: seed%3 == 0, Faults: true,
 		}).World
 	},
+	"unsettled-limits": func(seed uint64) *simulate.World {
+		return simulate.RunLimits(simulate.LimitOptions{
+			Seed: seed, Policy: simulate.HolderPermits, Nodes: 8, PerSecond: limitRates[seed%4], IsOneSided: seed%3 == 0, Faults: true, IsUnsettled: true,
+		}).World
+	},
 	"tight-budgets": func(seed uint64) *simulate.World {
 		return simulate.RunBudgets(simulate.BudgetOptions{Seed: seed, Limit: 2000, Faults: true, Tight: true, Rate: 10}).World
 	},
--- a/internal/lab/simulate/consensus.go
+++ b/internal/lab/simulate/consensus.go
@@ -12,6 +12,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/consensus"
 	"github.com/ravenway/ravenway/internal/state/disk"
+	"github.com/ravenway/ravenway/internal/state/machine"
 )
 
 const (
@@ -44,11 +45,20 @@
 type registerCommand struct {
 	Register int
 	Value    uint64
+	// Raise raises the log's version instead.
+	Raise machine.LogVersion `msgpack:",omitempty"`
+	// Needs is the version of the log that a build must read to apply the command.
+	Needs machine.LogVersion `msgpack:",omitempty"`
 }
 
 // registerMachine is the state machine of the consensus simulation.
 type registerMachine struct {
-	values [consensusRegisters]uint64
+	values  [consensusRegisters]uint64
+	version machine.LogVersion
+	// reads is the newest version of the log that the node's build reads; missed tells that
+	// it was to apply a command beyond that, and that its state differs since.
+	reads  machine.LogVersion
+	missed bool
 }
 
 func (m *registerMachine) Apply(_ uint64, data []byte) any {
@@ -56,16 +66,38 @@
 	if err := msgpack.Unmarshal(data, &command); err != nil {
 		panic(err)
 	}
-	m.values[command.Register] = command.Value
+	switch {
+	case command.Raise > 0:
+		// A build that doesn't know the command refuses it, and keeps its state.
+		if m.reads > machine.VersionFirst {
+			m.version = max(m.version, command.Raise)
+		}
+	case command.Needs > m.reads:
+		m.missed = true
+	default:
+		m.values[command.Register] = command.Value
+	}
 	return command.Value
 }
 
 func (m *registerMachine) Snapshot() ([]byte, error) {
-	return binary.Append(nil, binary.BigEndian, m.values[:])
+	data, err := binary.Append(nil, binary.BigEndian, m.values[:])
+	if err != nil || m.version == machine.VersionFirst {
+		return data, err
+	}
+	return binary.Append(data, binary.BigEndian, m.version)
 }
 
 func (m *registerMachine) Restore(data []byte) error {
-	return binary.Read(bytes.NewReader(data), binary.BigEndian, m.values[:])
+	reader := bytes.NewReader(data)
+	if err := binary.Read(reader, binary.BigEndian, m.values[:]); err != nil {
+		return err
+	}
+	m.version = machine.VersionFirst
+	if reader.Len() == 0 || m.reads == machine.VersionFirst {
+		return nil
+	}
+	return binary.Read(reader, binary.BigEndian, &m.version)
 }
 
 // controlNode is one simulated control node.
@@ -79,6 +111,8 @@
 	// pending are messages that came while the node was frozen.
 	pending []consensus.Message
 	life    int
+	// build is what differs between builds.
+	build upgradedBuild
 }
 
 // ConsensusSimulation is a group of control replicas under faults.
@@ -95,6 +129,8 @@
 	operations   []porcupine.Operation
 	nextValue    uint64
 	healed       bool
+	// upgrade replaces the nodes' builds meanwhile; nil if all have the same.
+	upgrade *upgrade
 }
 
 type committedEntry struct {
@@ -103,6 +139,10 @@
 
 // RunConsensus runs one seed and returns its world; Broken tells the outcome.
 func RunConsensus(seed uint64, defect ConsensusDefect) *World {
+	return newConsensusSimulation(seed, defect).run()
+}
+
+func newConsensusSimulation(seed uint64, defect ConsensusDefect) *ConsensusSimulation {
 	simulation := &ConsensusSimulation{
 		World: NewWorld(seed), defect: defect,
 		byID:         map[consensus.ReplicaID]*controlNode{},
@@ -112,12 +152,16 @@
 	simulation.network.MaximumDelay = 20 * time.Millisecond
 	simulation.network.Loss = 0.02
 	simulation.network.Duplication = 0.02
-	simulation.start()
-	simulation.World.RunUntil(consensusRunTime)
-	simulation.heal()
-	simulation.World.RunUntil(consensusRunTime + consensusHealTime)
-	simulation.checkAfterHeal()
-	return simulation.World
+	return simulation
+}
+
+func (s *ConsensusSimulation) run() *World {
+	s.start()
+	s.World.RunUntil(consensusRunTime)
+	s.heal()
+	s.World.RunUntil(consensusRunTime + consensusHealTime)
+	s.checkAfterHeal()
+	return s.World
 }
 
 func (s *ConsensusSimulation) start() {
@@ -142,7 +186,7 @@
 	}
 	s.byID[node.id] = node
 	node.life++
-	node.machine = &registerMachine{}
+	node.machine = &registerMachine{reads: node.build.reads}
 	options := consensus.ReplicaOptions{
 		ID: node.id, StartTicks: 3, Random: s.World.Random, FileSystem: node.disk, SegmentBytes: 2 << 10,
 		SnapshotEvery: snapshotEveryEntries, Machine: node.machine,
@@ -226,6 +270,9 @@
 		return
 	}
 	s.committed[commit] = entry
+	if node.machine.missed {
+		s.World.Check(fmt.Errorf("%s was to apply a command that its build can't read", node.name))
+	}
 	s.World.Check(nil)
 }
 
@@ -284,7 +331,7 @@
 	operation := porcupine.Operation{ClientId: client, Call: int64(s.World.Now)}
 	if s.World.Chance(0.5) {
 		s.nextValue++
-		s.write(node, operation, registerCommand{Register: register, Value: s.nextValue}, next)
+		s.write(node, operation, registerCommand{Register: register, Value: s.nextValue, Needs: s.upgrade.needs(s.World, node)}, next)
 	} else {
 		s.read(node, operation, register, next)
 	}
@@ -441,7 +488,8 @@
 }
 
 func (s *ConsensusSimulation) restart(node *controlNode) {
-	if node.replica == nil {
+	isHeld := s.upgrade != nil && s.upgrade.held[node]
+	if node.replica == nil && !isHeld {
 		s.boot(node, false)
 	}
 }
@@ -462,6 +510,9 @@
 	s.healed = true
 	s.network.Heal()
 	s.network.Loss = 0
+	if s.upgrade != nil {
+		s.upgrade.finish()
+	}
 	for _, node := range s.nodes {
 		s.thaw(node)
 		s.restart(node)
@@ -480,8 +531,8 @@
 		return
 	}
 	for _, node := range s.nodes {
-		if node.machine.values != leader.machine.values {
-			s.World.Check(fmt.Errorf("%s has state %v, the leader %v", node.name, node.machine.values, leader.machine.values))
+		if node.machine.values != leader.machine.values || node.machine.version != leader.machine.version {
+			s.World.Check(fmt.Errorf("%s has state %v, the leader %v", node.name, node.machine, leader.machine))
 		}
 		if !slices.Contains(leader.replica.Core().Configuration().Voters(), node.id) {
 			s.World.Check(fmt.Errorf("%s did not become a voter again", node.name))
--- /dev/null
+++ b/internal/lab/simulate/upgrade.go
@@ -0,0 +1,262 @@
+package simulate
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ravenway/ravenway/internal/coordination/consensus"
+	"github.com/ravenway/ravenway/internal/coordination/logversion"
+	"github.com/ravenway/ravenway/internal/coordination/roster"
+	"github.com/ravenway/ravenway/internal/state/machine"
+)
+
+// UpgradeDefect deliberately breaks the rules of an upgrade, to show that the simulation
+// notices.
+type UpgradeDefect int
+
+const (
+	// UpgradeNoDefect runs the real code.
+	UpgradeNoDefect UpgradeDefect = iota
+	// RaiseForTheLeaderAlone raises the log's version as soon as the leader reads it.
+	RaiseForTheLeaderAlone
+	// NewerWithoutRaise proposes newer commands whatever the log's version is.
+	NewerWithoutRaise
+	// BackWithoutLooking starts a node with the earlier build also after the raise.
+	BackWithoutLooking
+	// LookBeforeTheStop looks whether it was raised while the node still runs.
+	LookBeforeTheStop
+)
+
+const (
+	upgradeBegins = 6 * time.Second
+	// A hello comes each helloInterval.
+	helloInterval   = 600 * time.Millisecond
+	upgradeSettling = 4 * time.Second
+	// goingBack is the part of the replaced nodes that get the earlier build again.
+	goingBack = 0.3
+	// backWait is how long the operator leaves a node stopped before he looks whether the
+	// log's version was raised: nobody counts it as heard by then, so that it can't be.
+	backWait = roster.AliveFor + time.Second
+)
+
+// upgradedBuild is what differs between builds, and what a node knows of the others'.
+type upgradedBuild struct {
+	// reads is the newest version of the log that the node's build reads.
+	reads machine.LogVersion
+	// heard are the hellos of the other nodes, by name.
+	heard map[string]hello
+	raise logversion.Raise
+}
+
+type hello struct {
+	at    time.Duration
+	reads machine.LogVersion
+}
+
+// upgrade replaces the builds of a simulation's nodes, one after the other.
+type upgrade struct {
+	*ConsensusSimulation
+	defect UpgradeDefect
+	// held are nodes that the operator holds stopped; a fault's restart leaves them so.
+	held map[*controlNode]bool
+}
+
+// RunUpgrade runs a group whose nodes are given another build one after the other, and some
+// the earlier one again, beside the faults of RunConsensus.
+func RunUpgrade(seed uint64, defect UpgradeDefect) *World {
+	simulation := newConsensusSimulation(seed, NoDefect)
+	u := &upgrade{ConsensusSimulation: simulation, defect: defect, held: map[*controlNode]bool{}}
+	simulation.upgrade = u
+	simulation.World.Every(helloInterval, u.sayHello)
+	simulation.World.Every(helloInterval, u.raiseVersion)
+	simulation.World.After(upgradeBegins, u.replaceNext)
+	simulation.run()
+	u.checkRaised()
+	return simulation.World
+}
+
+// sayHello has each node that runs tell the others what its build reads.
+func (u *upgrade) sayHello() bool {
+	for _, from := range u.nodes {
+		if from.replica == nil || from.frozen {
+			continue
+		}
+		said := hello{at: u.World.Now, reads: from.build.reads}
+		for _, to := range u.nodes {
+			life := to.life
+			u.network.Send(from.name, to.name, func() {
+				if to.life == life && to.replica != nil && !to.frozen {
+					to.build.hear(from.name, said)
+				}
+			})
+		}
+	}
+	return true
+}
+
+func (b *upgradedBuild) hear(from string, said hello) {
+	if b.heard == nil {
+		b.heard = map[string]hello{}
+	}
+	b.heard[from] = said
+}
+
+// raiseVersion does at each node of the newer build what its replica's duty does.
+func (u *upgrade) raiseVersion() bool {
+	for _, node := range u.nodes {
+		if node.replica == nil || node.frozen || node.build.reads < machine.OwnLogVersion {
+			continue
+		}
+		core := node.replica.Core()
+		node.build.look(u.World.Now, core.Configuration().Members)
+		isDue := node.build.raise.IsDue(u.World.Now, upgradeSettling) || u.defect == RaiseForTheLeaderAlone
+		if core.Role() != consensus.Leader || node.machine.version >= machine.OwnLogVersion || !isDue {
+			continue
+		}
+		data, err := msgpack.Marshal(&registerCommand{Raise: machine.OwnLogVersion})
+		if err != nil {
+			panic(err)
+		}
+		node.replica.Propose(data, func(any, error) {})
+		u.flush(node)
+	}
+	return true
+}
+
+// look tells the raise who is heard.
+func (b *upgradedBuild) look(now time.Duration, members []consensus.Member) {
+	var heard []logversion.Control
+	for name, said := range b.heard {
+		if now-said.at <= roster.AliveFor {
+			heard = append(heard, logversion.Control{Address: name, Reads: said.reads})
+		}
+	}
+	var names []string
+	for _, member := range members {
+		names = append(names, member.Node)
+	}
+	b.raise.Look(now, heard, names)
+}
+
+// needs draws the version that a write of a node, the leader, needs: one in two is of the
+// newer kind where the log may hold those.
+func (u *upgrade) needs(world *World, leader *controlNode) machine.LogVersion {
+	if u == nil {
+		return machine.VersionFirst
+	}
+	mayBeNewer := leader.machine.version >= machine.OwnLogVersion || u.defect == NewerWithoutRaise && leader.build.reads > machine.VersionFirst
+	if !mayBeNewer || !world.Chance(0.5) {
+		return machine.VersionFirst
+	}
+	world.Fault("newer_command")
+	return machine.OwnLogVersion
+}
+
+// replaceNext replaces a node's build, and the next one's later.
+func (u *upgrade) replaceNext() {
+	if u.healed {
+		return
+	}
+	next := func() { u.World.After(u.World.Between(time.Second, 6*time.Second), u.replaceNext) }
+	node := u.nodes[u.World.Random.IntN(len(u.nodes))]
+	if len(u.held) > 0 || node.replica == nil || node.frozen {
+		next()
+		return
+	}
+	restart := u.World.Between(100*time.Millisecond, 2*time.Second)
+	switch leader := u.leader(); {
+	case node.build.reads == machine.VersionFirst:
+		u.World.Fault("upgraded")
+		u.stop(node, restart, func() { u.start(node, machine.OwnLogVersion) })
+	case !u.World.Chance(goingBack):
+	case u.defect == LookBeforeTheStop:
+		if leader != nil {
+			seen := leader.machine.version
+			u.stop(node, restart, func() { u.goBack(node, seen) })
+		}
+	default:
+		u.stop(node, backWait, func() { u.lookBeforeGoingBack(node) })
+	}
+	next()
+}
+
+// stop stops a node as planned, and goes on after a while.
+func (u *upgrade) stop(node *controlNode, lasting time.Duration, then func()) {
+	u.held[node] = true
+	u.kill(node)
+	u.World.After(lasting, then)
+}
+
+func (u *upgrade) start(node *controlNode, reads machine.LogVersion) {
+	delete(u.held, node)
+	node.build = upgradedBuild{reads: reads, raise: logversion.New(false)}
+	u.restart(node)
+}
+
+// lookBeforeGoingBack asks the leader for the log's version, and starts a stopped node with
+// the earlier build if it was not raised.
+func (u *upgrade) lookBeforeGoingBack(node *controlNode) {
+	leader := u.leader()
+	switch {
+	case u.healed:
+		u.start(node, machine.OwnLogVersion)
+	case u.defect == BackWithoutLooking:
+		u.start(node, machine.VersionFirst)
+	case leader == nil:
+		u.World.After(time.Second, func() { u.lookBeforeGoingBack(node) })
+	default:
+		isAnswered := false
+		leader.replica.Read(func(err error) {
+			if isAnswered {
+				return
+			}
+			isAnswered = true
+			if err != nil {
+				u.World.After(time.Second, func() { u.lookBeforeGoingBack(node) })
+				return
+			}
+			u.goBack(node, leader.machine.version)
+		})
+		u.flush(leader)
+		u.World.After(2*time.Second, func() {
+			if !isAnswered {
+				isAnswered = true
+				u.lookBeforeGoingBack(node)
+			}
+		})
+	}
+}
+
+func (u *upgrade) goBack(node *controlNode, version machine.LogVersion) {
+	if version > machine.VersionFirst {
+		u.start(node, machine.OwnLogVersion)
+		return
+	}
+	u.World.Fault("went_back")
+	u.start(node, machine.VersionFirst)
+}
+
+// finish gives all nodes the newer build.
+func (u *upgrade) finish() {
+	for _, node := range u.nodes {
+		if node.build.reads < machine.OwnLogVersion {
+			u.kill(node)
+			u.start(node, machine.OwnLogVersion)
+		}
+	}
+	clear(u.held)
+}
+
+// checkRaised: with all nodes on the newer build, the log's version was raised.
+func (u *upgrade) checkRaised() {
+	if u.World.Broken != nil {
+		return
+	}
+	for _, node := range u.nodes {
+		if node.machine.version != machine.OwnLogVersion {
+			u.World.Check(fmt.Errorf("%s has the log at version %d though all builds read %d", node.name, node.machine.version, machine.OwnLogVersion))
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/simulate/upgrade_test.go
@@ -0,0 +1,24 @@
+package simulate
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// No replica meets a command that its build can't read, none is parted from the others, and
+// the log's version rises once all have the newer build, whatever order they are given it in.
+func TestGroupOfTwoBuildsHoldsOneLogUnderFaults(t *testing.T) {
+	runSeeds(t, seedsInCI, func(seed uint64) *World { return RunUpgrade(seed, UpgradeNoDefect) })
+}
+
+func TestUpgradeSimulationNoticesDefects(t *testing.T) {
+	t.Parallel()
+	for name, defect := range map[string]UpgradeDefect{
+		"raise for the leader alone": RaiseForTheLeaderAlone, "newer without raise": NewerWithoutRaise, "back without looking": BackWithoutLooking,
+		"look before the stop": LookBeforeTheStop,
+	} {
+		broken := brokenSeed(t, 200, func(seed uint64) *World { return RunUpgrade(seed, defect) })
+		assert.ErrorContains(t, broken, "can't read", name)
+	}
+}
