--- a/internal/forward/unread_test.go
+++ b/internal/forward/unread_test.go
@@ -58,32 +58,48 @@
 	}
 }
 
-// unreadStream sends the request of a stream whose caller reads the status of its answer and
-// nothing else. While it is turned away, as one is whose engine's connection comes up slowly,
-// it comes again.
-func (h *harness) unreadStream(t *testing.T, id string) {
+// crowd sends requests of callers that read nothing of their answers, until all are at the
+// engine.
+func (h *harness) crowd(t *testing.T, engine *scriptedEngine, path string, callers int) {
 	t.Helper()
-	const begun, turnedAway = "HTTP/1.1 200", "HTTP/1.1 503"
-	waitUntil(t, id+" is at the engine", func() bool {
-		status := make([]byte, len(begun))
-		_, err := io.ReadFull(h.unread(t, "/stream/x", id), status)
-		assert.NilError(t, err)
-		assert.Assert(t, string(status) == begun || string(status) == turnedAway, "%s", status)
-		return string(status) == begun
+	connections := map[string]net.Conn{}
+	for number := range callers {
+		id := fmt.Sprint("unread-", number)
+		connections[id] = h.unread(t, path, id)
+	}
+	waitUntil(t, "all are at the engine", func() bool {
+		for _, id := range strings.Fields(engine.ids()) {
+			delete(connections, id)
+		}
+		for id, connection := range connections {
+			if isTurnedAway(connection) {
+				connections[id] = h.unread(t, path, id)
+			}
+		}
+		return len(connections) == 0
 	})
 }
 
+// isTurnedAway tells whether a caller is to come again, as when the connection to its engine
+// came up slowly.
+func isTurnedAway(caller net.Conn) bool {
+	const turnedAway = "HTTP/1.1 503"
+	_ = caller.SetReadDeadline(time.Now().Add(time.Millisecond))
+	status := make([]byte, len(turnedAway))
+	_, err := io.ReadFull(caller, status)
+	return err == nil && string(status) == turnedAway
+}
+
 func TestCallersThatDoNotReadTakeLittleMemory(t *testing.T) {
 	const callers = 40
 	var open atomic.Int64
-	h := newHarness(t, newEngine(t, endless(&open)))
+	engine := newEngine(t, endless(&open))
+	h := newHarness(t, engine)
 	// None is given up before all are there.
 	h.setUnreadPatience(time.Minute)
 	before := heapNow()
-	for number := range callers {
-		h.unreadStream(t, fmt.Sprint("unread-", number))
-	}
-	assert.Equal(t, open.Load(), int64(callers))
+	h.crowd(t, engine, "/stream/x", callers)
+	waitUntil(t, "all have an answer", func() bool { return open.Load() == callers })
 	each := (int64(heapNow()) - int64(before)) / callers
 	t.Logf("%d bytes of heap a caller", each)
 	assert.Assert(t, each < unreadHeapBytes, "%d bytes of heap for a caller that does not read", each)
@@ -94,11 +110,10 @@
 func TestCallersThatDoNotReadAreGivenUp(t *testing.T) {
 	const callers = 40
 	var open atomic.Int64
-	h := newHarness(t, newEngine(t, endless(&open)))
+	engine := newEngine(t, endless(&open))
+	h := newHarness(t, engine)
 	h.setUnreadPatience(4 * time.Second)
-	for number := range callers {
-		h.unreadStream(t, fmt.Sprint("unread-", number))
-	}
+	h.crowd(t, engine, "/stream/x", callers)
 	waitUntil(t, "none is any more", func() bool { return open.Load() == 0 && h.pipeline.Active() == 0 })
 }
 
@@ -130,11 +145,9 @@
 		_, _ = connection.Write(long)
 	})
 	h := newHarness(t, engine)
-	h.pipeline.options.BufferedBytes, h.pipeline.options.UnreadPatience = bound, 2*time.Second
-	for number := range callers {
-		h.unread(t, "/safe/x", fmt.Sprint("unread-", number))
-	}
-	waitUntil(t, "all are at the engine", func() bool { return len(strings.Fields(engine.ids())) >= callers })
+	h.pipeline.options.BufferedBytes = bound
+	h.setUnreadPatience(2 * time.Second)
+	h.crowd(t, engine, "/safe/x", callers)
 	assert.Assert(t, h.pipeline.buffered.Load() <= bound+callers*leastBufferedAnswer, "%d bytes", h.pipeline.buffered.Load())
 	waitUntil(t, "all are given up", func() bool { return h.pipeline.Active() == 0 })
 	assert.Equal(t, h.pipeline.buffered.Load(), int64(0))
@@ -155,11 +168,9 @@
 		_, _ = connection.Write(long[:len(long)-1])
 	})
 	h := newHarness(t, engine)
-	h.pipeline.options.BufferedBytes, h.pipeline.options.UnreadPatience = bound, time.Second
-	for number := range callers {
-		h.unread(t, "/safe/x", fmt.Sprint("together-", number))
-	}
-	waitUntil(t, "all are at the engine", func() bool { return len(strings.Fields(engine.ids())) >= callers })
+	h.pipeline.options.BufferedBytes = bound
+	h.setUnreadPatience(time.Second)
+	h.crowd(t, engine, "/safe/x", callers)
 	// Their heads are read meanwhile.
 	time.Sleep(200 * time.Millisecond)
 	close(bodies)
