--- a/internal/coordination/balance/cold_test.go
+++ b/internal/coordination/balance/cold_test.go
@@ -70,6 +70,7 @@
 		end    time.Duration
 	}
 	var result coldResult
+	// work is in the order of its ends: all requests take as long.
 	var work []running
 	arrivals := map[string][]time.Duration{}
 	restoredAt := time.Second
@@ -83,12 +84,9 @@
 				table.SetEvacuated(now, evacuation.Zones{Revision: 2})
 			}
 		}
-		work = slices.DeleteFunc(work, func(one running) bool {
-			if one.end <= now {
-				tables[one.node].Done(now, one.choice, Served)
-			}
-			return one.end <= now
-		})
+		for ; len(work) > 0 && work[0].end <= now; work = work[1:] {
+			tables[work[0].node].Done(now, work[0].choice, Served)
+		}
 		if now >= nextLoads {
 			nextLoads += coldLoadsInterval
 			exchangeLoads(tables)
