A life is charged for the time for which the leader's machine was suspended too

What callers see: a tenant could get more than its prepaid limit. A life that was over was charged 17,371 tokens of the 19,894 that it had used.

Cause: how long a life was without the root is read from the leader's steady clock where the same process had decided on its last report. That clock doesn't count the time for which the machine was suspended: a leader that was, and leads again later, takes the silence for seconds shorter than it was, and what the pace had allowed in them is not charged.

On machines that are not suspended nothing changes. It errs to a longer silence.

Left: a suspension while the control nodes' clocks disagree is not seen.

--- a/internal/coordination/clocks/clocks.go
+++ b/internal/coordination/clocks/clocks.go
@@ -1,11 +1,11 @@
 // Package clocks bounds how long a node was without the root of the budgets when
 // its life ended.
 //
-// A steady clock tells how much time has passed only while its process lives.
-// Where all processes have ended, the time of day is all there is, and it may
-// jump on any machine. So it counts only where the control nodes agree on it: a
-// jump is noticed unless it strikes more than half of them alike at the same
-// time.
+// A steady clock tells how much time has passed only while its process lives,
+// and doesn't count the time for which its machine is suspended. Where it fails,
+// the time of day is all there is, and it may jump on any machine. So it counts
+// only where the control nodes agree on it: a jump is noticed unless it strikes
+// more than half of them alike at the same time.
 package clocks
 
 import (
@@ -48,18 +48,32 @@
 
 // Silence bounds how long a life was without the root at its end: it heard of
 // the contact, and was over for sinceOver at least when the clocks were read.
-// The steady clock tells where this process made the contact; else the time of
-// day, where the control nodes agreed on it then and now.
+// The steady clock tells where this process made the contact, unless the time of
+// day shows that its machine was suspended since; else the time of day does, where
+// the control nodes agreed on it then and now.
 func Silence(contact accounts.Contact, now Reading, sinceOver time.Duration) (silence time.Duration, known bool) {
 	if contact.Index == 0 {
 		return accounts.UnknownSilence, false
 	}
+	byDay, isAgreed := passedByDay(contact, now)
 	if contact.Clock == now.Clock {
-		return max(0, now.Steady-sinceOver-time.Duration(contact.SteadyMS)*time.Millisecond), true
+		passed := now.Steady - time.Duration(contact.SteadyMS)*time.Millisecond
+		if isAgreed && byDay > passed+Tolerance {
+			passed = byDay + Tolerance
+		}
+		return max(0, passed-sinceOver), true
 	}
-	passed := time.Duration(now.WallMS-contact.WallMS)*time.Millisecond - sinceOver
-	if contact.WallMS == 0 || now.WallMS == 0 || passed < -Tolerance {
+	if !isAgreed || byDay-sinceOver < -Tolerance {
 		return accounts.UnknownSilence, false
 	}
-	return max(0, passed) + Tolerance, true
+	return max(0, byDay-sinceOver) + Tolerance, true
+}
+
+// passedByDay is the time since the contact by the time of day, if the control nodes
+// agreed on it then and now.
+func passedByDay(contact accounts.Contact, now Reading) (passed time.Duration, isAgreed bool) {
+	if contact.WallMS == 0 || now.WallMS == 0 {
+		return 0, false
+	}
+	return time.Duration(now.WallMS-contact.WallMS) * time.Millisecond, true
 }
