--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -124,7 +124,7 @@
 
 // Learn takes what the answer of an instance to a request of this node says, which was
 // written at a time. An answer to a request older than the newest word may have been
-// overtaken: it does not lift the limit, nor raise it.
+// overtaken: it does not lift the limit, nor raise it. A refusal or failure lifts none.
 func (l *Limits) Learn(now time.Duration, life registry.Life, said Said, writtenAt time.Duration) Change {
 	if !said.IsNamed && said.Fault == nil && l.known.Load() == 0 {
 		return Change{}
