--- a/internal/lab/openfleet/ratelimit_test.go
+++ b/internal/lab/openfleet/ratelimit_test.go
@@ -171,9 +171,8 @@
 	for name, change := range map[string]func(*Engine){
 		"failing":      func(e *Engine) { e.Events, e.Status = 0, http.StatusInternalServerError },
 		"turning_away": func(e *Engine) { e.TurnAway = true },
-		// Seen in this test: up to as many as without a limit. A refusal without the word for
-		// the limit was taken for the limit's end, told to all nodes, until the next answer
-		// that named it.
+		// Seen: 18 requests in 4 s, 17 are allowed. Cause: a refusal that named no limit was
+		// taken for its end, and all nodes were told, until the next answer that named it.
 		"turning_half_away_without_naming_it": func(e *Engine) { e.BareRefusals = 0.5 },
 		"breaking_off":                        func(e *Engine) { e.Events, e.BreakAfter = 5, 2 },
 	} {
