Soak: whether a stand-in fails its calls is set before it serves

Whether one fails its plain calls was written after it had begun to serve; since its failures may name no limit it is read at the begin of each request. It is given at the start now. Test code only.

--- a/internal/lab/soak/engine.go
+++ b/internal/lab/soak/engine.go
@@ -115,13 +115,13 @@
 	end func(ended *engine, body string)
 }
 
-// startEngine listens at an address and serves.
-func startEngine(instance registry.Instance, wire standin.Wire, truth *Truth, end func(*engine, string)) (*engine, error) {
+// startEngine listens at an address and serves; fails tells that it fails each plain call.
+func startEngine(instance registry.Instance, wire standin.Wire, truth *Truth, fails bool, end func(*engine, string)) (*engine, error) {
 	listener, err := net.Listen("tcp", instance.Address)
 	if err != nil {
 		return nil, fmt.Errorf("starting engine %s: %w", instance.ID, err)
 	}
-	made := &engine{Instance: instance, wire: wire, truth: truth, state: registry.Ready, end: end, limit: limitRecord{began: time.Now()}}
+	made := &engine{Instance: instance, wire: wire, truth: truth, state: registry.Ready, fails: fails, end: end, limit: limitRecord{began: time.Now()}}
 	made.server = &http.Server{Handler: made}
 	go func() { _ = made.server.Serve(listener) }()
 	return made, nil
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -192,11 +192,10 @@
 	started, err := startEngine(registry.Instance{
 		ID: id, Born: time.Now().UnixMilli(), Service: service, Address: net.JoinHostPort(host, fmt.Sprint(enginePort)),
 		Zone: zones[place%len(zones)], Version: version, Slots: 64,
-	}, f.wire, f.truth, func(ended *engine, body string) { f.endBy(ended, place, body) })
+	}, f.wire, f.truth, fails, func(ended *engine, body string) { f.endBy(ended, place, body) })
 	if err != nil {
 		return err
 	}
-	started.fails = fails
 	f.engines[name] = started
 	f.everyLife = append(f.everyLife, started)
 	return nil
