Simulations: one clock of a machine that may stand still

What stood three times: when a process began, until when its machine stands still and what its steady clock did not count were fields of the entry nodes of the limits' simulation, of those of lost lives, and of the processes that lead there, each with its own sums. A fourth field of the limits' nodes, since when one runs, could be derived from them.

Change: machineClock holds them, with what is asked of it (read, stands, runsSince) and done to it (freeze, suspend).

--- a/internal/lab/simulate/lostlives.go
+++ b/internal/lab/simulate/lostlives.go
@@ -71,22 +71,16 @@
 	name, zone string
 	holder     *escrow.Holder
 	life       uint64
-	bootedAt   time.Duration
+	clock      machineClock
 	down       bool
 	heardRoot  time.Duration
-	// standsUntil is when a machine that stands still goes on; stood is the time that its
-	// steady clock did not count.
-	standsUntil, stood time.Duration
 }
 
 // rootProcess is a process that leads, or did and may lead again.
 type rootProcess struct {
-	// clock names its steady clock, which began at bootedAt and did not count the time
-	// stood.
-	clock           uint64
-	bootedAt, stood time.Duration
-	// standsUntil is when it goes on if its machine stands still.
-	standsUntil time.Duration
+	// name is that of its steady clock.
+	name  uint64
+	clock machineClock
 }
 
 // wallClock is a control node's time of day, which may jump.
@@ -119,12 +113,12 @@
 	index    uint64
 	budgets  []string
 	spenders []*spender
-	// root is nil while no leader runs, process is the one that leads or led last, and clock
-	// names the newest one's.
-	root    *escrow.Root
-	process *rootProcess
-	clock   uint64
-	walls   []*wallClock
+	// root is nil while no leader runs, process is the one that leads or led last, and
+	// processes is the number of all.
+	root      *escrow.Root
+	process   *rootProcess
+	processes uint64
+	walls     []*wallClock
 	// dead are the holders of lives that are over and not closed.
 	dead map[accounts.HolderID]*escrow.Holder
 	used map[string]uint64
@@ -186,7 +180,7 @@
 		return
 	}
 	one.life++
-	one.down, one.bootedAt, one.standsUntil, one.stood = false, s.world.Now, 0, 0
+	one.down, one.clock = false, machineClock{bootedAt: s.world.Now}
 	life := one.life
 	var lenders []string
 	for _, other := range s.spenders {
@@ -217,16 +211,14 @@
 }
 
 // sinceBoot is the node's own steady clock.
-func (s *lostLives) sinceBoot(one *spender) time.Duration {
-	return s.world.Now - one.bootedAt - one.stood
-}
+func (s *lostLives) sinceBoot(one *spender) time.Duration { return one.clock.read(s.world.Now) }
 
-func (s *lostLives) stands(one *spender) bool { return s.world.Now < one.standsUntil }
+func (s *lostLives) stands(one *spender) bool { return one.clock.stands(s.world.Now) }
 
 // atNode does something at a node, once it goes on if it stands still.
 func (s *lostLives) atNode(one *spender, act func()) {
 	if s.stands(one) {
-		s.world.After(one.standsUntil-s.world.Now, func() { s.atNode(one, act) })
+		s.world.After(one.clock.standsUntil-s.world.Now, func() { s.atNode(one, act) })
 		return
 	}
 	act()
@@ -315,8 +307,8 @@
 // bootRoot has a process lead: one that led before, or nil for a new one.
 func (s *lostLives) bootRoot(process *rootProcess) {
 	if process == nil {
-		s.clock++
-		process = &rootProcess{clock: s.clock, bootedAt: s.world.Now}
+		s.processes++
+		process = &rootProcess{name: s.processes, clock: machineClock{bootedAt: s.world.Now}}
 	}
 	s.process = process
 	leadsSince := s.world.Now
@@ -352,7 +344,7 @@
 		if s.root != root {
 			return false
 		}
-		if s.world.Now < process.standsUntil {
+		if process.clock.stands(s.world.Now) {
 			return true
 		}
 		root.Tick(s.world.Now)
@@ -378,7 +370,7 @@
 
 // readClocks reads the leader's clocks and what it last heard of the others'.
 func (s *lostLives) readClocks(leader int) clocks.Reading {
-	reading := clocks.Reading{Clock: s.process.clock, Steady: s.world.Now - s.process.bootedAt - s.process.stood}
+	reading := clocks.Reading{Clock: s.process.name, Steady: s.process.clock.read(s.world.Now)}
 	var others []int64
 	for number, wall := range s.walls {
 		if number != leader {
--- a/internal/lab/simulate/lostlivesfaults.go
+++ b/internal/lab/simulate/lostlivesfaults.go
@@ -94,19 +94,18 @@
 		s.world.Fault("node suspended")
 		one := s.spenders[s.world.Random.IntN(len(s.spenders))]
 		if !one.down && !s.stands(one) {
-			one.standsUntil, one.stood = s.world.Now+lasting, one.stood+lasting
+			one.clock.suspend(s.world.Now, lasting)
 		}
 	case 1:
-		if s.root != nil && s.world.Now >= s.process.standsUntil {
+		if s.root != nil && !s.process.clock.stands(s.world.Now) {
 			s.world.Fault("leader suspended for a moment")
-			lasting = min(lasting, unmissed)
-			s.process.standsUntil, s.process.stood = s.world.Now+lasting, s.process.stood+lasting
+			s.process.clock.suspend(s.world.Now, min(lasting, unmissed))
 		}
 	case 2:
-		if s.root != nil && s.world.Now >= s.process.standsUntil {
+		if s.root != nil && !s.process.clock.stands(s.world.Now) {
 			s.world.Fault("leader suspended, leads again")
 			suspended := s.process
-			suspended.standsUntil, suspended.stood = s.world.Now+lasting, suspended.stood+lasting
+			suspended.clock.suspend(s.world.Now, lasting)
 			s.loseRoot(electionTime)
 			s.world.After(lasting+electionTime, func() { s.followRoot(electionTime, suspended) })
 		}
--- a/internal/lab/simulate/ratelimit.go
+++ b/internal/lab/simulate/ratelimit.go
@@ -105,17 +105,13 @@
 	// process counts its starts; isUp tells that it runs.
 	process int
 	isUp    bool
-	// standsUntil is when a node that stands still goes on; stood is the time that its
-	// clock did not count.
-	standsUntil, stood time.Duration
+	clock   machineClock
 	// isCut tells that it reaches neither nodes nor control nodes, but the engines.
 	isCut  bool
 	toldAt time.Duration
 	told   []ratelimit.Node
 	next   map[registry.Life]time.Duration
 	isTold map[registry.Life]bool
-	// quietSince is when the node last began to run, or to run again.
-	quietSince time.Duration
 	// olderLives are those of engines whose new life the node has not heard of.
 	olderLives map[*limitEngine]registry.Life
 }
@@ -162,7 +158,7 @@
 func (n *limitNode) start() {
 	w := n.world
 	n.process++
-	n.isUp, n.standsUntil, n.told, n.toldAt, n.quietSince = true, 0, nil, w.Now, w.Now
+	n.isUp, n.clock, n.told, n.toldAt = true, machineClock{bootedAt: w.Now}, nil, w.Now
 	n.limits = ratelimit.New(n.name)
 	n.next, n.isTold, n.olderLives = map[registry.Life]time.Duration{}, map[registry.Life]bool{}, map[*limitEngine]registry.Life{}
 	process := n.process
@@ -178,7 +174,7 @@
 }
 
 // now is the node's steady clock.
-func (n *limitNode) now() time.Duration { return time.Minute + n.world.Now - n.stood }
+func (n *limitNode) now() time.Duration { return time.Minute + n.clock.read(n.world.Now) }
 
 // run runs an action of the node's process: later if it stands still, never if it ends
 // before.
@@ -188,8 +184,8 @@
 	attempt = func() {
 		switch {
 		case !n.isUp || n.process != process:
-		case n.world.Now < n.standsUntil:
-			n.world.After(n.standsUntil-n.world.Now+n.world.Between(0, time.Millisecond), attempt)
+		case n.clock.stands(n.world.Now):
+			n.world.After(n.clock.standsUntil-n.world.Now+n.world.Between(0, time.Millisecond), attempt)
 		default:
 			action()
 		}
@@ -460,12 +456,11 @@
 		func() { w.endNode(node, lasting) },
 		func() {
 			w.Fault("freeze")
-			node.stand(lasting)
+			node.clock.freeze(w.Now, lasting)
 		},
 		func() {
 			w.Fault("suspend")
-			node.stand(lasting)
-			node.stood += lasting
+			node.clock.suspend(w.Now, lasting)
 		},
 		func() {
 			w.Fault("node_cut")
@@ -486,12 +481,6 @@
 	kinds[w.Random.IntN(len(kinds))]()
 }
 
-// stand has a node stand still for a time.
-func (n *limitNode) stand(lasting time.Duration) {
-	n.standsUntil = max(n.standsUntil, n.world.Now+lasting)
-	n.quietSince = max(n.quietSince, n.standsUntil)
-}
-
 // endNode ends a node's process; it starts again later.
 func (w *limitWorld) endNode(node *limitNode, lasting time.Duration) {
 	if !node.isUp {
--- a/internal/lab/simulate/ratelimitengine.go
+++ b/internal/lab/simulate/ratelimitengine.go
@@ -63,7 +63,7 @@
 // isExcused tells that a node's requests don't count now: it has just started, or stood still,
 // and what came to it meanwhile goes out before it can hear of a limit.
 func (w *limitWorld) isExcused(node *limitNode) bool {
-	return w.options.IsUnsettled && w.Now-node.quietSince < limitcheck.Contact
+	return w.options.IsUnsettled && w.Now-node.clock.runsSince() < limitcheck.Contact
 }
 
 // unsettle has an engine change its limit, name none for a while, or start again.
