--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -2,6 +2,7 @@
 package internal_test
 
 import (
+	"go/ast"
 	"go/parser"
 	"go/token"
 	"io/fs"
@@ -46,24 +47,34 @@
 }
 
 func TestLayersImportOnlyDownwards(t *testing.T) {
-	files := token.NewFileSet()
-	seen := 0
-	err := filepath.WalkDir(".", func(path string, entry fs.DirEntry, err error) error {
-		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-			return err
-		}
+	eachSource(t, []string{"."}, parser.ImportsOnly, func(_ *token.FileSet, path string, parsed *ast.File) {
 		layer, _, _ := strings.Cut(filepath.ToSlash(path), "/")
 		permitted, known := allowed[layer]
 		assert.Assert(t, known, "%s is in no known layer", path)
-		parsed, err := parser.ParseFile(files, path, nil, parser.ImportsOnly)
-		assert.NilError(t, err)
 		for _, imported := range parsed.Imports {
 			checkImport(t, path, layer, strings.Trim(imported.Path.Value, `"`), permitted)
 		}
-		seen++
-		return nil
 	})
-	assert.NilError(t, err)
+}
+
+// eachSource reads the Go files below some folders, but for tests. There are more than 50.
+func eachSource(t *testing.T, roots []string, mode parser.Mode, read func(files *token.FileSet, path string, parsed *ast.File)) {
+	t.Helper()
+	files := token.NewFileSet()
+	seen := 0
+	for _, root := range roots {
+		err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			parsed, err := parser.ParseFile(files, path, nil, mode)
+			assert.NilError(t, err)
+			read(files, path, parsed)
+			seen++
+			return nil
+		})
+		assert.NilError(t, err)
+	}
 	assert.Assert(t, seen > 50, "only %d files were read", seen)
 }
 
