Fleet tests: a stand-in turns requests away in one place

An engine that turns away without a word had its own copy of the refusal beside the one of engines that turn all away. One refusal now; whether it names the limit is what differs. The random draw stays where it was. Test code of the lab only."

--- a/internal/lab/openfleet/engine.go
+++ b/internal/lab/openfleet/engine.go
@@ -160,15 +160,11 @@
 	}
 	e.truth.arrive(e.ID)
 	how := e.behaviour()
-	if rand.Float64() < how.bareRefusals {
-		writer.Header().Set(wire.HeaderNotRun, "1")
-		writer.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	if how.rateLimit != "" {
+	isBare := rand.Float64() < how.bareRefusals
+	if how.rateLimit != "" && !isBare {
 		writer.Header().Set(wire.HeaderRateLimit, how.rateLimit)
 	}
-	if how.turnAway {
+	if how.turnAway || isBare {
 		writer.Header().Set(wire.HeaderNotRun, "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
