Simulation of upgrades: who goes back is a yes or no, not a version

Whether a stopped machine is given the earlier build was passed as a version of the log: a node that the raise doesn't wait for was handed this build's version so that it would not go back. startAgain takes the decision itself. Test code of the lab only.

--- a/internal/lab/simulate/upgrade.go
+++ b/internal/lab/simulate/upgrade.go
@@ -181,8 +181,8 @@
 	case !u.World.Chance(goingBack):
 	case u.defect == LookBeforeTheStop:
 		if leader != nil {
-			seen := leader.machine.version
-			u.stop(node, restart, func() { u.goBack(node, seen) })
+			isFirst := leader.machine.version == machine.VersionFirst
+			u.stop(node, restart, func() { u.startAgain(node, isFirst) })
 		}
 	default:
 		u.stop(node, backWait, func() { u.lookBeforeGoingBack(node) })
@@ -215,15 +215,12 @@
 		u.World.After(time.Second, func() { u.lookBeforeGoingBack(node) })
 	default:
 		u.look(leader, func(version machine.LogVersion, err error) {
-			isWaitedFor := slices.Contains(leader.build.raise.WaitsFor(), node.name) || u.defect == BackThoughNobodyWaits
-			switch {
-			case err != nil:
+			if err != nil {
 				u.World.After(time.Second, func() { u.lookBeforeGoingBack(node) })
-			case isWaitedFor:
-				u.goBack(node, version)
-			default:
-				u.goBack(node, machine.OwnLogVersion)
+				return
 			}
+			isWaitedFor := slices.Contains(leader.build.raise.WaitsFor(), node.name) || u.defect == BackThoughNobodyWaits
+			u.startAgain(node, isWaitedFor && version == machine.VersionFirst)
 		})
 	}
 }
@@ -255,15 +252,17 @@
 	u.flush(leader)
 }
 
-func (u *upgrade) goBack(node *controlNode, version machine.LogVersion) {
-	switch {
-	case !u.held[node]:
-	case version > machine.VersionFirst:
-		u.start(node, machine.OwnLogVersion)
-	default:
+// startAgain starts a stopped node with the earlier build, or with the one it had.
+func (u *upgrade) startAgain(node *controlNode, goesBack bool) {
+	if !u.held[node] {
+		return
+	}
+	reads := machine.OwnLogVersion
+	if goesBack {
 		u.World.Fault("went_back")
-		u.start(node, machine.VersionFirst)
+		reads = machine.VersionFirst
 	}
+	u.start(node, reads)
 }
 
 // finish gives all nodes the newer build.
