--- a/internal/lab/labcli/prove.go
+++ b/internal/lab/labcli/prove.go
@@ -19,35 +19,41 @@
 	"budgets": func(seed uint64) *simulate.World {
 		return simulate.RunBudgets(simulate.BudgetOptions{Seed: seed, Limit: 400_000, TopUp: 200_000, Faults: true, Rate: 25}).World
 	},
-	"lost-lives": func(seed uint64) *simulate.World {
-		return simulate.RunLostLives(simulate.LostLivesOptions{Seed: seed}).World
-	},
-	"suspended-lives": func(seed uint64) *simulate.World {
-		return simulate.RunLostLives(simulate.LostLivesOptions{Seed: seed, Suspended: true}).World
-	},
-	"pooled-lives": func(seed uint64) *simulate.World {
-		return simulate.RunLostLives(simulate.LostLivesOptions{Seed: seed, Pooled: true}).World
-	},
+	"lost-lives":      lostLives(simulate.LostLivesOptions{}),
+	"suspended-lives": lostLives(simulate.LostLivesOptions{Suspended: true}),
+	"pooled-lives":    lostLives(simulate.LostLivesOptions{Pooled: true}),
 	"poison": func(seed uint64) *simulate.World {
 		return simulate.RunPoison(simulate.PoisonOptions{
 			Seed: seed, Policy: simulate.WeighEndsUncarried, Poison: 1 + int(seed%2), Failures: seed%3 == 0, Popular: seed%3 == 0, Hidden: seed%5 == 0,
 		}).World
 	},
-	"rate-limits": func(seed uint64) *simulate.World {
-		return simulate.RunLimits(simulate.LimitOptions{
-			Seed: seed, Policy: simulate.HolderPermits, Nodes: 8, PerSecond: limitRates[seed%4], IsOneSided: seed%3 == 0, Faults: true,
-		}).World
-	},
-	"unsettled-limits": func(seed uint64) *simulate.World {
-		return simulate.RunLimits(simulate.LimitOptions{
-			Seed: seed, Policy: simulate.HolderPermits, Nodes: 8, PerSecond: limitRates[seed%4], IsOneSided: seed%3 == 0, Faults: true, IsUnsettled: true,
-		}).World
-	},
+	"rate-limits":      limitsOf(false),
+	"unsettled-limits": limitsOf(true),
 	"tight-budgets": func(seed uint64) *simulate.World {
 		return simulate.RunBudgets(simulate.BudgetOptions{Seed: seed, Limit: 2000, Faults: true, Tight: true, Rate: 10}).World
 	},
 }
 
+// lostLives runs seeds of lost lives with some options.
+func lostLives(options simulate.LostLivesOptions) func(seed uint64) *simulate.World {
+	return func(seed uint64) *simulate.World {
+		one := options
+		one.Seed = seed
+		return simulate.RunLostLives(one).World
+	}
+}
+
+// limitsOf runs seeds of limits beside faults: of all rates, and one in three of one-sided
+// traffic.
+func limitsOf(isUnsettled bool) func(seed uint64) *simulate.World {
+	return func(seed uint64) *simulate.World {
+		return simulate.RunLimits(simulate.LimitOptions{
+			Seed: seed, Policy: simulate.HolderPermits, Nodes: 8, PerSecond: limitRates[seed%uint64(len(limitRates))], IsOneSided: seed%3 == 0,
+			Faults: true, IsUnsettled: isUnsettled,
+		}).World
+	}
+}
+
 // runSimulations runs seeds side by side and prints each broken one.
 func runSimulations(out io.Writer, only string, first, seeds uint64) error {
 	names := make([]string, 0, len(simulations))
