--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -238,7 +238,7 @@
 			result = "other_instance"
 		}
 		sending.discard(r.call.ID)
-		r.pipeline.options.Log.Attempt(r, choice, result, nil)
+		r.pipeline.options.Log.TurnedAway(r, choice, result, sending)
 		return nil, turnedAway
 	}
 	r.mayHaveRun = true
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -127,6 +127,19 @@
 		Uint64("events", r.events).AnErr("error", err).Send()
 }
 
+// TurnedAway notes that an instance answered without running the request, and the pause
+// that it asked this node for.
+func (l *DecisionLog) TurnedAway(r *request, choice balance.Choice, result string, answer *exchange) {
+	said := answer.head.Backoff
+	text := fmt.Sprintf("instance %s at %s, one of %d: %s with %d, asks for a pause of %s", choice.ID, choice.Address, choice.Candidates,
+		result, answer.response.StatusCode, said.Pause)
+	if !l.keep(r, text) {
+		return
+	}
+	weighed(l.line(r, "attempt"), choice).Str("address", choice.Address).Str("result", result).
+		Int("status", answer.response.StatusCode).Int64("asked_pause_ms", said.Pause.Milliseconds()).AnErr("error", said.Fault).Send()
+}
+
 // Broken notes a run that broke at an instance, which may have begun it, with what
 // tells whether the request itself may be why.
 func (l *DecisionLog) Broken(r *request, run brokenRun, result string, err error) {
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/coordination/backoff"
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 )
 
@@ -66,6 +67,8 @@
 	OtherInstance bool
 	// RateLimit is what it says of the instance's limit.
 	RateLimit ratelimit.Said
+	// Backoff is what the instance asks this node for.
+	Backoff backoff.Said
 }
 
 // Dialect is one wire interface between callers, ravenway and engines.
