--- a/internal/lab/openfleet/engine.go
+++ b/internal/lab/openfleet/engine.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/lab/pausecheck"
 	"github.com/ravenway/ravenway/internal/lab/wire"
 )
 
@@ -34,11 +35,16 @@
 	runs  []*Run
 	// arrivals are when requests came to each instance, also those that it turned away.
 	arrivals map[string][]time.Duration
+	// pauses are the pauses that instances asked nodes for.
+	pauses map[senderAt]*pausecheck.Record
 	// received are the tokens that the callers with each key got: of a request of
 	// which anything came, the prompt once and each event.
 	received map[string]uint64
 }
 
+// senderAt is a node that sends requests to an instance.
+type senderAt struct{ instance, node string }
+
 func (t *Truth) begin(request, instance, tenant, body string) *Run {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -47,10 +53,35 @@
 	return run
 }
 
-func (t *Truth) arrive(instance string) {
+func (t *Truth) arrive(instance, node string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.arrivals[instance] = append(t.arrivals[instance], time.Since(t.began))
+	now := time.Since(t.began)
+	t.arrivals[instance] = append(t.arrivals[instance], now)
+	t.pausesOf(instance, node).Arrive(now)
+}
+
+func (t *Truth) pausesOf(instance, node string) *pausecheck.Record {
+	of := senderAt{instance: instance, node: node}
+	if t.pauses[of] == nil {
+		t.pauses[of] = &pausecheck.Record{}
+	}
+	return t.pauses[of]
+}
+
+func (t *Truth) askForPause(instance, node string, lasting time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.pausesOf(instance, node).Ask(time.Since(t.began), lasting)
+}
+
+// InPause is the most that an instance got from a node in a pause that it had asked it for,
+// and how often it asked for one.
+func (t *Truth) InPause(instance, node string) (most, pauses int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	record := t.pausesOf(instance, node)
+	return record.Most(), record.Pauses()
 }
 
 // Arrivals returns when requests came to an instance, in order.
@@ -115,6 +146,8 @@
 	// BareRefusals is the part of its requests that the engine turns away with an answer
 	// that says nothing else, a limit included.
 	BareRefusals float64
+	// Pause is what the engine asks a node for whose request it turns away; 0 if it doesn't ask.
+	Pause time.Duration
 	// end ends the engine, hasEnded tells that it did.
 	end      func()
 	hasEnded atomic.Bool
@@ -138,6 +171,7 @@
 	endsAfter          time.Duration
 	rateLimit          string
 	bareRefusals       float64
+	pause              time.Duration
 }
 
 func (e *Engine) behaviour() behaviour {
@@ -146,6 +180,7 @@
 	return behaviour{
 		work: e.Work, events: e.Events, breakAfter: e.BreakAfter, status: e.Status, turnAway: e.TurnAway,
 		endsOn: e.EndsOn, endsAfter: e.EndsAfter, rateLimit: e.RateLimit, bareRefusals: e.BareRefusals,
+		pause: e.Pause,
 	}
 }
 
@@ -158,7 +193,8 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	e.truth.arrive(e.ID)
+	node := request.RemoteAddr
+	e.truth.arrive(e.ID, node)
 	how := e.behaviour()
 	isBare := rand.Float64() < how.bareRefusals
 	if how.rateLimit != "" && !isBare {
@@ -166,6 +202,10 @@
 	}
 	if how.turnAway || isBare {
 		writer.Header().Set(wire.HeaderNotRun, "1")
+		if how.pause > 0 && !isBare {
+			writer.Header().Set(wire.HeaderPause, strconv.FormatFloat(how.pause.Seconds(), 'f', -1, 64))
+			e.truth.askForPause(e.ID, node, how.pause)
+		}
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -23,6 +23,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/gateway"
 	"github.com/ravenway/ravenway/internal/lab/fleet"
+	"github.com/ravenway/ravenway/internal/lab/pausecheck"
 	"github.com/ravenway/ravenway/internal/lab/wire"
 	"github.com/ravenway/ravenway/internal/settings"
 	"github.com/ravenway/ravenway/internal/state/disk"
@@ -100,7 +101,7 @@
 func New(controls, entries int, random *rand.Rand) *Fleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	made := &Fleet{
-		Network: fleet.NewNetwork(), Truth: &Truth{began: time.Now(), received: map[string]uint64{}, arrivals: map[string][]time.Duration{}}, Logger: zerolog.Nop(),
+		Network: fleet.NewNetwork(), Truth: &Truth{began: time.Now(), received: map[string]uint64{}, arrivals: map[string][]time.Duration{}, pauses: map[senderAt]*pausecheck.Record{}}, Logger: zerolog.Nop(),
 		machines: map[string]*Machine{}, engines: map[string]*Engine{}, lost: map[string]bool{}, random: random, ctx: ctx, cancel: cancel,
 	}
 	made.callers = &http.Transport{DialContext: made.Network.Dialer(callerMachine), DisableKeepAlives: true}
--- /dev/null
+++ b/internal/lab/openfleet/pauses_test.go
@@ -0,0 +1,56 @@
+package openfleet
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/lab/pausecheck"
+)
+
+// shed has some engines turn all requests away and ask for a pause.
+func shed(engines []*Engine, lasting time.Duration) {
+	for _, engine := range engines {
+		engine.Set(func(e *Engine) { e.TurnAway, e.Pause = true, lasting })
+	}
+}
+
+// assertPausesKept checks that no engine got more from a node than it may in a pause that it
+// had asked that node for, and that some node was asked.
+func (l *limited) assertPausesKept(t *testing.T, engines []*Engine) {
+	t.Helper()
+	asked := 0
+	for _, engine := range engines {
+		for _, node := range l.Names(false) {
+			most, pauses := l.Truth.InPause(engine.ID, node)
+			asked += pauses
+			assert.Check(t, most <= pausecheck.Allowed, "%s got %d requests from %s in a pause", engine.ID, most, node)
+		}
+	}
+	assert.Check(t, asked > 0, "no engine asked for a pause")
+}
+
+// Guards against engines that turn a node away with a time to wait, and go on getting its
+// requests in that time.
+func TestEngineThatAsksForAPauseGetsNothingInIt(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/resumable/x", "/safe/x", "/once/x"} {
+		t.Run(path[1:len(path)-2], func(t *testing.T) {
+			inLimitedFleet(t, 8, func(t *testing.T, l *limited) {
+				shed(l.engines[:4], 3*time.Second)
+				l.callFor(rand.New(rand.NewPCG(48, 1)), path, 60, 12*time.Second)
+				l.assertPausesKept(t, l.engines[:4])
+			})
+		})
+	}
+}
+
+// Guards against pauses that are passed over where no other engine is left.
+func TestPausesAreKeptWhereAllEnginesAskForOne(t *testing.T) {
+	inLimitedFleet(t, 8, func(t *testing.T, l *limited) {
+		shed(l.engines, 3*time.Second)
+		l.call(rand.New(rand.NewPCG(48, 2)), 60, 12*time.Second)
+		l.assertPausesKept(t, l.engines)
+	})
+}
--- /dev/null
+++ b/internal/lab/pausecheck/pausecheck.go
@@ -0,0 +1,48 @@
+// Package pausecheck holds what is promised to an engine that asks a node for a pause, for
+// the tests, simulations and the soak that count from the engine's side.
+package pausecheck
+
+import "time"
+
+const (
+	// Contact is when a node keeps a pause after the answer that asked for it.
+	Contact = 500 * time.Millisecond
+	// Allowed is the most that may come from that node between Contact and the pause's end.
+	Allowed = 2
+)
+
+// Record is what one life of an engine asked one node for, and what it got from it. Times
+// are those since a moment of the caller's, in order.
+type Record struct {
+	pauses   []pause
+	arrivals []time.Duration
+}
+
+// pause is asked for at a time.
+type pause struct{ at, lasting time.Duration }
+
+// Arrive notes a request of the node.
+func (r *Record) Arrive(at time.Duration) { r.arrivals = append(r.arrivals, at) }
+
+// Ask notes an answer that asks the node for a pause.
+func (r *Record) Ask(at, lasting time.Duration) {
+	r.pauses = append(r.pauses, pause{at: at, lasting: lasting})
+}
+
+// Pauses is how often the node was asked for one.
+func (r *Record) Pauses() int { return len(r.pauses) }
+
+// Most is the highest number of requests that came in any one of the pauses.
+func (r *Record) Most() int {
+	most := 0
+	for _, one := range r.pauses {
+		count := 0
+		for _, arrival := range r.arrivals {
+			if arrival > one.at+Contact && arrival < one.at+one.lasting {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
--- a/internal/lab/wire/wire.go
+++ b/internal/lab/wire/wire.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/coordination/backoff"
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/forward"
 	"github.com/ravenway/ravenway/internal/gateway"
@@ -29,6 +30,9 @@
 	// HeaderRateLimit is the requests a second that an engine takes from all nodes
 	// together.
 	HeaderRateLimit = "Lab-Rate-Limit"
+	// HeaderPause is how long an engine that turns a request away wants none from the node,
+	// in seconds.
+	HeaderPause = "Lab-Pause"
 )
 
 // ReadyPath is where an entry node says whether it is ready.
@@ -83,6 +87,7 @@
 	return forward.AnswerHead{
 		ID: header.Get(HeaderRequest), NotRun: header.Get(HeaderNotRun) != "",
 		OtherInstance: status == http.StatusMisdirectedRequest, RateLimit: ratelimit.Read(header[HeaderRateLimit]),
+		Backoff: backoff.ReadPause(header[HeaderPause]),
 	}
 }
 
