An engine that asks a node for a pause gets nothing from it until the pause is over

What callers saw: while four of twelve engines turned all away and asked for 3 s of rest, the nodes went on sending to them: 52 of 572 callers were refused with eight engines free.

Change: coordination/backoff, a module without network or clock, keeps the pauses by the life of the engine; no answer shortens one, and neither the registry nor a configuration ends one. Every answer's head teaches it as it is read, surplus and foreign ones too. The choice passes over a paused engine, also where nothing else is left, and the last check before a request is written (one gate now, with the permits of limits) asks again: a request may have waited for its connection, its permit or its tokens. What only paused engines could serve is refused at once with the end of the first pause. After its pause an engine gets one request at a time until some have run, and none that could not go on to another engine.

Why it works: nothing is written without the gate, and the gate asks what every answer has told by then; what passed it before is on its way already.

--- a/internal/coordination/backoff/said.go
+++ b/internal/coordination/backoff/said.go
@@ -21,6 +21,8 @@
 type Said struct {
 	// Pause is how long the instance wants no request from this node; 0 if it doesn't ask.
 	Pause time.Duration
+	// HasRun tells that the instance took the request and ran it.
+	HasRun bool
 	// Fault is why what it asks for can't be read. Such an answer asks for nothing.
 	Fault error
 }
--- /dev/null
+++ b/internal/coordination/backoff/tracker_test.go
@@ -0,0 +1,131 @@
+package backoff
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+)
+
+var life = registry.Life{ID: "i-1", Born: 1000}
+
+func asks(seconds float64) Said { return Said{Pause: time.Duration(seconds * float64(time.Second))} }
+
+func TestNoAnswerShortensAPause(t *testing.T) {
+	tracker := NewTracker()
+	assert.Equal(t, tracker.Learn(10*time.Second, life, "r1", asks(3)).Kind, Began)
+	for _, said := range []Said{asks(0.5), {}, {HasRun: true}, ReadPause([]string{"soon"}), ReadPause([]string{"0"})} {
+		tracker.Learn(11*time.Second, life, "r2", said)
+		assert.DeepEqual(t, tracker.Standing(11*time.Second, life), Standing{Phase: Paused, Wait: 2 * time.Second})
+	}
+	change := tracker.Learn(12*time.Second, life, "r3", asks(3))
+	assert.DeepEqual(t, change, Change{Kind: Extended, Life: life, Asked: 5 * time.Second, Left: 3 * time.Second, Request: "r1", Answers: 3})
+	assert.Equal(t, tracker.Standing(15*time.Second-1, life).Phase, Paused)
+	assert.Equal(t, tracker.Standing(15*time.Second, life).Phase, Returning)
+}
+
+func TestPauseBindsTheLifeThatAskedForIt(t *testing.T) {
+	tracker := NewTracker()
+	tracker.Learn(0, life, "r1", asks(3))
+	newer := registry.Life{ID: life.ID, Born: 2000}
+	assert.Equal(t, tracker.Standing(time.Second, newer).Phase, Open)
+	tracker.Learn(time.Second, newer, "r2", asks(1))
+	tracker.Forget(life)
+	assert.Equal(t, tracker.Standing(time.Second, newer).Phase, Paused)
+	assert.Equal(t, tracker.Standing(time.Second, life).Phase, Open)
+}
+
+func TestInstanceIsBackOnceRequestsRanAfterItsPause(t *testing.T) {
+	tracker := NewTracker()
+	tracker.Learn(0, life, "r1", asks(3))
+	assert.Assert(t, !tracker.BeginTrial(time.Second, life), "what was chosen in the pause shows nothing")
+	now := 4 * time.Second
+	for allowed := 1; allowed < fullTrials; allowed *= 2 {
+		for range allowed {
+			assert.Assert(t, tracker.Standing(now, life).HasTrial)
+			assert.Assert(t, tracker.BeginTrial(now, life))
+		}
+		assert.Assert(t, !tracker.Standing(now, life).HasTrial, "%d at once", allowed)
+		for range allowed {
+			tracker.EndTrial(life)
+		}
+		kind := tracker.Learn(now, life, "r2", Said{HasRun: true}).Kind
+		assert.Equal(t, kind == Back, 2*allowed == fullTrials, "%s after %d", kind, allowed)
+	}
+	assert.Equal(t, tracker.Standing(now, life).Phase, Open)
+	assert.Equal(t, tracker.Count(), int64(0))
+}
+
+func TestSecondPauseBeginsTheTrialsAnew(t *testing.T) {
+	tracker := NewTracker()
+	tracker.Learn(0, life, "r1", asks(1))
+	tracker.BeginTrial(2*time.Second, life)
+	tracker.Learn(2*time.Second, life, "r2", Said{HasRun: true})
+	assert.DeepEqual(t, tracker.Learn(2*time.Second, life, "r3", asks(1)), Change{Kind: Began, Life: life, Asked: time.Second, Left: time.Second, Request: "r3", Answers: 1})
+	assert.Assert(t, !tracker.Standing(3*time.Second, life).HasTrial, "the first trial is under way")
+	tracker.EndTrial(life)
+	assert.Assert(t, tracker.Standing(3*time.Second, life).HasTrial)
+}
+
+func TestEndOfAPauseIsToldOnceAndTheInstanceForgottenLater(t *testing.T) {
+	tracker := NewTracker()
+	tracker.Learn(0, life, "r1", asks(3))
+	assert.Equal(t, len(tracker.Look(2*time.Second)), 0)
+	changes := tracker.Look(3 * time.Second)
+	assert.Equal(t, len(changes), 1)
+	assert.Equal(t, changes[0].Kind, Ended)
+	assert.Equal(t, len(tracker.Look(4*time.Second)), 0)
+	tracker.Look(3*time.Second + trialMemory + 1)
+	assert.Equal(t, tracker.Count(), int64(0))
+}
+
+func TestWhatCantBeReadIsToldOnceALifeAndWithinBounds(t *testing.T) {
+	tracker := NewTracker()
+	fault := ReadPause([]string{"soon"})
+	assert.Equal(t, tracker.Learn(0, life, "r1", fault).Kind, Unreadable)
+	assert.Equal(t, tracker.Learn(0, life, "r2", fault).Kind, Unchanged)
+	for number := range 2 * unreadableKept {
+		tracker.Learn(0, registry.Life{ID: fmt.Sprint(number)}, "r", fault)
+	}
+	assert.Equal(t, len(tracker.unreadable), unreadableKept)
+	assert.Equal(t, tracker.Count(), int64(0))
+}
+
+func TestListNamesTheLongestPauseFirst(t *testing.T) {
+	tracker := NewTracker()
+	other := registry.Life{ID: "i-0"}
+	tracker.Learn(0, life, "r1", asks(3))
+	tracker.Learn(0, other, "r2", asks(1))
+	listed := tracker.List(2 * time.Second)
+	assert.Equal(t, len(listed), 2)
+	assert.DeepEqual(t, listed[0], Listed{Life: life, Standing: Standing{Phase: Paused, Wait: time.Second}, Asked: 3 * time.Second, Request: "r1", Answers: 1})
+	assert.DeepEqual(t, listed[1].Standing, Standing{Phase: Returning, HasTrial: true})
+}
+
+// Guards against a cost of pauses for requests where no instance asks for any.
+func BenchmarkStandingWithoutPauses(b *testing.B) {
+	tracker := NewTracker()
+	for b.Loop() {
+		tracker.Standing(time.Second, life)
+	}
+}
+
+// 10,000 instances of which a third ask for a pause.
+func BenchmarkStandingOfAThirdPaused(b *testing.B) {
+	tracker := NewTracker()
+	lives := make([]registry.Life, 10_000)
+	for number := range lives {
+		lives[number] = registry.Life{ID: fmt.Sprintf("i-%d", number)}
+		if number%3 == 0 {
+			tracker.Learn(0, lives[number], "r", asks(3))
+		}
+	}
+	number := 0
+	for b.Loop() {
+		tracker.Standing(time.Second, lives[number%len(lives)])
+		number++
+	}
+}
--- /dev/null
+++ b/internal/coordination/balance/backoff_test.go
@@ -0,0 +1,116 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/coordination/backoff"
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+)
+
+// pausedTable has some ready instances of the service s, of which a tracker knows pauses.
+func pausedTable(ids ...string) (*Table, *backoff.Tracker) {
+	table, tracker := NewTable("a"), backoff.NewTracker()
+	table.SetBackoff(tracker)
+	var instances []registry.Instance
+	for _, id := range ids {
+		instances = append(instances, registry.Instance{ID: id, Service: "s", Address: id + ":80", Zone: "a", State: registry.Ready, Slots: 4, Sequence: 1})
+	}
+	table.Apply(instances)
+	return table, tracker
+}
+
+func pauseInstance(tracker *backoff.Tracker, id string, now, lasting time.Duration) {
+	tracker.Learn(now, registry.Life{ID: id}, "r", backoff.Said{Pause: lasting})
+}
+
+func TestPausedInstanceIsNotChosenWhateverElseIsLeft(t *testing.T) {
+	table, tracker := pausedTable("i-0", "i-1")
+	pauseInstance(tracker, "i-0", 0, 3*time.Second)
+	for range 20 {
+		choice, found := table.Choose(time.Second, Request{Service: "s", Part: "p", Tokens: 100})
+		assert.Assert(t, found)
+		assert.Equal(t, choice.ID, "i-1")
+	}
+	pauseInstance(tracker, "i-1", time.Second, 3*time.Second)
+	_, found := table.Choose(2*time.Second, Request{Service: "s"})
+	assert.Assert(t, !found)
+}
+
+// Guards against a pause that ends with the instance's entry: a lease that ran out, a word
+// that the instance drains and one that it doesn't, come and go within one life.
+func TestPauseOutlivesTheInstancesEntry(t *testing.T) {
+	table, tracker := pausedTable("i-0")
+	pauseInstance(tracker, "i-0", 0, 3*time.Second)
+	for sequence, state := range []registry.State{registry.Expired, registry.Ready, registry.Draining, registry.Ready} {
+		table.Apply([]registry.Instance{{ID: "i-0", Service: "s", Zone: "a", State: state, Slots: 4, Sequence: uint64(sequence + 2)}})
+		_, found := table.Choose(time.Second, Request{Service: "s"})
+		assert.Assert(t, !found, "%s", state)
+	}
+}
+
+func TestInstanceComingBackIsTriedByFewAndByNoLastAttempt(t *testing.T) {
+	table, tracker := pausedTable("i-0", "i-1")
+	pauseInstance(tracker, "i-0", 0, time.Second)
+	// i-1 is far busier.
+	for range 20 {
+		_, _ = table.Choose(0, Request{Service: "s"})
+	}
+	now := 2 * time.Second
+	last, _ := table.Choose(now, Request{Service: "s", IsLastAttempt: true})
+	assert.Equal(t, last.ID, "i-1")
+	first, _ := table.Choose(now, Request{Service: "s"})
+	assert.Equal(t, first.ID, "i-0")
+	second, _ := table.Choose(now, Request{Service: "s"})
+	assert.Equal(t, second.ID, "i-1", "one trial at a time")
+	only, _ := table.Choose(now, Request{Service: "s", Exclude: []string{"i-1"}, IsLastAttempt: true})
+	assert.Equal(t, only.ID, "i-0", "where nothing else is left")
+	table.Done(now, first, Abandoned)
+	table.Done(now, only, Abandoned)
+	third, _ := table.Choose(now, Request{Service: "s"})
+	assert.Equal(t, third.ID, "i-0")
+}
+
+func TestInstanceThatWasChosenMayTakeNothingByTheTimeOfWriting(t *testing.T) {
+	table, tracker := pausedTable("i-0", "i-1")
+	choice, _ := table.Choose(0, Request{Service: "s"})
+	assert.NilError(t, table.Admit(0, choice))
+	pauseInstance(tracker, choice.ID, 0, time.Second)
+	assert.ErrorIs(t, table.Admit(0, choice), ErrPaused)
+	assert.NilError(t, table.Admit(time.Second, choice))
+	drained := choice.Instance
+	drained.State, drained.Sequence = registry.Draining, 2
+	table.Apply([]registry.Instance{drained})
+	assert.ErrorIs(t, table.Admit(time.Second, choice), ErrWithdrawn)
+}
+
+func TestReturnIsTheFirstPauseThatEnds(t *testing.T) {
+	table, tracker := pausedTable("i-0", "i-1")
+	request := Request{Service: "s", Exclude: []string{"i-0"}}
+	_, found := table.Return(0, request)
+	assert.Assert(t, !found)
+	pauseInstance(tracker, "i-0", 0, 3*time.Second)
+	_, found = table.Return(0, request)
+	assert.Assert(t, !found, "i-1 is open")
+	pauseInstance(tracker, "i-1", 0, 5*time.Second)
+	back, found := table.Return(time.Second, request)
+	assert.Assert(t, found)
+	assert.DeepEqual(t, back, Return{Wait: 2 * time.Second, IsPause: true})
+}
+
+func TestReturnOfALimitThatHasRoomBeforeAPauseEndsIsTheLimits(t *testing.T) {
+	table, tracker := pausedTable("i-0", "i-1")
+	limits := ratelimit.New("node")
+	table.SetLimits(limits)
+	pauseInstance(tracker, "i-0", 0, 5*time.Second)
+	limited := registry.Life{ID: "i-1"}
+	limits.Learn(0, limited, ratelimit.Said{IsNamed: true, PerSecond: 0.5}, 0)
+	limits.Answered(0, limited, ratelimit.Answer{FreeMS: 2000})
+	back, found := table.Return(0, Request{Service: "s"})
+	assert.Assert(t, found)
+	assert.Equal(t, back.IsPause, false)
+	assert.Equal(t, back.Wait, 2*time.Second)
+}
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/coordination/backoff"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/pairhash"
 )
@@ -59,6 +60,8 @@
 	// PermitPatience is how long the request may wait for a permit of an instance that
 	// names a limit.
 	PermitPatience time.Duration
+	// IsLastAttempt tells that the request can't go on to another instance.
+	IsLastAttempt bool
 }
 
 // Choice is a chosen instance.
@@ -66,6 +69,8 @@
 	registry.Instance
 	// pending are the tokens that the instance has to read first.
 	pending int
+	// isTrial tells that it counts as one of those that show that a pause is really over.
+	isTrial bool
 	// Candidates is the number of instances that could have been chosen.
 	Candidates int
 	// Spilled tells that the part's home was too busy.
@@ -106,6 +111,7 @@
 		state.probedAt = now
 	}
 	chosen.noteSentCold(now, request.Cold)
+	choice.isTrial = t.backoff.BeginTrial(now, chosen.Life())
 	chosen.inFlight++
 	chosen.pending += choice.Unread
 	choice.Instance, choice.Spilled, choice.pending = chosen.Instance, spilled, choice.Unread
@@ -156,7 +162,8 @@
 
 // candidates returns those of some instances that may be chosen: the healthy ones, or if
 // there is none, all that were not tried. None is in an evacuated zone, in a region that
-// the request is not allowed in, or bears no request of this node now, whatever that leaves.
+// the request is not allowed in, has asked for a pause that lasts, or bears no request of
+// this node now, whatever that leaves.
 func (t *Table) candidates(now time.Duration, request Request, isAmong func(*member) bool) candidateSet {
 	healthy, others := t.sortCandidates(now, request, isAmong)
 	if len(healthy.open) > 0 {
@@ -171,8 +178,12 @@
 		if !isAmong(one) || !t.mayServe(one, request) || request.MaxInFlight > 0 && one.inFlight >= request.MaxInFlight || !t.bears(now, one, request.Cold) {
 			continue
 		}
+		standing := t.backoff.Standing(now, one.Life())
+		if standing.Phase == backoff.Paused {
+			continue
+		}
 		isLimited := t.weighPermit(now, one, request.PermitPatience)
-		if one.isHealthy(now, average) && t.zoneIsOpen(now, one.Zone) {
+		if isTried(standing, request) && one.isHealthy(now, average) && t.zoneIsOpen(now, one.Zone) {
 			healthy.add(one, isLimited)
 			continue
 		}
@@ -184,7 +195,12 @@
 // mayServe tells whether a request may go to an instance that it was not offered to yet, as
 // far as the instance's place matters.
 func (t *Table) mayServe(one *member, request Request) bool {
-	return !slices.Contains(request.Exclude, one.ID) && !t.evacuated.Contains(one.Zone) && request.Regions.Contains(t.regionOfZone[one.Zone])
+	return !slices.Contains(request.Exclude, one.ID) && t.isAllowed(one, request)
+}
+
+// isAllowed tells whether a request may go to where an instance stands.
+func (t *Table) isAllowed(one *member, request Request) bool {
+	return !t.evacuated.Contains(one.Zone) && request.Regions.Contains(t.regionOfZone[one.Zone])
 }
 
 // expected is what a choice weighs for one instance, in tokens.
--- a/internal/coordination/balance/health.go
+++ b/internal/coordination/balance/health.go
@@ -69,6 +69,9 @@
 func (t *Table) Done(now time.Duration, choice Choice, outcome Outcome) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if choice.isTrial {
+		t.backoff.EndTrial(choice.Life())
+	}
 	known := t.member(choice.Life())
 	if known == nil {
 		return
--- a/internal/coordination/balance/limited.go
+++ b/internal/coordination/balance/limited.go
@@ -33,34 +33,3 @@
 	one.permitTokens = wait + room.Pressure*permitTokens
 	return room.Wait > patience
 }
-
-// LimitedRoom is what the limits of a service's instances leave to a request that none of
-// them could take.
-type LimitedRoom struct {
-	// Wait is how long it is until the first of them has a permit.
-	Wait time.Duration
-	// PerSecond is what their limits add up to.
-	PerSecond float64
-}
-
-// LimitedRoom tells what room the instances have that a request can't go to for their
-// limits alone; false if there is none.
-func (t *Table) LimitedRoom(now time.Duration, request Request) (LimitedRoom, bool) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if !t.limits.Any() {
-		return LimitedRoom{}, false
-	}
-	found, isFirst := LimitedRoom{}, true
-	for _, one := range t.byService[request.Service] {
-		room, hasLimit := t.limits.Room(now, one.Life())
-		if !hasLimit || room.Wait <= request.PermitPatience || !t.mayServe(one, request) {
-			continue
-		}
-		found.PerSecond += max(room.PerSecond, ratelimit.LeastRate)
-		if isFirst || room.Wait < found.Wait {
-			found.Wait, isFirst = room.Wait, false
-		}
-	}
-	return found, !isFirst
-}
--- a/internal/coordination/balance/rollout.go
+++ b/internal/coordination/balance/rollout.go
@@ -92,6 +92,12 @@
 // isNew tells whether an instance has the rollout's version.
 func (s *serviceRollout) isNew(one *member) bool { return one.Version == s.Version }
 
+// isRolledBack tells whether an instance has a version that was found to be bad.
+func (t *Table) isRolledBack(one *member) bool {
+	running := t.rollouts[one.Service]
+	return running != nil && running.Stage == rollout.RolledBack && running.isNew(one)
+}
+
 // candidatesInRollout returns the instances that may be chosen while a service's version
 // is replaced.
 func (t *Table) candidatesInRollout(now time.Duration, request Request, running *serviceRollout) candidateSet {
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/coordination/backoff"
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/state/evacuation"
@@ -83,6 +84,8 @@
 	over []overLife
 	// limits are the limits that instances in need name; nil means that none does.
 	limits *ratelimit.Limits
+	// backoff are the pauses that instances asked this node for; nil means that none did.
+	backoff *backoff.Tracker
 }
 
 // NewTable makes a table for a node in a zone.
@@ -201,6 +204,16 @@
 	return len(t.byService[service])
 }
 
+// InFlight is the number of this node's requests under way at a life of an instance.
+func (t *Table) InFlight(life registry.Life) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if known := t.member(life); known != nil {
+		return known.inFlight
+	}
+	return 0
+}
+
 // OwnLoads are this node's requests under way.
 func (t *Table) OwnLoads() Loads {
 	t.mutex.Lock()
--- /dev/null
+++ b/internal/forward/admission.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/backoff"
+	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+)
+
+// Backoff keeps the pauses that instances ask this node for.
+type Backoff interface {
+	// Learn takes what an instance's answer to a request asks for.
+	Learn(instance registry.Instance, request string, said backoff.Said)
+}
+
+type noBackoff struct{}
+
+func (noBackoff) Learn(registry.Instance, string, backoff.Said) {}
+
+// send sends the request to an instance, if that takes it at the moment of writing.
+func (r *request) send(ctx context.Context, choice balance.Choice, lastEvent string) (*exchange, sendState, error) {
+	options := r.pipeline.options
+	prepared := r.outgoing(choice, lastEvent)
+	prepared.admit = func(ctx context.Context) error { return r.admitWrite(ctx, choice) }
+	prepared.learn = func(answer *exchange, writtenAt time.Time) {
+		options.Backoff.Learn(choice.Instance, r.call.ID, answer.backoffSaid())
+		options.RateLimits.Learn(choice.Instance, answer.limitSaid(), writtenAt)
+	}
+	return r.pipeline.pool.send(ctx, options.Dialect, choice.Address, prepared)
+}
+
+// admitWrite is the last check before a request is written to an instance. What was known
+// as the instance was chosen may be over: the request waited for its connection since, and
+// waits for its permit here.
+func (r *request) admitWrite(ctx context.Context, choice balance.Choice) error {
+	environment, table := r.pipeline.options.Environment, r.pipeline.options.Table
+	if err := table.Admit(environment.Now(), choice); err != nil {
+		return err
+	}
+	if err := r.pipeline.options.RateLimits.Permit(ctx, choice.Instance, r.permitNeed()); err != nil {
+		return err
+	}
+	return table.Admit(environment.Now(), choice)
+}
+
+// isNotAdmitted tells whether an instance took no request: no byte reached it.
+func isNotAdmitted(err error) bool {
+	return errors.Is(err, ErrNoPermit) || errors.Is(err, balance.ErrNotAdmitted)
+}
+
+// noteNotAdmitted notes an instance that took no request. The request was not offered to
+// it, and may come to it later.
+func (r *request) noteNotAdmitted(choice balance.Choice, err error) {
+	result := "not_admitted"
+	if errors.Is(err, ErrNoPermit) {
+		result = "no_permit"
+		r.permitsRefused++
+	}
+	r.tried = r.tried[:len(r.tried)-1]
+	r.pipeline.options.Log.Attempt(r, choice, result, err)
+}
+
+// leastReturnSpread and mostReturnSpread bound the time over which callers come back once a
+// pause is over, a quarter of what is left of it.
+const (
+	leastReturnSpread = 200 * time.Millisecond
+	mostReturnSpread  = 2 * time.Second
+	returnSpreadShare = 0.25
+)
+
+// planReturn plans when the request's caller may come back, if only pauses or limits keep
+// it from a service's instances. It returns the reason, or "" if something else does.
+func (r *request) planReturn(service string) Reason {
+	environment := r.pipeline.options.Environment
+	now := environment.Now()
+	back, isKeptAway := r.pipeline.options.Table.Return(now, r.wanted(service))
+	switch {
+	case !isKeptAway:
+		return ""
+	case back.IsPause:
+		spread := min(max(time.Duration(returnSpreadShare*float64(back.Wait)), leastReturnSpread), mostReturnSpread)
+		r.comeBack = back.Wait + rand.N(spread)
+		return ReasonPaused
+	}
+	perSecond := back.PerSecond / float64(max(1, environment.EntryNodes()))
+	r.comeBack = r.pipeline.returns.Next(now, service, back.Wait, perSecond)
+	return ReasonRateLimited
+}
+
+// limitSaid is what the answer says of the engine's limit.
+func (e *exchange) limitSaid() ratelimit.Said {
+	said := e.head.RateLimit
+	said.IsFailure = !e.hasRun()
+	return said
+}
+
+// backoffSaid is what the engine asks for.
+func (e *exchange) backoffSaid() backoff.Said {
+	said := e.head.Backoff
+	said.HasRun = e.hasRun()
+	return said
+}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -41,8 +41,9 @@
 	failed
 	// brokenOff: the answer had begun and can't be completed.
 	brokenOff
-	// noPermit: the instance's limit has no room; no byte reached it.
-	noPermit
+	// notAdmitted: the instance takes no request now, or its limit has no room; no byte
+	// reached it.
+	notAdmitted
 )
 
 // failure is an instance's own failure, the caller's answer if nothing better
@@ -81,7 +82,7 @@
 			r.giveUp(last, reasonOfEnd(ctx))
 			return
 		}
-		if result == noPermit {
+		if result == notAdmitted {
 			continue
 		}
 		if result == unreached {
@@ -93,7 +94,7 @@
 		}
 		r.arrivals++
 		if !r.mayTryAgain(result, service, policy) {
-			r.giveUp(last, reasonOf(result))
+			r.giveUp(last, r.reasonOf(result, service))
 			return
 		}
 		if r.standing() == quarantine.Quarantined {
@@ -109,8 +110,8 @@
 	if regions := r.regions(); regions.IsBound && !r.pipeline.options.Table.HasInRegions(service, regions) {
 		return ReasonNoRegion
 	}
-	if r.planReturn(service) {
-		return ReasonRateLimited
+	if reason := r.planReturn(service); reason != "" {
+		return reason
 	}
 	return ReasonNoInstance
 }
@@ -123,11 +124,15 @@
 	return ReasonTimeout
 }
 
-func reasonOf(result verdict) Reason {
-	if result == turnedAway {
-		return ReasonTurnedAway
+// reasonOf tells why a request that reached instances ends without an answer.
+func (r *request) reasonOf(result verdict, service string) Reason {
+	if result != turnedAway {
+		return ReasonOutcomeUnknown
 	}
-	return ReasonOutcomeUnknown
+	if r.planReturn(service) == ReasonPaused {
+		return ReasonPaused
+	}
+	return ReasonTurnedAway
 }
 
 // mayTryAgain decides on another attempt after one that reached an instance.
@@ -175,7 +180,7 @@
 	wanted := balance.Request{
 		Service: service, Part: r.call.attemptKey(), Cost: r.call.cost(), Exclude: r.tried, Bytes: len(r.body),
 		Tokens: int(r.call.TokensIn), SharedTokens: r.call.sharedTokens(), Gap: r.route.EventGap, Regions: r.regions(),
-		PermitPatience: r.permitPatience(),
+		PermitPatience: r.permitPatience(), IsLastAttempt: r.arrivals+1 >= max(1, r.route.MaxAttempts),
 	}
 	configured := r.index.Service(service)
 	if configured != nil {
@@ -210,9 +215,9 @@
 	var state sendState
 	var err error
 	sending, state, err = r.send(ctx, choice, r.call.LastEvent)
-	if errors.Is(err, ErrNoPermit) {
-		r.notePermitRefused(choice, err)
-		return nil, noPermit
+	if isNotAdmitted(err) {
+		r.noteNotAdmitted(choice, err)
+		return nil, notAdmitted
 	}
 	if state == notSent {
 		if ctx.Err() == nil {
@@ -318,7 +323,8 @@
 		if reason == ReasonTimeout {
 			status = http.StatusGatewayTimeout
 		}
-		if reason == ReasonNoInstance || reason == ReasonNoRegion || reason == ReasonTurnedAway || reason == ReasonRateLimited {
+		switch reason {
+		case ReasonNoInstance, ReasonNoRegion, ReasonTurnedAway, ReasonRateLimited, ReasonPaused:
 			reason = ReasonOutcomeUnknown
 		}
 		r.refuse(Refusal{Status: status, Reason: reason})
--- /dev/null
+++ b/internal/forward/backoff_test.go
@@ -0,0 +1,151 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/coordination/backoff"
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+)
+
+// trackedBackoff has the pauses that answers ask for kept.
+type trackedBackoff struct {
+	*backoff.Tracker
+	environment *testEnvironment
+}
+
+func (b trackedBackoff) Learn(instance registry.Instance, request string, said backoff.Said) {
+	b.Tracker.Learn(b.environment.Now(), instance.Life(), request, said)
+}
+
+// newBackoffHarness is newHarness with pauses kept.
+func newBackoffHarness(t *testing.T, engines ...*scriptedEngine) (*harness, *backoff.Tracker) {
+	t.Helper()
+	h := newHarness(t, engines...)
+	tracker := backoff.NewTracker()
+	h.pipeline.options.Table.SetBackoff(tracker)
+	h.pipeline.options.Backoff = trackedBackoff{Tracker: tracker, environment: h.environment}
+	return h, tracker
+}
+
+// refusingEngine answers each request with a head that has a place for its id.
+func refusingEngine(t *testing.T, head string) *scriptedEngine {
+	t.Helper()
+	return newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = io.WriteString(connection, strings.ReplaceAll(head, "ID", request.Header.Get("Id"))+"Content-Length: 0\r\n\r\n")
+	})
+}
+
+const pausingHead = "HTTP/1.1 503 Busy\r\nId: ID\r\nNot-Run: 1\r\nPause: 3\r\n"
+
+// Guards against pauses that are read from some answers only.
+func TestEveryAnswerMayAskForAPause(t *testing.T) {
+	for name, head := range map[string]string{
+		"turned away":            pausingHead,
+		"without not run":        "HTTP/1.1 503 Busy\r\nId: ID\r\nPause: 3\r\n",
+		"without an id":          "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nPause: 3\r\n",
+		"of another request":     "HTTP/1.1 503 Busy\r\nId: stranger\r\nNot-Run: 1\r\nPause: 3\r\n",
+		"with a connection ends": "HTTP/1.1 503 Busy\r\nId: ID\r\nConnection: close\r\nNot-Run: 1\r\nPause: 3\r\n",
+	} {
+		for _, path := range []string{"/safe/x", "/once/x", "/stream/x", "/resumable/x"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				engine := refusingEngine(t, head)
+				h, tracker := newBackoffHarness(t, engine)
+				h.ask(t, http.MethodPost, path, "r1", "b")
+				h.ask(t, http.MethodPost, path, "r2", "b")
+				assert.Equal(t, engine.ids(), "r1")
+				assert.Equal(t, tracker.Count(), int64(1))
+			})
+		}
+	}
+}
+
+// Guards against a pause that is missed as it comes in the place of the next answer.
+func TestSurplusAnswerMayAskForAPause(t *testing.T) {
+	engine := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		id := request.Header.Get("Id")
+		if id == "r2" {
+			_, _ = io.WriteString(connection, strings.ReplaceAll(pausingHead, "ID", "r1")+"Content-Length: 0\r\n\r\n")
+		}
+		_, _ = io.WriteString(connection, answerOf(id, "done"))
+	})
+	h, _ := newBackoffHarness(t, engine)
+	for _, id := range []string{"r1", "r2", "r3"} {
+		h.ask(t, http.MethodPost, "/once/x", id, "b")
+	}
+	assert.Equal(t, engine.ids(), "r1 r2")
+}
+
+// Guards against requests that wait for something when the pause is asked for, and are
+// written in it.
+func TestRequestThatWaitedIsNotWrittenInAPause(t *testing.T) {
+	asked := make(chan struct{})
+	waits := map[string]func(h *harness){
+		"for a connection": func(h *harness) {
+			h.pipeline.pool.dial = func(_ context.Context, address string) (net.Conn, error) {
+				<-asked
+				return net.Dial("tcp", address)
+			}
+		},
+		"for a permit": func(h *harness) { h.pipeline.options.RateLimits = waitingLimits{until: asked} },
+		"for tokens":   func(h *harness) { h.environment.tokensCome = asked },
+	}
+	for name, wait := range waits {
+		for _, path := range []string{"/safe/x", "/once/x", "/resumable/x"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				asked = make(chan struct{})
+				engine := refusingEngine(t, "HTTP/1.1 200 OK\r\nId: ID\r\n")
+				h, tracker := newBackoffHarness(t, engine)
+				wait(h)
+				answered := make(chan result, 1)
+				go func() { answered <- h.ask(t, http.MethodPost, path, "r1", "b") }()
+				time.Sleep(50 * time.Millisecond)
+				tracker.Learn(h.environment.Now(), registry.Life{ID: "i-0"}, "r0", backoff.Said{Pause: 3 * time.Second})
+				close(asked)
+				got := <-answered
+				assert.Equal(t, engine.ids(), "")
+				assert.Equal(t, got.status, http.StatusServiceUnavailable)
+				assert.Assert(t, strings.Contains(got.body, string(ReasonPaused)), got.body)
+			})
+		}
+	}
+}
+
+// waitingLimits grants permits once a channel is closed.
+type waitingLimits struct {
+	noRateLimits
+	until chan struct{}
+}
+
+func (l waitingLimits) Permit(context.Context, registry.Instance, ratelimit.Need) error {
+	<-l.until
+	return nil
+}
+
+// Guards against callers that are kept waiting, or told to come back too early, while all
+// instances have asked for a pause.
+func TestWhatOnlyPausedInstancesCouldServeIsRefusedAtOnceWithTheEndOfAPause(t *testing.T) {
+	h, _ := newBackoffHarness(t, refusingEngine(t, pausingHead), refusingEngine(t, strings.ReplaceAll(pausingHead, "Pause: 3", "Pause: 20")))
+	// The first one learns of both, the others reach none.
+	for number := range 4 {
+		sent := time.Now()
+		got := h.ask(t, http.MethodPost, "/once/x", fmt.Sprint("r", number), "b")
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Assert(t, strings.Contains(got.body, string(ReasonPaused)), got.body)
+		assert.Assert(t, time.Since(sent) < 200*time.Millisecond)
+		comeBack, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, comeBack > 2.5 && comeBack < 4, "%g", comeBack)
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
@@ -61,11 +60,12 @@
 	body   []byte
 	// life is the life of the engine that it is for.
 	life registry.Life
-	// permit waits for the leave to write the request now, if its engine names a limit.
-	permit func(ctx context.Context) error
-	// learn takes what the head of an answer says of the engine's limit; the zero time
-	// stands for a request before this one.
-	learn func(said ratelimit.Said, writtenAt time.Time)
+	// admit tells whether the request may be written now; it waits where the engine's limit
+	// has room in a moment.
+	admit func(ctx context.Context) error
+	// learn takes what the head of an answer says of the engine; the zero time stands for a
+	// request before this one.
+	learn func(answer *exchange, writtenAt time.Time)
 }
 
 // asynchronousBytes is the size from which a body is written while the answer
@@ -85,7 +85,7 @@
 		return nil, notSent, context.Cause(ctx)
 	}
 	// The last before it is written: nothing of the request waits any more.
-	if err := request.permit(ctx); err != nil {
+	if err := request.admit(ctx); err != nil {
 		p.giveBack(address, opened)
 		return nil, notSent, err
 	}
@@ -143,17 +143,22 @@
 		}
 		e.response, e.answeredAt = response, time.Now()
 		e.head = dialect.ReadAnswer(response.StatusCode, response.Header)
-		if e.head.ID == request.id || e.head.ID == "" && (e.head.NotRun || e.head.OtherInstance) {
-			if !e.head.OtherInstance {
-				request.learn(e.limitSaid(), e.sentAt)
-			}
+		isOwn := e.head.ID == request.id || e.head.ID == "" && (e.head.NotRun || e.head.OtherInstance)
+		switch {
+		case e.head.OtherInstance:
+			// It speaks of the other one.
+		case isOwn:
+			request.learn(e, e.sentAt)
+		default:
+			request.learn(e, time.Time{})
+		}
+		if isOwn {
 			return nil
 		}
 		surplus := e.head.ID != "" && e.head.ID == e.connection.previousID && response.ContentLength >= 0
 		if !surplus {
 			return errOtherAnswer
 		}
-		request.learn(e.limitSaid(), time.Time{})
 		if _, err := drain(response.Body); err != nil {
 			return err
 		}
@@ -162,11 +167,9 @@
 	}
 }
 
-// limitSaid is what the answer says of the engine's limit.
-func (e *exchange) limitSaid() ratelimit.Said {
-	said := e.head.RateLimit
-	said.IsFailure = e.head.NotRun || e.response.StatusCode >= http.StatusInternalServerError
-	return said
+// hasRun tells that the engine took the request and did not fail it.
+func (e *exchange) hasRun() bool {
+	return !e.head.NotRun && e.response.StatusCode < http.StatusInternalServerError
 }
 
 // finish ends an exchange whose answer was read whole, and keeps the
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -63,16 +63,6 @@
 	return need
 }
 
-// send sends the request to an instance, once it has the permit that the instance's limit
-// asks for.
-func (r *request) send(ctx context.Context, choice balance.Choice, lastEvent string) (*exchange, sendState, error) {
-	limits := r.pipeline.options.RateLimits
-	prepared := r.outgoing(choice, lastEvent)
-	prepared.permit = func(ctx context.Context) error { return limits.Permit(ctx, choice.Instance, r.permitNeed()) }
-	prepared.learn = func(said ratelimit.Said, writtenAt time.Time) { limits.Learn(choice.Instance, said, writtenAt) }
-	return r.pipeline.pool.send(ctx, r.pipeline.options.Dialect, choice.Address, prepared)
-}
-
 // notePermitRefused notes an instance whose limit has no room. The request was not offered
 // to it, and may come to it later.
 func (r *request) notePermitRefused(choice balance.Choice, err error) {
@@ -81,18 +71,6 @@
 	r.pipeline.options.Log.Attempt(r, choice, "no_permit", err)
 }
 
-// planReturn plans when the request's caller may come back, if only limits keep it from a
-// service's instances; false if something else does.
-func (r *request) planReturn(service string) bool {
-	environment := r.pipeline.options.Environment
-	now := environment.Now()
-	room, isLimited := r.pipeline.options.Table.LimitedRoom(now, r.wanted(service))
-	if isLimited {
-		r.comeBack = r.pipeline.returns.Next(now, service, room.Wait, room.PerSecond/float64(max(1, environment.EntryNodes())))
-	}
-	return isLimited
-}
-
 // seconds writes a time for Retry-After.
 func seconds(after time.Duration) string {
 	return strconv.FormatFloat(after.Seconds(), 'f', 2, 64)
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -104,6 +104,8 @@
 	Recorder *rollout.Recorder
 	// RateLimits keeps the limits that instances name; nil means that they are not kept.
 	RateLimits RateLimits
+	// Backoff keeps the pauses that instances ask for; nil means that nobody is told.
+	Backoff Backoff
 }
 
 // Pipeline serves callers.
@@ -157,6 +159,9 @@
 	if options.RateLimits == nil {
 		options.RateLimits = noRateLimits{}
 	}
+	if options.Backoff == nil {
+		options.Backoff = noBackoff{}
+	}
 	made := &Pipeline{options: options, returns: ratelimit.NewReturns(), pool: newPool(options.Dial, options.Environment.LinkDelay), retries: balance.NewRetryBudget()}
 	made.ends = newEndWatch(made)
 	return made
@@ -192,7 +197,7 @@
 	arrivals int
 	// permitsRefused counts the instances that had no permit for it.
 	permitsRefused int
-	// comeBack is when the limits that kept it from all instances have room for it.
+	// comeBack is when the pauses or limits that kept it from all instances let it in.
 	comeBack time.Duration
 	// mayHaveRun tells that an engine may have begun work on it.
 	mayHaveRun  bool
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/ravenway/ravenway/internal/coordination/backoff"
 	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
@@ -50,7 +51,10 @@
 }
 
 func (testDialect) ReadAnswer(_ int, header http.Header) AnswerHead {
-	return AnswerHead{ID: header.Get("Id"), NotRun: header.Get("Not-Run") != "", RateLimit: ratelimit.Read(header.Values("Limit"))}
+	return AnswerHead{
+		ID: header.Get("Id"), NotRun: header.Get("Not-Run") != "", RateLimit: ratelimit.Read(header.Values("Limit")),
+		Backoff: backoff.ReadPause(header.Values("Pause")),
+	}
 }
 
 // testEnvironment is a node with one document and a counted reserve.
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -34,7 +34,9 @@
 	ReasonNoRegion   Reason = "no_instance_in_allowed_regions"
 	ReasonTurnedAway Reason = "engines_turned_it_away"
 	// ReasonRateLimited: the limits that the service's instances name have no room for it.
-	ReasonRateLimited    Reason = "instances_rate_limited"
+	ReasonRateLimited Reason = "instances_rate_limited"
+	// ReasonPaused: all of the service's instances have asked for a pause.
+	ReasonPaused         Reason = "instances_paused"
 	ReasonTimeout        Reason = "timeout"
 	ReasonOutcomeUnknown Reason = "outcome_unknown"
 	ReasonCallerLeft     Reason = "caller_left"
@@ -105,7 +107,7 @@
 	switch {
 	case refused.Reason == ReasonQuarantined:
 		// It will be refused again: no time is named to come back at.
-	case refused.Reason == ReasonRateLimited:
+	case refused.Reason == ReasonRateLimited, refused.Reason == ReasonPaused:
 		header.Set("Retry-After", seconds(r.comeBack))
 	case refused.Reason == ReasonOverloaded:
 		header.Set("Retry-After", elsewhere.draw())
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -30,7 +30,7 @@
 	r.noteBroken(ctx, sending.broken(r, *choice), "stream_broken", err)
 	for ctx.Err() == nil && r.incoming.Context().Err() == nil && !errors.Is(err, errCallerGone) {
 		// What had no permit was not sent, so another instance is chosen in its place.
-		if !errors.Is(err, ErrNoPermit) {
+		if !isNotAdmitted(err) {
 			r.arrivals++
 			if !r.mayResume(choice.Service) {
 				break
@@ -131,9 +131,9 @@
 	}
 	environment := r.pipeline.options.Environment
 	sending, state, err := r.send(ctx, choice, *lastEvent)
-	if errors.Is(err, ErrNoPermit) {
+	if isNotAdmitted(err) {
 		r.pipeline.options.Table.Done(environment.Now(), choice, balance.Abandoned)
-		r.notePermitRefused(choice, err)
+		r.noteNotAdmitted(choice, err)
 		return false, err
 	}
 	if err == nil && sending.response.StatusCode != http.StatusOK {
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -333,6 +333,7 @@
 	if f.node.pipeline == nil {
 		return
 	}
+	f.node.backoff.forget(replaced, changes)
 	for _, over := range replaced {
 		f.node.limits.limits.Forget(over.Life())
 	}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -64,6 +64,7 @@
 	}
 	now := l.node.now()
 	l.node.limits.look()
+	l.node.backoff.look()
 	news := balance.News{Parts: l.node.table.TakeSpilled(), Limits: l.node.limits.limits.TakeNews()}
 	reports, known := l.exchange.Step(now, l.node.table.OwnLoads(), news, l.node.limits.limits.InForce)
 	l.node.limits.hear(known.Limits)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -139,6 +139,7 @@
 	tokens     *tokensDuty
 	loads      *loadsDuty
 	limits     *limitKeeper
+	backoff    *backoffKeeper
 	pipeline   *forward.Pipeline
 	decisions  *forward.DecisionLog
 	callers    *callerServer
@@ -181,11 +182,13 @@
 		node.loads = newLoadsDuty(node)
 		node.limits = newLimitKeeper(node)
 		node.table.SetLimits(node.limits.limits)
+		node.backoff = newBackoffKeeper(node)
+		node.table.SetBackoff(node.backoff.tracker)
 		node.decisions = forward.NewDecisionLog(node.log)
 		node.pipeline = forward.New(forward.Options{
 			Dialect: options.Dialect, Environment: &entryEnvironment{node}, Table: node.table,
 			Log: node.decisions, Dial: options.DialEngine, BufferedBytes: bodyBytes(options.Settings.Limits.MemoryMB),
-			Guard: node.quarantine.guard, Recorder: node.rollouts.recorder, RateLimits: node.limits,
+			Guard: node.quarantine.guard, Recorder: node.rollouts.recorder, RateLimits: node.limits, Backoff: node.backoff,
 		})
 		node.callers = newCallerServer(options.Listeners.Callers, node.pipeline)
 		node.documents.changed = node.callers.adopt
@@ -274,6 +277,7 @@
 				n.pipeline.Tick()
 				n.decisions.Summarize()
 				n.limits.summarize()
+				n.backoff.summarize()
 			}
 			n.stale.summarize()
 			n.logLoad()
--- a/internal/lab/openfleet/pauses_test.go
+++ b/internal/lab/openfleet/pauses_test.go
@@ -52,5 +52,11 @@
 		shed(l.engines, 3*time.Second)
 		l.call(rand.New(rand.NewPCG(48, 2)), 60, 12*time.Second)
 		l.assertPausesKept(t, l.engines)
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		for _, one := range l.refusals {
+			assert.Check(t, one.after < 200*time.Millisecond, "refused after %s", one.after)
+			assert.Check(t, one.comeBack != "", one.body)
+		}
 	})
 }
