--- a/internal/lab/openfleet/engine.go
+++ b/internal/lab/openfleet/engine.go
@@ -35,7 +35,7 @@
 	runs  []*Run
 	// arrivals are when requests came to each instance, also those that it turned away.
 	arrivals map[string][]time.Duration
-	// pauses are the pauses that instances asked nodes for.
+	// pauses are what instances asked nodes for.
 	pauses map[senderAt]*pausecheck.Record
 	// received are the tokens that the callers with each key got: of a request of
 	// which anything came, the prompt once and each event.
@@ -75,6 +75,20 @@
 	t.pausesOf(instance, node).Ask(time.Since(t.began), lasting)
 }
 
+func (t *Truth) leave(instance, node string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.pausesOf(instance, node).Leave(time.Since(t.began))
+}
+
+// AfterLeaving is what an instance got from a node after it had told it that it leaves, and
+// whether it did.
+func (t *Truth) AfterLeaving(instance, node string) (late int, wasTold bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.pausesOf(instance, node).AfterLeaving()
+}
+
 // InPause is the most that an instance got from a node in a pause that it had asked it for,
 // and how often it asked for one.
 func (t *Truth) InPause(instance, node string) (most, pauses int) {
@@ -148,6 +162,8 @@
 	BareRefusals float64
 	// Pause is what the engine asks a node for whose request it turns away; 0 if it doesn't ask.
 	Pause time.Duration
+	// Leaves has the engine say in all its answers that it leaves; its heartbeats don't say so.
+	Leaves bool
 	// end ends the engine, hasEnded tells that it did.
 	end      func()
 	hasEnded atomic.Bool
@@ -172,6 +188,7 @@
 	rateLimit          string
 	bareRefusals       float64
 	pause              time.Duration
+	leaves             bool
 }
 
 func (e *Engine) behaviour() behaviour {
@@ -180,7 +197,7 @@
 	return behaviour{
 		work: e.Work, events: e.Events, breakAfter: e.BreakAfter, status: e.Status, turnAway: e.TurnAway,
 		endsOn: e.EndsOn, endsAfter: e.EndsAfter, rateLimit: e.RateLimit, bareRefusals: e.BareRefusals,
-		pause: e.Pause,
+		pause: e.Pause, leaves: e.Leaves,
 	}
 }
 
@@ -200,6 +217,10 @@
 	if how.rateLimit != "" && !isBare {
 		writer.Header().Set(wire.HeaderRateLimit, how.rateLimit)
 	}
+	if how.leaves {
+		writer.Header().Set(wire.HeaderLeaving, "1")
+		e.truth.leave(e.ID, node)
+	}
 	if how.turnAway || isBare {
 		writer.Header().Set(wire.HeaderNotRun, "1")
 		if how.pause > 0 && !isBare {
--- a/internal/lab/openfleet/pauses_test.go
+++ b/internal/lab/openfleet/pauses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
@@ -61,3 +62,34 @@
 		}
 	})
 }
+
+// Guards against engines that say in their answers that they leave, and go on getting
+// requests until a heartbeat says so too.
+func TestEngineThatSaysThatItLeavesGetsNothingMore(t *testing.T) {
+	for name, change := range map[string]func(*Engine){
+		"serving":      func(e *Engine) { e.Leaves = true },
+		"turning_away": func(e *Engine) { e.Leaves, e.TurnAway = true, true },
+		"failing":      func(e *Engine) { e.Leaves, e.Events, e.Status = true, 0, http.StatusInternalServerError },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inLimitedFleet(t, 8, func(t *testing.T, l *limited) {
+				leaving := l.engines[:4]
+				for _, engine := range leaving {
+					engine.Set(change)
+				}
+				l.call(rand.New(rand.NewPCG(48, 3)), 60, 12*time.Second)
+				told := 0
+				for _, engine := range leaving {
+					for _, node := range l.Names(false) {
+						late, wasTold := l.Truth.AfterLeaving(engine.ID, node)
+						assert.Check(t, late == 0, "%s got %d requests from %s after it had told it that it leaves", engine.ID, late, node)
+						if wasTold {
+							told++
+						}
+					}
+				}
+				assert.Check(t, told > 0, "no engine told that it leaves")
+			})
+		})
+	}
+}
--- a/internal/lab/pausecheck/pausecheck.go
+++ b/internal/lab/pausecheck/pausecheck.go
@@ -1,5 +1,6 @@
-// Package pausecheck holds what is promised to an engine that asks a node for a pause, for
-// the tests, simulations and the soak that count from the engine's side.
+// Package pausecheck holds what is promised to an engine that asks a node for a pause or
+// tells it that it leaves, for the tests, simulations and the soak that count from the
+// engine's side.
 package pausecheck
 
 import "time"
@@ -9,6 +10,9 @@
 	Contact = 500 * time.Millisecond
 	// Allowed is the most that may come from that node between Contact and the pause's end.
 	Allowed = 2
+	// Drain is when a node sends nothing more to an engine after an answer that said that
+	// the engine leaves.
+	Drain = 2 * time.Second
 )
 
 // Record is what one life of an engine asked one node for, and what it got from it. Times
@@ -16,6 +20,9 @@
 type Record struct {
 	pauses   []pause
 	arrivals []time.Duration
+	// leftAt is when the node was first told that the engine leaves, if hasLeft is set.
+	leftAt  time.Duration
+	hasLeft bool
 }
 
 // pause is asked for at a time.
@@ -46,3 +53,24 @@
 	}
 	return most
 }
+
+// Leave notes an answer that tells the node that the engine leaves.
+func (r *Record) Leave(at time.Duration) {
+	if !r.hasLeft {
+		r.leftAt, r.hasLeft = at, true
+	}
+}
+
+// AfterLeaving is the number of requests that came later than Drain after the node was told
+// that the engine leaves, and whether it was told.
+func (r *Record) AfterLeaving() (late int, wasTold bool) {
+	if !r.hasLeft {
+		return 0, false
+	}
+	for _, arrival := range r.arrivals {
+		if arrival > r.leftAt+Drain {
+			late++
+		}
+	}
+	return late, true
+}
--- a/internal/lab/pausecheck/pausecheck_test.go
+++ b/internal/lab/pausecheck/pausecheck_test.go
@@ -37,3 +37,16 @@
 	}
 	assert.Equal(t, record.Most(), 0)
 }
+
+func TestRequestsCountFromTheDrainTimeAfterTheFirstAnswerThatSaysLeaving(t *testing.T) {
+	record := &Record{}
+	record.Arrive(5 * time.Second)
+	_, wasTold := record.AfterLeaving()
+	assert.Assert(t, !wasTold)
+	record.Leave(time.Second)
+	record.Leave(4 * time.Second)
+	record.Arrive(3 * time.Second)
+	late, wasTold := record.AfterLeaving()
+	assert.Assert(t, wasTold)
+	assert.Equal(t, late, 1, "the one at 5 s")
+}
--- a/internal/lab/wire/wire.go
+++ b/internal/lab/wire/wire.go
@@ -33,6 +33,8 @@
 	// HeaderPause is how long an engine that turns a request away wants none from the node,
 	// in seconds.
 	HeaderPause = "Lab-Pause"
+	// HeaderLeaving says that an engine leaves.
+	HeaderLeaving = "Lab-Leaving"
 )
 
 // ReadyPath is where an entry node says whether it is ready.
