An engine that says in an answer that it leaves gets nothing more from the node

What callers saw: an engine that leaves may say so in its answers seconds before a heartbeat of it that says so has come; requests that go to it meanwhile may be cut as it ends.

Cause: of the same class as the pauses, a word of an engine that nobody reads.

Change: the adapter reads Server-Leaving, backoff.Tracker keeps it for the rest of the engine's life, the choice and the gate before the write pass over it. A heartbeat on its way that still says ready doesn't undo it; it is forgotten with the life, or ten minutes after nobody lists the engine any more. Its end then counts as its own doing. One field that can't be read spoils no other one.

--- a/internal/coordination/backoff/said.go
+++ b/internal/coordination/backoff/said.go
@@ -1,5 +1,14 @@
-// Package backoff keeps what instances ask of this node: to send them nothing for a
-// time, since they turned a request away.
+// Package backoff keeps what instances ask of this node in their answers: to send them
+// nothing for a time, or nothing more since they leave.
+//
+// It goes by lives of instances. A pause ends with its time, that an instance leaves holds
+// for the rest of its life; neither changes of the registry nor of the configuration end
+// one. What is chosen in a pause is not sent, and after it few requests show first whether
+// the instance takes work again.
+//
+// The package has no network and no clock: times are those of a steady clock of the caller.
+// Such a clock doesn't count the time for which the machine is suspended, so that a pause
+// never ends early.
 package backoff
 
 import (
@@ -21,9 +30,11 @@
 type Said struct {
 	// Pause is how long the instance wants no request from this node; 0 if it doesn't ask.
 	Pause time.Duration
+	// IsLeaving tells that the instance leaves: it wants nothing more.
+	IsLeaving bool
 	// HasRun tells that the instance took the request and ran it.
 	HasRun bool
-	// Fault is why what it asks for can't be read. Such an answer asks for nothing.
+	// Fault is why a field can't be read. That field asks for nothing.
 	Fault error
 }
 
@@ -41,6 +52,24 @@
 	return said
 }
 
+// errNotAFlag says that a flag is neither 0 nor 1.
+var errNotAFlag = errors.New("backoff: neither 0 nor 1")
+
+// WithLeaving adds what the values of the field say that tells of an instance that leaves:
+// 1 if it does, 0 if not. Of several any 1 holds.
+func (s Said) WithLeaving(values []string) Said {
+	for _, value := range values {
+		switch strings.TrimSpace(value) {
+		case "0":
+		case "1":
+			s.IsLeaving = true
+		default:
+			s.Fault = errors.Join(s.Fault, fmt.Errorf("%w: %q", errNotAFlag, value))
+		}
+	}
+	return s
+}
+
 func readSeconds(value string) (time.Duration, error) {
 	trimmed := strings.TrimSpace(value)
 	if trimmed == "" || strings.Trim(trimmed, "0123456789.") != "" {
--- a/internal/coordination/backoff/said_test.go
+++ b/internal/coordination/backoff/said_test.go
@@ -40,3 +40,28 @@
 		assert.Assert(t, said.Fault == nil || said.Pause == 0)
 	})
 }
+
+func TestLeavingIsReadAsAFlag(t *testing.T) {
+	for _, value := range []string{"1", " 1 "} {
+		assert.DeepEqual(t, Said{}.WithLeaving([]string{value}), Said{IsLeaving: true})
+	}
+	assert.DeepEqual(t, Said{}.WithLeaving([]string{"0"}), Said{})
+	assert.DeepEqual(t, Said{}.WithLeaving(nil), Said{})
+	assert.DeepEqual(t, Said{}.WithLeaving([]string{"0", "1"}), Said{IsLeaving: true})
+	for _, value := range []string{"", "true", "yes", "01", "1, 1", "-1", "2"} {
+		said := Said{}.WithLeaving([]string{value})
+		assert.ErrorIs(t, said.Fault, errNotAFlag, "%q", value)
+		assert.Assert(t, !said.IsLeaving, "%q", value)
+	}
+}
+
+func FuzzLeavingOfAnyValue(f *testing.F) {
+	for _, value := range []string{"1", "0", "", "true", "1,0", "\x00"} {
+		f.Add(value)
+	}
+	f.Fuzz(func(t *testing.T, value string) {
+		said := Said{Pause: time.Second}.WithLeaving([]string{value})
+		assert.Equal(t, said.Pause, time.Second)
+		assert.Assert(t, said.Fault == nil || !said.IsLeaving)
+	})
+}
--- a/internal/coordination/backoff/tracker.go
+++ b/internal/coordination/backoff/tracker.go
@@ -17,6 +17,9 @@
 	fullTrials  = 16
 	// trialMemory bounds how long an instance counts as coming back that nobody asks.
 	trialMemory = 30 * time.Second
+	// leavingMemory is how long it is kept that an instance leaves which nobody lists any
+	// more: a late word may list it again.
+	leavingMemory = 10 * time.Minute
 	// unreadableKept bounds the lives that are remembered to have asked for what can't be
 	// read.
 	unreadableKept = 1024
@@ -33,10 +36,12 @@
 	Paused
 	// Returning: its pause is over, and no request has shown yet that it takes work again.
 	Returning
+	// Leaving: nothing more.
+	Leaving
 )
 
 // String names the phase.
-func (p Phase) String() string { return [...]string{"open", "paused", "returning"}[p] }
+func (p Phase) String() string { return [...]string{"open", "paused", "returning", "leaving"}[p] }
 
 // Standing is what is known of one life of an instance.
 type Standing struct {
@@ -47,9 +52,8 @@
 	HasTrial bool
 }
 
-// Tracker is what one node knows of the instances that asked it for a pause. It goes by
-// lives: neither changes of the registry nor of the configuration end a pause, a new life
-// begins without one. Safe for concurrent use.
+// Tracker is what one node knows of the instances that asked it for a pause or told it that
+// they leave. Safe for concurrent use.
 type Tracker struct {
 	mutex   sync.Mutex
 	entries map[registry.Life]*entry
@@ -59,7 +63,7 @@
 	unreadable map[registry.Life]struct{}
 }
 
-// entry is a life that asked for a pause.
+// entry is a life that asked for a pause, or leaves.
 type entry struct {
 	life registry.Life
 	// askedAt is when the pause began, until its end.
@@ -72,6 +76,9 @@
 	// trials are the requests under way that were chosen since the pause was over, and
 	// allowed is how many there may be.
 	trials, allowed int
+	// isLeaving tells that the instance leaves, and listedAt when it was last listed.
+	isLeaving bool
+	listedAt  time.Duration
 }
 
 // NewTracker makes a tracker that knows of no pause.
@@ -94,13 +101,15 @@
 	Ended
 	// Back: the instance takes work as before.
 	Back
+	// Left: it leaves.
+	Left
 	// Unreadable: it asks for what can't be read.
 	Unreadable
 )
 
 // String names the kind.
 func (k ChangeKind) String() string {
-	return [...]string{"unchanged", "began", "extended", "ended", "back", "unreadable"}[k]
+	return [...]string{"unchanged", "began", "extended", "ended", "back", "leaving", "unreadable"}[k]
 }
 
 // Change is what an answer, or the time, changed.
@@ -117,22 +126,31 @@
 }
 
 // Learn takes what an instance's answer to a request asks for, which comes now. No answer
-// shortens a pause: it was asked for, whatever a later one says.
-func (t *Tracker) Learn(now time.Duration, life registry.Life, request string, said Said) Change {
-	if said.Pause == 0 && said.Fault == nil && t.known.Load() == 0 {
-		return Change{}
+// shortens a pause, and none takes back that the instance leaves.
+func (t *Tracker) Learn(now time.Duration, life registry.Life, request string, said Said) []Change {
+	if said.Pause == 0 && !said.IsLeaving && said.Fault == nil && t.known.Load() == 0 {
+		return nil
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	switch {
-	case said.Fault != nil:
-		return t.noteUnreadable(life, said.Fault)
-	case said.Pause > 0:
-		return t.pause(now, life, request, said.Pause)
-	case said.HasRun:
-		return t.accept(now, life)
+	var changes []Change
+	note := func(change Change) {
+		if change.Kind != Unchanged {
+			changes = append(changes, change)
+		}
+	}
+	if said.Fault != nil {
+		note(t.noteUnreadable(life, said.Fault))
 	}
-	return Change{}
+	if said.Pause > 0 {
+		note(t.pause(now, life, request, said.Pause))
+	} else if said.HasRun {
+		note(t.accept(now, life))
+	}
+	if said.IsLeaving {
+		note(t.leave(now, life, request))
+	}
+	return changes
 }
 
 func (t *Tracker) noteUnreadable(life registry.Life, fault error) Change {
@@ -143,14 +161,30 @@
 	return Change{Kind: Unreadable, Life: life, Fault: fault}
 }
 
-func (t *Tracker) pause(now time.Duration, life registry.Life, request string, asked time.Duration) Change {
-	kind := Extended
+// entry returns what is known of a life, made if need be.
+func (t *Tracker) entry(life registry.Life) *entry {
 	known := t.entries[life]
 	if known == nil {
-		known = &entry{life: life}
+		known = &entry{life: life, isOver: true}
 		t.entries[life] = known
 		t.known.Add(1)
 	}
+	return known
+}
+
+func (t *Tracker) leave(now time.Duration, life registry.Life, request string) Change {
+	known := t.entry(life)
+	known.listedAt = now
+	if known.isLeaving {
+		return Change{}
+	}
+	known.isLeaving = true
+	return Change{Kind: Left, Life: life, Request: request, Answers: 1}
+}
+
+func (t *Tracker) pause(now time.Duration, life registry.Life, request string, asked time.Duration) Change {
+	kind := Extended
+	known := t.entry(life)
 	if now >= known.until {
 		kind = Began
 		known.askedAt, known.asked, known.request = now, 0, request
@@ -171,7 +205,7 @@
 // come, until it counts as back.
 func (t *Tracker) accept(now time.Duration, life registry.Life) Change {
 	known := t.entries[life]
-	if known == nil || now < known.until {
+	if known == nil || known.isLeaving || now < known.until {
 		return Change{}
 	}
 	known.allowed *= 2
@@ -190,15 +224,25 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known := t.entries[life]
-	switch {
-	case known == nil:
+	if known == nil {
 		return Standing{}
-	case now < known.until:
-		return Standing{Phase: Paused, Wait: known.until - now}
 	}
-	return Standing{Phase: Returning, HasTrial: known.trials < known.allowed}
+	return known.standing(now)
 }
 
+func (e *entry) standing(now time.Duration) Standing {
+	switch {
+	case e.isLeaving:
+		return Standing{Phase: Leaving}
+	case now < e.until:
+		return Standing{Phase: Paused, Wait: e.until - now}
+	}
+	return Standing{Phase: Returning, HasTrial: e.trials < e.allowed}
+}
+
+// IsLeaving tells whether an instance has said that it leaves.
+func (t *Tracker) IsLeaving(life registry.Life) bool { return t.Standing(0, life).Phase == Leaving }
+
 // Any tells whether any instance is not Open.
 func (t *Tracker) Any() bool { return t != nil && t.known.Load() > 0 }
 
@@ -230,7 +274,7 @@
 	}
 }
 
-// Forget drops what is known of a life that is over.
+// Forget drops what is known of a life that a newer one has replaced.
 func (t *Tracker) Forget(life registry.Life) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -245,33 +289,66 @@
 	}
 }
 
-// Look returns the pauses that are over since the last call, and drops instances that
-// nobody asked for long after theirs.
-func (t *Tracker) Look(now time.Duration) []Change {
+// Look returns the pauses that are over since the last call. It drops instances that nobody
+// asked for long after their pauses, and those that leave once they are not listed any more.
+func (t *Tracker) Look(now time.Duration, isListed func(life registry.Life) bool) []Change {
 	if !t.Any() {
 		return nil
 	}
+	// Who lists instances asks the tracker while it does, so it is asked without the mutex.
+	stillListed := slices.DeleteFunc(t.leaving(), func(life registry.Life) bool { return !isListed(life) })
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	for _, life := range stillListed {
+		if known := t.entries[life]; known != nil {
+			known.listedAt = now
+		}
+	}
 	var changes []Change
 	for life, known := range t.entries {
-		switch {
-		case now < known.until:
-		case !known.isOver:
+		if now < known.until {
+			continue
+		}
+		if !known.isOver {
 			known.isOver = true
 			changes = append(changes, known.change(Ended, now))
-		case now-known.until > trialMemory:
+		}
+		if known.isForgettable(now) {
 			t.drop(life)
+			delete(t.unreadable, life)
 		}
 	}
 	return changes
 }
 
+// leaving returns the lives that leave.
+func (t *Tracker) leaving() []registry.Life {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var lives []registry.Life
+	for life, known := range t.entries {
+		if known.isLeaving {
+			lives = append(lives, life)
+		}
+	}
+	return lives
+}
+
+// isForgettable tells whether nothing depends any more on what is known of a life whose
+// pause is over.
+func (e *entry) isForgettable(now time.Duration) bool {
+	if e.isLeaving {
+		return now-e.listedAt > leavingMemory
+	}
+	return now-e.until > trialMemory
+}
+
 // Listed is one instance that is not Open, for operators.
 type Listed struct {
 	Life     registry.Life
 	Standing Standing
-	// Asked is the pause, Request the one whose answer began it, Answers how many asked for it.
+	// Asked is the latest pause, Request the one whose answer began it, Answers how many
+	// asked for it.
 	Asked   time.Duration
 	Request string
 	Answers int
@@ -283,11 +360,7 @@
 	defer t.mutex.Unlock()
 	listed := make([]Listed, 0, len(t.entries))
 	for life, known := range t.entries {
-		standing := Standing{Phase: Returning, HasTrial: known.trials < known.allowed}
-		if now < known.until {
-			standing = Standing{Phase: Paused, Wait: known.until - now}
-		}
-		listed = append(listed, Listed{Life: life, Standing: standing, Asked: known.until - known.askedAt, Request: known.request, Answers: known.asked})
+		listed = append(listed, Listed{Life: life, Standing: known.standing(now), Asked: known.until - known.askedAt, Request: known.request, Answers: known.asked})
 	}
 	slices.SortFunc(listed, func(one, other Listed) int {
 		return cmp.Or(cmp.Compare(other.Standing.Wait, one.Standing.Wait), cmp.Compare(one.Life.ID, other.Life.ID), cmp.Compare(one.Life.Born, other.Life.Born))
--- a/internal/coordination/backoff/tracker_test.go
+++ b/internal/coordination/backoff/tracker_test.go
@@ -12,16 +12,27 @@
 
 var life = registry.Life{ID: "i-1", Born: 1000}
 
+// learn is Learn where one change at most is expected.
+func learn(tracker *Tracker, now time.Duration, life registry.Life, request string, said Said) Change {
+	changes := tracker.Learn(now, life, request, said)
+	if len(changes) == 0 {
+		return Change{}
+	}
+	return changes[0]
+}
+
+func listed(registry.Life) bool { return true }
+
 func asks(seconds float64) Said { return Said{Pause: time.Duration(seconds * float64(time.Second))} }
 
 func TestNoAnswerShortensAPause(t *testing.T) {
 	tracker := NewTracker()
-	assert.Equal(t, tracker.Learn(10*time.Second, life, "r1", asks(3)).Kind, Began)
+	assert.Equal(t, learn(tracker, 10*time.Second, life, "r1", asks(3)).Kind, Began)
 	for _, said := range []Said{asks(0.5), {}, {HasRun: true}, ReadPause([]string{"soon"}), ReadPause([]string{"0"})} {
-		tracker.Learn(11*time.Second, life, "r2", said)
+		learn(tracker, 11*time.Second, life, "r2", said)
 		assert.DeepEqual(t, tracker.Standing(11*time.Second, life), Standing{Phase: Paused, Wait: 2 * time.Second})
 	}
-	change := tracker.Learn(12*time.Second, life, "r3", asks(3))
+	change := learn(tracker, 12*time.Second, life, "r3", asks(3))
 	assert.DeepEqual(t, change, Change{Kind: Extended, Life: life, Asked: 5 * time.Second, Left: 3 * time.Second, Request: "r1", Answers: 3})
 	assert.Equal(t, tracker.Standing(15*time.Second-1, life).Phase, Paused)
 	assert.Equal(t, tracker.Standing(15*time.Second, life).Phase, Returning)
@@ -29,10 +40,10 @@
 
 func TestPauseBindsTheLifeThatAskedForIt(t *testing.T) {
 	tracker := NewTracker()
-	tracker.Learn(0, life, "r1", asks(3))
+	learn(tracker, 0, life, "r1", asks(3))
 	newer := registry.Life{ID: life.ID, Born: 2000}
 	assert.Equal(t, tracker.Standing(time.Second, newer).Phase, Open)
-	tracker.Learn(time.Second, newer, "r2", asks(1))
+	learn(tracker, time.Second, newer, "r2", asks(1))
 	tracker.Forget(life)
 	assert.Equal(t, tracker.Standing(time.Second, newer).Phase, Paused)
 	assert.Equal(t, tracker.Standing(time.Second, life).Phase, Open)
@@ -40,7 +51,7 @@
 
 func TestInstanceIsBackOnceRequestsRanAfterItsPause(t *testing.T) {
 	tracker := NewTracker()
-	tracker.Learn(0, life, "r1", asks(3))
+	learn(tracker, 0, life, "r1", asks(3))
 	assert.Assert(t, !tracker.BeginTrial(time.Second, life), "what was chosen in the pause shows nothing")
 	now := 4 * time.Second
 	for allowed := 1; allowed < fullTrials; allowed *= 2 {
@@ -52,7 +63,7 @@
 		for range allowed {
 			tracker.EndTrial(life)
 		}
-		kind := tracker.Learn(now, life, "r2", Said{HasRun: true}).Kind
+		kind := learn(tracker, now, life, "r2", Said{HasRun: true}).Kind
 		assert.Equal(t, kind == Back, 2*allowed == fullTrials, "%s after %d", kind, allowed)
 	}
 	assert.Equal(t, tracker.Standing(now, life).Phase, Open)
@@ -61,10 +72,10 @@
 
 func TestSecondPauseBeginsTheTrialsAnew(t *testing.T) {
 	tracker := NewTracker()
-	tracker.Learn(0, life, "r1", asks(1))
+	learn(tracker, 0, life, "r1", asks(1))
 	tracker.BeginTrial(2*time.Second, life)
-	tracker.Learn(2*time.Second, life, "r2", Said{HasRun: true})
-	assert.DeepEqual(t, tracker.Learn(2*time.Second, life, "r3", asks(1)), Change{Kind: Began, Life: life, Asked: time.Second, Left: time.Second, Request: "r3", Answers: 1})
+	learn(tracker, 2*time.Second, life, "r2", Said{HasRun: true})
+	assert.DeepEqual(t, learn(tracker, 2*time.Second, life, "r3", asks(1)), Change{Kind: Began, Life: life, Asked: time.Second, Left: time.Second, Request: "r3", Answers: 1})
 	assert.Assert(t, !tracker.Standing(3*time.Second, life).HasTrial, "the first trial is under way")
 	tracker.EndTrial(life)
 	assert.Assert(t, tracker.Standing(3*time.Second, life).HasTrial)
@@ -72,23 +83,23 @@
 
 func TestEndOfAPauseIsToldOnceAndTheInstanceForgottenLater(t *testing.T) {
 	tracker := NewTracker()
-	tracker.Learn(0, life, "r1", asks(3))
-	assert.Equal(t, len(tracker.Look(2*time.Second)), 0)
-	changes := tracker.Look(3 * time.Second)
+	learn(tracker, 0, life, "r1", asks(3))
+	assert.Equal(t, len(tracker.Look(2*time.Second, listed)), 0)
+	changes := tracker.Look(3*time.Second, listed)
 	assert.Equal(t, len(changes), 1)
 	assert.Equal(t, changes[0].Kind, Ended)
-	assert.Equal(t, len(tracker.Look(4*time.Second)), 0)
-	tracker.Look(3*time.Second + trialMemory + 1)
+	assert.Equal(t, len(tracker.Look(4*time.Second, listed)), 0)
+	tracker.Look(3*time.Second+trialMemory+1, listed)
 	assert.Equal(t, tracker.Count(), int64(0))
 }
 
 func TestWhatCantBeReadIsToldOnceALifeAndWithinBounds(t *testing.T) {
 	tracker := NewTracker()
 	fault := ReadPause([]string{"soon"})
-	assert.Equal(t, tracker.Learn(0, life, "r1", fault).Kind, Unreadable)
-	assert.Equal(t, tracker.Learn(0, life, "r2", fault).Kind, Unchanged)
+	assert.Equal(t, learn(tracker, 0, life, "r1", fault).Kind, Unreadable)
+	assert.Equal(t, learn(tracker, 0, life, "r2", fault).Kind, Unchanged)
 	for number := range 2 * unreadableKept {
-		tracker.Learn(0, registry.Life{ID: fmt.Sprint(number)}, "r", fault)
+		learn(tracker, 0, registry.Life{ID: fmt.Sprint(number)}, "r", fault)
 	}
 	assert.Equal(t, len(tracker.unreadable), unreadableKept)
 	assert.Equal(t, tracker.Count(), int64(0))
@@ -97,12 +108,12 @@
 func TestListNamesTheLongestPauseFirst(t *testing.T) {
 	tracker := NewTracker()
 	other := registry.Life{ID: "i-0"}
-	tracker.Learn(0, life, "r1", asks(3))
-	tracker.Learn(0, other, "r2", asks(1))
-	listed := tracker.List(2 * time.Second)
-	assert.Equal(t, len(listed), 2)
-	assert.DeepEqual(t, listed[0], Listed{Life: life, Standing: Standing{Phase: Paused, Wait: time.Second}, Asked: 3 * time.Second, Request: "r1", Answers: 1})
-	assert.DeepEqual(t, listed[1].Standing, Standing{Phase: Returning, HasTrial: true})
+	learn(tracker, 0, life, "r1", asks(3))
+	learn(tracker, 0, other, "r2", asks(1))
+	all := tracker.List(2 * time.Second)
+	assert.Equal(t, len(all), 2)
+	assert.DeepEqual(t, all[0], Listed{Life: life, Standing: Standing{Phase: Paused, Wait: time.Second}, Asked: 3 * time.Second, Request: "r1", Answers: 1})
+	assert.DeepEqual(t, all[1].Standing, Standing{Phase: Returning, HasTrial: true})
 }
 
 // Guards against a cost of pauses for requests where no instance asks for any.
@@ -120,7 +131,7 @@
 	for number := range lives {
 		lives[number] = registry.Life{ID: fmt.Sprintf("i-%d", number)}
 		if number%3 == 0 {
-			tracker.Learn(0, lives[number], "r", asks(3))
+			learn(tracker, 0, lives[number], "r", asks(3))
 		}
 	}
 	number := 0
@@ -129,3 +140,37 @@
 		number++
 	}
 }
+
+func TestLeavingHoldsForTheRestOfTheLife(t *testing.T) {
+	tracker := NewTracker()
+	assert.DeepEqual(t, learn(tracker, 0, life, "r1", Said{IsLeaving: true, HasRun: true}), Change{Kind: Left, Life: life, Request: "r1", Answers: 1})
+	for _, said := range []Said{{HasRun: true}, {}, asks(1), Said{}.WithLeaving([]string{"0"})} {
+		learn(tracker, time.Second, life, "r2", said)
+		assert.Equal(t, tracker.Standing(time.Hour, life).Phase, Leaving)
+	}
+	assert.Assert(t, !tracker.Standing(time.Hour, registry.Life{ID: life.ID, Born: 2000}).HasTrial)
+	assert.Equal(t, tracker.Standing(time.Hour, registry.Life{ID: life.ID, Born: 2000}).Phase, Open)
+}
+
+// Guards against a word on its way that lists an instance again which has left.
+func TestLeavingOutlivesTheListingAndIsForgottenLongAfterIt(t *testing.T) {
+	tracker := NewTracker()
+	learn(tracker, 0, life, "r1", Said{IsLeaving: true})
+	unlisted := func(registry.Life) bool { return false }
+	tracker.Look(time.Hour, listed)
+	assert.Equal(t, tracker.Count(), int64(1))
+	tracker.Look(time.Hour+leavingMemory, unlisted)
+	assert.Equal(t, tracker.Count(), int64(1))
+	tracker.Look(time.Hour+leavingMemory+1, unlisted)
+	assert.Equal(t, tracker.Count(), int64(0))
+}
+
+func TestOneFieldThatCantBeReadSpoilsNoOther(t *testing.T) {
+	tracker := NewTracker()
+	changes := tracker.Learn(0, life, "r1", ReadPause([]string{"3"}).WithLeaving([]string{"yes"}))
+	assert.Equal(t, len(changes), 2)
+	assert.Equal(t, changes[0].Kind, Unreadable)
+	assert.Equal(t, changes[1].Kind, Began)
+	changes = tracker.Learn(0, registry.Life{ID: "i-2"}, "r2", ReadPause([]string{"soon"}).WithLeaving([]string{"1"}))
+	assert.Equal(t, changes[1].Kind, Left)
+}
--- a/internal/coordination/balance/backoff.go
+++ b/internal/coordination/balance/backoff.go
@@ -16,12 +16,14 @@
 	ErrNotAdmitted = errors.New("balance: the instance takes no request")
 	// ErrPaused says that it has asked for a pause.
 	ErrPaused = fmt.Errorf("%w: it has asked for a pause", ErrNotAdmitted)
+	// ErrLeaving says that it has said that it leaves.
+	ErrLeaving = fmt.Errorf("%w: it has said that it leaves", ErrNotAdmitted)
 	// ErrWithdrawn says that it is not offered any more: it leaves, has ended, its zone is
 	// evacuated, or its version was rolled back.
 	ErrWithdrawn = fmt.Errorf("%w: it is withdrawn", ErrNotAdmitted)
 )
 
-// SetBackoff tells the table who knows the pauses that instances ask for.
+// SetBackoff tells the table who knows what instances ask this node for.
 func (t *Table) SetBackoff(tracker *backoff.Tracker) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -40,9 +42,12 @@
 func (t *Table) Admit(now time.Duration, choice Choice) error {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	standing := t.backoff.Standing(now, choice.Life())
-	if standing.Phase == backoff.Paused {
+	switch standing := t.backoff.Standing(now, choice.Life()); standing.Phase {
+	case backoff.Paused:
 		return fmt.Errorf("%w, %d ms of it are left", ErrPaused, standing.Wait.Milliseconds())
+	case backoff.Leaving:
+		return ErrLeaving
+	case backoff.Open, backoff.Returning:
 	}
 	known := t.member(choice.Life())
 	if known == nil || !known.isOffered || t.evacuated.Contains(known.Zone) || t.isRolledBack(known) {
@@ -78,6 +83,9 @@
 		room, hasLimit := t.limits.Room(now, one.Life())
 		isLimited := hasLimit && room.Wait > request.PermitPatience && !slices.Contains(request.Exclude, one.ID)
 		standing := t.backoff.Standing(now, one.Life())
+		if standing.Phase == backoff.Leaving {
+			continue
+		}
 		isPaused := standing.Phase == backoff.Paused
 		if !isLimited && !isPaused {
 			isAnyOpen = true
--- a/internal/coordination/balance/backoff_test.go
+++ b/internal/coordination/balance/backoff_test.go
@@ -114,3 +114,18 @@
 	assert.Equal(t, back.IsPause, false)
 	assert.Equal(t, back.Wait, 2*time.Second)
 }
+
+// Guards against a heartbeat on its way, which still says ready, that brings an instance
+// back which has said that it leaves.
+func TestLeavingInstanceIsNotChosenWhateverTheRegistrySays(t *testing.T) {
+	table, tracker := pausedTable("i-0", "i-1")
+	choice, _ := table.Choose(0, Request{Service: "s", Exclude: []string{"i-1"}})
+	tracker.Learn(0, registry.Life{ID: "i-0"}, "r", backoff.Said{IsLeaving: true})
+	assert.ErrorIs(t, table.Admit(0, choice), ErrLeaving)
+	assert.Assert(t, table.IsLeaving(registry.Life{ID: "i-0"}), "its end is nobody's fault")
+	table.Apply([]registry.Instance{{ID: "i-0", Service: "s", Zone: "a", State: registry.Ready, Slots: 4, Sequence: 9}})
+	_, found := table.Choose(time.Hour, Request{Service: "s", Exclude: []string{"i-1"}})
+	assert.Assert(t, !found)
+	_, found = table.Return(time.Hour, Request{Service: "s"})
+	assert.Assert(t, !found, "nobody waits for it to come back")
+}
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -162,8 +162,8 @@
 
 // candidates returns those of some instances that may be chosen: the healthy ones, or if
 // there is none, all that were not tried. None is in an evacuated zone, in a region that
-// the request is not allowed in, has asked for a pause that lasts, or bears no request of
-// this node now, whatever that leaves.
+// the request is not allowed in, has asked for a pause that lasts, leaves, or bears no
+// request of this node now, whatever that leaves.
 func (t *Table) candidates(now time.Duration, request Request, isAmong func(*member) bool) candidateSet {
 	healthy, others := t.sortCandidates(now, request, isAmong)
 	if len(healthy.open) > 0 {
@@ -179,7 +179,7 @@
 			continue
 		}
 		standing := t.backoff.Standing(now, one.Life())
-		if standing.Phase == backoff.Paused {
+		if standing.Phase == backoff.Paused || standing.Phase == backoff.Leaving {
 			continue
 		}
 		isLimited := t.weighPermit(now, one, request.PermitPatience)
--- a/internal/coordination/balance/lives.go
+++ b/internal/coordination/balance/lives.go
@@ -33,6 +33,9 @@
 func (t *Table) IsLeaving(life registry.Life) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if t.backoff.IsLeaving(life) {
+		return true
+	}
 	if known := t.member(life); known != nil {
 		return !known.TakesWork()
 	}
--- a/internal/forward/backoff_test.go
+++ b/internal/forward/backoff_test.go
@@ -149,3 +149,25 @@
 		assert.Assert(t, comeBack > 2.5 && comeBack < 4, "%g", comeBack)
 	}
 }
+
+// Guards against requests that go to an engine after any of its answers has said that it
+// leaves.
+func TestEveryAnswerMaySayThatTheEngineLeaves(t *testing.T) {
+	for name, head := range map[string]string{
+		"served":      "HTTP/1.1 200 OK\r\nId: ID\r\nLeaving: 1\r\n",
+		"not found":   "HTTP/1.1 404 Not Found\r\nId: ID\r\nLeaving: 1\r\n",
+		"failed":      "HTTP/1.1 500 Failed\r\nId: ID\r\nLeaving: 1\r\n",
+		"turned away": "HTTP/1.1 503 Busy\r\nId: ID\r\nNot-Run: 1\r\nLeaving: 1\r\n",
+	} {
+		for _, path := range []string{"/safe/x", "/once/x", "/stream/x", "/resumable/x"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				engine := refusingEngine(t, head)
+				h, _ := newBackoffHarness(t, engine)
+				h.ask(t, http.MethodPost, path, "r1", "b")
+				got := h.ask(t, http.MethodPost, path, "r2", "b")
+				assert.Equal(t, engine.ids(), "r1")
+				assert.Equal(t, got.status, http.StatusServiceUnavailable)
+			})
+		}
+	}
+}
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -53,7 +53,7 @@
 func (testDialect) ReadAnswer(_ int, header http.Header) AnswerHead {
 	return AnswerHead{
 		ID: header.Get("Id"), NotRun: header.Get("Not-Run") != "", RateLimit: ratelimit.Read(header.Values("Limit")),
-		Backoff: backoff.ReadPause(header.Values("Pause")),
+		Backoff: backoff.ReadPause(header.Values("Pause")).WithLeaving(header.Values("Leaving")),
 	}
 }
 
--- a/internal/gateway/backoff.go
+++ b/internal/gateway/backoff.go
@@ -17,10 +17,11 @@
 	pausesExtended     = metrics.GetOrCreateCounter("ravenway_instance_pauses_extended_total")
 	pausesUnreadable   = metrics.GetOrCreateCounter("ravenway_instance_pauses_unreadable_total")
 	instancesNotOpen   = metrics.GetOrCreateGauge("ravenway_instances_in_backoff", nil)
+	instancesLeft      = metrics.GetOrCreateCounter("ravenway_instances_leaving_seen_total")
 	instancesBackAgain = metrics.GetOrCreateCounter("ravenway_instances_back_total")
 )
 
-// backoffKeeper tells of the pauses that instances ask this entry node for.
+// backoffKeeper tells of what instances ask this entry node for.
 type backoffKeeper struct {
 	node    *Node
 	tracker *backoff.Tracker
@@ -33,7 +34,7 @@
 
 // look notes the pauses that are over. The loads' duty calls it.
 func (k *backoffKeeper) look() {
-	for _, change := range k.tracker.Look(k.node.now()) {
+	for _, change := range k.tracker.Look(k.node.now(), k.isListed) {
 		k.note(change, 0)
 	}
 	instancesNotOpen.Set(float64(k.tracker.Count()))
@@ -41,22 +42,21 @@
 
 // Learn implements forward.Backoff.
 func (k *backoffKeeper) Learn(instance registry.Instance, request string, said backoff.Said) {
-	change := k.tracker.Learn(k.node.now(), instance.Life(), request, said)
-	if change.Kind != backoff.Unchanged {
+	for _, change := range k.tracker.Learn(k.node.now(), instance.Life(), request, said) {
 		k.note(change, k.node.table.InFlight(instance.Life()))
 	}
 }
 
-// forget drops the lives that are over for good. One whose lease ended may come back.
-func (k *backoffKeeper) forget(replaced, changes []registry.Instance) {
+func (k *backoffKeeper) isListed(life registry.Life) bool {
+	_, isListed := k.node.table.Instance(life)
+	return isListed
+}
+
+// forget drops the lives that newer ones have replaced.
+func (k *backoffKeeper) forget(replaced []registry.Instance) {
 	for _, over := range replaced {
 		k.tracker.Forget(over.Life())
 	}
-	for _, changed := range changes {
-		if changed.State == registry.Gone {
-			k.tracker.Forget(changed.Life())
-		}
-	}
 }
 
 // note writes a line for a change, with this node's requests at the instance.
@@ -67,6 +67,9 @@
 		pausesBegan.Inc()
 	case backoff.Extended:
 		pausesExtended.Inc()
+	case backoff.Left:
+		instancesLeft.Inc()
+		event = "instance_leaving"
 	case backoff.Back:
 		instancesBackAgain.Inc()
 	case backoff.Unreadable:
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -333,7 +333,7 @@
 	if f.node.pipeline == nil {
 		return
 	}
-	f.node.backoff.forget(replaced, changes)
+	f.node.backoff.forget(replaced)
 	for _, over := range replaced {
 		f.node.limits.limits.Forget(over.Life())
 	}
--- a/internal/lab/wire/wire.go
+++ b/internal/lab/wire/wire.go
@@ -89,7 +89,7 @@
 	return forward.AnswerHead{
 		ID: header.Get(HeaderRequest), NotRun: header.Get(HeaderNotRun) != "",
 		OtherInstance: status == http.StatusMisdirectedRequest, RateLimit: ratelimit.Read(header[HeaderRateLimit]),
-		Backoff: backoff.ReadPause(header[HeaderPause]),
+		Backoff: backoff.ReadPause(header[HeaderPause]).WithLeaving(header[HeaderLeaving]),
 	}
 }
 
