Backoff: nodes come back one by one, with a few requests first; simulation of the ways

All nodes are asked for a pause at about the same time, so all come back at the same time.

Kept: spread and trials. The spread is what saves the end of a pause of all engines, the trials what saves short pauses of a part. Ranked nodes are no better than drawn ones and need a list. Telling others helps where engines are full without a word and nodes are many, and hurts where full engines ask; it is not built.

--- a/internal/coordination/backoff/tracker.go
+++ b/internal/coordination/backoff/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -11,12 +12,6 @@
 )
 
 const (
-	// firstTrials is the number of requests that may be unanswered at an instance right after
-	// its pause, and fullTrials the number from which it counts as back.
-	firstTrials = 1
-	fullTrials  = 16
-	// trialMemory bounds how long an instance counts as coming back that nobody asks.
-	trialMemory = 30 * time.Second
 	// leavingMemory is how long it is kept that an instance leaves which nobody lists any
 	// more: a late word may list it again.
 	leavingMemory = 10 * time.Minute
@@ -25,6 +20,30 @@
 	unreadableKept = 1024
 )
 
+// ReturnPolicy is how requests come back to an instance after its pause.
+type ReturnPolicy struct {
+	// Spread is the part of the pause over which nodes come back one by one, LongestSpread
+	// bounds it. They were all asked at about the same time.
+	Spread        float64
+	LongestSpread time.Duration
+	// FirstTrials is the number of requests that may be unanswered there at first; each one
+	// that ran doubles it.
+	FirstTrials int
+	// FullTrials is the number from which the instance counts as back.
+	FullTrials int
+	// LongestTrials is the time after which it counts as back anyway: nobody may have asked
+	// it.
+	LongestTrials time.Duration
+}
+
+// DefaultReturn has an instance tried by single requests, at each node by a moment of its own.
+var DefaultReturn = ReturnPolicy{Spread: 0.25, LongestSpread: 2 * time.Second, FirstTrials: 1, FullTrials: 4, LongestTrials: 2 * time.Second}
+
+// drawSpread is by how much a node keeps a pause longer than it was asked for.
+func (p ReturnPolicy) drawSpread(asked time.Duration) time.Duration {
+	return time.Duration(rand.Float64() * min(p.Spread*float64(asked), float64(p.LongestSpread)))
+}
+
 // Phase is what an instance takes from this node.
 type Phase uint8
 
@@ -58,7 +77,8 @@
 	mutex   sync.Mutex
 	entries map[registry.Life]*entry
 	// known is the number of entries: without any, no request pays for them.
-	known atomic.Int64
+	known  atomic.Int64
+	policy ReturnPolicy
 	// unreadable are the lives that asked for what can't be read, told once each.
 	unreadable map[registry.Life]struct{}
 }
@@ -66,8 +86,9 @@
 // entry is a life that asked for a pause, or leaves.
 type entry struct {
 	life registry.Life
-	// askedAt is when the pause began, until its end.
-	askedAt, until time.Duration
+	// askedAt is when the pause began, askedUntil the end that was asked for, until the
+	// later one that this node keeps.
+	askedAt, askedUntil, until time.Duration
 	// asked are the answers that asked for it, and request the first one's.
 	asked   int
 	request string
@@ -82,8 +103,8 @@
 }
 
 // NewTracker makes a tracker that knows of no pause.
-func NewTracker() *Tracker {
-	return &Tracker{entries: map[registry.Life]*entry{}, unreadable: map[registry.Life]struct{}{}}
+func NewTracker(policy ReturnPolicy) *Tracker {
+	return &Tracker{entries: map[registry.Life]*entry{}, unreadable: map[registry.Life]struct{}{}, policy: policy}
 }
 
 // ChangeKind tells what became of a pause.
@@ -190,15 +211,17 @@
 		known.askedAt, known.asked, known.request = now, 0, request
 	}
 	known.asked++
-	if now+asked <= known.until {
+	end := now + asked
+	if end <= known.askedUntil {
 		return Change{}
 	}
-	known.until, known.isOver, known.allowed = now+asked, false, firstTrials
+	known.askedUntil, known.isOver, known.allowed = end, false, t.policy.FirstTrials
+	known.until = max(known.until, end+t.policy.drawSpread(asked))
 	return known.change(kind, now)
 }
 
 func (e *entry) change(kind ChangeKind, now time.Duration) Change {
-	return Change{Kind: kind, Life: e.life, Asked: e.until - e.askedAt, Left: max(0, e.until-now), Request: e.request, Answers: e.asked}
+	return Change{Kind: kind, Life: e.life, Asked: e.askedUntil - e.askedAt, Left: max(0, e.until-now), Request: e.request, Answers: e.asked}
 }
 
 // accept notes that an instance ran a request. After its pause each one lets twice as many
@@ -209,7 +232,7 @@
 		return Change{}
 	}
 	known.allowed *= 2
-	if known.allowed < fullTrials {
+	if known.allowed < t.policy.FullTrials {
 		return Change{}
 	}
 	t.drop(life)
@@ -227,15 +250,17 @@
 	if known == nil {
 		return Standing{}
 	}
-	return known.standing(now)
+	return known.standing(now, t.policy.LongestTrials)
 }
 
-func (e *entry) standing(now time.Duration) Standing {
+func (e *entry) standing(now, longestTrials time.Duration) Standing {
 	switch {
 	case e.isLeaving:
 		return Standing{Phase: Leaving}
 	case now < e.until:
 		return Standing{Phase: Paused, Wait: e.until - now}
+	case now >= e.until+longestTrials:
+		return Standing{}
 	}
 	return Standing{Phase: Returning, HasTrial: e.trials < e.allowed}
 }
@@ -289,8 +314,8 @@
 	}
 }
 
-// Look returns the pauses that are over since the last call. It drops instances that nobody
-// asked for long after their pauses, and those that leave once they are not listed any more.
+// Look returns the pauses that are over since the last call. It drops instances that are
+// back, and those that leave once they have not been listed for long.
 func (t *Tracker) Look(now time.Duration, isListed func(life registry.Life) bool) []Change {
 	if !t.Any() {
 		return nil
@@ -313,7 +338,7 @@
 			known.isOver = true
 			changes = append(changes, known.change(Ended, now))
 		}
-		if known.isForgettable(now) {
+		if known.isForgettable(now, t.policy.LongestTrials) {
 			t.drop(life)
 			delete(t.unreadable, life)
 		}
@@ -336,11 +361,11 @@
 
 // isForgettable tells whether nothing depends any more on what is known of a life whose
 // pause is over.
-func (e *entry) isForgettable(now time.Duration) bool {
+func (e *entry) isForgettable(now, longestTrials time.Duration) bool {
 	if e.isLeaving {
 		return now-e.listedAt > leavingMemory
 	}
-	return now-e.until > trialMemory
+	return now-e.until >= longestTrials
 }
 
 // Listed is one instance that is not Open, for operators.
@@ -360,7 +385,7 @@
 	defer t.mutex.Unlock()
 	listed := make([]Listed, 0, len(t.entries))
 	for life, known := range t.entries {
-		listed = append(listed, Listed{Life: life, Standing: known.standing(now), Asked: known.until - known.askedAt, Request: known.request, Answers: known.asked})
+		listed = append(listed, Listed{Life: life, Standing: known.standing(now, t.policy.LongestTrials), Asked: known.askedUntil - known.askedAt, Request: known.request, Answers: known.asked})
 	}
 	slices.SortFunc(listed, func(one, other Listed) int {
 		return cmp.Or(cmp.Compare(other.Standing.Wait, one.Standing.Wait), cmp.Compare(one.Life.ID, other.Life.ID), cmp.Compare(one.Life.Born, other.Life.Born))
--- a/internal/coordination/backoff/tracker_test.go
+++ b/internal/coordination/backoff/tracker_test.go
@@ -12,6 +12,9 @@
 
 var life = registry.Life{ID: "i-1", Born: 1000}
 
+// exactEnd ends pauses when they were asked to end.
+var exactEnd = ReturnPolicy{FirstTrials: 1, FullTrials: 4, LongestTrials: time.Minute}
+
 // learn is Learn where one change at most is expected.
 func learn(tracker *Tracker, now time.Duration, life registry.Life, request string, said Said) Change {
 	changes := tracker.Learn(now, life, request, said)
@@ -26,7 +29,7 @@
 func asks(seconds float64) Said { return Said{Pause: time.Duration(seconds * float64(time.Second))} }
 
 func TestNoAnswerShortensAPause(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(exactEnd)
 	assert.Equal(t, learn(tracker, 10*time.Second, life, "r1", asks(3)).Kind, Began)
 	for _, said := range []Said{asks(0.5), {}, {HasRun: true}, ReadPause([]string{"soon"}), ReadPause([]string{"0"})} {
 		learn(tracker, 11*time.Second, life, "r2", said)
@@ -39,7 +42,7 @@
 }
 
 func TestPauseBindsTheLifeThatAskedForIt(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(exactEnd)
 	learn(tracker, 0, life, "r1", asks(3))
 	newer := registry.Life{ID: life.ID, Born: 2000}
 	assert.Equal(t, tracker.Standing(time.Second, newer).Phase, Open)
@@ -50,11 +53,11 @@
 }
 
 func TestInstanceIsBackOnceRequestsRanAfterItsPause(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(exactEnd)
 	learn(tracker, 0, life, "r1", asks(3))
 	assert.Assert(t, !tracker.BeginTrial(time.Second, life), "what was chosen in the pause shows nothing")
 	now := 4 * time.Second
-	for allowed := 1; allowed < fullTrials; allowed *= 2 {
+	for allowed := 1; allowed < exactEnd.FullTrials; allowed *= 2 {
 		for range allowed {
 			assert.Assert(t, tracker.Standing(now, life).HasTrial)
 			assert.Assert(t, tracker.BeginTrial(now, life))
@@ -64,14 +67,14 @@
 			tracker.EndTrial(life)
 		}
 		kind := learn(tracker, now, life, "r2", Said{HasRun: true}).Kind
-		assert.Equal(t, kind == Back, 2*allowed == fullTrials, "%s after %d", kind, allowed)
+		assert.Equal(t, kind == Back, 2*allowed == exactEnd.FullTrials, "%s after %d", kind, allowed)
 	}
 	assert.Equal(t, tracker.Standing(now, life).Phase, Open)
 	assert.Equal(t, tracker.Count(), int64(0))
 }
 
 func TestSecondPauseBeginsTheTrialsAnew(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(exactEnd)
 	learn(tracker, 0, life, "r1", asks(1))
 	tracker.BeginTrial(2*time.Second, life)
 	learn(tracker, 2*time.Second, life, "r2", Said{HasRun: true})
@@ -82,19 +85,19 @@
 }
 
 func TestEndOfAPauseIsToldOnceAndTheInstanceForgottenLater(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(exactEnd)
 	learn(tracker, 0, life, "r1", asks(3))
 	assert.Equal(t, len(tracker.Look(2*time.Second, listed)), 0)
 	changes := tracker.Look(3*time.Second, listed)
 	assert.Equal(t, len(changes), 1)
 	assert.Equal(t, changes[0].Kind, Ended)
 	assert.Equal(t, len(tracker.Look(4*time.Second, listed)), 0)
-	tracker.Look(3*time.Second+trialMemory+1, listed)
+	tracker.Look(3*time.Second+exactEnd.LongestTrials, listed)
 	assert.Equal(t, tracker.Count(), int64(0))
 }
 
 func TestWhatCantBeReadIsToldOnceALifeAndWithinBounds(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(exactEnd)
 	fault := ReadPause([]string{"soon"})
 	assert.Equal(t, learn(tracker, 0, life, "r1", fault).Kind, Unreadable)
 	assert.Equal(t, learn(tracker, 0, life, "r2", fault).Kind, Unchanged)
@@ -106,7 +109,7 @@
 }
 
 func TestListNamesTheLongestPauseFirst(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(exactEnd)
 	other := registry.Life{ID: "i-0"}
 	learn(tracker, 0, life, "r1", asks(3))
 	learn(tracker, 0, other, "r2", asks(1))
@@ -118,7 +121,7 @@
 
 // Guards against a cost of pauses for requests where no instance asks for any.
 func BenchmarkStandingWithoutPauses(b *testing.B) {
-	tracker := NewTracker()
+	tracker := NewTracker(exactEnd)
 	for b.Loop() {
 		tracker.Standing(time.Second, life)
 	}
@@ -126,7 +129,7 @@
 
 // 10,000 instances of which a third ask for a pause.
 func BenchmarkStandingOfAThirdPaused(b *testing.B) {
-	tracker := NewTracker()
+	tracker := NewTracker(exactEnd)
 	lives := make([]registry.Life, 10_000)
 	for number := range lives {
 		lives[number] = registry.Life{ID: fmt.Sprintf("i-%d", number)}
@@ -142,7 +145,7 @@
 }
 
 func TestLeavingHoldsForTheRestOfTheLife(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(exactEnd)
 	assert.DeepEqual(t, learn(tracker, 0, life, "r1", Said{IsLeaving: true, HasRun: true}), Change{Kind: Left, Life: life, Request: "r1", Answers: 1})
 	for _, said := range []Said{{HasRun: true}, {}, asks(1), Said{}.WithLeaving([]string{"0"})} {
 		learn(tracker, time.Second, life, "r2", said)
@@ -154,7 +157,7 @@
 
 // Guards against a word on its way that lists an instance again which has left.
 func TestLeavingOutlivesTheListingAndIsForgottenLongAfterIt(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(exactEnd)
 	learn(tracker, 0, life, "r1", Said{IsLeaving: true})
 	unlisted := func(registry.Life) bool { return false }
 	tracker.Look(time.Hour, listed)
@@ -166,7 +169,7 @@
 }
 
 func TestOneFieldThatCantBeReadSpoilsNoOther(t *testing.T) {
-	tracker := NewTracker()
+	tracker := NewTracker(exactEnd)
 	changes := tracker.Learn(0, life, "r1", ReadPause([]string{"3"}).WithLeaving([]string{"yes"}))
 	assert.Equal(t, len(changes), 2)
 	assert.Equal(t, changes[0].Kind, Unreadable)
@@ -174,3 +177,24 @@
 	changes = tracker.Learn(0, registry.Life{ID: "i-2"}, "r2", ReadPause([]string{"soon"}).WithLeaving([]string{"1"}))
 	assert.Equal(t, changes[1].Kind, Left)
 }
+
+func TestNodesComeBackOneByOneAndNoneTooEarly(t *testing.T) {
+	for asked, longest := range map[time.Duration]time.Duration{time.Second: 1250 * time.Millisecond, time.Minute: 62 * time.Second} {
+		earliest, latest := time.Hour, time.Duration(0)
+		for range 1000 {
+			tracker := NewTracker(DefaultReturn)
+			change := learn(tracker, 0, life, "r1", Said{Pause: asked})
+			assert.Equal(t, change.Asked, asked)
+			earliest, latest = min(earliest, change.Left), max(latest, change.Left)
+		}
+		assert.Assert(t, earliest >= asked && latest <= longest, "%s to %s", earliest, latest)
+		assert.Assert(t, latest-earliest > (longest-asked)/2, "%s to %s", earliest, latest)
+	}
+}
+
+func TestInstanceThatNobodyAsksCountsAsBackInTheEnd(t *testing.T) {
+	tracker := NewTracker(exactEnd)
+	learn(tracker, 0, life, "r1", asks(3))
+	assert.Equal(t, tracker.Standing(3*time.Second+exactEnd.LongestTrials-1, life).Phase, Returning)
+	assert.Equal(t, tracker.Standing(3*time.Second+exactEnd.LongestTrials, life).Phase, Open)
+}
--- a/internal/coordination/balance/backoff_test.go
+++ b/internal/coordination/balance/backoff_test.go
@@ -11,9 +11,12 @@
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
+// exactEnd ends pauses when they were asked to end.
+var exactEnd = backoff.ReturnPolicy{FirstTrials: 1, FullTrials: 4, LongestTrials: time.Minute}
+
 // pausedTable has some ready instances of the service s, of which a tracker knows pauses.
 func pausedTable(ids ...string) (*Table, *backoff.Tracker) {
-	table, tracker := NewTable("a"), backoff.NewTracker()
+	table, tracker := NewTable("a"), backoff.NewTracker(exactEnd)
 	table.SetBackoff(tracker)
 	var instances []registry.Instance
 	for _, id := range ids {
--- a/internal/forward/backoff_test.go
+++ b/internal/forward/backoff_test.go
@@ -29,11 +29,14 @@
 	b.Tracker.Learn(b.environment.Now(), instance.Life(), request, said)
 }
 
+// exactEnd ends pauses when they were asked to end.
+var exactEnd = backoff.ReturnPolicy{FirstTrials: 1, FullTrials: 4, LongestTrials: time.Minute}
+
 // newBackoffHarness is newHarness with pauses kept.
 func newBackoffHarness(t *testing.T, engines ...*scriptedEngine) (*harness, *backoff.Tracker) {
 	t.Helper()
 	h := newHarness(t, engines...)
-	tracker := backoff.NewTracker()
+	tracker := backoff.NewTracker(exactEnd)
 	h.pipeline.options.Table.SetBackoff(tracker)
 	h.pipeline.options.Backoff = trackedBackoff{Tracker: tracker, environment: h.environment}
 	return h, tracker
--- a/internal/gateway/backoff.go
+++ b/internal/gateway/backoff.go
@@ -29,7 +29,7 @@
 }
 
 func newBackoffKeeper(node *Node) *backoffKeeper {
-	return &backoffKeeper{node: node, tracker: backoff.NewTracker(), lines: forward.NewLineBudget(backoffLinesPerSecond)}
+	return &backoffKeeper{node: node, tracker: backoff.NewTracker(backoff.DefaultReturn), lines: forward.NewLineBudget(backoffLinesPerSecond)}
 }
 
 // look notes the pauses that are over. The loads' duty calls it.
--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -66,6 +66,7 @@
 					return printRollouts(out, command.Int("seeds"))
 				}},
 			limitsCommand(out),
+			backoffCommand(out),
 			{Name: "losses", Usage: "tell from nodes' logs where requests were refused, late or broken off", ArgsUsage: "LOG... (- for the standard input)",
 				Flags: []cli.Flag{&cli.DurationFlag{Name: "step", Value: 2 * time.Second, Usage: "length of a step of the time line"}},
 				Action: func(_ context.Context, command *cli.Command) error {
--- a/internal/lab/labcli/limits.go
+++ b/internal/lab/labcli/limits.go
@@ -70,7 +70,11 @@
 }
 
 func printLimitCase(table io.Writer, options simulate.LimitOptions, seeds int) {
-	results := runLimits(options, seeds)
+	results := eachSeed(seeds, func(seed uint64) simulate.LimitResult {
+		one := options
+		one.Seed = seed
+		return simulate.RunLimits(one)
+	})
 	worst, broken, used, bytes, messages := 0, 0, 0.0, 0, 0
 	var longest time.Duration
 	for _, one := range results {
@@ -91,18 +95,16 @@
 		options.Policy, worst, results[0].Allowed, broken, seeds, used, float64(bytes)/perNode, float64(messages)/perNode, longest.Round(time.Millisecond))
 }
 
-// runLimits runs seeds side by side.
-func runLimits(options simulate.LimitOptions, seeds int) []simulate.LimitResult {
-	results := make([]simulate.LimitResult, seeds)
+// eachSeed runs seeds side by side.
+func eachSeed[Result any](seeds int, run func(seed uint64) Result) []Result {
+	results := make([]Result, seeds)
 	places := make(chan struct{}, max(1, runtime.NumCPU()/2))
 	var running sync.WaitGroup
 	for seed := range seeds {
 		places <- struct{}{}
 		running.Go(func() {
 			defer func() { <-places }()
-			one := options
-			one.Seed = uint64(seed)
-			results[seed] = simulate.RunLimits(one)
+			results[seed] = run(uint64(seed))
 		})
 	}
 	running.Wait()
