OpenAI-style path: a back end that asks for a pause gets nothing until it is over

What callers saw: two of 622 refused with no_backend while two thirds of the engines had room, in a fleet of which a third turns all away and asks for 3 s.

The client of the engines' protocol read Retry-After as whole seconds into a field that nobody used.

Values are read by the same reader as on the other path, so fractions count. A request that could only be placed after its deadline, because all back ends have asked for a pause, is refused at once with the end of the first one; before, it waited for its deadline.

--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -121,9 +121,11 @@
 	reportAt time.Duration
 	// listedLeaving is the platform's word, reportedLeaving its own.
 	listedLeaving bool
-	limit         limiter
-	breaker       breaker
-	cache         cacheView
+	// pausedUntil is the end of a pause that it asked for.
+	pausedUntil time.Duration
+	limit       limiter
+	breaker     breaker
+	cache       cacheView
 }
 
 // NewTable makes an empty table of a node in a zone.
@@ -188,6 +190,28 @@
 	}
 }
 
+// Pause notes that a back end asked for a pause. None shortens one that lasts longer.
+func (t *Table) Pause(now time.Duration, name string, lasting time.Duration) {
+	if state := t.backends[name]; state != nil {
+		state.pausedUntil = max(state.pausedUntil, now+lasting)
+	}
+}
+
+// OpensAt is when the first pause of a service's back ends ends, if all of them that take
+// work have asked for one; false if one is open.
+func (t *Table) OpensAt(now time.Duration, service string) (opensAt time.Duration, areAllPaused bool) {
+	for _, state := range t.services[service] {
+		switch {
+		case state.Draining || state.listedLeaving || state.report.Leaving:
+		case now >= state.pausedUntil:
+			return 0, false
+		case !areAllPaused || state.pausedUntil < opensAt:
+			opensAt, areAllPaused = state.pausedUntil, true
+		}
+	}
+	return opensAt, areAllPaused
+}
+
 // Usable tells whether a back end may be given new work now, and why not.
 func (t *Table) Usable(now time.Duration, name string) (bool, string) {
 	state := t.backends[name]
@@ -203,6 +227,8 @@
 		return false, "draining"
 	case s.listedLeaving || s.report.Leaving:
 		return false, "leaving"
+	case now < s.pausedUntil:
+		return false, "paused"
 	case !s.breaker.allows(now):
 		return false, "breaker open"
 	case float64(s.inFlight) >= s.limit.current()*(1+queueAllowance):
--- a/internal/lab/emulator/engine.go
+++ b/internal/lab/emulator/engine.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/ravenway/ravenway/internal/lab/pausecheck"
 	"github.com/ravenway/ravenway/internal/protocol/engine"
 )
 
@@ -107,6 +108,11 @@
 	leaving  bool
 	// slowdown multiplies step times; 1 is healthy.
 	slowdown int
+	// pause is what it asks a node for whose request it turns away; 0 means that it takes
+	// requests. pauses are what it asked each node for, in time since pausesBegan.
+	pause       time.Duration
+	pauses      map[string]*pausecheck.Record
+	pausesBegan time.Time
 }
 
 type timedLoad struct {
@@ -341,6 +347,48 @@
 	e.leaving = leaving
 }
 
+// SetPause has the engine turn new work away and ask its senders for a pause; 0 ends that.
+func (e *Engine) SetPause(pause time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.pauses == nil {
+		e.pauses, e.pausesBegan = map[string]*pausecheck.Record{}, time.Now()
+	}
+	e.pause = pause
+}
+
+// InPause is the most that came from any one node in a pause that it had been asked for, and
+// how many pauses were asked for.
+func (e *Engine) InPause() (most, pauses int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, record := range e.pauses {
+		most, pauses = max(most, record.Most()), pauses+record.Pauses()
+	}
+	return most, pauses
+}
+
+// notePaused notes a request of a node, and tells what pause it is asked for; 0 if its
+// request is taken.
+func (e *Engine) notePaused(node string) time.Duration {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.pauses == nil {
+		return 0
+	}
+	record := e.pauses[node]
+	if record == nil {
+		record = &pausecheck.Record{}
+		e.pauses[node] = record
+	}
+	now := time.Since(e.pausesBegan)
+	record.Arrive(now)
+	if e.pause > 0 {
+		record.Ask(now, e.pause)
+	}
+	return e.pause
+}
+
 // SetSlowdown multiplies the time of each step.
 func (e *Engine) SetSlowdown(factor int) {
 	e.mutex.Lock()
--- a/internal/lab/emulator/server.go
+++ b/internal/lab/emulator/server.go
@@ -43,6 +43,11 @@
 		refuse(writer, http.StatusBadRequest, "bad_request")
 		return
 	}
+	if pause := e.notePaused(request.RemoteAddr); pause > 0 {
+		writer.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', -1, 64))
+		refuse(writer, http.StatusServiceUnavailable, "overloaded")
+		return
+	}
 	taken, err := e.submit(generate)
 	if err != nil {
 		writer.Header().Set("Retry-After", "1")
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -4,10 +4,15 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+	"github.com/ravenway/ravenway/internal/coordination/backoff"
 	"github.com/ravenway/ravenway/internal/coordination/membership"
 	"github.com/ravenway/ravenway/internal/coordination/queueing"
 	"github.com/ravenway/ravenway/internal/coordination/routing"
@@ -30,6 +35,18 @@
 // errDeadline says that a request was given up on at its deadline.
 var errDeadline = errors.New("its deadline passed while it waited")
 
+// backendPauses counts the answers by which back ends asked for a pause.
+var backendPauses = metrics.GetOrCreateCounter("ravenway_backend_pauses_total")
+
+// pausedError says that all back ends have asked for pauses that last beyond the request's
+// deadline.
+type pausedError struct{ wait time.Duration }
+
+// Error implements error.
+func (e *pausedError) Error() string {
+	return fmt.Sprintf("all back ends have asked for a pause, the first ends in %d ms", e.wait.Milliseconds())
+}
+
 // placement is what a request needs of a back end.
 type placement struct {
 	requestID string
@@ -153,6 +170,11 @@
 }
 
 func (b *backendsDuty) enqueue(item *queueing.Item[*placement]) {
+	now := b.node.now()
+	if opensAt, areAllPaused := b.table.OpensAt(now, item.Value.route.Service); areAllPaused && opensAt >= item.Deadline {
+		item.Value.answer(placed{err: &pausedError{wait: opensAt - now}})
+		return
+	}
 	if err := b.queue(item.Value.route.Service).Push(item); err != nil {
 		item.Value.answer(placed{err: err})
 	}
@@ -196,6 +218,30 @@
 	_ = b.duty.Do(context.Background(), func() { b.table.End(b.node.now(), name, result) })
 }
 
+// takePause notes the pause that a back end asked for as it answered with a status. What
+// waits for it and can't wait for the end is given up on.
+func (b *backendsDuty) takePause(name string, status int, retryAfter []string) {
+	if status != http.StatusServiceUnavailable || len(retryAfter) == 0 {
+		return
+	}
+	said := backoff.ReadPause(retryAfter)
+	b.node.log.Info().Str("event", "backend_pause").Str("backend", name).Int64("asked_ms", said.Pause.Milliseconds()).AnErr("error", said.Fault).Send()
+	backendPauses.Inc()
+	_ = b.duty.Do(context.Background(), func() {
+		now := b.node.now()
+		b.table.Pause(now, name, said.Pause)
+		known, found := b.table.Backend(name)
+		if !found {
+			return
+		}
+		if opensAt, areAllPaused := b.table.OpensAt(now, known.Service); areAllPaused {
+			for _, item := range b.queue(known.Service).Expire(opensAt) {
+				item.Value.answer(placed{err: &pausedError{wait: opensAt - now}})
+			}
+		}
+	})
+}
+
 // markLeaving notes a back end's own answer that it is leaving.
 func (b *backendsDuty) markLeaving(name string) {
 	_ = b.duty.Do(context.Background(), func() { b.table.MarkLeaving(name) })
--- a/internal/node/billed.go
+++ b/internal/node/billed.go
@@ -129,7 +129,10 @@
 
 // refusePlacement tells why no back end was given.
 func (of *request) refusePlacement(err error) *refusal {
+	var paused *pausedError
 	switch {
+	case errors.As(err, &paused):
+		return refuseNotRun(http.StatusServiceUnavailable, caller.CodeNoBackend, paused.wait, "service %q: %v", of.service.GetName(), paused)
 	case errors.Is(err, queueing.ErrFull):
 		return refuseNotRun(http.StatusTooManyRequests, caller.CodeQueueFull, retrySoon, "the queue of service %q is full", of.service.GetName())
 	case errors.Is(err, errDeadline), errors.Is(err, context.DeadlineExceeded):
@@ -243,7 +246,10 @@
 func (r *run) notRun(ctx context.Context, given placed, mine *claims.Claim, err error) bool {
 	n := r.node
 	var refused *engine.RefusedError
-	if errors.As(err, &refused) && refused.Body.NotRun {
+	if errors.As(err, &refused) {
+		n.backends.takePause(given.backend.Name, refused.Status, refused.RetryAfter)
+	}
+	if refused != nil && refused.Body.NotRun {
 		n.backends.release(given.backend.Name, routing.Overloaded)
 		if refused.Body.Code == "leaving" {
 			n.backends.markLeaving(given.backend.Name)
--- a/internal/node/plain.go
+++ b/internal/node/plain.go
@@ -97,6 +97,7 @@
 		}
 		response, offered, err := p.call(ctx, given)
 		if err == nil {
+			p.node.backends.takePause(given.backend.Name, response.StatusCode, response.Header.Values("Retry-After"))
 			return p.pass(ctx, writer, given, response)
 		}
 		p.node.backends.release(given.backend.Name, routing.Failed)
--- a/internal/protocol/engine/client.go
+++ b/internal/protocol/engine/client.go
@@ -10,10 +10,8 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
 	"strings"
 	"sync/atomic"
-	"time"
 )
 
 const (
@@ -231,15 +229,12 @@
 }
 
 func refusalFrom(response *http.Response) error {
-	refused := &RefusedError{Status: response.StatusCode}
+	refused := &RefusedError{Status: response.StatusCode, RetryAfter: response.Header.Values("Retry-After")}
 	body, _ := io.ReadAll(io.LimitReader(response.Body, maximumEventBytes))
 	if err := json.Unmarshal(body, &refused.Body); err != nil {
 		// Not an engine's own words: nothing is known about what ran.
 		refused.Body = ErrorBody{Code: "unreadable", Message: strings.TrimSpace(string(body))}
 	}
-	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
-		refused.RetryAfter = time.Duration(seconds) * time.Second
-	}
 	return refused
 }
 
--- a/internal/protocol/engine/messages.go
+++ b/internal/protocol/engine/messages.go
@@ -8,7 +8,6 @@
 
 import (
 	"fmt"
-	"time"
 )
 
 // Paths of the engines' HTTP interface.
@@ -151,9 +150,10 @@
 
 // RefusedError is a refusal by the engine itself.
 type RefusedError struct {
-	Status     int
-	Body       ErrorBody
-	RetryAfter time.Duration
+	Status int
+	Body   ErrorBody
+	// RetryAfter are the values of the field by which the engine asks for a pause.
+	RetryAfter []string
 }
 
 // Error implements error.
