Answers of engines: a header that this build doesn't know is logged once a service

Now a line event=answer_headers_unknown names the service and the header at its first answer, bounded to 256, and ravenway_answer_headers_unknown_total counts all.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -30,6 +30,9 @@
 	prepared.learn = func(answer *exchange, writtenAt time.Time) {
 		options.Backoff.Learn(choice.Instance, r.call.ID, answer.backoffSaid())
 		options.RateLimits.Learn(choice.Instance, answer.limitSaid(), writtenAt)
+		if names := r.pipeline.headers.take(choice.Service, answer.response.Header, options.Dialect.KnowsAnswerHeader); len(names) > 0 {
+			options.Log.UnknownHeaders(r, choice, names)
+		}
 	}
 	return r.pipeline.pool.send(ctx, options.Dialect, choice.Address, prepared)
 }
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -140,6 +140,11 @@
 		Int("status", answer.response.StatusCode).Int64("asked_pause_ms", said.Pause.Milliseconds()).AnErr("error", said.Fault).Send()
 }
 
+// UnknownHeaders notes headers of a service's answers that this build doesn't know.
+func (l *DecisionLog) UnknownHeaders(r *request, choice balance.Choice, names []string) {
+	l.line(r, "answer_headers_unknown").Str("service", choice.Service).Str("instance", choice.ID).Strs("headers", names).Send()
+}
+
 // Broken notes a run that broke at an instance, which may have begun it, with what
 // tells whether the request itself may be why.
 func (l *DecisionLog) Broken(r *request, run brokenRun, result string, err error) {
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -11,6 +11,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/backoff"
@@ -80,4 +81,17 @@
 	EngineHeader(attempt Attempt) http.Header
 	// ReadAnswer reads the head of an engine's answer.
 	ReadAnswer(status int, header http.Header) AnswerHead
+	// KnowsAnswerHeader tells whether a header of an engine's answer, in its canonical form,
+	// is one of the interface's or of HTTP's.
+	KnowsAnswerHeader(name string) bool
 }
+
+// httpAnswerHeaders are those of HTTP that say nothing of an engine beyond its answer.
+var httpAnswerHeaders = []string{
+	"Accept-Ranges", "Age", "Allow", "Cache-Control", "Connection", "Content-Encoding", "Content-Language", "Content-Length",
+	"Content-Type", "Date", "Etag", "Expires", "Keep-Alive", "Last-Modified", "Location", "Server", "Trailer", "Transfer-Encoding",
+	"Vary", "X-Content-Type-Options",
+}
+
+// IsHTTPAnswerHeader tells whether a header is one that any HTTP answer may have.
+func IsHTTPAnswerHeader(name string) bool { return slices.Contains(httpAnswerHeaders, name) }
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -114,7 +114,9 @@
 	pool    *pool
 	ends    *endWatch
 	// waiting are the requests of which no answer has begun yet.
-	waiting  waitingRequests
+	waiting waitingRequests
+	// headers finds the headers of answers that are not known.
+	headers  *headerWatch
 	retries  *balance.RetryBudget
 	returns  *ratelimit.Returns
 	buffered atomic.Int64
@@ -162,7 +164,7 @@
 	if options.Backoff == nil {
 		options.Backoff = noBackoff{}
 	}
-	made := &Pipeline{options: options, returns: ratelimit.NewReturns(), pool: newPool(options.Dial, options.Environment.LinkDelay), retries: balance.NewRetryBudget()}
+	made := &Pipeline{options: options, returns: ratelimit.NewReturns(), headers: newHeaderWatch(), pool: newPool(options.Dial, options.Environment.LinkDelay), retries: balance.NewRetryBudget()}
 	made.ends = newEndWatch(made)
 	return made
 }
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -57,6 +58,10 @@
 	}
 }
 
+func (testDialect) KnowsAnswerHeader(name string) bool {
+	return IsHTTPAnswerHeader(name) || slices.Contains([]string{"Id", "Not-Run", "Limit", "Pause", "Leaving"}, name)
+}
+
 // testEnvironment is a node with one document and a counted reserve.
 type testEnvironment struct {
 	index   *document.Index
--- /dev/null
+++ b/internal/forward/unknownheaders.go
@@ -0,0 +1,56 @@
+package forward
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// unknownHeadersKept bounds the headers that are remembered to have been told.
+const unknownHeadersKept = 256
+
+var unknownHeaders = metrics.GetOrCreateCounter("ravenway_answer_headers_unknown_total")
+
+// serviceHeader is a header of a service's answers.
+type serviceHeader struct{ service, name string }
+
+// headerWatch finds the headers of engines' answers that this build doesn't know: an engine
+// may say something by them that nobody acts on. Safe for concurrent use.
+type headerWatch struct {
+	mutex sync.RWMutex
+	seen  map[serviceHeader]struct{}
+}
+
+func newHeaderWatch() *headerWatch { return &headerWatch{seen: map[serviceHeader]struct{}{}} }
+
+// take returns the names in the head of an answer that are not known and were not seen in
+// the service's answers before, in order.
+func (w *headerWatch) take(service string, header http.Header, isKnown func(name string) bool) []string {
+	var names []string
+	for name := range header {
+		if !isKnown(name) && w.note(serviceHeader{service: service, name: name}) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// note tells whether a header is seen for the first time, and there is room to remember it.
+func (w *headerWatch) note(seen serviceHeader) bool {
+	unknownHeaders.Inc()
+	w.mutex.RLock()
+	_, isOld := w.seen[seen]
+	isFull := len(w.seen) >= unknownHeadersKept
+	w.mutex.RUnlock()
+	if isOld || isFull {
+		return false
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	_, isOld = w.seen[seen]
+	w.seen[seen] = struct{}{}
+	return !isOld
+}
--- /dev/null
+++ b/internal/forward/unknownheaders_test.go
@@ -0,0 +1,55 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+)
+
+func isTestHeader(name string) bool { return name == "Id" }
+
+// Guards against engines whose words nobody reads, without a sign of it.
+func TestUnknownHeaderOfAnAnswerIsToldOnceAService(t *testing.T) {
+	watch := newHeaderWatch()
+	header := http.Header{"Id": {"r1"}, "Server-Mood": {"bad"}, "A-New-One": {"1"}}
+	assert.DeepEqual(t, watch.take("s", header, isTestHeader), []string{"A-New-One", "Server-Mood"})
+	assert.Equal(t, len(watch.take("s", header, isTestHeader)), 0)
+	assert.Equal(t, len(watch.take("other", header, isTestHeader)), 2)
+}
+
+func TestUnknownHeadersAreRememberedWithinBounds(t *testing.T) {
+	watch := newHeaderWatch()
+	for number := range 2 * unknownHeadersKept {
+		watch.take("s", http.Header{fmt.Sprintf("X-%d", number): {"1"}}, isTestHeader)
+	}
+	assert.Equal(t, len(watch.seen), unknownHeadersKept)
+	assert.Equal(t, len(watch.take("s", http.Header{"X-New": {"1"}}, isTestHeader)), 0)
+}
+
+func BenchmarkHeadersOfAnAnswer(b *testing.B) {
+	watch := newHeaderWatch()
+	header := http.Header{"Id": {"r1"}, "Server-Mood": {"bad"}, "Content-Length": {"1"}, "Date": {"today"}}
+	for b.Loop() {
+		watch.take("s", header, isTestHeader)
+	}
+}
+
+func TestUnknownHeaderIsLoggedWithItsServiceOnce(t *testing.T) {
+	h := newHarness(t, newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nServer-Mood: bad\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Id"))
+	}))
+	var lines bytes.Buffer
+	h.pipeline.options.Log = NewDecisionLog(zerolog.New(&lines))
+	for number := range 3 {
+		h.ask(t, http.MethodPost, "/once/x", fmt.Sprint("r", number), "b")
+	}
+	assert.Equal(t, strings.Count(lines.String(), "answer_headers_unknown"), 1, lines.String())
+	assert.Assert(t, strings.Contains(lines.String(), `"service":"s"`) && strings.Contains(lines.String(), `"Server-Mood"`), lines.String())
+}
--- a/internal/lab/wire/wire.go
+++ b/internal/lab/wire/wire.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -93,6 +94,11 @@
 	}
 }
 
+// KnowsAnswerHeader implements forward.Dialect.
+func (Dialect) KnowsAnswerHeader(name string) bool {
+	return forward.IsHTTPAnswerHeader(name) || slices.Contains([]string{HeaderRequest, HeaderNotRun, HeaderRateLimit, HeaderPause, HeaderLeaving}, name)
+}
+
 // ControlHandler implements gateway.Dialect: the lab calls gateway.Control.
 func (Dialect) ControlHandler(gateway.Control) http.Handler { return http.NotFoundHandler() }
 
