--- a/api/ravenway/v1/ravenwayv1connect/ravenway.connect.go
+++ b/api/ravenway/v1/ravenwayv1connect/ravenway.connect.go
@@ -82,6 +82,9 @@
 	// OperatorServiceGetLimitsProcedure is the fully-qualified name of the OperatorService's GetLimits
 	// RPC.
 	OperatorServiceGetLimitsProcedure = "/ravenway.v1.OperatorService/GetLimits"
+	// OperatorServiceGetPausesProcedure is the fully-qualified name of the OperatorService's GetPauses
+	// RPC.
+	OperatorServiceGetPausesProcedure = "/ravenway.v1.OperatorService/GetPauses"
 )
 
 // OperatorServiceClient is a client for the ravenway.v1.OperatorService service.
@@ -124,6 +127,9 @@
 	// GetLimits lists the limits that instances name, the scarcest first. Entry nodes know
 	// them.
 	GetLimits(context.Context, *connect.Request[v1.GetLimitsRequest]) (*connect.Response[v1.GetLimitsResponse], error)
+	// GetPauses lists the instances that asked the answering entry node for a pause or leave,
+	// the longest pause first. Each node knows what it was told itself.
+	GetPauses(context.Context, *connect.Request[v1.GetPausesRequest]) (*connect.Response[v1.GetPausesResponse], error)
 }
 
 // NewOperatorServiceClient constructs a client for the ravenway.v1.OperatorService service. By
@@ -227,6 +233,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("GetLimits")),
 			connect.WithClientOptions(opts...),
 		),
+		getPauses: connect.NewClient[v1.GetPausesRequest, v1.GetPausesResponse](
+			httpClient,
+			baseURL+OperatorServiceGetPausesProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("GetPauses")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -247,6 +259,7 @@
 	getQuarantine      *connect.Client[v1.GetQuarantineRequest, v1.GetQuarantineResponse]
 	releaseQuarantined *connect.Client[v1.ReleaseQuarantinedRequest, v1.ReleaseQuarantinedResponse]
 	getLimits          *connect.Client[v1.GetLimitsRequest, v1.GetLimitsResponse]
+	getPauses          *connect.Client[v1.GetPausesRequest, v1.GetPausesResponse]
 }
 
 // Apply calls ravenway.v1.OperatorService.Apply.
@@ -324,6 +337,11 @@
 	return c.getLimits.CallUnary(ctx, req)
 }
 
+// GetPauses calls ravenway.v1.OperatorService.GetPauses.
+func (c *operatorServiceClient) GetPauses(ctx context.Context, req *connect.Request[v1.GetPausesRequest]) (*connect.Response[v1.GetPausesResponse], error) {
+	return c.getPauses.CallUnary(ctx, req)
+}
+
 // OperatorServiceHandler is an implementation of the ravenway.v1.OperatorService service.
 type OperatorServiceHandler interface {
 	// Apply changes the catalog.
@@ -364,6 +382,9 @@
 	// GetLimits lists the limits that instances name, the scarcest first. Entry nodes know
 	// them.
 	GetLimits(context.Context, *connect.Request[v1.GetLimitsRequest]) (*connect.Response[v1.GetLimitsResponse], error)
+	// GetPauses lists the instances that asked the answering entry node for a pause or leave,
+	// the longest pause first. Each node knows what it was told itself.
+	GetPauses(context.Context, *connect.Request[v1.GetPausesRequest]) (*connect.Response[v1.GetPausesResponse], error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -463,6 +484,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("GetLimits")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceGetPausesHandler := connect.NewUnaryHandler(
+		OperatorServiceGetPausesProcedure,
+		svc.GetPauses,
+		connect.WithSchema(operatorServiceMethods.ByName("GetPauses")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/ravenway.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServiceApplyProcedure:
@@ -495,6 +522,8 @@
 			operatorServiceReleaseQuarantinedHandler.ServeHTTP(w, r)
 		case OperatorServiceGetLimitsProcedure:
 			operatorServiceGetLimitsHandler.ServeHTTP(w, r)
+		case OperatorServiceGetPausesProcedure:
+			operatorServiceGetPausesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -563,3 +592,7 @@
 func (UnimplementedOperatorServiceHandler) GetLimits(context.Context, *connect.Request[v1.GetLimitsRequest]) (*connect.Response[v1.GetLimitsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.GetLimits is not implemented"))
 }
+
+func (UnimplementedOperatorServiceHandler) GetPauses(context.Context, *connect.Request[v1.GetPausesRequest]) (*connect.Response[v1.GetPausesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.GetPauses is not implemented"))
+}
--- a/internal/coordination/routing/table.go
+++ b/internal/coordination/routing/table.go
@@ -197,6 +197,27 @@
 	}
 }
 
+// PausedBackend is a back end in a pause that it asked for.
+type PausedBackend struct {
+	Backend
+	Left     time.Duration
+	InFlight int
+}
+
+// Paused returns the back ends in a pause, the longest first.
+func (t *Table) Paused(now time.Duration) []PausedBackend {
+	var paused []PausedBackend
+	for _, state := range t.backends {
+		if now < state.pausedUntil {
+			paused = append(paused, PausedBackend{Backend: state.Backend, Left: state.pausedUntil - now, InFlight: state.inFlight})
+		}
+	}
+	slices.SortFunc(paused, func(one, other PausedBackend) int {
+		return cmp.Or(cmp.Compare(other.Left, one.Left), cmp.Compare(one.Name, other.Name))
+	})
+	return paused
+}
+
 // OpensAt is when the first pause of a service's back ends ends, if all of them that take
 // work have asked for one; false if one is open.
 func (t *Table) OpensAt(now time.Duration, service string) (opensAt time.Duration, areAllPaused bool) {
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -240,6 +240,29 @@
 	return connect.NewResponse(answer), nil
 }
 
+// errNoPauses says that a node sends no requests to instances.
+var errNoPauses = errors.New("only entry nodes are asked for pauses by instances")
+
+// GetPauses implements the schema's GetPauses.
+func (o *operatorServer) GetPauses(context.Context, *connect.Request[ravenwayv1.GetPausesRequest]) (*connect.Response[ravenwayv1.GetPausesResponse], error) {
+	if o.node.backoff == nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errNoPauses)
+	}
+	answer := &ravenwayv1.GetPausesResponse{}
+	for _, one := range o.node.backoff.tracker.List(o.node.now()) {
+		described := &ravenwayv1.InstancePause{
+			Instance: one.Life.String(), Phase: one.Standing.Phase.String(), AskedMilliseconds: one.Asked.Milliseconds(),
+			LeftMilliseconds: one.Standing.Wait.Milliseconds(), Request: one.Request, Answers: uint32(one.Answers),
+			InFlight: uint32(o.node.table.InFlight(one.Life)),
+		}
+		if instance, isKnown := o.node.table.Instance(one.Life); isKnown {
+			described.Service, described.Zone = instance.Service, instance.Zone
+		}
+		answer.Pauses = append(answer.Pauses, described)
+	}
+	return connect.NewResponse(answer), nil
+}
+
 func describeHeld(one quarantine.Held) *ravenwayv1.HeldRequest {
 	described := &ravenwayv1.HeldRequest{
 		Fingerprint: one.Fingerprint.String(), Route: one.Route, Tenant: one.Tenant, Quarantined: one.IsQuarantined,
--- a/internal/lab/fleet/pause_test.go
+++ b/internal/lab/fleet/pause_test.go
@@ -4,8 +4,10 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 	"github.com/ravenway/ravenway/internal/lab/deployment"
 	"github.com/ravenway/ravenway/internal/lab/emulator"
 	"github.com/ravenway/ravenway/internal/lab/load"
@@ -27,7 +29,11 @@
 			for _, engine := range pausing {
 				engine.SetPause(3 * time.Second)
 			}
-			time.Sleep(8 * time.Second)
+			time.Sleep(2500 * time.Millisecond)
+			listed, err := f.Operator(f.Order[0]).GetPauses(f.ctx, connect.NewRequest(&ravenwayv1.GetPausesRequest{}))
+			assert.Check(t, err)
+			assert.Check(t, len(listed.Msg.GetPauses()) > 0, "the operator sees no pause")
+			time.Sleep(5500 * time.Millisecond)
 			for _, engine := range pausing {
 				engine.SetPause(0)
 			}
--- a/internal/lab/openfleet/pauses_test.go
+++ b/internal/lab/openfleet/pauses_test.go
@@ -3,11 +3,14 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 	"github.com/ravenway/ravenway/internal/lab/pausecheck"
 )
 
@@ -93,3 +96,23 @@
 		})
 	}
 }
+
+func TestOperatorListsThePausesOfANode(t *testing.T) {
+	inLimitedFleet(t, 3, func(t *testing.T, l *limited) {
+		shed(l.engines[:1], 30*time.Second)
+		l.engines[1].Set(func(e *Engine) { e.Leaves = true })
+		l.call(rand.New(rand.NewPCG(48, 4)), 60, 5*time.Second)
+		listed, err := l.Operators("entry-1").GetPauses(l.ctx, connect.NewRequest(&ravenwayv1.GetPausesRequest{}))
+		assert.NilError(t, err)
+		pauses := listed.Msg.GetPauses()
+		assert.Equal(t, len(pauses), 2)
+		assert.Assert(t, strings.HasPrefix(pauses[0].GetInstance(), l.engines[0].ID), pauses[0].GetInstance())
+		assert.Equal(t, pauses[0].GetPhase(), "paused")
+		assert.Equal(t, pauses[0].GetAskedMilliseconds(), int64(30_000))
+		assert.Equal(t, pauses[0].GetService(), "model")
+		assert.Assert(t, pauses[0].GetRequest() != "")
+		assert.Equal(t, pauses[1].GetPhase(), "leaving")
+		_, err = l.Operators("control-0").GetPauses(l.ctx, connect.NewRequest(&ravenwayv1.GetPausesRequest{}))
+		assert.Equal(t, connect.CodeOf(err), connect.CodeFailedPrecondition)
+	})
+}
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -242,6 +242,11 @@
 	})
 }
 
+// paused returns the back ends in a pause that they asked for.
+func (b *backendsDuty) paused(ctx context.Context) ([]routing.PausedBackend, error) {
+	return duty.Ask(ctx, b.duty, func(answer func([]routing.PausedBackend)) { answer(b.table.Paused(b.node.now())) })
+}
+
 // markLeaving notes a back end's own answer that it is leaving.
 func (b *backendsDuty) markLeaving(name string) {
 	_ = b.duty.Do(context.Background(), func() { b.table.MarkLeaving(name) })
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -13,6 +13,7 @@
 
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 	"github.com/ravenway/ravenway/api/ravenway/v1/ravenwayv1connect"
+	"github.com/ravenway/ravenway/internal/coordination/backoff"
 	"github.com/ravenway/ravenway/internal/coordination/consensus"
 	"github.com/ravenway/ravenway/internal/duty"
 	"github.com/ravenway/ravenway/internal/pause"
@@ -309,6 +310,22 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("a fleet of fixed peers keeps no limits that back ends name"))
 }
 
+// GetPauses implements the schema's GetPauses.
+func (o *operatorServer) GetPauses(ctx context.Context, _ *connect.Request[ravenwayv1.GetPausesRequest]) (*connect.Response[ravenwayv1.GetPausesResponse], error) {
+	paused, err := o.node.backends.paused(ctx)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	answer := &ravenwayv1.GetPausesResponse{}
+	for _, one := range paused {
+		answer.Pauses = append(answer.Pauses, &ravenwayv1.InstancePause{
+			Instance: one.Name, Service: one.Service, Zone: one.Zone, Phase: backoff.Paused.String(),
+			LeftMilliseconds: one.Left.Milliseconds(), InFlight: uint32(one.InFlight),
+		})
+	}
+	return connect.NewResponse(answer), nil
+}
+
 // Snapshot implements the schema's Snapshot.
 func (o *operatorServer) Snapshot(ctx context.Context, _ *connect.Request[ravenwayv1.SnapshotRequest]) (*connect.Response[ravenwayv1.SnapshotResponse], error) {
 	if o.node.replica == nil {
--- a/internal/operatorcli/commands.go
+++ b/internal/operatorcli/commands.go
@@ -82,6 +82,9 @@
 			{Name: "limits", Usage: "limits that instances in need name", Commands: []*cli.Command{
 				{Name: "list", Usage: "show what an entry node knows of them, the scarcest first", Action: action(getLimits)},
 			}},
+			{Name: "pauses", Usage: "pauses that instances ask entry nodes for, and instances that leave", Commands: []*cli.Command{
+				{Name: "list", Usage: "show what an entry node was asked for, the longest pause first", Action: action(getPauses)},
+			}},
 			{Name: "explain", Usage: "show how a request was routed, from a node or from its logs", ArgsUsage: "REQUEST",
 				Flags:  []cli.Flag{&cli.StringSliceFlag{Name: "log", Usage: "log file of a node in place of asking it; - is the standard input"}},
 				Action: action(explain)},
