--- a/internal/coordination/balance/backoff.go
+++ b/internal/coordination/balance/backoff.go
@@ -77,7 +77,7 @@
 	}
 	found, isFirst, isAnyOpen := Return{}, true, false
 	for _, one := range t.byService[request.Service] {
-		if !t.isAllowed(one, request) {
+		if !t.isAllowed(one, request) || t.isRolledBack(one) {
 			continue
 		}
 		room, hasLimit := t.limits.Room(now, one.Life())
--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -63,14 +63,6 @@
 	return need
 }
 
-// notePermitRefused notes an instance whose limit has no room. The request was not offered
-// to it, and may come to it later.
-func (r *request) notePermitRefused(choice balance.Choice, err error) {
-	r.permitsRefused++
-	r.tried = r.tried[:len(r.tried)-1]
-	r.pipeline.options.Log.Attempt(r, choice, "no_permit", err)
-}
-
 // seconds writes a time for Retry-After.
 func seconds(after time.Duration) string {
 	return strconv.FormatFloat(after.Seconds(), 'f', 2, 64)
