Soak: engines ask for pauses and say that they leave, and check both from their side

A request is held against the run of the entry node's process that it came from: one that starts again or stood still is another sender. The report tells the pauses asked for, the most requests of a node in one, and what came after an engine's leaving.

--- /dev/null
+++ b/internal/lab/soak/backoff.go
@@ -0,0 +1,188 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/lab/pausecheck"
+	"github.com/ravenway/ravenway/internal/pause"
+)
+
+const (
+	// backoffStream is the seed's stream that pauses and engines that leave draw from.
+	backoffStream = 4100
+	// Engines turn requests away for a time, after a time in which they don't.
+	shedLeast, shedMost = 400 * time.Millisecond, 2500 * time.Millisecond
+	shedPause           = 2 * time.Second
+	// pauseLeast and pauseMost bound what they ask for meanwhile.
+	pauseLeast, pauseMost = 600 * time.Millisecond, 4 * time.Second
+	// One time in leaveOneIn an engine says that it leaves, serves on for a time, and is
+	// replaced.
+	leaveOneIn            = 4
+	leaveLeast, leaveMost = 2500 * time.Millisecond, 5 * time.Second
+	// strangeOneIn is how often an answer has a header that nobody knows.
+	strangeOneIn = 50
+)
+
+// backoffRecord is what one life of an engine asked its senders for, and what it got.
+type backoffRecord struct {
+	// pause is what it asks for as it turns all away; 0 if it doesn't.
+	pause     time.Duration
+	isLeaving bool
+	senders   map[string]*pausecheck.Record
+}
+
+func (b *backoffRecord) of(sender string) *pausecheck.Record {
+	if b.senders[sender] == nil {
+		if b.senders == nil {
+			b.senders = map[string]*pausecheck.Record{}
+		}
+		b.senders[sender] = &pausecheck.Record{}
+	}
+	return b.senders[sender]
+}
+
+// senders tells from which run of which entry node's process a request comes. A process that
+// stood still counts as another one from then on.
+type senders struct {
+	mutex    sync.Mutex
+	machines map[string]*machine
+}
+
+// note notes the entry node that a request is sent to.
+func (s *senders) note(request string, entry *machine) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.machines[request] = entry
+}
+
+func (s *senders) of(request string) string {
+	s.mutex.Lock()
+	entry := s.machines[request]
+	s.mutex.Unlock()
+	if entry == nil {
+		return "unknown"
+	}
+	return fmt.Sprintf("%s/%d", entry.name, entry.epoch.Load())
+}
+
+// refuses notes a request, writes into the head of its answer what the engine wants, and
+// tells whether it turns the request away.
+func (e *engine) refuses(header http.Header, request string) bool {
+	sender := e.truth.senders.of(request)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now, record := time.Since(e.limit.began), e.backoff.of(sender)
+	record.Arrive(now)
+	add := func(more http.Header) {
+		for name, values := range more {
+			header[name] = values
+		}
+	}
+	if rand.IntN(strangeOneIn) == 0 {
+		add(http.Header{"Server-Strange": {"1"}})
+	}
+	if e.backoff.isLeaving {
+		add(e.wire.LeavingHeader())
+		record.Leave(now)
+	}
+	if e.backoff.pause == 0 {
+		return false
+	}
+	add(e.wire.PauseHeader(e.backoff.pause))
+	record.Ask(now, e.backoff.pause)
+	return true
+}
+
+// shed has the engine turn all requests away and ask for a pause; 0 ends that.
+func (e *engine) shed(pause time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.backoff.pause = pause
+}
+
+// leave has the engine say in its answers that it leaves. Its heartbeats go on as before.
+func (e *engine) leave() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.backoff.isLeaving = true
+}
+
+// disturbEngines has engines ask for pauses, several at once, while faults are played.
+func (r *run) disturbEngines(ctx, faulty context.Context, random *rand.Rand) {
+	var leaving sync.WaitGroup
+	defer leaving.Wait()
+	for faulty.Err() == nil {
+		pause.For(faulty, time.Duration(random.Int64N(int64(shedPause))))
+		if random.IntN(leaveOneIn) == 0 {
+			place, lasts := random.IntN(firstNewPlace), between(random, leaveLeast, leaveMost)
+			leaving.Go(func() { r.leaveEngine(ctx, place, lasts) })
+		}
+		shedding := r.fleet.drawEngines(random)
+		for _, one := range shedding {
+			asked := between(random, pauseLeast, pauseMost)
+			r.note("engine %s turns all away and asks for a pause of %d ms", one.ID, asked.Milliseconds())
+			one.shed(asked)
+		}
+		pause.For(faulty, between(random, shedLeast, shedMost))
+		for _, one := range shedding {
+			one.shed(0)
+		}
+	}
+}
+
+func between(random *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(random.Int64N(int64(most-least)))
+}
+
+// leaveEngine has an engine say that it leaves, and replaces it later.
+func (r *run) leaveEngine(ctx context.Context, place int, lasts time.Duration) {
+	r.fleet.mutex.Lock()
+	one := r.fleet.engines[placeName(place)]
+	r.fleet.mutex.Unlock()
+	if one == nil {
+		return
+	}
+	r.note("engine %s says that it leaves, for %d ms", one.ID, lasts.Milliseconds())
+	one.leave()
+	pause.For(ctx, lasts)
+	r.fleet.mutex.Lock()
+	isStill := r.fleet.engines[placeName(place)] == one
+	r.fleet.mutex.Unlock()
+	if isStill {
+		r.replaceEngine(ctx, place, shortestFault, true)
+	}
+}
+
+// checkBackoff holds what engines got against what they asked for.
+func (r *run) checkBackoff() {
+	r.fleet.mutex.Lock()
+	lives := slices.Clone(r.fleet.everyLife)
+	r.fleet.mutex.Unlock()
+	pauses, worst, told, late := 0, 0, 0, 0
+	for _, one := range lives {
+		one.mutex.Lock()
+		for sender, record := range one.backoff.senders {
+			most := record.Most()
+			pauses, worst = pauses+record.Pauses(), max(worst, most)
+			if most > pausecheck.Allowed {
+				r.breaks("engine %s got %d requests of %s in a pause, allowed %d", one.ID, most, sender, pausecheck.Allowed)
+			}
+			after, wasTold := record.AfterLeaving()
+			if wasTold {
+				told++
+			}
+			if late += after; after > 0 {
+				r.breaks("engine %s got %d requests of %s after it had said that it leaves", one.ID, after, sender)
+			}
+		}
+		one.mutex.Unlock()
+	}
+	r.note("%d pauses asked for, at most %d requests of a node in one, allowed %d; %d times a node was told that an engine leaves, %d requests came later than %s after it",
+		pauses, worst, pausecheck.Allowed, told, late, pausecheck.Drain)
+}
--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -139,6 +139,7 @@
 		return Failed, err.Error()
 	}
 	request.Header, request.Host = c.fleet.wire.CallerHeader(call), callHost
+	c.fleet.truth.senders.note(call.ID, entry)
 	response, err := c.client.Do(request)
 	if err != nil {
 		return Cut, err.Error()
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -4,13 +4,16 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/ravenway/ravenway/internal/lab/standin"
+	"github.com/ravenway/ravenway/platform"
 )
 
 // judged is a run without processes, to hold the checks against.
@@ -124,3 +127,43 @@
 	relay.set(Resetting)
 	assert.Assert(t, !echoes(5*time.Second))
 }
+
+func TestChecksNoticeRequestsInAPauseAndAfterLeaving(t *testing.T) {
+	entry := &machine{name: "entry-0"}
+	for want, prepare := range map[string]func(e *engine){
+		"in a pause": func(e *engine) {
+			e.backoff.pause = time.Minute
+			e.refuses(http.Header{}, "x")
+			e.limit.began = e.limit.began.Add(-time.Second)
+			for range 3 {
+				e.refuses(http.Header{}, "x")
+			}
+		},
+		"had said that it leaves": func(e *engine) {
+			e.backoff.isLeaving = true
+			e.refuses(http.Header{}, "x")
+			e.limit.began = e.limit.began.Add(-3 * time.Second)
+			e.refuses(http.Header{}, "x")
+		},
+	} {
+		r := judged()
+		r.fleet.truth.senders.note("x", entry)
+		one := &engine{wire: platform.StandIn{}, truth: r.fleet.truth, limit: limitRecord{began: time.Now()}}
+		r.fleet.everyLife = append(r.fleet.everyLife, one)
+		prepare(one)
+		r.checkBackoff()
+		assert.Equal(t, len(r.broken), 1, "%v", r.broken)
+		assert.Assert(t, strings.Contains(r.broken[0], want) && strings.Contains(r.broken[0], "entry-0/0"), "%q", r.broken)
+	}
+}
+
+// A process that starts again, or goes on after it stood still, can't know of a pause.
+func TestProcessThatStoodStillIsAnotherSender(t *testing.T) {
+	entry, of := &machine{name: "entry-0"}, &senders{machines: map[string]*machine{}}
+	of.note("x", entry)
+	before := of.of("x")
+	entry.signal(syscall.SIGSTOP)
+	assert.Equal(t, of.of("x"), before)
+	entry.signal(syscall.SIGCONT)
+	assert.Assert(t, of.of("x") != before)
+}
--- a/internal/lab/soak/engine.go
+++ b/internal/lab/soak/engine.go
@@ -35,10 +35,12 @@
 	tokens map[string]uint64
 	// poisonEnds are how many engines each request ended that does so.
 	poisonEnds map[string]int
+	// senders tells who sends each request to the engines.
+	senders senders
 }
 
 func newTruth() *Truth {
-	return &Truth{runs: map[string]int{}, plainRuns: map[string]int{}, tokens: map[string]uint64{}, poisonEnds: map[string]int{}}
+	return &Truth{runs: map[string]int{}, plainRuns: map[string]int{}, tokens: map[string]uint64{}, poisonEnds: map[string]int{}, senders: senders{machines: map[string]*machine{}}}
 }
 
 func (t *Truth) endedBy(request string) {
@@ -111,6 +113,8 @@
 	fails bool
 	// limit is what it names as its limit, and what it got.
 	limit limitRecord
+	// backoff is what it asks its senders for, and what it got.
+	backoff backoffRecord
 	// end ends the engine by the request with a body that it can't bear.
 	end func(ended *engine, body string)
 }
@@ -161,6 +165,11 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.refuses(writer.Header(), request.ID) {
+		e.noteArrival(writer.Header(), true)
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	isFailure := e.fails && request.TokensIn == 0
 	e.noteArrival(writer.Header(), isFailure)
 	e.truth.begin(request)
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,6 +45,8 @@
 	mutex   sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{}
+	// epoch counts the times that its process started or went on after it stood still.
+	epoch atomic.Int64
 	// stopping tells that a planned stop was asked for.
 	stopping bool
 }
@@ -98,6 +101,7 @@
 	if err != nil {
 		return err
 	}
+	m.epoch.Add(1)
 	command := exec.Command(m.daemon, "run", path)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
@@ -120,6 +124,9 @@
 func (m *machine) signal(signal syscall.Signal) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if signal == syscall.SIGCONT {
+		m.epoch.Add(1)
+	}
 	if m.command != nil && m.runs() {
 		m.stopping = m.stopping || signal == syscall.SIGTERM
 		_ = m.command.Process.Signal(signal)
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -157,6 +157,7 @@
 	if options.Earlier == "" && options.Length > 0 {
 		playing.Go(func() { r.rollout(ctx, options.Seed) })
 		playing.Go(func() { r.limitEngines(faulty, rand.New(rand.NewPCG(options.Seed, limitStream))) })
+		playing.Go(func() { r.disturbEngines(ctx, faulty, rand.New(rand.NewPCG(options.Seed, backoffStream))) })
 	}
 	for number := range series {
 		playing.Go(func() { r.playSeries(ctx, faulty, rand.New(rand.NewPCG(options.Seed, 3+uint64(number)))) })
@@ -227,6 +228,7 @@
 	r.judge()
 	r.checkPoison()
 	r.checkLimits()
+	r.checkBackoff()
 	wrong := ""
 	if err := r.fleet.waitFor(ctx, recoverWait, "the configuration", func() bool {
 		wrong = r.fleet.readBack(ctx)
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -23,6 +23,10 @@
 	AnswerHeader(request, instance string, notRun bool) http.Header
 	// LimitHeader returns the headers by which an engine's answer names a limit.
 	LimitHeader(value string) http.Header
+	// PauseHeader returns those by which a refusal asks for a pause, LeavingHeader those by
+	// which any answer says that its engine leaves.
+	PauseHeader(lasting time.Duration) http.Header
+	LeavingHeader() http.Header
 	// Heartbeat returns the path and the body of an instance's heartbeat.
 	Heartbeat(instance registry.Instance) (path string, body []byte)
 	// Configuration returns the path and the body of an operator's order.
