--- a/internal/coordination/balance/backoff_test.go
+++ b/internal/coordination/balance/backoff_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -132,3 +133,28 @@
 	_, found = table.Return(time.Hour, Request{Service: "s"})
 	assert.Assert(t, !found, "nobody waits for it to come back")
 }
+
+// BenchmarkChooseAmongManyPaused chooses among 1,000 instances of a service, of which none or
+// a third has asked for a pause.
+func BenchmarkChooseAmongManyPaused(b *testing.B) {
+	for name, isPaused := range map[string]func(number int) bool{
+		"none": func(int) bool { return false }, "a_third": func(number int) bool { return number%3 == 0 },
+	} {
+		b.Run(name, func(b *testing.B) {
+			ids := make([]string, 1000)
+			for number := range ids {
+				ids[number] = fmt.Sprintf("i-%d", number)
+			}
+			table, tracker := pausedTable(ids...)
+			for number, id := range ids {
+				if isPaused(number) {
+					pauseInstance(tracker, id, 0, time.Hour)
+				}
+			}
+			for b.Loop() {
+				choice, _ := table.Choose(time.Second, Request{Service: "s", Part: "p", Tokens: 1000})
+				table.Done(time.Second, choice, Abandoned)
+			}
+		})
+	}
+}
--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -52,7 +52,7 @@
 			{Name: "simulate", Usage: "run the simulations over many seeds",
 				Flags: []cli.Flag{
 					&cli.Uint64Flag{Name: "seeds", Value: 200}, &cli.Uint64Flag{Name: "first", Usage: "first seed"},
-					&cli.StringFlag{Name: "only", Usage: "consensus, claims, budgets, tight-budgets, lost-lives, pooled-lives, poison or rate-limits"}},
+					&cli.StringFlag{Name: "only", Usage: "consensus, claims, budgets, tight-budgets, lost-lives, pooled-lives, poison, rate-limits or backoff"}},
 				Action: func(_ context.Context, command *cli.Command) error {
 					return runSimulations(out, command.String("only"), command.Uint64("first"), command.Uint64("seeds"))
 				}},
--- a/internal/lab/labcli/prove.go
+++ b/internal/lab/labcli/prove.go
@@ -7,7 +7,9 @@
 	"sort"
 	"strings"
 	"sync"
+	"time"
 
+	"github.com/ravenway/ravenway/internal/coordination/backoff"
 	"github.com/ravenway/ravenway/internal/lab/simulate"
 )
 
@@ -27,6 +29,7 @@
 			Seed: seed, Policy: simulate.WeighEndsUncarried, Poison: 1 + int(seed%2), Failures: seed%3 == 0, Popular: seed%3 == 0, Hidden: seed%5 == 0,
 		}).World
 	},
+	"backoff":          backoffOf,
 	"rate-limits":      limitsOf(false),
 	"unsettled-limits": limitsOf(true),
 	"tight-budgets": func(seed uint64) *simulate.World {
@@ -43,6 +46,17 @@
 	}
 }
 
+// backoffOf runs a seed of engines that ask for pauses beside faults: in turn all scenarios,
+// and pauses of all lengths.
+func backoffOf(seed uint64) *simulate.World {
+	scenarios := []simulate.BackoffScenario{simulate.ThirdIll, simulate.ZoneIll, simulate.AllIll, simulate.Wave}
+	pauses := []time.Duration{500 * time.Millisecond, 3 * time.Second, 30 * time.Second}
+	return simulate.RunBackoff(simulate.BackoffOptions{
+		Seed: seed, Policy: simulate.SpreadTrials, Return: backoff.DefaultReturn, Nodes: 8, Load: 0.6, Faults: true, AsksWhenFull: seed%2 == 0,
+		Scenario: scenarios[seed%uint64(len(scenarios))], Pause: pauses[seed/uint64(len(scenarios))%uint64(len(pauses))],
+	}).World
+}
+
 // limitsOf runs seeds of limits beside faults: of all rates, and one in three of one-sided
 // traffic.
 func limitsOf(isUnsettled bool) func(seed uint64) *simulate.World {
