--- a/internal/lab/openfleet/pauses_test.go
+++ b/internal/lab/openfleet/pauses_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/lab/pausecheck"
 )
 
@@ -116,3 +117,58 @@
 		assert.Equal(t, connect.CodeOf(err), connect.CodeFailedPrecondition)
 	})
 }
+
+// Guards against pauses and leaving that are forgotten as the fleet changes: entry nodes cut
+// off from the control nodes, all control nodes started again, another configuration, and an
+// engine that drains and is ready again within its life.
+func TestPausesAndLeavingOutliveWhatHappensToTheFleet(t *testing.T) {
+	inLimitedFleet(t, 8, func(t *testing.T, l *limited) {
+		pausing, leaving := l.engines[:4], l.engines[4:6]
+		shed(pausing, 3*time.Second)
+		for _, engine := range leaving {
+			engine.Set(func(e *Engine) { e.Leaves = true })
+		}
+		l.running.Go(func() { l.call(rand.New(rand.NewPCG(48, 5)), 60, 25*time.Second) })
+		time.Sleep(3 * time.Second)
+		changed, err := l.ReadAny(3 * time.Second)
+		assert.NilError(t, err)
+		changed.Version++
+		assert.NilError(t, l.Put(changed, 3*time.Second))
+		time.Sleep(time.Second)
+		assert.NilError(t, l.flap(pausing[0].ID))
+		assert.NilError(t, l.flap(leaving[0].ID))
+		l.Network.CutBetween(l.Names(false), l.Names(true))
+		time.Sleep(8 * time.Second)
+		l.Network.Heal()
+		time.Sleep(2 * time.Second)
+		for _, name := range l.Names(true) {
+			l.Kill(name)
+		}
+		time.Sleep(time.Second)
+		for _, name := range l.Names(true) {
+			l.Boot(name)
+		}
+		time.Sleep(8 * time.Second)
+		l.assertPausesKept(t, pausing)
+		for _, engine := range leaving {
+			for _, node := range l.Names(false) {
+				late, _ := l.Truth.AfterLeaving(engine.ID, node)
+				assert.Check(t, late == 0, "%s got %d requests from %s after it had told it that it leaves", engine.ID, late, node)
+			}
+		}
+	})
+}
+
+// flap has an engine's heartbeats say that it drains, and then that it is ready again.
+func (f *Fleet) flap(id string) error {
+	if err := f.Drain(id); err != nil {
+		return err
+	}
+	time.Sleep(500 * time.Millisecond)
+	f.beats.Lock()
+	defer f.beats.Unlock()
+	engine := f.engines[id]
+	engine.State = registry.Ready
+	engine.Sequence++
+	return f.Heartbeat(engine.Instance)
+}
