--- a/internal/coordination/backoff/tracker_test.go
+++ b/internal/coordination/backoff/tracker_test.go
@@ -198,3 +198,20 @@
 	assert.Equal(t, tracker.Standing(3*time.Second+exactEnd.LongestTrials-1, life).Phase, Returning)
 	assert.Equal(t, tracker.Standing(3*time.Second+exactEnd.LongestTrials, life).Phase, Open)
 }
+
+// BenchmarkThirdOfManyAsk has a third of 10,000 instances ask for a pause, and looks at them
+// once.
+func BenchmarkThirdOfManyAsk(b *testing.B) {
+	lives := make([]registry.Life, 10_000/3)
+	for number := range lives {
+		lives[number] = registry.Life{ID: fmt.Sprintf("i-%d", number)}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		tracker := NewTracker(DefaultReturn)
+		for _, one := range lives {
+			tracker.Learn(0, one, "r", asks(3))
+		}
+		tracker.Look(time.Second, listed)
+	}
+}
