--- a/internal/lab/limitcheck/limitcheck.go
+++ b/internal/lab/limitcheck/limitcheck.go
@@ -19,10 +19,13 @@
 func Allowed(perSecond float64) int { return int(tolerance*perSecond*Window.Seconds()) + slack }
 
 // Most is the highest number of some arrivals, in order, in any Window.
-func Most(arrivals []time.Duration) int {
+func Most(arrivals []time.Duration) int { return MostWithin(arrivals, Window) }
+
+// MostWithin is the highest number of some arrivals, in order, in any span of a length.
+func MostWithin(arrivals []time.Duration, length time.Duration) int {
 	most, first := 0, 0
 	for last := range arrivals {
-		for arrivals[last]-arrivals[first] > Window {
+		for arrivals[last]-arrivals[first] > length {
 			first++
 		}
 		most = max(most, last-first+1)
--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -347,11 +347,14 @@
 
 // Drain makes an engine say that it drains. It returns once that is
 // acknowledged.
-func (f *Fleet) Drain(id string) error {
+func (f *Fleet) Drain(id string) error { return f.say(id, registry.Draining) }
+
+// say has an engine's heartbeats tell a state from now on.
+func (f *Fleet) say(id string, state registry.State) error {
 	f.beats.Lock()
 	defer f.beats.Unlock()
 	engine := f.engines[id]
-	engine.State = registry.Draining
+	engine.State = state
 	engine.Sequence++
 	return f.Heartbeat(engine.Instance)
 }
--- a/internal/lab/openfleet/pauses_test.go
+++ b/internal/lab/openfleet/pauses_test.go
@@ -165,10 +165,5 @@
 		return err
 	}
 	time.Sleep(500 * time.Millisecond)
-	f.beats.Lock()
-	defer f.beats.Unlock()
-	engine := f.engines[id]
-	engine.State = registry.Ready
-	engine.Sequence++
-	return f.Heartbeat(engine.Instance)
+	return f.say(id, registry.Ready)
 }
