A request that an engine turned away takes no return of a rate limit

What callers would have seen: beside engines with a limit, each request that another engine turned away for good used up a moment at which the limit lets a caller come back, so that callers refused for the limit were told later and later ones, up to 10 s.

Change: when a service is available is asked first (Table.NextAvailable), and a return is planned only for the reason that is told. TestRefusedRequestTakesNoReturnOfALimit fails with the plan made first.

--- a/internal/coordination/balance/backoff.go
+++ b/internal/coordination/balance/backoff.go
@@ -56,8 +56,8 @@
 	return nil
 }
 
-// Return is when a service takes a request that none of its instances takes now.
-type Return struct {
+// Availability is when a service takes a request that none of its instances takes now.
+type Availability struct {
 	// Wait is how long it is until the first of them does.
 	Wait time.Duration
 	// IsPause tells that the first one's pause ends then, and not that its limit has room.
@@ -66,16 +66,16 @@
 	PerSecond float64
 }
 
-// Return tells when an instance takes the request that pauses or limits keep it from;
+// NextAvailable tells when an instance takes the request that pauses or limits keep it from;
 // false if there is none. A pause counts only where no instance is open, those included
 // that the request was tried at: they may take it sooner.
-func (t *Table) Return(now time.Duration, request Request) (Return, bool) {
+func (t *Table) NextAvailable(now time.Duration, request Request) (Availability, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if !t.limits.Any() && !t.backoff.Any() {
-		return Return{}, false
+		return Availability{}, false
 	}
-	found, isFirst, isAnyOpen := Return{}, true, false
+	found, isFirst, isAnyOpen := Availability{}, true, false
 	for _, one := range t.byService[request.Service] {
 		if !t.isAllowed(one, request) || t.isRolledBack(one) {
 			continue
--- a/internal/coordination/balance/backoff_test.go
+++ b/internal/coordination/balance/backoff_test.go
@@ -91,21 +91,21 @@
 	assert.ErrorIs(t, table.Admit(time.Second, choice), ErrWithdrawn)
 }
 
-func TestReturnIsTheFirstPauseThatEnds(t *testing.T) {
+func TestServiceIsAvailableAsTheFirstPauseEnds(t *testing.T) {
 	table, tracker := pausedTable("i-0", "i-1")
 	request := Request{Service: "s", Exclude: []string{"i-0"}}
-	_, found := table.Return(0, request)
+	_, found := table.NextAvailable(0, request)
 	assert.Assert(t, !found)
 	pauseInstance(tracker, "i-0", 0, 3*time.Second)
-	_, found = table.Return(0, request)
+	_, found = table.NextAvailable(0, request)
 	assert.Assert(t, !found, "i-1 is open")
 	pauseInstance(tracker, "i-1", 0, 5*time.Second)
-	back, found := table.Return(time.Second, request)
+	back, found := table.NextAvailable(time.Second, request)
 	assert.Assert(t, found)
-	assert.DeepEqual(t, back, Return{Wait: 2 * time.Second, IsPause: true})
+	assert.DeepEqual(t, back, Availability{Wait: 2 * time.Second, IsPause: true})
 }
 
-func TestReturnOfALimitThatHasRoomBeforeAPauseEndsIsTheLimits(t *testing.T) {
+func TestServiceIsAvailableAsALimitHasRoomBeforeAPauseEnds(t *testing.T) {
 	table, tracker := pausedTable("i-0", "i-1")
 	limits := ratelimit.New("node")
 	table.SetLimits(limits)
@@ -113,7 +113,7 @@
 	limited := registry.Life{ID: "i-1"}
 	limits.Learn(0, limited, ratelimit.Said{IsNamed: true, PerSecond: 0.5}, 0)
 	limits.Answered(0, limited, ratelimit.Answer{FreeMS: 2000})
-	back, found := table.Return(0, Request{Service: "s"})
+	back, found := table.NextAvailable(0, Request{Service: "s"})
 	assert.Assert(t, found)
 	assert.Equal(t, back.IsPause, false)
 	assert.Equal(t, back.Wait, 2*time.Second)
@@ -130,7 +130,7 @@
 	table.Apply([]registry.Instance{{ID: "i-0", Service: "s", Zone: "a", State: registry.Ready, Slots: 4, Sequence: 9}})
 	_, found := table.Choose(time.Hour, Request{Service: "s", Exclude: []string{"i-1"}})
 	assert.Assert(t, !found)
-	_, found = table.Return(time.Hour, Request{Service: "s"})
+	_, found = table.NextAvailable(time.Hour, Request{Service: "s"})
 	assert.Assert(t, !found, "nobody waits for it to come back")
 }
 
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/backoff"
 	"github.com/ravenway/ravenway/internal/coordination/balance"
-	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
@@ -67,44 +65,3 @@
 	r.tried = r.tried[:len(r.tried)-1]
 	r.pipeline.options.Log.Attempt(r, choice, result, err)
 }
-
-// leastReturnSpread and mostReturnSpread bound the time over which callers come back once a
-// pause is over, a quarter of what is left of it.
-const (
-	leastReturnSpread = 200 * time.Millisecond
-	mostReturnSpread  = 2 * time.Second
-	returnSpreadShare = 0.25
-)
-
-// planReturn plans when the request's caller may come back, if only pauses or limits keep
-// it from a service's instances. It returns the reason, or "" if something else does.
-func (r *request) planReturn(service string) Reason {
-	environment := r.pipeline.options.Environment
-	now := environment.Now()
-	back, isKeptAway := r.pipeline.options.Table.Return(now, r.wanted(service))
-	switch {
-	case !isKeptAway:
-		return ""
-	case back.IsPause:
-		spread := min(max(time.Duration(returnSpreadShare*float64(back.Wait)), leastReturnSpread), mostReturnSpread)
-		r.comeBack = back.Wait + rand.N(spread)
-		return ReasonPaused
-	}
-	perSecond := back.PerSecond / float64(max(1, environment.EntryNodes()))
-	r.comeBack = r.pipeline.returns.Next(now, service, back.Wait, perSecond)
-	return ReasonRateLimited
-}
-
-// limitSaid is what the answer says of the engine's limit.
-func (e *exchange) limitSaid() ratelimit.Said {
-	said := e.head.RateLimit
-	said.IsFailure = !e.hasRun()
-	return said
-}
-
-// backoffSaid is what the engine asks for.
-func (e *exchange) backoffSaid() backoff.Said {
-	said := e.head.Backoff
-	said.HasRun = e.hasRun()
-	return said
-}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -110,8 +110,8 @@
 	if regions := r.regions(); regions.IsBound && !r.pipeline.options.Table.HasInRegions(service, regions) {
 		return ReasonNoRegion
 	}
-	if reason := r.planReturn(service); reason != "" {
-		return reason
+	if next, isKeptAway := r.nextAvailable(service); isKeptAway {
+		return r.planReturn(service, next)
 	}
 	return ReasonNoInstance
 }
@@ -129,8 +129,8 @@
 	if result != turnedAway {
 		return ReasonOutcomeUnknown
 	}
-	if r.planReturn(service) == ReasonPaused {
-		return ReasonPaused
+	if next, isKeptAway := r.nextAvailable(service); isKeptAway && next.IsPause {
+		return r.planReturn(service, next)
 	}
 	return ReasonTurnedAway
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/coordination/backoff"
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
@@ -172,6 +174,20 @@
 	return !e.head.NotRun && e.response.StatusCode < http.StatusInternalServerError
 }
 
+// limitSaid is what the answer says of the engine's limit.
+func (e *exchange) limitSaid() ratelimit.Said {
+	said := e.head.RateLimit
+	said.IsFailure = !e.hasRun()
+	return said
+}
+
+// backoffSaid is what the engine asks for.
+func (e *exchange) backoffSaid() backoff.Said {
+	said := e.head.Backoff
+	said.HasRun = e.hasRun()
+	return said
+}
+
 // finish ends an exchange whose answer was read whole, and keeps the
 // connection if it can serve another request.
 func (e *exchange) finish(id string) {
--- a/internal/forward/ratelimit_test.go
+++ b/internal/forward/ratelimit_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,3 +60,27 @@
 		assert.Equal(t, kind, step.kind, "an answer that %s: %s", step.body, kind)
 	}
 }
+
+// Guards against requests that an engine turned away and that use up the moments at which
+// limits let callers come back.
+func TestRefusedRequestTakesNoReturnOfALimit(t *testing.T) {
+	h := newHarness(t, newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 503 Busy\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Id"))
+	}), newEngine(t, func(net.Conn, *bufio.Reader, received) {}))
+	limits := ratelimit.New("node")
+	h.pipeline.options.Table.SetLimits(limits)
+	limited := registry.Life{ID: "i-1"}
+	limits.Learn(h.environment.Now(), limited, ratelimit.Said{IsNamed: true, PerSecond: 0.1}, 0)
+	limits.Answered(h.environment.Now(), limited, ratelimit.Answer{FreeMS: 2000})
+	route := h.environment.index.Document.Routes
+	for position := range route {
+		route[position].MaxAttempts = 1
+	}
+	for number := range 5 {
+		got := h.ask(t, http.MethodPost, "/once/x", fmt.Sprint("r", number), "b")
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Assert(t, strings.Contains(got.body, string(ReasonTurnedAway)), got.body)
+	}
+	next := h.pipeline.returns.Next(h.environment.Now(), "s", 0, 0.1)
+	assert.Assert(t, next < time.Second, "the next return is %s away", next)
+}
--- a/internal/lab/simulate/backoff.go
+++ b/internal/lab/simulate/backoff.go
@@ -181,7 +181,7 @@
 	w := n.world
 	left := call.first + backoffDeadline - w.Now
 	comeBack := w.Between(200*time.Millisecond, 700*time.Millisecond)
-	if back, isKeptAway := n.table.Return(n.now(), n.request(call)); isKeptAway {
+	if back, isKeptAway := n.table.NextAvailable(n.now(), n.request(call)); isKeptAway {
 		comeBack = back.Wait + w.Between(0, max(200*time.Millisecond, back.Wait/4))
 	}
 	if comeBack > left || call.tries >= backoffTries {
