Backoff: pauses of instances that are gone are forgotten, whatever they asked for

Each second instances are now looked for that nobody has listed for ten minutes, paused and leaving alike; ends of pauses are looked for apart from that. TestInstanceIsRememberedUntilItHasNotBeenListedForLong fails for pauses before.

--- a/internal/coordination/backoff/said.go
+++ b/internal/coordination/backoff/said.go
@@ -3,8 +3,8 @@
 //
 // It goes by lives of instances. A pause ends with its time, that an instance leaves holds
 // for the rest of its life; neither changes of the registry nor of the configuration end
-// one. What is chosen in a pause is not sent, and after it few requests show first whether
-// the instance takes work again.
+// one. Nothing is written to an instance in its pause, and after it few requests show first
+// whether the instance takes work again.
 //
 // The package has no network and no clock: times are those of a steady clock of the caller.
 // Such a clock doesn't count the time for which the machine is suspended, so that a pause
--- a/internal/coordination/backoff/tracker.go
+++ b/internal/coordination/backoff/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -12,9 +13,9 @@
 )
 
 const (
-	// leavingMemory is how long it is kept that an instance leaves which nobody lists any
-	// more: a late word may list it again.
-	leavingMemory = 10 * time.Minute
+	// unlistedMemory is how long an instance is remembered that nobody lists any more: a late
+	// word may list it again.
+	unlistedMemory = 10 * time.Minute
 	// unreadableKept bounds the lives that are remembered to have asked for what can't be
 	// read.
 	unreadableKept = 1024
@@ -97,9 +98,10 @@
 	// trials are the requests under way that were chosen since the pause was over, and
 	// allowed is how many there may be.
 	trials, allowed int
-	// isLeaving tells that the instance leaves, and listedAt when it was last listed.
+	// isLeaving tells that the instance leaves.
 	isLeaving bool
-	listedAt  time.Duration
+	// listedAt is when it was last listed, or first asked for something.
+	listedAt time.Duration
 }
 
 // NewTracker makes a tracker that knows of no pause.
@@ -183,10 +185,10 @@
 }
 
 // entry returns what is known of a life, made if need be.
-func (t *Tracker) entry(life registry.Life) *entry {
+func (t *Tracker) entry(now time.Duration, life registry.Life) *entry {
 	known := t.entries[life]
 	if known == nil {
-		known = &entry{life: life, isOver: true}
+		known = &entry{life: life, isOver: true, listedAt: now}
 		t.entries[life] = known
 		t.known.Add(1)
 	}
@@ -194,8 +196,7 @@
 }
 
 func (t *Tracker) leave(now time.Duration, life registry.Life, request string) Change {
-	known := t.entry(life)
-	known.listedAt = now
+	known := t.entry(now, life)
 	if known.isLeaving {
 		return Change{}
 	}
@@ -205,7 +206,7 @@
 
 func (t *Tracker) pause(now time.Duration, life registry.Life, request string, asked time.Duration) Change {
 	kind := Extended
-	known := t.entry(life)
+	known := t.entry(now, life)
 	if now >= known.until {
 		kind = Began
 		known.askedAt, known.asked, known.request = now, 0, request
@@ -314,21 +315,14 @@
 	}
 }
 
-// Look returns the pauses that are over since the last call. It drops instances that are
-// back, and those that leave once they have not been listed for long.
-func (t *Tracker) Look(now time.Duration, isListed func(life registry.Life) bool) []Change {
+// Look returns the pauses that are over since the last call, and drops instances that are
+// back.
+func (t *Tracker) Look(now time.Duration) []Change {
 	if !t.Any() {
 		return nil
 	}
-	// Who lists instances asks the tracker while it does, so it is asked without the mutex.
-	stillListed := slices.DeleteFunc(t.leaving(), func(life registry.Life) bool { return !isListed(life) })
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for _, life := range stillListed {
-		if known := t.entries[life]; known != nil {
-			known.listedAt = now
-		}
-	}
 	var changes []Change
 	for life, known := range t.entries {
 		if now < known.until {
@@ -338,34 +332,40 @@
 			known.isOver = true
 			changes = append(changes, known.change(Ended, now))
 		}
-		if known.isForgettable(now, t.policy.LongestTrials) {
+		if !known.isLeaving && now >= known.until+t.policy.LongestTrials {
 			t.drop(life)
-			delete(t.unreadable, life)
 		}
 	}
 	return changes
 }
 
-// leaving returns the lives that leave.
-func (t *Tracker) leaving() []registry.Life {
+// Prune drops instances that have not been listed for long. Who lists them may ask the
+// tracker meanwhile.
+func (t *Tracker) Prune(now time.Duration, isListed func(life registry.Life) bool) {
+	if !t.Any() {
+		return
+	}
+	listed := slices.DeleteFunc(t.lives(), func(life registry.Life) bool { return !isListed(life) })
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var lives []registry.Life
+	for _, life := range listed {
+		if known := t.entries[life]; known != nil {
+			known.listedAt = now
+		}
+	}
 	for life, known := range t.entries {
-		if known.isLeaving {
-			lives = append(lives, life)
+		if now-known.listedAt > unlistedMemory {
+			t.drop(life)
+			delete(t.unreadable, life)
 		}
 	}
-	return lives
 }
 
-// isForgettable tells whether nothing depends any more on what is known of a life whose
-// pause is over.
-func (e *entry) isForgettable(now, longestTrials time.Duration) bool {
-	if e.isLeaving {
-		return now-e.listedAt > leavingMemory
-	}
-	return now-e.until >= longestTrials
+// lives returns the lives that are known.
+func (t *Tracker) lives() []registry.Life {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return slices.Collect(maps.Keys(t.entries))
 }
 
 // Listed is one instance that is not Open, for operators.
--- a/internal/coordination/backoff/tracker_test.go
+++ b/internal/coordination/backoff/tracker_test.go
@@ -24,8 +24,6 @@
 	return changes[0]
 }
 
-func listed(registry.Life) bool { return true }
-
 func asks(seconds float64) Said { return Said{Pause: time.Duration(seconds * float64(time.Second))} }
 
 func TestNoAnswerShortensAPause(t *testing.T) {
@@ -87,12 +85,12 @@
 func TestEndOfAPauseIsToldOnceAndTheInstanceForgottenLater(t *testing.T) {
 	tracker := NewTracker(exactEnd)
 	learn(tracker, 0, life, "r1", asks(3))
-	assert.Equal(t, len(tracker.Look(2*time.Second, listed)), 0)
-	changes := tracker.Look(3*time.Second, listed)
+	assert.Equal(t, len(tracker.Look(2*time.Second)), 0)
+	changes := tracker.Look(3 * time.Second)
 	assert.Equal(t, len(changes), 1)
 	assert.Equal(t, changes[0].Kind, Ended)
-	assert.Equal(t, len(tracker.Look(4*time.Second, listed)), 0)
-	tracker.Look(3*time.Second+exactEnd.LongestTrials, listed)
+	assert.Equal(t, len(tracker.Look(4*time.Second)), 0)
+	tracker.Look(3*time.Second + exactEnd.LongestTrials)
 	assert.Equal(t, tracker.Count(), int64(0))
 }
 
@@ -155,17 +153,19 @@
 	assert.Equal(t, tracker.Standing(time.Hour, registry.Life{ID: life.ID, Born: 2000}).Phase, Open)
 }
 
-// Guards against a word on its way that lists an instance again which has left.
-func TestLeavingOutlivesTheListingAndIsForgottenLongAfterIt(t *testing.T) {
-	tracker := NewTracker(exactEnd)
-	learn(tracker, 0, life, "r1", Said{IsLeaving: true})
-	unlisted := func(registry.Life) bool { return false }
-	tracker.Look(time.Hour, listed)
-	assert.Equal(t, tracker.Count(), int64(1))
-	tracker.Look(time.Hour+leavingMemory, unlisted)
-	assert.Equal(t, tracker.Count(), int64(1))
-	tracker.Look(time.Hour+leavingMemory+1, unlisted)
-	assert.Equal(t, tracker.Count(), int64(0))
+// Guards against a word on its way that lists an instance again which has left, and against
+// instances that are remembered for ever: the longest pause is a day.
+func TestInstanceIsRememberedUntilItHasNotBeenListedForLong(t *testing.T) {
+	for _, said := range []Said{{IsLeaving: true}, {Pause: MaximumPause}} {
+		tracker := NewTracker(exactEnd)
+		learn(tracker, 0, life, "r1", said)
+		tracker.Prune(time.Hour, func(registry.Life) bool { return true })
+		unlisted := func(registry.Life) bool { return false }
+		tracker.Prune(time.Hour+unlistedMemory, unlisted)
+		assert.Equal(t, tracker.Count(), int64(1))
+		tracker.Prune(time.Hour+unlistedMemory+1, unlisted)
+		assert.Equal(t, tracker.Count(), int64(0))
+	}
 }
 
 func TestOneFieldThatCantBeReadSpoilsNoOther(t *testing.T) {
@@ -212,6 +212,6 @@
 		for _, one := range lives {
 			tracker.Learn(0, one, "r", asks(3))
 		}
-		tracker.Look(time.Second, listed)
+		tracker.Look(time.Second)
 	}
 }
--- a/internal/gateway/backoff.go
+++ b/internal/gateway/backoff.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/ravenway/ravenway/internal/coordination/backoff"
@@ -25,7 +27,9 @@
 type backoffKeeper struct {
 	node    *Node
 	tracker *backoff.Tracker
-	lines   *forward.LineBudget
+	// prunedAt is when lives were last looked for that are over.
+	prunedAt time.Duration
+	lines    *forward.LineBudget
 }
 
 func newBackoffKeeper(node *Node) *backoffKeeper {
@@ -34,9 +38,14 @@
 
 // look notes the pauses that are over. The loads' duty calls it.
 func (k *backoffKeeper) look() {
-	for _, change := range k.tracker.Look(k.node.now(), k.isListed) {
+	now := k.node.now()
+	for _, change := range k.tracker.Look(now) {
 		k.note(change, 0)
 	}
+	if now-k.prunedAt >= pruneInterval {
+		k.tracker.Prune(now, k.isListed)
+		k.prunedAt = now
+	}
 	instancesNotOpen.Set(float64(k.tracker.Count()))
 }
 
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -49,7 +49,7 @@
 	lines      *forward.LineBudget
 }
 
-// pruneInterval is the time between looks for limits that are over.
+// pruneInterval is the time between looks for limits and pauses of lives that are over.
 const pruneInterval = time.Second
 
 func newLimitKeeper(node *Node) *limitKeeper {
