--- a/internal/coordination/balance/backoff_test.go
+++ b/internal/coordination/balance/backoff_test.go
@@ -10,6 +10,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/backoff"
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/state/rollout"
 )
 
 // exactEnd ends pauses when they were asked to end.
@@ -158,3 +159,44 @@
 		})
 	}
 }
+
+// Guards against a rollout's ways around the pauses of its versions: a canary, all that moves
+// to the new version, and a version that was rolled back while the old one is in a pause.
+func TestPausesAreKeptInEveryStageOfARollout(t *testing.T) {
+	for stage, want := range map[rollout.Stage]string{rollout.Canary: "v1", rollout.Moving: "v1", rollout.Done: "v1", rollout.RolledBack: "v1"} {
+		table, tracker := NewTable("zone-0"), backoff.NewTracker(exactEnd)
+		table.SetBackoff(tracker)
+		table.Apply(twoVersions(3))
+		table.SetRollouts(inStage(stage), RolloutShare{Share: 1, Nodes: 1})
+		for number := range 3 {
+			pauseInstance(tracker, fmt.Sprint("v2-", number), 0, time.Minute)
+		}
+		byVersion, _ := chosenVersions(t, table, 50)
+		assert.DeepEqual(t, byVersion, map[string]int{want: 50})
+		for number := range 3 {
+			pauseInstance(tracker, fmt.Sprint("v1-", number), 0, time.Minute)
+		}
+		_, found := table.Choose(time.Second, Request{Service: "llm"})
+		assert.Assert(t, !found, "stage %v", stage)
+	}
+}
+
+// Guards against callers who are told to come back soon for engines of a version that was
+// rolled back.
+func TestRolledBackVersionMakesAServiceNoSoonerAvailable(t *testing.T) {
+	table, tracker := NewTable("zone-0"), backoff.NewTracker(exactEnd)
+	table.SetBackoff(tracker)
+	table.Apply(twoVersions(3))
+	table.SetRollouts(inStage(rollout.RolledBack), RolloutShare{Share: 1, Nodes: 1})
+	var choice Choice
+	for number := range 3 {
+		choice, _ = table.Choose(0, Request{Service: "llm"})
+		pauseInstance(tracker, fmt.Sprint("v1-", number), 0, time.Minute)
+	}
+	next, found := table.NextAvailable(time.Second, Request{Service: "llm"})
+	assert.Assert(t, found)
+	assert.DeepEqual(t, next, Availability{Wait: 59 * time.Second, IsPause: true})
+	// The version of a chosen instance may be rolled back before the request is written.
+	choice.Instance.ID, choice.Instance.Version = "v2-0", "v2"
+	assert.ErrorIs(t, table.Admit(time.Second, choice), ErrWithdrawn)
+}
