--- a/internal/coordination/backoff/tracker.go
+++ b/internal/coordination/backoff/tracker.go
@@ -37,7 +37,8 @@
 	LongestTrials time.Duration
 }
 
-// DefaultReturn has an instance tried by single requests, at each node by a moment of its own.
+// DefaultReturn has an instance tried by one request at a time, from a moment that each node
+// draws.
 var DefaultReturn = ReturnPolicy{Spread: 0.25, LongestSpread: 2 * time.Second, FirstTrials: 1, FullTrials: 4, LongestTrials: 2 * time.Second}
 
 // drawSpread is by how much a node keeps a pause longer than it was asked for.
