--- a/internal/lab/pausecheck/pausecheck.go
+++ b/internal/lab/pausecheck/pausecheck.go
@@ -43,17 +43,31 @@
 func (r *Record) Most() int {
 	most := 0
 	for _, one := range r.pauses {
-		count := 0
-		for _, arrival := range r.arrivals {
-			if arrival > one.at+Contact && arrival < one.at+one.lasting {
-				count++
-			}
-		}
-		most = max(most, count)
+		most = max(most, len(r.within(one)))
 	}
 	return most
 }
 
+// Offsets are how long after the answer that asked for a pause requests came in it.
+func (r *Record) Offsets() []time.Duration {
+	var offsets []time.Duration
+	for _, one := range r.pauses {
+		offsets = append(offsets, r.within(one)...)
+	}
+	return offsets
+}
+
+// within returns the offsets of the requests that came in a pause.
+func (r *Record) within(one pause) []time.Duration {
+	var offsets []time.Duration
+	for _, arrival := range r.arrivals {
+		if arrival > one.at+Contact && arrival < one.at+one.lasting {
+			offsets = append(offsets, arrival-one.at)
+		}
+	}
+	return offsets
+}
+
 // Leave notes an answer that tells the node that the engine leaves.
 func (r *Record) Leave(at time.Duration) {
 	if !r.hasLeft {
--- a/internal/lab/pausecheck/pausecheck_test.go
+++ b/internal/lab/pausecheck/pausecheck_test.go
@@ -15,6 +15,7 @@
 	}
 	assert.Equal(t, record.Most(), 2)
 	assert.Equal(t, record.Pauses(), 1)
+	assert.DeepEqual(t, record.Offsets(), []time.Duration{time.Second, 2 * time.Second})
 }
 
 func TestEachAnswerBeginsAPauseOfItsOwn(t *testing.T) {
--- a/internal/lab/soak/backoff.go
+++ b/internal/lab/soak/backoff.go
@@ -170,6 +170,9 @@
 		for sender, record := range one.backoff.senders {
 			most := record.Most()
 			pauses, worst = pauses+record.Pauses(), max(worst, most)
+			if most > 0 {
+				r.note("engine %s got requests of %s in a pause, %v after it had asked for it", one.ID, sender, record.Offsets())
+			}
 			if most > pausecheck.Allowed {
 				r.breaks("engine %s got %d requests of %s in a pause, allowed %d", one.ID, most, sender, pausecheck.Allowed)
 			}
