--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -35,9 +35,9 @@
 	return r.pipeline.pool.send(ctx, options.Dialect, choice.Address, prepared)
 }
 
-// admitWrite is the last check before a request is written to an instance. What was known
-// as the instance was chosen may be over: the request waited for its connection since, and
-// waits for its permit here.
+// admitWrite is the last check before a request is written to an instance. What held at the
+// choice may be over: the request waited for its connection since, and waits for its permit
+// here.
 func (r *request) admitWrite(ctx context.Context, choice balance.Choice) error {
 	environment, table := r.pipeline.options.Environment, r.pipeline.options.Table
 	if err := table.Admit(environment.Now(), choice); err != nil {
--- a/internal/forward/backoff_test.go
+++ b/internal/forward/backoff_test.go
@@ -50,6 +50,21 @@
 	})
 }
 
+// assertNothingBehind checks that an engine which answers with a head gets one request, of a
+// route of each kind, and that the next one is refused.
+func assertNothingBehind(t *testing.T, head string) {
+	t.Helper()
+	for _, path := range []string{"/safe/x", "/once/x", "/stream/x", "/resumable/x"} {
+		engine := refusingEngine(t, head)
+		h, tracker := newBackoffHarness(t, engine)
+		h.ask(t, http.MethodPost, path, "r1", "b")
+		got := h.ask(t, http.MethodPost, path, "r2", "b")
+		assert.Equal(t, engine.ids(), "r1", path)
+		assert.Equal(t, got.status, http.StatusServiceUnavailable, path)
+		assert.Equal(t, tracker.Count(), int64(1), path)
+	}
+}
+
 const pausingHead = "HTTP/1.1 503 Busy\r\nId: ID\r\nNot-Run: 1\r\nPause: 3\r\n"
 
 // Guards against pauses that are read from some answers only.
@@ -61,16 +76,7 @@
 		"of another request":     "HTTP/1.1 503 Busy\r\nId: stranger\r\nNot-Run: 1\r\nPause: 3\r\n",
 		"with a connection ends": "HTTP/1.1 503 Busy\r\nId: ID\r\nConnection: close\r\nNot-Run: 1\r\nPause: 3\r\n",
 	} {
-		for _, path := range []string{"/safe/x", "/once/x", "/stream/x", "/resumable/x"} {
-			t.Run(name+" "+path, func(t *testing.T) {
-				engine := refusingEngine(t, head)
-				h, tracker := newBackoffHarness(t, engine)
-				h.ask(t, http.MethodPost, path, "r1", "b")
-				h.ask(t, http.MethodPost, path, "r2", "b")
-				assert.Equal(t, engine.ids(), "r1")
-				assert.Equal(t, tracker.Count(), int64(1))
-			})
-		}
+		t.Run(name, func(t *testing.T) { assertNothingBehind(t, head) })
 	}
 }
 
@@ -162,15 +168,6 @@
 		"failed":      "HTTP/1.1 500 Failed\r\nId: ID\r\nLeaving: 1\r\n",
 		"turned away": "HTTP/1.1 503 Busy\r\nId: ID\r\nNot-Run: 1\r\nLeaving: 1\r\n",
 	} {
-		for _, path := range []string{"/safe/x", "/once/x", "/stream/x", "/resumable/x"} {
-			t.Run(name+" "+path, func(t *testing.T) {
-				engine := refusingEngine(t, head)
-				h, _ := newBackoffHarness(t, engine)
-				h.ask(t, http.MethodPost, path, "r1", "b")
-				got := h.ask(t, http.MethodPost, path, "r2", "b")
-				assert.Equal(t, engine.ids(), "r1")
-				assert.Equal(t, got.status, http.StatusServiceUnavailable)
-			})
-		}
+		t.Run(name, func(t *testing.T) { assertNothingBehind(t, head) })
 	}
 }
