Duties and delayed bytes leave no channel timer of a bubble unread

Cause: a channel timer or ticker of a testing/synctest bubble is in the bubble's heap only while somebody waits on it. One that falls due unread is run by the goroutine that reads it next, under the bubble's one race context (runtime/time.go, maybeRunChan and unlockAndRun). Two such goroutines, or one beside the bubble's own loop, use one context of the race detector at once, which its checks catch, or which ends in a SIGSEGV.

Ruled out: timers set for no time, which run at once in the same way; openfleet sets none.

Change: delayed bytes that are due are handed over without a timer; a duty's ticks come from pause.Ticks, whose own goroutine is always at its ticker.

Why it holds: a bubble's time stands while a goroutine runs, so a ticker whose reader does nothing but pass ticks on is never unread when it falls due.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/pause"
 	"github.com/ravenway/ravenway/internal/ring"
 )
 
@@ -45,8 +46,7 @@
 
 // Run does the work until the context ends.
 func (d *Duty) Run(ctx context.Context) {
-	ticker := time.NewTicker(d.interval)
-	defer ticker.Stop()
+	ticks := pause.Ticks(ctx, d.interval)
 	for {
 		select {
 		case <-ctx.Done():
@@ -54,7 +54,7 @@
 		case work := <-d.ring.Out():
 			work()
 			d.drain()
-		case <-ticker.C:
+		case <-ticks:
 			d.Tick()
 		}
 		d.Flush()
--- a/internal/lab/fleet/network.go
+++ b/internal/lab/fleet/network.go
@@ -305,10 +305,8 @@
 		case <-c.closed:
 			return
 		case next := <-c.late:
-			select {
-			case <-c.closed:
+			if !c.waitUntil(next.at) {
 				return
-			case <-time.After(time.Until(next.at)):
 			}
 			if _, err := c.Conn.Write(next.data); err != nil {
 				_ = c.Close()
@@ -318,6 +316,20 @@
 	}
 }
 
+// waitUntil waits until a moment. It returns false as soon as the connection closes.
+func (c *memoryConnection) waitUntil(moment time.Time) bool {
+	wait := time.Until(moment)
+	if wait <= 0 {
+		return true
+	}
+	select {
+	case <-c.closed:
+		return false
+	case <-time.After(wait):
+		return true
+	}
+}
+
 func (c *memoryConnection) Close() error {
 	c.once.Do(func() {
 		close(c.closed)
--- /dev/null
+++ b/internal/lab/fleet/network_test.go
@@ -0,0 +1,49 @@
+package fleet
+
+import (
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Writes that were due together on many delayed connections brought the race detector down
+// in virtual time.
+func TestWritesThatAreDueTogetherArriveInVirtualTime(t *testing.T) {
+	const (
+		connections = 200
+		writes      = 200
+		delay       = 300 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		network := NewNetwork()
+		network.Delay("b", delay)
+		listener := network.Listen("b", "b:1")
+		began := time.Now()
+		var ends sync.WaitGroup
+		for range connections {
+			ends.Go(func() {
+				accepted, err := listener.Accept()
+				assert.Check(t, err)
+				received, err := io.ReadAll(accepted)
+				assert.Check(t, err)
+				assert.Check(t, len(received) == writes, "%d of %d", len(received), writes)
+			})
+			ends.Go(func() {
+				connection, err := network.Dialer("a")(t.Context(), "tcp", "b:1")
+				assert.Check(t, err)
+				for range writes {
+					_, err := connection.Write([]byte{1})
+					assert.Check(t, err)
+				}
+				time.Sleep(delay + time.Millisecond)
+				assert.Check(t, connection.Close())
+			})
+		}
+		ends.Wait()
+		assert.Equal(t, time.Since(began), 2*delay+time.Millisecond)
+	})
+}
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -20,3 +20,28 @@
 		return true
 	}
 }
+
+// Ticks sends at each interval until the context ends. A tick that comes while the one
+// before it waits is dropped.
+//
+// A goroutine of its own reads the ticker: in a testing/synctest bubble, tickers that fall
+// due unread bring the race detector down.
+func Ticks(ctx context.Context, interval time.Duration) <-chan struct{} {
+	ticks := make(chan struct{}, 1)
+	go func() {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			select {
+			case ticks <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	return ticks
+}
