Only requests written after a pause show that it is over

What callers would see: an instance that had asked a node for a pause and had taken long requests before it counted as back the moment the pause was over, as soon as two of those were answered: the node's whole load came at once instead of one request at a time, and part of it was refused.

Cause: the tracker took every answer that ran for a trial; answers of requests written before or in the pause (long ones, late and surplus ones) say nothing of whether the instance takes work again. Found by reading.

Change: an answer comes to the tracker with the time at which its request was written, as it does for rate limits; one from before the end of the pause, or of unknown time, is no trial.

Evidence: TestRequestsFromBeforeTheEndOfAPauseDoNotShowThatItIsOver fails on the code before ("open != returning") and passes now.

Why it holds: a request written after the pause that ran was admitted by the instance after it.

--- a/internal/coordination/backoff/tracker.go
+++ b/internal/coordination/backoff/tracker.go
@@ -149,9 +149,16 @@
 	Fault error
 }
 
+// Request is the one that an instance answers.
+type Request struct {
+	ID string
+	// WrittenAt is when it was written to the instance; 0 if that isn't known.
+	WrittenAt time.Duration
+}
+
 // Learn takes what an instance's answer to a request asks for, which comes now. No answer
 // shortens a pause, and none takes back that the instance leaves.
-func (t *Tracker) Learn(now time.Duration, life registry.Life, request string, said Said) []Change {
+func (t *Tracker) Learn(now time.Duration, life registry.Life, request Request, said Said) []Change {
 	if said.Pause == 0 && !said.IsLeaving && said.Fault == nil && t.known.Load() == 0 {
 		return nil
 	}
@@ -167,12 +174,12 @@
 		note(t.noteUnreadable(life, said.Fault))
 	}
 	if said.Pause > 0 {
-		note(t.pause(now, life, request, said.Pause))
+		note(t.pause(now, life, request.ID, said.Pause))
 	} else if said.HasRun {
-		note(t.accept(now, life))
+		note(t.accept(now, life, request.WrittenAt))
 	}
 	if said.IsLeaving {
-		note(t.leave(now, life, request))
+		note(t.leave(now, life, request.ID))
 	}
 	return changes
 }
@@ -226,11 +233,11 @@
 	return Change{Kind: kind, Life: e.life, Asked: e.askedUntil - e.askedAt, Left: max(0, e.until-now), Request: e.request, Answers: e.asked}
 }
 
-// accept notes that an instance ran a request. After its pause each one lets twice as many
-// come, until it counts as back.
-func (t *Tracker) accept(now time.Duration, life registry.Life) Change {
+// accept notes that an instance ran a request. Each one written after its pause lets twice as
+// many come, until it counts as back.
+func (t *Tracker) accept(now time.Duration, life registry.Life, writtenAt time.Duration) Change {
 	known := t.entries[life]
-	if known == nil || known.isLeaving || now < known.until {
+	if known == nil || known.isLeaving || writtenAt < known.until {
 		return Change{}
 	}
 	known.allowed *= 2
--- a/internal/coordination/backoff/tracker_test.go
+++ b/internal/coordination/backoff/tracker_test.go
@@ -15,9 +15,9 @@
 // exactEnd ends pauses when they were asked to end.
 var exactEnd = ReturnPolicy{FirstTrials: 1, FullTrials: 4, LongestTrials: time.Minute}
 
-// learn is Learn where one change at most is expected.
+// learn is Learn where one change at most is expected, of an answer that comes at once.
 func learn(tracker *Tracker, now time.Duration, life registry.Life, request string, said Said) Change {
-	changes := tracker.Learn(now, life, request, said)
+	changes := tracker.Learn(now, life, Request{ID: request, WrittenAt: now}, said)
 	if len(changes) == 0 {
 		return Change{}
 	}
@@ -71,6 +71,18 @@
 	assert.Equal(t, tracker.Count(), int64(0))
 }
 
+// Guards against an instance that counts as back by requests that it took before its pause.
+func TestRequestsFromBeforeTheEndOfAPauseDoNotShowThatItIsOver(t *testing.T) {
+	tracker := NewTracker(exactEnd)
+	learn(tracker, time.Second, life, "r1", asks(3))
+	for range exactEnd.FullTrials {
+		tracker.Learn(5*time.Second, life, Request{ID: "r0", WrittenAt: time.Second / 2}, Said{HasRun: true})
+	}
+	assert.Equal(t, tracker.Standing(5*time.Second, life).Phase, Returning)
+	assert.Assert(t, tracker.BeginTrial(5*time.Second, life))
+	assert.Assert(t, !tracker.Standing(5*time.Second, life).HasTrial, "one at a time")
+}
+
 func TestSecondPauseBeginsTheTrialsAnew(t *testing.T) {
 	tracker := NewTracker(exactEnd)
 	learn(tracker, 0, life, "r1", asks(1))
@@ -170,11 +182,11 @@
 
 func TestOneFieldThatCantBeReadSpoilsNoOther(t *testing.T) {
 	tracker := NewTracker(exactEnd)
-	changes := tracker.Learn(0, life, "r1", ReadPause([]string{"3"}).WithLeaving([]string{"yes"}))
+	changes := tracker.Learn(0, life, Request{ID: "r1"}, ReadPause([]string{"3"}).WithLeaving([]string{"yes"}))
 	assert.Equal(t, len(changes), 2)
 	assert.Equal(t, changes[0].Kind, Unreadable)
 	assert.Equal(t, changes[1].Kind, Began)
-	changes = tracker.Learn(0, registry.Life{ID: "i-2"}, "r2", ReadPause([]string{"soon"}).WithLeaving([]string{"1"}))
+	changes = tracker.Learn(0, registry.Life{ID: "i-2"}, Request{ID: "r2"}, ReadPause([]string{"soon"}).WithLeaving([]string{"1"}))
 	assert.Equal(t, changes[1].Kind, Left)
 }
 
@@ -210,7 +222,7 @@
 	for b.Loop() {
 		tracker := NewTracker(DefaultReturn)
 		for _, one := range lives {
-			tracker.Learn(0, one, "r", asks(3))
+			tracker.Learn(0, one, Request{ID: "r"}, asks(3))
 		}
 		tracker.Look(time.Second)
 	}
--- a/internal/coordination/balance/backoff_test.go
+++ b/internal/coordination/balance/backoff_test.go
@@ -29,7 +29,7 @@
 }
 
 func pauseInstance(tracker *backoff.Tracker, id string, now, lasting time.Duration) {
-	tracker.Learn(now, registry.Life{ID: id}, "r", backoff.Said{Pause: lasting})
+	tracker.Learn(now, registry.Life{ID: id}, backoff.Request{ID: "r", WrittenAt: now}, backoff.Said{Pause: lasting})
 }
 
 func TestPausedInstanceIsNotChosenWhateverElseIsLeft(t *testing.T) {
@@ -125,7 +125,7 @@
 func TestLeavingInstanceIsNotChosenWhateverTheRegistrySays(t *testing.T) {
 	table, tracker := pausedTable("i-0", "i-1")
 	choice, _ := table.Choose(0, Request{Service: "s", Exclude: []string{"i-1"}})
-	tracker.Learn(0, registry.Life{ID: "i-0"}, "r", backoff.Said{IsLeaving: true})
+	tracker.Learn(0, registry.Life{ID: "i-0"}, backoff.Request{ID: "r"}, backoff.Said{IsLeaving: true})
 	assert.ErrorIs(t, table.Admit(0, choice), ErrLeaving)
 	assert.Assert(t, table.IsLeaving(registry.Life{ID: "i-0"}), "its end is nobody's fault")
 	table.Apply([]registry.Instance{{ID: "i-0", Service: "s", Zone: "a", State: registry.Ready, Slots: 4, Sequence: 9}})
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -12,13 +12,14 @@
 
 // Backoff keeps the pauses that instances ask this node for.
 type Backoff interface {
-	// Learn takes what an instance's answer to a request asks for.
-	Learn(instance registry.Instance, request string, said backoff.Said)
+	// Learn takes what an instance's answer to a request asks for, which was written at a
+	// time; the zero time stands for a request before it.
+	Learn(instance registry.Instance, request string, said backoff.Said, writtenAt time.Time)
 }
 
 type noBackoff struct{}
 
-func (noBackoff) Learn(registry.Instance, string, backoff.Said) {}
+func (noBackoff) Learn(registry.Instance, string, backoff.Said, time.Time) {}
 
 // send sends the request to an instance, if that takes it at the moment of writing.
 func (r *request) send(ctx context.Context, choice balance.Choice, lastEvent string) (*exchange, sendState, error) {
@@ -26,7 +27,7 @@
 	prepared := r.outgoing(choice, lastEvent)
 	prepared.admit = func(ctx context.Context) error { return r.admitWrite(ctx, choice) }
 	prepared.learn = func(answer *exchange, writtenAt time.Time) {
-		options.Backoff.Learn(choice.Instance, r.call.ID, answer.backoffSaid())
+		options.Backoff.Learn(choice.Instance, r.call.ID, answer.backoffSaid(), writtenAt)
 		options.RateLimits.Learn(choice.Instance, answer.limitSaid(), writtenAt)
 		if names := r.pipeline.headers.take(choice.Service, answer.response.Header, options.Dialect.KnowsAnswerHeader); len(names) > 0 {
 			options.Log.UnknownHeaders(r, choice, names)
--- a/internal/forward/backoff_test.go
+++ b/internal/forward/backoff_test.go
@@ -25,8 +25,12 @@
 	environment *testEnvironment
 }
 
-func (b trackedBackoff) Learn(instance registry.Instance, request string, said backoff.Said) {
-	b.Tracker.Learn(b.environment.Now(), instance.Life(), request, said)
+func (b trackedBackoff) Learn(instance registry.Instance, request string, said backoff.Said, writtenAt time.Time) {
+	now, answered := b.environment.Now(), backoff.Request{ID: request}
+	if !writtenAt.IsZero() {
+		answered.WrittenAt = now - time.Since(writtenAt)
+	}
+	b.Tracker.Learn(now, instance.Life(), answered, said)
 }
 
 // exactEnd ends pauses when they were asked to end.
@@ -120,7 +124,7 @@
 				answered := make(chan result, 1)
 				go func() { answered <- h.ask(t, http.MethodPost, path, "r1", "b") }()
 				time.Sleep(50 * time.Millisecond)
-				tracker.Learn(h.environment.Now(), registry.Life{ID: "i-0"}, "r0", backoff.Said{Pause: 3 * time.Second})
+				tracker.Learn(h.environment.Now(), registry.Life{ID: "i-0"}, backoff.Request{ID: "r0"}, backoff.Said{Pause: 3 * time.Second})
 				close(asked)
 				got := <-answered
 				assert.Equal(t, engine.ids(), "")
--- a/internal/gateway/backoff.go
+++ b/internal/gateway/backoff.go
@@ -50,8 +50,9 @@
 }
 
 // Learn implements forward.Backoff.
-func (k *backoffKeeper) Learn(instance registry.Instance, request string, said backoff.Said) {
-	for _, change := range k.tracker.Learn(k.node.now(), instance.Life(), request, said) {
+func (k *backoffKeeper) Learn(instance registry.Instance, request string, said backoff.Said, writtenAt time.Time) {
+	answered := backoff.Request{ID: request, WrittenAt: k.node.at(writtenAt)}
+	for _, change := range k.tracker.Learn(k.node.now(), instance.Life(), answered, said) {
 		k.note(change, k.node.table.InFlight(instance.Life()))
 	}
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -85,11 +85,7 @@
 
 // Learn implements forward.RateLimits.
 func (k *limitKeeper) Learn(instance registry.Instance, said ratelimit.Said, writtenAt time.Time) {
-	written := writtenAt.Sub(k.node.started)
-	if writtenAt.IsZero() {
-		written = 0
-	}
-	k.note("answer", k.limits.Learn(k.node.now(), instance.Life(), said, written))
+	k.note("answer", k.limits.Learn(k.node.now(), instance.Life(), said, k.node.at(writtenAt)))
 }
 
 // hear takes what other nodes tell of limits.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -229,6 +229,14 @@
 // day may jump; only readClocks uses it, where control nodes agree on it.
 func (n *Node) now() time.Duration { return time.Since(n.started) }
 
+// at is a moment on the clock of now; 0 for the zero time.
+func (n *Node) at(moment time.Time) time.Duration {
+	if moment.IsZero() {
+		return 0
+	}
+	return moment.Sub(n.started)
+}
+
 // Run serves until the context ends. Use Stop for a planned stop before that.
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/lab/simulate/backoffnode.go
+++ b/internal/lab/simulate/backoffnode.go
@@ -108,7 +108,7 @@
 func (n *backoffNode) send(call *backoffCall, choice balance.Choice) {
 	w, engine, process := n.world, n.world.engines[choice.ID], n.process
 	call.tried = append(call.tried, choice.ID)
-	way := w.Between(500*time.Microsecond, 3*time.Millisecond)
+	way, writtenAt := w.Between(500*time.Microsecond, 3*time.Millisecond), n.now()
 	w.After(way, func() {
 		engine.arrivals = append(engine.arrivals, w.Now)
 		engine.records[n].Arrive(w.Now)
@@ -121,7 +121,7 @@
 			n.after(way, func() { n.turnedAway(call, choice, asks) })
 			return
 		}
-		engine.take(w, func() { n.after(way, func() { n.answered(call, &choice) }) }, func() {
+		engine.take(w, func() { n.after(way, func() { n.answered(call, &choice, writtenAt) }) }, func() {
 			n.after(way, func() { n.table.Done(n.now(), choice, balance.Served) })
 		})
 	})
@@ -131,7 +131,7 @@
 func (n *backoffNode) turnedAway(call *backoffCall, choice balance.Choice, asks bool) {
 	n.table.Done(n.now(), choice, balance.Full)
 	if asks {
-		n.tracker.Learn(n.now(), choice.Life(), "", backoff.Said{Pause: n.world.options.Pause + n.rankDelay(choice.ID)})
+		n.tracker.Learn(n.now(), choice.Life(), backoff.Request{}, backoff.Said{Pause: n.world.options.Pause + n.rankDelay(choice.ID)})
 	}
 	if asks && n.world.options.Policy == SharedTrials {
 		n.warnOthers(choice.Life())
@@ -175,15 +175,15 @@
 		if other != n && !other.isCut {
 			other.after(n.world.Between(50*time.Millisecond, 300*time.Millisecond), func() {
 				if other.tracker.Standing(other.now(), life).Phase == backoff.Open {
-					other.tracker.Learn(other.now(), life, "", backoff.Said{Pause: 1})
+					other.tracker.Learn(other.now(), life, backoff.Request{}, backoff.Said{Pause: 1})
 				}
 			})
 		}
 	}
 }
 
-func (n *backoffNode) answered(call *backoffCall, choice *balance.Choice) {
-	n.tracker.Learn(n.now(), choice.Life(), "", backoff.Said{HasRun: true})
+func (n *backoffNode) answered(call *backoffCall, choice *balance.Choice, writtenAt time.Duration) {
+	n.tracker.Learn(n.now(), choice.Life(), backoff.Request{WrittenAt: writtenAt}, backoff.Said{HasRun: true})
 	n.table.Started(choice, 0)
 	w := n.world
 	if w.isJudged(call) && w.Now-call.first <= backoffObjective {
