ravenway-lab backoff, limits: a way or scenario that there isn't is refused

Cause: the flags were turned into the types of the simulation unchecked.

Why it holds: both commands and all three flags go through it.

Evidence: TestUnknownChoicesAreRefused fails before ("expected an error, got nil") and passes now.

--- a/internal/lab/labcli/backoff.go
+++ b/internal/lab/labcli/backoff.go
@@ -18,6 +18,8 @@
 	simulate.PausesIgnored, simulate.HardEnd, simulate.SpreadEnd, simulate.RankedEnd, simulate.Trials, simulate.SpreadTrials, simulate.SharedTrials,
 }
 
+var backoffScenarios = []simulate.BackoffScenario{simulate.ThirdIll, simulate.ZoneIll, simulate.AllIll, simulate.Wave}
+
 func backoffCommand(out io.Writer) *cli.Command {
 	return &cli.Command{
 		Name: "backoff", Usage: "simulate the ways to keep the pauses that engines ask for and tell what became of them",
@@ -25,9 +27,9 @@
 			&cli.IntFlag{Name: "seeds", Value: 10, Usage: "runs of each case"},
 			&cli.IntSliceFlag{Name: "nodes", Value: []int{8, 60}, Usage: "entry nodes of the fleets"},
 			&cli.FloatSliceFlag{Name: "pause", Value: []float64{0.5, 3, 30}, Usage: "pauses that engines ask for, in seconds"},
-			&cli.StringSliceFlag{Name: "scenario", Value: []string{"third", "zone", "all", "wave"}, Usage: "which engines ask for pauses"},
+			&cli.StringSliceFlag{Name: "scenario", Usage: "which engines ask for pauses: third, zone, all or wave (default: each of them)"},
 			&cli.FloatFlag{Name: "load", Value: 0.6, Usage: "load as a share of what the engines bear"},
-			&cli.StringFlag{Name: "only", Usage: "one of the ways"},
+			&cli.StringSliceFlag{Name: "only", Usage: "some of the ways"},
 			&cli.FloatFlag{Name: "spread", Value: backoff.DefaultReturn.Spread, Usage: "part of a pause over which nodes come back"},
 			&cli.IntFlag{Name: "trials", Value: backoff.DefaultReturn.FirstTrials, Usage: "requests that may be unanswered right after a pause"},
 			&cli.IntFlag{Name: "full", Value: backoff.DefaultReturn.FullTrials, Usage: "such requests from which an engine counts as back"},
@@ -36,11 +38,15 @@
 			&cli.BoolFlag{Name: "faults", Usage: "nodes start again, stand still, are suspended and cut off"},
 		},
 		Action: func(_ context.Context, command *cli.Command) error {
-			policies := backoffPolicies
-			if only := command.String("only"); only != "" {
-				policies = []simulate.BackoffPolicy{simulate.BackoffPolicy(only)}
+			policies, err := choose("only", command.StringSlice("only"), backoffPolicies)
+			if err != nil {
+				return err
+			}
+			scenarios, err := choose("scenario", command.StringSlice("scenario"), backoffScenarios)
+			if err != nil {
+				return err
 			}
-			return printBackoffs(out, command, policies)
+			return printBackoffs(out, command, scenarios, policies)
 		},
 	}
 }
@@ -48,7 +54,7 @@
 var errBackoffArguments = errors.New("--seeds, --nodes, --pause and --load must be above 0")
 
 // printBackoffs plays each way to keep pauses over some seeds and prints what became of it.
-func printBackoffs(out io.Writer, command *cli.Command, policies []simulate.BackoffPolicy) error {
+func printBackoffs(out io.Writer, command *cli.Command, scenarios []simulate.BackoffScenario, policies []simulate.BackoffPolicy) error {
 	seeds, load := command.Int("seeds"), command.Float("load")
 	if seeds < 1 || load <= 0 {
 		return errBackoffArguments
@@ -60,10 +66,10 @@
 			if nodes < 1 || pause <= 0 {
 				return errBackoffArguments
 			}
-			for _, scenario := range command.StringSlice("scenario") {
+			for _, scenario := range scenarios {
 				for _, policy := range policies {
 					printBackoffCase(table, simulate.BackoffOptions{
-						Policy: policy, Scenario: simulate.BackoffScenario(scenario), Nodes: nodes, Pause: time.Duration(pause * float64(time.Second)),
+						Policy: policy, Scenario: scenario, Nodes: nodes, Pause: time.Duration(pause * float64(time.Second)),
 						Load: load, Faults: command.Bool("faults"), AsksWhenFull: command.Bool("full-engines-ask"),
 						Return: backoff.ReturnPolicy{
 							Spread: command.Float("spread"), LongestSpread: backoff.DefaultReturn.LongestSpread,
--- /dev/null
+++ b/internal/lab/labcli/choices_test.go
@@ -0,0 +1,36 @@
+package labcli
+
+import (
+	"context"
+	"io"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/lab/simulate"
+)
+
+// Guards against tables of a way or a scenario that there isn't.
+func TestUnknownChoicesAreRefused(t *testing.T) {
+	for _, arguments := range [][]string{
+		{"backoff", "--only", "none"},
+		{"backoff", "--scenario", "third", "--scenario", "none"},
+		{"limits", "--only", "none"},
+	} {
+		command := backoffCommand(io.Discard)
+		if arguments[0] == "limits" {
+			command = limitsCommand(io.Discard)
+		}
+		err := command.Run(context.Background(), append(arguments, "--seeds", "1", "--nodes", "1"))
+		assert.ErrorContains(t, err, `there is no "none", only [`, "%q", arguments)
+	}
+}
+
+func TestChoicesAreThoseNamedOrAll(t *testing.T) {
+	chosen, err := choose("only", nil, limitPolicies)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, chosen, limitPolicies)
+	chosen, err = choose("only", []string{string(simulate.FewSenders)}, limitPolicies)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, chosen, []simulate.LimitPolicy{simulate.FewSenders})
+}
--- a/internal/lab/labcli/limits.go
+++ b/internal/lab/labcli/limits.go
@@ -26,13 +26,13 @@
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "seeds", Value: 10, Usage: "runs of each case"},
 			&cli.IntSliceFlag{Name: "nodes", Value: []int{8, 60}, Usage: "entry nodes of the fleets"},
-			&cli.StringFlag{Name: "only", Usage: "one of the ways"},
+			&cli.StringSliceFlag{Name: "only", Usage: "some of the ways"},
 			&cli.BoolFlag{Name: "unsettled", Usage: "engines change and end their limits, start again and fail; words between nodes come late or never"},
 		},
 		Action: func(_ context.Context, command *cli.Command) error {
-			policies := limitPolicies
-			if only := command.String("only"); only != "" {
-				policies = []simulate.LimitPolicy{simulate.LimitPolicy(only)}
+			policies, err := choose("only", command.StringSlice("only"), limitPolicies)
+			if err != nil {
+				return err
 			}
 			return printLimits(out, command.IntSlice("nodes"), command.Int("seeds"), policies, command.Bool("unsettled"))
 		},
