The simulation of pauses repeats for a seed

Cause: the table of instances and the tracker of pauses drew from the process' random numbers, not from the simulation's.

Change: both take a source of random numbers; the simulation gives them its own. Nodes draw as before.

Why it holds: no other draw is left in coordination/balance and coordination/backoff.

--- a/internal/coordination/backoff/tracker.go
+++ b/internal/coordination/backoff/tracker.go
@@ -41,9 +41,9 @@
 // draws.
 var DefaultReturn = ReturnPolicy{Spread: 0.25, LongestSpread: 2 * time.Second, FirstTrials: 1, FullTrials: 4, LongestTrials: 2 * time.Second}
 
-// drawSpread is by how much a node keeps a pause longer than it was asked for.
-func (p ReturnPolicy) drawSpread(asked time.Duration) time.Duration {
-	return time.Duration(rand.Float64() * min(p.Spread*float64(asked), float64(p.LongestSpread)))
+// longestSpread is by how much a node may keep a pause longer than it was asked for.
+func (p ReturnPolicy) longestSpread(asked time.Duration) float64 {
+	return min(p.Spread*float64(asked), float64(p.LongestSpread))
 }
 
 // Phase is what an instance takes from this node.
@@ -81,6 +81,8 @@
 	// known is the number of entries: without any, no request pays for them.
 	known  atomic.Int64
 	policy ReturnPolicy
+	// random draws a number from 0 to below 1.
+	random func() float64
 	// unreadable are the lives that asked for what can't be read, told once each.
 	unreadable map[registry.Life]struct{}
 }
@@ -107,9 +109,12 @@
 
 // NewTracker makes a tracker that knows of no pause.
 func NewTracker(policy ReturnPolicy) *Tracker {
-	return &Tracker{entries: map[registry.Life]*entry{}, unreadable: map[registry.Life]struct{}{}, policy: policy}
+	return &Tracker{entries: map[registry.Life]*entry{}, unreadable: map[registry.Life]struct{}{}, policy: policy, random: rand.Float64}
 }
 
+// SetRandom replaces the source of random numbers from 0 to below 1, before the first use.
+func (t *Tracker) SetRandom(random func() float64) { t.random = random }
+
 // ChangeKind tells what became of a pause.
 type ChangeKind uint8
 
@@ -225,7 +230,7 @@
 		return Change{}
 	}
 	known.askedUntil, known.isOver, known.allowed = end, false, t.policy.FirstTrials
-	known.until = max(known.until, end+t.policy.drawSpread(asked))
+	known.until = max(known.until, end+time.Duration(t.random()*t.policy.longestSpread(asked)))
 	return known.change(kind, now)
 }
 
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -259,7 +258,7 @@
 		expects.unread = max(0, expects.unread-request.SharedTokens)
 	} else {
 		expects.reread = rereadWeight * float64(request.SharedTokens)
-		expects.scatter = rand.Float64() * scatterTokens
+		expects.scatter = t.random() * scatterTokens
 	}
 	expects.paused = t.speedOf(one.Service).pausedTokens(requests, expects.ahead, expects.unread, request.Gap)
 	if one.Zone != t.zone {
--- a/internal/coordination/balance/rollout.go
+++ b/internal/coordination/balance/rollout.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -51,7 +50,7 @@
 	for _, one := range rollouts {
 		known := t.rollouts[one.Service]
 		if known == nil || known.Revision != one.Revision {
-			known = &serviceRollout{credit: rand.Float64() * min(1, firstCredits/float64(max(1, share.Nodes)))}
+			known = &serviceRollout{credit: t.random() * min(1, firstCredits/float64(max(1, share.Nodes)))}
 		}
 		known.Rollout, known.share = one, share.Share
 		kept[one.Service] = known
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -86,13 +87,21 @@
 	limits *ratelimit.Limits
 	// backoff are the pauses that instances asked this node for; nil means that none did.
 	backoff *backoff.Tracker
+	// random draws a number from 0 to below 1.
+	random func() float64
 }
 
 // NewTable makes a table for a node in a zone.
 func NewTable(zone string) *Table {
-	return &Table{zone: zone, members: map[string]*member{}, byService: map[string][]*member{}, zones: map[string]*zoneState{}, speeds: map[string]*readSpeed{}}
+	return &Table{
+		zone: zone, members: map[string]*member{}, byService: map[string][]*member{}, zones: map[string]*zoneState{},
+		speeds: map[string]*readSpeed{}, random: rand.Float64,
+	}
 }
 
+// SetRandom replaces the source of random numbers from 0 to below 1, before the first use.
+func (t *Table) SetRandom(random func() float64) { t.random = random }
+
 // Apply takes changes of the registry. It returns the instances whose lives newer ones
 // have replaced: nothing that was known of them holds any more.
 func (t *Table) Apply(changes []registry.Instance) (replaced []registry.Instance) {
--- a/internal/lab/simulate/backoff_test.go
+++ b/internal/lab/simulate/backoff_test.go
@@ -36,6 +36,17 @@
 	}
 }
 
+// Guards against seeds that can't be played again.
+func TestSimulationOfPausesRepeats(t *testing.T) {
+	t.Parallel()
+	play := func() BackoffResult {
+		result := runBackoff(SpreadTrials, Wave, 3*time.Second, func(o *BackoffOptions) { o.Seed, o.Faults = 7, true })
+		result.World = nil
+		return result
+	}
+	assert.DeepEqual(t, play(), play())
+}
+
 func TestManyNodesKeepPausesToo(t *testing.T) {
 	t.Parallel()
 	result := runBackoff(SpreadTrials, ThirdIll, 3*time.Second, func(o *BackoffOptions) { o.Nodes, o.Faults = 60, true })
--- a/internal/lab/simulate/backoffnode.go
+++ b/internal/lab/simulate/backoffnode.go
@@ -31,6 +31,8 @@
 	n.clock = machineClock{bootedAt: n.world.Now}
 	n.table = balance.NewTable(fmt.Sprintf("zone-%d", n.number%backoffZones))
 	n.tracker = backoff.NewTracker(n.world.returnPolicy())
+	n.table.SetRandom(n.world.Random.Float64)
+	n.tracker.SetRandom(n.world.Random.Float64)
 	if n.world.options.Policy != PausesIgnored {
 		n.table.SetBackoff(n.tracker)
 	}
