One bounded set for what is told once: unreadable words, unknown headers

Cause: the memory of lives whose words can't be read stood twice, in the rate limits and in the pauses, and a third time for headers that nobody knows; each had its own bound and its own check of it, and the third could pass its bound by one for each goroutine that came at once.

Change: internal/bounded.Set, used by all three. Conclusion: no change of behaviour but that the headers' bound is kept exactly.

--- a/internal/coordination/backoff/tracker.go
+++ b/internal/coordination/backoff/tracker.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/bounded"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
@@ -84,7 +85,7 @@
 	// random draws a number from 0 to below 1.
 	random func() float64
 	// unreadable are the lives that asked for what can't be read, told once each.
-	unreadable map[registry.Life]struct{}
+	unreadable *bounded.Set[registry.Life]
 }
 
 // entry is a life that asked for a pause, or leaves.
@@ -109,7 +110,9 @@
 
 // NewTracker makes a tracker that knows of no pause.
 func NewTracker(policy ReturnPolicy) *Tracker {
-	return &Tracker{entries: map[registry.Life]*entry{}, unreadable: map[registry.Life]struct{}{}, policy: policy, random: rand.Float64}
+	return &Tracker{
+		entries: map[registry.Life]*entry{}, unreadable: bounded.NewSet[registry.Life](unreadableKept), policy: policy, random: rand.Float64,
+	}
 }
 
 // SetRandom replaces the source of random numbers from 0 to below 1, before the first use.
@@ -190,10 +193,9 @@
 }
 
 func (t *Tracker) noteUnreadable(life registry.Life, fault error) Change {
-	if _, isKnown := t.unreadable[life]; isKnown || len(t.unreadable) >= unreadableKept {
+	if !t.unreadable.Add(life) {
 		return Change{}
 	}
-	t.unreadable[life] = struct{}{}
 	return Change{Kind: Unreadable, Life: life, Fault: fault}
 }
 
@@ -318,7 +320,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.drop(life)
-	delete(t.unreadable, life)
+	t.unreadable.Remove(life)
 }
 
 func (t *Tracker) drop(life registry.Life) {
@@ -369,7 +371,7 @@
 	for life, known := range t.entries {
 		if now-known.listedAt > unlistedMemory {
 			t.drop(life)
-			delete(t.unreadable, life)
+			t.unreadable.Remove(life)
 		}
 	}
 }
--- a/internal/coordination/backoff/tracker_test.go
+++ b/internal/coordination/backoff/tracker_test.go
@@ -114,7 +114,7 @@
 	for number := range 2 * unreadableKept {
 		learn(tracker, 0, registry.Life{ID: fmt.Sprint(number)}, "r", fault)
 	}
-	assert.Equal(t, len(tracker.unreadable), unreadableKept)
+	assert.Equal(t, tracker.unreadable.Len(), unreadableKept)
 	assert.Equal(t, tracker.Count(), int64(0))
 }
 
--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -27,6 +27,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/bounded"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
@@ -59,7 +60,7 @@
 	// news are the lives whose limits have begun, changed or ended here, to be told.
 	news map[registry.Life]struct{}
 	// unreadable are the lives that named what can't be read, told once each.
-	unreadable map[registry.Life]struct{}
+	unreadable *bounded.Set[registry.Life]
 	holders    holders
 }
 
@@ -83,7 +84,7 @@
 // New makes the limits of a node at an address.
 func New(self string) *Limits {
 	return &Limits{
-		entries: map[registry.Life]*entry{}, news: map[registry.Life]struct{}{}, unreadable: map[registry.Life]struct{}{},
+		entries: map[registry.Life]*entry{}, news: map[registry.Life]struct{}{}, unreadable: bounded.NewSet[registry.Life](unreadableKept),
 		holders: newHolders(self),
 	}
 }
@@ -150,10 +151,9 @@
 }
 
 func (l *Limits) noteUnreadable(life registry.Life, fault error) Change {
-	if _, isKnown := l.unreadable[life]; isKnown || len(l.unreadable) >= unreadableKept {
+	if !l.unreadable.Add(life) {
 		return Change{}
 	}
-	l.unreadable[life] = struct{}{}
 	return Change{Kind: Unreadable, Life: life, Fault: fault}
 }
 
@@ -213,7 +213,7 @@
 		l.known.Add(-1)
 	}
 	delete(l.news, life)
-	delete(l.unreadable, life)
+	l.unreadable.Remove(life)
 }
 
 // Prune drops limits that ended a while ago, and those that nobody has spoken of for long.
--- a/internal/forward/unknownheaders.go
+++ b/internal/forward/unknownheaders.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/ravenway/ravenway/internal/bounded"
 )
 
 // unknownHeadersKept bounds the headers that are remembered to have been told.
@@ -20,10 +22,12 @@
 // may say something by them that nobody acts on. Safe for concurrent use.
 type headerWatch struct {
 	mutex sync.RWMutex
-	seen  map[serviceHeader]struct{}
+	seen  *bounded.Set[serviceHeader]
 }
 
-func newHeaderWatch() *headerWatch { return &headerWatch{seen: map[serviceHeader]struct{}{}} }
+func newHeaderWatch() *headerWatch {
+	return &headerWatch{seen: bounded.NewSet[serviceHeader](unknownHeadersKept)}
+}
 
 // take returns the names in the head of an answer that are not known and were not seen in
 // the service's answers before, in order.
@@ -42,15 +46,12 @@
 func (w *headerWatch) note(seen serviceHeader) bool {
 	unknownHeaders.Inc()
 	w.mutex.RLock()
-	_, isOld := w.seen[seen]
-	isFull := len(w.seen) >= unknownHeadersKept
+	isPassedOver := w.seen.Contains(seen) || w.seen.IsFull()
 	w.mutex.RUnlock()
-	if isOld || isFull {
+	if isPassedOver {
 		return false
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	_, isOld = w.seen[seen]
-	w.seen[seen] = struct{}{}
-	return !isOld
+	return w.seen.Add(seen)
 }
--- a/internal/forward/unknownheaders_test.go
+++ b/internal/forward/unknownheaders_test.go
@@ -29,7 +29,7 @@
 	for number := range 2 * unknownHeadersKept {
 		watch.take("s", http.Header{fmt.Sprintf("X-%d", number): {"1"}}, isTestHeader)
 	}
-	assert.Equal(t, len(watch.seen), unknownHeadersKept)
+	assert.Equal(t, watch.seen.Len(), unknownHeadersKept)
 	assert.Equal(t, len(watch.take("s", http.Header{"X-New": {"1"}}, isTestHeader)), 0)
 }
 
