Soak: the accounts held against what callers got, and the distance told

What was missing: the soak checked that no tenant gets more than its prepaid tokens, but not that what callers got is charged to anybody, nor how much is charged in vain; only the fleet tests in one process did.

Change: once nobody calls any more, the soak reads the accounts from the control node that has applied most, tells for each tenant what was got, charged, charged for lives that ended unheard and held, and breaks if callers got tokens that are neither charged nor held. The summary names the largest distance.

Evidence: TestChecksNoticeBrokenPromises has a case of a tenant charged too little.

--- a/internal/lab/labcli/soak.go
+++ b/internal/lab/labcli/soak.go
@@ -48,8 +48,8 @@
 			for seed := range seeds {
 				summary, err := soakSeed(ctx, wire, command, seed, command.Int("first-lane")+lane)
 				mutex.Lock()
-				fmt.Fprintf(out, "seed %d: %d calls %v, %d faults, %d cut by planned stops, error %v\n",
-					seed, summary.Calls, summary.Outcomes, summary.Faults, summary.CutByStops, err)
+				fmt.Fprintf(out, "seed %d: %d calls %v, %d faults, %d cut by planned stops, charged in vain at most %.4f of a limit, error %v\n",
+					seed, summary.Calls, summary.Outcomes, summary.Faults, summary.CutByStops, summary.LedgerDistance, err)
 				if err != nil {
 					failed = append(failed, fmt.Errorf("seed %d: %w", seed, err))
 				}
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -34,6 +34,11 @@
 		"ran 2 times":         func() *run { return ranTwice(judged(result{id: "x", kind: Once, outcome: Whole})) },
 		"was refused with":    func() *run { return ranTwice(judged(result{id: "x", kind: Safe, outcome: NotRun})) },
 		"tokens of 5 prepaid": overspent,
+		"only 7 are charged or held": func() *run {
+			r := judged()
+			r.judgeLedger([]ledgerEntry{{tenant: "t", limit: 100, settled: 4, outstanding: 3, got: 8}})
+			return r
+		},
 		"planned stop of entry-0": func() *run {
 			return ranTwice(judged(result{id: "x", kind: Resumable, outcome: Cut, stopping: true}))
 		},
--- /dev/null
+++ b/internal/lab/soak/ledger.go
@@ -0,0 +1,102 @@
+package soak
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+	"github.com/ravenway/ravenway/api/ravenway/v1/ravenwayv1connect"
+	"github.com/ravenway/ravenway/internal/pause"
+)
+
+const (
+	// ledgerPoll is the time between two looks at the accounts.
+	ledgerPoll = time.Second
+	// ledgerWait is how long they may take to settle once nobody calls any more.
+	ledgerWait = 10 * time.Second
+)
+
+// ledgerEntry is what the control nodes charge a tenant, beside what its callers got.
+type ledgerEntry struct {
+	tenant string
+	limit  uint64
+	// settled is charged for good, outstanding what nodes hold, got what the callers got.
+	settled, outstanding, got uint64
+	// endedUnheard is the part of settled for lives of entry nodes that ended without a report.
+	endedUnheard int64
+}
+
+// distance is what is charged beyond what the callers got, as a part of the limit. Below 0
+// they got more.
+func (e ledgerEntry) distance() float64 {
+	return (float64(e.settled) - float64(e.got)) / float64(max(1, e.limit))
+}
+
+// checkLedger waits until the accounts have settled, and holds them against what callers got.
+func (r *run) checkLedger(ctx context.Context) {
+	entries := r.fleet.readLedger(ctx)
+	for until := time.Now().Add(ledgerWait); time.Now().Before(until); {
+		pause.For(ctx, ledgerPoll)
+		next := r.fleet.readLedger(ctx)
+		hasSettled := len(next) > 0 && slices.Equal(next, entries)
+		entries = next
+		if hasSettled {
+			break
+		}
+	}
+	if len(entries) == 0 {
+		r.breaks("no control node told the accounts within %s", ledgerWait)
+	}
+	r.judgeLedger(entries)
+}
+
+// judgeLedger checks that no tenant's callers got tokens that nobody is charged for.
+func (r *run) judgeLedger(entries []ledgerEntry) {
+	for _, one := range entries {
+		r.note("ledger: %s got %d tokens of %d, charged %d (%d of it for lives that ended unheard), held by nodes %d: %.4f of the limit charged in vain",
+			one.tenant, one.got, one.limit, one.settled, one.endedUnheard, one.outstanding, one.distance())
+		if one.got > one.settled+one.outstanding {
+			r.breaks("%s got %d tokens, of which only %d are charged or held", one.tenant, one.got, one.settled+one.outstanding)
+		}
+		r.ledgerDistance = max(r.ledgerDistance, one.distance())
+	}
+}
+
+// readLedger reads the accounts from the control node that has applied most; none if no
+// node tells them.
+func (f *fleet) readLedger(ctx context.Context) []ledgerEntry {
+	var newest []ledgerEntry
+	newestSettled := uint64(0)
+	for _, one := range f.members {
+		if !one.control {
+			continue
+		}
+		entries, settled := f.readAccounts(ctx, one)
+		if len(entries) > 0 && (newest == nil || settled > newestSettled) {
+			newest, newestSettled = entries, settled
+		}
+	}
+	return newest
+}
+
+// readAccounts reads a control node's accounts and what they settled together.
+func (f *fleet) readAccounts(ctx context.Context, one *machine) (entries []ledgerEntry, settled uint64) {
+	ctx, cancel := context.WithTimeout(ctx, controlWait)
+	defer cancel()
+	client := ravenwayv1connect.NewOperatorServiceClient(f.client, "http://"+one.address(operatorsPort))
+	answer, err := client.GetBudgets(ctx, connect.NewRequest(&ravenwayv1.GetBudgetsRequest{}))
+	if err != nil {
+		return nil, 0
+	}
+	for _, budget := range answer.Msg.GetBudgets() {
+		entries = append(entries, ledgerEntry{
+			tenant: budget.GetTenant(), limit: budget.GetLimit(), settled: budget.GetSettled(), outstanding: budget.GetOutstanding(),
+			endedUnheard: budget.GetEndedAllowed() + budget.GetEndedPaced() + budget.GetEndedWhole(), got: f.truth.Tokens(budget.GetTenant()),
+		})
+		settled += budget.GetSettled()
+	}
+	return entries, settled
+}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -59,7 +59,10 @@
 	// CutByStops are calls that had run and were cut while only a planned stop
 	// of their entry node was under way.
 	CutByStops int
-	Broken     []string
+	// LedgerDistance is the most that a tenant is charged beyond what its callers got, as a
+	// part of its limit.
+	LedgerDistance float64
+	Broken         []string
 }
 
 // run is one seed's run.
@@ -81,6 +84,8 @@
 	diskLostAt time.Time
 	// rough are the spans in which a fault other than a planned stop was played.
 	rough []span
+	// ledgerDistance is the largest of any tenant's.
+	ledgerDistance float64
 }
 
 type span struct{ from, until time.Duration }
@@ -236,6 +241,7 @@
 	}); err != nil {
 		r.breaks("%v: %s", err, wrong)
 	}
+	r.checkLedger(ctx)
 }
 
 // judge holds what callers saw against what engines ran.
@@ -270,7 +276,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	summary.Faults, summary.Broken = r.played, r.broken
+	summary.Faults, summary.Broken, summary.LedgerDistance = r.played, r.broken, r.ledgerDistance
 	if len(r.broken) > 0 {
 		return summary, fmt.Errorf("%w: %s", ErrBroken, strings.Join(r.broken, "; "))
 	}
