enginepath: log and count when a node loses and regains its path to engines

Cause: the logs of a node that is partitioned from all engines and those of a service whose engines are all down held the same lines, failed attempts by request. Change: a tracker of the node's own attempts to connect; the path counts as lost when attempts at two engines or more have failed and none has succeeded in between. event=engine_path has the evidence (silent, refused and listed engines, the time since the last contact); ravenway_engine_dials_total by result, ravenway_engines_unreachable, ravenway_engine_path_lost. Nothing decides by it yet. Measured: go test ./internal/coordination/enginepath ./internal/forward ./internal/gateway pass.

--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -218,6 +218,19 @@
 	return false
 }
 
+// Addresses returns the addresses of the instances that have not ended.
+func (t *Table) Addresses() map[string]struct{} {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	addresses := make(map[string]struct{}, len(t.members))
+	for _, one := range t.members {
+		if !one.hasEnded {
+			addresses[one.Address] = struct{}{}
+		}
+	}
+	return addresses
+}
+
 // Size returns the number of instances of a service that accept new work.
 func (t *Table) Size(service string) int {
 	t.mutex.Lock()
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -112,6 +112,8 @@
 	dial func(ctx context.Context, address string) (net.Conn, error)
 	// linkDelay returns how long incoming traffic is queued before this node's link.
 	linkDelay func() time.Duration
+	// paths learns which engines this node can connect to.
+	paths EnginePaths
 	// meter counts the bytes of the connections.
 	meter *transport.Meter
 
@@ -121,7 +123,7 @@
 	active map[registry.Incarnation]map[*exchange]struct{}
 }
 
-func newPool(dial func(ctx context.Context, address string) (net.Conn, error), linkDelay func() time.Duration) *pool {
+func newPool(dial func(ctx context.Context, address string) (net.Conn, error), linkDelay func() time.Duration, paths EnginePaths) *pool {
 	if dial == nil {
 		dialer := &net.Dialer{
 			Control:         transport.SetUserTimeout(engineUserTimeout),
@@ -131,7 +133,7 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	return &pool{dial: dial, linkDelay: linkDelay, meter: &transport.Meter{}, idle: map[string][]*connection{}, active: map[registry.Incarnation]map[*exchange]struct{}{}}
+	return &pool{dial: dial, linkDelay: linkDelay, paths: paths, meter: &transport.Meter{}, idle: map[string][]*connection{}, active: map[registry.Incarnation]map[*exchange]struct{}{}}
 }
 
 // get returns an idle connection or opens one.
@@ -152,9 +154,13 @@
 
 // open opens a new connection.
 func (p *pool) open(ctx context.Context, address string) (*connection, error) {
-	ctx, cancel := context.WithTimeout(ctx, min(dialTimeout+p.linkDelay(), maximumDialTimeout))
+	dialing, cancel := context.WithTimeout(ctx, min(dialTimeout+p.linkDelay(), maximumDialTimeout))
 	defer cancel()
-	network, err := p.dial(ctx, address)
+	network, err := p.dial(dialing, address)
+	if err == nil || ctx.Err() == nil {
+		// A dial that fails because its request ended indicates nothing about the engine.
+		p.paths.RecordDial(address, dialOutcome(err))
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -112,6 +112,8 @@
 	EngineMeter *transport.Meter
 	// PromptReservations reserves prompts before they are sent; nil means that none are.
 	PromptReservations PromptReservations
+	// EnginePaths tracks which engines this node can connect to; nil means that nothing does.
+	EnginePaths EnginePaths
 }
 
 // Pipeline serves callers' requests. It implements http.Handler.
@@ -176,7 +178,10 @@
 	if options.PromptReservations == nil {
 		options.PromptReservations = noPromptReservations{}
 	}
-	created := &Pipeline{options: options, retryTimes: ratelimit.NewRetries(), headers: newUnknownHeaderDetector(), pool: newPool(options.Dial, options.Environment.LinkDelay), retries: balance.NewRetryBudget()}
+	if options.EnginePaths == nil {
+		options.EnginePaths = noEnginePaths{}
+	}
+	created := &Pipeline{options: options, retryTimes: ratelimit.NewRetries(), headers: newUnknownHeaderDetector(), pool: newPool(options.Dial, options.Environment.LinkDelay, options.EnginePaths), retries: balance.NewRetryBudget()}
 	if options.EngineMeter != nil {
 		created.pool.meter = options.EngineMeter
 	}
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -556,7 +556,7 @@
 		}
 	}
 	synctest.Test(t, func(t *testing.T) {
-		connections := newPool(slow, environment.LinkDelay)
+		connections := newPool(slow, environment.LinkDelay, noEnginePaths{})
 		_, err := connections.get(context.Background(), "engine")
 		assert.ErrorIs(t, err, context.DeadlineExceeded)
 		environment.linkDelay = 200 * time.Millisecond
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -67,6 +67,7 @@
 	now := l.node.now()
 	l.node.limits.tick()
 	l.node.backoff.tick()
+	l.node.paths.tick()
 	l.node.prompts.tick()
 	updates := balance.Updates{Parts: l.node.table.TakeSpilled(), Limits: l.node.limits.limits.TakeUpdates()}
 	l.exchange.SetOwnLink(l.node.gate.state())
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -144,6 +144,7 @@
 	loads      *loadsDuty
 	limits     *limitEnforcer
 	backoff    *pauseRecorder
+	paths      *enginePaths
 	prompts    *promptCoordinator
 	pipeline   *forward.Pipeline
 	decisions  *forward.DecisionLog
@@ -189,6 +190,7 @@
 		node.table.SetLimits(node.limits.limits)
 		node.backoff = newPauseRecorder(node)
 		node.table.SetBackoff(node.backoff.tracker)
+		node.paths = newEnginePaths(node)
 		node.prompts = newPromptCoordinator(node)
 		node.decisions = forward.NewDecisionLog(node.log)
 		node.pipeline = forward.New(forward.Options{
@@ -196,7 +198,7 @@
 			Log: node.decisions, Dial: options.DialEngine, BufferedBytes: maximumBodyBytes(options.Settings.Limits.MemoryMB),
 			Guard: node.quarantine.guard, Recorder: node.rollouts.recorder, RateLimits: node.limits, Backoff: node.backoff,
 			EngineMeter:        &node.meters.engines,
-			PromptReservations: node.prompts,
+			PromptReservations: node.prompts, EnginePaths: node.paths,
 		})
 		node.callers = newCallerServer(options.Listeners.Callers, node.pipeline, &node.meters.callers)
 		node.documents.onChange = node.callers.applyLimits
