transport: streams of bytes between two nodes

Cause: nodes exchange frames in one direction a connection, so a node can't lend another one its path to an engine. Messages of relays in protocol/peer, ProtocolRelays. Nothing opens streams yet.

--- a/internal/protocol/peer/protocol.go
+++ b/internal/protocol/peer/protocol.go
@@ -23,6 +23,8 @@
 	ProtocolPermits
 	// ProtocolReservations nodes coordinate the reservations of prompts.
 	ProtocolReservations
+	// ProtocolRelays nodes relay connections to engines.
+	ProtocolRelays
 	// protocolEnd is one above the newest version.
 	protocolEnd
 )
--- a/internal/transport/handshake.go
+++ b/internal/transport/handshake.go
@@ -32,6 +32,8 @@
 	From    string `msgpack:"f"`
 	To      string `msgpack:"t"`
 	Nonce   []byte `msgpack:"n"`
+	// Stream requests a Stream; otherwise the connection carries frames to the server only.
+	Stream bool `msgpack:"s,omitempty"`
 }
 
 // serverHello is the response to a clientHello. It proves that the server holds the key.
@@ -71,54 +73,90 @@
 	return nonce
 }
 
-// dialHandshake authenticates an outgoing connection and returns the authenticator of its frames.
-func dialHandshake(connection net.Conn, key []byte, self, other string) (*frameAuthenticator, error) {
-	hello := clientHello{Version: peer.HandshakeVersion, From: self, To: other, Nonce: newNonce()}
+// connectionUse is what a connection is used for.
+type connectionUse struct {
+	isStream bool
+	// clientProof and clientKey are the purposes of the client's proof and of the key of its frames.
+	// They differ, so that a connection can't be turned into one of another use on its way.
+	clientProof, clientKey string
+}
+
+// serverKey is the purpose of the key of the server's frames; only streams have any.
+const serverKey = "stream response"
+
+var (
+	forFrames = connectionUse{clientProof: "client", clientKey: "session"}
+	forStream = connectionUse{isStream: true, clientProof: "stream client", clientKey: "stream"}
+)
+
+// handshakeKeys are the authenticators of a connection's frames.
+type handshakeKeys struct {
+	// outgoing is nil at the server of a connection that carries frames to it only, incoming at its
+	// client.
+	incoming, outgoing *frameAuthenticator
+	isStream           bool
+}
+
+// dialHandshake authenticates an outgoing connection and returns the authenticators of its frames.
+func dialHandshake(connection net.Conn, key []byte, self, other string, use connectionUse) (handshakeKeys, error) {
+	hello := clientHello{Version: peer.HandshakeVersion, From: self, To: other, Nonce: newNonce(), Stream: use.isStream}
 	if err := writeMessage(connection, &hello); err != nil {
-		return nil, err
+		return handshakeKeys{}, err
 	}
 	var response serverHello
 	if err := readMessage(connection, &response); err != nil {
-		return nil, err
+		return handshakeKeys{}, err
 	}
 	seen := transcript{key: key, client: hello, serverNonce: response.Nonce}
 	if !hmac.Equal(response.Proof, seen.code("server")) {
-		return nil, ErrUnauthenticated
+		return handshakeKeys{}, ErrUnauthenticated
+	}
+	if err := writeMessage(connection, &clientProof{Proof: seen.code(use.clientProof)}); err != nil {
+		return handshakeKeys{}, err
 	}
-	if err := writeMessage(connection, &clientProof{Proof: seen.code("client")}); err != nil {
-		return nil, err
+	keys := handshakeKeys{outgoing: newFrameAuthenticator(seen.code(use.clientKey)), isStream: use.isStream}
+	if use.isStream {
+		keys.incoming = newFrameAuthenticator(seen.code(serverKey))
 	}
-	return newFrameAuthenticator(seen.code("session")), nil
+	return keys, nil
 }
 
 // acceptHandshake authenticates an incoming connection and returns the name of the other side and
-// the authenticator of its frames.
-func acceptHandshake(connection net.Conn, key []byte, self string, known func(string) bool) (string, *frameAuthenticator, error) {
+// the authenticators of its frames.
+func acceptHandshake(connection net.Conn, key []byte, self string, known func(string) bool) (string, handshakeKeys, error) {
 	var hello clientHello
 	if err := readMessage(connection, &hello); err != nil {
-		return "", nil, err
+		return "", handshakeKeys{}, err
 	}
 	if hello.Version != peer.HandshakeVersion || hello.To != self || len(hello.Nonce) != nonceBytes {
-		return "", nil, fmt.Errorf("%w: received a hello of version %d for node %q", ErrUnauthenticated, hello.Version, hello.To)
+		return "", handshakeKeys{}, fmt.Errorf("%w: received a hello of version %d for node %q", ErrUnauthenticated, hello.Version, hello.To)
 	}
 	if !known(hello.From) {
-		return "", nil, fmt.Errorf("%w: %q", ErrUnknownPeer, hello.From)
+		return "", handshakeKeys{}, fmt.Errorf("%w: %q", ErrUnknownPeer, hello.From)
 	}
 	if err := checkCertificate(connection, hello.From); err != nil {
-		return "", nil, err
+		return "", handshakeKeys{}, err
+	}
+	use := forFrames
+	if hello.Stream {
+		use = forStream
 	}
 	seen := transcript{key: key, client: hello, serverNonce: newNonce()}
 	if err := writeMessage(connection, &serverHello{Nonce: seen.serverNonce, Proof: seen.code("server")}); err != nil {
-		return "", nil, err
+		return "", handshakeKeys{}, err
 	}
 	var proof clientProof
 	if err := readMessage(connection, &proof); err != nil {
-		return "", nil, err
+		return "", handshakeKeys{}, err
+	}
+	if !hmac.Equal(proof.Proof, seen.code(use.clientProof)) {
+		return "", handshakeKeys{}, ErrUnauthenticated
 	}
-	if !hmac.Equal(proof.Proof, seen.code("client")) {
-		return "", nil, ErrUnauthenticated
+	keys := handshakeKeys{incoming: newFrameAuthenticator(seen.code(use.clientKey)), isStream: use.isStream}
+	if use.isStream {
+		keys.outgoing = newFrameAuthenticator(seen.code(serverKey))
 	}
-	return hello.From, newFrameAuthenticator(seen.code("session")), nil
+	return hello.From, keys, nil
 }
 
 // checkCertificate verifies that a TLS client's certificate contains the name that it claims.
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -73,6 +73,9 @@
 	// Handle is called with each authenticated frame. It must not block for long, since it
 	// runs on the connection's reading goroutine.
 	Handle func(from string, frame []byte)
+	// HandleStream is called with each stream that a peer opens and the peer's request; nil means
+	// that none is accepted. It sends the response, and the stream is closed when it returns.
+	HandleStream func(from string, request []byte, stream *Stream)
 	// Dropped is called with each frame that is dropped because it waited too long for
 	// its connection; nil means no call. It must not block.
 	Dropped func(to string, frame []byte, waited time.Duration)
@@ -229,8 +232,14 @@
 	}
 	defer m.untrack(connection)
 	_ = connection.SetDeadline(time.Now().Add(handshakeTimeout))
-	from, authenticator, err := acceptHandshake(connection, m.options.Key, m.options.Self, m.isKnown)
+	from, keys, err := acceptHandshake(connection, m.options.Key, m.options.Self, m.isKnown)
 	<-m.handshakeSlots
+	if err == nil && keys.isStream {
+		err = m.serveStream(connection, from, keys)
+		if err == nil {
+			return
+		}
+	}
 	if err != nil {
 		m.reportRefusal(connection, err)
 		return
@@ -238,7 +247,7 @@
 	_ = connection.SetDeadline(time.Time{})
 	reader := bufio.NewReaderSize(connection, readBufferBytes)
 	for {
-		frame, err := authenticator.read(reader)
+		frame, err := keys.incoming.read(reader)
 		if err != nil {
 			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 				m.reportRefusal(connection, err)
@@ -331,7 +340,7 @@
 	}
 	defer m.untrack(connection)
 	_ = connection.SetDeadline(time.Now().Add(handshakeTimeout))
-	authenticator, err := dialHandshake(connection, m.options.Key, m.options.Self, link.name)
+	keys, err := dialHandshake(connection, m.options.Key, m.options.Self, link.name, forFrames)
 	if err != nil {
 		return err
 	}
@@ -341,7 +350,7 @@
 	writer := bufio.NewWriterSize(connection, writeBufferBytes)
 	for found := true; ; frame, found = link.frames.Take() {
 		if found {
-			if err := m.writeBatch(connection, writer, authenticator, link, frame); err != nil {
+			if err := m.writeBatch(connection, writer, keys.outgoing, link, frame); err != nil {
 				return fmt.Errorf("%w: %w", errConnectionLost, err)
 			}
 		}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -94,7 +94,7 @@
 
 func TestPeerWithoutTheKeyIsRefused(t *testing.T) {
 	checkClientIsRefused(t, func(connection net.Conn) {
-		_, err := dialHandshake(connection, bytes.Repeat([]byte("x"), 32), "a", "b")
+		_, err := dialHandshake(connection, bytes.Repeat([]byte("x"), 32), "a", "b", forFrames)
 		assert.ErrorIs(t, err, ErrUnauthenticated)
 		_ = writeMessage(connection, &clientProof{Proof: []byte("guess")})
 	})
@@ -102,7 +102,7 @@
 
 func TestUnknownNameIsRefused(t *testing.T) {
 	checkClientIsRefused(t, func(connection net.Conn) {
-		_, err := dialHandshake(connection, sharedKey, "nobody", "b")
+		_, err := dialHandshake(connection, sharedKey, "nobody", "b", forFrames)
 		assert.Assert(t, err != nil)
 	})
 }
@@ -113,7 +113,7 @@
 	connection, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
 	recorded := &recordingConnection{Conn: connection}
-	_, err = dialHandshake(recorded, sharedKey, "a", "b")
+	_, err = dialHandshake(recorded, sharedKey, "a", "b", forFrames)
 	assert.NilError(t, err)
 	_ = connection.Close()
 	checkClientIsRefused(t, func(connection net.Conn) { _, _ = connection.Write(recorded.written.Bytes()) })
@@ -135,11 +135,11 @@
 
 func TestCorruptedFrameIsRefused(t *testing.T) {
 	checkClientIsRefused(t, func(connection net.Conn) {
-		authenticator, err := dialHandshake(connection, sharedKey, "a", "b")
+		keys, err := dialHandshake(connection, sharedKey, "a", "b", forFrames)
 		assert.NilError(t, err)
 		var frame bytes.Buffer
 		writer := bufio.NewWriter(&frame)
-		assert.NilError(t, authenticator.write(writer, []byte("payload")))
+		assert.NilError(t, keys.outgoing.write(writer, []byte("payload")))
 		assert.NilError(t, writer.Flush())
 		frame.Bytes()[lengthBytes] ^= 1
 		_, _ = connection.Write(frame.Bytes())
