Entry nodes reach engines through each other when they have lost their own path

What callers saw: 503 for nearly every first attempt at an entry node that was partitioned from all engines, after 0.75 s in the median, while the nodes beside it served everything. Cause: a node judged itself by its own liveness, and had one way to each engine, its own connection. Each request found out anew, four engines at 250 ms each, that there was none. Change: a connection to an engine is opened by a race: the direct attempt, and after a delay that follows measured connect times one through a relay, another entry node that reaches the engine and copies its bytes. Only the connection changes: choice, tokens, limits, quarantine and resumption stay at the node that has the caller. coordination/enginepath decides when each attempt starts, which peers are asked (own zone first, those that relay least), and when a lost way is probed; a way that is lost again soon is used for relays first for a time that doubles. A relay connects only to live incarnations of its own registry, directly, within a bound on number and memory, refuses at once what it can't, and serves one request a connection, so that pauses that an engine requests of the relay's machine hold for each. A request that no acknowledgement answers makes its way doubtful after 0.3 s: its idle connections are closed. A refused connection shows the end of an engine only if relays are refused too; failures over a doubtful way count for no instance's health and no version. A node that reaches no engine either way, while peers may, refuses with node_isolated and reports itself not ready. Why it works: the peers' ways to the engines are the redundancy that was not used.

--- a/internal/coordination/enginepath/enginepath.go
+++ b/internal/coordination/enginepath/enginepath.go
@@ -1,27 +1,63 @@
-// Package enginepath tracks whether this node can open connections to engines.
+// Package enginepath decides how this node opens connections to engines.
 //
 // A node that is partitioned from engines is alive and reachable for its callers and peers, so only
 // its own attempts to connect show the partition. An engine is unreachable while the last attempt to
-// connect to it has failed. The path to engines is lost when attempts at several engines have failed
-// and none has succeeded in between.
+// connect to it has failed. The path to engines is suspected when attempts at several engines have
+// failed and none has succeeded in between, and lost when they are at least half of all engines.
+//
+// Besides the direct way there is a second one: a relay, that is, another entry node that reaches
+// the engine and copies the bytes of the connection. Tracker decides for each connection when the
+// direct attempt and the relayed one start; the first to succeed is used. Peers chooses the relays.
 package enginepath
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
 
-// minimumLostEngines is the number of engines that have to be unreachable for the path to count as
-// lost: a single one is more likely to have failed itself.
-const minimumLostEngines = 2
+const (
+	// suspectedEngines is the number of engines at which attempts have to fail, without a success in
+	// between, for the path to be suspected: a single engine is more likely to have failed itself.
+	suspectedEngines = 2
+	// lostShare is the share of all engines at which attempts have to fail for the path to count as
+	// lost: several engines may really have failed.
+	lostShare = 0.5
+	// The direct attempt has a head start of relayDelayFactor times the smoothed time to connect,
+	// within these bounds. The upper one applies while no time is known; it is below the objectives
+	// of short requests and above a round trip between regions of one continent.
+	relayDelayFactor  = 4
+	minimumRelayDelay = 20 * time.Millisecond
+	maximumRelayDelay = 100 * time.Millisecond
+	// connectTimeWeight is the weight of one connection in the smoothed time to connect.
+	connectTimeWeight = 0.125
+	// An unreachable engine is probed by a direct attempt beside the relayed one. The time between
+	// two probes doubles from the initial to the maximum interval, and is randomized by
+	// probeJitter so that nodes don't probe simultaneously.
+	initialProbeInterval = 250 * time.Millisecond
+	maximumProbeInterval = time.Second
+	probeJitter          = 0.25
+	// An engine that becomes unreachable again within flapMemory is used over relays first for a
+	// hold time after the next contact. The hold time doubles each time, between these bounds.
+	flapMemory      = 10 * time.Second
+	initialHoldTime = time.Second
+	maximumHoldTime = 8 * time.Second
+	// relayFailureMemory is how long an engine that no relay could reach is not relayed to.
+	relayFailureMemory = time.Second
+	// isolationDelay is how long the path has to be lost, and relayMemory how long ago the last
+	// relayed connection has to be, for the node to count as isolated.
+	isolationDelay = 500 * time.Millisecond
+	relayMemory    = 2 * time.Second
+)
 
-// Outcome is the result of an attempt to connect to an engine.
+// Outcome is the result of a direct attempt to connect to an engine.
 type Outcome uint8
 
 const (
 	// Connected means that the connection was opened.
 	Connected Outcome = iota
-	// Silent means that there was no response in time.
+	// Silent means that there was no response in time, or that an open connection acknowledges
+	// nothing.
 	Silent
 	// Refused means that the connection was refused or reset.
 	Refused
@@ -30,6 +66,26 @@
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string { return [...]string{"connected", "silent", "refused"}[o] }
 
+// RelayOutcome is the result of an attempt to connect to an engine through relays.
+type RelayOutcome uint8
+
+const (
+	// Relayed means that a relay has opened the connection.
+	Relayed RelayOutcome = iota
+	// EngineUnreachable means that relays did not reach the engine either.
+	EngineUnreachable
+	// PeersLost means that the peers have lost their paths to engines, too.
+	PeersLost
+	// NoRelay means that no peer relays: there is none, or all are overloaded, stopping or of an
+	// earlier build.
+	NoRelay
+)
+
+// String returns the outcome's name in logs and metrics.
+func (o RelayOutcome) String() string {
+	return [...]string{"relayed", "engine_unreachable", "peers_lost", "no_relay"}[o]
+}
+
 // ChangeKind is how the state of the path changed.
 type ChangeKind uint8
 
@@ -57,12 +113,21 @@
 	SinceContact, Lasted time.Duration
 }
 
+// Plan is how a connection to an engine is opened. The attempts race: the first to succeed is used.
+// If one fails, the other one starts immediately.
+type Plan struct {
+	// DirectDelay and RelayDelay are when the attempts start.
+	DirectDelay, RelayDelay time.Duration
+	// WithoutDirect and WithoutRelay exclude an attempt.
+	WithoutDirect, WithoutRelay bool
+}
+
 // Tracker holds the results of this node's attempts to connect. It is safe for concurrent use. Times
 // are readings of a monotonic clock.
 type Tracker struct {
 	mutex sync.Mutex
-	// unreachable holds the engines whose last attempt failed, by address.
-	unreachable map[string]*failure
+	// engines holds the engines that are unreachable or were until recently, by address.
+	engines map[string]*engine
 	// failedSinceContact are the addresses at which an attempt has failed since one last succeeded
 	// anywhere.
 	failedSinceContact map[string]struct{}
@@ -70,91 +135,311 @@
 	hasContact         bool
 	lostAt             time.Duration
 	isLost             bool
+	// listed is the number of engines known to the node.
+	listed int
+	// connectTime is the smoothed time of a direct attempt that succeeded, 0 if none has.
+	connectTime time.Duration
+	// relayedAt is when a connection was last relayed, if hasRelayed is set. relayOutcome is the
+	// last outcome of an attempt through relays.
+	relayedAt    time.Duration
+	hasRelayed   bool
+	relayOutcome RelayOutcome
+	// random returns a number in [0, 1).
+	random func() float64
 }
 
-// failure describes the failed attempts at one engine.
-type failure struct {
-	outcome Outcome
-	// since is when the first, and at when the last attempt failed.
+// engine is the state of the direct way to one engine.
+type engine struct {
+	isUnreachable bool
+	outcome       Outcome
+	// since is when the first of the last failed attempts, and at when the last attempt was.
 	since, at time.Duration
+	// probeAt is when the next probe is due.
+	probeAt, probeInterval time.Duration
+	// holdTime is how long relays are preferred after the next contact, holdUntil the end of that
+	// time after the last one.
+	holdTime, holdUntil time.Duration
+	// unrelayableUntil is the end of the time for which no relay is asked for the engine.
+	unrelayableUntil time.Duration
 }
 
 // NewTracker returns a tracker without results.
 func NewTracker() *Tracker {
-	return &Tracker{unreachable: map[string]*failure{}, failedSinceContact: map[string]struct{}{}}
+	return &Tracker{engines: map[string]*engine{}, failedSinceContact: map[string]struct{}{}, relayOutcome: NoRelay, random: rand.Float64}
+}
+
+// SetRandom replaces the source of random numbers in [0, 1). It must be called before the first use.
+func (t *Tracker) SetRandom(random func() float64) { t.random = random }
+
+// SetListed sets the number of engines known to the node.
+func (t *Tracker) SetListed(engines int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.listed = engines
+}
+
+// isSuspected reports whether the path to engines is suspected.
+func (t *Tracker) isSuspected() bool { return len(t.failedSinceContact) >= suspectedEngines }
+
+// Plan returns how to open a connection to the engine at an address, and counts the direct attempt
+// as a probe if the engine is unreachable.
+func (t *Tracker) Plan(now time.Duration, address string) Plan {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.engines[address]
+	plan := Plan{RelayDelay: t.relayDelay()}
+	if known == nil {
+		if t.isSuspected() {
+			plan.RelayDelay = 0
+		}
+		return plan
+	}
+	plan.WithoutRelay = now < known.unrelayableUntil
+	switch {
+	case known.isUnreachable && now < known.probeAt:
+		return Plan{WithoutDirect: true, WithoutRelay: plan.WithoutRelay}
+	case known.isUnreachable:
+		known.scheduleProbe(now, t.random())
+		plan.RelayDelay = 0
+	case now < known.holdUntil && now >= known.probeAt:
+		known.scheduleProbe(now, t.random())
+		plan.RelayDelay = 0
+	case now < known.holdUntil:
+		plan.DirectDelay, plan.RelayDelay = plan.RelayDelay, 0
+	case t.isSuspected():
+		plan.RelayDelay = 0
+	}
+	return plan
+}
+
+// scheduleProbe sets the time of the next probe; random is in [0, 1).
+func (e *engine) scheduleProbe(now time.Duration, random float64) {
+	e.probeInterval = min(max(2*e.probeInterval, initialProbeInterval), maximumProbeInterval)
+	e.probeAt = now + time.Duration(float64(e.probeInterval)*(1+probeJitter*(2*random-1)))
+}
+
+// relayDelay returns the head start of the direct attempt.
+func (t *Tracker) relayDelay() time.Duration {
+	if t.connectTime == 0 {
+		return maximumRelayDelay
+	}
+	return min(max(relayDelayFactor*t.connectTime, minimumRelayDelay), maximumRelayDelay)
 }
 
-// Record records the result of an attempt to connect to the engine at an address.
-func (t *Tracker) Record(now time.Duration, address string, outcome Outcome) Change {
+// Record records the result of a direct attempt to connect to the engine at an address, and how long
+// it took.
+func (t *Tracker) Record(now time.Duration, address string, outcome Outcome, took time.Duration) Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if outcome == Connected {
+		t.observeConnectTime(took)
 		return t.recordContact(now, address)
 	}
-	failed := t.unreachable[address]
-	if failed == nil {
-		failed = &failure{since: now}
-		t.unreachable[address] = failed
+	known := t.engines[address]
+	if known == nil {
+		known = &engine{}
+		t.engines[address] = known
 	}
-	failed.outcome, failed.at = outcome, now
+	if !known.isUnreachable {
+		if known.holdTime > 0 || known.holdUntil > 0 {
+			known.holdTime = min(max(2*known.holdTime, initialHoldTime), maximumHoldTime)
+		}
+		known.isUnreachable, known.since, known.probeInterval = true, now, 0
+		known.scheduleProbe(now, t.random())
+	}
+	known.outcome, known.at = outcome, now
 	t.failedSinceContact[address] = struct{}{}
-	if t.isLost || len(t.failedSinceContact) < minimumLostEngines {
+	if t.isLost || !t.isSuspected() || float64(len(t.failedSinceContact)) < lostShare*float64(t.listed) {
 		return Change{}
 	}
 	t.isLost, t.lostAt = true, now
 	return t.describe(now, Lost)
 }
 
+func (t *Tracker) observeConnectTime(took time.Duration) {
+	if t.connectTime == 0 {
+		t.connectTime = max(took, 1)
+		return
+	}
+	t.connectTime += time.Duration(connectTimeWeight * float64(took-t.connectTime))
+}
+
 func (t *Tracker) recordContact(now time.Duration, address string) Change {
-	delete(t.unreachable, address)
+	if known := t.engines[address]; known != nil && known.isUnreachable {
+		known.isUnreachable, known.at = false, now
+		// A hold time of 0 marks that the engine was unreachable once within flapMemory.
+		known.holdUntil = now + known.holdTime
+		known.probeInterval = 0
+		known.scheduleProbe(now, t.random())
+	}
 	change := Change{}
 	if t.isLost {
 		change = t.describe(now, Regained)
 		change.Lasted = now - t.lostAt
+		t.probeAllSoon(now)
 	}
 	clear(t.failedSinceContact)
 	t.isLost, t.hasContact, t.contactAt = false, true, now
 	return change
 }
 
+// probeAllSoon makes the probes of all unreachable engines due, spread over an interval.
+func (t *Tracker) probeAllSoon(now time.Duration) {
+	for _, known := range t.engines {
+		if known.isUnreachable {
+			known.probeAt = min(known.probeAt, now+time.Duration(t.random()*float64(initialProbeInterval)))
+		}
+	}
+}
+
 // describe returns a change with the current evidence.
 func (t *Tracker) describe(now time.Duration, kind ChangeKind) Change {
 	change := Change{Kind: kind, SinceContact: -1}
 	if t.hasContact {
 		change.SinceContact = now - t.contactAt
 	}
-	for _, failed := range t.unreachable {
-		if failed.outcome == Refused {
+	for _, known := range t.engines {
+		switch {
+		case !known.isUnreachable:
+		case known.outcome == Refused:
 			change.Refused++
-			continue
+		default:
+			change.Silent++
 		}
-		change.Silent++
 	}
 	return change
 }
 
-// IsLost reports whether the path to engines is lost.
-func (t *Tracker) IsLost() bool {
+// RecordRelay records the result of an attempt to connect to the engine at an address through
+// relays.
+func (t *Tracker) RecordRelay(now time.Duration, address string, outcome RelayOutcome) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.isLost
+	t.relayOutcome = outcome
+	known := t.engines[address]
+	switch {
+	case outcome == Relayed:
+		t.relayedAt, t.hasRelayed = now, true
+		if known != nil {
+			known.unrelayableUntil = 0
+		}
+	case known == nil:
+	case outcome == EngineUnreachable:
+		known.unrelayableUntil = now + relayFailureMemory
+	default:
+		// The peers' states change sooner than an engine's.
+		known.unrelayableUntil = now + initialProbeInterval
+	}
+}
+
+// IsDoubtful reports whether the evidence makes a direct connection to an engine doubtful that was
+// opened before.
+func (t *Tracker) IsDoubtful(address string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.engines[address]
+	return t.isSuspected() || known != nil && known.isUnreachable
+}
+
+// Unreachable returns how long ago the last attempt at an engine failed; false means that it did not
+// fail.
+func (t *Tracker) Unreachable(now time.Duration, address string) (age time.Duration, isUnreachable bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.engines[address]
+	if known == nil || !known.isUnreachable {
+		return 0, false
+	}
+	return now - known.at, true
+}
+
+// Loss returns for how long the path to engines has been lost; false means that it is not.
+func (t *Tracker) Loss(now time.Duration) (lasting time.Duration, isLost bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return now - t.lostAt, t.isLost
+}
+
+// IsIsolated reports whether this node reaches no engine, neither directly nor through relays, while
+// other nodes may: its callers are better served elsewhere.
+func (t *Tracker) IsIsolated(now time.Duration) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !t.isLost || now-t.lostAt < isolationDelay {
+		return false
+	}
+	isRelayed := t.hasRelayed && now-t.relayedAt < relayMemory
+	return !isRelayed && t.relayOutcome == NoRelay
 }
 
-// Unreachable returns the number of engines whose last attempt failed.
-func (t *Tracker) Unreachable() int {
+// UnreachableCount returns the number of engines whose last direct attempt failed.
+func (t *Tracker) UnreachableCount() int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return len(t.unreachable)
+	return t.countUnreachable()
 }
 
-// Prune drops the state of engines whose address is not among those listed.
-func (t *Tracker) Prune(listed map[string]struct{}) {
+func (t *Tracker) countUnreachable() int {
+	count := 0
+	for _, known := range t.engines {
+		if known.isUnreachable {
+			count++
+		}
+	}
+	return count
+}
+
+// EngineState is the state of the direct way to an engine, for operators.
+type EngineState struct {
+	Address       string
+	IsUnreachable bool
+	Outcome       Outcome
+	// Since is the time since the engine became unreachable, Age that since the last attempt.
+	Since, Age time.Duration
+	// Hold is how long relays are still preferred.
+	Hold time.Duration
+}
+
+// List returns the engines that are unreachable, or whose connections prefer relays.
+func (t *Tracker) List(now time.Duration) []EngineState {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var states []EngineState
+	for address, known := range t.engines {
+		if known.isUnreachable || now < known.holdUntil {
+			states = append(states, EngineState{
+				Address: address, IsUnreachable: known.isUnreachable, Outcome: known.outcome, Since: now - known.since, Age: now - known.at,
+				Hold: max(0, known.holdUntil-now),
+			})
+		}
+	}
+	return states
+}
+
+// Prune drops the state of engines whose address is not among those listed, and of those that were
+// reached long enough ago.
+func (t *Tracker) Prune(now time.Duration, listed map[string]struct{}) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for address := range t.unreachable {
-		if _, isListed := listed[address]; !isListed {
-			delete(t.unreachable, address)
+	for address, known := range t.engines {
+		_, isListed := listed[address]
+		if !isListed || !known.isUnreachable && now-known.at > flapMemory && now >= known.holdUntil {
+			delete(t.engines, address)
 			delete(t.failedSinceContact, address)
 		}
 	}
 }
+
+// Forget drops the state of an engine whose process was replaced.
+func (t *Tracker) Forget(address string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	delete(t.engines, address)
+}
+
+// IsEmpty reports whether no engine is or was recently unreachable.
+func (t *Tracker) IsEmpty() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.engines) == 0
+}
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -29,12 +29,22 @@
 	prepared := r.outgoing(choice, lastEvent)
 	prepared.admit = func(ctx context.Context) error { return r.admitWrite(ctx, choice) }
 	prepared.learn = func(response *exchange, writtenAt time.Time) {
-		options.Backoff.Learn(choice.Instance, r.call.ID, response.backoffSignal(), writtenAt)
+		signal := response.backoffSignal()
+		options.Backoff.Learn(choice.Instance, r.call.ID, signal, writtenAt)
+		if relayed := response.connection.relayed; relayed != nil && (signal.Pause > 0 || signal.IsLeaving) {
+			relayed.ReportSignal(r.call.ID, signal)
+		}
 		options.RateLimits.Learn(choice.Instance, response.rateLimitSignal(), writtenAt)
 		if names := r.pipeline.headers.takeNew(choice.Service, response.response.Header, options.Dialect.KnowsResponseHeader); len(names) > 0 {
 			options.Log.UnknownHeaders(r, choice, names)
 		}
 	}
+	r.relayNode = ""
+	prepared.opened = func(connection *connection) {
+		if connection.relayed != nil {
+			r.relayNode = connection.relayed.Relay()
+		}
+	}
 	return r.pipeline.pool.send(ctx, options.Dialect, choice.Address, prepared)
 }
 
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -43,6 +43,8 @@
 	serverError
 	// incomplete: the response had begun and can't be completed.
 	incomplete
+	// withoutPath: the instance was unreachable a moment ago, so no attempt was made.
+	withoutPath
 	// notAdmitted: the instance accepts no request now, or its rate limit has no headroom; no
 	// byte reached it.
 	notAdmitted
@@ -84,7 +86,7 @@
 			r.giveUp(last, reasonForNoTime(ctx))
 			return
 		}
-		if result == notAdmitted {
+		if result == notAdmitted || result == withoutPath {
 			continue
 		}
 		if result == unreached {
@@ -224,6 +226,10 @@
 		r.noteNotAdmitted(choice, err)
 		return nil, notAdmitted
 	}
+	if errors.Is(err, errNoPath) {
+		r.pipeline.options.Log.Attempt(r, choice, "no_path", err)
+		return nil, withoutPath
+	}
 	if state == notSent {
 		if ctx.Err() == nil {
 			outcome = balance.Unreachable
@@ -235,7 +241,7 @@
 	if err != nil {
 		r.mayHaveRun = true
 		if r.incoming.Context().Err() == nil {
-			outcome = balance.Failed
+			outcome = r.failureOutcome(choice)
 		}
 		r.noteInterrupted(ctx, interruptedRun{choice: choice}, "no_answer", err)
 		return nil, outcomeUnknown
@@ -334,5 +340,8 @@
 		r.refuse(Refusal{Status: status, Reason: reason})
 		return
 	}
+	if reason == ReasonNoInstance && r.pipeline.options.EnginePaths.IsIsolated() {
+		reason = ReasonIsolated
+	}
 	r.refuse(Refusal{Status: http.StatusServiceUnavailable, Reason: reason})
 }
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -21,11 +21,11 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection: engines accept within milliseconds, and a
+	// DialTimeout bounds the opening of a connection: engines accept within milliseconds, and a
 	// machine that is gone does not respond at all. Where this node's own link is congested, the
 	// response is delayed as much as all other incoming traffic, so that delay is added, up to
 	// maximumDialTimeout in all.
-	dialTimeout        = 250 * time.Millisecond
+	DialTimeout        = 250 * time.Millisecond
 	maximumDialTimeout = 1500 * time.Millisecond
 	// engineUserTimeout closes connections whose data is not acknowledged.
 	engineUserTimeout = 2 * time.Second
@@ -45,6 +45,8 @@
 var (
 	connectionsOpened = metrics.GetOrCreateCounter("ravenway_engine_connections_opened_total")
 	connectionsReused = metrics.GetOrCreateCounter("ravenway_engine_connections_reused_total")
+	// connectionsRelayed counts connections that were opened through relays.
+	connectionsRelayed = metrics.GetOrCreateCounter("ravenway_engine_connections_relayed_total")
 )
 
 // connection is one HTTP/1.1 connection to an engine. It serves one request at a time.
@@ -57,6 +59,9 @@
 	keepUntil time.Time
 	// lastRead is when bytes were last received, as time.Time's UnixNano.
 	lastRead atomic.Int64
+	// relayed is the connection through a relay, nil for a direct one. It serves one request, so
+	// that the relay decides about each one.
+	relayed RelayedConnection
 }
 
 // newConnection wraps a network connection to an engine.
@@ -112,7 +117,7 @@
 	dial func(ctx context.Context, address string) (net.Conn, error)
 	// linkDelay returns how long incoming traffic is queued before this node's link.
 	linkDelay func() time.Duration
-	// paths learns which engines this node can connect to.
+	// paths decides how connections are opened.
 	paths EnginePaths
 	// meter counts the bytes of the connections.
 	meter *transport.Meter
@@ -137,35 +142,19 @@
 }
 
 // get returns an idle connection or opens one.
-func (p *pool) get(ctx context.Context, address string) (*connection, error) {
+func (p *pool) get(ctx context.Context, address string, incarnation registry.Incarnation) (*connection, error) {
 	for {
 		kept := p.takeIdle(address)
 		if kept == nil {
 			break
 		}
-		if time.Now().Before(kept.keepUntil) && kept.isQuiet() {
+		if time.Now().Before(kept.keepUntil) && !p.paths.IsDoubtful(address) && kept.isQuiet() {
 			connectionsReused.Inc()
 			return kept, nil
 		}
 		kept.close()
 	}
-	return p.open(ctx, address)
-}
-
-// open opens a new connection.
-func (p *pool) open(ctx context.Context, address string) (*connection, error) {
-	dialing, cancel := context.WithTimeout(ctx, min(dialTimeout+p.linkDelay(), maximumDialTimeout))
-	defer cancel()
-	network, err := p.dial(dialing, address)
-	if err == nil || ctx.Err() == nil {
-		// A dial that fails because its request ended indicates nothing about the engine.
-		p.paths.RecordDial(address, dialOutcome(err))
-	}
-	if err != nil {
-		return nil, err
-	}
-	connectionsOpened.Inc()
-	return newConnection(p.meter.Wrap(network)), nil
+	return p.open(ctx, address, incarnation)
 }
 
 // staysQuiet reports whether a connection without a request stays open and receives nothing for the
@@ -192,7 +181,7 @@
 // put keeps a connection whose response was read completely.
 func (p *pool) put(address string, done *connection, header http.Header) {
 	keep := keepTime(header)
-	if keep <= 0 || done.reader.Buffered() > 0 {
+	if keep <= 0 || done.reader.Buffered() > 0 || done.relayed != nil {
 		done.close()
 		return
 	}
@@ -203,6 +192,10 @@
 
 // putUnused keeps a connection over which nothing was sent.
 func (p *pool) putUnused(address string, unused *connection) {
+	if unused.relayed != nil {
+		unused.close()
+		return
+	}
 	if unused.keepUntil.IsZero() {
 		unused.keepUntil = time.Now().Add(defaultIdle)
 	}
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -163,7 +163,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), maximumDialTimeout)
 	defer cancel()
 	for {
-		opened, err := d.pipeline.pool.open(ctx, choice.Address)
+		opened, err := d.pipeline.pool.open(ctx, choice.Address, choice.Incarnation())
 		if err != nil {
 			d.connectionFailed(choice, err)
 			d.forgetUnlessCrashed(choice.Incarnation())
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -32,9 +32,10 @@
 	promptLines *LineBudget
 
 	mutex sync.Mutex
-	// served and lateCount are counts since the last summary; refused counts refusals by reason.
-	served, lateCount int
-	refused           map[Reason]int
+	// served, lateCount and relayed are counts since the last summary: of requests that were served,
+	// late, and through a relay. refused counts refusals by reason.
+	served, lateCount, relayed int
+	refused                    map[Reason]int
 	// kept is a ring buffer of the latest decisions; next is the index of the oldest.
 	kept []decision
 	next int
@@ -66,15 +67,23 @@
 
 // keep stores a decision for Explain and reports whether its line may be written.
 func (l *DecisionLog) keep(r *request, text string) bool {
-	if r.call != nil {
-		l.remember(decision{request: r.call.ID, text: fmt.Sprintf("after %d ms: %s", time.Since(r.arrived).Milliseconds(), text)})
-	}
+	l.remember(r, text)
 	return l.lines.Take()
 }
 
-func (l *DecisionLog) remember(entry decision) {
+// remember stores a decision for Explain.
+func (l *DecisionLog) remember(r *request, text string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.rememberLocked(r, text)
+}
+
+// rememberLocked stores a decision for Explain. The caller holds the mutex.
+func (l *DecisionLog) rememberLocked(r *request, text string) {
+	if r.call == nil {
+		return
+	}
+	entry := decision{request: r.call.ID, text: fmt.Sprintf("after %d ms: %s", time.Since(r.arrived).Milliseconds(), text)}
 	if len(l.kept) < maximumDecisions {
 		l.kept = append(l.kept, entry)
 		return
@@ -97,6 +106,9 @@
 	if r.tenant != nil {
 		line = line.Str("tenant", r.tenant.Name)
 	}
+	if r.relayNode != "" {
+		line = line.Str("relay", r.relayNode)
+	}
 	return line
 }
 
@@ -207,6 +219,10 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.served++
+	if r.relayNode != "" {
+		l.relayed++
+		l.rememberLocked(r, "served through the relay "+r.relayNode)
+	}
 	if isLate {
 		l.lateCount++
 	}
@@ -235,14 +251,17 @@
 // Summarize logs the totals since the last call, including the number of omitted lines.
 func (l *DecisionLog) Summarize() {
 	l.mutex.Lock()
-	served, late, refused := l.served, l.lateCount, l.refused
-	l.served, l.lateCount, l.refused = 0, 0, map[Reason]int{}
+	served, late, relayed, refused := l.served, l.lateCount, l.relayed, l.refused
+	l.served, l.lateCount, l.relayed, l.refused = 0, 0, 0, map[Reason]int{}
 	l.mutex.Unlock()
 	omitted := l.lines.TakeOmitted() + l.promptLines.TakeOmitted()
 	if served == 0 && omitted == 0 && len(refused) == 0 {
 		return
 	}
 	line := l.logger.Info().Str("event", "summary").Int("served", served).Int("late", late).Int("lines_left_out", omitted)
+	if relayed > 0 {
+		line = line.Int("relayed", relayed)
+	}
 	if len(refused) > 0 {
 		line = line.Interface("refused", refused)
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -67,6 +67,8 @@
 	// admit returns an error unless the request may be written now. It waits for a permit if the
 	// engine's rate limit will have headroom shortly.
 	admit func(ctx context.Context) error
+	// opened is called with the connection before the request is written.
+	opened func(connection *connection)
 	// learn applies the signals in the head of a response; the zero time means that the response
 	// belongs to an earlier request.
 	learn func(response *exchange, writtenAt time.Time)
@@ -79,7 +81,7 @@
 // send sends a request and reads the head of its response. If there is an error, the state
 // indicates what the engine may have done.
 func (p *pool) send(ctx context.Context, dialect Dialect, address string, request outgoing) (*exchange, sendState, error) {
-	opened, err := p.get(ctx, address)
+	opened, err := p.get(ctx, address, request.incarnation)
 	if err != nil {
 		return nil, notSent, fmt.Errorf("connecting to %s: %w", address, err)
 	}
@@ -88,6 +90,7 @@
 		opened.close()
 		return nil, notSent, context.Cause(ctx)
 	}
+	request.opened(opened)
 	// Admission is the last step before writing: the request waits for nothing after it.
 	if err := request.admit(ctx); err != nil {
 		p.putUnused(address, opened)
@@ -101,6 +104,8 @@
 	// immediately.
 	sending.stop = context.AfterFunc(ctx, opened.close)
 	p.track(sending)
+	watch := sending.watchSilence()
+	defer watch.Stop()
 	if err := sending.write(request); err != nil {
 		sending.abort()
 		return nil, sent, fmt.Errorf("writing to %s: %w", address, err)
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -112,7 +112,7 @@
 	EngineMeter *transport.Meter
 	// PromptReservations reserves prompts before they are sent; nil means that none are.
 	PromptReservations PromptReservations
-	// EnginePaths tracks which engines this node can connect to; nil means that nothing does.
+	// EnginePaths decides how connections to engines are opened; nil means directly.
 	EnginePaths EnginePaths
 }
 
@@ -220,6 +220,8 @@
 	instancesReached int
 	// permitsRefused counts the instances for which the request was refused a permit.
 	permitsRefused int
+	// relayNode is the address of the node that relayed the last attempt, "" for a direct one.
+	relayNode string
 	// prompt is the reservation of the request's prompt.
 	prompt promptState
 	// retryTime is the time after which the caller should retry a request that pauses or rate
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -550,17 +550,17 @@
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
-		case <-time.After(dialTimeout + 100*time.Millisecond):
+		case <-time.After(DialTimeout + 100*time.Millisecond):
 			local, _ := net.Pipe()
 			return local, nil
 		}
 	}
 	synctest.Test(t, func(t *testing.T) {
 		connections := newPool(slow, environment.LinkDelay, noEnginePaths{})
-		_, err := connections.get(context.Background(), "engine")
+		_, err := connections.get(context.Background(), "engine", registry.Incarnation{})
 		assert.ErrorIs(t, err, context.DeadlineExceeded)
 		environment.linkDelay = 200 * time.Millisecond
-		_, err = connections.get(context.Background(), "engine")
+		_, err = connections.get(context.Background(), "engine", registry.Incarnation{})
 		assert.NilError(t, err)
 		environment.linkDelay = time.Hour
 		began := time.Now()
@@ -568,7 +568,7 @@
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
-		_, err = connections.get(context.Background(), "engine")
+		_, err = connections.get(context.Background(), "engine", registry.Incarnation{})
 		assert.ErrorIs(t, err, context.DeadlineExceeded)
 		assert.Equal(t, time.Since(began), maximumDialTimeout)
 	})
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -29,6 +29,8 @@
 	ReasonNotReserved     Reason = "tokens_not_reserved"
 	ReasonNotReservedYet  Reason = "tokens_not_reserved_yet"
 	ReasonNoInstance      Reason = "no_instance"
+	// ReasonIsolated: this node reaches no engine, directly or through other nodes, which may.
+	ReasonIsolated Reason = "node_isolated"
 	// ReasonNoRegion: the service has no instance in the regions that the request is restricted
 	// to.
 	ReasonNoRegion Reason = "no_instance_in_allowed_regions"
@@ -112,6 +114,10 @@
 		// A retry would be refused again, so no retry time is sent.
 	case refused.Reason == ReasonRateLimited, refused.Reason == ReasonPaused:
 		header.Set("Retry-After", formatRetryAfter(r.retryTime))
+	case refused.Reason == ReasonIsolated:
+		// The caller's next connection reaches another node.
+		header.Set("Connection", "close")
+		header.Set("Retry-After", retryElsewhere.draw())
 	case refused.Reason == ReasonOverloaded:
 		header.Set("Retry-After", retryElsewhere.draw())
 	case refused.Reason == ReasonNotReserved, refused.Reason == ReasonNoRegion:
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		sending.abort()
 		r.noteInterrupted(ctx, sending.interruptedRun(r, *choice), "answer_broken", err)
-		return balance.Failed, outcomeUnknown
+		return r.failureOutcome(*choice), outcomeUnknown
 	}
 	if !isWhole {
 		return r.relayLong(sending, buffered.bytes, *choice)
@@ -104,7 +104,7 @@
 	}
 	if err != nil {
 		sending.abort()
-		return r.noteIncomplete(err)
+		return r.noteIncomplete(err, choice)
 	}
 	sending.finish(r.call.ID)
 	r.noteEnded(sending.response.StatusCode, choice)
@@ -132,13 +132,13 @@
 }
 
 // noteIncomplete logs why a response that has begun can't be completed, and returns the outcome.
-func (r *request) noteIncomplete(err error) (balance.Outcome, attemptResult) {
+func (r *request) noteIncomplete(err error, choice balance.Choice) (balance.Outcome, attemptResult) {
 	if r.incoming.Context().Err() != nil || errors.Is(err, errCallerGone) {
 		r.pipeline.options.Log.Refused(r, Refusal{Reason: ReasonCallerLeft, Detail: err.Error()})
 		return balance.Abandoned, incomplete
 	}
 	r.pipeline.options.Log.Refused(r, Refusal{Reason: ReasonBrokenStream, Detail: err.Error()})
-	return balance.Failed, incomplete
+	return r.failureOutcome(choice), incomplete
 }
 
 // hopByHopHeaders are the hop-by-hop headers, which concern one connection only.
--- a/internal/forward/reservations.go
+++ b/internal/forward/reservations.go
@@ -198,7 +198,7 @@
 	if r.call != nil {
 		text := fmt.Sprintf("reservation at %s by its coordinator %s: %s, %d tokens of %d prompts ahead, at most %d", choice.ID,
 			response.Coordinator, response.Result, response.Ahead, response.Prompts, needs.MaximumAhead)
-		l.remember(decision{request: r.call.ID, text: fmt.Sprintf("after %d ms: %s", time.Since(r.arrived).Milliseconds(), text)})
+		l.remember(r, text)
 	}
 	if !l.promptLines.Take() {
 		return
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -38,10 +38,10 @@
 		}
 		var resumed bool
 		if resumed, err = r.resume(ctx, choice.Service, &lastEvent); resumed {
-			return balance.Failed, served
+			return r.failureOutcome(*choice), served
 		}
 	}
-	return r.noteIncomplete(err)
+	return r.noteIncomplete(err, *choice)
 }
 
 // eventPace records when the events of a stream arrived, relative to the request's arrival.
@@ -143,7 +143,7 @@
 		sending.discard(r.call.ID)
 	}
 	if err != nil {
-		r.pipeline.options.Table.Done(environment.Now(), choice, balance.Failed)
+		r.pipeline.options.Table.Done(environment.Now(), choice, r.failureOutcome(choice))
 		r.noteNotResumed(ctx, choice, state, err)
 		return false, err
 	}
@@ -151,7 +151,7 @@
 	if err := r.relayEvents(sending, lastEvent, &choice); err != nil {
 		sending.abort()
 		r.noteInterrupted(ctx, sending.interruptedRun(r, choice), "resumed_broken", err)
-		r.pipeline.options.Table.Done(environment.Now(), choice, balance.Failed)
+		r.pipeline.options.Table.Done(environment.Now(), choice, r.failureOutcome(choice))
 		return false, err
 	}
 	sending.finish(r.call.ID)
--- a/internal/gateway/enginepaths.go
+++ b/internal/gateway/enginepaths.go
@@ -1,36 +1,53 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/ravenway/ravenway/internal/coordination/enginepath"
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/forward"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
 )
 
 var (
 	enginesUnreachable = metrics.GetOrCreateGauge("ravenway_engines_unreachable", nil)
 	enginePathLost     = metrics.GetOrCreateGauge("ravenway_engine_path_lost", nil)
+	nodeIsolated       = metrics.GetOrCreateGauge("ravenway_node_isolated", nil)
+	relayedConnections = metrics.GetOrCreateGauge("ravenway_engine_connections_through_relays", nil)
 )
 
-// enginePaths tracks whether this entry node can open connections to engines, and logs when it
-// loses and regains its path to them.
+// enginePaths decides how this entry node opens connections to engines, directly and through other
+// entry nodes, and logs when it loses and regains its own path to them.
 type enginePaths struct {
 	node    *Node
 	tracker *enginepath.Tracker
+	peers   *enginepath.Peers
+	// generation is the generation of the neighbours that the peers were last given.
+	generation uint64
 	// prunedAt is when the state of engines that are no longer listed was last dropped.
 	prunedAt time.Duration
+	// wasIsolated is whether the node was isolated at the last tick.
+	wasIsolated bool
 }
 
 func newEnginePaths(node *Node) *enginePaths {
-	return &enginePaths{node: node, tracker: enginepath.NewTracker()}
+	return &enginePaths{node: node, tracker: enginepath.NewTracker(), peers: enginepath.NewPeers(node.settings.Load().Node.Zone)}
+}
+
+// Plan implements forward.EnginePaths.
+func (p *enginePaths) Plan(address string) enginepath.Plan {
+	return p.tracker.Plan(p.node.now(), address)
 }
 
 // RecordDial implements forward.EnginePaths.
-func (p *enginePaths) RecordDial(address string, outcome enginepath.Outcome) {
+func (p *enginePaths) RecordDial(address string, outcome enginepath.Outcome, took time.Duration) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("ravenway_engine_dials_total{result=%q}", outcome)).Inc()
-	change := p.tracker.Record(p.node.now(), address, outcome)
+	change := p.tracker.Record(p.node.now(), address, outcome, took)
 	if change.Kind == enginepath.Unchanged {
 		return
 	}
@@ -39,18 +56,83 @@
 		Int64("contact_ago_ms", change.SinceContact.Milliseconds()).Int64("lasted_ms", change.Lasted.Milliseconds()).Send()
 }
 
-// tick updates the metrics and drops the state of engines that are no longer listed. The loads duty
-// calls it.
+// IsDoubtful implements forward.EnginePaths.
+func (p *enginePaths) IsDoubtful(address string) bool { return p.tracker.IsDoubtful(address) }
+
+// IsLost implements forward.EnginePaths.
+func (p *enginePaths) IsLost() bool {
+	_, isLost := p.tracker.Loss(p.node.now())
+	return isLost
+}
+
+// IsIsolated implements forward.EnginePaths.
+func (p *enginePaths) IsIsolated() bool {
+	return p.tracker.IsIsolated(p.node.now())
+}
+
+// OpenRelayed implements forward.EnginePaths.
+func (p *enginePaths) OpenRelayed(ctx context.Context, address string, incarnation registry.Incarnation) (forward.RelayedConnection, error) {
+	search := &relaySearch{paths: p, request: peer.RelayRequest{Instance: incarnation.ID, StartedAt: incarnation.StartedAt, Address: address}}
+	found, err := search.run(ctx)
+	if !errors.Is(err, context.Canceled) {
+		outcome := search.outcome(err)
+		metrics.GetOrCreateCounter(fmt.Sprintf("ravenway_relay_searches_total{result=%q}", outcome)).Inc()
+		p.tracker.RecordRelay(p.node.now(), address, outcome)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return found, nil
+}
+
+// forget drops the state of engines of which newer incarnations are known.
+func (p *enginePaths) forget(replaced []registry.Instance) {
+	for _, previous := range replaced {
+		p.tracker.Forget(previous.Address)
+	}
+}
+
+// tick updates the peers and the metrics and drops the state of engines that are no longer listed.
+// The loads duty calls it.
 func (p *enginePaths) tick() {
 	now := p.node.now()
-	if p.tracker.Unreachable() > 0 && now-p.prunedAt >= pruneInterval {
-		p.tracker.Prune(p.node.table.Addresses())
+	p.updatePeers()
+	p.tracker.SetListed(int(p.node.fleet.instanceCount.Load()))
+	if !p.tracker.IsEmpty() && now-p.prunedAt >= pruneInterval {
+		p.tracker.Prune(now, p.node.table.Addresses())
 		p.prunedAt = now
 	}
-	enginesUnreachable.Set(float64(p.tracker.Unreachable()))
-	lost := 0.0
-	if p.tracker.IsLost() {
-		lost = 1
+	isIsolated := p.IsIsolated()
+	enginesUnreachable.Set(float64(p.tracker.UnreachableCount()))
+	enginePathLost.Set(gaugeOf(p.IsLost()))
+	nodeIsolated.Set(gaugeOf(isIsolated))
+	relayedConnections.Set(float64(p.peers.Total()))
+	if isIsolated != p.wasIsolated {
+		p.wasIsolated = isIsolated
+		p.node.log.Warn().Str("event", "node_isolated").Bool("isolated", isIsolated).Int("unreachable", p.tracker.UnreachableCount()).
+			Int64("listed", p.node.fleet.instanceCount.Load()).Send()
+	}
+}
+
+func gaugeOf(condition bool) float64 {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
+// updatePeers passes the other entry nodes that relay to the choice of relays.
+func (p *enginePaths) updatePeers() {
+	neighbours := &p.node.fleet.view.Load().neighbours
+	if neighbours.generation == p.generation {
+		return
+	}
+	p.generation = neighbours.generation
+	var peers []enginepath.Peer
+	for _, entry := range neighbours.nodes {
+		if p.node.protocols.versionOf(entry.Address) >= peer.ProtocolRelays {
+			peers = append(peers, enginepath.Peer{Address: entry.Address, Zone: entry.Zone})
+		}
 	}
-	enginePathLost.Set(lost)
+	p.peers.SetNodes(peers)
 }
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -75,7 +75,7 @@
 
 // ready reports whether callers should be sent to this entry node.
 func (n *Node) ready() bool {
-	if n.isStopping() || n.documents.version() == 0 || n.link.shedding.Load() || n.link.busy.Load() {
+	if n.isStopping() || n.documents.version() == 0 || n.link.shedding.Load() || n.link.busy.Load() || n.paths.IsIsolated() {
 		return false
 	}
 	return n.fleet.instanceCount.Load() > 0 || n.now() > instancesTimeout
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -346,6 +346,7 @@
 		return
 	}
 	f.node.backoff.forget(replaced)
+	f.node.paths.forget(replaced)
 	for _, previous := range replaced {
 		f.node.limits.limits.Forget(previous.Incarnation())
 		f.node.prompts.ledger.Forget(previous.Incarnation())
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -145,6 +145,7 @@
 	limits     *limitEnforcer
 	backoff    *pauseRecorder
 	paths      *enginePaths
+	relays     *relayServer
 	prompts    *promptCoordinator
 	pipeline   *forward.Pipeline
 	decisions  *forward.DecisionLog
@@ -171,7 +172,7 @@
 	node.stale = newStaleFrames(node)
 	node.mesh = transport.NewMesh(transport.Options{
 		Self: node.address, Key: options.PeerKey, OpenMembership: true, Listener: options.Listeners.Peers,
-		Dial: options.DialPeer, Handle: node.handleFrame, Dropped: node.stale.record, Logger: node.log,
+		Dial: options.DialPeer, Handle: node.handleFrame, HandleStream: node.handleStream, Dropped: node.stale.record, Logger: node.log,
 	})
 	node.calls = peer.NewCalls(node.send)
 	node.documents, node.publisher = newDocumentStore(node), newDocumentPublisher(node)
@@ -190,7 +191,7 @@
 		node.table.SetLimits(node.limits.limits)
 		node.backoff = newPauseRecorder(node)
 		node.table.SetBackoff(node.backoff.tracker)
-		node.paths = newEnginePaths(node)
+		node.paths, node.relays = newEnginePaths(node), newRelayServer(node)
 		node.prompts = newPromptCoordinator(node)
 		node.decisions = forward.NewDecisionLog(node.log)
 		node.pipeline = forward.New(forward.Options{
@@ -397,6 +398,13 @@
 	}
 }
 
+// handleStream serves a stream that another node has opened. Only entry nodes relay connections.
+func (n *Node) handleStream(from string, request []byte, stream *transport.Stream) {
+	if n.relays != nil {
+		n.relays.handle(from, request, stream)
+	}
+}
+
 func (n *Node) dispatch(from string, envelope peer.Envelope) error {
 	switch envelope.Kind {
 	case peer.KindHello:
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -51,11 +51,12 @@
 	return aborted
 }
 
+// active is the number of requests in flight, including those that this node relays for others.
 func (n *Node) active() int64 {
 	if n.pipeline == nil {
 		return 0
 	}
-	return n.pipeline.Active()
+	return n.pipeline.Active() + n.relays.active.Load()
 }
 
 // drain waits until the platform has removed the node from its list and the requests in flight are
