forward: a run over a lost path goes on through a relay before its caller gives up

What callers saw: streams that ran over a connection to an engine when the path was lost ended after 3.2 s, with the callers' patience; a stream only receives, so no unacknowledged byte shows the loss, and the keep-alive probes, whose interval Go rounds to a second, find it later. Cause: silence alone must not end a run, since a busy engine may be silent for a second, and nothing told the two apart. Change: each exchange is watched. If nothing of the request is acknowledged for 0.3 s, its path is doubtful. If a connection over a doubtful path receives nothing for 0.6 s, a check opens a connection to the engine; only if a relay reaches the engine that this node doesn't, runs that may be repeated or resumed are ended and go on there. A silent engine accepts no connection from a relay either.

--- a/internal/coordination/enginepath/enginepath.go
+++ b/internal/coordination/enginepath/enginepath.go
@@ -44,6 +44,10 @@
 	maximumHoldTime = 8 * time.Second
 	// relayFailureMemory is how long an engine that no relay could reach is not relayed to.
 	relayFailureMemory = time.Second
+	// checkInterval is the time between two checks whether relays reach an engine that this node does
+	// not, and partitionMemory how long a relayed connection shows that they do.
+	checkInterval   = 500 * time.Millisecond
+	partitionMemory = time.Second
 	// isolationDelay is how long the path has to be lost, and relayMemory how long ago the last
 	// relayed connection has to be, for the node to count as isolated.
 	isolationDelay = 500 * time.Millisecond
@@ -161,6 +165,11 @@
 	holdTime, holdUntil time.Duration
 	// unrelayableUntil is the end of the time for which no relay is asked for the engine.
 	unrelayableUntil time.Duration
+	// relayedAt is when a relay last connected to the engine while it was unreachable, if isRelayed is
+	// set. checkAt is when the next check is due.
+	relayedAt time.Duration
+	isRelayed bool
+	checkAt   time.Duration
 }
 
 // NewTracker returns a tracker without results.
@@ -266,7 +275,7 @@
 
 func (t *Tracker) recordContact(now time.Duration, address string) Change {
 	if known := t.engines[address]; known != nil && known.isUnreachable {
-		known.isUnreachable, known.at = false, now
+		known.isUnreachable, known.at, known.isRelayed = false, now, false
 		// A hold time of 0 marks that the engine was unreachable once within flapMemory.
 		known.holdUntil = now + known.holdTime
 		known.probeInterval = 0
@@ -322,6 +331,7 @@
 		t.relayedAt, t.hasRelayed = now, true
 		if known != nil {
 			known.unrelayableUntil = 0
+			known.relayedAt, known.isRelayed = now, known.isUnreachable
 		}
 	case known == nil:
 	case outcome == EngineUnreachable:
@@ -341,6 +351,36 @@
 	return t.isSuspected() || known != nil && known.isUnreachable
 }
 
+// IsPartitioned reports whether this node is partitioned from an engine that relays reach: then its
+// open connections to the engine have lost their path, too. An engine that is silent itself accepts
+// no connection from a relay either.
+func (t *Tracker) IsPartitioned(now time.Duration, address string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.engines[address]
+	return known != nil && known.isUnreachable && known.isRelayed && now-known.relayedAt <= partitionMemory
+}
+
+// TakeCheck reports whether a check is due whether relays reach an engine that is doubtful, and
+// counts it as done.
+func (t *Tracker) TakeCheck(now time.Duration, address string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.engines[address]
+	if known == nil {
+		if !t.isSuspected() {
+			return false
+		}
+		known = &engine{at: now}
+		t.engines[address] = known
+	}
+	if now < known.checkAt || !known.isUnreachable && !t.isSuspected() {
+		return false
+	}
+	known.checkAt = now + checkInterval
+	return true
+}
+
 // Unreachable returns how long ago the last attempt at an engine failed; false means that it did not
 // fail.
 func (t *Tracker) Unreachable(now time.Duration, address string) (age time.Duration, isUnreachable bool) {
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -7,6 +7,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/backoff"
 	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/coordination/quarantine"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
@@ -45,6 +46,8 @@
 			r.relayNode = connection.relayed.Relay()
 		}
 	}
+	isLast := r.instancesReached+1 >= max(1, r.route.MaximumAttempts)
+	prepared.mayRunAgain = r.route.Idempotent() && !isLast && r.quarantineStatus() < quarantine.Suspected
 	return r.pipeline.pool.send(ctx, options.Dialect, choice.Address, prepared)
 }
 
--- a/internal/forward/enginepaths.go
+++ b/internal/forward/enginepaths.go
@@ -12,17 +12,12 @@
 	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/enginepath"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
-	"github.com/ravenway/ravenway/internal/transport"
 )
 
 // relayTimeout bounds the opening of a connection through relays: one of them may be gone, and the
 // next one connects to an engine.
 const relayTimeout = 400 * time.Millisecond
 
-// silenceCheckInterval is the time between two checks whether an engine's machine acknowledges a
-// request. Nothing in between means silence; a single lost packet is sent again after 200 ms.
-const silenceCheckInterval = 150 * time.Millisecond
-
 // Errors of connections to engines.
 var (
 	// ErrNoRelay means that no other node relays a connection now.
@@ -42,6 +37,10 @@
 	// lost its path, and IsLost whether this node has lost its path to all engines.
 	IsDoubtful(address string) bool
 	IsLost() bool
+	// IsPartitioned reports whether this node is partitioned from an engine that other nodes reach.
+	// TakeCheck reports whether a check of that is due, and counts it as done.
+	IsPartitioned(address string) bool
+	TakeCheck(address string) bool
 	// IsIsolated reports whether callers are better served by other nodes, since this one reaches
 	// no engine.
 	IsIsolated() bool
@@ -72,6 +71,10 @@
 
 func (noEnginePaths) IsLost() bool { return false }
 
+func (noEnginePaths) IsPartitioned(string) bool { return false }
+
+func (noEnginePaths) TakeCheck(string) bool { return false }
+
 func (noEnginePaths) IsIsolated() bool { return false }
 
 func (noEnginePaths) OpenRelayed(context.Context, string, registry.Incarnation) (RelayedConnection, error) {
@@ -277,48 +280,6 @@
 	}
 }
 
-// watchSilence checks until the head of the response has been read whether the engine's machine
-// acknowledges the request. Silence shows that the path is doubtful, long before a time-out: the
-// connection is kept, but no further request is sent that way.
-func (e *exchange) watchSilence() *time.Timer {
-	interval := silenceCheckInterval + e.pool.linkDelay()
-	before := 0
-	var timer *time.Timer
-	timer = time.AfterFunc(interval, func() {
-		pending := e.unacknowledged()
-		if pending > 0 && pending == before {
-			e.reportSilence()
-			return
-		}
-		before = pending
-		if pending > 0 {
-			timer.Reset(interval)
-		}
-	})
-	return timer
-}
-
-// unacknowledged returns the bytes of the request that the other machine has not acknowledged.
-func (e *exchange) unacknowledged() int {
-	if bytes, isKnown := transport.Unacknowledged(e.connection.network); isKnown {
-		return bytes
-	}
-	select {
-	case <-e.written:
-		return 0
-	default:
-		return 1
-	}
-}
-
-func (e *exchange) reportSilence() {
-	if relayed := e.connection.relayed; relayed != nil {
-		relayed.ReportSilence()
-		return
-	}
-	e.pool.recordDial(e.address, enginepath.Silent, 0)
-}
-
 // failureOutcome is the outcome of a run that an instance interrupted. If the path to the instance
 // is doubtful, the run indicates nothing about the instance.
 func (r *request) failureOutcome(choice balance.Choice) balance.Outcome {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -48,6 +48,8 @@
 	writeErr error
 	// isLong indicates that the body is written while the response is awaited.
 	isLong bool
+	// watch watches the exchange's path until its end.
+	watch *pathWatch
 	// stop keeps the end of the request's context from closing the connection; it returns false if
 	// that has already begun.
 	stop func() bool
@@ -69,6 +71,8 @@
 	admit func(ctx context.Context) error
 	// opened is called with the connection before the request is written.
 	opened func(connection *connection)
+	// mayRunAgain is whether the request may be sent again if this exchange fails.
+	mayRunAgain bool
 	// learn applies the signals in the head of a response; the zero time means that the response
 	// belongs to an earlier request.
 	learn func(response *exchange, writtenAt time.Time)
@@ -104,8 +108,7 @@
 	// immediately.
 	sending.stop = context.AfterFunc(ctx, opened.close)
 	p.track(sending)
-	watch := sending.watchSilence()
-	defer watch.Stop()
+	sending.watchPath(request.mayRunAgain)
 	if err := sending.write(request); err != nil {
 		sending.abort()
 		return nil, sent, fmt.Errorf("writing to %s: %w", address, err)
@@ -200,6 +203,7 @@
 // serve another request.
 func (e *exchange) finish(id string) {
 	e.pool.untrack(e)
+	e.watch.stop()
 	if !e.stop() {
 		return
 	}
@@ -227,6 +231,7 @@
 // abort closes the connection, which makes the engine drop the request.
 func (e *exchange) abort() {
 	e.pool.untrack(e)
+	e.watch.stop()
 	e.stop()
 	e.connection.close()
 }
--- a/internal/gateway/enginepaths.go
+++ b/internal/gateway/enginepaths.go
@@ -65,6 +65,16 @@
 	return isLost
 }
 
+// IsPartitioned implements forward.EnginePaths.
+func (p *enginePaths) IsPartitioned(address string) bool {
+	return p.tracker.IsPartitioned(p.node.now(), address)
+}
+
+// TakeCheck implements forward.EnginePaths.
+func (p *enginePaths) TakeCheck(address string) bool {
+	return p.tracker.TakeCheck(p.node.now(), address)
+}
+
 // IsIsolated implements forward.EnginePaths.
 func (p *enginePaths) IsIsolated() bool {
 	return p.tracker.IsIsolated(p.node.now())
