enginepath: a node that suspects its path probes other engines at random

What callers saw: a node without any way to engines held its callers for 1.2 s each, and was ready: its path counted as lost only once attempts at half of all listed engines had failed, and with few callers, or services that nobody used, that never came about. With all engines down half of the requests waited for a probe. Cause: only requests brought evidence, and each carried probes. Change: from the second engine that fails without a success in between the node probes four others each 0.1 s; eight failures, or half of all engines, and it is lost; one success, and it is not. While it is lost the node probes by itself, one engine each 0.25 s, no request waits for a probe, and a request tries one engine.

--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -218,17 +218,18 @@
 	return false
 }
 
-// Addresses returns the addresses of the instances that have not ended.
-func (t *Table) Addresses() map[string]struct{} {
+// Addresses returns the addresses of the instances that have not ended, in order.
+func (t *Table) Addresses() []string {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	addresses := make(map[string]struct{}, len(t.members))
+	addresses := make([]string, 0, len(t.members))
 	for _, one := range t.members {
 		if !one.hasEnded {
-			addresses[one.Address] = struct{}{}
+			addresses = append(addresses, one.Address)
 		}
 	}
-	return addresses
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
 }
 
 // Size returns the number of instances of a service that accept new work.
--- a/internal/coordination/enginepath/enginepath.go
+++ b/internal/coordination/enginepath/enginepath.go
@@ -3,7 +3,8 @@
 // A node that is partitioned from engines is alive and reachable for its callers and peers, so only
 // its own attempts to connect show the partition. An engine is unreachable while the last attempt to
 // connect to it has failed. The path to engines is suspected when attempts at several engines have
-// failed and none has succeeded in between, and lost when they are at least half of all engines.
+// failed and none has succeeded in between. The node then probes other engines at random; if enough
+// attempts fail, the path is lost.
 //
 // Besides the direct way there is a second one: a relay, that is, another entry node that reaches
 // the engine and copies the bytes of the connection. Tracker decides for each connection when the
@@ -12,6 +13,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -20,9 +22,10 @@
 	// suspectedEngines is the number of engines at which attempts have to fail, without a success in
 	// between, for the path to be suspected: a single engine is more likely to have failed itself.
 	suspectedEngines = 2
-	// lostShare is the share of all engines at which attempts have to fail for the path to count as
-	// lost: several engines may really have failed.
-	lostShare = 0.5
+	// The path counts as lost when attempts have failed at lostShare of all engines, or at lostEngines:
+	// several engines may really have failed, but not all of those that are probed at random.
+	lostShare   = 0.5
+	lostEngines = 8
 	// The direct attempt has a head start of relayDelayFactor times the smoothed time to connect,
 	// within these bounds. The upper one applies while no time is known; it is below the objectives
 	// of short requests and above a round trip between regions of one continent.
@@ -37,6 +40,12 @@
 	initialProbeInterval = 250 * time.Millisecond
 	maximumProbeInterval = time.Second
 	probeJitter          = 0.25
+	// While the path is suspected, the node probes suspectedProbes other engines at each
+	// suspectedProbeInterval. While it is lost, it probes one at each lostProbeInterval, so that no
+	// request has to wait for a probe.
+	suspectedProbes        = 4
+	suspectedProbeInterval = 100 * time.Millisecond
+	lostProbeInterval      = 250 * time.Millisecond
 	// An engine that becomes unreachable again within flapMemory is used over relays first for a
 	// hold time after the next contact. The hold time doubles each time, between these bounds.
 	flapMemory      = 10 * time.Second
@@ -139,8 +148,12 @@
 	hasContact         bool
 	lostAt             time.Duration
 	isLost             bool
+	// nextProbeAt is when the node's next own probes are due.
+	nextProbeAt time.Duration
 	// listed is the number of engines known to the node.
 	listed int
+	// probed are the engines that the node has probed since the path was last suspected.
+	probed map[string]struct{}
 	// connectTime is the smoothed time of a direct attempt that succeeded, 0 if none has.
 	connectTime time.Duration
 	// relayedAt is when a connection was last relayed, if hasRelayed is set. relayOutcome is the
@@ -160,6 +173,8 @@
 	since, at time.Duration
 	// probeAt is when the next probe is due.
 	probeAt, probeInterval time.Duration
+	// probedAt is when the node itself last probed it.
+	probedAt time.Duration
 	// holdTime is how long relays are preferred after the next contact, holdUntil the end of that
 	// time after the last one.
 	holdTime, holdUntil time.Duration
@@ -174,7 +189,7 @@
 
 // NewTracker returns a tracker without results.
 func NewTracker() *Tracker {
-	return &Tracker{engines: map[string]*engine{}, failedSinceContact: map[string]struct{}{}, relayOutcome: NoRelay, random: rand.Float64}
+	return &Tracker{engines: map[string]*engine{}, failedSinceContact: map[string]struct{}{}, probed: map[string]struct{}{}, relayOutcome: NoRelay, random: rand.Float64}
 }
 
 // SetRandom replaces the source of random numbers in [0, 1). It must be called before the first use.
@@ -205,7 +220,7 @@
 	}
 	plan.WithoutRelay = now < known.unrelayableUntil
 	switch {
-	case known.isUnreachable && now < known.probeAt:
+	case known.isUnreachable && (t.isLost || now < known.probeAt):
 		return Plan{WithoutDirect: true, WithoutRelay: plan.WithoutRelay}
 	case known.isUnreachable:
 		known.scheduleProbe(now, t.random())
@@ -221,6 +236,53 @@
 	return plan
 }
 
+// TakeProbes returns the engines that the node is to probe now, and counts them as probed. listed
+// returns the addresses of all engines in order; it is called only if the path is suspected.
+func (t *Tracker) TakeProbes(now time.Duration, listed func() []string) []string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	switch {
+	case !t.isSuspected() || now < t.nextProbeAt:
+		return nil
+	case t.isLost:
+		t.nextProbeAt = now + lostProbeInterval
+		return t.leastRecentlyProbed(now)
+	}
+	t.nextProbeAt = now + suspectedProbeInterval
+	var untried []string
+	for _, address := range listed() {
+		_, hasFailed := t.failedSinceContact[address]
+		_, isProbed := t.probed[address]
+		if !hasFailed && !isProbed {
+			untried = append(untried, address)
+		}
+	}
+	var chosen []string
+	for len(untried) > 0 && len(chosen) < suspectedProbes {
+		place := int(t.random() * float64(len(untried)))
+		t.probed[untried[place]] = struct{}{}
+		chosen = append(chosen, untried[place])
+		untried = slices.Delete(untried, place, place+1)
+	}
+	return chosen
+}
+
+// leastRecentlyProbed returns the unreachable engine whose last probe by the node is the oldest.
+func (t *Tracker) leastRecentlyProbed(now time.Duration) []string {
+	var chosen *engine
+	var address string
+	for candidate, known := range t.engines {
+		if known.isUnreachable && (chosen == nil || known.probedAt < chosen.probedAt || known.probedAt == chosen.probedAt && candidate < address) {
+			address, chosen = candidate, known
+		}
+	}
+	if chosen == nil {
+		return nil
+	}
+	chosen.probedAt = now
+	return []string{address}
+}
+
 // scheduleProbe sets the time of the next probe; random is in [0, 1).
 func (e *engine) scheduleProbe(now time.Duration, random float64) {
 	e.probeInterval = min(max(2*e.probeInterval, initialProbeInterval), maximumProbeInterval)
@@ -258,7 +320,7 @@
 	}
 	known.outcome, known.at = outcome, now
 	t.failedSinceContact[address] = struct{}{}
-	if t.isLost || !t.isSuspected() || float64(len(t.failedSinceContact)) < lostShare*float64(t.listed) {
+	if failed := len(t.failedSinceContact); t.isLost || !t.isSuspected() || failed < lostEngines && float64(failed) < lostShare*float64(t.listed) {
 		return Change{}
 	}
 	t.isLost, t.lostAt = true, now
@@ -288,6 +350,7 @@
 		t.probeAllSoon(now)
 	}
 	clear(t.failedSinceContact)
+	clear(t.probed)
 	t.isLost, t.hasContact, t.contactAt = false, true, now
 	return change
 }
@@ -456,13 +519,13 @@
 	return states
 }
 
-// Prune drops the state of engines whose address is not among those listed, and of those that were
+// Prune drops the state of engines whose address is not among those listed, which are in order, and of those that were
 // reached long enough ago.
-func (t *Tracker) Prune(now time.Duration, listed map[string]struct{}) {
+func (t *Tracker) Prune(now time.Duration, listed []string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for address, known := range t.engines {
-		_, isListed := listed[address]
+		_, isListed := slices.BinarySearch(listed, address)
 		if !isListed || !known.isUnreachable && now-known.at > flapMemory && now >= known.holdUntil {
 			delete(t.engines, address)
 			delete(t.failedSinceContact, address)
--- a/internal/coordination/enginepath/enginepath_test.go
+++ b/internal/coordination/enginepath/enginepath_test.go
@@ -31,6 +31,6 @@
 		assert.Equal(t, tracker.Record(now, "alive", Connected, time.Millisecond).Kind, Unchanged)
 	}
 	assert.Equal(t, tracker.UnreachableCount(), 1)
-	tracker.Prune(time.Minute, map[string]struct{}{"alive": {}})
+	tracker.Prune(time.Minute, []string{"alive"})
 	assert.Equal(t, tracker.UnreachableCount(), 0)
 }
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		if result == unreached {
-			if dials++; dials < maximumDials {
+			if dials++; dials < r.maximumDials() {
 				continue
 			}
 			r.giveUp(last, ReasonNoInstance)
@@ -109,6 +109,15 @@
 	}
 }
 
+// maximumDials is the maximum number of instances that the request may fail to connect to. While the
+// path to all of them is lost, each attempt would only hold the request.
+func (r *request) maximumDials() int {
+	if r.pipeline.options.EnginePaths.IsLost() {
+		return 1
+	}
+	return maximumDials
+}
+
 // reasonForNoChoice returns the reason why no instance could be chosen.
 func (r *request) reasonForNoChoice(service string) Reason {
 	if regions := r.regions(); regions.IsRestricted && !r.pipeline.options.Table.HasInRegions(service, regions) {
--- a/internal/gateway/enginepaths.go
+++ b/internal/gateway/enginepaths.go
@@ -112,6 +112,9 @@
 		p.tracker.Prune(now, p.node.table.Addresses())
 		p.prunedAt = now
 	}
+	for _, address := range p.tracker.TakeProbes(now, p.node.table.Addresses) {
+		go p.probe(address)
+	}
 	isIsolated := p.IsIsolated()
 	enginesUnreachable.Set(float64(p.tracker.UnreachableCount()))
 	enginePathLost.Set(gaugeOf(p.IsLost()))
@@ -124,6 +127,18 @@
 	}
 }
 
+// probe connects to an engine directly, to find out whether the path is back.
+func (p *enginePaths) probe(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), forward.DialTimeout)
+	defer cancel()
+	startedAt := time.Now()
+	engine, err := p.node.pipeline.DialEngine(ctx, address)
+	p.RecordDial(address, forward.DialOutcome(err), time.Since(startedAt))
+	if err == nil {
+		_ = engine.Close()
+	}
+}
+
 func gaugeOf(condition bool) float64 {
 	if condition {
 		return 1
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -54,6 +54,7 @@
 
 func (l *loadsDuty) tick() {
 	l.node.gate.update()
+	l.node.paths.tick()
 	l.ticks++
 	neighbours := &l.node.fleet.view.Load().neighbours
 	if l.ticks%l.reportTicks(neighbours) != 0 {
@@ -67,7 +68,6 @@
 	now := l.node.now()
 	l.node.limits.tick()
 	l.node.backoff.tick()
-	l.node.paths.tick()
 	l.node.prompts.tick()
 	updates := balance.Updates{Parts: l.node.table.TakeSpilled(), Limits: l.node.limits.limits.TakeUpdates()}
 	l.exchange.SetOwnLink(l.node.gate.state())
--- a/internal/lab/fleet/network.go
+++ b/internal/lab/fleet/network.go
@@ -27,6 +27,8 @@
 	listeners map[string]*memoryListener
 	// partitions are the directions without traffic, by sender and receiver.
 	partitions map[[2]string]bool
+	// refusals are the pairs of dialing and listening machines whose new connections are refused.
+	refusals map[[2]string]bool
 	// healed is closed and replaced when all partitions end.
 	healed chan struct{}
 	// connections are the open connections by machine, to break them when it crashes.
@@ -40,7 +42,7 @@
 // NewNetwork returns a network without partitions or delays.
 func NewNetwork() *Network {
 	return &Network{
-		listeners: map[string]*memoryListener{}, partitions: map[[2]string]bool{}, healed: make(chan struct{}),
+		listeners: map[string]*memoryListener{}, partitions: map[[2]string]bool{}, refusals: map[[2]string]bool{}, healed: make(chan struct{}),
 		connections: map[string]map[*memoryConnection]struct{}{}, bytes: map[[2]string]int{},
 		delays: map[string]time.Duration{},
 	}
@@ -70,12 +72,16 @@
 	defer cancel()
 	n.mutex.Lock()
 	listener := n.listeners[address]
+	isRefused := listener == nil || n.refusals[[2]string{from, listener.machine}]
 	n.mutex.Unlock()
-	if listener == nil {
+	if isRefused {
 		return nil, fmt.Errorf("%w: %s", errConnectionRefused, address)
 	}
-	if err := n.waitUntilReachable(ctx.Done(), from, listener.machine); err != nil {
-		return nil, err
+	// A connection opens with packets in both directions.
+	for _, direction := range [][2]string{{from, listener.machine}, {listener.machine, from}} {
+		if err := n.waitUntilReachable(ctx.Done(), direction[0], direction[1]); err != nil {
+			return nil, err
+		}
 	}
 	if delay := n.delayTo(listener.machine); delay > 0 && !pause.For(ctx, delay) {
 		return nil, ctx.Err()
@@ -140,6 +146,34 @@
 	}
 }
 
+// RefuseBetween refuses new connections from some machines to others until Heal. Open ones continue.
+func (n *Network) RefuseBetween(dialing, listening []string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, one := range dialing {
+		for _, other := range listening {
+			n.refusals[[2]string{one, other}] = true
+		}
+	}
+}
+
+// BreakConnectionsBetween closes the connections between two groups of machines.
+func (n *Network) BreakConnectionsBetween(left, right []string) {
+	n.mutex.Lock()
+	var broken []*memoryConnection
+	for _, one := range left {
+		for connection := range n.connections[one] {
+			if slices.Contains(right, connection.to) {
+				broken = append(broken, connection)
+			}
+		}
+	}
+	n.mutex.Unlock()
+	for _, connection := range broken {
+		_ = connection.Close()
+	}
+}
+
 // SetDelay delays all bytes to a machine, and connections to it, as a saturated link does.
 func (n *Network) SetDelay(machine string, delay time.Duration) {
 	n.mutex.Lock()
@@ -157,7 +191,7 @@
 func (n *Network) Heal() {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.partitions = map[[2]string]bool{}
+	n.partitions, n.refusals = map[[2]string]bool{}, map[[2]string]bool{}
 	close(n.healed)
 	n.healed = make(chan struct{})
 }
