--- a/internal/gateway/relayserver.go
+++ b/internal/gateway/relayserver.go
@@ -171,7 +171,7 @@
 		return
 	}
 	relaySignals.Inc()
-	pause := min(time.Duration(signal.PauseMS)*time.Millisecond, backoff.MaximumPause)
+	pause := time.Duration(min(signal.PauseMS, backoff.MaximumPause.Milliseconds())) * time.Millisecond
 	s.node.backoff.Learn(instance, signal.Request, backoff.Signal{Pause: pause, IsLeaving: signal.IsLeaving, HasRun: signal.HasRun}, time.Now())
 }
 
