--- a/internal/coordination/enginepath/peers.go
+++ b/internal/coordination/enginepath/peers.go
@@ -26,16 +26,26 @@
 
 // avoidTimes is how long a peer in each state is not asked.
 var avoidTimes = [...]time.Duration{
-	PeerBusy: 250 * time.Millisecond, PeerLost: time.Second, PeerSilent: time.Second, PeerStopping: 5 * time.Second,
+	PeerBusy: 250 * time.Millisecond, PeerLost: 2 * time.Second, PeerSilent: time.Second, PeerStopping: 5 * time.Second,
 }
 
+const (
+	// provenMemory is how long a peer that has relayed a connection counts as proven. Where most nodes
+	// have lost their paths, asking at random would find the few that have not too rarely.
+	provenMemory = 3 * time.Second
+	// explorationShare is the share of connections for which a peer that is not proven is asked
+	// first, while fewer than provenPeers are: otherwise the first ones found would carry everything.
+	explorationShare = 4
+	provenPeers      = 8
+)
+
 // ownZoneAttempts is the number of peers of the node's own zone that are asked for one connection
 // before those of other zones: a whole zone may have lost its path.
 const ownZoneAttempts = 2
 
-// Peers chooses the peers that relay this node's connections: those of its own zone first, so that
-// no bytes cross zones twice, and among them those that relay the fewest of its connections. It is
-// safe for concurrent use.
+// Peers chooses the peers that relay this node's connections: those that have relayed one recently,
+// of its own zone first, so that no bytes cross zones twice, and among them those that relay the
+// fewest of its connections. It is safe for concurrent use.
 type Peers struct {
 	mutex sync.Mutex
 	zone  string
@@ -44,6 +54,8 @@
 	// this node's connections that it relays.
 	avoidedUntil map[string]time.Duration
 	relaying     map[string]int
+	// provenUntil holds until when a peer counts as proven.
+	provenUntil map[string]time.Duration
 	// avoidedFor holds until when a peer is not asked for one engine.
 	avoidedFor map[peerAndEngine]time.Duration
 	// random returns a number in [0, n).
@@ -53,12 +65,15 @@
 // peerAndEngine identifies a peer's way to an engine by their addresses.
 type peerAndEngine struct{ peer, engine string }
 
+// avoidForEngine is how long a peer is not asked for an engine that it does not reach.
+const avoidForEngine = time.Second
+
 // maximumAvoidedFor bounds the ways of peers to single engines that are remembered.
 const maximumAvoidedFor = 4096
 
 // NewPeers returns an empty set for a node in a zone.
 func NewPeers(zone string) *Peers {
-	return &Peers{zone: zone, avoidedUntil: map[string]time.Duration{}, relaying: map[string]int{}, avoidedFor: map[peerAndEngine]time.Duration{}, random: rand.IntN}
+	return &Peers{zone: zone, avoidedUntil: map[string]time.Duration{}, relaying: map[string]int{}, provenUntil: map[string]time.Duration{}, avoidedFor: map[peerAndEngine]time.Duration{}, random: rand.IntN}
 }
 
 // SetRandom replaces the source of random numbers in [0, n). It must be called before the first use.
@@ -74,6 +89,11 @@
 			delete(p.avoidedUntil, address)
 		}
 	}
+	for address := range p.provenUntil {
+		if !slices.ContainsFunc(nodes, func(node Peer) bool { return node.Address == address }) {
+			delete(p.provenUntil, address)
+		}
+	}
 }
 
 // Choose picks the next peer to ask for a connection to an engine for which those in asked were asked
@@ -81,21 +101,14 @@
 func (p *Peers) Choose(now time.Duration, engine string, asked []string) (string, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	var ownZone, others []string
+	var candidates peerCandidates
 	for _, node := range p.nodes {
 		if now < p.avoidedUntil[node.Address] || now < p.avoidedFor[peerAndEngine{node.Address, engine}] || slices.Contains(asked, node.Address) {
 			continue
 		}
-		if node.Zone == p.zone {
-			ownZone = append(ownZone, node.Address)
-			continue
-		}
-		others = append(others, node.Address)
-	}
-	eligible := ownZone
-	if len(ownZone) == 0 || len(asked) >= ownZoneAttempts && len(others) > 0 {
-		eligible = others
+		candidates.add(node.Address, node.Zone == p.zone, now < p.provenUntil[node.Address])
 	}
+	eligible := candidates.eligible(len(asked), p.random(explorationShare) == 0)
 	if len(eligible) == 0 {
 		return "", false
 	}
@@ -107,6 +120,48 @@
 	return chosen, true
 }
 
+// peerCandidates are the peers that may be asked, by zone and by whether they are proven.
+type peerCandidates struct{ provenOwn, provenOther, own, other []string }
+
+func (c *peerCandidates) add(address string, isOwnZone, isProven bool) {
+	group := &c.other
+	switch {
+	case isOwnZone && isProven:
+		group = &c.provenOwn
+	case isProven:
+		group = &c.provenOther
+	case isOwnZone:
+		group = &c.own
+	}
+	*group = append(*group, address)
+}
+
+// eligible returns the peers of which one is asked next: proven ones, then up to ownZoneAttempts of
+// the own zone, then those of other zones. If explores is set, one that is not proven is asked first.
+func (c *peerCandidates) eligible(asked int, explores bool) []string {
+	explores = explores && asked == 0 && len(c.provenOwn)+len(c.provenOther) < provenPeers
+	if !explores && len(c.provenOwn) > 0 {
+		return c.provenOwn
+	}
+	if !explores && len(c.provenOther) > 0 {
+		return c.provenOther
+	}
+	if len(c.own) > 0 && (asked < ownZoneAttempts || len(c.other) == 0) {
+		return c.own
+	}
+	if len(c.other) > 0 {
+		return c.other
+	}
+	return append(c.provenOwn, c.provenOther...)
+}
+
+// Prove records that a peer has relayed a connection.
+func (p *Peers) Prove(now time.Duration, address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.provenUntil[address] = now + provenMemory
+}
+
 // Release ends a connection that Choose has counted.
 func (p *Peers) Release(address string) {
 	p.mutex.Lock()
@@ -121,6 +176,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.avoidedUntil[address] = max(p.avoidedUntil[address], now+avoidTimes[state])
+	delete(p.provenUntil, address)
 }
 
 // AvoidFor records that a peer does not reach an engine now.
@@ -130,7 +186,7 @@
 	if len(p.avoidedFor) >= maximumAvoidedFor {
 		clear(p.avoidedFor)
 	}
-	p.avoidedFor[peerAndEngine{address, engine}] = now + avoidTimes[PeerLost]
+	p.avoidedFor[peerAndEngine{address, engine}] = now + avoidForEngine
 }
 
 // Total returns the number of this node's connections that peers relay.
--- a/internal/gateway/relaysearch.go
+++ b/internal/gateway/relaysearch.go
@@ -124,6 +124,7 @@
 	}
 	response, err := peer.DecodeStreamMessage[peer.RelayResponse](encodedResponse)
 	if err == nil && response.Refusal == peer.RelayAccepted {
+		s.paths.peers.Prove(node.now(), address)
 		return relayAnswer{connection: &relayedConnection{Stream: stream, paths: s.paths, relay: address}}
 	}
 	_ = stream.Close()
