slotlease: brittle engines are sent no more requests than they have room for

What users would see: an engine whose service says Server-Brittle: N falls over when it has to reject more than N requests in a second, and its load falls on the others. Cause: nobody read the word, and how many requests an engine is sent was decided by each node for itself, from loads that are a tenth of a second old. Change: the responses' tolerance is read in platform/; for each brittle instance the issuer of its permits leases slots to all nodes, at first as many as it serves at a time, a fifth fewer after a rejection, one more each half second, and grants at most N less the last second's rejections within the 50 ms in which a rejection may still become known. A node without its issuer uses its equal share. What finds no slot is refused at once with instances_full and a time. Crashes of brittle engines are no evidence against requests. Older builds are not asked (ProtocolSlots). Property test: no instance rejects more than its tolerance in a second, however its room changes.

--- a/internal/coordination/balance/backoff.go
+++ b/internal/coordination/balance/backoff.go
@@ -8,6 +8,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/backoff"
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
+	"github.com/ravenway/ravenway/internal/coordination/slotlease"
 )
 
 // Errors of Admit. Each of them wraps ErrNotAdmitted.
@@ -30,6 +31,13 @@
 	t.backoff = tracker
 }
 
+// SetSlots sets the tracker of the brittle instances without free slots.
+func (t *Table) SetSlots(tracker *slotlease.Tracker) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.slots = tracker
+}
+
 // isTrialAllowed reports whether an instance that may be recovering from a pause counts as healthy
 // for a request. Only a few trial requests at a time probe whether the instance accepts work again,
 // and a request that could not be retried at another instance is never one of them.
@@ -63,6 +71,8 @@
 	// IsPause reports whether Wait is the remainder of that instance's pause, and not the time
 	// until its rate limit has headroom.
 	IsPause bool
+	// IsFull reports whether Wait is the time until that brittle instance may have a free slot.
+	IsFull bool
 	// PerSecond is the sum of the exhausted rate limits, in requests per second.
 	PerSecond float64
 }
@@ -74,7 +84,7 @@
 func (t *Table) NextAvailable(now time.Duration, request Request) (Availability, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if !t.limits.Any() && !t.backoff.Any() {
+	if !t.limits.Any() && !t.backoff.Any() && !t.slots.Any() {
 		return Availability{}, false
 	}
 	found, isFirst, isAnyOpen := Availability{}, true, false
@@ -89,16 +99,18 @@
 			continue
 		}
 		isPaused := status.Phase == backoff.Paused
-		if !isLimited && !isPaused {
+		fullFor := t.slots.FullFor(now, one.Incarnation())
+		if !isLimited && !isPaused && fullFor == 0 {
 			isAnyOpen = true
 			continue
 		}
 		if isLimited {
 			found.PerSecond += max(headroom.PerSecond, ratelimit.MinimumRate)
 		}
-		wait := max(status.Wait, headroom.Wait)
+		wait := max(status.Wait, headroom.Wait, fullFor)
 		if isFirst || wait < found.Wait {
 			found.Wait, found.IsPause, isFirst = wait, isPaused, false
+			found.IsFull = !isPaused && !isLimited
 		}
 	}
 	return found, !isFirst && !(found.IsPause && isAnyOpen)
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -200,7 +200,7 @@
 			continue
 		}
 		status := t.backoff.Status(now, one.Incarnation())
-		if status.Phase == backoff.Paused || status.Phase == backoff.Leaving {
+		if status.Phase == backoff.Paused || status.Phase == backoff.Leaving || t.slots.FullFor(now, one.Incarnation()) > 0 {
 			continue
 		}
 		isLimited := t.weighPermit(now, one, request.MaximumPermitWait)
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -19,6 +19,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/backoff"
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/coordination/slotlease"
 	"github.com/ravenway/ravenway/internal/state/evacuation"
 )
 
@@ -95,6 +96,8 @@
 	// backoff tracks the pauses that instances requested from this node; nil means that there are
 	// none.
 	backoff *backoff.Tracker
+	// slots tracks the brittle instances without free slots; nil means that there are none.
+	slots *slotlease.Tracker
 	// choices is the number of choices made.
 	choices uint64
 	// random returns a random number in [0, 1).
@@ -249,6 +252,18 @@
 	return 0
 }
 
+// TotalInFlight returns the number of all nodes' requests in flight at an incarnation of an instance,
+// as far as they are known.
+func (t *Table) TotalInFlight(incarnation registry.Incarnation) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.member(incarnation)
+	if known == nil {
+		return 0
+	}
+	return known.inFlight + t.others[known.key].Requests
+}
+
 // OwnLoads returns the loads of this node's requests in flight.
 func (t *Table) OwnLoads() Loads {
 	t.mutex.Lock()
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -28,7 +28,7 @@
 func (r *request) send(ctx context.Context, choice balance.Choice, lastEvent string) (*exchange, sendState, error) {
 	options := r.pipeline.options
 	prepared := r.outgoing(choice, lastEvent)
-	prepared.admit = func(ctx context.Context) error { return r.admitWrite(ctx, choice) }
+	prepared.admit = func(ctx context.Context) (Slot, error) { return r.admitWrite(ctx, choice) }
 	prepared.learn = func(response *exchange, writtenAt time.Time) {
 		signal := response.backoffSignal()
 		options.Backoff.Learn(choice.Instance, r.call.ID, signal, writtenAt)
@@ -36,6 +36,7 @@
 			relayed.ReportSignal(r.call.ID, signal)
 		}
 		options.RateLimits.Learn(choice.Instance, response.rateLimitSignal(), writtenAt)
+		options.Slots.Learn(choice.Instance, response.slotSignal())
 		if names := r.pipeline.headers.takeNew(choice.Service, response.response.Header, options.Dialect.KnowsResponseHeader); len(names) > 0 {
 			options.Log.UnknownHeaders(r, choice, names)
 		}
@@ -53,21 +54,24 @@
 
 // admitWrite is the last check before a request is written to an instance. It repeats the checks
 // of the choice, which may no longer hold: the request has waited for its connection since, and
-// waits for its permit here.
-func (r *request) admitWrite(ctx context.Context, choice balance.Choice) error {
+// waits for its permit here. A brittle instance's slot is taken last, since it has to be freed.
+func (r *request) admitWrite(ctx context.Context, choice balance.Choice) (Slot, error) {
 	environment, table := r.pipeline.options.Environment, r.pipeline.options.Table
 	if err := table.Admit(environment.Now(), choice); err != nil {
-		return err
+		return nil, err
 	}
 	if err := r.pipeline.options.RateLimits.Permit(ctx, choice.Instance, r.permitNeeds()); err != nil {
-		return err
+		return nil, err
 	}
-	return table.Admit(environment.Now(), choice)
+	if err := table.Admit(environment.Now(), choice); err != nil {
+		return nil, err
+	}
+	return r.pipeline.options.Slots.Acquire(ctx, choice.Instance, time.Until(r.deadline))
 }
 
 // isNotAdmitted reports whether the request was withheld from the instance: no byte reached it.
 func isNotAdmitted(err error) bool {
-	return errors.Is(err, ErrNoPermit) || errors.Is(err, balance.ErrNotAdmitted)
+	return errors.Is(err, ErrNoPermit) || errors.Is(err, ErrNoSlot) || errors.Is(err, balance.ErrNotAdmitted)
 }
 
 // noteNotAdmitted records that the request was withheld from an instance. The instance is removed
@@ -78,6 +82,9 @@
 		result = "no_permit"
 		r.permitsRefused++
 	}
+	if errors.Is(err, ErrNoSlot) {
+		result = "no_slot"
+	}
 	r.tried = r.tried[:len(r.tried)-1]
 	r.pipeline.options.Log.Attempt(r, choice, result, err)
 }
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -343,7 +343,7 @@
 			status = http.StatusGatewayTimeout
 		}
 		switch reason {
-		case ReasonNoInstance, ReasonNoRegion, ReasonRejected, ReasonRateLimited, ReasonPaused:
+		case ReasonNoInstance, ReasonNoRegion, ReasonRejected, ReasonRateLimited, ReasonPaused, ReasonFull:
 			reason = ReasonOutcomeUnknown
 		}
 		r.refuse(Refusal{Status: status, Reason: reason})
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -137,7 +137,9 @@
 		engine = &suspectedEngine{since: time.Now()}
 		d.engines[incarnation] = engine
 	}
-	if len(engine.unreported) < maximumReportedRuns {
+	// A brittle engine crashes because of its rejections, and not because of a run.
+	isBrittle := d.pipeline.options.Slots.IsBrittle(choice.Instance)
+	if len(engine.unreported) < maximumReportedRuns && !isBrittle {
 		engine.unreported = append(engine.unreported, run)
 	}
 	hasCrashed, isChecking := engine.hasCrashed, engine.isChecking
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -126,7 +126,7 @@
 	if r.route != nil {
 		line = line.Int64("objective_ms", r.route.Objective.Milliseconds())
 	}
-	if refused.Reason == ReasonRateLimited || refused.Reason == ReasonPaused {
+	if refused.Reason == ReasonRateLimited || refused.Reason == ReasonPaused || refused.Reason == ReasonFull {
 		line = line.Int64("come_back_ms", r.retryTime.Milliseconds()).Int("permits_refused", r.permitsRefused)
 	}
 	line.Int64("token_wait_ms", r.tokenWait.Milliseconds()).
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -22,6 +22,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/backoff"
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
+	"github.com/ravenway/ravenway/internal/coordination/slotlease"
 )
 
 // Call is a caller's request as the dialect has read it.
@@ -76,6 +77,8 @@
 	RateLimit ratelimit.Signal
 	// Backoff is the signal about pauses that the instance requests of this node.
 	Backoff backoff.Signal
+	// Brittle is the signal that the instance crashes when it has to reject too many requests.
+	Brittle slotlease.Signal
 }
 
 // Dialect is the adapter of one HTTP interface between callers, ravenway and engines.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -48,6 +48,8 @@
 	writeErr error
 	// isLong indicates that the body is written while the response is awaited.
 	isLong bool
+	// slot is the slot that the request occupies at a brittle engine, or nil.
+	slot Slot
 	// watch watches the exchange's path until its end.
 	watch *pathWatch
 	// stop keeps the end of the request's context from closing the connection; it returns false if
@@ -66,9 +68,9 @@
 	body   []byte
 	// incarnation is the engine's incarnation that the request is for.
 	incarnation registry.Incarnation
-	// admit returns an error unless the request may be written now. It waits for a permit if the
-	// engine's rate limit will have headroom shortly.
-	admit func(ctx context.Context) error
+	// admit returns an error unless the request may be written now, and the slot that it occupies at
+	// a brittle engine. It waits for a permit if the engine's rate limit will have headroom shortly.
+	admit func(ctx context.Context) (Slot, error)
 	// opened is called with the connection before the request is written.
 	opened func(connection *connection)
 	// mayRunAgain is whether the request may be sent again if this exchange fails.
@@ -96,14 +98,15 @@
 	}
 	request.opened(opened)
 	// Admission is the last step before writing: the request waits for nothing after it.
-	if err := request.admit(ctx); err != nil {
+	slot, err := request.admit(ctx)
+	if err != nil {
 		p.putUnused(address, opened)
 		return nil, notSent, err
 	}
 	if deadline, found := ctx.Deadline(); found {
 		_ = opened.network.SetDeadline(deadline)
 	}
-	sending := &exchange{pool: p, address: address, incarnation: request.incarnation, connection: opened, sentAt: time.Now(), written: make(chan struct{})}
+	sending := &exchange{pool: p, address: address, incarnation: request.incarnation, connection: opened, sentAt: time.Now(), written: make(chan struct{}), slot: slot}
 	// If the caller leaves or the deadline expires, closing the connection frees the engine
 	// immediately.
 	sending.stop = context.AfterFunc(ctx, opened.close)
@@ -204,6 +207,7 @@
 func (e *exchange) finish(id string) {
 	e.pool.untrack(e)
 	e.watch.stop()
+	e.freeSlot()
 	if !e.stop() {
 		return
 	}
@@ -232,6 +236,7 @@
 func (e *exchange) abort() {
 	e.pool.untrack(e)
 	e.watch.stop()
+	e.freeSlot()
 	e.stop()
 	e.connection.close()
 }
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -112,6 +112,8 @@
 	EngineMeter *transport.Meter
 	// PromptReservations reserves prompts before they are sent; nil means that none are.
 	PromptReservations PromptReservations
+	// Slots bounds the requests in flight at brittle instances; nil means that nothing does.
+	Slots Slots
 	// EnginePaths decides how connections to engines are opened; nil means directly.
 	EnginePaths EnginePaths
 }
@@ -178,6 +180,9 @@
 	if options.PromptReservations == nil {
 		options.PromptReservations = noPromptReservations{}
 	}
+	if options.Slots == nil {
+		options.Slots = noSlots{}
+	}
 	if options.EnginePaths == nil {
 		options.EnginePaths = noEnginePaths{}
 	}
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -39,7 +39,9 @@
 	// request.
 	ReasonRateLimited Reason = "instances_rate_limited"
 	// ReasonPaused: all of the service's instances have requested a pause.
-	ReasonPaused         Reason = "instances_paused"
+	ReasonPaused Reason = "instances_paused"
+	// ReasonFull: the service's brittle instances have no free slot.
+	ReasonFull           Reason = "instances_full"
 	ReasonTimeout        Reason = "timeout"
 	ReasonOutcomeUnknown Reason = "outcome_unknown"
 	ReasonCallerLeft     Reason = "caller_left"
@@ -112,7 +114,7 @@
 	switch {
 	case refused.Reason == ReasonQuarantined:
 		// A retry would be refused again, so no retry time is sent.
-	case refused.Reason == ReasonRateLimited, refused.Reason == ReasonPaused:
+	case refused.Reason == ReasonRateLimited, refused.Reason == ReasonPaused, refused.Reason == ReasonFull:
 		header.Set("Retry-After", formatRetryAfter(r.retryTime))
 	case refused.Reason == ReasonIsolated:
 		// The caller's next connection reaches another node.
--- a/internal/forward/retrytime.go
+++ b/internal/forward/retrytime.go
@@ -13,6 +13,9 @@
 	minimumRetrySpread = 200 * time.Millisecond
 	maximumRetrySpread = 2 * time.Second
 	retrySpreadShare   = 0.25
+	// fullRetrySpread spreads the retries of requests for which brittle instances have no free slot:
+	// a run takes about as long.
+	fullRetrySpread = 500 * time.Millisecond
 )
 
 // nextAvailable returns when a service's instances accept the request if only pauses or rate
@@ -24,6 +27,10 @@
 // planRetry sets the time after which the request's caller should retry. It returns the reason
 // for the refusal.
 func (r *request) planRetry(service string, next balance.Availability) Reason {
+	if next.IsFull {
+		r.retryTime = max(next.Wait, minimumRetrySpread) + rand.N(fullRetrySpread)
+		return ReasonFull
+	}
 	if next.IsPause {
 		spread := min(max(time.Duration(retrySpreadShare*float64(next.Wait)), minimumRetrySpread), maximumRetrySpread)
 		r.retryTime = next.Wait + rand.N(spread)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -200,10 +200,10 @@
 	return outcome.value, err
 }
 
-// startCall serves another node's call. A reservation is served before the node's next message,
-// which may be its release.
+// startCall serves another node's call. A reservation or a slot is granted before the node's next
+// message, which may end it.
 func (n *Node) startCall(from string, call peer.Call) {
-	if call.Method == peer.MethodReserve {
+	if call.Method == peer.MethodReserve || call.Method == peer.MethodAcquireSlot {
 		n.serveCall(from, call)
 		return
 	}
@@ -234,6 +234,9 @@
 	if call.Method == peer.MethodReserve && n.prompts != nil {
 		return n.prompts.handleReserve(from, call)
 	}
+	if call.Method == peer.MethodAcquireSlot && n.slots != nil {
+		return n.slots.handleAcquire(from, call)
+	}
 	if n.replica == nil {
 		return nil, consensus.ErrNotLeader
 	}
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -350,11 +350,13 @@
 	for _, previous := range replaced {
 		f.node.limits.limits.Forget(previous.Incarnation())
 		f.node.prompts.ledger.Forget(previous.Incarnation())
+		f.node.slots.ledger.Forget(previous.Incarnation())
 	}
 	for _, changed := range changes {
 		if changed.HasEnded() {
 			f.node.limits.limits.Forget(changed.Incarnation())
 			f.node.prompts.ledger.Forget(changed.Incarnation())
+			f.node.slots.ledger.Forget(changed.Incarnation())
 		}
 	}
 	if len(replaced) > 0 {
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -69,6 +69,7 @@
 	l.node.limits.tick()
 	l.node.backoff.tick()
 	l.node.prompts.tick()
+	l.node.slots.tick()
 	updates := balance.Updates{Parts: l.node.table.TakeSpilled(), Limits: l.node.limits.limits.TakeUpdates()}
 	l.exchange.SetOwnLink(l.node.gate.state())
 	reports, known := l.exchange.Step(now, l.node.table.OwnLoads(), updates, l.node.limits.limits.ActiveUpdates)
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -34,6 +34,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/consensus"
 	"github.com/ravenway/ravenway/internal/coordination/escrow"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/coordination/slotlease"
 	"github.com/ravenway/ravenway/internal/forward"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/settings"
@@ -147,6 +148,7 @@
 	paths      *enginePaths
 	relays     *relayServer
 	prompts    *promptCoordinator
+	slots      *slotManager
 	pipeline   *forward.Pipeline
 	decisions  *forward.DecisionLog
 	callers    *callerServer
@@ -191,6 +193,8 @@
 		node.table.SetLimits(node.limits.limits)
 		node.backoff = newPauseRecorder(node)
 		node.table.SetBackoff(node.backoff.tracker)
+		node.slots = newSlotManager(node)
+		node.table.SetSlots(node.slots.tracker)
 		node.paths, node.relays = newEnginePaths(node), newRelayServer(node)
 		node.prompts = newPromptCoordinator(node)
 		node.decisions = forward.NewDecisionLog(node.log)
@@ -199,7 +203,7 @@
 			Log: node.decisions, Dial: options.DialEngine, BufferedBytes: maximumBodyBytes(options.Settings.Limits.MemoryMB),
 			Guard: node.quarantine.guard, Recorder: node.rollouts.recorder, RateLimits: node.limits, Backoff: node.backoff,
 			EngineMeter:        &node.meters.engines,
-			PromptReservations: node.prompts, EnginePaths: node.paths,
+			PromptReservations: node.prompts, EnginePaths: node.paths, Slots: node.slots,
 		})
 		node.callers = newCallerServer(options.Listeners.Callers, node.pipeline, &node.meters.callers)
 		node.documents.onChange = node.callers.applyLimits
@@ -450,6 +454,11 @@
 			return nil
 		}
 		return n.prompts.handleRelease(from, envelope)
+	case peer.KindSlotEnd:
+		if n.slots == nil {
+			return nil
+		}
+		return peer.Dispatch(envelope, func(end slotlease.End) { n.slots.handleEnd(from, end) })
 	case peer.KindCall:
 		return peer.Dispatch(envelope, func(call peer.Call) { n.startCall(from, call) })
 	case peer.KindReply:
--- a/internal/gateway/wire_test.go
+++ b/internal/gateway/wire_test.go
@@ -25,6 +25,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	prompt "github.com/ravenway/ravenway/internal/coordination/reservation"
 	canary "github.com/ravenway/ravenway/internal/coordination/rollout"
+	"github.com/ravenway/ravenway/internal/coordination/slotlease"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/settings"
 	"github.com/ravenway/ravenway/internal/state/accounts"
@@ -140,6 +141,7 @@
 	all = append(all, wireSample{"rollouts", peer.KindRollouts, &samplesMessage{Incarnation: "0123456789abcdef", Samples: []canary.Samples{sample}}})
 	all = append(all,
 		wireSample{"release", peer.KindRelease, &prompt.Release{Incarnation: registry.Incarnation{ID: "i-1", StartedAt: 1700000000000}, Number: 1 << 63}},
+		wireSample{"slot_end", peer.KindSlotEnd, &slotlease.End{Incarnation: registry.Incarnation{ID: "i-1", StartedAt: 1700000000000}, Number: 1 << 63, IsRejected: true}},
 		wireSample{"reserve", peer.KindCall, &peer.Call{ID: 10, Method: peer.MethodReserve, Body: mustMarshal(&sampleReserve)}},
 		wireSample{"reserved", peer.KindReply, &peer.Reply{ID: 10, Body: mustMarshal(&prompt.Response{IsGranted: true, Ahead: 8000, Prompts: 1})}},
 	)
@@ -302,7 +304,7 @@
 			}
 		}
 	}
-	for _, body := range []any{commitDocumentRequest{}, readDocumentRequest{}, readDocumentResponse{}, readRolloutRequest{}, rolloutResponse{}, machine.DocumentOutcome{}, machine.ZoneCommand{}, ratelimit.PermitRequest{}, ratelimit.PermitResponse{}, prompt.Request{}, prompt.Response{}} {
+	for _, body := range []any{commitDocumentRequest{}, readDocumentRequest{}, readDocumentResponse{}, readRolloutRequest{}, rolloutResponse{}, machine.DocumentOutcome{}, machine.ZoneCommand{}, ratelimit.PermitRequest{}, ratelimit.PermitResponse{}, prompt.Request{}, prompt.Response{}, slotlease.Request{}, slotlease.Response{}, peer.RelayRequest{}, peer.RelayResponse{}, peer.RelaySignal{}} {
 		for _, line := range peer.Shape(reflect.TypeOf(body)) {
 			if !slices.Contains(lines, line) {
 				lines = append(lines, line)
--- a/internal/lab/openfleet/engine.go
+++ b/internal/lab/openfleet/engine.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/lab/brittlecheck"
 	"github.com/ravenway/ravenway/internal/lab/pausecheck"
 	"github.com/ravenway/ravenway/internal/lab/wire"
 )
@@ -165,6 +166,15 @@
 	Pause time.Duration
 	// IsLeaving makes all responses of the engine signal that it leaves; its heartbeats don't report it.
 	IsLeaving bool
+	// Room bounds the requests that run or wait at the engine, which rejects further ones; 0 means no
+	// bound. Of those with room, Slots run at a time.
+	Room int
+	// Brittle is the number of rejections for want of room that the engine survives in a second, as its
+	// responses name it; "" means that they name none and that it survives all.
+	Brittle string
+	// occupied is the number of requests that run or wait, running that of those that run.
+	occupied, running int
+	rejections        brittlecheck.Rejections
 	// crash crashes the engine; hasCrashed reports that it has crashed.
 	crash      func()
 	hasCrashed atomic.Bool
@@ -191,6 +201,7 @@
 	bareRejections     float64
 	pause              time.Duration
 	isLeaving          bool
+	brittle            string
 }
 
 func (e *Engine) behaviour() behaviour {
@@ -199,7 +210,7 @@
 	return behaviour{
 		workTime: e.WorkTime, events: e.Events, breakAfter: e.BreakAfter, status: e.Status, rejectsAll: e.RejectsAll,
 		crashesOn: e.CrashesOn, crashesAfter: e.CrashesAfter, rateLimit: e.RateLimit, bareRejections: e.BareRejections,
-		pause: e.Pause, isLeaving: e.IsLeaving,
+		pause: e.Pause, isLeaving: e.IsLeaving, brittle: e.Brittle,
 	}
 }
 
@@ -223,6 +234,9 @@
 		writer.Header().Set(wire.HeaderLeaving, "1")
 		e.truth.recordLeaving(e.ID, node)
 	}
+	if current.brittle != "" {
+		writer.Header().Set(wire.HeaderBrittle, current.brittle)
+	}
 	if current.rejectsAll || isBare {
 		writer.Header().Set(wire.HeaderNotRun, "1")
 		if current.pause > 0 && !isBare {
@@ -232,6 +246,11 @@
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if !e.enter() {
+		e.rejectForWantOfRoom(writer)
+		return
+	}
+	defer e.leave()
 	run := e.truth.beginRun(id, e.ID, request.Header.Get(wire.HeaderTenant), string(body))
 	defer e.truth.endRun(run)
 	if current.crashesOn != "" && current.crashesOn == string(body) {
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -27,6 +27,9 @@
 	// which any response announces that its engine shuts down.
 	PauseHeader(lasting time.Duration) http.Header
 	LeavingHeader() http.Header
+	// BrittleHeader returns the headers by which any response names the number of rejections in a
+	// second that its engine survives.
+	BrittleHeader(tolerance int) http.Header
 	// Heartbeat returns the path and the body of an instance's heartbeat.
 	Heartbeat(instance registry.Instance) (path string, body []byte)
 	// Configuration returns the path and the body of an operator's order for a configuration.
--- a/internal/lab/wire/wire.go
+++ b/internal/lab/wire/wire.go
@@ -13,6 +13,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/backoff"
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
+	"github.com/ravenway/ravenway/internal/coordination/slotlease"
 	"github.com/ravenway/ravenway/internal/forward"
 	"github.com/ravenway/ravenway/internal/gateway"
 )
@@ -39,6 +40,8 @@
 	HeaderPause = "Lab-Pause"
 	// HeaderLeaving announces that an engine shuts down.
 	HeaderLeaving = "Lab-Leaving"
+	// HeaderBrittle names the number of rejections in a second that an engine survives.
+	HeaderBrittle = "Lab-Brittle"
 )
 
 // ReadyPath is the path at which an entry node reports whether it is ready.
@@ -93,13 +96,13 @@
 	return forward.ResponseHead{
 		ID: header.Get(HeaderRequest), NotRun: header.Get(HeaderNotRun) != "",
 		OtherInstance: status == http.StatusMisdirectedRequest, RateLimit: ratelimit.Read(header[HeaderRateLimit]),
-		Backoff: backoff.ReadPause(header[HeaderPause]).WithLeaving(header[HeaderLeaving]),
+		Backoff: backoff.ReadPause(header[HeaderPause]).WithLeaving(header[HeaderLeaving]), Brittle: slotlease.Read(header[HeaderBrittle]),
 	}
 }
 
 // KnowsResponseHeader implements forward.Dialect.
 func (Dialect) KnowsResponseHeader(name string) bool {
-	return forward.IsHTTPResponseHeader(name) || slices.Contains([]string{HeaderRequest, HeaderNotRun, HeaderRateLimit, HeaderPause, HeaderLeaving}, name)
+	return forward.IsHTTPResponseHeader(name) || slices.Contains([]string{HeaderRequest, HeaderNotRun, HeaderRateLimit, HeaderPause, HeaderLeaving, HeaderBrittle}, name)
 }
 
 // ControlHandler implements gateway.Dialect. It serves nothing: the lab calls gateway.Control
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -69,6 +69,8 @@
 	KindRollouts
 	// KindRelease ends the reservation of a prompt at an instance.
 	KindRelease
+	// KindSlotEnd ends the lease of a slot at a brittle instance.
+	KindSlotEnd
 	// kindEnd is one above the last kind.
 	kindEnd
 )
@@ -76,7 +78,7 @@
 // String returns the kind's name, which is used in metrics.
 func (k Kind) String() string {
 	names := [...]string{"none", "consensus", "call", "reply", "status", "claims", "catalog", "follow", "accounts", "lend", "fence", "reports",
-		"hello", "document_notice", "document_fetch", "document", "instances", "instances_heard", "loads", "pool", "quarantine", "rollouts", "release",
+		"hello", "document_notice", "document_fetch", "document", "instances", "instances_heard", "loads", "pool", "quarantine", "rollouts", "release", "slot_end",
 	}
 	if int(k) < len(names) {
 		return names[k]
@@ -169,6 +171,8 @@
 	MethodPermit Method = "permit"
 	// MethodReserve requests the reservation of a prompt from the coordinator of an instance.
 	MethodReserve Method = "reserve"
+	// MethodAcquireSlot leases a slot of a brittle instance from its issuer.
+	MethodAcquireSlot Method = "acquire_slot"
 	// MethodFence makes a claim acceptor fence an incarnation of a holder.
 	MethodFence Method = "fence"
 )
--- a/internal/protocol/peer/protocol.go
+++ b/internal/protocol/peer/protocol.go
@@ -25,6 +25,8 @@
 	ProtocolReservations
 	// ProtocolRelays nodes relay connections to engines.
 	ProtocolRelays
+	// ProtocolSlots nodes lease slots of brittle instances.
+	ProtocolSlots
 	// protocolEnd is one above the newest version.
 	protocolEnd
 )
