--- a/internal/gateway/wire_test.go
+++ b/internal/gateway/wire_test.go
@@ -183,6 +183,8 @@
 		return decodedBody[peer.Reply](envelope)
 	case *prompt.Release:
 		return decodedBody[prompt.Release](envelope)
+	case *slotlease.End:
+		return decodedBody[slotlease.End](envelope)
 	case *quarantineMessage:
 		return decodedBody[quarantineMessage](envelope)
 	case *samplesMessage:
