--- a/internal/coordination/slotlease/slotlease.go
+++ b/internal/coordination/slotlease/slotlease.go
@@ -42,7 +42,7 @@
 	// IsBrittle reports whether the response names a tolerance.
 	IsBrittle bool
 	Tolerance int
-	// IsRejected reports whether the instance rejected the request.
+	// IsRejected reports whether the instance rejected the request, which held no slot.
 	IsRejected bool
 	// Fault is the error of a field that can't be read. Such a field is ignored.
 	Fault error
--- a/internal/forward/slots.go
+++ b/internal/forward/slots.go
@@ -43,7 +43,7 @@
 // slotSignal returns the response's signal about the engine's brittleness.
 func (e *exchange) slotSignal() slotlease.Signal {
 	signal := e.head.Brittle
-	signal.IsRejected = e.head.NotRun && !e.head.OtherInstance
+	signal.IsRejected = e.slot == nil && e.head.NotRun && !e.head.OtherInstance
 	return signal
 }
 
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -73,6 +73,20 @@
 	if change := s.tracker.Learn(s.node.now(), instance.Service, signal); change != slotlease.Unchanged {
 		s.log(instance.Service, change, signal, instance.ID)
 	}
+	if signal.IsBrittle && signal.IsRejected {
+		// The request was sent before this node knew that the service is brittle.
+		s.end(s.node.limits.limits.Issuer(s.node.now(), instance.ID, instance.Zone), slotlease.End{Incarnation: instance.Incarnation(), IsRejected: true})
+	}
+}
+
+// end reports the end of a lease to the issuer.
+func (s *slotManager) end(issuer string, end slotlease.End) {
+	switch {
+	case issuer == s.node.address:
+		s.handleEnd(issuer, end)
+	case issuer != "" && s.node.protocols.versionOf(issuer) >= peer.ProtocolSlots:
+		s.node.send(issuer, peer.KindSlotEnd, &end)
+	}
 }
 
 func (s *slotManager) log(service string, change slotlease.ChangeKind, signal slotlease.Signal, instance string) {
@@ -176,16 +190,9 @@
 
 // Free implements forward.Slot.
 func (l *leasedSlot) Free(isRejected bool) {
-	node := l.manager.node
 	l.end.IsRejected = isRejected
-	switch l.issuer {
-	case "":
-		if isRejected {
-			l.manager.tracker.SetFull(node.now(), l.end.Incarnation, issuerFailurePause)
-		}
-	case node.address:
-		l.manager.handleEnd(node.address, l.end)
-	default:
-		node.send(l.issuer, peer.KindSlotEnd, &l.end)
+	if l.issuer == "" && isRejected {
+		l.manager.tracker.SetFull(l.manager.node.now(), l.end.Incarnation, issuerFailurePause)
 	}
+	l.manager.end(l.issuer, l.end)
 }
