Operators: paths list shows the engines that a node does not reach and its relays

Cause: an operator saw the loss of a path only in a node's log. Change: GetPaths in the schema and ravenway paths list: whether the own path is lost or the node isolated, each unreachable engine with the result and age of the last attempt, the nodes that relay, and the connections relayed for others.

--- a/api/ravenway/v1/ravenwayv1connect/ravenway.connect.go
+++ b/api/ravenway/v1/ravenwayv1connect/ravenway.connect.go
@@ -85,6 +85,9 @@
 	// OperatorServiceGetPausesProcedure is the fully-qualified name of the OperatorService's GetPauses
 	// RPC.
 	OperatorServiceGetPausesProcedure = "/ravenway.v1.OperatorService/GetPauses"
+	// OperatorServiceGetPathsProcedure is the fully-qualified name of the OperatorService's GetPaths
+	// RPC.
+	OperatorServiceGetPathsProcedure = "/ravenway.v1.OperatorService/GetPaths"
 	// OperatorServiceGetCallersProcedure is the fully-qualified name of the OperatorService's
 	// GetCallers RPC.
 	OperatorServiceGetCallersProcedure = "/ravenway.v1.OperatorService/GetCallers"
@@ -136,6 +139,9 @@
 	// GetPauses lists the instances that asked the answering entry node for a pause or leave,
 	// the longest pause first. Each node knows what it was told itself.
 	GetPauses(context.Context, *connect.Request[v1.GetPausesRequest]) (*connect.Response[v1.GetPausesResponse], error)
+	// GetPaths lists the engines that the answering entry node does not reach itself, and the nodes
+	// that relay its connections.
+	GetPaths(context.Context, *connect.Request[v1.GetPathsRequest]) (*connect.Response[v1.GetPathsResponse], error)
 	// GetCallers lists the callers with a large share of the answering entry node's work, and
 	// those that the other nodes of its zone tell of.
 	GetCallers(context.Context, *connect.Request[v1.GetCallersRequest]) (*connect.Response[v1.GetCallersResponse], error)
@@ -251,6 +257,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("GetPauses")),
 			connect.WithClientOptions(opts...),
 		),
+		getPaths: connect.NewClient[v1.GetPathsRequest, v1.GetPathsResponse](
+			httpClient,
+			baseURL+OperatorServiceGetPathsProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("GetPaths")),
+			connect.WithClientOptions(opts...),
+		),
 		getCallers: connect.NewClient[v1.GetCallersRequest, v1.GetCallersResponse](
 			httpClient,
 			baseURL+OperatorServiceGetCallersProcedure,
@@ -284,6 +296,7 @@
 	releaseQuarantined *connect.Client[v1.ReleaseQuarantinedRequest, v1.ReleaseQuarantinedResponse]
 	getLimits          *connect.Client[v1.GetLimitsRequest, v1.GetLimitsResponse]
 	getPauses          *connect.Client[v1.GetPausesRequest, v1.GetPausesResponse]
+	getPaths           *connect.Client[v1.GetPathsRequest, v1.GetPathsResponse]
 	getCallers         *connect.Client[v1.GetCallersRequest, v1.GetCallersResponse]
 	getReservations    *connect.Client[v1.GetReservationsRequest, v1.GetReservationsResponse]
 }
@@ -368,6 +381,11 @@
 	return c.getPauses.CallUnary(ctx, req)
 }
 
+// GetPaths calls ravenway.v1.OperatorService.GetPaths.
+func (c *operatorServiceClient) GetPaths(ctx context.Context, req *connect.Request[v1.GetPathsRequest]) (*connect.Response[v1.GetPathsResponse], error) {
+	return c.getPaths.CallUnary(ctx, req)
+}
+
 // GetCallers calls ravenway.v1.OperatorService.GetCallers.
 func (c *operatorServiceClient) GetCallers(ctx context.Context, req *connect.Request[v1.GetCallersRequest]) (*connect.Response[v1.GetCallersResponse], error) {
 	return c.getCallers.CallUnary(ctx, req)
@@ -421,6 +439,9 @@
 	// GetPauses lists the instances that asked the answering entry node for a pause or leave,
 	// the longest pause first. Each node knows what it was told itself.
 	GetPauses(context.Context, *connect.Request[v1.GetPausesRequest]) (*connect.Response[v1.GetPausesResponse], error)
+	// GetPaths lists the engines that the answering entry node does not reach itself, and the nodes
+	// that relay its connections.
+	GetPaths(context.Context, *connect.Request[v1.GetPathsRequest]) (*connect.Response[v1.GetPathsResponse], error)
 	// GetCallers lists the callers with a large share of the answering entry node's work, and
 	// those that the other nodes of its zone tell of.
 	GetCallers(context.Context, *connect.Request[v1.GetCallersRequest]) (*connect.Response[v1.GetCallersResponse], error)
@@ -532,6 +553,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("GetPauses")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceGetPathsHandler := connect.NewUnaryHandler(
+		OperatorServiceGetPathsProcedure,
+		svc.GetPaths,
+		connect.WithSchema(operatorServiceMethods.ByName("GetPaths")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceGetCallersHandler := connect.NewUnaryHandler(
 		OperatorServiceGetCallersProcedure,
 		svc.GetCallers,
@@ -578,6 +605,8 @@
 			operatorServiceGetLimitsHandler.ServeHTTP(w, r)
 		case OperatorServiceGetPausesProcedure:
 			operatorServiceGetPausesHandler.ServeHTTP(w, r)
+		case OperatorServiceGetPathsProcedure:
+			operatorServiceGetPathsHandler.ServeHTTP(w, r)
 		case OperatorServiceGetCallersProcedure:
 			operatorServiceGetCallersHandler.ServeHTTP(w, r)
 		case OperatorServiceGetReservationsProcedure:
@@ -655,6 +684,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.GetPauses is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) GetPaths(context.Context, *connect.Request[v1.GetPathsRequest]) (*connect.Response[v1.GetPathsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.GetPaths is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) GetCallers(context.Context, *connect.Request[v1.GetCallersRequest]) (*connect.Response[v1.GetCallersResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.GetCallers is not implemented"))
 }
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -209,6 +209,18 @@
 	return known.Instance, true
 }
 
+// InstanceAt returns the instance at an address that has not ended, or false if none is known.
+func (t *Table) InstanceAt(address string) (registry.Instance, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, one := range t.members {
+		if one.Address == address && !one.hasEnded {
+			return one.Instance, true
+		}
+	}
+	return registry.Instance{}, false
+}
+
 // HasZone reports whether an instance is in a zone.
 func (t *Table) HasZone(zone string) bool {
 	t.mutex.Lock()
--- a/internal/coordination/enginepath/enginepath.go
+++ b/internal/coordination/enginepath/enginepath.go
@@ -12,6 +12,7 @@
 package enginepath
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -337,7 +338,7 @@
 
 func (t *Tracker) recordContact(now time.Duration, address string) Change {
 	if known := t.engines[address]; known != nil && known.isUnreachable {
-		known.isUnreachable, known.at, known.isRelayed = false, now, false
+		known.isUnreachable, known.outcome, known.at, known.isRelayed = false, Connected, now, false
 		// A hold time of 0 marks that the engine was unreachable once within flapMemory.
 		known.holdUntil = now + known.holdTime
 		known.probeInterval = 0
@@ -503,12 +504,13 @@
 	Hold time.Duration
 }
 
-// List returns the engines that are unreachable, or whose connections prefer relays.
+// List returns the engines that are unreachable, or whose connections prefer relays, by address.
 func (t *Tracker) List(now time.Duration) []EngineState {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var states []EngineState
-	for address, known := range t.engines {
+	for _, address := range slices.Sorted(maps.Keys(t.engines)) {
+		known := t.engines[address]
 		if known.isUnreachable || now < known.holdUntil {
 			states = append(states, EngineState{
 				Address: address, IsUnreachable: known.isUnreachable, Outcome: known.outcome, Since: now - known.since, Age: now - known.at,
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -263,6 +265,39 @@
 	return connect.NewResponse(response), nil
 }
 
+// errNoPaths means that a node connects to no engines.
+var errNoPaths = errors.New("only entry nodes connect to engines")
+
+// GetPaths implements the schema's GetPaths.
+func (o *operatorServer) GetPaths(context.Context, *connect.Request[ravenwayv1.GetPathsRequest]) (*connect.Response[ravenwayv1.GetPathsResponse], error) {
+	if o.node.paths == nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errNoPaths)
+	}
+	now, paths := o.node.now(), o.node.paths
+	lasting, isLost := paths.tracker.Loss(now)
+	response := &ravenwayv1.GetPathsResponse{Lost: isLost, Isolated: paths.IsIsolated(), RelayedForOthers: uint32(o.node.relays.active.Load())}
+	if isLost {
+		response.LostMilliseconds = lasting.Milliseconds()
+	}
+	for _, state := range paths.tracker.List(now) {
+		described := &ravenwayv1.EnginePath{
+			Address: state.Address, LastAttempt: state.Outcome.String(), AgeMilliseconds: state.Age.Milliseconds(), HoldMilliseconds: state.Hold.Milliseconds(),
+		}
+		if state.IsUnreachable {
+			described.UnreachableMilliseconds = state.Since.Milliseconds()
+		}
+		if instance, isKnown := o.node.table.InstanceAt(state.Address); isKnown {
+			described.Instance, described.Service = instance.ID, instance.Service
+		}
+		response.Engines = append(response.Engines, described)
+	}
+	for node, connections := range paths.peers.Relaying() {
+		response.Relays = append(response.Relays, &ravenwayv1.RelayUse{Node: node, Connections: uint32(connections)})
+	}
+	slices.SortFunc(response.Relays, func(a, b *ravenwayv1.RelayUse) int { return cmp.Compare(a.GetNode(), b.GetNode()) })
+	return connect.NewResponse(response), nil
+}
+
 // errNoReservations means that a node coordinates no reservations.
 var errNoReservations = errors.New("only entry nodes coordinate the reservations of prompts")
 
--- a/internal/lab/openfleet/relays_test.go
+++ b/internal/lab/openfleet/relays_test.go
@@ -262,3 +262,74 @@
 		l.assertPausesKept(t, l.engines[:4])
 	})
 }
+
+func TestOperatorListsTheWaysOfAPartitionedNode(t *testing.T) {
+	withRateLimitedFleet(t, 3, func(t *testing.T, l *rateLimitedFleet) {
+		l.Network.PartitionBetween([]string{"entry-0"}, l.engineMachines())
+		tries := &firstTries{nodes: []string{"entry-0"}}
+		tries.run(l, rand.New(rand.NewPCG(57, 40)), 30, 3*time.Second)
+		l.setEngines(func(e *Engine) { e.Events = 200 })
+		ctx, leave := context.WithCancel(l.ctx)
+		l.goroutines.Go(func() {
+			_, _ = l.Request("entry-0", CallerRequest{ID: "listed", Path: "/stream/x", Key: "key-one", Tokens: "1000,200", Context: ctx})
+		})
+		time.Sleep(time.Second)
+		listed, err := l.OperatorClient("entry-0").GetPaths(l.ctx, connect.NewRequest(&ravenwayv1.GetPathsRequest{}))
+		assert.NilError(t, err)
+		assert.Assert(t, listed.Msg.GetLost() && !listed.Msg.GetIsolated())
+		assert.Assert(t, len(listed.Msg.GetEngines()) > 5, "%v", listed.Msg.GetEngines())
+		assert.Equal(t, listed.Msg.GetEngines()[0].GetLastAttempt(), "silent")
+		assert.Equal(t, len(listed.Msg.GetRelays()), 1)
+		relay := l.OperatorClient(map[string]string{l.Machine("entry-1").Peer(): "entry-1", l.Machine("entry-2").Peer(): "entry-2"}[listed.Msg.GetRelays()[0].GetNode()])
+		relaying, err := relay.GetPaths(l.ctx, connect.NewRequest(&ravenwayv1.GetPathsRequest{}))
+		assert.NilError(t, err)
+		assert.Equal(t, relaying.Msg.GetRelayedForOthers(), uint32(1))
+		leave()
+		_, err = l.OperatorClient("control-0").GetPaths(l.ctx, connect.NewRequest(&ravenwayv1.GetPathsRequest{}))
+		assert.Equal(t, connect.CodeOf(err), connect.CodeFailedPrecondition)
+	})
+}
+
+// Guards against engines that are really down and are taken for a partition: the nodes do not relay for
+// each other, and the other engines serve.
+func TestDeadEnginesAreNoPartition(t *testing.T) {
+	for name, isDead := range map[string]func(engine *Engine) bool{
+		"one":    func(engine *Engine) bool { return engine.ID == "model-0" },
+		"a_zone": func(engine *Engine) bool { return engine.Zone == "a" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withRateLimitedFleet(t, 8, func(t *testing.T, l *rateLimitedFleet) {
+				var dead []string
+				for _, engine := range l.engines {
+					if isDead(engine) {
+						dead = append(dead, engine.ID)
+					}
+				}
+				everyone := append(l.MachineNames(true), l.MachineNames(false)...)
+				tries := l.runPartition(silentPartition, everyone, dead, 41)
+				sent, served := tries.count(partitionBegins+relayReactionTime, partitionBegins+partitionLasts, func(string) bool { return true })
+				assert.Check(t, float64(served) >= 0.95*float64(sent), "%d of %d served: %v", served, sent, tries.describeFailures(partitionBegins+relayReactionTime, partitionBegins+partitionLasts))
+				l.assertRunsAtMostOnce(t, tries)
+			})
+		})
+	}
+}
+
+// Guards against callers of partitioned nodes that are lost while the operator changes the
+// configuration.
+func TestPartitionedNodesServeThroughAChangeOfTheConfiguration(t *testing.T) {
+	withRateLimitedFleet(t, 8, func(t *testing.T, l *rateLimitedFleet) {
+		partitioned := []string{"entry-0", "entry-3", "entry-6"}
+		l.goroutines.Go(func() {
+			for range 4 {
+				time.Sleep(partitionBegins)
+				changed, err := l.ReadNewestConfiguration(3 * time.Second)
+				assert.NilError(t, err)
+				changed.Version++
+				assert.NilError(t, l.PutConfiguration(changed, 3*time.Second))
+			}
+		})
+		tries := l.runPartition(silentPartition, partitioned, l.engineMachines(), 42)
+		tries.assertServedAlike(t, partitionBegins+relayReactionTime, partitionBegins+partitionLasts, setOf(partitioned))
+	})
+}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -318,6 +318,11 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("a fleet of fixed peers bounds no callers"))
 }
 
+// GetPaths implements the schema's GetPaths.
+func (o *operatorServer) GetPaths(context.Context, *connect.Request[ravenwayv1.GetPathsRequest]) (*connect.Response[ravenwayv1.GetPathsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("a fleet of fixed peers relays no connections"))
+}
+
 // GetReservations implements the schema's GetReservations.
 func (o *operatorServer) GetReservations(context.Context, *connect.Request[ravenwayv1.GetReservationsRequest]) (*connect.Response[ravenwayv1.GetReservationsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("a fleet of fixed peers reserves no prompts"))
--- a/internal/operatorcli/commands.go
+++ b/internal/operatorcli/commands.go
@@ -88,6 +88,9 @@
 			{Name: "pauses", Usage: "pauses that instances requested from entry nodes, and leaving instances", Commands: []*cli.Command{
 				{Name: "list", Usage: "show the pauses requested from an entry node, the longest first", Action: action(getPauses)},
 			}},
+			{Name: "paths", Usage: "an entry node's ways to engines", Commands: []*cli.Command{
+				{Name: "list", Usage: "show the engines that an entry node does not reach itself, and the nodes that relay its connections", Action: action(getPaths)},
+			}},
 			{Name: "callers", Usage: "callers with a large share of an entry node's work", Commands: []*cli.Command{
 				{Name: "list", Usage: "show an entry node's heavy callers, and those that the other nodes of its zone tell of", Action: action(getCallers)},
 			}},
