soak: brittle engines that shrink, and engines that are silent for a second or two

Cause: only fleets in one process knew both. No run in progress may be cut by the silence, and no more engines may crash than the rule allows.

--- a/internal/lab/enginecut/enginecut.go
+++ b/internal/lab/enginecut/enginecut.go
@@ -44,6 +44,9 @@
 	silentTimeout = 2200 * time.Millisecond
 )
 
+// MaximumSilence is how long a silence may last that no connection notices as its end.
+const MaximumSilence = silentTimeout - 300*time.Millisecond
+
 // SetMode writes the mode to a file, at once.
 func SetMode(path string, mode Mode) error {
 	if err := os.WriteFile(path+".new", []byte(mode), 0o600); err != nil {
--- a/internal/lab/soak/engine.go
+++ b/internal/lab/soak/engine.go
@@ -118,10 +118,14 @@
 	failsPlainCalls bool
 	// limit holds the rate limits that the engine named, and the requests that it received.
 	limit limitRecord
+	// brittle holds the room of the engine and its rejections for want of room.
+	brittle brittleRecord
 	// backoff holds the pauses that the engine requested, and the requests that it received.
 	backoff backoffRecord
 	// crashByPoison crashes the engine because of a poison request with this body.
 	crashByPoison func(ended *engine, body string)
+	// crashForWantOfRoom crashes the engine because it has rejected too many requests.
+	crashForWantOfRoom func(ended *engine)
 }
 
 // startEngine starts an engine that listens on the instance's address. If failsPlainCalls is set,
@@ -176,6 +180,12 @@
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if !e.enter(writer.Header()) {
+		e.recordArrival(writer.Header(), true)
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer e.leave()
 	isFailure := e.failsPlainCalls && request.TokensIn == 0
 	e.recordArrival(writer.Header(), isFailure)
 	e.truth.recordRun(request)
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -25,6 +25,7 @@
 	servicePlain      = "plain"
 	callHost          = "soak.example"
 	controlCount      = 3
+	modelEngines      = 3
 	heartbeatInterval = 400 * time.Millisecond
 	callTimeout       = 5 * time.Second
 	controlWait       = time.Second
@@ -65,6 +66,11 @@
 	// engines.
 	startedAt  time.Time
 	crashSpans []span
+	// modelsAreBrittle and modelRoom apply to new engines of the model service; brittleCrashes counts
+	// those that crashed for want of room.
+	modelsAreBrittle bool
+	modelRoom        int
+	brittleCrashes   int
 	// isClosed prevents further starts of engines; firstError is the error of the first failed
 	// start.
 	isClosed   bool
@@ -154,7 +160,7 @@
 	}
 	for number := range 6 {
 		service := serviceModel
-		if number >= 3 {
+		if number >= modelEngines {
 			service = servicePlain
 		}
 		if err := f.addEngine(service, number, ""); err != nil {
@@ -203,6 +209,10 @@
 	if err != nil {
 		return err
 	}
+	started.crashForWantOfRoom = func(ended *engine) { f.crashForWantOfRoom(ended, place) }
+	if service == serviceModel {
+		started.setBrittle(f.modelsAreBrittle, f.modelRoom)
+	}
 	f.engines[name] = started
 	f.allIncarnations = append(f.allIncarnations, started)
 	return nil
--- a/internal/lab/soak/partition.go
+++ b/internal/lab/soak/partition.go
@@ -17,6 +17,9 @@
 	// partitionRandomStream is the second seed of the random numbers for partitions.
 	partitionRandomStream = 5700
 	partitionTime         = 7 * time.Second
+	// silenceRandomStream is the second seed of the random numbers for silent engines.
+	silenceRandomStream = 5900
+	minimumSilence      = 500 * time.Millisecond
 	// settlingTime is the time without faults before the partition that is checked.
 	settlingTime = 6 * time.Second
 )
@@ -53,7 +56,6 @@
 // checks that callers are served there like at the others.
 func (r *run) checkPartition(ctx context.Context, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, partitionRandomStream))
-	pause.For(ctx, settlingTime)
 	entries := r.fleet.members[controlCount:]
 	partitioned := map[*machine]bool{}
 	mode := enginecut.Modes[random.IntN(len(enginecut.Modes))]
@@ -73,6 +75,37 @@
 	r.checkServed(partitioned, from, until)
 }
 
+// checkSilence makes all engines silent towards all nodes for a second or two, and checks that no call in
+// progress is cut by that.
+func (r *run) checkSilence(ctx context.Context, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, silenceRandomStream))
+	lasting := randomDuration(random, minimumSilence, enginecut.MaximumSilence)
+	r.reportf("all engines are silent for %d ms", lasting.Milliseconds())
+	from := time.Since(r.startedAt)
+	for _, one := range r.fleet.members[controlCount:] {
+		r.setEnginePath(one, enginecut.Silent)
+	}
+	pause.For(ctx, lasting)
+	for _, one := range r.fleet.members[controlCount:] {
+		r.setEnginePath(one, enginecut.Open)
+	}
+	until := time.Since(r.startedAt)
+	pause.For(ctx, callTimeout)
+	inProgress := 0
+	for _, one := range r.callers.snapshot() {
+		// Calls that no engine has run yet wait for tokens, and may be refused.
+		isRunning := one.startedAt < from && one.endedAt >= from && r.fleet.truth.Runs(one.id) > 0
+		if one.kind == Safe || !isRunning || r.wasDisrupted(one) {
+			continue
+		}
+		inProgress++
+		if one.outcome != Complete {
+			r.violationf("call %s (%s) was in progress when all engines fell silent for %s, and ended as %s: %s", one.id, one.kind, until-from, one.outcome, one.detail)
+		}
+	}
+	r.reportf("%d calls were in progress when the engines fell silent", inProgress)
+}
+
 // checkServed checks the service rule on the calls that were sent in a span. Calls whose tenant has
 // used up its tokens are left out.
 func (r *run) checkServed(partitioned map[*machine]bool, from, until time.Duration) {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -179,7 +179,10 @@
 	}
 	injecting.Wait()
 	if r.canPartition && options.FaultDuration > 0 {
+		pause.For(ctx, settlingTime)
+		r.checkSilence(ctx, options.Seed)
 		r.checkPartition(ctx, options.Seed)
+		r.checkBrittle(ctx, brittleTime)
 	}
 	r.injectDisruptive(func() { r.killAndRestartAll(ctx, finalDowntime, func(*machine) bool { return true }) })
 	r.checkRecovery(ctx)
