A pause is kept when the registry learns which incarnation requested it

Cause: the engine had crashed and run again under its id, and requested the pause before the registry had its new heartbeat; the node kept the pause under the incarnation that it knew, and dropped it with that one. Change: a node remembers when it saw an incarnation end, by a crash or a refused connection; a pause that was requested after that applies to the next incarnation. Why it works: after its end an incarnation requests nothing.

--- a/internal/coordination/backoff/tracker.go
+++ b/internal/coordination/backoff/tracker.go
@@ -20,6 +20,9 @@
 	// maximumUnreadable bounds the number of incarnations that are remembered for having sent
 	// unreadable fields.
 	maximumUnreadable = 1024
+	// maximumEnded bounds the ended incarnations that are remembered, endedRetention is for how long.
+	maximumEnded   = 4096
+	endedRetention = time.Minute
 )
 
 // RecoveryPolicy is how requests to an instance resume after its pause.
@@ -89,6 +92,8 @@
 	random func() float64
 	// unreadable are the incarnations that sent unreadable fields; each is reported once.
 	unreadable *bounded.Set[registry.Incarnation]
+	// endedAt is when this node saw incarnations end that the registry may still list.
+	endedAt map[registry.Incarnation]time.Duration
 }
 
 // entry is the state of an incarnation that requested a pause or is leaving.
@@ -115,6 +120,7 @@
 func NewTracker(policy RecoveryPolicy) *Tracker {
 	return &Tracker{
 		entries: map[registry.Incarnation]*entry{}, unreadable: bounded.NewSet[registry.Incarnation](maximumUnreadable), policy: policy, random: rand.Float64,
+		endedAt: map[registry.Incarnation]time.Duration{},
 	}
 }
 
@@ -322,12 +328,37 @@
 	}
 }
 
-// Forget drops the state of an incarnation that a newer one has replaced.
-func (t *Tracker) Forget(incarnation registry.Incarnation) {
+// SeenEnded records that this node saw an incarnation end. Its instance may run again, and respond
+// before the registry knows the new incarnation.
+func (t *Tracker) SeenEnded(now time.Duration, incarnation registry.Incarnation) {
+	if t == nil {
+		return
+	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.drop(incarnation)
-	t.unreadable.Remove(incarnation)
+	if _, isKnown := t.endedAt[incarnation]; !isKnown && len(t.endedAt) < maximumEnded {
+		t.endedAt[incarnation] = now
+	}
+}
+
+// Replace drops the state of an incarnation that a newer one has replaced. A pause that was requested
+// after the earlier one had ended was requested by the newer one, and applies to it.
+func (t *Tracker) Replace(now time.Duration, previous, next registry.Incarnation) (isTransferred bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known, endedAt := t.entries[previous], t.endedAt[previous]
+	_, wasSeen := t.endedAt[previous]
+	t.drop(previous)
+	t.unreadable.Remove(previous)
+	delete(t.endedAt, previous)
+	if known == nil || !wasSeen || known.pausedAt < endedAt || now >= known.until || t.entries[next] != nil {
+		return false
+	}
+	moved := *known
+	moved.incarnation, moved.trials, moved.isLeaving, moved.listedAt = next, 0, false, now
+	t.entries[next] = &moved
+	t.entryCount.Add(1)
+	return true
 }
 
 func (t *Tracker) drop(incarnation registry.Incarnation) {
@@ -365,6 +396,7 @@
 // whether the registry lists an incarnation. It is called without holding the lock, so it may call
 // the tracker.
 func (t *Tracker) Prune(now time.Duration, isListed func(incarnation registry.Incarnation) bool) {
+	t.forgetEnded(now)
 	if !t.Any() {
 		return
 	}
@@ -384,6 +416,16 @@
 	}
 }
 
+func (t *Tracker) forgetEnded(now time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for incarnation, at := range t.endedAt {
+		if now-at > endedRetention {
+			delete(t.endedAt, incarnation)
+		}
+	}
+}
+
 // incarnations returns the incarnations that have entries.
 func (t *Tracker) incarnations() []registry.Incarnation {
 	t.mutex.Lock()
--- a/internal/coordination/backoff/tracker_test.go
+++ b/internal/coordination/backoff/tracker_test.go
@@ -48,11 +48,29 @@
 	newer := registry.Incarnation{ID: incarnation.ID, StartedAt: 2000}
 	assert.Equal(t, tracker.Status(time.Second, newer).Phase, Open)
 	learn(tracker, time.Second, newer, "r2", pauseOf(1))
-	tracker.Forget(incarnation)
+	tracker.Replace(time.Hour, incarnation, registry.Incarnation{ID: "another"})
 	assert.Equal(t, tracker.Status(time.Second, newer).Phase, Paused)
 	assert.Equal(t, tracker.Status(time.Second, incarnation).Phase, Open)
 }
 
+func TestPauseRequestedAfterAnIncarnationEndedAppliesToTheNextOne(t *testing.T) {
+	newer := registry.Incarnation{ID: incarnation.ID, StartedAt: 2000}
+	for _, row := range []struct {
+		endedAt, pausedAt time.Duration
+		isTransferred     bool
+	}{{2 * time.Second, time.Second, false}, {time.Second, 2 * time.Second, true}} {
+		tracker := NewTracker(exactEnd)
+		if row.endedAt < row.pausedAt {
+			tracker.SeenEnded(row.endedAt, incarnation)
+		}
+		learn(tracker, row.pausedAt, incarnation, "r1", pauseOf(5))
+		tracker.SeenEnded(row.endedAt, incarnation)
+		assert.Equal(t, tracker.Replace(3*time.Second, incarnation, newer), row.isTransferred)
+		assert.Equal(t, tracker.Status(4*time.Second, newer).Phase == Paused, row.isTransferred)
+		assert.Equal(t, tracker.Status(4*time.Second, incarnation).Phase, Open)
+	}
+}
+
 func TestInstanceRecoversOnceRequestsRanAfterItsPause(t *testing.T) {
 	tracker := NewTracker(exactEnd)
 	learn(tracker, 0, incarnation, "r1", pauseOf(3))
--- a/internal/coordination/balance/health.go
+++ b/internal/coordination/balance/health.go
@@ -108,12 +108,20 @@
 func (t *Table) IncarnationEnded(now time.Duration, incarnation registry.Incarnation) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.backoff.SeenEnded(now, incarnation)
 	if known := t.member(incarnation); known != nil {
 		known.connectBackoff = maximumConnectBackoff
 		known.avoidedUntil = now + maximumConnectBackoff
 	}
 }
 
+// ConnectionRefused records that an instance's address refuses connections: its incarnation has ended.
+func (t *Table) ConnectionRefused(now time.Duration, incarnation registry.Incarnation) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.backoff.SeenEnded(now, incarnation)
+}
+
 // isZoneOpen reports whether a zone's instances may be chosen. A zone that counts as partitioned is
 // opened for one probe request at a time.
 func (t *Table) isZoneOpen(now time.Duration, zone string) bool {
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -209,6 +209,17 @@
 	return known.Instance, true
 }
 
+// InstanceWithID returns the current incarnation of an instance, or false if none is known.
+func (t *Table) InstanceWithID(id string) (registry.Instance, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.members[id]
+	if known == nil {
+		return registry.Instance{}, false
+	}
+	return known.Instance, true
+}
+
 // InstanceAt returns the instance at an address that has not ended, or false if none is known.
 func (t *Table) InstanceAt(address string) (registry.Instance, bool) {
 	t.mutex.Lock()
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -208,6 +208,7 @@
 		return
 	}
 	incarnation := choice.Incarnation()
+	d.pipeline.options.Table.ConnectionRefused(d.pipeline.options.Environment.Now(), incarnation)
 	d.mutex.Lock()
 	engine := d.engines[incarnation]
 	if engine == nil || engine.hasCrashed {
--- a/internal/gateway/backoff.go
+++ b/internal/gateway/backoff.go
@@ -63,10 +63,15 @@
 	return isListed
 }
 
-// forget drops the incarnations that newer ones have replaced.
-func (p *pauseRecorder) forget(replaced []registry.Instance) {
+// replace drops the pauses of the incarnations that newer ones have replaced, unless the newer one
+// requested them.
+func (p *pauseRecorder) replace(replaced []registry.Instance) {
 	for _, previous := range replaced {
-		p.tracker.Forget(previous.Incarnation())
+		next, _ := p.node.table.InstanceWithID(previous.ID)
+		if p.tracker.Replace(p.node.now(), previous.Incarnation(), next.Incarnation()) && p.lines.Take() {
+			p.node.log.Info().Str("event", "instance_pause").Str("change", "transferred").Stringer("life", next.Incarnation()).
+				Stringer("from", previous.Incarnation()).Send()
+		}
 	}
 }
 
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -345,7 +345,7 @@
 	if f.node.pipeline == nil {
 		return
 	}
-	f.node.backoff.forget(replaced)
+	f.node.backoff.replace(replaced)
 	f.node.paths.forget(replaced)
 	for _, previous := range replaced {
 		f.node.limits.limits.Forget(previous.Incarnation())
--- a/internal/lab/openfleet/brittle_test.go
+++ b/internal/lab/openfleet/brittle_test.go
@@ -26,6 +26,7 @@
 }
 
 const (
+	// brittleSlots is the number of slots of the fleet's engines.
 	brittleSlots = 8
 	// ordinaryRoom is how many requests run or wait at an engine before it is brittle.
 	ordinaryRoom = 32
@@ -48,7 +49,7 @@
 
 func (b *brittleFleet) prepare(engine *Engine) {
 	engine.Update(func(e *Engine) {
-		e.Slots, e.Events, e.WorkTime, e.Room, e.Brittle = brittleSlots, 10, 30*time.Millisecond, b.room, b.brittle
+		e.Events, e.WorkTime, e.Room, e.Brittle = 10, 30*time.Millisecond, b.room, b.brittle
 	})
 	engine.crash = func() {
 		b.mutex.Lock()
--- a/internal/lab/openfleet/pauses_test.go
+++ b/internal/lab/openfleet/pauses_test.go
@@ -167,3 +167,31 @@
 	time.Sleep(500 * time.Millisecond)
 	return f.reportState(id, registry.Ready)
 }
+
+// Guards against pauses that are dropped when the registry learns of a new incarnation of the engine,
+// although it was the new one that requested them: it may respond before its first heartbeat arrives.
+func TestPauseOfAnIncarnationThatIsNotRegisteredYetIsKept(t *testing.T) {
+	withRateLimitedFleet(t, 2, func(t *testing.T, l *rateLimitedFleet) {
+		for _, engine := range l.engines[1:] {
+			assert.NilError(t, l.Drain(engine.ID))
+		}
+		time.Sleep(time.Second)
+		l.engines[0].Update(func(e *Engine) { e.Events = 100 })
+		for _, node := range l.MachineNames(false) {
+			l.goroutines.Go(func() {
+				_, _ = l.Request(node, CallerRequest{ID: "in-flight-" + node, Path: "/stream/x", Key: "key-one", Tokens: "1000,100"})
+			})
+		}
+		time.Sleep(time.Second)
+		l.stopHeartbeats()
+		l.CrashEngine(l.engines[0])
+		time.Sleep(500 * time.Millisecond)
+		restarted := l.AddEngine(l.engines[0].ID, "model", l.engines[0].Zone)
+		restarted.Update(func(e *Engine) { e.sendsNoHeartbeats, e.RejectsAll, e.Pause = true, true, 8*time.Second })
+		l.sendRequests(rand.New(rand.NewPCG(57, 50)), "/stream/x", 40, 4*time.Second)
+		restarted.Update(func(e *Engine) { e.RejectsAll = false })
+		assert.NilError(t, l.Heartbeat(restarted.Instance))
+		l.sendRequests(rand.New(rand.NewPCG(57, 51)), "/stream/x", 40, 2*time.Second)
+		l.assertPausesKept(t, []*Engine{restarted})
+	})
+}
