--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -10,7 +10,9 @@
 // An instance is one registered engine process, and an incarnation is one run of it between its
 // start and its end. An instance may name a rate limit in its responses: requests to it then need
 // permits. It may also request a pause, for which this node sends it no requests. A route's
-// objective is the target for the time to the response, or to a stream's first event. A poison
+// objective is the target for the time to the response, or to a stream's first event. A relay is another
+// entry node through which this one connects to an instance that it does not reach itself. A brittle
+// instance crashes when it has to reject too many requests; requests to it occupy slots. A poison
 // request crashes the engines that run it; it is suspected after some crashes and then quarantined,
 // that is, sent to no further engine.
 package forward
