--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 build:
 	mkdir -p bin
 	go build -o bin/ ./cmd/...
+	go build -tags lab -o bin/ravenwayd-lab ./cmd/ravenwayd
 
 demo:
 	./scripts/demo.sh
--- a/internal/lab/labcli/soak.go
+++ b/internal/lab/labcli/soak.go
@@ -21,7 +21,7 @@
 	return &cli.Command{
 		Name: "soak", Usage: "run the real daemons as processes, inject faults from outside, and check the guarantees",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "daemon", Value: "bin/ravenwayd", Usage: "the daemon's program"},
+			&cli.StringFlag{Name: "daemon", Value: "bin/ravenwayd-lab", Usage: "the daemon's program; only its lab build can be partitioned from engines"},
 			&cli.StringFlag{Name: "earlier", Usage: "the daemon of an earlier build: the fleet starts on it and is upgraded to --daemon, one machine after the other"},
 			&cli.BoolFlag{Name: "earlier-has-quarantine", Usage: "the earlier build quarantines requests that crash their engines"},
 			&cli.BoolFlag{Name: "going-back", Usage: "half of the machines return to the earlier build before the upgrade continues"},
