A recent pause outlasts the replacement of an incarnation whose end was not seen

Change: such a pause of the last five seconds, in which the registry may lag, applies to the next incarnation for five seconds more at most.

--- a/internal/coordination/backoff/tracker.go
+++ b/internal/coordination/backoff/tracker.go
@@ -20,6 +20,8 @@
 	// maximumUnreadable bounds the number of incarnations that are remembered for having sent
 	// unreadable fields.
 	maximumUnreadable = 1024
+	// registryDelay is how long after its first responses an incarnation may become known.
+	registryDelay = 5 * time.Second
 	// maximumEnded bounds the ended incarnations that are remembered, endedRetention is for how long.
 	maximumEnded   = 4096
 	endedRetention = time.Minute
@@ -342,19 +344,27 @@
 }
 
 // Replace drops the state of an incarnation that a newer one has replaced. A pause that was requested
-// after the earlier one had ended was requested by the newer one, and applies to it.
+// after the earlier one had ended was requested by the newer one, and applies to it. If this node did
+// not see the end, a pause that was requested within registryDelay may be of either: it applies for at
+// most as long.
 func (t *Tracker) Replace(now time.Duration, previous, next registry.Incarnation) (isTransferred bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known, endedAt := t.entries[previous], t.endedAt[previous]
-	_, wasSeen := t.endedAt[previous]
+	known := t.entries[previous]
+	endedAt, wasSeen := t.endedAt[previous]
 	t.drop(previous)
 	t.unreadable.Remove(previous)
 	delete(t.endedAt, previous)
-	if known == nil || !wasSeen || known.pausedAt < endedAt || now >= known.until || t.entries[next] != nil {
+	if known == nil || now >= known.until || t.entries[next] != nil {
 		return false
 	}
 	moved := *known
+	switch {
+	case wasSeen && known.pausedAt < endedAt, !wasSeen && now-known.pausedAt > registryDelay:
+		return false
+	case !wasSeen:
+		moved.until = min(moved.until, now+registryDelay)
+	}
 	moved.incarnation, moved.trials, moved.isLeaving, moved.listedAt = next, 0, false, now
 	t.entries[next] = &moved
 	t.entryCount.Add(1)
--- a/internal/coordination/backoff/tracker_test.go
+++ b/internal/coordination/backoff/tracker_test.go
@@ -56,18 +56,31 @@
 func TestPauseRequestedAfterAnIncarnationEndedAppliesToTheNextOne(t *testing.T) {
 	newer := registry.Incarnation{ID: incarnation.ID, StartedAt: 2000}
 	for _, row := range []struct {
-		endedAt, pausedAt time.Duration
-		isTransferred     bool
-	}{{2 * time.Second, time.Second, false}, {time.Second, 2 * time.Second, true}} {
+		// endedAt is when this node saw the earlier incarnation end, 0 if it did not.
+		endedAt, pausedAt, replacedAt time.Duration
+		isTransferred                 bool
+		pausedUntil                   time.Duration
+	}{
+		{2 * time.Second, time.Second, 3 * time.Second, false, 0},
+		{time.Second, 2 * time.Second, 3 * time.Second, true, 62 * time.Second},
+		{0, 2 * time.Second, 3 * time.Second, true, 3*time.Second + registryDelay},
+		{0, 2 * time.Second, 3*time.Second + registryDelay, false, 0},
+	} {
 		tracker := NewTracker(exactEnd)
+		seeEnd := func() {
+			if row.endedAt > 0 {
+				tracker.SeenEnded(row.endedAt, incarnation)
+			}
+		}
 		if row.endedAt < row.pausedAt {
-			tracker.SeenEnded(row.endedAt, incarnation)
+			seeEnd()
 		}
-		learn(tracker, row.pausedAt, incarnation, "r1", pauseOf(5))
-		tracker.SeenEnded(row.endedAt, incarnation)
-		assert.Equal(t, tracker.Replace(3*time.Second, incarnation, newer), row.isTransferred)
-		assert.Equal(t, tracker.Status(4*time.Second, newer).Phase == Paused, row.isTransferred)
-		assert.Equal(t, tracker.Status(4*time.Second, incarnation).Phase, Open)
+		learn(tracker, row.pausedAt, incarnation, "r1", pauseOf(60))
+		seeEnd()
+		assert.Equal(t, tracker.Replace(row.replacedAt, incarnation, newer), row.isTransferred)
+		assert.Equal(t, tracker.Status(row.pausedUntil-1, newer).Phase == Paused, row.isTransferred)
+		assert.Assert(t, tracker.Status(row.pausedUntil, newer).Phase != Paused)
+		assert.Equal(t, tracker.Status(row.replacedAt, incarnation).Phase, Open)
 	}
 }
 
--- a/internal/lab/openfleet/pauses_test.go
+++ b/internal/lab/openfleet/pauses_test.go
@@ -177,11 +177,10 @@
 		}
 		time.Sleep(time.Second)
 		l.engines[0].Update(func(e *Engine) { e.Events = 100 })
-		for _, node := range l.MachineNames(false) {
-			l.goroutines.Go(func() {
-				_, _ = l.Request(node, CallerRequest{ID: "in-flight-" + node, Path: "/stream/x", Key: "key-one", Tokens: "1000,100"})
-			})
-		}
+		// Only this node sees the end of the engine.
+		l.goroutines.Go(func() {
+			_, _ = l.Request("entry-0", CallerRequest{ID: "in-flight", Path: "/stream/x", Key: "key-one", Tokens: "1000,100"})
+		})
 		time.Sleep(time.Second)
 		l.stopHeartbeats()
 		l.CrashEngine(l.engines[0])
