--- a/internal/lab/soak/brittle.go
+++ b/internal/lab/soak/brittle.go
@@ -30,6 +30,8 @@
 	running    int
 	rejections brittlecheck.Rejections
 	hasCrashed bool
+	// crash crashes the engine because it has rejected too many requests.
+	crash func(ended *engine)
 }
 
 // enter takes a place at the engine; false means that there is no room. A brittle engine that rejects too
@@ -53,7 +55,8 @@
 	}
 	if e.brittle.rejections.Add(time.Since(e.limit.startedAt), brittleTolerance) && e.brittle.isBrittle && !e.brittle.hasCrashed {
 		e.brittle.hasCrashed = true
-		time.AfterFunc(crashResponseTime, func() { e.crashForWantOfRoom(e) })
+		crash := e.brittle.crash
+		time.AfterFunc(crashResponseTime, func() { crash(e) })
 	}
 	return false
 }
@@ -67,6 +70,13 @@
 	e.brittle.running--
 }
 
+// onWantOfRoom sets the function that crashes the engine when it has rejected too many requests.
+func (e *engine) onWantOfRoom(crash func(ended *engine)) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.brittle.crash = crash
+}
+
 func (e *engine) setBrittle(isBrittle bool, room int) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/internal/lab/soak/engine.go
+++ b/internal/lab/soak/engine.go
@@ -124,8 +124,6 @@
 	backoff backoffRecord
 	// crashByPoison crashes the engine because of a poison request with this body.
 	crashByPoison func(ended *engine, body string)
-	// crashForWantOfRoom crashes the engine because it has rejected too many requests.
-	crashForWantOfRoom func(ended *engine)
 }
 
 // startEngine starts an engine that listens on the instance's address. If failsPlainCalls is set,
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -209,7 +209,7 @@
 	if err != nil {
 		return err
 	}
-	started.crashForWantOfRoom = func(ended *engine) { f.crashForWantOfRoom(ended, place) }
+	started.onWantOfRoom(func(ended *engine) { f.crashForWantOfRoom(ended, place) })
 	if service == serviceModel {
 		started.setBrittle(f.modelsAreBrittle, f.modelRoom)
 	}
