Relayed bytes count towards the links of both nodes

What callers would see: callers of a node that relays on a small link, held up by a full link that its gate took for free. Cause: the meters counted callers, engines and frames, not the streams in which nodes relay for each other; link admission judges by the meters. Seen by reading. Change: a meter of streams, at both ends, in the link's utilization, the load line and ravenway_link_bytes_total{peer="relay"}.

--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -174,7 +174,7 @@
 	node.stale = newStaleFrames(node)
 	node.mesh = transport.NewMesh(transport.Options{
 		Self: node.address, Key: options.PeerKey, OpenMembership: true, Listener: options.Listeners.Peers,
-		Dial: options.DialPeer, Handle: node.handleFrame, HandleStream: node.handleStream, Dropped: node.stale.record, Logger: node.log,
+		Dial: options.DialPeer, Handle: node.handleFrame, HandleStream: node.handleStream, StreamMeter: &node.meters.relays, Dropped: node.stale.record, Logger: node.log,
 	})
 	node.calls = peer.NewCalls(node.send)
 	node.documents, node.publisher = newDocumentStore(node), newDocumentPublisher(node)
--- a/internal/lab/openfleet/relays_test.go
+++ b/internal/lab/openfleet/relays_test.go
@@ -333,3 +333,21 @@
 		tries.assertServedAlike(t, partitionBegins+relayReactionTime, partitionBegins+partitionLasts, setOf(partitioned))
 	})
 }
+
+// Guards against bytes of relayed connections that the nodes do not count towards their links: a node that
+// relays would not notice that its link is full.
+func TestRelayedBytesCountTowardsTheLinksOfBothNodes(t *testing.T) {
+	withRateLimitedFleet(t, 2, func(t *testing.T, l *rateLimitedFleet) {
+		l.Network.PartitionBetween([]string{"entry-0"}, l.engineMachines())
+		tries := &firstTries{nodes: []string{"entry-0"}}
+		tries.run(l, rand.New(rand.NewPCG(57, 60)), 30, 3*time.Second)
+		body := strings.Repeat("x", 200_000)
+		for _, node := range l.MachineNames(false) {
+			before := l.Machine(node).running().LinkBytes()
+			response, err := l.Request("entry-0", CallerRequest{ID: "long-" + node, Path: "/stream/x", Key: "key-one", Tokens: "1000,5", Body: body})
+			assert.NilError(t, err)
+			assert.Equal(t, response.Status, http.StatusOK)
+			assert.Check(t, l.Machine(node).running().LinkBytes()-before >= int64(2*len(body)), "%s counted %d bytes", node, l.Machine(node).running().LinkBytes()-before)
+		}
+	})
+}
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -76,6 +76,8 @@
 	// HandleStream is called with each stream that a peer opens and the peer's request; nil means
 	// that none is accepted. It sends the response, and the stream is closed when it returns.
 	HandleStream func(from string, request []byte, stream *Stream)
+	// StreamMeter counts the bytes of streams; nil means that they are not counted.
+	StreamMeter *Meter
 	// Dropped is called with each frame that is dropped because it waited too long for
 	// its connection; nil means no call. It must not block.
 	Dropped func(to string, frame []byte, waited time.Duration)
@@ -132,6 +134,9 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
+	if options.StreamMeter == nil {
+		options.StreamMeter = &Meter{}
+	}
 	if options.Dropped == nil {
 		options.Dropped = func(string, []byte, time.Duration) {}
 	}
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -199,6 +199,7 @@
 		return nil, nil, err
 	}
 	detectLoss(connection)
+	connection = m.options.StreamMeter.Wrap(connection)
 	if m.options.TLS != nil {
 		settings := m.options.TLS.Clone()
 		settings.ServerName = to
@@ -239,7 +240,7 @@
 		return ErrNoStreams
 	}
 	detectLoss(connection)
-	stream := newStream(connection, keys.incoming, keys.outgoing)
+	stream := newStream(m.options.StreamMeter.Wrap(connection), keys.incoming, keys.outgoing)
 	_, request, err := stream.readFrame()
 	if err != nil {
 		return err
--- a/internal/transport/stream_test.go
+++ b/internal/transport/stream_test.go
@@ -81,6 +81,7 @@
 	received, err := io.ReadAll(stream)
 	assert.NilError(t, err)
 	assert.Assert(t, bytes.Equal(received, sent))
+	assert.Assert(t, opener.options.StreamMeter.Sent() > int64(len(sent)) && opener.options.StreamMeter.Received() > int64(len(sent)))
 }
 
 // Guards against a response without a length that looks complete although the node that relays it
