Relays: nodes of unknown version are asked, and versions that become known later count

Cause: a control node that has just started lists the entry nodes before it knows their versions; the node took them for older builds, and looked again only when the set of nodes changed. The log shows that no peer was asked; that the versions were the reason is from the code and the order of starts. Change: the peers are taken anew each second; a node of unknown version is asked, one that can't relay refuses the stream; slots likewise. Nodes that are known to run an earlier build are not. Measured: TestNodesOfTheEarlierVersionAreNotAskedToRelay fails without the change for a node of unknown version, passes with it; gateway and the partition tests pass.

--- a/internal/gateway/enginepaths.go
+++ b/internal/gateway/enginepaths.go
@@ -29,6 +29,8 @@
 	peers   *enginepath.Peers
 	// generation is the generation of the neighbours that the peers were last given.
 	generation uint64
+	// peersUpdatedAt is when the peers were last given: the nodes' versions may become known later.
+	peersUpdatedAt time.Duration
 	// prunedAt is when the state of engines that are no longer listed was last dropped.
 	prunedAt time.Duration
 	// wasIsolated is whether the node was isolated at the last tick.
@@ -106,7 +108,7 @@
 // The loads duty calls it.
 func (p *enginePaths) tick() {
 	now := p.node.now()
-	p.updatePeers()
+	p.updatePeers(now)
 	p.tracker.SetListed(int(p.node.fleet.instanceCount.Load()))
 	if !p.tracker.IsEmpty() && now-p.prunedAt >= pruneInterval {
 		p.tracker.Prune(now, p.node.table.Addresses())
@@ -146,16 +148,18 @@
 	return 0
 }
 
-// updatePeers passes the other entry nodes that relay to the choice of relays.
-func (p *enginePaths) updatePeers() {
+// updatePeers passes the other entry nodes that may relay to the choice of relays. A node whose version
+// is not known, since the control nodes have just started, may: one that can't refuses the stream.
+func (p *enginePaths) updatePeers(now time.Duration) {
 	neighbours := &p.node.fleet.view.Load().neighbours
-	if neighbours.generation == p.generation {
+	if neighbours.generation == p.generation && now-p.peersUpdatedAt < pruneInterval {
 		return
 	}
-	p.generation = neighbours.generation
+	p.generation, p.peersUpdatedAt = neighbours.generation, now
 	var peers []enginepath.Peer
 	for _, entry := range neighbours.nodes {
-		if p.node.protocols.versionOf(entry.Address) >= peer.ProtocolRelays {
+		version := p.node.protocols.versionOf(entry.Address)
+		if version >= peer.ProtocolRelays || version == peer.ProtocolStrict {
 			peers = append(peers, enginepath.Peer{Address: entry.Address, Zone: entry.Zone})
 		}
 	}
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -71,9 +71,10 @@
 	assert.Assert(t, refused.AgeMS >= 0)
 }
 
-// During an upgrade, nodes of the earlier version accept no streams.
+// During an upgrade, nodes of the earlier version accept no streams. A node that learnt of the others from
+// a control node that had just started, and did not know their versions, asked none for ever.
 func TestNodesOfTheEarlierVersionAreNotAskedToRelay(t *testing.T) {
-	for version, found := range map[peer.ProtocolVersion]bool{peer.ProtocolRelays - 1: false, peer.ProtocolRelays: true} {
+	for version, found := range map[peer.ProtocolVersion]bool{peer.ProtocolRelays - 1: false, peer.ProtocolRelays: true, peer.ProtocolStrict: true} {
 		node := newReservingNode(t, version)
 		node.paths.tick()
 		_, isFound := node.paths.peers.Choose(0, "engine", nil)
--- a/internal/gateway/slots.go
+++ b/internal/gateway/slots.go
@@ -84,7 +84,7 @@
 	switch {
 	case issuer == s.node.address:
 		s.handleEnd(issuer, end)
-	case issuer != "" && s.node.protocols.versionOf(issuer) >= peer.ProtocolSlots:
+	case issuer != "" && !s.isOlder(issuer):
 		s.node.send(issuer, peer.KindSlotEnd, &end)
 	}
 }
@@ -134,7 +134,7 @@
 	switch {
 	case issuer == s.node.address:
 		return s.grant(issuer, request), nil
-	case issuer == "" || s.node.protocols.versionOf(issuer) < peer.ProtocolSlots:
+	case issuer == "" || s.isOlder(issuer):
 		return slotlease.Response{}, errNoIssuer
 	}
 	ctx, cancel := context.WithTimeout(ctx, slotTimeout)
@@ -142,6 +142,12 @@
 	return peer.Invoke[slotlease.Response](ctx, s.node.calls, issuer, peer.MethodAcquireSlot, request)
 }
 
+// isOlder reports whether a node is known to run an earlier build, which leases no slots.
+func (s *slotManager) isOlder(node string) bool {
+	version := s.node.protocols.versionOf(node)
+	return version != peer.ProtocolStrict && version < peer.ProtocolSlots
+}
+
 // useOwnShare admits a request without the issuer while no more than this node's equal share of the
 // instance's slots is in use.
 func (s *slotManager) useOwnShare(instance registry.Instance, request slotlease.Request, failure error) (forward.Slot, error) {
