soak: a failed last read of the accounts does not discard the readings before it

The loop kept only its last reading, so one read that failed at the end of the wait, of each control node within 1 s beside a load average above 30, counted as ten. Its report says nothing of the errors, which were dropped. The control nodes' logs show delays of 0 to 2 ms in that time, so that earlier reads failed is not likely, but can't be told from the run. Change: the last reading that has entries is checked; the violation is now what it says, no read in 10 s. Errors of reads go into the report. As strict as before for the accounts: each reading is compared with what callers received.

--- a/internal/lab/soak/ledger.go
+++ b/internal/lab/soak/ledger.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -40,22 +42,38 @@
 
 // checkLedger waits until the accounts have settled, and compares them with what callers received.
 func (r *run) checkLedger(ctx context.Context) {
-	entries := r.fleet.readLedger(ctx)
-	for until := time.Now().Add(maximumLedgerWait); time.Now().Before(until); {
-		pause.For(ctx, ledgerPollInterval)
-		next := r.fleet.readLedger(ctx)
-		hasSettled := len(next) > 0 && slices.Equal(next, entries)
-		entries = next
-		if hasSettled {
-			break
+	entries := settledLedger(ctx, maximumLedgerWait, ledgerPollInterval, func() []ledgerEntry {
+		entries, err := r.fleet.readLedger(ctx)
+		if err != nil {
+			r.reportf("accounts not read from each control node: %v", err)
 		}
-	}
+		return entries
+	})
 	if len(entries) == 0 {
 		r.violationf("no control node returned the accounts within %s", maximumLedgerWait)
 	}
 	r.checkLedgerEntries(entries)
 }
 
+// settledLedger reads the accounts until two readings in a row are equal or the wait has passed, and
+// returns the last reading that has entries.
+func settledLedger(ctx context.Context, wait, interval time.Duration, read func() []ledgerEntry) []ledgerEntry {
+	previous := read()
+	last := previous
+	for until := time.Now().Add(wait); time.Now().Before(until); {
+		pause.For(ctx, interval)
+		next := read()
+		if len(next) > 0 {
+			last = next
+			if slices.Equal(next, previous) {
+				break
+			}
+		}
+		previous = next
+	}
+	return last
+}
+
 // checkLedgerEntries checks that each token that callers received is charged or held.
 func (r *run) checkLedgerEntries(entries []ledgerEntry) {
 	for _, one := range entries {
@@ -69,30 +87,35 @@
 }
 
 // readLedger reads the accounts from the control node that has applied the most commands; it
-// returns none if no node responds. The node with the highest settled total has applied the most.
-func (f *fleet) readLedger(ctx context.Context) []ledgerEntry {
+// returns none if no node responds, and the errors of the nodes that did not. The node with the
+// highest settled total has applied the most.
+func (f *fleet) readLedger(ctx context.Context) ([]ledgerEntry, error) {
 	var newest []ledgerEntry
+	var failures []error
 	newestSettled := uint64(0)
 	for _, one := range f.members {
 		if !one.isControl {
 			continue
 		}
-		entries, settled := f.readAccounts(ctx, one)
+		entries, settled, err := f.readAccounts(ctx, one)
+		if err != nil {
+			failures = append(failures, fmt.Errorf("%s: %w", one.name, err))
+		}
 		if len(entries) > 0 && (newest == nil || settled > newestSettled) {
 			newest, newestSettled = entries, settled
 		}
 	}
-	return newest
+	return newest, errors.Join(failures...)
 }
 
 // readAccounts reads a control node's accounts and returns them with their settled total.
-func (f *fleet) readAccounts(ctx context.Context, one *machine) (entries []ledgerEntry, settled uint64) {
+func (f *fleet) readAccounts(ctx context.Context, one *machine) (entries []ledgerEntry, settled uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, controlWait)
 	defer cancel()
 	client := ravenwayv1connect.NewOperatorServiceClient(f.client, "http://"+one.address(operatorsPort))
 	response, err := client.GetBudgets(ctx, connect.NewRequest(&ravenwayv1.GetBudgetsRequest{}))
 	if err != nil {
-		return nil, 0
+		return nil, 0, err
 	}
 	for _, budget := range response.Msg.GetBudgets() {
 		entries = append(entries, ledgerEntry{
@@ -101,5 +124,5 @@
 		})
 		settled += budget.GetSettled()
 	}
-	return entries, settled
+	return entries, settled, nil
 }
