An entry node that has no node list says so, and control nodes repeat it

Cause: the node had been restarted by a planned stop. Both control nodes that send it the list of nodes had heard its new incarnation and sent the list at once, on connections to the previous one; the frames were lost, and a full list is repeated after 50 hellos, 30 s. Until then the node knew no other entry node: no relay, no report of its load, no token from a neighbour. Change: an entry node's hello has NeedsNodes (appended, so earlier builds ignore it) while control nodes are alive and none has sent it a numbered list; a control node then repeats the full list with its next hello, not for a new node, which has just been sent it. Why it works: the node asks until a list has arrived, each 0.6 s.

--- a/internal/coordination/roster/live.go
+++ b/internal/coordination/roster/live.go
@@ -32,6 +32,13 @@
 	version              uint64
 }
 
+// NeedsNodes reports whether control nodes are alive, but none of them has sent a numbered list of all
+// nodes.
+func (r *Roster) NeedsNodes(now time.Duration) bool {
+	controls := r.Controls(now)
+	return len(controls) > 0 && !slices.ContainsFunc(controls, func(control *Peer) bool { return control.ListVersion > 0 })
+}
+
 // LiveEntries returns the entry nodes in the lists of the control nodes that are alive. While no
 // control node that lists entry nodes is alive, it returns the last known ones with IncludesSelf
 // unset. As long as no control node has listed any, for example because all run builds that
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -343,6 +343,7 @@
 	if f.hasOlderPeers() {
 		hello.InstancesDigest = f.registry.OrderedDigest()
 	}
+	hello.NeedsNodes = hello.Entry && f.roster.NeedsNodes(f.node.now())
 	if f.isControl() {
 		f.node.replica.addToHello(&hello)
 		hello.Rollouts = f.node.rollouts.advertised()
@@ -384,6 +385,10 @@
 		f.sendHelloToNewControls(now)
 	}
 	if f.isControl() {
+		if hello.NeedsNodes && !isNew {
+			// A new node has just been sent the list.
+			f.repeatList(hello.Address)
+		}
 		f.node.publisher.handleHello(hello)
 	}
 	if isNew || hello.Control {
--- a/internal/gateway/lists.go
+++ b/internal/gateway/lists.go
@@ -217,6 +217,15 @@
 	return h.changes[since]
 }
 
+// repeatList makes the next hello to a receiver carry the full list: the frame with the last one was
+// lost, most likely with a connection to the receiver's previous incarnation.
+func (f *fleetDuty) repeatList(receiver string) {
+	if state, isSent := f.sentLists[receiver]; isSent {
+		state.hellos = 0
+		f.sentLists[receiver] = state
+	}
+}
+
 // decideListRole decides whether this control node is one of those that send a node the list of all
 // nodes. Control nodes are in contact with entry nodes themselves, and listSenderCount senders are
 // enough for any entry node.
--- a/internal/gateway/lists_test.go
+++ b/internal/gateway/lists_test.go
@@ -110,3 +110,39 @@
 		dropFrames(node, entries+2)
 	}
 }
+
+// Guards against a restarted entry node that knew no other entry node for 30 s, because the frames with
+// the node list were lost with the connections to its previous incarnation.
+func TestListLostWithAConnectionIsRepeatedOnceTheNodeSaysThatItNeedsIt(t *testing.T) {
+	node := newIdleNode(t, benchControl(0), benchZone(0), settings.RoleControl)
+	receiver := peer.Hello{Address: benchEntry(1), Zone: benchZone(1), Incarnation: "1", Entry: true, ProtocolVersion: peer.OwnProtocol}
+	other := receiver
+	other.Address = benchEntry(2)
+	node.fleet.recordHello(other)
+	node.fleet.recordHello(receiver)
+	next := func() *peer.Message {
+		return node.fleet.newListHellos(node.now(), node.fleet.ownHello()).forReceiver(receiver.Address)
+	}
+	assert.Assert(t, next() == nil, "the list was sent with the first hello")
+
+	follower := roster.New(receiver.Address, nil)
+	follower.HandleHello(node.now(), node.fleet.ownHello())
+	assert.Assert(t, follower.NeedsNodes(node.now()), "a control node is alive, its list was lost")
+	receiver.NeedsNodes = true
+	node.fleet.recordHello(receiver)
+	list := next()
+	assert.Assert(t, list != nil, "the list is repeated")
+	frame, err := list.Frame(peer.OwnProtocol)
+	assert.NilError(t, err)
+	envelope, err := peer.Decode(frame)
+	assert.NilError(t, err)
+	hello, err := peer.DecodeBody[peer.Hello](envelope)
+	assert.NilError(t, err)
+	follower.HandleHello(node.now(), hello)
+	entries, _ := follower.Entries(node.now())
+	assert.Equal(t, len(entries), 1)
+	assert.Equal(t, entries[0].Address, other.Address)
+	assert.Assert(t, !follower.NeedsNodes(node.now()))
+	assert.Assert(t, next() == nil, "once it has been repeated it is not sent again")
+	dropFrames(node, 2)
+}
--- a/internal/protocol/peer/fleet.go
+++ b/internal/protocol/peer/fleet.go
@@ -75,6 +75,9 @@
 	LogVersion uint32 `msgpack:"vl,omitempty"`
 	// Build is the commit that the sender's program was built from, empty if unknown.
 	Build string `msgpack:"bu,omitempty"`
+	// NeedsNodes reports that an entry node has the list of all nodes from no control node
+	// that it hears.
+	NeedsNodes bool `msgpack:"nn,omitempty"`
 }
 
 // NodeEntry is one node in a list of nodes. No field can be added to it: since lists have
