Log lines on streams name the versions of the engines that sent them

An on-call engineer could not tell a stream that a node resumed on another version from one that its caller took up again, nor from an engine that restarted with another version: no line named an engine's version, and Resumes was read by nothing. Lines of attempts and of instances now have instance_version; resumed streams have the version of their last event and the engine's incarnation; stream_taken_up names the attempt that the caller resumes and the last event that it has. Two counters. Nothing is decided on any of it.

--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
@@ -133,7 +134,7 @@
 		Bool("may_have_run", r.mayHaveRun).Uint64("events", r.events).Strs("tried", r.tried).Send()
 }
 
-// Attempt logs an attempt that did not end with a response for the caller, or a resumed stream.
+// Attempt logs an attempt that did not end with a response for the caller.
 func (l *DecisionLog) Attempt(r *request, choice balance.Choice, result string, err error) {
 	text := fmt.Sprintf("instance %s at %s, one of %d: %s %v", choice.ID, choice.Address, choice.Candidates, result, err)
 	if !l.keep(r, text) {
@@ -143,6 +144,38 @@
 		Uint64("events", r.events).AnErr("error", err).Send()
 }
 
+// Streams that callers took up again at this node, and streams that this node resumed within a
+// response at an instance of the version of the last one, or of another.
+var (
+	streamsTakenUp      = metrics.GetOrCreateCounter("ravenway_streams_taken_up_total")
+	streamsResumedSame  = metrics.GetOrCreateCounter(`ravenway_streams_resumed_total{version="same"}`)
+	streamsResumedOther = metrics.GetOrCreateCounter(`ravenway_streams_resumed_total{version="other"}`)
+)
+
+// StreamTakenUp logs that a stream that its caller takes up again continues at an instance.
+func (l *DecisionLog) StreamTakenUp(r *request, choice balance.Choice) {
+	streamsTakenUp.Inc()
+	text := fmt.Sprintf("takes up the stream of %q after event %s at %s, which runs version %q", r.call.Resumes, r.call.LastEvent, choice.Incarnation(), choice.Version)
+	if l.keep(r, text) {
+		l.line(r, "stream_taken_up").Str("resumes", r.call.Resumes).Str("after_event", r.call.LastEvent).
+			Stringer("life", choice.Incarnation()).Str("instance_version", choice.Version).Send()
+	}
+}
+
+// StreamResumed logs that this node resumed a stream at another instance.
+func (l *DecisionLog) StreamResumed(r *request, choice balance.Choice) {
+	resumed := streamsResumedSame
+	if choice.Version != r.streamVersion {
+		resumed = streamsResumedOther
+	}
+	resumed.Inc()
+	text := fmt.Sprintf("resumed at %s, which runs version %q, after the last instance ran %q", choice.Incarnation(), choice.Version, r.streamVersion)
+	if l.keep(r, text) {
+		addChoice(l.line(r, "attempt"), choice).Str("address", choice.Address).Str("result", "resumed").Stringer("life", choice.Incarnation()).
+			Str("stream_version", r.streamVersion).Uint64("events", r.events).Send()
+	}
+}
+
 // Rejected logs that an instance rejected the request without running it, and the pause that
 // the instance requested of this node.
 func (l *DecisionLog) Rejected(r *request, choice balance.Choice, result string, response *exchange) {
@@ -243,7 +276,7 @@
 // addChoice adds the factors in the choice of an instance, in tokens where they are amounts of
 // work.
 func addChoice(line *zerolog.Event, choice balance.Choice) *zerolog.Event {
-	return line.Str("instance", choice.ID).Int("candidates", choice.Candidates).Bool("spilled", choice.Spilled).
+	return line.Str("instance", choice.ID).Str("instance_version", choice.Version).Int("candidates", choice.Candidates).Bool("spilled", choice.Spilled).
 		Int("ahead", choice.Ahead).Bool("ahead_known", choice.AheadKnown).Int("unread", choice.Unread).
 		Int("reread", choice.Reread).Int("far", choice.CrossZone).Int("streams", choice.Streams).Int("paused", choice.Stalls).Int("permit", choice.Permit)
 }
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -43,6 +43,9 @@
 	Parts []PromptPart
 	// LastEvent is the event after which the caller resumes a stream, or "".
 	LastEvent string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream that the
+	// caller resumes, or "".
+	Resumes string
 	// Header holds the request's headers that engines receive.
 	Header http.Header
 }
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -32,7 +32,7 @@
 type testDialect struct{}
 
 func (testDialect) ReadCall(request *http.Request) (*Call, error) {
-	call := &Call{ID: request.Header.Get("Id"), Key: request.Header.Get("Key"), LastEvent: request.Header.Get("After"), Header: request.Header}
+	call := &Call{ID: request.Header.Get("Id"), Key: request.Header.Get("Key"), LastEvent: request.Header.Get("After"), Resumes: request.Header.Get("Resumes"), Header: request.Header}
 	if call.ID == "" {
 		return nil, errors.New("no id")
 	}
@@ -184,6 +184,7 @@
 	environment *testEnvironment
 	log         *DecisionLog
 	pipeline    *Pipeline
+	table       *balance.Table
 	server      *httptest.Server
 	client      *http.Client
 }
@@ -206,6 +207,7 @@
 	})
 	made := &harness{environment: &testEnvironment{index: index, hasNewest: true, began: time.Now()}, log: NewDecisionLog(zerolog.Nop())}
 	table := balance.NewTable("a")
+	made.table = table
 	var instances []registry.Instance
 	for number, engine := range engines {
 		instances = append(instances, registry.Instance{
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -18,6 +18,9 @@
 	r.writer.WriteHeader(sending.response.StatusCode)
 	r.isResponding = true
 	lastEvent := r.call.LastEvent
+	if lastEvent != "" {
+		r.pipeline.options.Log.StreamTakenUp(r, *choice)
+	}
 	err := r.relayEvents(sending, &lastEvent, choice)
 	if err == nil {
 		r.pipeline.options.Table.StreamEnded(choice.Service, r.hadLongGap())
@@ -87,6 +90,7 @@
 			return err
 		}
 		r.events++
+		r.streamVersion = choice.Version
 		r.pace.note(time.Since(r.arrived))
 		if next.id != "" {
 			*lastEvent = next.id
@@ -147,7 +151,7 @@
 		r.noteNotResumed(ctx, choice, state, err)
 		return false, err
 	}
-	r.pipeline.options.Log.Attempt(r, choice, "resumed", nil)
+	r.pipeline.options.Log.StreamResumed(r, choice)
 	if err := r.relayEvents(sending, lastEvent, &choice); err != nil {
 		sending.abort()
 		r.noteInterrupted(ctx, sending.interruptedRun(r, choice), "resumed_broken", err)
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -327,7 +327,7 @@
 	}
 	for _, changed := range changes {
 		f.node.log.Info().Str("event", "instance").Str("how", how).Stringer("life", changed.Incarnation()).Str("service", changed.Service).
-			Str("address", changed.Address).Stringer("state", changed.State).Uint64("sequence", changed.Sequence).
+			Str("instance_version", changed.Version).Str("address", changed.Address).Stringer("state", changed.State).Uint64("sequence", changed.Sequence).
 			Int64("cold_for_ms", changed.ColdLeft.Milliseconds()).Send()
 	}
 }
--- a/internal/lab/wire/wire.go
+++ b/internal/lab/wire/wire.go
@@ -21,7 +21,8 @@
 // Headers of the interface. HeaderWait is a caller's maximum wait, or what is left of it in a request
 // to an engine, as a Go duration. HeaderTokens holds the number of tokens of the prompt and the maximum
 // number of generated tokens, separated by a comma. HeaderPart is the id of the shared part of the
-// prompt, HeaderAfter the last event received of a stream that is to be resumed.
+// prompt, HeaderAfter the last event received of a stream that is to be resumed, and HeaderResumes the
+// id of the caller's attempt that brought its first event.
 const (
 	HeaderRequest  = "Lab-Request"
 	HeaderWait     = "Lab-Wait"
@@ -32,6 +33,7 @@
 	HeaderTokens   = "Lab-Tokens"
 	HeaderPart     = "Lab-Part"
 	HeaderAfter    = "Lab-After"
+	HeaderResumes  = "Lab-Resumes"
 	// HeaderRateLimit is the rate limit of an engine for all nodes together, in requests per
 	// second.
 	HeaderRateLimit = "Lab-Rate-Limit"
@@ -55,7 +57,7 @@
 // ReadCall implements forward.Dialect.
 func (Dialect) ReadCall(request *http.Request) (*forward.Call, error) {
 	header := request.Header
-	call := &forward.Call{ID: header.Get(HeaderRequest), Key: header.Get(HeaderKey), LastEvent: header.Get(HeaderAfter), Header: header}
+	call := &forward.Call{ID: header.Get(HeaderRequest), Key: header.Get(HeaderKey), LastEvent: header.Get(HeaderAfter), Resumes: header.Get(HeaderResumes), Header: header}
 	if call.ID == "" {
 		return nil, fmt.Errorf("%s is missing", HeaderRequest)
 	}
