--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -68,6 +68,38 @@
 	h.table.Apply([]registry.Instance{instance})
 }
 
+// assertOneVersion checks that a response holds no events of two versions.
+func assertOneVersion(t *testing.T, body string, versions ...string) {
+	t.Helper()
+	var found []string
+	for _, version := range versions {
+		if strings.Contains(body, "data: "+version+"-") {
+			found = append(found, version)
+		}
+	}
+	assert.Check(t, len(found) <= 1, "the response holds events of %v: %q", found, body)
+}
+
+// Guards against a stream that is resumed within its response at an engine of another version.
+func TestStreamIsResumedOnTheVersionThatBeganIt(t *testing.T) {
+	for number := range 8 {
+		h := newVersionedHarness(t, []string{"v1", "v2", "v2", "v1"},
+			newVersionedEngine(t, "v1", 3), newVersionedEngine(t, "v2", 0), newVersionedEngine(t, "v2", 0), newVersionedEngine(t, "v1", 0))
+		got := h.send(t, "POST", "/resumable/x", fmt.Sprintf("r-%d", number), "")
+		assertOneVersion(t, got.body, "v1", "v2")
+		assert.NilError(t, got.err)
+	}
+}
+
+// Guards against a stream that ends as if it were complete, or continues on another version, when no
+// engine of its version is left.
+func TestStreamWithoutAnEngineOfItsVersionEndsIncomplete(t *testing.T) {
+	h := newVersionedHarness(t, []string{"v1", "v2"}, newVersionedEngine(t, "v1", 3), newVersionedEngine(t, "v2", 3))
+	got := h.send(t, "POST", "/resumable/x", "r-1", "")
+	assertOneVersion(t, got.body, "v1", "v2")
+	assert.Assert(t, got.err != nil, "the response looks complete: %q", got.body)
+}
+
 // Guards against decisions on a resumed stream that don't tell a join of two versions from others.
 func TestDecisionsOnAResumedStreamNameItsVersions(t *testing.T) {
 	h := newVersionedHarness(t, []string{"v1", "v1"}, newVersionedEngine(t, "v1", 3), newVersionedEngine(t, "v1", 3))
--- a/internal/lab/openfleet/engine.go
+++ b/internal/lab/openfleet/engine.go
@@ -305,9 +305,18 @@
 			_ = http.NewResponseController(writer).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s-%d\n\n", number, run.Request, number); err != nil {
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s%s-%d\n\n", number, versionPrefix(e.Version), run.Request, number); err != nil {
 			panic(http.ErrAbortHandler)
 		}
 		_ = http.NewResponseController(writer).Flush()
 	}
 }
+
+// versionPrefix begins the data of each event of an engine that runs a version, so that a stream that
+// continues on another version shows.
+func versionPrefix(version string) string {
+	if version == "" {
+		return ""
+	}
+	return version + "/"
+}
--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -495,6 +495,9 @@
 	Body    string
 	// PromptPart identifies a part of the prompt that requests share, "" if there is none.
 	PromptPart string
+	// After is the last event that the caller has of a stream that it takes up again, and Resumes the ID
+	// of its attempt that brought the first one; "" for a new stream.
+	After, Resumes string
 }
 
 // Request sends a caller's request to an entry node. The error is that of a connection that failed
@@ -520,6 +523,12 @@
 	if call.PromptPart != "" {
 		request.Header.Set(wire.HeaderPart, call.PromptPart)
 	}
+	if call.After != "" {
+		request.Header.Set(wire.HeaderAfter, call.After)
+	}
+	if call.Resumes != "" {
+		request.Header.Set(wire.HeaderResumes, call.Resumes)
+	}
 	if call.Wait > 0 {
 		request.Header.Set(wire.HeaderWait, call.Wait.String())
 	}
