A stream continues within a response only on the version that began it

Cause: request.resume chose an instance like a new request did, among all of the service; balance.Request knew no version, and a rollout in progress even preferred the new one. Change: the first event that the caller got binds the stream to the version of the instance that sent it. The bound is one more filter of balance.Table beside regions; a rollout no longer decides for a bound request, except that a version that was rolled back gets none. Draining instances of the version serve it for a second after this node learned of it, if no other does. A stream whose instance now runs another version is not resumed, since its run may have had that one. Where no instance is left the response ends at once and incomplete.

--- a/internal/coordination/balance/backoff.go
+++ b/internal/coordination/balance/backoff.go
@@ -58,7 +58,8 @@
 	case backoff.Open, backoff.Recovering:
 	}
 	known := t.member(choice.Incarnation())
-	if known == nil || !known.isOffered || t.evacuated.Contains(known.Zone) || t.isRolledBack(known) {
+	mayGet := known != nil && (known.isOffered || choice.isDraining && known.isDrainingUsable(now))
+	if !mayGet || t.evacuated.Contains(known.Zone) || t.isRolledBack(known) {
 		return ErrWithdrawn
 	}
 	return nil
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -57,6 +57,8 @@
 	Cold ColdPolicy
 	// Regions are the regions in which the request may be served.
 	Regions Regions
+	// Version is the version that the request is bound to, if it is.
+	Version VersionBound
 	// MaximumPermitWait is the maximum time that the request may wait for a permit of an instance
 	// with a rate limit.
 	MaximumPermitWait time.Duration
@@ -72,6 +74,8 @@
 	// isTrial reports whether the request counts as a trial that probes whether the instance has
 	// recovered from its pause.
 	isTrial bool
+	// isDraining reports whether the instance was draining when it was chosen.
+	isDraining bool
 	// Candidates is the number of instances that could have been chosen.
 	Candidates int
 	// Spilled reports whether the request goes to an instance other than the part's home, because
@@ -107,6 +111,7 @@
 func (t *Table) Choose(now time.Duration, request Request) (Choice, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.latest = max(t.latest, now)
 	candidates := t.allCandidates(now, request)
 	if len(candidates.open) == 0 {
 		return Choice{}, false
@@ -132,6 +137,7 @@
 	choice.isTrial = t.backoff.BeginTrial(now, chosen.Incarnation())
 	chosen.inFlight++
 	chosen.pendingTokens += choice.Unread
+	choice.isDraining = !chosen.isOffered
 	choice.Instance, choice.Spilled, choice.pendingTokens = chosen.Instance, spilled, choice.Unread
 	return choice, true
 }
@@ -169,9 +175,12 @@
 	s.open = append(s.open, one)
 }
 
-// allCandidates returns the instances that may be chosen, according to the service's rollout if
-// there is one.
+// allCandidates returns the instances that may be chosen, according to the request's version if it is
+// bound to one, or to the service's rollout if there is one.
 func (t *Table) allCandidates(now time.Duration, request Request) candidateSet {
+	if request.Version.IsBound {
+		return t.candidatesOfVersion(now, request)
+	}
 	if running := t.rollouts[request.Service]; running != nil {
 		return t.candidatesInRollout(now, request, running)
 	}
@@ -214,14 +223,15 @@
 }
 
 // mayServe reports whether a request may go to an instance: it was not yet tried there, and the
-// instance's zone and region are allowed.
+// instance's zone, region and version are allowed.
 func (t *Table) mayServe(one *member, request Request) bool {
 	return !slices.Contains(request.Exclude, one.ID) && t.isPlacementAllowed(one, request)
 }
 
-// isPlacementAllowed reports whether a request may go to the zone and region of an instance.
+// isPlacementAllowed reports whether a request may go to the zone, the region and the version of an
+// instance.
 func (t *Table) isPlacementAllowed(one *member, request Request) bool {
-	return !t.evacuated.Contains(one.Zone) && request.Regions.Contains(t.regionOfZone[one.Zone])
+	return request.Version.Allows(one.Version) && !t.evacuated.Contains(one.Zone) && request.Regions.Contains(t.regionOfZone[one.Zone])
 }
 
 // expectedCost holds the expected cost of a request at one instance, in tokens. Its fields
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -58,6 +58,9 @@
 	// hasColdRequest is set.
 	coldRequestAt  time.Duration
 	hasColdRequest bool
+	// drainingSince is when this node learned that the instance drains, if hasSeenDrain is set.
+	drainingSince time.Duration
+	hasSeenDrain  bool
 	// permitTokens is the cost of the permit that a request requires, in tokens, computed for the
 	// choice in progress.
 	permitTokens float64
@@ -98,6 +101,8 @@
 	backoff *backoff.Tracker
 	// slots tracks the brittle instances without free slots; nil means that there are none.
 	slots *slotlease.Tracker
+	// latest is the time of the latest choice.
+	latest time.Duration
 	// choices is the number of choices made.
 	choices uint64
 	// random returns a random number in [0, 1).
@@ -150,6 +155,7 @@
 	wasOffered := known.isOffered
 	if wasOffered && (known.Service != instance.Service || !instance.AcceptsWork()) {
 		t.withdraw(known)
+		t.noteDrain(known)
 		wasOffered = false
 	}
 	known.Instance, known.hasEnded = instance, false
--- /dev/null
+++ b/internal/coordination/balance/versions.go
@@ -0,0 +1,96 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ravenway/ravenway/internal/coordination/backoff"
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/state/rollout"
+)
+
+// drainingUseTime is how long after this node learned that an instance drains a bound request may still
+// be sent there. Nodes send a draining instance nothing 2 s after its notice was acknowledged; the rest
+// is for the notice's way to this node.
+const drainingUseTime = time.Second
+
+// VersionBound restricts a request to the instances of one version: a stream continues only on the
+// version that began it.
+type VersionBound struct {
+	Version string
+	IsBound bool
+}
+
+// BindVersion returns the bound to a version.
+func BindVersion(version string) VersionBound { return VersionBound{Version: version, IsBound: true} }
+
+// Allows reports whether a request may go to an instance that runs a version.
+func (b VersionBound) Allows(version string) bool { return !b.IsBound || version == b.Version }
+
+// candidatesOfVersion returns the instances that may be chosen for a bound request. A rollout decides
+// where new requests go, so it does not keep a bound one from its version, except that a version that
+// was rolled back gets no request at all. The canary's instances get the requests that began there. If
+// there is no candidate, draining instances are.
+func (t *Table) candidatesOfVersion(now time.Duration, request Request) candidateSet {
+	running := t.rollouts[request.Service]
+	switch {
+	case running == nil || running.Version != request.Version.Version:
+	case running.Stage == rollout.RolledBack:
+		return candidateSet{}
+	case running.Stage == rollout.Canary:
+		if healthy, _ := t.classifyCandidates(now, request, func(one *member) bool { return running.canaries[one.ID] }); len(healthy.open) > 0 {
+			return healthy
+		}
+	}
+	found := t.candidates(now, request, anyMember)
+	if len(found.open) == 0 {
+		found.open = t.drainingCandidates(now, request)
+	}
+	return found
+}
+
+// drainingCandidates returns the draining instances that a bound request may still be sent to, ordered
+// by ID.
+func (t *Table) drainingCandidates(now time.Duration, request Request) []*member {
+	var draining []*member
+	for _, one := range t.members {
+		if one.Service != request.Service || !one.isDrainingUsable(now) || !t.mayServe(one, request) {
+			continue
+		}
+		phase := t.backoff.Status(now, one.Incarnation()).Phase
+		if phase == backoff.Paused || phase == backoff.Leaving || t.slots.FullFor(now, one.Incarnation()) > 0 {
+			continue
+		}
+		draining = append(draining, one)
+	}
+	slices.SortFunc(draining, func(a, b *member) int { return compareID(a, b.ID) })
+	return draining
+}
+
+// isDrainingUsable reports whether the instance drains and may still get bound requests.
+func (m *member) isDrainingUsable(now time.Duration) bool {
+	return m.hasSeenDrain && m.State == registry.Draining && !m.hasEnded && !m.isReplaced && now < m.drainingSince+drainingUseTime
+}
+
+// noteDrain records that an instance that accepted work no longer does. The latest reading of the clock
+// is at most too early, so that the instance is used too briefly rather than too long.
+func (t *Table) noteDrain(one *member) {
+	one.drainingSince, one.hasSeenDrain = t.latest, true
+}
+
+// HasVersion reports whether a service offers an instance of a version, regardless of its health or load.
+func (t *Table) HasVersion(service, version string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return slices.ContainsFunc(t.byService[service], func(one *member) bool { return one.Version == version && !t.isRolledBack(one) })
+}
+
+// IsVersionCertain reports whether a run at an instance certainly had the version that the instance's
+// heartbeats named when it was chosen. It may not have if the instance now runs another version: it can
+// have restarted before its first heartbeat of the new incarnation.
+func (t *Table) IsVersionCertain(chosen registry.Instance) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.members[chosen.ID]
+	return known == nil || known.Version == chosen.Version
+}
--- /dev/null
+++ b/internal/coordination/balance/versions_test.go
@@ -0,0 +1,216 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/coordination/backoff"
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/coordination/slotlease"
+	"github.com/ravenway/ravenway/internal/state/evacuation"
+	"github.com/ravenway/ravenway/internal/state/rollout"
+)
+
+// versionOfChoice returns the version of the instance that a request bound to a version is sent to, or ""
+// if there is none.
+func versionOfChoice(table *Table, now time.Duration, request Request, version string) string {
+	request.Service, request.Version = "llm", BindVersion(version)
+	choice, found := table.Choose(now, request)
+	if !found {
+		return ""
+	}
+	table.Done(now, choice, Served)
+	return choice.Version
+}
+
+// Guards against a rollout that moves streams in progress to its version, and against one that keeps a
+// version that was rolled back in use by them.
+func TestBoundRequestKeepsItsVersionInARollout(t *testing.T) {
+	for stage, want := range map[rollout.Stage][2]string{
+		rollout.Canary: {"v1", "v2"}, rollout.Moving: {"v1", "v2"}, rollout.Done: {"v1", "v2"}, rollout.RolledBack: {"v1", ""},
+	} {
+		table := NewTable("zone-0")
+		table.Apply(twoVersions(6))
+		table.SetRollouts(inStage(stage), RolloutShare{Share: 0.1, Nodes: 1})
+		for position, version := range []string{"v1", "v2"} {
+			for _, request := range []Request{{}, {Part: "p", Tokens: 500}, {Exclude: []string{"v1-0", "v2-0"}}} {
+				assert.Equal(t, versionOfChoice(table, 0, request, version), want[position], "%s, bound to %s, %+v", stage, version, request)
+			}
+		}
+	}
+}
+
+// Guards against a request that is kept off its canary instances, and so loads others of a version that
+// is still on trial.
+func TestBoundRequestPrefersTheCanaryInstances(t *testing.T) {
+	table := NewTable("zone-0")
+	table.Apply(twoVersions(12))
+	table.SetRollouts(inStage(rollout.Canary), RolloutShare{Share: 0.1, Nodes: 1})
+	for range 40 {
+		choice, found := table.Choose(0, Request{Service: "llm", Version: BindVersion("v2")})
+		assert.Assert(t, found && table.rollouts["llm"].canaries[choice.ID], choice.ID)
+		table.Done(0, choice, Served)
+	}
+	assert.Equal(t, table.rollouts["llm"].credit <= maximumCredit, true)
+}
+
+// Guards against a bound request that goes to another version when something else excludes all
+// instances of its own: it is refused instead.
+func TestBoundRequestIsRefusedWhenItsVersionIsExcluded(t *testing.T) {
+	isV1 := func(instance registry.Instance) bool { return instance.Version == "v1" }
+	excluded := map[string]func(table *Table, request *Request){
+		"tried": func(_ *Table, request *Request) { request.Exclude = []string{"v1-0", "v1-1", "v1-2"} },
+		"paused": func(table *Table, _ *Request) {
+			tracker := backoff.NewTracker(exactResume)
+			table.SetBackoff(tracker)
+			for number := range 3 {
+				pauseInstance(tracker, fmt.Sprint("v1-", number), 0, 3*time.Second)
+			}
+		},
+		"full": func(table *Table, _ *Request) {
+			tracker := slotlease.NewTracker()
+			table.SetSlots(tracker)
+			tracker.Learn(0, "llm", slotlease.Signal{IsBrittle: true, Tolerance: 1})
+			for number := range 3 {
+				tracker.SetFull(0, registry.Incarnation{ID: fmt.Sprint("v1-", number)}, 3*time.Second)
+			}
+		},
+		"maximum in flight": func(table *Table, request *Request) {
+			request.MaximumInFlight = 1
+			for range 3 {
+				_, _ = table.Choose(0, Request{Service: "llm", Version: BindVersion("v1"), MaximumInFlight: 1})
+			}
+		},
+		"gone": func(table *Table, _ *Request) {
+			table.Apply(ended(slices.DeleteFunc(twoVersions(3), func(one registry.Instance) bool { return !isV1(one) })))
+		},
+		"zone and region": func(table *Table, request *Request) {
+			table.SetRegions(map[string]string{"zone-0": "north", "zone-1": "south", "zone-2": "south"})
+			request.Regions = IntersectRegions([]string{"north"})
+			table.SetEvacuated(0, evacuation.Zones{Names: []string{"zone-0"}})
+		},
+	}
+	for name, exclude := range excluded {
+		table, request := NewTable("zone-0"), Request{}
+		table.Apply(twoVersions(3))
+		exclude(table, &request)
+		assert.Equal(t, versionOfChoice(table, time.Second, request, "v1"), "", name)
+	}
+}
+
+// Guards against a retry time that another version's pauses or limits determine.
+func TestRetryTimeOfABoundRequestIsThatOfItsVersion(t *testing.T) {
+	table, tracker := NewTable("zone-0"), backoff.NewTracker(exactResume)
+	table.SetBackoff(tracker)
+	table.Apply(twoVersions(2))
+	for number := range 2 {
+		pauseInstance(tracker, fmt.Sprint("v1-", number), 0, 5*time.Second)
+		pauseInstance(tracker, fmt.Sprint("v2-", number), 0, time.Second)
+	}
+	next, isExcluded := table.NextAvailable(0, Request{Service: "llm", Version: BindVersion("v1")})
+	assert.Assert(t, isExcluded && next.Wait == 5*time.Second, "%+v", next)
+}
+
+// drain returns the instances of a version as draining.
+func drain(instances []registry.Instance, version string) []registry.Instance {
+	var draining []registry.Instance
+	for _, one := range instances {
+		if one.Version == version {
+			one.State, one.Sequence = registry.Draining, one.Sequence+1
+			draining = append(draining, one)
+		}
+	}
+	return draining
+}
+
+// Guards against a stream that ends although a draining instance of its version still serves it, against
+// other requests there, and against requests there after the time for which it serves on.
+func TestDrainingInstanceServesBoundRequestsForAWhile(t *testing.T) {
+	table, tracker := NewTable("zone-0"), backoff.NewTracker(exactResume)
+	table.SetBackoff(tracker)
+	table.Apply(twoVersions(2))
+	now := 10 * time.Second
+	assert.Equal(t, versionOfChoice(table, now, Request{}, "v1"), "v1")
+	table.Apply(drain(twoVersions(2), "v1"))
+	choice, found := table.Choose(now+drainingUseTime/2, Request{Service: "llm", Version: BindVersion("v1")})
+	assert.Assert(t, found && choice.Version == "v1")
+	assert.NilError(t, table.Admit(now+drainingUseTime/2, choice))
+	assert.ErrorIs(t, table.Admit(now+drainingUseTime, choice), ErrWithdrawn)
+	for range 10 {
+		unbound, isFound := table.Choose(now+drainingUseTime/2, Request{Service: "llm"})
+		assert.Assert(t, isFound && unbound.Version == "v2")
+	}
+	assert.Equal(t, versionOfChoice(table, now+drainingUseTime/2, Request{Exclude: []string{"v1-0", "v1-1"}}, "v1"), "")
+	// An instance that signalled to this node that it leaves gets nothing.
+	for number := range 2 {
+		tracker.Learn(now, registry.Incarnation{ID: fmt.Sprint("v1-", number)}, backoff.Request{ID: "r"}, backoff.Signal{IsLeaving: true})
+	}
+	assert.Equal(t, versionOfChoice(table, now+drainingUseTime/2, Request{}, "v1"), "")
+	assert.Equal(t, versionOfChoice(table, now+drainingUseTime, Request{}, "v1"), "")
+}
+
+// Guards against requests to an instance that was draining before this node knew it: it may have ended.
+func TestInstanceThatWasAlwaysDrainingIsNotUsed(t *testing.T) {
+	table := NewTable("zone-0")
+	table.Apply(drain(twoVersions(2), "v1"))
+	assert.Equal(t, versionOfChoice(table, 0, Request{}, "v1"), "")
+}
+
+// Guards against a stream that is joined to a run whose version was only believed: the instance had
+// restarted with another version before its first heartbeat said so.
+func TestVersionOfAnInstanceThatRestartedWithAnotherIsNotCertain(t *testing.T) {
+	table := NewTable("zone-0")
+	instances := twoVersions(1)
+	table.Apply(instances)
+	chosen := instances[0]
+	assert.Assert(t, table.IsVersionCertain(chosen))
+	restarted := chosen
+	restarted.StartedAt = 2
+	table.Apply([]registry.Instance{restarted})
+	assert.Assert(t, table.IsVersionCertain(chosen), "it restarted with the same version")
+	restarted.StartedAt, restarted.Version = 3, "v3"
+	table.Apply([]registry.Instance{restarted})
+	assert.Assert(t, !table.IsVersionCertain(chosen))
+}
+
+// Guards against any state of instances and rollouts in which a bound request leaves its version.
+func TestBoundRequestNeverLeavesItsVersion(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(60, seed))
+		table, tracker := NewTable("zone-0"), backoff.NewTracker(exactResume)
+		table.SetBackoff(tracker)
+		stages := []rollout.Stage{rollout.Canary, rollout.Moving, rollout.Done, rollout.RolledBack}
+		for step := range 60 {
+			now := time.Duration(step) * 200 * time.Millisecond
+			instance := twoVersions(4)[random.IntN(8)]
+			instance.Sequence, instance.State = uint64(step+1), []registry.State{registry.Ready, registry.Ready, registry.Draining, registry.Expired, registry.Gone}[random.IntN(5)]
+			instance.StartedAt = int64(random.IntN(3))
+			if random.IntN(8) == 0 {
+				instance.Version = "v3"
+			}
+			table.Apply([]registry.Instance{instance})
+			if random.IntN(6) == 0 {
+				table.SetRollouts(inStage(stages[random.IntN(4)]), RolloutShare{Share: 0.3, Nodes: 1})
+			}
+			if random.IntN(6) == 0 {
+				pauseInstance(tracker, instance.ID, now, time.Second)
+			}
+			version := []string{"v1", "v2", "v3"}[random.IntN(3)]
+			request := Request{Service: "llm", Version: BindVersion(version)}
+			if random.IntN(2) == 0 {
+				request.Part, request.Tokens = "p", 500
+			}
+			if choice, found := table.Choose(now, request); found {
+				assert.Assert(t, choice.Version == version, "seed %d, step %d: bound to %s, sent to %s", seed, step, version, choice.Version)
+				if random.IntN(3) > 0 {
+					table.Done(now, choice, Outcome(random.IntN(6)))
+				}
+			}
+		}
+	}
+}
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -165,14 +165,14 @@
 // StreamResumed logs that this node resumed a stream at another instance.
 func (l *DecisionLog) StreamResumed(r *request, choice balance.Choice) {
 	resumed := streamsResumedSame
-	if choice.Version != r.streamVersion {
+	if choice.Version != r.stream.Version {
 		resumed = streamsResumedOther
 	}
 	resumed.Inc()
-	text := fmt.Sprintf("resumed at %s, which runs version %q, after the last instance ran %q", choice.Incarnation(), choice.Version, r.streamVersion)
+	text := fmt.Sprintf("resumed at %s, which runs version %q; the stream began on %q", choice.Incarnation(), choice.Version, r.stream.Version)
 	if l.keep(r, text) {
 		addChoice(l.line(r, "attempt"), choice).Str("address", choice.Address).Str("result", "resumed").Stringer("life", choice.Incarnation()).
-			Str("stream_version", r.streamVersion).Uint64("events", r.events).Send()
+			Str("stream_version", r.stream.Version).Uint64("events", r.events).Send()
 	}
 }
 
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -237,8 +237,8 @@
 	reservation Reservation
 	// events counts the events relayed to the caller.
 	events uint64
-	// streamVersion is the version of the instance that sent the last event of a stream.
-	streamVersion string
+	// stream is the version that a stream is bound to.
+	stream streamBound
 	// isResponding indicates that a response is being relayed, isComplete that it was relayed to
 	// its end.
 	isResponding, isComplete bool
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -11,8 +12,8 @@
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
 )
 
-// relayStream relays a stream's events as they arrive. An interrupted stream is resumed at
-// another instance if the route allows it, and otherwise ends so that it does not look complete.
+// relayStream relays a stream's events as they arrive. An interrupted stream is resumed at another
+// instance of its version if the route allows it, and otherwise ends so that it does not look complete.
 func (r *request) relayStream(ctx context.Context, sending *exchange, choice *balance.Choice) (balance.Outcome, attemptResult) {
 	r.writeHead(sending)
 	r.writer.WriteHeader(sending.response.StatusCode)
@@ -30,7 +31,7 @@
 	}
 	sending.abort()
 	r.noteInterrupted(ctx, sending.interruptedRun(r, *choice), "stream_broken", err)
-	for ctx.Err() == nil && r.incoming.Context().Err() == nil && !errors.Is(err, errCallerGone) {
+	for ctx.Err() == nil && r.incoming.Context().Err() == nil && !errors.Is(err, errCallerGone) && !errors.Is(err, errNoOtherInstance) {
 		// A request that was withheld from an instance was not sent, so another instance is
 		// chosen without counting an attempt.
 		if !isNotAdmitted(err) {
@@ -68,6 +69,9 @@
 	return r.route.EventGap > 0 && r.pace.longestGap > r.route.EventGap
 }
 
+// errNoOtherInstance means that a stream can't be resumed, because no other instance is available.
+var errNoOtherInstance = errors.New("forward: no other instance is available")
+
 // errCallerGone means that the caller accepts no more data.
 var errCallerGone = errors.New("forward: the caller accepts no more data")
 
@@ -90,11 +94,11 @@
 			return err
 		}
 		r.events++
-		r.streamVersion = choice.Version
 		r.pace.note(time.Since(r.arrived))
 		if next.id != "" {
 			*lastEvent = next.id
 		}
+		r.bindStream(choice.Instance)
 		if err := r.writeToCaller(next.raw); err != nil {
 			return errors.Join(errCallerGone, err)
 		}
@@ -108,7 +112,7 @@
 }
 
 func (r *request) mayResume(service string) bool {
-	if !r.route.Resumable || r.instancesReached >= max(1, r.route.MaximumAttempts) || r.quarantineStatus() >= quarantine.Suspected {
+	if !r.route.Resumable || !r.isStreamVersionCertain() || r.instancesReached >= max(1, r.route.MaximumAttempts) || r.quarantineStatus() >= quarantine.Suspected {
 		return false
 	}
 	environment := r.pipeline.options.Environment
@@ -132,7 +136,7 @@
 func (r *request) resume(ctx context.Context, service string, lastEvent *string) (bool, error) {
 	choice, found := r.choose(ctx, service)
 	if !found {
-		return false, errors.New("no other instance available")
+		return false, fmt.Errorf("%w of version %q", errNoOtherInstance, r.stream.Version)
 	}
 	defer r.releasePrompt()
 	environment := r.pipeline.options.Environment
--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -94,10 +95,12 @@
 // Guards against a stream that ends as if it were complete, or continues on another version, when no
 // engine of its version is left.
 func TestStreamWithoutAnEngineOfItsVersionEndsIncomplete(t *testing.T) {
-	h := newVersionedHarness(t, []string{"v1", "v2"}, newVersionedEngine(t, "v1", 3), newVersionedEngine(t, "v2", 3))
-	got := h.send(t, "POST", "/resumable/x", "r-1", "")
-	assertOneVersion(t, got.body, "v1", "v2")
-	assert.Assert(t, got.err != nil, "the response looks complete: %q", got.body)
+	h := newVersionedHarness(t, []string{"v1", "v2"}, newVersionedEngine(t, "v1", 3), newVersionedEngine(t, "v2", 5))
+	for number := range 6 {
+		got := h.send(t, "POST", "/resumable/x", fmt.Sprintf("r-%d", number), "")
+		assertOneVersion(t, got.body, "v1", "v2")
+		assert.Assert(t, got.err != nil, "the response looks complete: %q", got.body)
+	}
 }
 
 // Guards against decisions on a resumed stream that don't tell a join of two versions from others.
@@ -109,5 +112,46 @@
 	h.do(request)
 	explained := strings.Join(h.log.Explain("r-1"), "\n")
 	assert.Check(t, strings.Contains(explained, `takes up the stream of "r-0" after event 1 at i-`), explained)
-	assert.Check(t, strings.Contains(explained, `runs version "v1", after the last instance ran "v1"`), explained)
+	assert.Check(t, strings.Contains(explained, `runs version "v1"; the stream began on "v1"`), explained)
+}
+
+// Guards against a stream that is bound to the version of an attempt that brought no event: it is a new
+// one.
+func TestAttemptWithoutAnEventDoesNotBindTheStream(t *testing.T) {
+	breaksAtOnce := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: "+request.Header.Get("Id")+"\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nid: 1")
+		_ = connection.Close()
+	})
+	h := newVersionedHarness(t, []string{"v1", "v2"}, breaksAtOnce, newVersionedEngine(t, "v2", 0))
+	for number := range 6 {
+		got := h.send(t, "POST", "/resumable/x", fmt.Sprintf("r-%d", number), "")
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, versionedStream("v2"))
+	}
+}
+
+// Guards against a stream that is joined to an engine which restarted with another version under its id
+// before a heartbeat said so: the version that began the stream is not known.
+func TestStreamOfAnEngineThatRestartedWithAnotherVersionIsNotResumed(t *testing.T) {
+	var h *harness
+	restarts := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		event := versionedEvent("v1", 1)
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", request.Header.Get("Id"), len(event), event)
+		time.Sleep(30 * time.Millisecond)
+		h.setVersion(0, "v2")
+		_ = connection.Close()
+	})
+	h = newVersionedHarness(t, []string{"v1", "v1", "v2"}, restarts, newVersionedEngine(t, "v1", 0), newVersionedEngine(t, "v2", 0))
+	for number := 0; h.isVersion(0, "v1"); number++ {
+		got := h.send(t, "POST", "/resumable/x", fmt.Sprintf("r-%d", number), "")
+		if !h.isVersion(0, "v1") {
+			assert.Assert(t, got.err != nil, "the response looks complete: %q", got.body)
+			assert.Equal(t, got.body, versionedEvent("v1", 1))
+		}
+	}
+}
+
+func (h *harness) isVersion(number int, version string) bool {
+	instance, _ := h.table.InstanceWithID(fmt.Sprintf("i-%d", number))
+	return instance.Version == version
 }
