A stream that its caller takes up again continues on the version that began it

Cause: a call with a last event went the way of a new one. Resumes was read by nothing, and the only node that knew the version was usually the one that was gone. Change: coordination/streamversion. The node that relays a stream's first event records its service and version under a digest of the tenant and the caller's attempt, and sends the record to two entry nodes of its zone and two control nodes in different zones, chosen by rendezvous hashing. A node at which a stream is taken up asks them and binds it to that version, as within a response. A record is only made of an event that was relayed, so it is never wrong and can only be missing: without one the stream goes on if a control node in contact with the whole group has listed one version for longer than a stream lasts, all others that are asked respond and know nothing; a caller that names no attempt, while the node knows of one version. Otherwise it is refused at once, 503 not run: stream_version_unknown and stream_version_gone without a retry time, stream_version_not_confirmed with one. An ID with two origins, or an engine that turned out to run another version, makes the record ambiguous; a tenant that floods the stores loses its own records first.

--- a/internal/coordination/balance/versions.go
+++ b/internal/coordination/balance/versions.go
@@ -94,3 +94,19 @@
 	known := t.members[chosen.ID]
 	return known == nil || known.Version == chosen.Version
 }
+
+// ServiceVersion is a version of a service.
+type ServiceVersion struct{ Service, Version string }
+
+// ListedVersions returns the versions of all services' instances that have not ended.
+func (t *Table) ListedVersions() map[ServiceVersion]struct{} {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	versions := map[ServiceVersion]struct{}{}
+	for _, one := range t.members {
+		if !one.hasEnded {
+			versions[ServiceVersion{Service: one.Service, Version: one.Version}] = struct{}{}
+		}
+	}
+	return versions
+}
--- /dev/null
+++ b/internal/coordination/streamversion/history.go
@@ -0,0 +1,89 @@
+package streamversion
+
+import (
+	"sync"
+	"time"
+)
+
+// History records which versions of each service were listed when, to tell which version a stream of
+// which there is no record must have begun on. It is safe for concurrent use.
+type History struct {
+	mutex sync.Mutex
+	// listedAt holds when each version of each service was last listed.
+	listedAt map[string]map[string]time.Duration
+	// informedSince is since when this node has been informed of all instances without interruption,
+	// if isInformed is set.
+	informedSince time.Duration
+	isInformed    bool
+}
+
+// NewHistory returns the history of a node that has just started: it knows nothing of the past.
+func NewHistory() *History { return &History{listedAt: map[string]map[string]time.Duration{}} }
+
+// SetInformed records whether this node is informed of all instances now.
+func (h *History) SetInformed(now time.Duration, isInformed bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if isInformed && !h.isInformed {
+		h.informedSince = now
+	}
+	h.isInformed = isInformed
+}
+
+// Listed records that an instance of a version of a service is listed now, in whatever state.
+func (h *History) Listed(now time.Duration, service, version string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.listedAt[service] == nil {
+		h.listedAt[service] = map[string]time.Duration{}
+	}
+	h.listedAt[service][version] = now
+}
+
+// Prune forgets versions that were last listed longer than the longest lifetime of a stream ago.
+func (h *History) Prune(now time.Duration) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for service, versions := range h.listedAt {
+		for version, listedAt := range versions {
+			if now-listedAt > MaximumLifetime {
+				delete(versions, version)
+			}
+		}
+		if len(versions) == 0 {
+			delete(h.listedAt, service)
+		}
+	}
+}
+
+// OnlyVersion returns the version of a service if certainly all its instances had it throughout the
+// given period until now.
+func (h *History) OnlyVersion(now time.Duration, service string, period time.Duration) (version string, isOnly bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if !h.isInformed || now-h.informedSince < period {
+		return "", false
+	}
+	return h.onlyListed(now, service, period)
+}
+
+// KnownVersion returns the version of a service if this node has known of no other one in the given
+// period, however long it was informed.
+func (h *History) KnownVersion(now time.Duration, service string, period time.Duration) (version string, isOnly bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.onlyListed(now, service, period)
+}
+
+func (h *History) onlyListed(now time.Duration, service string, period time.Duration) (version string, isOnly bool) {
+	for listed, listedAt := range h.listedAt[service] {
+		if now-listedAt > period {
+			continue
+		}
+		if isOnly {
+			return "", false
+		}
+		version, isOnly = listed, true
+	}
+	return version, isOnly
+}
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -123,6 +123,9 @@
 	if regions := r.regions(); regions.IsRestricted && !r.pipeline.options.Table.HasInRegions(service, regions) {
 		return ReasonNoRegion
 	}
+	if r.stream.IsBound && !r.pipeline.options.Table.HasVersion(service, r.stream.Version) {
+		return ReasonVersionGone
+	}
 	if next, isExcluded := r.nextAvailable(service); isExcluded {
 		return r.planRetry(service, next)
 	}
@@ -162,8 +165,12 @@
 	return r.pipeline.retries.Take(r.pipeline.options.Environment.Now(), service, policy)
 }
 
-// chooseService picks one of the route's services at random by weight.
+// chooseService picks one of the route's services at random by weight. A stream that is taken up again
+// stays at its service.
 func (r *request) chooseService() string {
+	if r.stream.IsBound {
+		return r.stream.resumed.Service
+	}
 	total := 0
 	for _, target := range r.route.Targets {
 		total += target.Weight
@@ -343,7 +350,7 @@
 			status = http.StatusGatewayTimeout
 		}
 		switch reason {
-		case ReasonNoInstance, ReasonNoRegion, ReasonRejected, ReasonRateLimited, ReasonPaused, ReasonFull:
+		case ReasonNoInstance, ReasonNoRegion, ReasonVersionGone, ReasonRejected, ReasonRateLimited, ReasonPaused, ReasonFull:
 			reason = ReasonOutcomeUnknown
 		}
 		r.refuse(Refusal{Status: status, Reason: reason})
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -130,6 +130,10 @@
 	if refused.Reason == ReasonRateLimited || refused.Reason == ReasonPaused || refused.Reason == ReasonFull {
 		line = line.Int64("come_back_ms", r.retryTime.Milliseconds()).Int("permits_refused", r.permitsRefused)
 	}
+	if r.call != nil && r.call.LastEvent != "" {
+		line = line.Str("resumes", r.call.Resumes).Str("after_event", r.call.LastEvent).Str("stream_version", r.stream.Version).
+			Str("source", string(r.stream.resumed.Source))
+	}
 	line.Int64("token_wait_ms", r.tokenWait.Milliseconds()).
 		Bool("may_have_run", r.mayHaveRun).Uint64("events", r.events).Strs("tried", r.tried).Send()
 }
@@ -155,10 +159,13 @@
 // StreamTakenUp logs that a stream that its caller takes up again continues at an instance.
 func (l *DecisionLog) StreamTakenUp(r *request, choice balance.Choice) {
 	streamsTakenUp.Inc()
-	text := fmt.Sprintf("takes up the stream of %q after event %s at %s, which runs version %q", r.call.Resumes, r.call.LastEvent, choice.Incarnation(), choice.Version)
+	found := r.stream.resumed
+	text := fmt.Sprintf("takes up the stream of %q after event %s at %s, which runs version %q, known from %s %s for %d ms", r.call.Resumes,
+		r.call.LastEvent, choice.Incarnation(), choice.Version, found.Source, found.Node, found.Age.Milliseconds())
 	if l.keep(r, text) {
 		l.line(r, "stream_taken_up").Str("resumes", r.call.Resumes).Str("after_event", r.call.LastEvent).
-			Stringer("life", choice.Incarnation()).Str("instance_version", choice.Version).Send()
+			Stringer("life", choice.Incarnation()).Str("instance_version", choice.Version).Str("stream_version", found.Version).
+			Str("source", string(found.Source)).Str("holder", found.Node).Int64("age_ms", found.Age.Milliseconds()).Send()
 	}
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/backoff"
@@ -52,6 +53,8 @@
 	slot Slot
 	// watch watches the exchange's path until its end.
 	watch *pathWatch
+	// isReplaced is set once a newer incarnation of the instance is known.
+	isReplaced atomic.Bool
 	// stop keeps the end of the request's context from closing the connection; it returns false if
 	// that has already begun.
 	stop func() bool
--- a/internal/forward/incarnations.go
+++ b/internal/forward/incarnations.go
@@ -42,6 +42,15 @@
 	delete(p.idle, address)
 }
 
+// markReplaced marks the exchanges with an incarnation that was replaced by a newer one.
+func (p *pool) markReplaced(incarnation registry.Incarnation) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for sending := range p.active[incarnation] {
+		sending.isReplaced.Store(true)
+	}
+}
+
 // closeInactive closes the connections of an incarnation's exchanges that have received nothing
 // since a given time. Their requests end like those of a crashed engine.
 func (p *pool) closeInactive(incarnation registry.Incarnation, since time.Time) {
@@ -60,6 +69,7 @@
 	now := time.Now()
 	for _, instance := range replaced {
 		p.pool.closeIdle(instance.Address)
+		p.pool.markReplaced(instance.Incarnation())
 		p.crashes.incarnationReplaced(instance.Incarnation())
 		time.AfterFunc(replacedIdleTimeout, func() { p.pool.closeInactive(instance.Incarnation(), now) })
 	}
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -114,6 +114,8 @@
 	PromptReservations PromptReservations
 	// Slots bounds the requests in flight at brittle instances; nil means that nothing does.
 	Slots Slots
+	// StreamVersions keeps on which version each resumable stream began; nil means that nothing does.
+	StreamVersions StreamVersions
 	// EnginePaths decides how connections to engines are opened; nil means directly.
 	EnginePaths EnginePaths
 }
@@ -183,6 +185,9 @@
 	if options.Slots == nil {
 		options.Slots = noSlots{}
 	}
+	if options.StreamVersions == nil {
+		options.StreamVersions = noStreamVersions{}
+	}
 	if options.EnginePaths == nil {
 		options.EnginePaths = noEnginePaths{}
 	}
@@ -273,6 +278,10 @@
 	defer end(nil)
 	p.waiting.add(current, end)
 	defer p.waiting.remove(current)
+	if refused := current.findStream(ctx); refused != nil {
+		current.refuse(*refused)
+		return
+	}
 	if refused := current.reserve(ctx); refused != nil {
 		current.refuse(*refused)
 		return
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -25,6 +25,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/coordination/streamversion"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
 
@@ -185,6 +186,7 @@
 	log         *DecisionLog
 	pipeline    *Pipeline
 	table       *balance.Table
+	streams     *testStreamVersions
 	server      *httptest.Server
 	client      *http.Client
 }
@@ -207,7 +209,7 @@
 	})
 	made := &harness{environment: &testEnvironment{index: index, hasNewest: true, began: time.Now()}, log: NewDecisionLog(zerolog.Nop())}
 	table := balance.NewTable("a")
-	made.table = table
+	made.table, made.streams = table, &testStreamVersions{records: map[streamversion.Key]streamversion.Record{}}
 	var instances []registry.Instance
 	for number, engine := range engines {
 		instances = append(instances, registry.Instance{
@@ -215,7 +217,7 @@
 		})
 	}
 	table.Apply(instances)
-	made.pipeline = New(Options{Dialect: testDialect{}, Environment: made.environment, Table: table, Log: made.log})
+	made.pipeline = New(Options{Dialect: testDialect{}, Environment: made.environment, Table: table, Log: made.log, StreamVersions: made.streams})
 	made.server = httptest.NewServer(made.pipeline)
 	t.Cleanup(made.server.Close)
 	made.client = &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true, ExpectContinueTimeout: 5 * time.Second}}
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -41,7 +41,15 @@
 	// ReasonPaused: all of the service's instances have requested a pause.
 	ReasonPaused Reason = "instances_paused"
 	// ReasonFull: the service's brittle instances have no free slot.
-	ReasonFull           Reason = "instances_full"
+	ReasonFull Reason = "instances_full"
+	// ReasonVersionUnknown: no node knows on which version the stream began that the caller takes up
+	// again.
+	ReasonVersionUnknown Reason = "stream_version_unknown"
+	// ReasonVersionNotConfirmed: nodes that may know on which version the stream began did not respond.
+	ReasonVersionNotConfirmed Reason = "stream_version_not_confirmed"
+	// ReasonVersionGone: no instance runs the version on which the stream began that the caller takes
+	// up again.
+	ReasonVersionGone    Reason = "stream_version_gone"
 	ReasonTimeout        Reason = "timeout"
 	ReasonOutcomeUnknown Reason = "outcome_unknown"
 	ReasonCallerLeft     Reason = "caller_left"
@@ -112,7 +120,7 @@
 	header := r.writer.Header()
 	header.Set("Content-Type", "application/json")
 	switch {
-	case refused.Reason == ReasonQuarantined:
+	case refused.Reason == ReasonQuarantined, refused.Reason == ReasonVersionUnknown, refused.Reason == ReasonVersionGone:
 		// A retry would be refused again, so no retry time is sent.
 	case refused.Reason == ReasonRateLimited, refused.Reason == ReasonPaused, refused.Reason == ReasonFull:
 		header.Set("Retry-After", formatRetryAfter(r.retryTime))
--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -2,17 +2,20 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/coordination/streamversion"
 )
 
 // versionedStreamEvents is the length of the streams of versioned engines.
@@ -69,6 +72,46 @@
 	h.table.Apply([]registry.Instance{instance})
 }
 
+// testStreamVersions keeps all records in memory.
+type testStreamVersions struct {
+	mutex   sync.Mutex
+	records map[streamversion.Key]streamversion.Record
+	// failure is returned for every stream, if it is not nil.
+	failure error
+}
+
+func (s *testStreamVersions) Began(record streamversion.Record) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.records[record.Key] = record
+}
+
+func (s *testStreamVersions) Find(_ context.Context, query StreamQuery) (FoundStream, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	record, found := s.records[streamversion.KeyOf(query.Tenant, query.Attempt)]
+	switch {
+	case s.failure != nil:
+		return FoundStream{}, s.failure
+	case !found:
+		return FoundStream{}, ErrStreamUnknown
+	}
+	return FoundStream{Origin: record.Origin, Source: HolderRecord, Node: "holder"}, nil
+}
+
+func (s *testStreamVersions) put(attempt string, origin streamversion.Origin) {
+	s.Began(streamversion.Record{Key: streamversion.KeyOf("t", attempt), Origin: origin})
+}
+
+// takeUp sends a request that takes up a stream after an event.
+func (h *harness) takeUp(t *testing.T, path, id, resumes, after string) result {
+	t.Helper()
+	request := h.request(t, "POST", path, id, "")
+	request.Header.Set("After", after)
+	request.Header.Set("Resumes", resumes)
+	return h.do(request)
+}
+
 // assertOneVersion checks that a response holds no events of two versions.
 func assertOneVersion(t *testing.T, body string, versions ...string) {
 	t.Helper()
@@ -106,10 +149,8 @@
 // Guards against decisions on a resumed stream that don't tell a join of two versions from others.
 func TestDecisionsOnAResumedStreamNameItsVersions(t *testing.T) {
 	h := newVersionedHarness(t, []string{"v1", "v1"}, newVersionedEngine(t, "v1", 3), newVersionedEngine(t, "v1", 3))
-	request := h.request(t, "POST", "/resumable/x", "r-1", "")
-	request.Header.Set("After", "1")
-	request.Header.Set("Resumes", "r-0")
-	h.do(request)
+	h.streams.put("r-0", streamversion.Origin{Service: "s", Version: "v1"})
+	h.takeUp(t, "/resumable/x", "r-1", "r-0", "1")
 	explained := strings.Join(h.log.Explain("r-1"), "\n")
 	assert.Check(t, strings.Contains(explained, `takes up the stream of "r-0" after event 1 at i-`), explained)
 	assert.Check(t, strings.Contains(explained, `runs version "v1"; the stream began on "v1"`), explained)
@@ -155,3 +196,108 @@
 	instance, _ := h.table.InstanceWithID(fmt.Sprintf("i-%d", number))
 	return instance.Version == version
 }
+
+// Guards against a stream that its caller takes up again and that continues on another version, or at
+// another service of its route.
+func TestStreamThatIsTakenUpContinuesOnItsVersion(t *testing.T) {
+	h := newVersionedHarness(t, []string{"v1", "v2"}, newVersionedEngine(t, "v1", 0), newVersionedEngine(t, "v2", 0))
+	for number := range 12 {
+		version := []string{"v1", "v2"}[number%2]
+		h.streams.put("began", streamversion.Origin{Service: "s", Version: version})
+		got := h.takeUp(t, "/resumable/x", fmt.Sprintf("r-%d", number), "began", "4")
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, versionedEvent(version, 5)+versionedEvent(version, 6))
+	}
+}
+
+// Guards against a record that names the last attempt of a caller in place of the one that brought the
+// first event, and against one without an event.
+func TestStreamIsRecordedUnderTheAttemptThatBroughtItsFirstEvent(t *testing.T) {
+	h := newVersionedHarness(t, []string{"v1"}, newVersionedEngine(t, "v1", 0))
+	h.send(t, "POST", "/resumable/x", "first", "")
+	h.takeUp(t, "/resumable/x", "second", "first", "2")
+	h.send(t, "POST", "/stream/x", "not resumable", "")
+	h.send(t, "POST", "/safe/x", "no stream", "")
+	assert.Equal(t, len(h.streams.records), 1)
+	record := h.streams.records[streamversion.KeyOf("t", "first")]
+	assert.Equal(t, record.Origin, streamversion.Origin{Service: "s", Version: "v1"})
+	assert.Equal(t, record.Lifetime, 6*time.Second)
+}
+
+// Guards against a caller that can't tell a stream that can't continue from one that may in a moment, and
+// against one that waits for the refusal.
+func TestRefusalOfAStreamSaysWhetherToRetry(t *testing.T) {
+	for _, one := range []struct {
+		origin  streamversion.Origin
+		failure error
+		reason  Reason
+		retries bool
+	}{
+		{failure: ErrStreamUnknown, reason: ReasonVersionUnknown},
+		{failure: ErrStreamNotConfirmed, reason: ReasonVersionNotConfirmed, retries: true},
+		{origin: streamversion.Origin{Service: "s", Version: "v3"}, reason: ReasonVersionGone},
+		{origin: streamversion.Origin{Service: "other", Version: "v1"}, reason: ReasonVersionGone},
+	} {
+		h := newVersionedHarness(t, []string{"v1", "v2"}, newVersionedEngine(t, "v1", 0), newVersionedEngine(t, "v2", 0))
+		h.streams.failure = one.failure
+		h.streams.put("began", one.origin)
+		startedAt := time.Now()
+		got := h.takeUp(t, "/resumable/x", "r-1", "began", "4")
+		assert.Equal(t, got.status, 503)
+		assert.Assert(t, strings.Contains(got.body, string(one.reason)) && strings.Contains(got.body, `"not_run":true`), got.body)
+		assert.Equal(t, got.header.Get("Retry-After") != "", one.retries, "%s", one.reason)
+		assert.Assert(t, time.Since(startedAt) < time.Second)
+	}
+}
+
+// Guards against a stream that is taken up on a route that is not resumable and continues anywhere: such
+// streams are not recorded.
+func TestStreamOfARouteThatIsNotResumableIsNotTakenUp(t *testing.T) {
+	h := newVersionedHarness(t, []string{"v1", "v2"}, newVersionedEngine(t, "v1", 0), newVersionedEngine(t, "v2", 0))
+	h.send(t, "POST", "/stream/x", "began", "")
+	got := h.takeUp(t, "/stream/x", "r-1", "began", "4")
+	assert.Equal(t, got.status, 503)
+	assert.Assert(t, strings.Contains(got.body, string(ReasonVersionUnknown)), got.body)
+}
+
+// Guards against a caller that names the attempt that it resumes but has no event of it: there is nothing
+// to continue.
+func TestStreamWithoutALastEventIsANewOne(t *testing.T) {
+	h := newVersionedHarness(t, []string{"v1"}, newVersionedEngine(t, "v1", 0))
+	request := h.request(t, "POST", "/resumable/x", "r-1", "")
+	request.Header.Set("Resumes", "never was")
+	got := h.do(request)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, versionedStream("v1"))
+	assert.Equal(t, len(h.streams.records), 1)
+}
+
+// Guards against a run that is joined although its engine turned out to have restarted with another
+// version while the events came.
+func TestStreamWhoseEngineRunsAnotherVersionIsRecordedAsDoubtful(t *testing.T) {
+	var h *harness
+	restarted := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+		for number := 1; number <= 3; number++ {
+			event := versionedEvent("v2", number)
+			_, _ = fmt.Fprintf(connection, "%x\r\n%s\r\n", len(event), event)
+			time.Sleep(30 * time.Millisecond)
+			if number == 1 {
+				h.restart(0, "v2")
+			}
+		}
+		_ = connection.Close()
+	})
+	h = newVersionedHarness(t, []string{"v1"}, restarted)
+	got := h.send(t, "POST", "/resumable/x", "began", "")
+	assert.Assert(t, got.err != nil)
+	// The second record makes the stream's key ambiguous at its holders.
+	assert.Equal(t, h.streams.records[streamversion.KeyOf("t", "began")].Origin.Version, "v2")
+}
+
+// restart replaces an engine's incarnation by one of another version.
+func (h *harness) restart(number int, version string) {
+	instance, _ := h.table.InstanceWithID(fmt.Sprintf("i-%d", number))
+	instance.Version, instance.StartedAt = version, instance.StartedAt+1
+	h.pipeline.IncarnationsReplaced(h.table.Apply([]registry.Instance{instance}))
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -203,7 +203,7 @@
 // startCall serves another node's call. A reservation or a slot is granted before the node's next
 // message, which may end it.
 func (n *Node) startCall(from string, call peer.Call) {
-	if call.Method == peer.MethodReserve || call.Method == peer.MethodAcquireSlot {
+	if call.Method == peer.MethodReserve || call.Method == peer.MethodAcquireSlot || call.Method == peer.MethodFindStream {
 		n.serveCall(from, call)
 		return
 	}
@@ -237,6 +237,9 @@
 	if call.Method == peer.MethodAcquireSlot && n.slots != nil {
 		return n.slots.handleAcquire(from, call)
 	}
+	if call.Method == peer.MethodFindStream {
+		return n.streams.handleFind(from, call)
+	}
 	if n.replica == nil {
 		return nil, consensus.ErrNotLeader
 	}
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -241,8 +241,12 @@
 
 // scheduleApply schedules changes to take effect on this node.
 func (f *fleetDuty) scheduleApply(changes []registry.Instance) {
+	now := f.node.now()
 	for _, changed := range changes {
 		f.unapplied[changed.ID] = struct{}{}
+		if changed.Service != "" {
+			f.node.streams.history.Listed(now, changed.Service, changed.Version)
+		}
 	}
 	f.applying.request(isUrgent(changes))
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -35,6 +35,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/escrow"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/coordination/slotlease"
+	"github.com/ravenway/ravenway/internal/coordination/streamversion"
 	"github.com/ravenway/ravenway/internal/forward"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/settings"
@@ -149,6 +150,7 @@
 	relays     *relayServer
 	prompts    *promptCoordinator
 	slots      *slotManager
+	streams    *streamVersions
 	pipeline   *forward.Pipeline
 	decisions  *forward.DecisionLog
 	callers    *callerServer
@@ -182,6 +184,7 @@
 	node.rollouts, node.canary = newRolloutStore(node), newCanaryDuty(node)
 	node.quarantine = newQuarantineDuty(node)
 	node.link, node.gate = &linkMonitor{node: node}, newCallerGate(node)
+	node.streams = newStreamVersions(node)
 	node.fleet = newFleetDuty(node)
 	if options.Settings.HasRole(settings.RoleControl) {
 		node.replica = newReplicaDuty(node)
@@ -203,7 +206,7 @@
 			Log: node.decisions, Dial: options.DialEngine, BufferedBytes: maximumBodyBytes(options.Settings.Limits.MemoryMB),
 			Guard: node.quarantine.guard, Recorder: node.rollouts.recorder, RateLimits: node.limits, Backoff: node.backoff,
 			EngineMeter:        &node.meters.engines,
-			PromptReservations: node.prompts, EnginePaths: node.paths, Slots: node.slots,
+			PromptReservations: node.prompts, EnginePaths: node.paths, Slots: node.slots, StreamVersions: node.streams,
 		})
 		node.callers = newCallerServer(options.Listeners.Callers, node.pipeline, &node.meters.callers)
 		node.documents.onChange = node.callers.applyLimits
@@ -265,6 +268,7 @@
 	duties.Go(func() { n.fleet.duty.Run(ctx) })
 	duties.Go(func() { n.quarantine.duty.Run(ctx) })
 	duties.Go(func() { n.canary.duty.Run(ctx) })
+	duties.Go(func() { n.streams.duty.Run(ctx) })
 	if n.replica != nil {
 		duties.Go(func() { n.replica.duty.Run(ctx) })
 		duties.Go(func() { n.fleet.hints.run(ctx) })
@@ -459,6 +463,8 @@
 			return nil
 		}
 		return peer.Dispatch(envelope, func(end slotlease.End) { n.slots.handleEnd(from, end) })
+	case peer.KindStreamVersions:
+		return peer.Dispatch(envelope, func(batch streamversion.Batch) { n.streams.handleRecords(from, batch) })
 	case peer.KindCall:
 		return peer.Dispatch(envelope, func(call peer.Call) { n.startCall(from, call) })
 	case peer.KindReply:
--- a/internal/lab/openfleet/versions_test.go
+++ b/internal/lab/openfleet/versions_test.go
@@ -23,8 +23,11 @@
 const (
 	versionedEvents   = 30
 	versionedWorkTime = 40 * time.Millisecond
-	// maximumTakeUps bounds the attempts of one caller.
-	maximumTakeUps = 4
+	// followDeadline is how long a caller follows its stream, maximumAttempts bounds its attempts, and
+	// retryTime is the time between two of them if the response names none.
+	followDeadline  = 5 * time.Second
+	maximumAttempts = 12
+	retryTime       = 100 * time.Millisecond
 )
 
 // withVersionedFleet runs a test in virtual time against a fleet with two engines of each of the versions
@@ -41,6 +44,9 @@
 				}
 			}
 		}
+		rich := configuration(2)
+		rich.Tenants[0].Prepaid = 100 * prepaid
+		assert.NilError(t, f.PutConfiguration(rich, 8*time.Second))
 		time.Sleep(8 * time.Second)
 		test(t, v)
 	})
@@ -59,6 +65,8 @@
 	// nodes are the entry nodes of the attempts, and statuses their responses; 0 means none.
 	nodes    []string
 	statuses []int
+	// refusal is the body of the last response that was refused.
+	refusal string
 	// events are the numbers of the events, and versions the versions of the engines that sent them.
 	events     []int
 	versions   []string
@@ -69,11 +77,13 @@
 // received further events.
 func (s *followedStream) wasTakenUp() bool { return len(s.nodes) > 1 }
 
-// follow receives a stream from an entry node and takes it up again at others until it is complete.
+// follow receives a stream from an entry node and takes it up again at others until it is complete, its
+// deadline is over, or it is refused for good.
 func (v *versionedFleet) follow(id string, random *rand.Rand, first string) *followedStream {
 	stream := &followedStream{id: id}
 	resumes, node := "", first
-	for attempt := range maximumTakeUps {
+	startedAt := time.Now()
+	for attempt := 0; attempt < maximumAttempts && time.Since(startedAt) < followDeadline; attempt++ {
 		call := CallerRequest{ID: fmt.Sprintf("%s-%d", id, attempt), Path: "/resumable/x", Key: "key-one", Tokens: "10,30", Resumes: resumes}
 		if len(stream.events) > 0 {
 			call.After = strconv.Itoa(stream.events[len(stream.events)-1])
@@ -87,7 +97,16 @@
 			stream.isComplete = true
 			return stream
 		}
-		time.Sleep(100 * time.Millisecond)
+		wait := retryTime
+		if err == nil && response.Status == http.StatusServiceUnavailable {
+			stream.refusal = response.Body
+			seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+			if err != nil {
+				return stream
+			}
+			wait = time.Duration(seconds * float64(time.Second))
+		}
+		time.Sleep(wait)
 		node = v.anyRunningEntry(random)
 	}
 	return stream
@@ -114,6 +133,7 @@
 		if v.Machine(name).running() != nil {
 			return name
 		}
+		time.Sleep(pollInterval)
 	}
 }
 
@@ -146,6 +166,8 @@
 			takenUp++
 			if stream.isComplete {
 				wentOn++
+			} else {
+				t.Logf("%s ended after %d events: %v at %v: %s", stream.id, len(stream.events), stream.statuses, stream.nodes, stream.refusal)
 			}
 		}
 	}
@@ -166,18 +188,163 @@
 	})
 }
 
-// Guards against streams that continue on another version when their callers take them up again at a
-// node that did not begin them.
+// loss is a disruption in which the nodes that know a stream are lost.
+type loss struct {
+	name    string
+	entries int
+	inject  func(v *versionedFleet)
+	// minimumShare is the minimum share of the streams that were taken up again which go on.
+	minimumShare float64
+}
+
+// ownGoal is the share of the streams that are taken up again which should go on while engines of their
+// version serve.
+const ownGoal = 0.9
+
+// killAll kills nodes at once, and boots them again after a while.
+func killAll(names func(v *versionedFleet) []string, downtime time.Duration) func(v *versionedFleet) {
+	return func(v *versionedFleet) {
+		for _, name := range names(v) {
+			v.Kill(name)
+		}
+		time.Sleep(downtime)
+		for _, name := range names(v) {
+			v.Boot(name)
+		}
+	}
+}
+
+// machinesOf returns the machines of a zone, control nodes first.
+func (v *versionedFleet) machinesOf(zone string) []string {
+	return slices.DeleteFunc(append(v.MachineNames(true), v.MachineNames(false)...), func(name string) bool { return v.Machine(name).Zone != zone })
+}
+
+var losses = []loss{
+	{"one node", 6, killAll(func(*versionedFleet) []string { return []string{"entry-1"} }, 500*time.Millisecond), ownGoal},
+	{"two of a zone's three nodes", 9, killAll(func(*versionedFleet) []string { return []string{"entry-1", "entry-4"} }, 500*time.Millisecond), ownGoal},
+	{"all nodes of a zone, its control node too", 6, killAll(func(v *versionedFleet) []string { return v.machinesOf("b") }, 2*time.Second), ownGoal},
+	{"all entry nodes", 6, killAll(func(v *versionedFleet) []string { return v.MachineNames(false) }, 500*time.Millisecond), ownGoal},
+	{"one node after the other", 6, func(v *versionedFleet) {
+		for number := range 4 {
+			v.Kill(fmt.Sprint("entry-", number))
+			time.Sleep(300 * time.Millisecond)
+			v.Boot(fmt.Sprint("entry-", number))
+			time.Sleep(200 * time.Millisecond)
+		}
+	}, ownGoal},
+	{"a control node, then an entry node", 6, func(v *versionedFleet) {
+		v.Kill("control-0")
+		time.Sleep(300 * time.Millisecond)
+		v.Kill("entry-1")
+	}, ownGoal},
+	{"a zone's control node is partitioned while its entry node is killed", 9, func(v *versionedFleet) {
+		others := slices.DeleteFunc(append(v.MachineNames(true), v.MachineNames(false)...), func(name string) bool { return name == "control-1" })
+		v.Network.PartitionBetween([]string{"control-1"}, others)
+		time.Sleep(200 * time.Millisecond)
+		v.Kill("entry-1")
+	}, ownGoal},
+	// No memory of the streams is left, so none goes on.
+	{"all processes", 6, func(v *versionedFleet) {
+		v.PowerOffAll()
+		time.Sleep(200 * time.Millisecond)
+		v.BootAll()
+	}, 0},
+}
+
+// Guards against streams that continue on another version, or end, when their callers take them up again
+// at a node that did not begin them because the nodes that did are gone.
 func TestStreamsOfKilledNodesContinueOnTheirVersion(t *testing.T) {
-	withVersionedFleet(t, 6, func(t *testing.T, v *versionedFleet) {
-		streams := v.followMany(61, 90, 20*time.Millisecond, func() {
-			time.Sleep(800 * time.Millisecond)
-			v.Kill("entry-1")
-			time.Sleep(400 * time.Millisecond)
-			v.Kill("entry-2")
+	for _, one := range losses {
+		t.Run(strings.ReplaceAll(one.name, " ", "_"), func(t *testing.T) {
+			withVersionedFleet(t, one.entries, func(t *testing.T, v *versionedFleet) {
+				streams := v.followMany(61, 90, 20*time.Millisecond, func() {
+					time.Sleep(800 * time.Millisecond)
+					one.inject(v)
+				})
+				takenUp, wentOn := assertNoJoins(t, streams)
+				t.Logf("%d streams were taken up again, %d of them went on", takenUp, wentOn)
+				assert.Check(t, takenUp >= 8 && float64(wentOn) >= one.minimumShare*float64(takenUp), "%d of %d streams went on", wentOn, takenUp)
+			})
 		})
-		takenUp, wentOn := assertNoJoins(t, streams)
-		t.Logf("%d streams were taken up again, %d of them went on", takenUp, wentOn)
-		assert.Check(t, takenUp >= 12 && float64(wentOn) >= 0.9*float64(takenUp), "%d of %d streams went on", wentOn, takenUp)
+	}
+}
+
+// Guards against streams that continue on another version while releases of several versions follow each
+// other, engines crash and nodes are killed.
+func TestStreamsContinueOnTheirVersionInSeriesOfReleases(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			withVersionedFleet(t, 6, func(t *testing.T, v *versionedFleet) {
+				random := rand.New(rand.NewPCG(62, seed))
+				streams := v.followMany(seed, 220, 20*time.Millisecond, func() { v.disturb(random, 4*time.Second) })
+				takenUp, wentOn := assertNoJoins(t, streams)
+				t.Logf("%d streams were taken up again, %d of them went on", takenUp, wentOn)
+				for _, stream := range streams {
+					if strings.Contains(stream.refusal, "stream_version_gone") {
+						takenUp--
+					}
+				}
+				assert.Check(t, float64(wentOn) >= ownGoal*float64(takenUp), "%d of %d streams went on", wentOn, takenUp)
+			})
+		})
+	}
+}
+
+// disturb releases versions in series while engines crash and entry nodes are killed and booted again.
+func (v *versionedFleet) disturb(random *rand.Rand, duration time.Duration) {
+	versions := []string{"v1", "v1.1", "v1.2", "v2"}
+	for start, step := time.Now(), 0; time.Since(start) < duration; step++ {
+		switch random.IntN(4) {
+		case 0:
+			engine := v.engines[random.IntN(len(v.engines))]
+			v.addEngine(fmt.Sprintf("released-%d", step), engine.Zone, versions[random.IntN(len(versions))])
+			if !engine.hasCrashed.Load() {
+				_ = v.Drain(engine.ID)
+			}
+		case 1:
+			if engine := v.engines[random.IntN(len(v.engines))]; len(v.engines) > 8 {
+				v.CrashEngine(engine)
+			}
+		default:
+			name := v.anyRunningEntry(random)
+			v.Kill(name)
+			time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+			v.Boot(name)
+		}
+		time.Sleep(time.Duration(50+random.IntN(250)) * time.Millisecond)
+	}
+}
+
+// Guards against a stream that is taken up by another tenant, under an ID that never was, or under one of
+// 10 KB, and against refusals of which the caller has to wait for.
+func TestStreamsThatNobodyBeganAreRefusedAtOnce(t *testing.T) {
+	withVersionedFleet(t, 3, func(t *testing.T, v *versionedFleet) {
+		began, err := v.Request("entry-0", newRequest("began", "/resumable/x"))
+		assert.NilError(t, err)
+		assert.Equal(t, began.Status, http.StatusOK)
+		for name, resumes := range map[string]string{"unknown": "never-was", "long": strings.Repeat("x", 10_000), "none": ""} {
+			for number := range 3 {
+				call := newRequest(fmt.Sprintf("%s-%d", name, number), "/resumable/x")
+				call.After, call.Resumes = "3", resumes
+				startedAt := time.Now()
+				response, err := v.Request(fmt.Sprint("entry-", number), call)
+				assert.NilError(t, err)
+				assert.Equal(t, response.Status, http.StatusServiceUnavailable, "%s at %d", name, number)
+				assert.Assert(t, strings.Contains(response.Body, "stream_version_unknown"), response.Body)
+				assert.Assert(t, time.Since(startedAt) < 100*time.Millisecond, "%s at %d took %s", name, number, time.Since(startedAt))
+			}
+		}
+		for number := range 3 {
+			call := newRequest(fmt.Sprintf("taken-up-%d", number), "/resumable/x")
+			call.After, call.Resumes = "28", "began"
+			response, err := v.Request(fmt.Sprint("entry-", number), call)
+			assert.NilError(t, err)
+			version, _, _ := strings.Cut(strings.TrimPrefix(began.Body, "id: 1\ndata: "), "/")
+			expected := ""
+			for event := 29; event <= versionedEvents; event++ {
+				expected += fmt.Sprintf("id: %d\ndata: %s/%s-%d\n\n", event, version, call.ID, event)
+			}
+			assert.Equal(t, response.Body, expected)
+		}
 	})
 }
--- a/internal/protocol/peer/peer.go
+++ b/internal/protocol/peer/peer.go
@@ -71,6 +71,8 @@
 	KindRelease
 	// KindSlotEnd ends the lease of a slot at a brittle instance.
 	KindSlotEnd
+	// KindStreamVersions carries the versions on which streams began to the holders of these records.
+	KindStreamVersions
 	// kindEnd is one above the last kind.
 	kindEnd
 )
@@ -78,7 +80,7 @@
 // String returns the kind's name, which is used in metrics.
 func (k Kind) String() string {
 	names := [...]string{"none", "consensus", "call", "reply", "status", "claims", "catalog", "follow", "accounts", "lend", "fence", "reports",
-		"hello", "document_notice", "document_fetch", "document", "instances", "instances_heard", "loads", "pool", "quarantine", "rollouts", "release", "slot_end",
+		"hello", "document_notice", "document_fetch", "document", "instances", "instances_heard", "loads", "pool", "quarantine", "rollouts", "release", "slot_end", "stream_versions",
 	}
 	if int(k) < len(names) {
 		return names[k]
@@ -173,6 +175,8 @@
 	MethodReserve Method = "reserve"
 	// MethodAcquireSlot leases a slot of a brittle instance from its issuer.
 	MethodAcquireSlot Method = "acquire_slot"
+	// MethodFindStream asks for the version on which a stream began.
+	MethodFindStream Method = "find_stream"
 	// MethodFence makes a claim acceptor fence an incarnation of a holder.
 	MethodFence Method = "fence"
 )
--- a/internal/protocol/peer/protocol.go
+++ b/internal/protocol/peer/protocol.go
@@ -27,6 +27,8 @@
 	ProtocolRelays
 	// ProtocolSlots nodes lease slots of brittle instances.
 	ProtocolSlots
+	// ProtocolStreamVersions nodes hold the versions on which streams began.
+	ProtocolStreamVersions
 	// protocolEnd is one above the newest version.
 	protocolEnd
 )
