Records of streams have a holder in another zone

One entry node of another zone now holds each record too, and three are asked. A node with both roles is sent one record.

--- a/internal/coordination/streamversion/holders.go
+++ b/internal/coordination/streamversion/holders.go
@@ -9,13 +9,15 @@
 
 const (
 	// The holders of a record are zoneHolders entry nodes of the zone of the node that sends it, since
-	// its callers mostly return there and the zone may be partitioned, and controlHolders control
-	// nodes, which all zones ask. They are in different zones if possible.
+	// its callers mostly return there and the zone may be partitioned, remoteHolders entry nodes of other
+	// zones, and controlHolders control nodes, in different zones if possible.
 	zoneHolders    = 2
+	remoteHolders  = 1
 	controlHolders = 2
 	// A node that looks for a stream also asks the nodes that were or become holders when nodes join
 	// or leave.
 	zoneAsked    = 4
+	remoteAsked  = 3
 	controlAsked = 3
 )
 
@@ -25,7 +27,7 @@
 }
 
 // Members are the nodes that may hold records, as one node knows them. Entries are the other entry
-// nodes, of which only those of its own zone matter, and Controls the control nodes.
+// nodes, Controls the control nodes.
 type Members struct {
 	Self     Node
 	Entries  []Node
@@ -35,22 +37,34 @@
 // Holders returns the addresses of the nodes that hold a stream that began at this node, besides the
 // node itself.
 func (m Members) Holders(key Key) []string {
-	return append(m.zoneNodes(key, zoneHolders), m.controlNodes(key, controlHolders)...)
+	inZone, remote := m.rankEntries(key)
+	return unique(slices.Concat(addresses(inZone, zoneHolders), addresses(remote, remoteHolders), m.controlNodes(key, controlHolders)))
 }
 
 // Asked returns the addresses of the nodes that are asked for a stream.
 func (m Members) Asked(key Key) []string {
-	return append(m.zoneNodes(key, zoneAsked), m.controlNodes(key, controlAsked)...)
+	inZone, remote := m.rankEntries(key)
+	return unique(slices.Concat(addresses(inZone, zoneAsked), addresses(remote, remoteAsked), m.controlNodes(key, controlAsked)))
 }
 
-func (m Members) zoneNodes(key Key, count int) []string {
-	inZone := make([]Node, 0, len(m.Entries))
-	for _, one := range m.Entries {
-		if one.Zone == m.Self.Zone && one.Address != m.Self.Address {
+// unique drops the repeated addresses: a node may have both roles.
+func unique(addresses []string) []string {
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
+// rankEntries returns the other entry nodes of this node's zone and those of other zones, by rank.
+func (m Members) rankEntries(key Key) (inZone, remote []Node) {
+	for _, one := range rank(key, m.Entries) {
+		switch {
+		case one.Address == m.Self.Address:
+		case one.Zone == m.Self.Zone:
 			inZone = append(inZone, one)
+		default:
+			remote = append(remote, one)
 		}
 	}
-	return addresses(rank(key, inZone), count)
+	return inZone, remote
 }
 
 // controlNodes returns control nodes by rank, those in zones of their own first. The result does not
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -119,7 +119,7 @@
 	view := s.node.fleet.view.Load()
 	members := streamversion.Members{Self: streamversion.Node{Address: s.node.address, Zone: s.node.settings.Load().Node.Zone}}
 	for _, entry := range view.live.Nodes {
-		if entry.Zone == members.Self.Zone && entry.Address != s.node.address {
+		if entry.Address != s.node.address {
 			members.Entries = append(members.Entries, streamversion.Node{Address: entry.Address, Zone: entry.Zone})
 		}
 	}
