Streams don't continue at an engine that may have restarted with another version

An engine crashed and came back under its id with another version while all control nodes were down, so that the list still named the earlier version; its id matched, so it ran the stream. Change: a refused connection or an interrupted run raises a doubt about the instance's version at that node. While the service has several versions, bound requests avoid the instance, and a stream that begins there is recorded and may be resumed only once the doubt is over: 3 s later while the node is in contact with control nodes, which would have told of the new incarnation, or at once if other runs at the same process go on. Left: a node that never had a connection to the engine sees no sign of its end.

--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -61,6 +61,10 @@
 	// drainingSince is when this node learned that the instance drains, if hasSeenDrain is set.
 	drainingSince time.Duration
 	hasSeenDrain  bool
+	// versionDoubtAt is when the instance's process was last noticed to have possibly ended, if
+	// hasVersionDoubt is set.
+	versionDoubtAt  time.Duration
+	hasVersionDoubt bool
 	// permitTokens is the cost of the permit that a request requires, in tokens, computed for the
 	// choice in progress.
 	permitTokens float64
@@ -101,6 +105,10 @@
 	backoff *backoff.Tracker
 	// slots tracks the brittle instances without free slots; nil means that there are none.
 	slots *slotlease.Tracker
+	// informedSince is since when this node has been in contact with control nodes without
+	// interruption, if isInformed is set.
+	informedSince time.Duration
+	isInformed    bool
 	// latest is the time of the latest choice.
 	latest time.Duration
 	// choices is the number of choices made.
--- a/internal/coordination/balance/versions.go
+++ b/internal/coordination/balance/versions.go
@@ -14,6 +14,11 @@
 // is for the notice's way to this node.
 const drainingUseTime = time.Second
 
+// restartNoticeTime is how long after the end of an instance's process was noticed this node, if it is
+// in contact with control nodes, would know of a process that has started at its address since: an
+// engine registers when it starts, and repeats a heartbeat that is lost after a second.
+const restartNoticeTime = 3 * time.Second
+
 // VersionBound restricts a request to the instances of one version: a stream continues only on the
 // version that began it.
 type VersionBound struct {
@@ -30,7 +35,7 @@
 // candidatesOfVersion returns the instances that may be chosen for a bound request. A rollout decides
 // where new requests go, so it does not keep a bound one from its version, except that a version that
 // was rolled back gets no request at all. The canary's instances get the requests that began there. If
-// there is no candidate, draining instances are.
+// there is no candidate, draining instances are. An instance that may have restarted is none.
 func (t *Table) candidatesOfVersion(now time.Duration, request Request) candidateSet {
 	running := t.rollouts[request.Service]
 	switch {
@@ -38,11 +43,12 @@
 	case running.Stage == rollout.RolledBack:
 		return candidateSet{}
 	case running.Stage == rollout.Canary:
-		if healthy, _ := t.classifyCandidates(now, request, func(one *member) bool { return running.canaries[one.ID] }); len(healthy.open) > 0 {
+		isCanary := func(one *member) bool { return running.canaries[one.ID] && !t.isVersionDoubtful(now, one) }
+		if healthy, _ := t.classifyCandidates(now, request, isCanary); len(healthy.open) > 0 {
 			return healthy
 		}
 	}
-	found := t.candidates(now, request, anyMember)
+	found := t.candidates(now, request, func(one *member) bool { return !t.isVersionDoubtful(now, one) })
 	if len(found.open) == 0 {
 		found.open = t.drainingCandidates(now, request)
 	}
@@ -54,7 +60,7 @@
 func (t *Table) drainingCandidates(now time.Duration, request Request) []*member {
 	var draining []*member
 	for _, one := range t.members {
-		if one.Service != request.Service || !one.isDrainingUsable(now) || !t.mayServe(one, request) {
+		if one.Service != request.Service || !one.isDrainingUsable(now) || t.isVersionDoubtful(now, one) || !t.mayServe(one, request) {
 			continue
 		}
 		phase := t.backoff.Status(now, one.Incarnation()).Phase
@@ -110,3 +116,66 @@
 	}
 	return versions
 }
+
+// SetInformed records whether this node is in contact with control nodes, which tell it of instances
+// that start.
+func (t *Table) SetInformed(now time.Duration, isInformed bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if isInformed && !t.isInformed {
+		t.informedSince = now
+	}
+	t.isInformed = isInformed
+}
+
+// RunInterrupted records that a run at an instance broke off: its process may have ended.
+func (t *Table) RunInterrupted(now time.Duration, incarnation registry.Incarnation) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.noteVersionDoubt(now, incarnation)
+}
+
+// ProcessConfirmed records that an instance's process has not ended.
+func (t *Table) ProcessConfirmed(incarnation registry.Incarnation) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if known := t.member(incarnation); known != nil {
+		known.hasVersionDoubt = false
+	}
+}
+
+// noteVersionDoubt records that the process of an instance may have ended, so that another one with
+// another version may answer at its address, under its ID, before a heartbeat says so.
+func (t *Table) noteVersionDoubt(now time.Duration, incarnation registry.Incarnation) {
+	if known := t.member(incarnation); known != nil {
+		known.versionDoubtAt, known.hasVersionDoubt = now, true
+	}
+}
+
+// isVersionDoubtful reports whether another process than the one that is listed may answer at an
+// instance's address with another version. While all listed instances of the service run one version,
+// there is no other one that it could have.
+func (t *Table) isVersionDoubtful(now time.Duration, one *member) bool {
+	if !one.hasVersionDoubt {
+		return false
+	}
+	if t.isInformed && now-max(one.versionDoubtAt, t.informedSince) >= restartNoticeTime {
+		one.hasVersionDoubt = false
+		return false
+	}
+	for _, other := range t.members {
+		if other.Service == one.Service && other.Version != one.Version {
+			return true
+		}
+	}
+	return false
+}
+
+// IsVersionDoubtful reports whether a run at an instance may not have the version that its heartbeats
+// named.
+func (t *Table) IsVersionDoubtful(now time.Duration, incarnation registry.Incarnation) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.member(incarnation)
+	return known != nil && t.isVersionDoubtful(now, known)
+}
--- a/internal/coordination/balance/versions_test.go
+++ b/internal/coordination/balance/versions_test.go
@@ -214,3 +214,48 @@
 		}
 	}
 }
+
+// Guards against a stream that continues at an instance whose process ended and was restarted under its
+// ID with another version, before a heartbeat said so.
+func TestBoundRequestAvoidsAnInstanceThatMayHaveRestarted(t *testing.T) {
+	notices := map[string]func(table *Table, now time.Duration, incarnation registry.Incarnation){
+		"connection refused": (*Table).ConnectionRefused, "run interrupted": (*Table).RunInterrupted, "end seen": (*Table).IncarnationEnded,
+	}
+	for name, notice := range notices {
+		table := NewTable("zone-0")
+		table.Apply(twoVersions(1))
+		now := 10 * time.Second
+		table.SetInformed(now, true)
+		notice(table, now, registry.Incarnation{ID: "v1-0"})
+		assert.Equal(t, versionOfChoice(table, now+time.Second, Request{}, "v1"), "", name)
+		assert.Equal(t, versionOfChoice(table, now+time.Second, Request{}, "v2"), "v2", name)
+		assert.Assert(t, table.IsVersionDoubtful(now+time.Second, registry.Incarnation{ID: "v1-0"}), name)
+		// A new process would have registered by now.
+		assert.Equal(t, versionOfChoice(table, now+restartNoticeTime, Request{}, "v1"), "v1", name)
+	}
+}
+
+// Guards against a doubt that ends while this node would not learn of a restart, and against one that
+// outlasts the new incarnation.
+func TestDoubtLastsWhileTheNodeIsNotInformed(t *testing.T) {
+	table := NewTable("zone-0")
+	table.Apply(twoVersions(1))
+	table.RunInterrupted(0, registry.Incarnation{ID: "v1-0"})
+	assert.Equal(t, versionOfChoice(table, time.Minute, Request{}, "v1"), "")
+	table.SetInformed(time.Minute, true)
+	assert.Equal(t, versionOfChoice(table, time.Minute+restartNoticeTime/2, Request{}, "v1"), "")
+	restarted := twoVersions(1)[0]
+	restarted.StartedAt, restarted.Version = 2, "v1"
+	table.Apply([]registry.Instance{restarted})
+	assert.Equal(t, versionOfChoice(table, time.Minute+restartNoticeTime/2, Request{}, "v1"), "v1")
+}
+
+// Guards against streams that are not resumed after every interrupted run of a service with one version.
+func TestInterruptedRunsRaiseNoDoubtWhileThereIsOneVersion(t *testing.T) {
+	table := NewTable("zone-0")
+	table.Apply(twoVersions(3)[:3])
+	for number := range 3 {
+		table.RunInterrupted(0, registry.Incarnation{ID: fmt.Sprint("v1-", number)})
+	}
+	assert.Equal(t, versionOfChoice(table, 0, Request{}, "v1"), "v1")
+}
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -45,6 +45,7 @@
 	if ctx.Err() != nil || isTimeout(err) || errors.Is(err, errForeignResponse) || errors.Is(err, errCallerGone) {
 		return
 	}
+	r.pipeline.options.Table.RunInterrupted(r.pipeline.options.Environment.Now(), interrupted.choice.Incarnation())
 	r.pipeline.crashes.runInterrupted(interrupted.choice, quarantine.InFlightRun{
 		Fingerprint: quarantine.FingerprintOfRequest(r.content()), Run: interrupted.run, Route: r.route.Name, Tenant: r.callerIdentity(),
 	})
@@ -149,7 +150,7 @@
 	case hasCrashed:
 		d.report(incarnation)
 	case !isChecking:
-		go d.check(choice)
+		go d.check(choice, time.Now())
 	}
 }
 
@@ -162,8 +163,9 @@
 }
 
 // check connects to an engine at which a run was interrupted, until a connection stays open, which
-// shows that the engine is alive, or none can be opened.
-func (d *crashDetector) check(choice balance.Choice) {
+// shows that the engine is alive, or none can be opened. Runs that go on since then show that it is the
+// same process.
+func (d *crashDetector) check(choice balance.Choice, interruptedAt time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), maximumDialTimeout)
 	defer cancel()
 	for {
@@ -175,6 +177,9 @@
 		}
 		if opened.staysQuiet(aliveCheckTime) {
 			d.pipeline.pool.put(choice.Address, opened, nil)
+			if d.pipeline.pool.hasOutlasted(choice.Incarnation(), interruptedAt) {
+				d.pipeline.options.Table.ProcessConfirmed(choice.Incarnation())
+			}
 			d.forgetAlive(choice.Incarnation())
 			return
 		}
--- a/internal/forward/incarnations.go
+++ b/internal/forward/incarnations.go
@@ -51,6 +51,19 @@
 	}
 }
 
+// hasOutlasted reports whether an exchange with an incarnation that had begun at a moment has received
+// data later than shortly after it, so that it did not lie in a buffer.
+func (p *pool) hasOutlasted(incarnation registry.Incarnation, moment time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for sending := range p.active[incarnation] {
+		if sending.sentAt.Before(moment) && sending.connection.lastRead.Load() > moment.Add(aliveCheckTime/2).UnixNano() {
+			return true
+		}
+	}
+	return false
+}
+
 // closeInactive closes the connections of an incarnation's exchanges that have received nothing
 // since a given time. Their requests end like those of a crashed engine.
 func (p *pool) closeInactive(incarnation registry.Incarnation, since time.Time) {
--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -82,6 +82,9 @@
 	began registry.Instance
 	// resumed is the origin of a stream that the caller takes up again.
 	resumed FoundStream
+	// isUnconfirmed is set while the instance may have restarted with another version before the stream
+	// began there.
+	isUnconfirmed bool
 	// isDoubtful is set once the record says that the version of the stream is not certain.
 	isDoubtful bool
 }
@@ -129,13 +132,20 @@
 }
 
 // bindStream binds a stream to the version of the instance that sends its first event, and records
-// the origin before the event is relayed.
+// the origin before the event is relayed. If the instance may have restarted, the record is made at a
+// later event, once it is certain that it has not.
 func (r *request) bindStream(sender registry.Instance) {
-	if r.stream.began.ID != "" {
+	isFirst := r.stream.began.ID == ""
+	if !isFirst && !r.stream.isUnconfirmed {
 		return
 	}
-	r.stream.VersionBound, r.stream.began = balance.BindVersion(sender.Version), sender
-	r.recordStream(sender)
+	if isFirst {
+		r.stream.VersionBound, r.stream.began = balance.BindVersion(sender.Version), sender
+	}
+	r.stream.isUnconfirmed = r.pipeline.options.Table.IsVersionDoubtful(r.pipeline.options.Environment.Now(), r.stream.began.Incarnation())
+	if !r.stream.isUnconfirmed {
+		r.recordStream(r.stream.began)
+	}
 }
 
 // noteDoubt records a second origin of a stream whose sender runs another version than was believed,
@@ -169,5 +179,5 @@
 
 // isStreamVersionCertain reports whether the version that began the stream is known for certain.
 func (r *request) isStreamVersionCertain() bool {
-	return r.stream.began.ID == "" || !r.stream.isDoubtful && r.pipeline.options.Table.IsVersionCertain(r.stream.began)
+	return r.stream.began.ID == "" || !r.stream.isUnconfirmed && !r.stream.isDoubtful && r.pipeline.options.Table.IsVersionCertain(r.stream.began)
 }
--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -301,3 +301,45 @@
 	instance.Version, instance.StartedAt = version, instance.StartedAt+1
 	h.pipeline.IncarnationsReplaced(h.table.Apply([]registry.Instance{instance}))
 }
+
+// Guards against a record of a version that was only believed: the engine may have restarted before the
+// stream began.
+func TestStreamAtAnEngineThatMayHaveRestartedIsNotRecorded(t *testing.T) {
+	h := newVersionedHarness(t, []string{"v1", "v2"}, newVersionedEngine(t, "v1", 0), newVersionedEngine(t, "v2", 0))
+	for number := range 2 {
+		h.table.RunInterrupted(h.environment.Now(), registry.Incarnation{ID: fmt.Sprintf("i-%d", number)})
+	}
+	got := h.send(t, "POST", "/resumable/x", "began", "")
+	assert.NilError(t, got.err)
+	assert.Equal(t, len(h.streams.records), 0)
+}
+
+// Guards against an engine that breaks off one response and is avoided by all streams of its version,
+// although its other responses go on.
+func TestEngineWhoseOtherRunsGoOnIsNotDoubtful(t *testing.T) {
+	engine := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: "+request.Header.Get("Id")+"\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for number := 1; number <= 30; number++ {
+			event := versionedEvent("v1", number)
+			_, _ = fmt.Fprintf(connection, "%x\r\n%s\r\n", len(event), event)
+			if request.Header.Get("Id") == "breaks" && number == 3 {
+				_ = connection.Close()
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		_, _ = io.WriteString(connection, "0\r\n\r\n")
+	})
+	h := newVersionedHarness(t, []string{"v1", "v2"}, engine, newVersionedEngine(t, "v2", 0))
+	began := streamversion.Origin{Service: "s", Version: "v1"}
+	h.streams.put("goes-on", began)
+	h.streams.put("breaks", began)
+	goesOn := make(chan result, 1)
+	go func() { goesOn <- h.takeUp(t, "/resumable/x", "goes on", "goes-on", "0") }()
+	time.Sleep(30 * time.Millisecond)
+	h.takeUp(t, "/resumable/x", "breaks", "breaks", "0")
+	incarnation := registry.Incarnation{ID: "i-0"}
+	assert.Assert(t, h.table.IsVersionDoubtful(h.environment.Now(), incarnation))
+	assert.NilError(t, (<-goesOn).err)
+	assert.Assert(t, !h.table.IsVersionDoubtful(h.environment.Now(), incarnation))
+}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -66,6 +66,7 @@
 		l.generation = neighbours.generation
 	}
 	now := l.node.now()
+	l.node.table.SetInformed(now, now < l.node.fleet.view.Load().rootContactAt+versionValidity)
 	l.node.limits.tick()
 	l.node.backoff.tick()
 	l.node.prompts.tick()
