soak: engines of several versions in series of releases, callers that take streams up again

Each version writes its own events, so that a join shows in what the caller got. Violations: any stream with events of two versions; 12 or more streams taken up while two engines of their version serve and control nodes are in touch, of which less than half as many go on as new ones begin. Streams of an upgrade from an earlier build are counted only.

--- a/internal/lab/labcli/soak.go
+++ b/internal/lab/labcli/soak.go
@@ -48,8 +48,8 @@
 			for seed := range seeds {
 				summary, err := soakSeed(ctx, wire, command, seed, command.Int("first-lane")+lane)
 				mutex.Lock()
-				fmt.Fprintf(out, "seed %d: %d calls %v, %d faults, %d cut by planned stops, charged without delivery at most %.4f of a limit, prompts reserved %v, error %v\n",
-					seed, summary.Calls, summary.Outcomes, summary.Faults, summary.CutByStops, summary.LedgerOvercharge, summary.Reservations, err)
+				fmt.Fprintf(out, "seed %d: %d calls %v, %d faults, %d cut by planned stops, charged without delivery at most %.4f of a limit, prompts reserved %v, streams %v of %d versions, error %v\n",
+					seed, summary.Calls, summary.Outcomes, summary.Faults, summary.CutByStops, summary.LedgerOvercharge, summary.Reservations, summary.Streams, summary.StreamVersions, err)
 				if err != nil {
 					failed = append(failed, fmt.Errorf("seed %d: %w", seed, err))
 				}
--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -69,7 +70,11 @@
 	startedAt time.Time
 	mutex     sync.Mutex
 	results   []result
-	running   sync.WaitGroup
+	// streams are the resumable streams that have ended.
+	streams []*callerStream
+	// entries are the machines of the entry nodes.
+	entries []*machine
+	running sync.WaitGroup
 }
 
 const (
@@ -79,31 +84,32 @@
 )
 
 func newCallers(of *fleet, startedAt time.Time) *callers {
-	return &callers{
+	created := &callers{
 		fleet: of, startedAt: startedAt,
 		// Idle connections are kept until the peer's process is gone.
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, DisableCompression: true}},
 	}
+	for _, one := range of.members {
+		if !one.isControl {
+			created.entries = append(created.entries, one)
+		}
+	}
+	return created
 }
 
 // run sends a call every callInterval until the context ends, and waits for the last responses.
 func (c *callers) run(ctx context.Context, random *rand.Rand) {
 	kinds := []Kind{Safe, Once, Stream, Resumable}
-	var entries []*machine
-	for _, one := range c.fleet.members {
-		if !one.isControl {
-			entries = append(entries, one)
-		}
-	}
 	for number := 0; ctx.Err() == nil; number++ {
-		kind, entry := kinds[random.IntN(len(kinds))], entries[random.IntN(len(entries))]
+		kind, entry := kinds[random.IntN(len(kinds))], c.entries[random.IntN(len(c.entries))]
 		tenant := fmt.Sprintf("tenant-%d", random.IntN(tenantCount))
 		call := standin.Call{ID: fmt.Sprintf("%08x%08x", random.Uint32(), number), Key: keyPrefix + tenant, MaximumWait: callTimeout, PromptPart: "part-" + strconv.Itoa(random.IntN(20))}
 		if kind == Stream || kind == Resumable {
 			call.TokensIn, call.TokensOut = 1+uint64(random.IntN(maximumPromptTokens)), maximumOutputTokens
 		}
+		takingUp := rand.New(rand.NewPCG(random.Uint64(), uint64(number)))
 		c.running.Go(func() {
-			ended := c.call(kind, entry, call)
+			ended := c.call(kind, entry, call, takingUp)
 			c.mutex.Lock()
 			defer c.mutex.Unlock()
 			c.results = append(c.results, ended)
@@ -113,77 +119,150 @@
 	c.running.Wait()
 }
 
-// call sends one call and classifies its response.
-func (c *callers) call(kind Kind, entry *machine, call standin.Call) result {
+// call sends one call and classifies its response. A resumable stream that breaks is taken up again.
+func (c *callers) call(kind Kind, entry *machine, call standin.Call, random *rand.Rand) result {
 	ended := result{id: call.ID, kind: kind, entry: entry, startedAt: time.Since(c.startedAt)}
 	ctx, cancel := context.WithTimeout(context.Background(), call.MaximumWait)
 	defer cancel()
-	ended.outcome, ended.detail = c.send(ctx, kind, entry, call)
+	var received sent
+	ended.outcome, ended.detail, received = c.sendBody(ctx, kind, entry, call, "body of "+call.ID)
 	ended.endedAt = time.Since(c.startedAt)
 	entry.mutex.Lock()
 	ended.isStopping = entry.isStopping
 	entry.mutex.Unlock()
+	if kind == Resumable {
+		c.follow(ctx, &ended, call, received, random)
+	}
 	return ended
 }
 
-func (c *callers) send(ctx context.Context, kind Kind, entry *machine, call standin.Call) (Outcome, string) {
-	return c.sendBody(ctx, kind, entry, call, "body of "+call.ID)
+// follow takes a resumable stream up again if it broke, and records it. Wrong events of a later attempt
+// are the call's outcome.
+func (c *callers) follow(ctx context.Context, ended *result, call standin.Call, received sent, random *rand.Rand) {
+	stream := &callerStream{id: call.ID, entries: []string{ended.entry.name}}
+	stream.add(call.ID, received.read)
+	if ended.outcome == Cut && stream.events > 0 {
+		if outcome, detail := c.takeUp(ctx, stream, call, random); outcome == Wrong {
+			ended.outcome, ended.detail = outcome, detail
+		}
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.streams = append(c.streams, stream)
+}
+
+// sent is what a caller received for one attempt.
+type sent struct {
+	// status is the status of the response, 0 if there is none.
+	status int
+	// reason and retryAfter are those of a refusal.
+	reason, retryAfter string
+	read               streamRead
 }
 
-func (c *callers) sendBody(ctx context.Context, kind Kind, entry *machine, call standin.Call, text string) (Outcome, string) {
+func (c *callers) sendBody(ctx context.Context, kind Kind, entry *machine, call standin.Call, text string) (Outcome, string, sent) {
 	url := "http://" + entry.address(callersPort) + "/" + string(kind) + "/x"
 	// The body has no GetBody function, so net/http can't send the request twice.
 	body := struct{ io.Reader }{strings.NewReader(text)}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
 	if err != nil {
-		return Failed, err.Error()
+		return Failed, err.Error(), sent{}
 	}
 	request.Header, request.Host = c.fleet.wire.CallerHeader(call), callHost
 	c.fleet.truth.senders.record(call.ID, entry)
 	response, err := c.client.Do(request)
 	if err != nil {
-		return Cut, err.Error()
+		return Cut, err.Error(), sent{}
 	}
 	defer response.Body.Close()
+	received := sent{status: response.StatusCode, retryAfter: response.Header.Get("Retry-After")}
 	switch status := response.StatusCode; {
 	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests, status == http.StatusPaymentRequired:
-		return NotRun, response.Status
+		received.reason = readReason(response.Body)
+		return NotRun, response.Status, received
 	case status != http.StatusOK:
-		return Failed, response.Status
+		return Failed, response.Status, received
 	case kind == Stream || kind == Resumable:
-		outcome, detail, events := readStream(response.Body, call.ID)
-		if events > 0 {
-			c.fleet.truth.recordDelivery(tenantOfKey(call.Key), call.TokensIn+uint64(events)*eventTokens)
+		received.read = readStream(response.Body, call.ID, call.LastEvent)
+		if received.read.events > 0 {
+			c.fleet.truth.recordDelivery(tenantOfKey(call.Key), call.TokensIn+uint64(received.read.events)*eventTokens)
 		}
-		return outcome, detail
+		return received.read.outcome, received.read.detail, received
 	}
-	received, err := io.ReadAll(response.Body)
+	whole, err := io.ReadAll(response.Body)
 	if err != nil {
-		return Cut, err.Error()
+		return Cut, err.Error(), received
 	}
-	if string(received) != plainBody(call.ID) {
-		return Wrong, fmt.Sprintf("%.80q", received)
+	if string(whole) != plainBody(call.ID) {
+		return Wrong, fmt.Sprintf("%.80q", whole), received
 	}
-	return Complete, ""
+	return Complete, "", received
 }
 
-// readStream compares a stream with the expected one, and counts its events.
-func readStream(body io.Reader, id string) (outcome Outcome, detail string, events int) {
-	reader := bufio.NewReader(body)
+// readReason returns the reason in the body of a refusal.
+func readReason(body io.Reader) string {
+	var refusal struct {
+		Error string `json:"error"`
+	}
+	if err := json.NewDecoder(body).Decode(&refusal); err != nil {
+		return "unreadable"
+	}
+	return refusal.Error
+}
+
+// streamRead is what one attempt brought of a stream.
+type streamRead struct {
+	outcome Outcome
+	detail  string
+	// events is the number of complete events, and versions are those of their engines, in order.
+	events   int
+	versions []string
+}
+
+// readStream compares a stream with the expected one from an event on, and counts its events. Events of
+// several versions are not wrong by themselves, see checkStreams.
+func readStream(body io.Reader, id string, after int) streamRead {
 	var read strings.Builder
-	_, err := io.Copy(&read, reader)
-	var expected strings.Builder
-	for number := 1; number <= streamEvents; number++ {
-		expected.WriteString(eventText(id, number))
+	_, err := io.Copy(&read, bufio.NewReader(body))
+	result := streamRead{}
+	rest := read.String()
+	for number := after + 1; number <= streamEvents; number++ {
+		text, following, isWhole := strings.Cut(rest, "\n\n")
+		version := versionOfEvent(text)
+		if !isWhole || text+"\n\n" != eventText(id, version, number) {
+			break
+		}
+		rest = following
+		result.events++
+		result.versions = append(result.versions, version)
 	}
-	events = strings.Count(read.String(), "\n\n")
+	isWhole := after+result.events == streamEvents
 	switch {
-	case err != nil && strings.HasPrefix(expected.String(), read.String()):
-		return Cut, err.Error(), events
-	case err == nil && read.String() == expected.String():
-		return Complete, "", events
+	case err != nil && (rest == "" || !isWhole && isPartOfEvent(rest, id, after+result.events+1)):
+		result.outcome, result.detail = Cut, err.Error()
+	case err == nil && isWhole && rest == "":
+		result.outcome = Complete
+	default:
+		result.outcome, result.detail = Wrong, fmt.Sprintf("error %v after %.200q", err, read.String())
+	}
+	return result
+}
+
+// versionOfEvent returns the version that an event names.
+func versionOfEvent(text string) string {
+	_, data, _ := strings.Cut(text, "\ndata: ")
+	version, _, _ := strings.Cut(data, "/")
+	return version
+}
+
+// isPartOfEvent reports whether a text is the beginning of an event of any version.
+func isPartOfEvent(text, id string, number int) bool {
+	for _, version := range append([]string{versionOfEvent(text)}, modelVersions...) {
+		if strings.HasPrefix(eventText(id, version, number), text) {
+			return true
+		}
 	}
-	return Wrong, fmt.Sprintf("error %v after %.200q", err, read.String()), events
+	return false
 }
 
 // snapshot returns the results of the calls that have ended so far.
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -73,20 +73,20 @@
 func TestStreamsOtherThanTheExpectedOneAreWrong(t *testing.T) {
 	var whole strings.Builder
 	for number := 1; number <= streamEvents; number++ {
-		whole.WriteString(eventText("x", number))
+		whole.WriteString(eventText("x", "v1", number))
 	}
 	for text, want := range map[string]Outcome{
-		whole.String(): Complete, whole.String()[:20]: Wrong, whole.String() + eventText("x", 1): Wrong, "": Wrong,
+		whole.String(): Complete, whole.String()[:20]: Wrong, whole.String() + eventText("x", "v1", 1): Wrong, "": Wrong,
 	} {
-		got, _, _ := readStream(strings.NewReader(text), "x")
-		assert.Equal(t, got, want, "%q", text)
+		got := readStream(strings.NewReader(text), "x", 0)
+		assert.Equal(t, got.outcome, want, "%q", text)
 	}
 	broken := io.MultiReader(strings.NewReader(whole.String()[:20]), brokenReader{})
-	got, _, _ := readStream(broken, "x")
-	assert.Equal(t, got, Cut)
-	mixed := io.MultiReader(strings.NewReader(eventText("y", 1)), brokenReader{})
-	got, _, _ = readStream(mixed, "x")
-	assert.Equal(t, got, Wrong)
+	got := readStream(broken, "x", 0)
+	assert.Equal(t, got.outcome, Cut)
+	mixed := io.MultiReader(strings.NewReader(eventText("y", "v1", 1)), brokenReader{})
+	got = readStream(mixed, "x", 0)
+	assert.Equal(t, got.outcome, Wrong)
 }
 
 type brokenReader struct{}
--- a/internal/lab/soak/engine.go
+++ b/internal/lab/soak/engine.go
@@ -210,9 +210,10 @@
 // plainBody is the expected response to a plain call.
 func plainBody(request string) string { return "answer to " + request }
 
-// eventText is the expected event of a stream at a position, counted from 1.
-func eventText(request string, number int) string {
-	return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", number, request, number)
+// eventText is the expected event of a stream at a position, counted from 1. It names the version, so
+// that a stream that continues on another one shows.
+func eventText(request, version string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s/%s/%d\n\n", number, version, request, number)
 }
 
 func (e *engine) stream(writer http.ResponseWriter, incoming *http.Request, request standin.EngineRequest) {
@@ -223,7 +224,7 @@
 		case <-incoming.Context().Done():
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := io.WriteString(writer, eventText(request.ID, number)); err != nil {
+		if _, err := io.WriteString(writer, eventText(request.ID, e.Version, number)); err != nil {
 			panic(http.ErrAbortHandler)
 		}
 		_ = http.NewResponseController(writer).Flush()
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -62,6 +62,8 @@
 	allIncarnations []*engine
 	// plainVersion is the version of new engines of the plain service.
 	plainVersion string
+	// modelVersion is the version of new engines of the model service.
+	modelVersion string
 	// startedAt is the start of the run; crashSpans are the spans in which poison requests crashed
 	// engines.
 	startedAt  time.Time
@@ -89,7 +91,7 @@
 	made := &fleet{
 		lane: options.Lane, wire: options.Wire, random: rand.New(rand.NewPCG(options.Seed, 1)), truth: newTruth(),
 		client:  &http.Client{Timeout: controlWait, Transport: &http.Transport{DisableKeepAlives: true}},
-		engines: map[string]*engine{}, plainVersion: oldVersion, prepaid: map[string]uint64{},
+		engines: map[string]*engine{}, plainVersion: oldVersion, modelVersion: oldVersion, prepaid: map[string]uint64{},
 	}
 	key := make([]byte, peerKeyLength)
 	for position := range key {
@@ -177,7 +179,7 @@
 func (f *fleet) addEngine(service string, place int, id string) error {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	version := oldVersion
+	version := f.modelVersion
 	if service == servicePlain {
 		version = f.plainVersion
 	}
--- a/internal/lab/soak/poison.go
+++ b/internal/lab/soak/poison.go
@@ -47,7 +47,7 @@
 			ID: fmt.Sprintf("%08x%08x", random.Uint32(), number), Key: keyPrefix + "tenant-0", MaximumWait: callTimeout, PromptPart: "part-0", TokensIn: 1, TokensOut: maximumOutputTokens,
 		}
 		c.running.Go(func() {
-			_, _ = c.sendBody(context.WithoutCancel(ctx), kind, entry, call, poisonBodyPrefix+string(kind))
+			_, _, _ = c.sendBody(context.WithoutCancel(ctx), kind, entry, call, poisonBodyPrefix+string(kind))
 		})
 		pause.For(ctx, time.Duration(random.Int64N(int64(2*meanPoisonInterval))))
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"os"
 	"strings"
@@ -65,7 +66,11 @@
 	LedgerOvercharge float64
 	// Reservations counts the entry nodes' requests to reserve a prompt, by result.
 	Reservations map[string]int
-	Violations   []string
+	// Streams counts the resumable streams that began, were taken up again and went on, and
+	// StreamVersions the versions of their events.
+	Streams        map[string]int
+	StreamVersions int
+	Violations     []string
 }
 
 // run is the state of a run with one seed.
@@ -92,9 +97,14 @@
 	diskLostAt time.Time
 	// disruptiveSpans are the spans in which a fault other than a planned stop was injected.
 	disruptiveSpans []span
+	// unstableSpans are the spans in which a fault may have hit control nodes.
+	unstableSpans []span
 	// ledgerOvercharge is the maximum of ledgerEntry.overcharge over the tenants.
 	ledgerOvercharge float64
 	reservations     *reservationCounts
+	// streamCounts counts the resumable streams, and streamVersionCount the versions of their events.
+	streamCounts       map[string]int
+	streamVersionCount int
 }
 
 type span struct{ from, until time.Duration }
@@ -174,6 +184,9 @@
 		injecting.Go(func() { r.limitEngines(faultContext, rand.New(rand.NewPCG(options.Seed, limitRandomStream))) })
 		injecting.Go(func() { r.disturbEngines(ctx, faultContext, rand.New(rand.NewPCG(options.Seed, backoffRandomStream))) })
 	}
+	if options.FaultDuration > 0 {
+		injecting.Go(func() { r.releaseVersions(ctx, faultContext, rand.New(rand.NewPCG(options.Seed, releaseRandomStream))) })
+	}
 	for number := range seriesCount {
 		injecting.Go(func() { r.runFaultSeries(ctx, faultContext, rand.New(rand.NewPCG(options.Seed, 3+uint64(number)))) })
 	}
@@ -198,6 +211,12 @@
 			continue
 		}
 		r.reportf("fault %s", one.name)
+		if mayHitControl(one.name) {
+			inject := one.inject
+			one.inject = func(ctx context.Context, r *run, random *rand.Rand) {
+				r.recordSpan(func() { inject(ctx, r, random) }, &r.unstableSpans, contactTime)
+			}
+		}
 		if strings.HasPrefix(one.name, "planned_stop") || one.name == "configuration" || one.name == "drain_engine" {
 			one.inject(ctx, r, random)
 		} else {
@@ -212,11 +231,20 @@
 // injectDisruptive injects a fault that may cut calls, and records its span. The span ends
 // disruptionMargin after the fault.
 func (r *run) injectDisruptive(inject func()) {
+	r.recordSpan(inject, &r.disruptiveSpans, disruptionMargin)
+}
+
+// recordSpan injects a fault and adds its span, which ends a margin after the fault.
+func (r *run) recordSpan(inject func(), spans *[]span, margin time.Duration) {
 	from := time.Since(r.startedAt)
+	r.mutex.Lock()
+	position := len(*spans)
+	*spans = append(*spans, span{from: from, until: math.MaxInt64})
+	r.mutex.Unlock()
 	inject()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.disruptiveSpans = append(r.disruptiveSpans, span{from: from, until: time.Since(r.startedAt) + disruptionMargin})
+	(*spans)[position].until = time.Since(r.startedAt) + margin
 }
 
 // checkRecovery waits up to maximumRecoveryWait until entry nodes are ready again. After another
@@ -250,6 +278,7 @@
 // check runs all checks, and compares the configuration that the fleet returns with the one sent.
 func (r *run) check(ctx context.Context) {
 	r.checkCalls()
+	r.checkStreams()
 	r.checkPoison()
 	r.checkLimits()
 	r.checkBackoff()
@@ -296,6 +325,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	summary.Streams, summary.StreamVersions = r.streamCounts, r.streamVersionCount
 	summary.Faults, summary.Violations, summary.LedgerOvercharge = r.injected, r.violations, r.ledgerOvercharge
 	if len(r.violations) > 0 {
 		return summary, fmt.Errorf("%w: %s", ErrGuaranteeViolated, strings.Join(r.violations, "; "))
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -63,6 +63,10 @@
 	// generated tokens; 0 for a plain call. PromptPart is the id of the shared part of the prompt.
 	TokensIn, TokensOut uint64
 	PromptPart          string
+	// LastEvent is the number of the last event that the caller has of a stream that it takes up again,
+	// and Resumes the id of its attempt that brought the first one; 0 and "" for a new stream.
+	LastEvent int
+	Resumes   string
 }
 
 // EngineRequest is a request as an engine reads it.
