--- a/internal/lab/labcli/simulations.go
+++ b/internal/lab/labcli/simulations.go
@@ -30,6 +30,7 @@
 		}).World
 	},
 	"backoff":          simulateBackoff,
+	"streams":          simulateStreams,
 	"rate-limits":      simulateLimits(false),
 	"unsettled-limits": simulateLimits(true),
 	"tight-budgets": func(seed uint64) *simulate.World {
@@ -57,6 +58,14 @@
 	}).World
 }
 
+// simulateStreams simulates streams that are taken up again after losses of nodes. Consecutive seeds go
+// through all losses.
+func simulateStreams(seed uint64) *simulate.World {
+	return simulate.RunStreamVersions(simulate.StreamOptions{
+		Seed: seed, Loss: simulate.StreamLoss(seed % uint64(simulate.StreamLossCount)), Zones: 3, NodesPerZone: 3, Controls: 3, Rate: 4,
+	}).World
+}
+
 // simulateLimits returns a simulation of rate limits with faults. Consecutive seeds go through all
 // rates, and one in three has one-sided traffic.
 func simulateLimits(isUnsettled bool) func(seed uint64) *simulate.World {
