--- a/internal/lab/emulator/engine.go
+++ b/internal/lab/emulator/engine.go
@@ -434,3 +434,16 @@
 	defer e.mutex.Unlock()
 	return len(e.waiting) + len(e.running)
 }
+
+// Restart replaces the engine's process: it loses all requests, also those that have ended.
+func (e *Engine) Restart() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, lost := range slices.Concat(e.waiting, e.running) {
+		lost.promptTokens = lost.prefilledTokens
+		e.endSequence(lost, engine.StateCancelled)
+		lost.signalProgress()
+	}
+	e.waiting, e.running, e.endedIDs = nil, nil, nil
+	clear(e.sequences)
+}
--- a/internal/lab/fleet/orders_test.go
+++ b/internal/lab/fleet/orders_test.go
@@ -11,6 +11,7 @@
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 	"github.com/ravenway/ravenway/internal/lab/deployment"
 	"github.com/ravenway/ravenway/internal/lab/emulator"
+	"github.com/ravenway/ravenway/internal/lab/load"
 )
 
 // requestOrder requests an order for a back end, to load an adapter, through a node. It returns the order's
@@ -130,3 +131,30 @@
 		waitUntilSettled(t, f, "tenant-04", tokens)
 	})
 }
+
+// Guards against a stream that continues at a process that did not begin it, for example one of another
+// version that has taken the address of the first: its request is not known there.
+func TestStreamOfARestartedBackendIsNotResumed(t *testing.T) {
+	withFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		result := make(chan load.Result, 1)
+		go func() {
+			result <- f.LoadClient().Send(context.Background(), f.EntryAddress("lhr-a-2"), billedRequest(f, "restarted"))
+		}()
+		time.Sleep(400 * time.Millisecond)
+		restarted := 0
+		for _, backend := range f.Plan.Catalog().GetBackends() {
+			if engine := f.Emulator.Engine(backend.GetName()); engine != nil && engine.ActiveRequests() > 0 {
+				engine.Restart()
+				restarted++
+			}
+		}
+		for _, zone := range f.Plan.Zones {
+			f.Network.BreakConnections(zoneMachine(zone))
+		}
+		assert.Equal(t, restarted, 1)
+		got := <-result
+		assert.Assert(t, got.Outcome != load.Complete && got.Outcome != load.Wrong, "%s %s", got.Outcome, got.Detail)
+		count, _ := runsOf(f, "tenant-04")
+		assert.Equal(t, count, 1)
+	})
+}
