--- a/api/ravenway/v1/ravenwayv1connect/ravenway.connect.go
+++ b/api/ravenway/v1/ravenwayv1connect/ravenway.connect.go
@@ -85,6 +85,9 @@
 	// OperatorServiceGetPausesProcedure is the fully-qualified name of the OperatorService's GetPauses
 	// RPC.
 	OperatorServiceGetPausesProcedure = "/ravenway.v1.OperatorService/GetPauses"
+	// OperatorServiceGetStreamsProcedure is the fully-qualified name of the OperatorService's
+	// GetStreams RPC.
+	OperatorServiceGetStreamsProcedure = "/ravenway.v1.OperatorService/GetStreams"
 	// OperatorServiceGetPathsProcedure is the fully-qualified name of the OperatorService's GetPaths
 	// RPC.
 	OperatorServiceGetPathsProcedure = "/ravenway.v1.OperatorService/GetPaths"
@@ -139,6 +142,9 @@
 	// GetPauses lists the instances that asked the answering entry node for a pause or leave,
 	// the longest pause first. Each node knows what it was told itself.
 	GetPauses(context.Context, *connect.Request[v1.GetPausesRequest]) (*connect.Response[v1.GetPausesResponse], error)
+	// GetStreams lists the versions on which streams began that callers may take up again, as far as the
+	// answering node has records of them.
+	GetStreams(context.Context, *connect.Request[v1.GetStreamsRequest]) (*connect.Response[v1.GetStreamsResponse], error)
 	// GetPaths lists the engines that the answering entry node does not reach itself, and the nodes
 	// that relay its connections.
 	GetPaths(context.Context, *connect.Request[v1.GetPathsRequest]) (*connect.Response[v1.GetPathsResponse], error)
@@ -257,6 +263,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("GetPauses")),
 			connect.WithClientOptions(opts...),
 		),
+		getStreams: connect.NewClient[v1.GetStreamsRequest, v1.GetStreamsResponse](
+			httpClient,
+			baseURL+OperatorServiceGetStreamsProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("GetStreams")),
+			connect.WithClientOptions(opts...),
+		),
 		getPaths: connect.NewClient[v1.GetPathsRequest, v1.GetPathsResponse](
 			httpClient,
 			baseURL+OperatorServiceGetPathsProcedure,
@@ -296,6 +308,7 @@
 	releaseQuarantined *connect.Client[v1.ReleaseQuarantinedRequest, v1.ReleaseQuarantinedResponse]
 	getLimits          *connect.Client[v1.GetLimitsRequest, v1.GetLimitsResponse]
 	getPauses          *connect.Client[v1.GetPausesRequest, v1.GetPausesResponse]
+	getStreams         *connect.Client[v1.GetStreamsRequest, v1.GetStreamsResponse]
 	getPaths           *connect.Client[v1.GetPathsRequest, v1.GetPathsResponse]
 	getCallers         *connect.Client[v1.GetCallersRequest, v1.GetCallersResponse]
 	getReservations    *connect.Client[v1.GetReservationsRequest, v1.GetReservationsResponse]
@@ -381,6 +394,11 @@
 	return c.getPauses.CallUnary(ctx, req)
 }
 
+// GetStreams calls ravenway.v1.OperatorService.GetStreams.
+func (c *operatorServiceClient) GetStreams(ctx context.Context, req *connect.Request[v1.GetStreamsRequest]) (*connect.Response[v1.GetStreamsResponse], error) {
+	return c.getStreams.CallUnary(ctx, req)
+}
+
 // GetPaths calls ravenway.v1.OperatorService.GetPaths.
 func (c *operatorServiceClient) GetPaths(ctx context.Context, req *connect.Request[v1.GetPathsRequest]) (*connect.Response[v1.GetPathsResponse], error) {
 	return c.getPaths.CallUnary(ctx, req)
@@ -439,6 +457,9 @@
 	// GetPauses lists the instances that asked the answering entry node for a pause or leave,
 	// the longest pause first. Each node knows what it was told itself.
 	GetPauses(context.Context, *connect.Request[v1.GetPausesRequest]) (*connect.Response[v1.GetPausesResponse], error)
+	// GetStreams lists the versions on which streams began that callers may take up again, as far as the
+	// answering node has records of them.
+	GetStreams(context.Context, *connect.Request[v1.GetStreamsRequest]) (*connect.Response[v1.GetStreamsResponse], error)
 	// GetPaths lists the engines that the answering entry node does not reach itself, and the nodes
 	// that relay its connections.
 	GetPaths(context.Context, *connect.Request[v1.GetPathsRequest]) (*connect.Response[v1.GetPathsResponse], error)
@@ -553,6 +574,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("GetPauses")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceGetStreamsHandler := connect.NewUnaryHandler(
+		OperatorServiceGetStreamsProcedure,
+		svc.GetStreams,
+		connect.WithSchema(operatorServiceMethods.ByName("GetStreams")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceGetPathsHandler := connect.NewUnaryHandler(
 		OperatorServiceGetPathsProcedure,
 		svc.GetPaths,
@@ -605,6 +632,8 @@
 			operatorServiceGetLimitsHandler.ServeHTTP(w, r)
 		case OperatorServiceGetPausesProcedure:
 			operatorServiceGetPausesHandler.ServeHTTP(w, r)
+		case OperatorServiceGetStreamsProcedure:
+			operatorServiceGetStreamsHandler.ServeHTTP(w, r)
 		case OperatorServiceGetPathsProcedure:
 			operatorServiceGetPathsHandler.ServeHTTP(w, r)
 		case OperatorServiceGetCallersProcedure:
@@ -684,6 +713,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.GetPauses is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) GetStreams(context.Context, *connect.Request[v1.GetStreamsRequest]) (*connect.Response[v1.GetStreamsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.GetStreams is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) GetPaths(context.Context, *connect.Request[v1.GetPathsRequest]) (*connect.Response[v1.GetPathsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("ravenway.v1.OperatorService.GetPaths is not implemented"))
 }
--- a/internal/coordination/balance/versions.go
+++ b/internal/coordination/balance/versions.go
@@ -104,14 +104,20 @@
 // ServiceVersion is a version of a service.
 type ServiceVersion struct{ Service, Version string }
 
-// ListedVersions returns the versions of all services' instances that have not ended.
-func (t *Table) ListedVersions() map[ServiceVersion]struct{} {
+// ListedVersions returns the versions of all services' instances that have not ended, with the number of
+// those that accept new work.
+func (t *Table) ListedVersions() map[ServiceVersion]int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	versions := map[ServiceVersion]struct{}{}
+	versions := map[ServiceVersion]int{}
 	for _, one := range t.members {
-		if !one.hasEnded {
-			versions[ServiceVersion{Service: one.Service, Version: one.Version}] = struct{}{}
+		if one.hasEnded {
+			continue
+		}
+		version := ServiceVersion{Service: one.Service, Version: one.Version}
+		versions[version] += 0
+		if one.isOffered {
+			versions[version]++
 		}
 	}
 	return versions
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -13,6 +13,7 @@
 
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 	"github.com/ravenway/ravenway/api/ravenway/v1/ravenwayv1connect"
+	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
 	"github.com/ravenway/ravenway/internal/duty"
 	"github.com/ravenway/ravenway/internal/protocol/operator"
@@ -265,6 +266,27 @@
 	return connect.NewResponse(response), nil
 }
 
+// GetStreams implements the schema's GetStreams.
+func (o *operatorServer) GetStreams(context.Context, *connect.Request[ravenwayv1.GetStreamsRequest]) (*connect.Response[ravenwayv1.GetStreamsResponse], error) {
+	offered := o.node.table.ListedVersions()
+	response := &ravenwayv1.GetStreamsResponse{}
+	for _, origin := range o.node.streams.store.List() {
+		version := balance.ServiceVersion{Service: origin.Service, Version: origin.Version}
+		response.Versions = append(response.Versions, &ravenwayv1.StreamVersion{
+			Service: origin.Service, Version: origin.Version, Streams: uint32(origin.Streams), Instances: uint32(offered[version]),
+		})
+		delete(offered, version)
+	}
+	for version, instances := range offered {
+		response.Versions = append(response.Versions, &ravenwayv1.StreamVersion{Service: version.Service, Version: version.Version, Instances: uint32(instances)})
+	}
+	slices.SortFunc(response.Versions, func(a, b *ravenwayv1.StreamVersion) int {
+		return cmp.Or(cmp.Compare(a.GetService(), b.GetService()), cmp.Compare(a.GetVersion(), b.GetVersion()))
+	})
+	_, response.Dropped = o.node.streams.store.Count()
+	return connect.NewResponse(response), nil
+}
+
 // errNoPaths means that a node connects to no engines.
 var errNoPaths = errors.New("only entry nodes connect to engines")
 
--- a/internal/lab/openfleet/versions_test.go
+++ b/internal/lab/openfleet/versions_test.go
@@ -11,7 +11,10 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
+
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
 )
 
 // versionedFleet is a fleet whose service llm has several engines of each of two versions.
@@ -322,6 +325,14 @@
 		began, err := v.Request("entry-0", newRequest("began", "/resumable/x"))
 		assert.NilError(t, err)
 		assert.Equal(t, began.Status, http.StatusOK)
+		listed, err := v.OperatorClient("entry-0").GetStreams(v.ctx, connect.NewRequest(&ravenwayv1.GetStreamsRequest{}))
+		assert.NilError(t, err)
+		streams := 0
+		for _, version := range listed.Msg.GetVersions() {
+			streams += int(version.GetStreams())
+			assert.Assert(t, !strings.HasPrefix(version.GetVersion(), "v") || version.GetInstances() == 6, "%v", version)
+		}
+		assert.Equal(t, streams, 1)
 		for name, resumes := range map[string]string{"unknown": "never-was", "long": strings.Repeat("x", 10_000), "none": ""} {
 			for number := range 3 {
 				call := newRequest(fmt.Sprintf("%s-%d", name, number), "/resumable/x")
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -318,6 +318,11 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("a fleet of fixed peers bounds no callers"))
 }
 
+// GetStreams implements the schema's GetStreams.
+func (o *operatorServer) GetStreams(context.Context, *connect.Request[ravenwayv1.GetStreamsRequest]) (*connect.Response[ravenwayv1.GetStreamsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("in a fleet of fixed peers streams are resumed at the engine that runs them"))
+}
+
 // GetPaths implements the schema's GetPaths.
 func (o *operatorServer) GetPaths(context.Context, *connect.Request[ravenwayv1.GetPathsRequest]) (*connect.Response[ravenwayv1.GetPathsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("a fleet of fixed peers relays no connections"))
--- a/internal/operatorcli/commands.go
+++ b/internal/operatorcli/commands.go
@@ -88,6 +88,9 @@
 			{Name: "pauses", Usage: "pauses that instances requested from entry nodes, and leaving instances", Commands: []*cli.Command{
 				{Name: "list", Usage: "show the pauses requested from an entry node, the longest first", Action: action(getPauses)},
 			}},
+			{Name: "streams", Usage: "versions on which streams began that callers may take up again", Commands: []*cli.Command{
+				{Name: "list", Usage: "show the versions, with the streams that a node has a record of, by service and version", Action: action(getStreams)},
+			}},
 			{Name: "paths", Usage: "an entry node's ways to engines", Commands: []*cli.Command{
 				{Name: "list", Usage: "show the engines that an entry node does not reach itself, and the nodes that relay its connections", Action: action(getPaths)},
 			}},
