Streams that are taken up again get permits before new streams

A stream that the node itself resumes takes precedence for permits, since its caller has received part of the response; one that its caller takes up again did not, though the same holds. Where few instances of a version are left, new streams took their permits.

--- a/internal/forward/permits.go
+++ b/internal/forward/permits.go
@@ -51,18 +51,22 @@
 		return balance.NoPermits
 	}
 	share := permitShare
-	if r.isResponding {
+	if r.isInProgress() {
 		share = resumedPermitShare
 	}
 	return time.Duration(share * float64(r.route.Objective))
 }
 
+// isInProgress reports whether the caller has received part of the response, at this attempt or, of a
+// stream that it takes up again, at an earlier one.
+func (r *request) isInProgress() bool { return r.isResponding || r.isTakenUp() }
+
 // permitNeeds returns what the request needs before it can be sent under a rate limit. A stream in
 // progress takes precedence over all others, because its caller has received part of the
 // response.
 func (r *request) permitNeeds() ratelimit.PermitNeeds {
 	needs := ratelimit.PermitNeeds{MaximumWaitMS: uint64(max(0, r.permitMaximumWait()).Milliseconds())}
-	if !r.isResponding {
+	if !r.isInProgress() {
 		needs.Priority = uint8(min(max(0, r.route.Priority), math.MaxUint8))
 	}
 	return needs
--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/coordination/streamversion"
+	"github.com/ravenway/ravenway/internal/state/document"
 )
 
 // versionedStreamEvents is the length of the streams of versioned engines.
@@ -343,3 +344,13 @@
 	assert.NilError(t, (<-goesOn).err)
 	assert.Assert(t, !h.table.IsVersionDoubtful(h.environment.Now(), incarnation))
 }
+
+// Guards against streams that are taken up again and wait for permits behind new streams, when few engines
+// of their version are left.
+func TestTakenUpStreamTakesPrecedenceOverNewOnesForPermits(t *testing.T) {
+	route := &document.Route{Kind: document.Stream, Resumable: true, Priority: 3, Objective: time.Second}
+	begins := (&request{route: route, call: &Call{}}).permitNeeds()
+	takenUp := (&request{route: route, call: &Call{LastEvent: "4"}}).permitNeeds()
+	assert.Assert(t, begins.Priority == 3 && takenUp.Priority == 0, "%d, %d", begins.Priority, takenUp.Priority)
+	assert.Assert(t, takenUp.MaximumWait() > begins.MaximumWait())
+}
