--- a/internal/lab/openfleet/versions_test.go
+++ b/internal/lab/openfleet/versions_test.go
@@ -87,7 +87,7 @@
 	resumes, node := "", first
 	startedAt := time.Now()
 	for attempt := 0; attempt < maximumAttempts && time.Since(startedAt) < followDeadline; attempt++ {
-		call := CallerRequest{ID: fmt.Sprintf("%s-%d", id, attempt), Path: "/resumable/x", Key: "key-one", Tokens: "10,30", Resumes: resumes}
+		call := CallerRequest{ID: fmt.Sprintf("%s-%d", id, attempt), Path: "/resumable/x", Key: "key-one", Tokens: "10,30", Body: id, Resumes: resumes}
 		if len(stream.events) > 0 {
 			call.After = strconv.Itoa(stream.events[len(stream.events)-1])
 		}
@@ -140,8 +140,9 @@
 	}
 }
 
-// followMany follows streams that begin at all entry nodes in turn, while disturb runs.
-func (v *versionedFleet) followMany(seed uint64, count int, interval time.Duration, disturb func()) []*followedStream {
+// followMany follows streams that begin at all entry nodes in turn, while disturb runs. started is called
+// with the number of each stream that has been started.
+func (v *versionedFleet) followMany(seed uint64, count int, interval time.Duration, disturb func(), started ...func(number int)) []*followedStream {
 	entries := v.MachineNames(false)
 	streams := make([]*followedStream, count)
 	var running sync.WaitGroup
@@ -150,6 +151,9 @@
 		running.Go(func() {
 			streams[number] = v.follow(fmt.Sprintf("followed-%d", number), rand.New(rand.NewPCG(seed, uint64(number))), entries[number%len(entries)])
 		})
+		for _, notify := range started {
+			notify(number)
+		}
 		time.Sleep(interval)
 	}
 	running.Wait()
@@ -359,3 +363,37 @@
 		}
 	})
 }
+
+// Guards against streams that are taken up again and push each other out, or are pushed out by new ones,
+// when two engines of their version are left.
+func TestManyStreamsAreTakenUpAtTheLastEnginesOfAVersion(t *testing.T) {
+	withVersionedFleet(t, 6, func(t *testing.T, v *versionedFleet) {
+		const room = 100
+		for _, engine := range v.engines {
+			engine.Update(func(e *Engine) { e.Room = room })
+		}
+		began := make(chan struct{})
+		streams := v.followMany(63, 400, 5*time.Millisecond, func() {
+			<-began
+			left := 2
+			for _, engine := range v.engines {
+				if engine.Version != "v1" {
+					continue
+				}
+				if left--; left < 0 {
+					v.CrashEngine(engine)
+				}
+			}
+			for _, name := range []string{"entry-0", "entry-1", "entry-2"} {
+				v.Kill(name)
+			}
+		}, func(number int) {
+			if number == 200 {
+				close(began)
+			}
+		})
+		takenUp, wentOn := assertNoJoins(t, streams)
+		t.Logf("%d streams were taken up again, %d of them went on", takenUp, wentOn)
+		assert.Check(t, takenUp > room && float64(wentOn) >= ownGoal*float64(takenUp), "%d of %d streams went on", wentOn, takenUp)
+	})
+}
