--- /dev/null
+++ b/internal/gateway/streamversions_test.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/coordination/streamversion"
+	"github.com/ravenway/ravenway/internal/forward"
+	"github.com/ravenway/ravenway/internal/protocol/peer"
+	"github.com/ravenway/ravenway/internal/settings"
+)
+
+func sampleRecord(number int) streamversion.Record {
+	return streamversion.Record{
+		Key: streamversion.KeyOf("t", fmt.Sprint(number)), Owner: streamversion.OwnerOf("t"),
+		Origin: streamversion.Origin{Service: "llm", Version: "v1"}, Lifetime: 30 * time.Second,
+	}
+}
+
+// queryOf asks for a stream of a route of one service.
+func queryOf(attempt string) forward.StreamQuery {
+	return forward.StreamQuery{Tenant: "t", Attempt: attempt, Services: []string{"llm"}, Lifetime: 30 * time.Second}
+}
+
+// recordFrames counts the messages with records that a node sent.
+func recordFrames(node *Node) uint64 { return node.sent.frames[peer.KindStreamVersions].Get() }
+
+// Guards against a message for each record and holder: records that wait are sent together.
+func TestRecordsThatWaitAreSentInOneMessageToEachHolder(t *testing.T) {
+	node := newReservingNode(t, peer.OwnProtocol)
+	members := node.streams.members()
+	holders := map[string]bool{}
+	for number := range 300 {
+		record := sampleRecord(number)
+		node.streams.unsent = append(node.streams.unsent, record)
+		for _, holder := range members.Holders(record.Key) {
+			holders[holder] = true
+		}
+	}
+	before := recordFrames(node)
+	node.streams.flush()
+	assert.Equal(t, recordFrames(node)-before, uint64(len(holders)))
+	node.streams.flush()
+	assert.Equal(t, recordFrames(node)-before, uint64(len(holders)))
+}
+
+// During an upgrade, nodes of the earlier version would refuse the new messages. They hold no records, so
+// that what they would answer is known.
+func TestNodesOfTheEarlierVersionHoldNoRecords(t *testing.T) {
+	node := newIdleNode(t, benchEntry(0), benchZone(0), settings.RoleEntry)
+	hellos := controlHellos(node, reservingEntries, true)
+	for position := range hellos {
+		hellos[position].ProtocolVersion = peer.ProtocolStreamVersions - 1
+		node.protocols.record(hellos[position])
+	}
+	recordHellos(node, hellos)
+	node.fleet.publishView()
+	records, calls := recordFrames(node), node.sent.frames[peer.KindCall].Get()
+	node.streams.unsent = []streamversion.Record{sampleRecord(1)}
+	node.streams.flush()
+	assert.Equal(t, recordFrames(node), records)
+	startedAt := time.Now()
+	_, err := node.streams.Find(t.Context(), queryOf("began at an earlier build"))
+	assert.Assert(t, errors.Is(err, forward.ErrStreamUnknown), "%v", err)
+	assert.Assert(t, time.Since(startedAt) < findTimeout)
+	assert.Equal(t, node.sent.frames[peer.KindCall].Get(), calls)
+}
+
+// Guards against a node without any peer that claims to know that nobody knows a stream.
+func TestNodeWithoutPeersCannotConfirmThatAStreamIsUnknown(t *testing.T) {
+	node := newIdleNode(t, benchEntry(0), benchZone(0), settings.RoleEntry)
+	_, err := node.streams.Find(t.Context(), queryOf("unknown"))
+	assert.Assert(t, errors.Is(err, forward.ErrStreamNotConfirmed), "%v", err)
+	node.streams.Began(sampleRecord(7))
+	found, err := node.streams.Find(t.Context(), queryOf("7"))
+	assert.NilError(t, err)
+	assert.Assert(t, found.Source == forward.OwnRecord && found.Version == "v1", "%+v", found)
+	other := queryOf("7")
+	other.Tenant = "u"
+	_, err = node.streams.Find(t.Context(), other)
+	assert.Assert(t, err != nil, "another tenant found the stream")
+}
+
+// Guards against nodes that do not respond and for which a caller waits longer than a round trip takes.
+func TestSilentHoldersAreAwaitedForAShortTime(t *testing.T) {
+	node := newReservingNode(t, peer.OwnProtocol)
+	startedAt := time.Now()
+	_, err := node.streams.Find(t.Context(), queryOf("unknown"))
+	assert.Assert(t, errors.Is(err, forward.ErrStreamNotConfirmed), "%v", err)
+	assert.Assert(t, time.Since(startedAt) < 2*findTimeout, "%s", time.Since(startedAt))
+}
+
+// Guards against callers of the earlier interface, which name no attempt: their streams go on while the
+// node knows of one version only.
+func TestStreamWithoutAnAttemptGoesOnWhileOneVersionIsKnown(t *testing.T) {
+	node := newIdleNode(t, benchEntry(0), benchZone(0), settings.RoleEntry)
+	list := func(id, version string) {
+		instance := registry.Instance{ID: id, Service: "llm", Address: id + ":80", Version: version, State: registry.Ready, Sequence: 1}
+		node.fleet.scheduleApply([]registry.Instance{instance})
+	}
+	_, err := node.streams.Find(t.Context(), queryOf(""))
+	assert.Assert(t, errors.Is(err, forward.ErrStreamUnknown), "no instance was ever listed: %v", err)
+	list("i-1", "v1")
+	found, err := node.streams.Find(t.Context(), queryOf(""))
+	assert.NilError(t, err)
+	assert.Assert(t, found.Source == forward.OnlyVersion && found.Version == "v1", "%+v", found)
+	list("i-2", "v2")
+	_, err = node.streams.Find(t.Context(), queryOf(""))
+	assert.Assert(t, errors.Is(err, forward.ErrStreamUnknown), "%v", err)
+}
+
+// Guards against messages of a faulty node that stop this one or enter its store.
+func TestInvalidStreamMessagesHaveNoEffect(t *testing.T) {
+	node := newIdleNode(t, benchEntry(0), benchZone(0), settings.RoleEntry)
+	node.streams.handleRecords("peer", streamversion.Batch{Groups: []streamversion.Group{{Keys: make([]byte, 5)}}})
+	count, _ := node.streams.store.Count()
+	assert.Equal(t, count, 0)
+	_, err := node.streams.handleFind("peer", peer.Call{Method: peer.MethodFindStream, Body: mustMarshal(streamversion.Question{Key: []byte("short")})})
+	assert.Assert(t, err != nil)
+}
