Fleet tests of cuts, chains and simultaneous resumptions of streams

Four more kinds of loss (a silent node, a deaf one, a zone that is cut off, a node that reaches no engines), a stream over four attempts at nodes that are killed one after the other, and five attempts at once.

--- a/internal/lab/openfleet/versions_test.go
+++ b/internal/lab/openfleet/versions_test.go
@@ -226,6 +226,11 @@
 	return slices.DeleteFunc(append(v.MachineNames(true), v.MachineNames(false)...), func(name string) bool { return v.Machine(name).Zone != zone })
 }
 
+// others returns all machines of nodes but one.
+func (v *versionedFleet) others(than string) []string {
+	return slices.DeleteFunc(append(v.MachineNames(true), v.MachineNames(false)...), func(name string) bool { return name == than })
+}
+
 var losses = []loss{
 	{"one node", 6, killAll(func(*versionedFleet) []string { return []string{"entry-1"} }, 500*time.Millisecond), ownGoal},
 	{"two of a zone's three nodes", 9, killAll(func(*versionedFleet) []string { return []string{"entry-1", "entry-4"} }, 500*time.Millisecond), ownGoal},
@@ -245,10 +250,43 @@
 		v.Kill("entry-1")
 	}, ownGoal},
 	{"a zone's control node is partitioned while its entry node is killed", 9, func(v *versionedFleet) {
-		others := slices.DeleteFunc(append(v.MachineNames(true), v.MachineNames(false)...), func(name string) bool { return name == "control-1" })
-		v.Network.PartitionBetween([]string{"control-1"}, others)
+		v.Network.PartitionBetween([]string{"control-1"}, v.others("control-1"))
+		time.Sleep(200 * time.Millisecond)
+		v.Kill("entry-1")
+	}, ownGoal},
+	{"a node that is silent to the others, then killed", 9, func(v *versionedFleet) {
+		// Its records reach nobody any more; streams that began before go on.
+		for _, other := range v.others("entry-1") {
+			v.Network.PartitionOneWay("entry-1", other)
+		}
+		time.Sleep(20 * time.Millisecond)
+		v.Kill("entry-1")
+		v.Network.Heal()
+	}, ownGoal},
+	{"a node that hears nothing of the others, while another is killed", 9, func(v *versionedFleet) {
+		for _, other := range v.others("entry-4") {
+			v.Network.PartitionOneWay(other, "entry-4")
+		}
 		time.Sleep(200 * time.Millisecond)
 		v.Kill("entry-1")
+		time.Sleep(time.Second)
+		v.Network.Heal()
+	}, ownGoal},
+	{"a node of a zone that is partitioned from the others", 9, func(v *versionedFleet) {
+		inZone := v.machinesOf("b")
+		outside := slices.DeleteFunc(append(v.MachineNames(true), v.MachineNames(false)...), func(name string) bool { return slices.Contains(inZone, name) })
+		v.Network.PartitionBetween(inZone, outside)
+		time.Sleep(200 * time.Millisecond)
+		v.Kill("entry-1")
+		time.Sleep(1500 * time.Millisecond)
+		v.Network.Heal()
+	}, ownGoal},
+	{"a node that reaches no engines, while another is killed", 6, func(v *versionedFleet) {
+		v.Network.PartitionBetween([]string{"entry-4"}, v.engineMachines())
+		time.Sleep(200 * time.Millisecond)
+		v.Kill("entry-1")
+		time.Sleep(time.Second)
+		v.Network.Heal()
 	}, ownGoal},
 	// No memory of the streams is left, so none goes on.
 	{"all processes", 6, func(v *versionedFleet) {
@@ -397,3 +435,62 @@
 		assert.Check(t, takenUp > room && float64(wentOn) >= ownGoal*float64(takenUp), "%d of %d streams went on", wentOn, takenUp)
 	})
 }
+
+// Guards against a stream that is lost, or changes its version, at a later link of a chain: its caller
+// always names the attempt that brought the first event, which no node that is left relayed.
+func TestStreamThatIsTakenUpAgainAndAgainKeepsItsVersion(t *testing.T) {
+	withVersionedFleet(t, 9, func(t *testing.T, v *versionedFleet) {
+		const links = 4
+		events, versions := 0, map[string]bool{}
+		for link := range links {
+			call := newRequest(fmt.Sprint("link-", link), "/resumable/x")
+			call.Tokens = "10,30"
+			if link > 0 {
+				call.Resumes, call.After = "link-0", strconv.Itoa(events)
+			}
+			node := fmt.Sprint("entry-", link)
+			v.goroutines.Go(func() {
+				time.Sleep(300 * time.Millisecond)
+				v.Kill(node)
+			})
+			response, err := v.Request(node, call)
+			assert.NilError(t, err)
+			assert.Equal(t, response.Status, http.StatusOK, "link %d: %s", link, response.Body)
+			stream := &followedStream{}
+			assert.Assert(t, stream.add(response.Body), "link %d brings no event", link)
+			assert.Equal(t, stream.events[0], events+1)
+			events = stream.events[len(stream.events)-1]
+			for _, version := range stream.versions {
+				versions[version] = true
+			}
+		}
+		assert.Equal(t, len(versions), 1, "%v", versions)
+	})
+}
+
+// Guards against two attempts at once to take up one stream, of which one is refused or continues on
+// another version.
+func TestOneStreamIsTakenUpTwiceAtOnce(t *testing.T) {
+	withVersionedFleet(t, 6, func(t *testing.T, v *versionedFleet) {
+		v.goroutines.Go(func() {
+			time.Sleep(300 * time.Millisecond)
+			v.Kill("entry-0")
+		})
+		began := &followedStream{}
+		first, err := v.Request("entry-0", newRequest("began", "/resumable/x"))
+		assert.NilError(t, err)
+		assert.Assert(t, first.BodyError != nil && began.add(first.Body))
+		var running sync.WaitGroup
+		for number := 1; number < 6; number++ {
+			running.Go(func() {
+				call := newRequest(fmt.Sprint("again-", number), "/resumable/x")
+				call.Resumes, call.After = "began", strconv.Itoa(len(began.events))
+				response, err := v.Request(fmt.Sprint("entry-", number), call)
+				again := &followedStream{}
+				assert.Check(t, err == nil && response.BodyError == nil && again.add(response.Body), "%d %v", response.Status, response.BodyError)
+				assert.Check(t, len(again.versions) == versionedEvents-len(began.events) && again.versions[0] == began.versions[0])
+			})
+		}
+		running.Wait()
+	})
+}
