--- a/internal/coordination/balance/backlog_test.go
+++ b/internal/coordination/balance/backlog_test.go
@@ -14,7 +14,7 @@
 
 // longRequest returns a request with a prompt of 9,000 tokens that no other shares.
 func longRequest(part string) Request {
-	return Request{Service: "llm", Part: part, Tokens: 9000, MaximumEventGap: 400 * time.Millisecond}
+	return Request{Service: "llm", PromptPart: part, Tokens: 9000, MaximumEventGap: 400 * time.Millisecond}
 }
 
 // quietTable returns a table of instances in its own zone whose choices depend on no chance.
--- a/internal/coordination/balance/backoff_test.go
+++ b/internal/coordination/balance/backoff_test.go
@@ -37,7 +37,7 @@
 	table, tracker := pausedTable("i-0", "i-1")
 	pauseInstance(tracker, "i-0", 0, 3*time.Second)
 	for range 20 {
-		choice, found := table.Choose(time.Second, Request{Service: "s", Part: "p", Tokens: 100})
+		choice, found := table.Choose(time.Second, Request{Service: "s", PromptPart: "p", Tokens: 100})
 		assert.Assert(t, found)
 		assert.Equal(t, choice.ID, "i-1")
 	}
@@ -154,7 +154,7 @@
 				}
 			}
 			for b.Loop() {
-				choice, _ := table.Choose(time.Second, Request{Service: "s", Part: "p", Tokens: 1000})
+				choice, _ := table.Choose(time.Second, Request{Service: "s", PromptPart: "p", Tokens: 1000})
 				table.Done(time.Second, choice, Abandoned)
 			}
 		})
--- a/internal/coordination/balance/balance_test.go
+++ b/internal/coordination/balance/balance_test.go
@@ -30,7 +30,7 @@
 func TestNodesAgreeOnTheHomeOfAPartWithoutCommunicating(t *testing.T) {
 	one, other := tableOf("a", instances(12)), tableOf("b", instances(12))
 	for number := range 50 {
-		request := Request{Service: "llm", Part: fmt.Sprintf("part-%d", number), Cost: 1}
+		request := Request{Service: "llm", PromptPart: fmt.Sprintf("part-%d", number), Cost: 1}
 		first, _ := one.Choose(0, request)
 		second, _ := other.Choose(0, request)
 		assert.Equal(t, first.ID, second.ID)
@@ -41,7 +41,7 @@
 
 func TestPartOfABusyInstanceSpillsOver(t *testing.T) {
 	table := tableOf("a", instances(12))
-	request := Request{Service: "llm", Part: "hot", Cost: 1}
+	request := Request{Service: "llm", PromptPart: "hot", Cost: 1}
 	seen := map[string]int{}
 	for range 30 {
 		choice, found := table.Choose(0, request)
@@ -100,7 +100,7 @@
 	now, lost := time.Duration(0), 0
 	for turn := range 60 {
 		now += 20 * time.Millisecond
-		choice, _ := table.Choose(now, Request{Service: "llm", Part: fmt.Sprintf("part-%d", turn), Cost: 1})
+		choice, _ := table.Choose(now, Request{Service: "llm", PromptPart: fmt.Sprintf("part-%d", turn), Cost: 1})
 		outcome := Served
 		if choice.Zone == "b" {
 			outcome = Unreachable
@@ -113,7 +113,7 @@
 	recovered := 0
 	for turn := range 60 {
 		now += 100 * time.Millisecond
-		choice, _ := table.Choose(now, Request{Service: "llm", Part: fmt.Sprintf("part-%d", turn), Cost: 1})
+		choice, _ := table.Choose(now, Request{Service: "llm", PromptPart: fmt.Sprintf("part-%d", turn), Cost: 1})
 		if choice.Zone == "b" {
 			recovered++
 		}
--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -36,9 +36,9 @@
 // Request describes the request that an instance is chosen for.
 type Request struct {
 	Service string
-	// Part identifies the shared prompt part; "" if there is none. Its home is the instance that
+	// PromptPart identifies the shared prompt part; "" if there is none. Its home is the instance that
 	// homeOf selects.
-	Part string
+	PromptPart string
 	// Cost is the work in units of a medium-sized request.
 	Cost float64
 	// Tokens is the length of the prompt in tokens, and SharedTokens that of its shared part, which
@@ -86,13 +86,13 @@
 	// other nodes.
 	Ahead, Unread int
 	AheadKnown    bool
-	// Reread is the cost of shared tokens that are read again, and CrossZone that of bytes sent to
-	// another zone, both in tokens. Streams is the number of requests in flight at the instance.
-	Reread, CrossZone, Streams int
-	// Stalls is the cost of the streams there that reading the prompt would stall, in tokens.
-	Stalls int
-	// Permit is the cost of the permit that the instance's rate limit requires, in tokens.
-	Permit int
+	// RereadCost is the cost of shared tokens that are read again, and CrossZoneCost that of bytes sent to
+	// another zone, both in tokens. RequestsInFlight is the number of requests in flight at the instance.
+	RereadCost, CrossZoneCost, RequestsInFlight int
+	// StallCost is the cost of the streams there that reading the prompt would stall, in tokens.
+	StallCost int
+	// PermitCost is the cost of the permit that the instance's rate limit requires, in tokens.
+	PermitCost int
 	// ReadTime is the expected time to read the Unread tokens at the service's observed read rate.
 	// It is 0 for a request without a prompt part.
 	ReadTime time.Duration
@@ -119,12 +119,12 @@
 	var chosen *member
 	spilled := false
 	choice := Choice{Candidates: len(candidates.open)}
-	if request.Part != "" {
+	if request.PromptPart != "" {
 		chosen, spilled = t.chooseEarliestFirstToken(now, candidates, request, &choice)
 	} else {
 		chosen = t.chooseLeastLoaded(candidates.open)
 	}
-	if request.Part == "" {
+	if request.PromptPart == "" {
 		choice.before = t.stateBefore(now, chosen, "")
 	}
 	if state := t.zones[chosen.Zone]; state != nil && now < state.avoidedUntil {
@@ -251,7 +251,7 @@
 
 // chooseEarliestFirstToken picks the instance at which the first token is expected earliest.
 func (t *Table) chooseEarliestFirstToken(now time.Duration, candidates candidateSet, request Request, choice *Choice) (*member, bool) {
-	home := homeOf(candidates, request.Part)
+	home := homeOf(candidates, request.PromptPart)
 	var chosen *member
 	var best expectedCost
 	var totals alternatives
@@ -262,12 +262,12 @@
 		}
 	}
 	choice.Ahead, choice.Unread, choice.AheadKnown = best.ahead, best.unread, t.others != nil
-	choice.Reread, choice.CrossZone, choice.Streams = int(best.reread), int(best.crossZone), best.requests
-	choice.Stalls, choice.Permit = int(best.stalls), int(best.permit)
+	choice.RereadCost, choice.CrossZoneCost, choice.RequestsInFlight = int(best.reread), int(best.crossZone), best.requests
+	choice.StallCost, choice.PermitCost = int(best.stalls), int(best.permit)
 	choice.ReadTime = t.speedOf(request.Service).readTime(best.unread)
 	choice.MaximumAhead = totals.maximumAhead(best.ahead - best.excess)
-	choice.before = t.stateBefore(now, chosen, request.Part)
-	part := keyOfPart(request.Part)
+	choice.before = t.stateBefore(now, chosen, request.PromptPart)
+	part := keyOfPart(request.PromptPart)
 	chosen.noteHeld(now, part)
 	if chosen != home && request.SharedTokens > 0 {
 		choice.before.isSpillNoted = true
@@ -296,7 +296,7 @@
 		cost.excess = max(0, requests+1-one.Slots) * tokensPerExcessRequest
 		cost.ahead += cost.excess
 	}
-	if isHome || one.holds(now, keyOfPart(request.Part)) {
+	if isHome || one.holds(now, keyOfPart(request.PromptPart)) {
 		cost.unread = max(0, cost.unread-request.SharedTokens)
 	} else {
 		cost.reread = rereadWeight * float64(request.SharedTokens)
--- a/internal/coordination/balance/cold_test.go
+++ b/internal/coordination/balance/cold_test.go
@@ -94,7 +94,7 @@
 		}
 		node := random.IntN(entryNodeCount)
 		choice, found := tables[node].Choose(now, Request{
-			Service: "llm", Part: fmt.Sprint("part-", random.IntN(800)), Cost: 2, Tokens: 17000, SharedTokens: 13300,
+			Service: "llm", PromptPart: fmt.Sprint("part-", random.IntN(800)), Cost: 2, Tokens: 17000, SharedTokens: 13300,
 			MaximumEventGap: 600 * time.Millisecond, Bytes: 17000, Cold: c.policy,
 		})
 		if !found {
--- a/internal/coordination/balance/loads_test.go
+++ b/internal/coordination/balance/loads_test.go
@@ -121,7 +121,7 @@
 // quarter of the long requests was late for this reason.
 func TestInstanceThatOthersKeepBusyIsAvoided(t *testing.T) {
 	table := tableOf("a", instances(12))
-	request := Request{Service: "llm", Part: "part", Tokens: 17_000, SharedTokens: 13_000}
+	request := Request{Service: "llm", PromptPart: "part", Tokens: 17_000, SharedTokens: 13_000}
 	home, _ := table.Choose(0, request)
 	assert.Assert(t, !home.Spilled)
 	table.Done(0, home, Served)
@@ -141,7 +141,7 @@
 
 func TestPromptsAlreadyReadDoNotCountAsAhead(t *testing.T) {
 	table := tableOf("a", instances(3))
-	choice, _ := table.Choose(0, Request{Service: "llm", Part: "part", Tokens: 5_000})
+	choice, _ := table.Choose(0, Request{Service: "llm", PromptPart: "part", Tokens: 5_000})
 	assert.Equal(t, table.OwnLoads()[KeyOf(choice.Incarnation())], Load{Tokens: 5_000, Requests: 1})
 	table.PromptRead(&choice, 0)
 	assert.Equal(t, table.OwnLoads()[KeyOf(choice.Incarnation())], Load{Requests: 1})
@@ -180,7 +180,7 @@
 
 func TestReportedSpilledPartCountsAsHeld(t *testing.T) {
 	one, other := tableOf("a", instances(6)), tableOf("b", instances(6))
-	request := Request{Service: "llm", Part: "hot", Cost: 1, Tokens: 30_000, SharedTokens: 20_000}
+	request := Request{Service: "llm", PromptPart: "hot", Cost: 1, Tokens: 30_000, SharedTokens: 20_000}
 	var spilled []HeldPart
 	for range 6 {
 		_, found := one.Choose(0, request)
@@ -188,7 +188,7 @@
 		spilled = append(spilled, one.TakeSpilled()...)
 	}
 	assert.Assert(t, len(spilled) > 0)
-	other.NoteHeld(0, spilled)
+	other.RecordHeldParts(0, spilled)
 	for _, part := range spilled {
 		for _, known := range other.members {
 			if known.key == part.Instance {
--- a/internal/coordination/balance/parts.go
+++ b/internal/coordination/balance/parts.go
@@ -71,8 +71,8 @@
 	return spilled
 }
 
-// NoteHeld records parts that other nodes sent to other instances than their homes.
-func (t *Table) NoteHeld(now time.Duration, parts []HeldPart) {
+// RecordHeldParts records parts that other nodes sent to other instances than their homes.
+func (t *Table) RecordHeldParts(now time.Duration, parts []HeldPart) {
 	if len(parts) == 0 {
 		return
 	}
--- a/internal/coordination/balance/regions_test.go
+++ b/internal/coordination/balance/regions_test.go
@@ -50,7 +50,7 @@
 		for step := range 40 {
 			request := Request{Service: "llm", Regions: regions}
 			if random.IntN(2) == 0 {
-				request.Part, request.Tokens, request.SharedTokens = fmt.Sprint("part-", random.IntN(3)), 1000, 500
+				request.PromptPart, request.Tokens, request.SharedTokens = fmt.Sprint("part-", random.IntN(3)), 1000, 500
 			}
 			now := time.Duration(step) * 100 * time.Millisecond
 			for {
--- a/internal/coordination/balance/rollout_test.go
+++ b/internal/coordination/balance/rollout_test.go
@@ -43,7 +43,7 @@
 	for number := range requests {
 		request := Request{Service: "llm"}
 		if number%2 == 0 {
-			request.Part, request.Tokens = fmt.Sprint("part-", number%17), 500
+			request.PromptPart, request.Tokens = fmt.Sprint("part-", number%17), 500
 		}
 		choice, found := table.Choose(time.Duration(number)*time.Millisecond, request)
 		assert.Assert(t, found)
--- a/internal/coordination/balance/stalls_test.go
+++ b/internal/coordination/balance/stalls_test.go
@@ -16,7 +16,7 @@
 	table.speedOf("llm").stalled = highStalledShare
 	homes := map[string]int{}
 	for range 12 {
-		choice, _ := table.Choose(0, Request{Service: "llm", Part: "small", Cost: 1, Tokens: 200, SharedTokens: 100, MaximumEventGap: testGap})
+		choice, _ := table.Choose(0, Request{Service: "llm", PromptPart: "small", Cost: 1, Tokens: 200, SharedTokens: 100, MaximumEventGap: testGap})
 		table.PromptRead(&choice, 10*time.Millisecond)
 		homes[choice.ID]++
 	}
@@ -27,13 +27,13 @@
 		}
 	}
 	assert.Assert(t, highestCount >= 6, "%v", homes)
-	long, _ := table.Choose(0, Request{Service: "llm", Part: "small", Cost: 5, Tokens: 40_000, SharedTokens: 100, MaximumEventGap: testGap})
+	long, _ := table.Choose(0, Request{Service: "llm", PromptPart: "small", Cost: 5, Tokens: 40_000, SharedTokens: 100, MaximumEventGap: testGap})
 	assert.Assert(t, long.ID != busiest, "%v", homes)
 }
 
 func TestShortPromptStaysAtItsHomeDespiteRunningStreams(t *testing.T) {
 	table := tableOf("a", instances(3))
-	request := Request{Service: "llm", Part: "small", Cost: 1, Tokens: 3000, SharedTokens: 2500, MaximumEventGap: testGap}
+	request := Request{Service: "llm", PromptPart: "small", Cost: 1, Tokens: 3000, SharedTokens: 2500, MaximumEventGap: testGap}
 	first, _ := table.Choose(0, request)
 	table.PromptRead(&first, 10*time.Millisecond)
 	for range 6 {
--- a/internal/coordination/balance/versions_test.go
+++ b/internal/coordination/balance/versions_test.go
@@ -38,7 +38,7 @@
 		table.Apply(twoVersions(6))
 		table.SetRollouts(inStage(stage), RolloutShare{Share: 0.1, Nodes: 1})
 		for position, version := range []string{"v1", "v2"} {
-			for _, request := range []Request{{}, {Part: "p", Tokens: 500}, {Exclude: []string{"v1-0", "v2-0"}}} {
+			for _, request := range []Request{{}, {PromptPart: "p", Tokens: 500}, {Exclude: []string{"v1-0", "v2-0"}}} {
 				assert.Equal(t, versionOfChoice(table, 0, request, version), want[position], "%s, bound to %s, %+v", stage, version, request)
 			}
 		}
@@ -203,7 +203,7 @@
 			version := []string{"v1", "v2", "v3"}[random.IntN(3)]
 			request := Request{Service: "llm", Version: BindVersion(version)}
 			if random.IntN(2) == 0 {
-				request.Part, request.Tokens = "p", 500
+				request.PromptPart, request.Tokens = "p", 500
 			}
 			if choice, found := table.Choose(now, request); found {
 				assert.Assert(t, choice.Version == version, "seed %d, step %d: bound to %s, sent to %s", seed, step, version, choice.Version)
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -198,7 +198,7 @@
 func (r *request) balanceRequest(service string) balance.Request {
 	environment := r.pipeline.options.Environment
 	described := balance.Request{
-		Service: service, Part: r.call.affinityPartID(), Cost: r.call.cost(), Exclude: r.tried, Bytes: len(r.body),
+		Service: service, PromptPart: r.call.affinityPartID(), Cost: r.call.cost(), Exclude: r.tried, Bytes: len(r.body),
 		Tokens: int(r.call.TokensIn), SharedTokens: r.call.sharedTokens(), MaximumEventGap: r.route.EventGap, Regions: r.regions(), Version: r.stream.VersionBound,
 		MaximumPermitWait: r.permitMaximumWait(), IsLastAttempt: r.instancesReached+1 >= max(1, r.route.MaximumAttempts),
 	}
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -285,7 +285,7 @@
 func addChoice(line *zerolog.Event, choice balance.Choice) *zerolog.Event {
 	return line.Str("instance", choice.ID).Str("instance_version", choice.Version).Int("candidates", choice.Candidates).Bool("spilled", choice.Spilled).
 		Int("ahead", choice.Ahead).Bool("ahead_known", choice.AheadKnown).Int("unread", choice.Unread).
-		Int("reread", choice.Reread).Int("far", choice.CrossZone).Int("streams", choice.Streams).Int("paused", choice.Stalls).Int("permit", choice.Permit)
+		Int("reread", choice.RereadCost).Int("far", choice.CrossZoneCost).Int("streams", choice.RequestsInFlight).Int("paused", choice.StallCost).Int("permit", choice.PermitCost)
 }
 
 // Summarize logs the totals since the last call, including the number of omitted lines.
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -77,7 +77,7 @@
 	l.node.limits.handleUpdates(known.Limits)
 	l.node.table.SetOthersLoads(known.Loads)
 	l.node.gate.setZone(known.Zone)
-	l.node.table.NoteHeld(now, known.Parts)
+	l.node.table.RecordHeldParts(now, known.Parts)
 	l.node.link.recordReports(now, l.delays(now))
 	for _, one := range reports {
 		one.Report.AgeMS = uint64(now.Milliseconds())
--- a/internal/lab/simulate/backoffnode.go
+++ b/internal/lab/simulate/backoffnode.go
@@ -71,7 +71,7 @@
 
 func (n *backoffNode) request(call *backoffCall) balance.Request {
 	return balance.Request{
-		Service: "s", Part: call.part, Cost: 1, Tokens: 1000, SharedTokens: 600, Exclude: call.tried,
+		Service: "s", PromptPart: call.part, Cost: 1, Tokens: 1000, SharedTokens: 600, Exclude: call.tried,
 		IsLastAttempt: len(call.tried)+1 >= call.maximumAttempts,
 	}
 }
--- a/internal/lab/simulate/reservations.go
+++ b/internal/lab/simulate/reservations.go
@@ -180,7 +180,7 @@
 			addLoads(others, s.reported[node], -1)
 			table.SetOthersLoads(others)
 		}
-		table.NoteHeld(s.world.Now, s.reportedParts)
+		table.RecordHeldParts(s.world.Now, s.reportedParts)
 		loads = append(loads, table.OwnLoads())
 		parts = append(parts, table.TakeSpilled()...)
 	}
@@ -204,9 +204,9 @@
 		rest := min(maximumRest, minimumRest+int(s.arrivals.ExpFloat64()*restTokens))
 		s.result.Requests++
 		prompt := &simulatedPrompt{node: s.arrivals.IntN(s.options.Nodes), number: uint64(s.result.Requests), arrivedAt: s.world.Now}
-		prompt.Request = balance.Request{Service: "s", Part: fmt.Sprint("own-", s.result.Requests), Tokens: rest, MaximumEventGap: promptEventGap}
+		prompt.Request = balance.Request{Service: "s", PromptPart: fmt.Sprint("own-", s.result.Requests), Tokens: rest, MaximumEventGap: promptEventGap}
 		if s.arrivals.Float64() < sharedShare {
-			prompt.Part, prompt.SharedTokens = fmt.Sprint("shared-", s.arrivals.IntN(promptParts)), sharedTokens
+			prompt.PromptPart, prompt.SharedTokens = fmt.Sprint("shared-", s.arrivals.IntN(promptParts)), sharedTokens
 			prompt.Tokens += sharedTokens
 		}
 		prompt.length = shortestStream + time.Duration(s.arrivals.Int64N(int64(longestStream-shortestStream)))
@@ -272,13 +272,13 @@
 func (s *promptSimulation) receive(engine *readingEngine, prompt *simulatedPrompt) {
 	prompt.unread = prompt.Tokens
 	switch {
-	case engine.heldParts[prompt.Part]:
+	case engine.heldParts[prompt.PromptPart]:
 		prompt.unread -= prompt.SharedTokens
-	case prompt.SharedTokens > 0 && s.readParts[prompt.Part]:
+	case prompt.SharedTokens > 0 && s.readParts[prompt.PromptPart]:
 		s.result.Reread += prompt.SharedTokens
 	}
 	if prompt.SharedTokens > 0 {
-		engine.heldParts[prompt.Part], s.readParts[prompt.Part] = true, true
+		engine.heldParts[prompt.PromptPart], s.readParts[prompt.PromptPart] = true, true
 	}
 	engine.waiting = append(engine.waiting, prompt)
 	if len(engine.waiting) == 1 {
