--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -8,11 +8,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,7 +18,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/ravenway/ravenway/api/ravenway/v1/ravenwayv1connect"
-	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/gateway"
 	"github.com/ravenway/ravenway/internal/lab/fleet"
 	"github.com/ravenway/ravenway/internal/lab/pausecheck"
@@ -293,98 +290,6 @@
 	f.callers.CloseIdleConnections()
 }
 
-// AddEngine starts a simulated engine, which sends heartbeats from then on.
-func (f *Fleet) AddEngine(id, service, zone string) *Engine {
-	return f.AddEngineVersion(id, service, zone, "")
-}
-
-// AddEngineVersion starts a simulated engine that runs a version of its service.
-func (f *Fleet) AddEngineVersion(id, service, zone, version string) *Engine {
-	engine := &Engine{truth: f.GroundTruth, WorkTime: 10 * time.Millisecond}
-	engine.Instance = registry.Instance{ID: id, Service: service, Address: id + ":80", Zone: zone, Version: version, Slots: 8, State: registry.Ready, Sequence: 1, StartedAt: time.Now().UnixMilli()}
-	engine.crash = func() { f.CrashEngine(engine) }
-	server := &http.Server{Handler: engine}
-	listener := f.Network.Listen(id, engine.Address)
-	f.goroutines.Go(func() { _ = server.Serve(listener) })
-	f.goroutines.Go(func() {
-		<-f.ctx.Done()
-		_ = server.Close()
-	})
-	f.enginesMutex.Lock()
-	f.engines[id] = engine
-	f.enginesMutex.Unlock()
-	return engine
-}
-
-// CrashEngine crashes an engine: its connections break, new ones are refused, and it sends no more
-// heartbeats.
-func (f *Fleet) CrashEngine(engine *Engine) {
-	engine.hasCrashed.Store(true)
-	f.Network.BreakMachine(engine.ID)
-}
-
-// heartbeatInterval is the time between an engine's heartbeats.
-const heartbeatInterval = time.Second
-
-// stopHeartbeats stops the heartbeats of all engines, which continue to serve requests.
-func (f *Fleet) stopHeartbeats() {
-	f.enginesMutex.Lock()
-	defer f.enginesMutex.Unlock()
-	for _, engine := range f.engines {
-		engine.sendsNoHeartbeats = true
-	}
-}
-
-// heartbeats periodically sends the heartbeat of each engine to a running control node.
-func (f *Fleet) heartbeats() {
-	for f.ctx.Err() == nil {
-		f.enginesMutex.Lock()
-		for _, engine := range f.engines {
-			if engine.sendsNoHeartbeats || engine.hasCrashed.Load() {
-				continue
-			}
-			engine.Sequence++
-			_ = f.Heartbeat(engine.Instance)
-		}
-		f.enginesMutex.Unlock()
-		select {
-		case <-f.ctx.Done():
-		case <-time.After(heartbeatInterval):
-		}
-	}
-}
-
-// Drain makes an engine report that it drains. It returns once a control node has acknowledged that.
-func (f *Fleet) Drain(id string) error { return f.reportState(id, registry.Draining) }
-
-// reportState changes the state that an engine's heartbeats report and sends one of them.
-func (f *Fleet) reportState(id string, state registry.State) error {
-	f.enginesMutex.Lock()
-	defer f.enginesMutex.Unlock()
-	engine := f.engines[id]
-	engine.State = state
-	engine.Sequence++
-	return f.Heartbeat(engine.Instance)
-}
-
-// Heartbeat sends a heartbeat to the first control node that acknowledges it.
-func (f *Fleet) Heartbeat(instance registry.Instance) error {
-	err := errors.New("no control node runs")
-	for _, name := range f.MachineNames(true) {
-		node := f.Machine(name).running()
-		if node == nil {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(f.ctx, time.Second)
-		err = node.Heartbeat(ctx, instance)
-		cancel()
-		if err == nil {
-			return nil
-		}
-	}
-	return err
-}
-
 func isClosed(channel chan struct{}) bool {
 	select {
 	case <-channel:
@@ -474,95 +379,3 @@
 func (f *Fleet) OperatorClient(name string) ravenwayv1connect.OperatorServiceClient {
 	return ravenwayv1connect.NewOperatorServiceClient(&http.Client{Transport: f.callers}, fmt.Sprintf("http://%s:%d", f.Machine(name).Host, operatorsPort))
 }
-
-// CallerResponse is the response that a caller received.
-type CallerResponse struct {
-	Status int
-	Body   string
-	Header http.Header
-	// BodyError is the error that ended the body early, or nil.
-	BodyError error
-}
-
-// CallerRequest describes a caller's request.
-type CallerRequest struct {
-	ID, Path, Key string
-	// Tokens is the value of wire.HeaderTokens: prompt tokens, a comma and output tokens.
-	Tokens string
-	// Wait is the maximum time that the caller waits, sent as wire.HeaderWait; 0 sends none.
-	Wait    time.Duration
-	Context context.Context
-	Body    string
-	// PromptPart identifies a part of the prompt that requests share, "" if there is none.
-	PromptPart string
-	// After is the last event that the caller has of a stream that it takes up again, and Resumes the ID
-	// of its attempt that brought the first one; "" for a new stream.
-	After, Resumes string
-}
-
-// Request sends a caller's request to an entry node. The error is that of a connection that failed
-// before the head of a response arrived.
-func (f *Fleet) Request(name string, call CallerRequest) (CallerResponse, error) {
-	ctx := call.Context
-	if ctx == nil {
-		ctx = f.ctx
-	}
-	address := fmt.Sprintf("%s:%d", f.Machine(name).Host, callersPort)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+call.Path, strings.NewReader(call.Body))
-	if err != nil {
-		return CallerResponse{}, err
-	}
-	request.Host = "lab"
-	request.Header.Set(wire.HeaderRequest, call.ID)
-	if call.Key != "" {
-		request.Header.Set(wire.HeaderKey, call.Key)
-	}
-	if call.Tokens != "" {
-		request.Header.Set(wire.HeaderTokens, call.Tokens)
-	}
-	if call.PromptPart != "" {
-		request.Header.Set(wire.HeaderPart, call.PromptPart)
-	}
-	if call.After != "" {
-		request.Header.Set(wire.HeaderAfter, call.After)
-	}
-	if call.Resumes != "" {
-		request.Header.Set(wire.HeaderResumes, call.Resumes)
-	}
-	if call.Wait > 0 {
-		request.Header.Set(wire.HeaderWait, call.Wait.String())
-	}
-	response, err := f.roundTrip(request)
-	f.recordReceivedTokens(call, response)
-	return response, err
-}
-
-// recordReceivedTokens counts the tokens that a caller received: the prompt's and one for each event.
-func (f *Fleet) recordReceivedTokens(call CallerRequest, response CallerResponse) {
-	var tokensIn, tokensOut uint64
-	if _, err := fmt.Sscanf(call.Tokens, "%d,%d", &tokensIn, &tokensOut); err != nil || response.Status != http.StatusOK || response.Body == "" {
-		return
-	}
-	f.GroundTruth.recordTokens(call.Key, tokensIn+uint64(strings.Count(response.Body, eventEnd)))
-}
-
-// eventEnd terminates an event of a stream.
-const eventEnd = "\n\n"
-
-func (f *Fleet) get(url string) (CallerResponse, error) {
-	request, err := http.NewRequestWithContext(f.ctx, http.MethodGet, url, http.NoBody)
-	if err != nil {
-		return CallerResponse{}, err
-	}
-	return f.roundTrip(request)
-}
-
-func (f *Fleet) roundTrip(request *http.Request) (CallerResponse, error) {
-	response, err := f.callers.RoundTrip(request)
-	if err != nil {
-		return CallerResponse{}, err
-	}
-	defer response.Body.Close()
-	body, bodyError := io.ReadAll(response.Body)
-	return CallerResponse{Status: response.StatusCode, Body: string(body), Header: response.Header, BodyError: bodyError}, nil
-}
