--- a/internal/coordination/streamversion/streamversion_test.go
+++ b/internal/coordination/streamversion/streamversion_test.go
@@ -322,6 +322,8 @@
 		assert.NilError(t, err)
 		const envelope = 16
 		sent := perNode * (zoneHolders + remoteHolders + controlHolders) * float64(len(encoded)+envelope)
+		t.Logf("%d entry nodes: %d bytes a record, %.0f bytes a second sent by each, %.0f records of %.0f bytes held by each", size.entries, len(encoded)+envelope, sent,
+			perSecond*(2*15)*(zoneHolders+remoteHolders+1)/float64(size.entries), perRecord)
 		assert.Assert(t, sent < 0.02*linkBytes, "%d entry nodes: %.0f bytes a second", size.entries, sent)
 		alive := perSecond * (2 * 15) // records of two timeouts
 		held := alive * (zoneHolders + remoteHolders + 1) / float64(size.entries)
