Control nodes vouch for a service's only version only while they miss no control node

A control node counted as informed of all instances while as many control nodes as the group has members were alive, of which one could be a node outside the group in place of a missing member. Now each member of the group and each control node that it has not forgotten has to be in contact. Found by reading; TestStreamWithoutARecordGoesOnOnlyOnTheOnlyVersion.

--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -215,6 +215,18 @@
 	return r.alive(now, func(known *Peer) bool { return known.Control })
 }
 
+// KnownControls returns the addresses of the control nodes that this node has had contact with, until it
+// forgets them.
+func (r *Roster) KnownControls() []string {
+	var known []string
+	for _, address := range r.addresses {
+		if r.peers[address].Control {
+			known = append(known, address)
+		}
+	}
+	return known
+}
+
 // Entries returns the other entry nodes that control nodes listed within listedTime, sorted by
 // address, and a generation that differs whenever they have changed. The caller must not modify them.
 func (r *Roster) Entries(now time.Duration) (entries []peer.NodeEntry, generation uint64) {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -121,9 +121,11 @@
 // fleetView is an immutable snapshot of the roster for other goroutines.
 type fleetView struct {
 	alive []*roster.Peer
-	// controls is the number of control nodes among them.
-	controls int
-	leader   string
+	// controls is the number of control nodes among them, and knownControls are the addresses of all
+	// control nodes that this node has had contact with and not forgotten; set on control nodes only.
+	controls      int
+	knownControls []string
+	leader        string
 	// entries is the number of live entry nodes, this one included.
 	entries    int
 	neighbours neighbours
@@ -436,6 +438,9 @@
 	if entries, generation := f.roster.Entries(now); generation != before.generation {
 		view.neighbours = newNeighbours(balance.EntryNode{Address: f.node.address, Zone: current.Node.Zone}, entries, generation)
 	}
+	if f.isControl() {
+		view.knownControls = f.roster.KnownControls()
+	}
 	view.entries = len(view.neighbours.nodes)
 	if current.HasRole(settings.RoleEntry) {
 		view.entries++
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -91,8 +91,8 @@
 	// voters is the number of the group's voters, and caughtUpVoters that of the voters that hold
 	// every committed entry on disk. Only the leader knows them.
 	voters, caughtUpVoters int
-	// members is the number of the group's members.
-	members int
+	// memberNodes are the addresses of the nodes of the group's members.
+	memberNodes []string
 	// logVersion is the version of the applied log. waitsFor are the control nodes that delay the
 	// raise of the version.
 	logVersion machine.LogVersion
@@ -363,7 +363,10 @@
 		core := r.replica.Core()
 		view.leading, view.term, view.replica = r.leading(), core.Term(), r.id
 		view.quorumAge = time.Duration(core.TicksSinceQuorum()) * replicaTick
-		view.hasGroup, view.members = r.hasGroup(), len(core.Configuration().Members)
+		view.hasGroup = r.hasGroup()
+		for _, member := range core.Configuration().Members {
+			view.memberNodes = append(view.memberNodes, member.Node)
+		}
 		view.logVersion, view.waitsFor = r.machine.LogVersion(), r.raise.WaitsFor()
 		if member, found := core.Configuration().Member(core.Leader()); found {
 			view.leader = member.Node
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/ravenway/ravenway/internal/coordination/roster"
 	"github.com/ravenway/ravenway/internal/coordination/streamversion"
 	"github.com/ravenway/ravenway/internal/duty"
 	"github.com/ravenway/ravenway/internal/forward"
@@ -82,14 +84,22 @@
 }
 
 // isInformed reports whether this node is informed of all instances of the fleet now: it is a control
-// node in contact with all members of the control group. An instance that starts while one of them is
-// missing may be known to that one only.
+// node in contact with all members of the control group and all other control nodes that it knows. An
+// instance that starts while one of them is missing may be known to that one only.
 func (s *streamVersions) isInformed() bool {
 	if s.node.replica == nil {
 		return false
 	}
 	group := s.node.replica.shared.Load()
-	return group.hasGroup && group.quorumAge <= maximumQuorumAge && s.node.fleet.view.Load().controls+1 >= group.members
+	if !group.hasGroup || group.quorumAge > maximumQuorumAge {
+		return false
+	}
+	view := s.node.fleet.view.Load()
+	isAlive := func(address string) bool {
+		return address == s.node.address || slices.ContainsFunc(view.alive, func(known *roster.Peer) bool { return known.Control && known.Address == address })
+	}
+	isLost := func(address string) bool { return !isAlive(address) }
+	return !slices.ContainsFunc(group.memberNodes, isLost) && !slices.ContainsFunc(view.knownControls, isLost)
 }
 
 // flush sends the records that have accumulated to their holders: one message for each holder.
--- a/internal/lab/openfleet/versions_test.go
+++ b/internal/lab/openfleet/versions_test.go
@@ -494,3 +494,33 @@
 		running.Wait()
 	})
 }
+
+// Guards against a guess about a stream of which nobody has a record: it goes on only after the service has
+// certainly had one version for longer than the stream can have lasted, for example if a node of an
+// earlier build began it.
+func TestStreamWithoutARecordGoesOnOnlyOnTheOnlyVersion(t *testing.T) {
+	withFleet(t, 3, func(t *testing.T, f *Fleet) {
+		takeUp := func(id string) CallerResponse {
+			call := newRequest(id, "/resumable/x")
+			call.Resumes, call.After = "began before "+id, "3"
+			response, err := f.Request("entry-0", call)
+			assert.NilError(t, err)
+			return response
+		}
+		// The routes' streams are remembered for 10 s.
+		assert.Equal(t, takeUp("soon").Status, http.StatusServiceUnavailable, "the nodes have started less than 10 s ago")
+		time.Sleep(12 * time.Second)
+		assert.Equal(t, takeUp("later").Status, http.StatusOK)
+		f.Kill("control-2")
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, takeUp("one is missing").Status, http.StatusServiceUnavailable)
+		f.Boot("control-2")
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, takeUp("it is back").Status, http.StatusServiceUnavailable)
+		time.Sleep(12 * time.Second)
+		assert.Equal(t, takeUp("it has been back").Status, http.StatusOK)
+		f.AddEngineVersion("llm-new", "llm", "a", "v2")
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, takeUp("two versions").Status, http.StatusServiceUnavailable)
+	})
+}
