An engine that was seen to end is doubtful though no second version is listed

Cause: no control node ran for 2.8 s. Engines crashed and came back under their ids as v1.1, the first of that version; the nodes had seen the ends, but ignored the doubt, since they listed one version only. Evidence: all lists of that time name v1; the nodes' lines have the engines' connections refused; releases of v1.1 begin at 1.8 s, the control nodes are back at 4.4 s. Change: a refused connection raises the doubt whatever is listed, and so does an interrupted run while the node has no contact with control nodes.

--- a/internal/coordination/balance/health.go
+++ b/internal/coordination/balance/health.go
@@ -109,7 +109,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.backoff.SeenEnded(now, incarnation)
-	t.noteVersionDoubt(now, incarnation)
+	t.noteVersionDoubt(now, incarnation, true)
 	if known := t.member(incarnation); known != nil {
 		known.connectBackoff = maximumConnectBackoff
 		known.avoidedUntil = now + maximumConnectBackoff
@@ -121,7 +121,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.backoff.SeenEnded(now, incarnation)
-	t.noteVersionDoubt(now, incarnation)
+	t.noteVersionDoubt(now, incarnation, true)
 }
 
 // isZoneOpen reports whether a zone's instances may be chosen. A zone that counts as partitioned is
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -61,10 +61,8 @@
 	// drainingSince is when this node learned that the instance drains, if hasSeenDrain is set.
 	drainingSince time.Duration
 	hasSeenDrain  bool
-	// versionDoubtAt is when the instance's process was last noticed to have possibly ended, if
-	// hasVersionDoubt is set.
-	versionDoubtAt  time.Duration
-	hasVersionDoubt bool
+	// versionDoubt is the doubt whether the listed process still answers.
+	versionDoubt versionDoubt
 	// permitTokens is the cost of the permit that a request requires, in tokens, computed for the
 	// choice in progress.
 	permitTokens float64
--- a/internal/coordination/balance/versions.go
+++ b/internal/coordination/balance/versions.go
@@ -138,7 +138,7 @@
 func (t *Table) RunInterrupted(now time.Duration, incarnation registry.Incarnation) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.noteVersionDoubt(now, incarnation)
+	t.noteVersionDoubt(now, incarnation, false)
 }
 
 // ProcessConfirmed records that an instance's process has not ended.
@@ -146,31 +146,42 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if known := t.member(incarnation); known != nil {
-		known.hasVersionDoubt = false
+		known.versionDoubt = versionDoubt{}
 	}
 }
 
+// versionDoubt is the doubt whether the process that is listed still answers at an instance's address.
+type versionDoubt struct {
+	isRaised bool
+	// at is when the process was last noticed to have possibly ended.
+	at time.Duration
+	// isEndSeen reports whether its address refused connections: the process has ended.
+	isEndSeen bool
+}
+
 // noteVersionDoubt records that the process of an instance may have ended, so that another one with
 // another version may answer at its address, under its ID, before a heartbeat says so.
-func (t *Table) noteVersionDoubt(now time.Duration, incarnation registry.Incarnation) {
+func (t *Table) noteVersionDoubt(now time.Duration, incarnation registry.Incarnation, isEndSeen bool) {
 	if known := t.member(incarnation); known != nil {
-		known.versionDoubtAt, known.hasVersionDoubt = now, true
+		known.versionDoubt = versionDoubt{isRaised: true, at: now, isEndSeen: isEndSeen || known.versionDoubt.isEndSeen}
 	}
 }
 
 // isVersionDoubtful reports whether another process than the one that is listed may answer at an
-// instance's address with another version. While all listed instances of the service run one version,
-// there is no other one that it could have.
+// instance's address with another version. After a run that merely broke off, while this node knows of
+// all instances and they have one version, it is taken to be the same process.
 func (t *Table) isVersionDoubtful(now time.Duration, one *member) bool {
-	if !one.hasVersionDoubt {
-		return false
-	}
-	if t.isInformed && now-max(one.versionDoubtAt, t.informedSince) >= restartNoticeTime {
-		one.hasVersionDoubt = false
-		return false
+	doubt := &one.versionDoubt
+	if t.isInformed && now-max(doubt.at, t.informedSince) >= restartNoticeTime {
+		*doubt = versionDoubt{}
 	}
+	return doubt.isRaised && (doubt.isEndSeen || !t.isInformed || t.hasOtherVersion(one))
+}
+
+// hasOtherVersion reports whether an instance of the same service has another version.
+func (t *Table) hasOtherVersion(than *member) bool {
 	for _, other := range t.members {
-		if other.Service == one.Service && other.Version != one.Version {
+		if other.Service == than.Service && other.Version != than.Version {
 			return true
 		}
 	}
--- a/internal/coordination/balance/versions_test.go
+++ b/internal/coordination/balance/versions_test.go
@@ -250,10 +250,36 @@
 	assert.Equal(t, versionOfChoice(table, time.Minute+restartNoticeTime/2, Request{}, "v1"), "v1")
 }
 
+// Guards against the first engine of a new version that restarts under its ID: no listed instance runs that
+// version yet.
+func TestSeenEndRaisesADoubtWithoutASecondVersionInTheList(t *testing.T) {
+	for name, raise := range map[string]func(table *Table, incarnation registry.Incarnation){
+		"end seen": func(table *Table, incarnation registry.Incarnation) {
+			table.SetInformed(0, true)
+			table.ConnectionRefused(0, incarnation)
+			table.RunInterrupted(0, incarnation)
+		},
+		"run interrupted at a node that is not informed": func(table *Table, incarnation registry.Incarnation) {
+			table.RunInterrupted(0, incarnation)
+		},
+	} {
+		table := NewTable("zone-0")
+		table.Apply(twoVersions(3)[:3])
+		for number := range 2 {
+			raise(table, registry.Incarnation{ID: fmt.Sprint("v1-", number)})
+		}
+		for range 10 {
+			choice, found := table.Choose(time.Second, Request{Service: "llm", Version: BindVersion("v1")})
+			assert.Assert(t, found && choice.ID == "v1-2", "%s: %s", name, choice.ID)
+		}
+	}
+}
+
 // Guards against streams that are not resumed after every interrupted run of a service with one version.
 func TestInterruptedRunsRaiseNoDoubtWhileThereIsOneVersion(t *testing.T) {
 	table := NewTable("zone-0")
 	table.Apply(twoVersions(3)[:3])
+	table.SetInformed(0, true)
 	for number := range 3 {
 		table.RunInterrupted(0, registry.Incarnation{ID: fmt.Sprint("v1-", number)})
 	}
