--- a/internal/forward/backoff_test.go
+++ b/internal/forward/backoff_test.go
@@ -7,14 +7,17 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/ravenway/ravenway/internal/coordination/backoff"
+	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
@@ -151,18 +154,51 @@
 // Guards against callers that are kept waiting, or told to retry too early, while all instances
 // have requested a pause.
 func TestRequestIsRefusedWithTheEndOfThePauseWhenAllInstancesArePaused(t *testing.T) {
-	h, _ := newBackoffHarness(t, newEngineWithHead(t, pauseHead), newEngineWithHead(t, strings.ReplaceAll(pauseHead, "Pause: 3", "Pause: 20")))
-	// The first request learns of both pauses, the others reach no instance.
-	for number := range 4 {
-		sent := time.Now()
-		got := h.send(t, http.MethodPost, "/once/x", fmt.Sprint("r", number), "b")
-		assert.Equal(t, got.status, http.StatusServiceUnavailable)
-		assert.Assert(t, strings.Contains(got.body, string(ReasonPaused)), got.body)
-		assert.Assert(t, time.Since(sent) < 200*time.Millisecond)
-		retryAfter, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
-		assert.NilError(t, err)
-		assert.Assert(t, retryAfter > 2.5 && retryAfter < 4, "%g", retryAfter)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		environment := &testEnvironment{index: newIndex(), hasNewest: true, began: time.Now()}
+		heads := map[string]string{"engine-0": pauseHead, "engine-1": strings.ReplaceAll(pauseHead, "Pause: 3", "Pause: 20")}
+		table, tracker := balance.NewTable("a"), backoff.NewTracker(exactResume)
+		table.SetBackoff(tracker)
+		for address := range heads {
+			table.Apply([]registry.Instance{{ID: address, Service: "s", Address: address, Zone: "a", State: registry.Ready, Slots: 4}})
+		}
+		dials := 0
+		pipeline := New(Options{
+			Dialect: testDialect{}, Environment: environment, Table: table, Backoff: trackedBackoff{Tracker: tracker, environment: environment},
+			Dial: func(_ context.Context, address string) (net.Conn, error) {
+				dials++
+				return dialEngineWithHead(heads[address]), nil
+			},
+		})
+		// The first request learns of both pauses, the others reach no instance.
+		for number := range 4 {
+			request := httptest.NewRequest(http.MethodPost, "/once/x", strings.NewReader("b"))
+			request.Host, request.Header = "127.0.0.1", http.Header{"Id": {fmt.Sprint("r", number)}, "Key": {"k"}, "Tokens": {"yes"}}
+			sent, response := time.Now(), httptest.NewRecorder()
+			pipeline.ServeHTTP(response, request)
+			assert.Equal(t, response.Code, http.StatusServiceUnavailable)
+			assert.Assert(t, strings.Contains(response.Body.String(), string(ReasonPaused)), response.Body.String())
+			assert.Equal(t, time.Since(sent), time.Duration(0))
+			assert.Equal(t, dials, len(heads))
+			retryAfter, err := strconv.ParseFloat(response.Header().Get("Retry-After"), 64)
+			assert.NilError(t, err)
+			assert.Assert(t, retryAfter > 2.5 && retryAfter < 4, "%g", retryAfter)
+		}
+	})
+}
+
+// dialEngineWithHead returns a connection to an engine that responds to one request with a head in which
+// "ID" is replaced by the request's id, and closes the connection.
+func dialEngineWithHead(head string) net.Conn {
+	local, remote := net.Pipe()
+	go func() {
+		defer remote.Close()
+		if request, err := http.ReadRequest(bufio.NewReader(remote)); err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(remote, strings.ReplaceAll(head, "ID", request.Header.Get("Id"))+"Connection: close\r\nContent-Length: 0\r\n\r\n")
+		}
+	}()
+	return local
 }
 
 // Guards against requests that are sent to an engine after any of its responses has announced
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -191,8 +191,8 @@
 	client      *http.Client
 }
 
-func newHarness(t *testing.T, engines ...*scriptedEngine) *harness {
-	t.Helper()
+// newIndex returns a document with a route of each kind to one service, and a tenant.
+func newIndex() *document.Index {
 	route := func(name string, kind document.RouteKind) document.Route {
 		return document.Route{
 			Name: name, Host: "127.0.0.1", Prefix: "/" + name + "/", Kind: kind, Timeout: 3 * time.Second, Objective: 100 * time.Millisecond,
@@ -202,12 +202,16 @@
 	resumable := route("resumable", document.Stream)
 	resumable.Resumable = true
 	once := route("once", document.NotRepeatable)
-	index := document.NewIndex(&document.Document{
+	return document.NewIndex(&document.Document{
 		Version: 1, Services: []document.Service{{Name: "s", EventTokens: 3}}, Limits: document.Limits{MaximumBodyBytes: 1 << 20},
 		Routes:  []document.Route{route("safe", document.Repeatable), once, route("stream", document.Stream), resumable},
 		Tenants: []document.Tenant{{Name: "t", Keys: []string{"k"}, HasPrepaid: true, Prepaid: 1000}},
 	})
-	made := &harness{environment: &testEnvironment{index: index, hasNewest: true, began: time.Now()}, log: NewDecisionLog(zerolog.Nop())}
+}
+
+func newHarness(t *testing.T, engines ...*scriptedEngine) *harness {
+	t.Helper()
+	made := &harness{environment: &testEnvironment{index: newIndex(), hasNewest: true, began: time.Now()}, log: NewDecisionLog(zerolog.Nop())}
 	table := balance.NewTable("a")
 	made.table, made.streams = table, &testStreamVersions{records: map[streamversion.Key]streamversion.Record{}}
 	var instances []registry.Instance
