--- a/internal/coordination/streamversion/store.go
+++ b/internal/coordination/streamversion/store.go
@@ -72,13 +72,13 @@
 		s.dropOldestOfLargest()
 	}
 	s.records[record.Key] = &held{origin: s.share(record.Origin), owner: record.Owner, learnedAt: now, endsAt: endsAt}
-	of := s.owners[record.Owner]
-	if of == nil {
-		of = &ownerRecords{}
-		s.owners[record.Owner] = of
+	owned := s.owners[record.Owner]
+	if owned == nil {
+		owned = &ownerRecords{}
+		s.owners[record.Owner] = owned
 	}
-	of.keys = append(of.keys, record.Key)
-	of.live++
+	owned.keys = append(owned.keys, record.Key)
+	owned.live++
 }
 
 // Find returns what is known of a stream.
@@ -149,20 +149,20 @@
 	if known.origin.count--; known.origin.count == 0 {
 		delete(s.origins, known.origin.Origin)
 	}
-	of := s.owners[known.owner]
-	if of.live--; of.live == 0 {
+	owned := s.owners[known.owner]
+	if owned.live--; owned.live == 0 {
 		delete(s.owners, known.owner)
 		return
 	}
-	if ended := len(of.keys) - of.first - of.live; ended > of.live {
-		s.compact(known.owner, of)
+	if ended := len(owned.keys) - owned.first - owned.live; ended > owned.live {
+		s.compact(known.owner, owned)
 	}
 }
 
 // compact drops an owner's keys whose records have ended.
-func (s *Store) compact(owner Owner, of *ownerRecords) {
-	of.keys = slices.DeleteFunc(of.keys[of.first:], func(key Key) bool { return !s.isOf(owner, key) })
-	of.first = 0
+func (s *Store) compact(owner Owner, owned *ownerRecords) {
+	owned.keys = slices.DeleteFunc(owned.keys[owned.first:], func(key Key) bool { return !s.isOf(owner, key) })
+	owned.first = 0
 }
 
 func (s *Store) isOf(owner Owner, key Key) bool {
@@ -175,15 +175,15 @@
 func (s *Store) dropOldestOfLargest() {
 	var largest Owner
 	count := 0
-	for owner, of := range s.owners {
-		if of.live > count || of.live == count && owner < largest {
-			largest, count = owner, of.live
+	for owner, owned := range s.owners {
+		if owned.live > count || owned.live == count && owner < largest {
+			largest, count = owner, owned.live
 		}
 	}
-	of := s.owners[largest]
-	for of.first < len(of.keys) {
-		key := of.keys[of.first]
-		of.first++
+	owned := s.owners[largest]
+	for owned.first < len(owned.keys) {
+		key := owned.keys[owned.first]
+		owned.first++
 		if s.isOf(largest, key) {
 			s.dropped++
 			s.remove(key, s.records[key])
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -72,9 +72,9 @@
 // errNoOtherInstance means that a stream can't be resumed, because no other instance is available.
 var errNoOtherInstance = errors.New("forward: no other instance is available")
 
-// errVersionDoubtful means that the instance at which a stream was to continue runs another version
+// errOtherVersion means that the instance at which a stream was to continue runs another version
 // than it named.
-var errVersionDoubtful = errors.New("forward: the instance has restarted with another version")
+var errOtherVersion = errors.New("forward: the instance has restarted with another version")
 
 // errCallerGone means that the caller accepts no more data.
 var errCallerGone = errors.New("forward: the caller accepts no more data")
@@ -104,10 +104,10 @@
 		}
 		r.bindStream(choice.Instance)
 		if sending.isReplaced.Load() {
-			r.noteDoubt(choice.Instance)
-			if r.stream.isDoubtful && (r.isTakenUp() || choice.ID != r.stream.began.ID) {
-				return errVersionDoubtful
-			}
+			r.recordSecondOrigin(choice.Instance)
+		}
+		if r.stream.hasTwoOrigins && r.isContinuedAt(choice.Instance) {
+			return errOtherVersion
 		}
 		if err := r.writeToCaller(next.raw); err != nil {
 			return errors.Join(errCallerGone, err)
--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -83,10 +83,11 @@
 	// resumed is the origin of a stream that the caller takes up again.
 	resumed FoundStream
 	// isUnconfirmed is set while the instance may have restarted with another version before the stream
-	// began there.
+	// began there. The stream is not recorded yet.
 	isUnconfirmed bool
-	// isDoubtful is set once the record says that the version of the stream is not certain.
-	isDoubtful bool
+	// hasTwoOrigins is set once the instance turned out to run another version than its heartbeats
+	// named. The stream is recorded with both.
+	hasTwoOrigins bool
 }
 
 // isTakenUp reports whether the caller takes up a stream of which it has events.
@@ -148,18 +149,23 @@
 	}
 }
 
-// noteDoubt records a second origin of a stream whose sender runs another version than was believed,
+// recordSecondOrigin records a second origin of a stream whose sender runs another version than was believed,
 // so that no node joins it.
-func (r *request) noteDoubt(sender registry.Instance) {
-	if r.stream.isDoubtful || r.pipeline.options.Table.IsVersionCertain(sender) {
+func (r *request) recordSecondOrigin(sender registry.Instance) {
+	if r.stream.hasTwoOrigins || r.pipeline.options.Table.IsVersionCertain(sender) {
 		return
 	}
-	r.stream.isDoubtful = true
+	r.stream.hasTwoOrigins = true
 	if successor, found := r.pipeline.options.Table.InstanceWithID(sender.ID); found {
 		r.recordStream(successor)
 	}
 }
 
+// isContinuedAt reports whether an instance continues a stream that began elsewhere.
+func (r *request) isContinuedAt(sender registry.Instance) bool {
+	return r.isTakenUp() || sender.ID != r.stream.began.ID
+}
+
 // recordStream records on which version the stream began, under the caller's attempt that brought its
 // first event.
 func (r *request) recordStream(sender registry.Instance) {
@@ -179,5 +185,5 @@
 
 // isStreamVersionCertain reports whether the version that began the stream is known for certain.
 func (r *request) isStreamVersionCertain() bool {
-	return r.stream.began.ID == "" || !r.stream.isUnconfirmed && !r.stream.isDoubtful && r.pipeline.options.Table.IsVersionCertain(r.stream.began)
+	return r.stream.began.ID == "" || !r.stream.isUnconfirmed && !r.stream.hasTwoOrigins && r.pipeline.options.Table.IsVersionCertain(r.stream.began)
 }
