A race of ways to an engine has no timer that is due at once

The direct way of each new connection was started by time.After(0). Change: a way that is due at once has a closed channel in place of a timer.

--- a/internal/forward/enginepaths.go
+++ b/internal/forward/enginepaths.go
@@ -138,14 +138,14 @@
 	// stands for one that is excluded or has started.
 	var directDue, relayDue <-chan time.Time
 	if !plan.WithoutDirect {
-		directDue = time.After(plan.DirectDelay)
+		directDue = dueAfter(plan.DirectDelay)
 	}
 	if !plan.WithoutRelay {
 		delay := plan.RelayDelay
 		if !plan.WithoutDirect && delay > 0 {
 			delay += r.pool.linkDelay()
 		}
-		relayDue = time.After(delay)
+		relayDue = dueAfter(delay)
 	}
 	var directErr, relayErr error
 	running := 0
@@ -153,9 +153,9 @@
 		if running == 0 && (directErr != nil || relayErr != nil) {
 			switch {
 			case directDue != nil:
-				directDue = time.After(0)
+				directDue = dueAfter(0)
 			case relayDue != nil:
-				relayDue = time.After(0)
+				relayDue = dueAfter(0)
 			default:
 				return nil, r.failure(directErr, relayErr)
 			}
@@ -187,6 +187,17 @@
 	}
 }
 
+// dueAfter returns a channel from which can be received after a delay. Without a delay it has no timer: in a
+// testing/synctest bubble, timers that fall due before a goroutine reads them crash the race detector.
+func dueAfter(delay time.Duration) <-chan time.Time {
+	if delay > 0 {
+		return time.After(delay)
+	}
+	due := make(chan time.Time)
+	close(due)
+	return due
+}
+
 // end ends the attempts that are still running. A direct attempt continues after a relayed one has
 // succeeded, since its result shows whether the engine is reachable.
 func (r *pathRace) end(isRelayed bool) {
