soak: a stream that a node of the build under test joins is a violation in upgrades too

Joins in an upgrade were only counted, whichever build made them. An attempt at a node that runs the build under test from its beginning to its end must bring no second version.

--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -124,6 +124,7 @@
 	ended := result{id: call.ID, kind: kind, entry: entry, startedAt: time.Since(c.startedAt)}
 	ctx, cancel := context.WithTimeout(context.Background(), call.MaximumWait)
 	defer cancel()
+	isNewest := entry.runsNewest()
 	var received sent
 	ended.outcome, ended.detail, received = c.sendBody(ctx, kind, entry, call, "body of "+call.ID)
 	ended.endedAt = time.Since(c.startedAt)
@@ -131,16 +132,16 @@
 	ended.isStopping = entry.isStopping
 	entry.mutex.Unlock()
 	if kind == Resumable {
-		c.follow(ctx, &ended, call, received, random)
+		c.follow(ctx, &ended, call, received, isNewest, random)
 	}
 	return ended
 }
 
 // follow takes a resumable stream up again if it broke, and records it. Wrong events of a later attempt
 // are the call's outcome.
-func (c *callers) follow(ctx context.Context, ended *result, call standin.Call, received sent, random *rand.Rand) {
+func (c *callers) follow(ctx context.Context, ended *result, call standin.Call, received sent, isNewest bool, random *rand.Rand) {
 	stream := &callerStream{id: call.ID, entries: []string{ended.entry.name}}
-	stream.add(call.ID, received.read)
+	stream.add(call.ID, received.read, ended.entry, isNewest)
 	if ended.outcome == Cut && stream.events > 0 {
 		if outcome, detail := c.takeUp(ctx, stream, call, random); outcome == Wrong {
 			ended.outcome, ended.detail = outcome, detail
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -58,6 +58,20 @@
 	isStopping bool
 }
 
+// runsNewest reports whether the machine runs the build under test.
+func (m *machine) runsNewest() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.daemon == m.newestDaemon
+}
+
+// setDaemon sets the program that starts next.
+func (m *machine) setDaemon(daemon string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.daemon = daemon
+}
+
 func (m *machine) address(port int) string { return net.JoinHostPort(m.host, strconv.Itoa(port)) }
 
 // writeSettings writes the daemon's settings file.
--- a/internal/lab/soak/streams.go
+++ b/internal/lab/soak/streams.go
@@ -130,12 +130,17 @@
 	// of its version served, takenUpAt when it first did, and wentOn whether the stream then went on.
 	isTakenUp, wentOn bool
 	takenUpAt         time.Duration
+	// joinedBy is the first entry node that joined a second version while it ran the build under test
+	// throughout the attempt, "" if there is none.
+	joinedBy string
 	// refusals are the reasons for which attempts to take it up were refused.
 	refusals []string
 }
 
-// add adds the events of one attempt.
-func (s *callerStream) add(attempt string, read streamRead) {
+// add adds the events of one attempt at an entry node. isNewest reports whether the node ran the build
+// under test when the attempt began.
+func (s *callerStream) add(attempt string, read streamRead, entry *machine, isNewest bool) {
+	before := len(s.versions)
 	if read.events > 0 && s.resumes == "" {
 		s.resumes = attempt
 	}
@@ -145,6 +150,10 @@
 			s.versions = append(s.versions, version)
 		}
 	}
+	hasJoined := len(s.versions) > max(1, before)
+	if hasJoined && isNewest && entry.runsNewest() && s.joinedBy == "" {
+		s.joinedBy = entry.name
+	}
 }
 
 // takeUp takes a broken stream up again at random entry nodes until it is complete, its time is over, or
@@ -161,6 +170,7 @@
 		again.LastEvent, again.Resumes = stream.events, stream.resumes
 		stream.entries = append(stream.entries, entry.name)
 		isServing := stream.resumes == "" || c.fleet.countModelEngines(stream.versions[0]) >= 2
+		isNewest := entry.runsNewest()
 		var received sent
 		outcome, detail, received = c.sendBody(ctx, Resumable, entry, again, "body of "+call.ID)
 		if stream.resumes != "" && isServing && received.status != 0 {
@@ -169,7 +179,7 @@
 			}
 			stream.wentOn = stream.wentOn || received.read.events > 0
 		}
-		stream.add(again.ID, received.read)
+		stream.add(again.ID, received.read, entry, isNewest)
 		switch {
 		case outcome == Complete || outcome == Wrong:
 			return outcome, detail
@@ -186,7 +196,7 @@
 }
 
 // checkStreams checks that no stream holds events of two versions, and that streams that are taken up
-// again go on. Nodes of an earlier build join versions, so an upgrade's streams are only counted.
+// again go on. Nodes of an earlier build join versions, which is only counted.
 func (r *run) checkStreams() {
 	counts, reasons := map[string]int{}, map[string]int{}
 	versions := map[string]bool{}
@@ -212,7 +222,10 @@
 		}
 		if len(stream.versions) > 1 {
 			counts["joined"]++
-			if !r.isUpgraded {
+			if stream.joinedBy != "" {
+				counts["joined by the newest build"]++
+			}
+			if !r.isUpgraded || stream.joinedBy != "" {
 				r.violationf("stream %s at %s holds events of versions %s", stream.id, strings.Join(stream.entries, ", "), strings.Join(stream.versions, ", "))
 			}
 		}
--- a/internal/lab/soak/upgrade.go
+++ b/internal/lab/soak/upgrade.go
@@ -114,7 +114,7 @@
 			r.reportf("%s did not exit within its grace period; killing it", one.name)
 			one.kill()
 		}
-		one.daemon = daemon
+		one.setDaemon(daemon)
 		r.restart(one)
 		r.release(one)
 		if err := r.fleet.waitFor(ctx, maximumReplaceWait, one.name+" in service", func() bool { return r.fleet.isInService(ctx, one) }); err != nil {
