--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -34,5 +34,5 @@
 # Each run runs all tests: a result that is kept from the run before shows nothing of what
 # happens now and then, or beside load.
 # The simulations make much garbage: collecting it less often saves a seventh of the time.
-# The time limit is for what hangs: beside load a package takes up to twice its 6 minutes.
-GOGC=400 go test -race -count=1 -timeout 14m ${skip:+-skip "$skip"} ./...
+# The time limit is for what hangs: beside load a package takes up to twice its 12 minutes.
+GOGC=400 go test -race -count=1 -timeout 25m ${skip:+-skip "$skip"} ./...
