streamversion: a flood of streams takes no memory beyond the store, and a record the same time with many tenants

What was seen (by reading, then by test): when the store is full, each new record drops the oldest one of the tenant with the most. The tenant's list of keys moved its start forward and was compacted only once over half of it had ended, which never happens while one record goes and one comes: 16 bytes stayed for each stream of a flood. Finding that tenant looked at all tenants, under the store's lock. Change: each tenant's records are a linked list, and the tenants are in a heap with the largest first. TestStoreStaysConsistent now checks each record's owner and the heap, where it bounded counts. Conclusion: bounded in memory and time whatever a tenant sends; 16 MB a node holds.

--- a/internal/coordination/streamversion/store.go
+++ b/internal/coordination/streamversion/store.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"container/heap"
+	"container/list"
 	"slices"
 	"sync"
 	"time"
 )
 
-// MaximumRecords bounds the records that a node keeps, at some 150 bytes each.
+// MaximumRecords bounds the records that a node keeps, at some 220 bytes each.
 const MaximumRecords = 1 << 16
 
 // Store holds the records of a node: of the streams that it relays, and those that other nodes sent it.
@@ -16,8 +18,9 @@
 	mutex    sync.Mutex
 	capacity int
 	records  map[Key]*held
-	// owners holds the keys of each owner's records in the order in which they were learned.
-	owners map[Owner]*ownerRecords
+	owners   map[Owner]*ownerRecords
+	// largest holds the owners with the one with the most records first.
+	largest largestFirst
 	// origins holds each origin once, with the number of its records.
 	origins map[Origin]*sharedOrigin
 	// dropped is the number of records that were dropped for want of space.
@@ -26,11 +29,14 @@
 
 // held is a record that is kept until endsAt.
 type held struct {
+	key         Key
 	origin      *sharedOrigin
-	owner       Owner
 	isAmbiguous bool
 	learnedAt   time.Duration
 	endsAt      time.Duration
+	owned       *ownerRecords
+	// place is the record's element among those of its owner.
+	place *list.Element
 }
 
 type sharedOrigin struct {
@@ -38,11 +44,12 @@
 	count int
 }
 
-// ownerRecords are one owner's records. Keys whose records have ended stay until they are compacted.
+// ownerRecords are one owner's records, in the order in which they were learned.
 type ownerRecords struct {
-	keys  []Key
-	first int
-	live  int
+	owner   Owner
+	records list.List
+	// index is the owner's index in largestFirst.
+	index int
 }
 
 // NewStore returns an empty store; a capacity of 0 means MaximumRecords.
@@ -55,7 +62,7 @@
 
 // Put keeps a record. A stream that is known with another origin becomes ambiguous: its ID was used
 // twice, or its engine turned out to run another version. When the store is full, the owner with the
-// most records loses its oldest one.
+// most records loses its oldest one, so that a tenant that floods the store loses its own streams first.
 func (s *Store) Put(now time.Duration, record Record) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -66,19 +73,13 @@
 			known.endsAt = max(known.endsAt, endsAt)
 			return
 		}
-		s.remove(record.Key, known)
+		s.remove(known)
 	}
 	if len(s.records) >= s.capacity {
-		s.dropOldestOfLargest()
+		s.dropped++
+		s.remove(s.largest[0].records.Front().Value.(*held))
 	}
-	s.records[record.Key] = &held{origin: s.share(record.Origin), owner: record.Owner, learnedAt: now, endsAt: endsAt}
-	owned := s.owners[record.Owner]
-	if owned == nil {
-		owned = &ownerRecords{}
-		s.owners[record.Owner] = owned
-	}
-	owned.keys = append(owned.keys, record.Key)
-	owned.live++
+	s.add(&held{key: record.Key, origin: s.share(record.Origin), learnedAt: now, endsAt: endsAt}, record.Owner)
 }
 
 // Find returns what is known of a stream.
@@ -100,9 +101,9 @@
 func (s *Store) Prune(now time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for key, known := range s.records {
+	for _, known := range s.records {
 		if now >= known.endsAt {
-			s.remove(key, known)
+			s.remove(known)
 		}
 	}
 }
@@ -144,50 +145,55 @@
 	return shared
 }
 
-func (s *Store) remove(key Key, known *held) {
-	delete(s.records, key)
+func (s *Store) add(added *held, owner Owner) {
+	s.records[added.key] = added
+	owned := s.owners[owner]
+	if owned == nil {
+		owned = &ownerRecords{owner: owner}
+		s.owners[owner] = owned
+		heap.Push(&s.largest, owned)
+	}
+	added.owned, added.place = owned, owned.records.PushBack(added)
+	heap.Fix(&s.largest, owned.index)
+}
+
+func (s *Store) remove(known *held) {
+	delete(s.records, known.key)
 	if known.origin.count--; known.origin.count == 0 {
 		delete(s.origins, known.origin.Origin)
 	}
-	owned := s.owners[known.owner]
-	if owned.live--; owned.live == 0 {
-		delete(s.owners, known.owner)
+	owned := known.owned
+	owned.records.Remove(known.place)
+	if owned.records.Len() == 0 {
+		delete(s.owners, owned.owner)
+		heap.Remove(&s.largest, owned.index)
 		return
 	}
-	if ended := len(owned.keys) - owned.first - owned.live; ended > owned.live {
-		s.compact(known.owner, owned)
-	}
+	heap.Fix(&s.largest, owned.index)
 }
 
-// compact drops an owner's keys whose records have ended.
-func (s *Store) compact(owner Owner, owned *ownerRecords) {
-	owned.keys = slices.DeleteFunc(owned.keys[owned.first:], func(key Key) bool { return !s.isOf(owner, key) })
-	owned.first = 0
+// largestFirst is a heap of owners with the one with the most records at its top.
+type largestFirst []*ownerRecords
+
+func (l largestFirst) Len() int { return len(l) }
+
+func (l largestFirst) Less(i, j int) bool { return l[i].records.Len() > l[j].records.Len() }
+
+func (l largestFirst) Swap(i, j int) {
+	l[i], l[j] = l[j], l[i]
+	l[i].index, l[j].index = i, j
 }
 
-func (s *Store) isOf(owner Owner, key Key) bool {
-	known := s.records[key]
-	return known != nil && known.owner == owner
+func (l *largestFirst) Push(added any) {
+	owned := added.(*ownerRecords)
+	owned.index = len(*l)
+	*l = append(*l, owned)
 }
 
-// dropOldestOfLargest drops the oldest record of the owner with the most records: a tenant that floods
-// the store loses its own streams first.
-func (s *Store) dropOldestOfLargest() {
-	var largest Owner
-	count := 0
-	for owner, owned := range s.owners {
-		if owned.live > count || owned.live == count && owner < largest {
-			largest, count = owner, owned.live
-		}
-	}
-	owned := s.owners[largest]
-	for owned.first < len(owned.keys) {
-		key := owned.keys[owned.first]
-		owned.first++
-		if s.isOf(largest, key) {
-			s.dropped++
-			s.remove(key, s.records[key])
-			return
-		}
-	}
+func (l *largestFirst) Pop() any {
+	last := len(*l) - 1
+	removed := (*l)[last]
+	(*l)[last] = nil
+	*l = (*l)[:last]
+	return removed
 }
--- a/internal/coordination/streamversion/streamversion_test.go
+++ b/internal/coordination/streamversion/streamversion_test.go
@@ -18,6 +18,9 @@
 	originV2 = Origin{Service: "llm", Version: "v2"}
 )
 
+// maximumStoreBytes is the memory that records may take on a node.
+const maximumStoreBytes = 16 << 20
+
 func recordOf(tenant, attempt string, origin Origin) Record {
 	return Record{Key: KeyOf(tenant, attempt), Owner: OwnerOf(tenant), Origin: origin, Lifetime: 30 * time.Second}
 }
@@ -83,6 +86,29 @@
 	assert.Equal(t, len(store.owners)+len(store.origins), 0)
 }
 
+// Guards against a tenant that makes nodes use memory without bound, by a flood of streams or by IDs that it
+// uses again.
+func TestMemoryOfAStoreIsBoundedByItsCapacity(t *testing.T) {
+	for name, put := range map[string]func(store *Store, number int){
+		"a flood": func(store *Store, number int) {
+			store.Put(0, recordOf("flood", fmt.Sprint(number), originV1))
+		},
+		"IDs used again": func(store *Store, number int) {
+			store.Put(time.Duration(number)*time.Minute, recordOf("reuse", fmt.Sprint(number%3), originV1))
+		},
+	} {
+		store := NewStore(0)
+		used := heapGrowth(func() {
+			for number := range 12 * MaximumRecords {
+				put(store, number)
+			}
+		})
+		runtime.KeepAlive(store)
+		t.Logf("%s: %.0f bytes", name, used)
+		assert.Assert(t, used < maximumStoreBytes, "%s: %.0f bytes", name, used)
+	}
+}
+
 // Guards against a store whose lists of owners and origins no longer match its records.
 func TestStoreStaysConsistent(t *testing.T) {
 	for seed := range uint64(50) {
@@ -96,16 +122,18 @@
 			if random.IntN(10) == 0 {
 				store.Prune(now)
 			}
-			live, origins := 0, 0
+			live, origins, largest := 0, 0, 0
 			for owner, of := range store.owners {
-				found := 0
-				for _, key := range of.keys[of.first:] {
-					if store.isOf(owner, key) {
-						found++
-					}
+				for place := of.records.Front(); place != nil; place = place.Next() {
+					one := place.Value.(*held)
+					assert.Assert(t, store.records[one.key] == one && one.owned == of && of.owner == owner, "seed %d, step %d", seed, step)
 				}
-				assert.Assert(t, found >= of.live, "seed %d, step %d", seed, step)
-				live += of.live
+				live += of.records.Len()
+				largest = max(largest, of.records.Len())
+			}
+			assert.Equal(t, len(store.largest), len(store.owners), "seed %d, step %d", seed, step)
+			if largest > 0 {
+				assert.Equal(t, store.largest[0].records.Len(), largest, "seed %d, step %d", seed, step)
 			}
 			for _, listed := range store.List() {
 				origins += listed.Streams
@@ -327,25 +355,34 @@
 		assert.Assert(t, sent < 0.02*linkBytes, "%d entry nodes: %.0f bytes a second", size.entries, sent)
 		alive := perSecond * (2 * 15) // records of two timeouts
 		held := alive * (zoneHolders + remoteHolders + 1) / float64(size.entries)
-		assert.Assert(t, held*perRecord < 16<<20, "%d entry nodes: %.0f records", size.entries, held)
+		assert.Assert(t, held*perRecord < maximumStoreBytes, "%d entry nodes: %.0f records", size.entries, held)
 	}
-	assert.Assert(t, MaximumRecords*perRecord < 16<<20, "a full store takes %.0f bytes", MaximumRecords*perRecord)
+	assert.Assert(t, MaximumRecords*perRecord < maximumStoreBytes, "a full store takes %.0f bytes", MaximumRecords*perRecord)
 }
 
 // bytesPerRecord measures the memory of a record in a full store.
 func bytesPerRecord(t *testing.T) float64 {
 	t.Helper()
+	var store *Store
+	used := heapGrowth(func() {
+		store = NewStore(0)
+		for number := range MaximumRecords {
+			store.Put(0, recordOf(fmt.Sprint("tenant-", number%333), fmt.Sprint(number), originV1))
+		}
+	})
+	runtime.KeepAlive(store)
+	return used / MaximumRecords
+}
+
+// heapGrowth returns the bytes by which the heap has grown after a function.
+func heapGrowth(run func()) float64 {
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	store := NewStore(0)
-	for number := range MaximumRecords {
-		store.Put(0, recordOf(fmt.Sprint("tenant-", number%333), fmt.Sprint(number), originV1))
-	}
+	run()
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	runtime.KeepAlive(store)
-	return float64(after.HeapAlloc-before.HeapAlloc) / MaximumRecords
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
 }
 
 // BenchmarkHolders measures the choice of the holders of one record by size of the fleet.
@@ -360,10 +397,22 @@
 	}
 }
 
-// BenchmarkPut measures the keeping of one record in a full store.
+// BenchmarkPut measures the keeping of one record in a full store, by number of tenants.
 func BenchmarkPut(b *testing.B) {
-	store := NewStore(0)
-	for number := range b.N {
-		store.Put(0, Record{Key: Key{byte(number), byte(number >> 8), byte(number >> 16)}, Owner: Owner(number % 333), Origin: originV1, Lifetime: time.Minute})
+	for _, owners := range []int{1, 333, 27_000} {
+		b.Run(fmt.Sprint(owners), func(b *testing.B) {
+			store := NewStore(0)
+			put := func(number int) {
+				key := Key{byte(number), byte(number >> 8), byte(number >> 16), byte(number >> 24)}
+				store.Put(0, Record{Key: key, Owner: Owner(number % owners), Origin: originV1, Lifetime: time.Minute})
+			}
+			for number := range MaximumRecords {
+				put(number)
+			}
+			b.ResetTimer()
+			for number := range b.N {
+				put(MaximumRecords + number)
+			}
+		})
 	}
 }
