balance: whether a service has several versions is counted, not searched for

Cause (by reading): whether a broken run raises a doubt about an instance's version depends on whether the service has another one. That was searched for among all instances, for each doubtful candidate of each choice and at each event of a stream that is not recorded yet, under the table's lock. Change: the table counts the members of each version of each service.

--- a/internal/coordination/balance/health.go
+++ b/internal/coordination/balance/health.go
@@ -85,7 +85,7 @@
 	known.pendingTokens -= choice.pendingTokens
 	t.noteUnread(now, known, choice)
 	if known.hasEnded && known.inFlight == 0 {
-		delete(t.members, known.ID)
+		t.remove(known)
 	}
 	switch outcome {
 	case Served:
--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -76,6 +76,8 @@
 	members map[string]*member
 	// byService holds the members that accept new work, ordered by ID.
 	byService map[string][]*member
+	// versions holds the number of members of each version of each service.
+	versions map[string]map[string]int
 	// zones holds the state of each zone in which no instance responded since the last failure to
 	// connect.
 	zones map[string]*zoneState
@@ -118,8 +120,8 @@
 // NewTable returns an empty table for a node in a zone.
 func NewTable(zone string) *Table {
 	return &Table{
-		zone: zone, members: map[string]*member{}, byService: map[string][]*member{}, zones: map[string]*zoneState{},
-		speeds: map[string]*readSpeed{}, random: rand.Float64,
+		zone: zone, members: map[string]*member{}, byService: map[string][]*member{}, versions: map[string]map[string]int{},
+		zones: map[string]*zoneState{}, speeds: map[string]*readSpeed{}, random: rand.Float64,
 	}
 }
 
@@ -157,7 +159,10 @@
 	if known == nil {
 		known = &member{key: KeyOf(instance.Incarnation()), heldParts: map[PartKey]time.Duration{}}
 		t.members[instance.ID] = known
+	} else {
+		t.countVersion(known.Instance, -1)
 	}
+	t.countVersion(instance, 1)
 	wasOffered := known.isOffered
 	if wasOffered && (known.Service != instance.Service || !instance.AcceptsWork()) {
 		t.withdraw(known)
@@ -178,12 +183,13 @@
 	t.withdraw(known)
 	known.hasEnded = true
 	if known.inFlight == 0 {
-		delete(t.members, known.ID)
+		t.remove(known)
 	}
 }
 
 func (t *Table) remove(known *member) {
 	t.withdraw(known)
+	t.countVersion(known.Instance, -1)
 	delete(t.members, known.ID)
 }
 
--- a/internal/coordination/balance/versions.go
+++ b/internal/coordination/balance/versions.go
@@ -175,17 +175,26 @@
 	if t.isInformed && now-max(doubt.at, t.informedSince) >= restartNoticeTime {
 		*doubt = versionDoubt{}
 	}
-	return doubt.isRaised && (doubt.isEndSeen || !t.isInformed || t.hasOtherVersion(one))
+	return doubt.isRaised && (doubt.isEndSeen || !t.isInformed || t.hasSeveralVersions(one.Service))
 }
 
-// hasOtherVersion reports whether an instance of the same service has another version.
-func (t *Table) hasOtherVersion(than *member) bool {
-	for _, other := range t.members {
-		if other.Service == than.Service && other.Version != than.Version {
-			return true
-		}
+// hasSeveralVersions reports whether instances of a service have several versions.
+func (t *Table) hasSeveralVersions(service string) bool { return len(t.versions[service]) > 1 }
+
+// countVersion adds to the number of members of an instance's version.
+func (t *Table) countVersion(instance registry.Instance, members int) {
+	versions := t.versions[instance.Service]
+	if versions == nil {
+		versions = map[string]int{}
+		t.versions[instance.Service] = versions
+	}
+	versions[instance.Version] += members
+	if versions[instance.Version] == 0 {
+		delete(versions, instance.Version)
+	}
+	if len(versions) == 0 {
+		delete(t.versions, instance.Service)
 	}
-	return false
 }
 
 // IsVersionDoubtful reports whether a run at an instance may not have the version that its heartbeats
--- a/internal/coordination/balance/versions_test.go
+++ b/internal/coordination/balance/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -211,6 +212,11 @@
 					table.Done(now, choice, Outcome(random.IntN(6)))
 				}
 			}
+			versions := map[string]int{}
+			for _, one := range table.members {
+				versions[one.Version]++
+			}
+			assert.Assert(t, maps.Equal(table.versions["llm"], versions), "seed %d, step %d: %v, %v", seed, step, table.versions, versions)
 		}
 	}
 }
@@ -285,3 +291,22 @@
 	}
 	assert.Equal(t, versionOfChoice(table, 0, Request{}, "v1"), "v1")
 }
+
+// BenchmarkBoundChoiceAfterInterruptedRuns chooses for a bound request among 11,000 instances of a
+// service with one version, while runs at some of them have broken off.
+func BenchmarkBoundChoiceAfterInterruptedRuns(b *testing.B) {
+	for _, interrupted := range []int{0, 300} {
+		b.Run(fmt.Sprint(interrupted), func(b *testing.B) {
+			table := NewTable("zone-0")
+			table.Apply(twoVersions(11_000)[:11_000])
+			table.SetInformed(0, true)
+			for number := range interrupted {
+				table.RunInterrupted(0, registry.Incarnation{ID: fmt.Sprint("v1-", number)})
+			}
+			for b.Loop() {
+				choice, _ := table.Choose(0, Request{Service: "llm", Version: BindVersion("v1")})
+				table.Done(0, choice, Served)
+			}
+		})
+	}
+}
