A stream whose caller names no attempt goes on only on the word of control nodes

What callers saw: nothing yet; found by reading. A caller that took a stream up without naming the attempt that began it went on while the node itself had known of one version. A node that has just started, or is cut off, knows of one where there were two: the version was guessed. Evidence: TestStreamWithoutARecordGoesOnOnlyOnTheOnlyVersion, which now plays callers that name an attempt and callers that name none. On the code before, the second kind goes on at nodes that started 2 s ago, and at one that was restarted after the engine of the other version had ended. Change: the same question for both. There is no record to find, so that a control node has to vouch that the service has had one version for two timeouts. The list of the node itself, and of each node that is asked, now counts against it only: whoever has known of a second version in that time disputes the only one. A fleet of one node may vouch for itself. TestStreamWithoutAnAttemptGoesOnWhileOneVersionIsKnown asserted the guess; TestOneKnownVersionIsNoEvidenceForAStreamWithoutAnAttempt replaces it and asserts that such a list is no evidence.

--- a/internal/coordination/streamversion/history.go
+++ b/internal/coordination/streamversion/history.go
@@ -61,29 +61,26 @@
 func (h *History) OnlyVersion(now time.Duration, service string, period time.Duration) (version string, isOnly bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if !h.isInformed || now-h.informedSince < period {
+	versions := h.listedSince(now-period, service)
+	if !h.isInformed || now-h.informedSince < period || len(versions) != 1 {
 		return "", false
 	}
-	return h.onlyListed(now, service, period)
+	return versions[0], true
 }
 
-// KnownVersion returns the version of a service if this node has known of no other one in the given
-// period, however long it was informed.
-func (h *History) KnownVersion(now time.Duration, service string, period time.Duration) (version string, isOnly bool) {
+// HasSeveralVersions reports whether this node has known of several versions of a service in the given
+// period until now, however long it was informed.
+func (h *History) HasSeveralVersions(now time.Duration, service string, period time.Duration) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.onlyListed(now, service, period)
+	return len(h.listedSince(now-period, service)) > 1
 }
 
-func (h *History) onlyListed(now time.Duration, service string, period time.Duration) (version string, isOnly bool) {
-	for listed, listedAt := range h.listedAt[service] {
-		if now-listedAt > period {
-			continue
+func (h *History) listedSince(start time.Duration, service string) (versions []string) {
+	for version, listedAt := range h.listedAt[service] {
+		if listedAt >= start {
+			versions = append(versions, version)
 		}
-		if isOnly {
-			return "", false
-		}
-		version, isOnly = listed, true
 	}
-	return version, isOnly
+	return versions
 }
--- a/internal/coordination/streamversion/streamversion.go
+++ b/internal/coordination/streamversion/streamversion.go
@@ -182,6 +182,9 @@
 	// the stream can have lasted, if HasOnlyVersion is set.
 	OnlyVersion    string `msgpack:"o,omitempty"`
 	HasOnlyVersion bool   `msgpack:"h,omitempty"`
+	// HasSeveralVersions reports whether the node has known of several versions of the service since the
+	// stream can have begun.
+	HasSeveralVersions bool `msgpack:"m,omitempty"`
 }
 
 // Origin returns the origin of a known stream that is not ambiguous.
@@ -192,19 +195,16 @@
 
 // Survey collects the answers of nodes that have no record of a stream.
 type Survey struct {
-	// Asked is the number of nodes that were asked, and Answered that of those that responded.
+	// Asked is the number of other nodes that were asked, and Answered that of those that responded.
 	Asked, Answered int
 	only            string
 	witnesses       int
 	isDisputed      bool
 }
 
-// Add adds the answer of one node, or that it did not respond.
-func (s *Survey) Add(answer Answer, hasResponded bool) {
-	if !hasResponded {
-		return
-	}
-	s.Answered++
+// AddOwn adds what this node itself knows.
+func (s *Survey) AddOwn(answer Answer) {
+	s.isDisputed = s.isDisputed || answer.HasSeveralVersions
 	if !answer.HasOnlyVersion {
 		return
 	}
@@ -213,11 +213,19 @@
 	s.witnesses++
 }
 
-// IsComplete reports whether all nodes responded, and there were any.
+// Add adds the answer of another node, or that it did not respond.
+func (s *Survey) Add(answer Answer, hasResponded bool) {
+	if hasResponded {
+		s.Answered++
+		s.AddOwn(answer)
+	}
+}
+
+// IsComplete reports whether all nodes that were asked responded, and there were any.
 func (s *Survey) IsComplete() bool { return s.Asked > 0 && s.Answered == s.Asked }
 
-// OnlyVersion returns the version on which the stream must have begun: all nodes responded, none of
-// them has a record, and at least one has been informed of all instances long enough.
+// OnlyVersion returns the version on which the stream must have begun: all nodes that were asked responded,
+// at least one has been informed of all instances long enough, and none knows of another version.
 func (s *Survey) OnlyVersion() (version string, isOnly bool) {
-	return s.only, s.IsComplete() && s.witnesses > 0 && !s.isDisputed
+	return s.only, s.Answered == s.Asked && s.witnesses > 0 && !s.isDisputed
 }
--- a/internal/coordination/streamversion/streamversion_test.go
+++ b/internal/coordination/streamversion/streamversion_test.go
@@ -303,8 +303,10 @@
 	expect(83*time.Second, false, "an instance of the other version ended within the period")
 	listed(85*time.Second, "v1")
 	expect(85*time.Second, true, "one version for the period")
-	_, isKnown := history.KnownVersion(85*time.Second, "other", period)
-	assert.Assert(t, !isKnown, "a service without instances")
+	_, isOnly := history.OnlyVersion(85*time.Second, "other", period)
+	assert.Assert(t, !isOnly, "a service without instances")
+	history.SetInformed(85*time.Second, false)
+	assert.Assert(t, history.HasSeveralVersions(84*time.Second, "llm", period) && !history.HasSeveralVersions(85*time.Second, "llm", period))
 	history.Prune(85*time.Second + 2*MaximumLifetime)
 	assert.Equal(t, len(history.listedAt), 0)
 }
@@ -327,10 +329,16 @@
 	assert.Assert(t, !isOnly && !isComplete)
 	_, isOnly, isComplete = survey(2, only, Answer{OnlyVersion: "v2", HasOnlyVersion: true})
 	assert.Assert(t, !isOnly && isComplete)
+	_, isOnly, isComplete = survey(2, only, Answer{HasSeveralVersions: true})
+	assert.Assert(t, !isOnly && isComplete, "one node has seen another version already")
 	_, isOnly, isComplete = survey(2, Answer{}, Answer{})
 	assert.Assert(t, !isOnly && isComplete)
 	_, isOnly, isComplete = survey(0)
 	assert.Assert(t, !isOnly && !isComplete)
+	alone := Survey{}
+	alone.AddOwn(only)
+	version, isOnly = alone.OnlyVersion()
+	assert.Assert(t, version == "v1" && isOnly && !alone.IsComplete(), "the only node of a fleet")
 }
 
 // The load of the largest fleet: 11,000 requests a second, half of them streams of 15 s.
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -191,17 +191,18 @@
 	return found, err
 }
 
+// find looks for a record of the stream here, then at the nodes that may hold one. A stream whose caller
+// does not name the attempt that began it has none, so that the service's only version is what is left.
 func (s *streamVersions) find(ctx context.Context, query forward.StreamQuery) (forward.FoundStream, error) {
-	if query.Attempt == "" {
-		return s.findWithoutAttempt(query)
-	}
 	key := streamversion.KeyOf(query.Tenant, query.Attempt)
-	if answer := s.store.Find(s.node.now(), key); answer.IsKnown {
-		return foundStream(answer, forward.OwnRecord, "")
+	own := s.answer(key, query.Services, query.Lifetime)
+	if own.IsKnown {
+		return foundStream(own, forward.OwnRecord, "")
 	}
 	asked := s.members().Asked(key)
 	question := streamversion.Ask(key, query.Services, query.Lifetime)
 	survey := streamversion.Survey{Asked: len(asked)}
+	survey.AddOwn(own)
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	answers := make(chan holderAnswer, len(asked))
@@ -215,7 +216,18 @@
 		}
 		survey.Add(answer.Answer, answer.err == nil)
 	}
-	return s.conclude(query, survey)
+	return conclude(query, survey)
+}
+
+// answer returns what this node knows of a stream.
+func (s *streamVersions) answer(key streamversion.Key, services []string, lifetime time.Duration) streamversion.Answer {
+	now := s.node.now()
+	answer := s.store.Find(now, key)
+	if !answer.IsKnown && len(services) == 1 {
+		answer.OnlyVersion, answer.HasOnlyVersion = s.history.OnlyVersion(now, services[0], lifetime)
+		answer.HasSeveralVersions = s.history.HasSeveralVersions(now, services[0], lifetime)
+	}
+	return answer
 }
 
 // holderAnswer is the answer of one node, or the error of the call.
@@ -243,25 +255,18 @@
 }
 
 // conclude decides on a stream of which no node that responded has a record.
-func (s *streamVersions) conclude(query forward.StreamQuery, survey streamversion.Survey) (forward.FoundStream, error) {
-	if version, isOnly := survey.OnlyVersion(); isOnly && len(query.Services) == 1 {
+func conclude(query forward.StreamQuery, survey streamversion.Survey) (forward.FoundStream, error) {
+	if version, isOnly := survey.OnlyVersion(); isOnly {
 		return forward.FoundStream{Origin: streamversion.Origin{Service: query.Services[0], Version: version}, Source: forward.OnlyVersion, Age: query.Lifetime}, nil
 	}
-	if survey.IsComplete() {
+	switch {
+	case !survey.IsComplete():
+		return forward.FoundStream{}, fmt.Errorf("%w: %d of %d", forward.ErrStreamNotConfirmed, survey.Asked-survey.Answered, survey.Asked)
+	case query.Attempt == "":
+		return forward.FoundStream{}, fmt.Errorf("%w: the caller does not name the attempt that began it", forward.ErrStreamUnknown)
+	default:
 		return forward.FoundStream{}, fmt.Errorf("%w: %d nodes asked", forward.ErrStreamUnknown, survey.Asked)
 	}
-	return forward.FoundStream{}, fmt.Errorf("%w: %d of %d", forward.ErrStreamNotConfirmed, survey.Asked-survey.Answered, survey.Asked)
-}
-
-// findWithoutAttempt decides on a stream whose caller does not name the attempt that began it. It was
-// not recorded under any name known here, so it continues only while this node has known of one version.
-func (s *streamVersions) findWithoutAttempt(query forward.StreamQuery) (forward.FoundStream, error) {
-	if len(query.Services) == 1 {
-		if version, isOnly := s.history.KnownVersion(s.node.now(), query.Services[0], query.Lifetime); isOnly {
-			return forward.FoundStream{Origin: streamversion.Origin{Service: query.Services[0], Version: version}, Source: forward.OnlyVersion}, nil
-		}
-	}
-	return forward.FoundStream{}, fmt.Errorf("%w: the caller does not name the attempt that began it", forward.ErrStreamUnknown)
 }
 
 // handleFind answers another node's question.
@@ -271,11 +276,7 @@
 		if err != nil {
 			return nil, err
 		}
-		now := s.node.now()
-		answer := s.store.Find(now, key)
-		if !answer.IsKnown && len(question.Services) == 1 {
-			answer.OnlyVersion, answer.HasOnlyVersion = s.history.OnlyVersion(now, question.Services[0], question.Lifetime())
-		}
+		answer := s.answer(key, question.Services, question.Lifetime())
 		return &answer, nil
 	})
 	if err != nil {
--- a/internal/gateway/streamversions_test.go
+++ b/internal/gateway/streamversions_test.go
@@ -49,9 +49,10 @@
 	assert.Equal(t, recordFrames(node)-before, uint64(len(holders)))
 }
 
-// During an upgrade, nodes of the earlier version would refuse the new messages. They hold no records, so
-// that what they would answer is known.
-func TestNodesOfTheEarlierVersionHoldNoRecords(t *testing.T) {
+// newNodeAmongEarlierVersions returns an entry node whose peers speak the version of the protocol before
+// records of streams.
+func newNodeAmongEarlierVersions(t *testing.T) *Node {
+	t.Helper()
 	node := newIdleNode(t, benchEntry(0), benchZone(0), settings.RoleEntry)
 	hellos := controlHellos(node, reservingEntries, true)
 	for position := range hellos {
@@ -60,6 +61,13 @@
 	}
 	recordHellos(node, hellos)
 	node.fleet.publishView()
+	return node
+}
+
+// During an upgrade, nodes of the earlier version would refuse the new messages. They hold no records, so
+// that what they would answer is known.
+func TestNodesOfTheEarlierVersionHoldNoRecords(t *testing.T) {
+	node := newNodeAmongEarlierVersions(t)
 	records, calls := recordFrames(node), node.sent.frames[peer.KindCall].Get()
 	node.streams.unsent = []streamversion.Record{sampleRecord(1)}
 	node.streams.flush()
@@ -94,23 +102,17 @@
 	assert.Equal(t, node.sent.frames[peer.KindCall].Get()-calls, uint64(len(node.streams.members().Asked(streamversion.KeyOf("t", "unknown")))))
 }
 
-// Guards against callers of the earlier interface, which name no attempt: their streams go on while the
-// node knows of one version only.
-func TestStreamWithoutAnAttemptGoesOnWhileOneVersionIsKnown(t *testing.T) {
-	node := newIdleNode(t, benchEntry(0), benchZone(0), settings.RoleEntry)
-	list := func(id, version string) {
-		instance := registry.Instance{ID: id, Service: "llm", Address: id + ":80", Version: version, State: registry.Ready, Sequence: 1}
-		node.fleet.scheduleApply([]registry.Instance{instance})
+// Guards against a guess about a stream whose caller names no attempt: that a node itself knows of one
+// version is no evidence, since it need not know of all.
+func TestOneKnownVersionIsNoEvidenceForAStreamWithoutAnAttempt(t *testing.T) {
+	for want, node := range map[error]*Node{
+		forward.ErrStreamNotConfirmed: newReservingNode(t, peer.OwnProtocol), // the peers do not respond
+		forward.ErrStreamUnknown:      newNodeAmongEarlierVersions(t),
+	} {
+		node.fleet.scheduleApply([]registry.Instance{{ID: "i-1", Service: "llm", Address: "i-1:80", Version: "v1", State: registry.Ready, Sequence: 1}})
+		_, err := node.streams.Find(t.Context(), queryOf(""))
+		assert.Assert(t, errors.Is(err, want), "%v", err)
 	}
-	_, err := node.streams.Find(t.Context(), queryOf(""))
-	assert.Assert(t, errors.Is(err, forward.ErrStreamUnknown), "no instance was ever listed: %v", err)
-	list("i-1", "v1")
-	found, err := node.streams.Find(t.Context(), queryOf(""))
-	assert.NilError(t, err)
-	assert.Assert(t, found.Source == forward.OnlyVersion && found.Version == "v1", "%+v", found)
-	list("i-2", "v2")
-	_, err = node.streams.Find(t.Context(), queryOf(""))
-	assert.Assert(t, errors.Is(err, forward.ErrStreamUnknown), "%v", err)
 }
 
 // Guards against messages of a faulty node that stop this one or enter its store.
--- a/internal/lab/openfleet/versions_test.go
+++ b/internal/lab/openfleet/versions_test.go
@@ -497,32 +497,46 @@
 
 // Guards against a guess about a stream of which nobody has a record: it goes on only after the service has
 // certainly had one version for longer than the stream can have lasted, for example if a node of an
-// earlier build began it.
+// earlier build began it, or its caller does not name the attempt that did. A node that has just started
+// knows nothing of a version that is gone.
 func TestStreamWithoutARecordGoesOnOnlyOnTheOnlyVersion(t *testing.T) {
-	withFleet(t, 3, func(t *testing.T, f *Fleet) {
-		takeUp := func(id string) CallerResponse {
-			call := newRequest(id, "/resumable/x")
-			call.Resumes, call.After = "began before "+id, "3"
-			response, err := f.Request("entry-0", call)
-			assert.NilError(t, err)
-			return response
-		}
-		// The routes' streams are remembered for 10 s.
-		assert.Equal(t, takeUp("soon").Status, http.StatusServiceUnavailable, "the nodes have started less than 10 s ago")
-		time.Sleep(12 * time.Second)
-		assert.Equal(t, takeUp("later").Status, http.StatusOK)
-		f.Kill("control-2")
-		time.Sleep(4 * time.Second)
-		assert.Equal(t, takeUp("one is missing").Status, http.StatusServiceUnavailable)
-		f.Boot("control-2")
-		time.Sleep(4 * time.Second)
-		assert.Equal(t, takeUp("it is back").Status, http.StatusServiceUnavailable)
-		time.Sleep(12 * time.Second)
-		assert.Equal(t, takeUp("it has been back").Status, http.StatusOK)
-		f.AddEngineVersion("llm-new", "llm", "a", "v2")
-		time.Sleep(2 * time.Second)
-		assert.Equal(t, takeUp("two versions").Status, http.StatusServiceUnavailable)
-	})
+	for name, isNamed := range map[string]bool{"the attempt is named": true, "no attempt is named": false} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 3, func(t *testing.T, f *Fleet) {
+				expect := func(want int, when string) {
+					t.Helper()
+					call := newRequest("takes up "+when, "/resumable/x")
+					if call.After = "3"; isNamed {
+						call.Resumes = "began before " + when
+					}
+					response, err := f.Request("entry-0", call)
+					assert.NilError(t, err)
+					assert.Equal(t, response.Status, want, "%s: %+v", when, response)
+				}
+				// The routes' streams are remembered for 10 s.
+				expect(http.StatusServiceUnavailable, "when the nodes have started less than 10 s ago")
+				time.Sleep(12 * time.Second)
+				expect(http.StatusOK, "later")
+				f.Kill("control-2")
+				time.Sleep(4 * time.Second)
+				expect(http.StatusServiceUnavailable, "while one is missing")
+				f.Boot("control-2")
+				time.Sleep(4 * time.Second)
+				expect(http.StatusServiceUnavailable, "when it is back")
+				time.Sleep(12 * time.Second)
+				expect(http.StatusOK, "when it has been back")
+				other := f.AddEngineVersion("llm-new", "llm", "a", "v2")
+				time.Sleep(2 * time.Second)
+				expect(http.StatusServiceUnavailable, "while there are two versions")
+				f.CrashEngine(other)
+				f.Kill("entry-0")
+				time.Sleep(5 * time.Second)
+				f.Boot("entry-0")
+				time.Sleep(2 * time.Second)
+				expect(http.StatusServiceUnavailable, "at a node that has just started, while streams of the other version can be taken up")
+			})
+		})
+	}
 }
 
 // Guards against nodes that are partitioned from all engines, whose connections break, and that take all of
