The streams that a node looks up at others are limited for each tenant

What callers could do: each attempt that takes a stream up asks up to ten nodes, also under an ID that never was, before any limit of the tenant applies. One caller that makes up attempts multiplied its requests by ten on links of 10 Mbit/s. Cause: the question was sent for every attempt without a record at the node. Streams of which the node has a record, and other tenants, are not concerned.

--- a/internal/coordination/streamversion/streamversion_test.go
+++ b/internal/coordination/streamversion/streamversion_test.go
@@ -109,6 +109,26 @@
 	}
 }
 
+// Guards against a tenant that makes up attempts and so fills the links of the nodes that are asked, and
+// against one that keeps other tenants' streams from being found.
+func TestLookupsOfATenantAreLimited(t *testing.T) {
+	var limit LookupLimit
+	allowed := func(now time.Duration, owner Owner, attempts int) int {
+		count := 0
+		for range attempts {
+			if limit.Allow(now, owner) {
+				count++
+			}
+		}
+		return count
+	}
+	assert.Equal(t, allowed(0, 1, 10*maximumLookups), maximumLookups)
+	assert.Equal(t, allowed(999*time.Millisecond, 1, 10), 0)
+	assert.Equal(t, allowed(999*time.Millisecond, 2, 10), 10)
+	assert.Equal(t, allowed(time.Second, 1, 10), 10)
+	assert.Equal(t, len(limit.counts), 1, "tenants of the last second are forgotten")
+}
+
 // Guards against a store whose lists of owners and origins no longer match its records.
 func TestStoreStaysConsistent(t *testing.T) {
 	for seed := range uint64(50) {
--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -18,9 +18,9 @@
 var (
 	// ErrStreamUnknown means that no node knows on which version a stream began.
 	ErrStreamUnknown = errors.New("forward: no node knows on which version the stream began")
-	// ErrStreamNotConfirmed means that nodes which may know on which version a stream began did not
-	// respond.
-	ErrStreamNotConfirmed = errors.New("forward: nodes that may know on which version the stream began did not respond")
+	// ErrStreamNotConfirmed means that nodes which may know on which version a stream began were not asked
+	// or did not respond.
+	ErrStreamNotConfirmed = errors.New("forward: it is not confirmed on which version the stream began")
 )
 
 // StreamQuery describes a stream that its caller takes up again.
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -47,6 +47,7 @@
 	duty    *duty.Duty
 	store   *streamversion.Store
 	history *streamversion.History
+	lookups streamversion.LookupLimit
 	// unsent are the records of streams that began here and are yet to be sent to their holders.
 	unsent   []streamversion.Record
 	prunedAt time.Duration
@@ -199,6 +200,9 @@
 	if own.IsKnown {
 		return foundStream(own, forward.OwnRecord, "")
 	}
+	if !s.lookups.Allow(s.node.now(), streamversion.OwnerOf(query.Tenant)) {
+		return forward.FoundStream{}, fmt.Errorf("%w: the tenant takes up too many streams at this node", forward.ErrStreamNotConfirmed)
+	}
 	asked := s.members().Asked(key)
 	question := streamversion.Ask(key, query.Services, query.Lifetime)
 	survey := streamversion.Survey{Asked: len(asked)}
@@ -261,7 +265,7 @@
 	}
 	switch {
 	case !survey.IsComplete():
-		return forward.FoundStream{}, fmt.Errorf("%w: %d of %d", forward.ErrStreamNotConfirmed, survey.Asked-survey.Answered, survey.Asked)
+		return forward.FoundStream{}, fmt.Errorf("%w: %d of %d nodes did not respond", forward.ErrStreamNotConfirmed, survey.Asked-survey.Answered, survey.Asked)
 	case query.Attempt == "":
 		return forward.FoundStream{}, fmt.Errorf("%w: the caller does not name the attempt that began it", forward.ErrStreamUnknown)
 	default:
--- a/internal/gateway/streamversions_test.go
+++ b/internal/gateway/streamversions_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -102,6 +103,33 @@
 	assert.Equal(t, node.sent.frames[peer.KindCall].Get()-calls, uint64(len(node.streams.members().Asked(streamversion.KeyOf("t", "unknown")))))
 }
 
+// Guards against a caller that makes up attempts, for each of which ten nodes are asked: what is asked for
+// one tenant is bounded, and the streams of others are still found.
+func TestMadeUpAttemptsOfATenantAskABoundedNumberOfNodes(t *testing.T) {
+	node := newReservingNode(t, peer.OwnProtocol)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel() // the answers are not awaited
+	calls := func() uint64 { return node.sent.frames[peer.KindCall].Get() }
+	const lookupsPerSecond = 200
+	before, longest := calls(), 0
+	for number := range 5 * lookupsPerSecond {
+		query := queryOf(fmt.Sprint("made up ", number))
+		longest = max(longest, len(node.streams.members().Asked(streamversion.KeyOf(query.Tenant, query.Attempt))))
+		_, err := node.streams.Find(ctx, query)
+		assert.Assert(t, errors.Is(err, forward.ErrStreamNotConfirmed), "%v", err)
+	}
+	asked := calls() - before
+	seconds := uint64(node.now()/time.Second) + 1
+	assert.Assert(t, asked > 0 && asked <= seconds*lookupsPerSecond*uint64(longest), "%d nodes asked in %d s", asked, seconds)
+	node.streams.Began(sampleRecord(1))
+	_, err := node.streams.Find(ctx, queryOf("1"))
+	assert.NilError(t, err, "this node's own records are found in any case")
+	other := queryOf("of another tenant")
+	other.Tenant, before = "u", calls()
+	_, _ = node.streams.Find(ctx, other)
+	assert.Assert(t, calls() > before)
+}
+
 // Guards against a guess about a stream whose caller names no attempt: that a node itself knows of one
 // version is no evidence, since it need not know of all.
 func TestOneKnownVersionIsNoEvidenceForAStreamWithoutAnAttempt(t *testing.T) {
