Log the prompt parts of broken runs, and responses that end with their connection

The logs of the incident could not tell whether a part of the prompt, a tenant or a route crashes engines, nor how a response that counted as completed had ended. event=attempt of a broken run has prompt_parts (at most 16), and event=answer_ended_by_close with ravenway_answers_ended_by_close_total is new. Both share the bound on log lines of requests.

--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -210,10 +210,39 @@
 		return
 	}
 	addChoice(l.line(r, "attempt"), run.choice).Str("address", run.choice.Address).Str("result", result).
-		Uint64("events", r.events).Stringer("fingerprint", fingerprint).Bool("answer_begun", run.run.ResponseBegan).
+		Uint64("events", r.events).Stringer("fingerprint", fingerprint).Strs("prompt_parts", loggedParts(r.call)).Bool("answer_begun", run.run.ResponseBegan).
 		Int64("answered_ms", run.run.ResponseAge.Milliseconds()).AnErr("error", err).Send()
 }
 
+// maximumLoggedParts bounds the parts of a prompt in a log line.
+const maximumLoggedParts = 16
+
+// loggedParts returns the IDs of a prompt's parts for a log line. The last parts are omitted if there are
+// too many.
+func loggedParts(call *Call) []string {
+	parts := call.Parts[:min(len(call.Parts), maximumLoggedParts)]
+	ids := make([]string, 0, len(parts))
+	for _, part := range parts {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
+// answersEndedByClose counts the responses whose end only the end of their connection marked.
+var answersEndedByClose = metrics.GetOrCreateCounter("ravenway_answers_ended_by_close_total")
+
+// EndedByClose logs that a response without a length and chunks ended with its connection, which a crash of
+// the instance would end, too.
+func (l *DecisionLog) EndedByClose(r *request, choice balance.Choice) {
+	answersEndedByClose.Inc()
+	fingerprint := quarantine.FingerprintOfRequest(r.content())
+	if !l.keep(r, fmt.Sprintf("the response of %s ended with its connection after %d events, fingerprint %s", choice.Incarnation(), r.events, fingerprint)) {
+		return
+	}
+	l.line(r, "answer_ended_by_close").Stringer("life", choice.Incarnation()).Uint64("events", r.events).Stringer("fingerprint", fingerprint).
+		Strs("prompt_parts", loggedParts(r.call)).Send()
+}
+
 // EngineCrashed logs that an engine has crashed, and how many of this node's runs were in flight
 // there.
 func (l *DecisionLog) EngineCrashed(choice balance.Choice, runs int, wasLeaving bool) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -224,7 +224,7 @@
 	// If the engine rejected a long body, the body may still be unread ahead of the next request,
 	// even if the network has accepted all of it.
 	mayBeUnread := e.isLong && !e.isSuccess()
-	if !isWritten || mayBeUnread || e.response.Close || !e.response.ProtoAtLeast(1, 1) || e.response.ContentLength < 0 && !isChunked(e.response) {
+	if !isWritten || mayBeUnread || e.response.Close || !e.response.ProtoAtLeast(1, 1) || e.endsByClose() {
 		e.connection.close()
 		return
 	}
@@ -244,6 +244,12 @@
 	e.connection.close()
 }
 
+// endsByClose reports whether the response has neither a length nor chunks, so that it ends with its
+// connection.
+func (e *exchange) endsByClose() bool {
+	return e.response.ContentLength < 0 && !isChunked(e.response)
+}
+
 func isChunked(response *http.Response) bool {
 	return len(response.TransferEncoding) > 0 && response.TransferEncoding[0] == "chunked"
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -55,6 +55,7 @@
 		return r.relayLong(sending, buffered.bytes, *choice)
 	}
 	sending.finish(r.call.ID)
+	r.noteEndedByClose(sending, *choice)
 	if sending.response.StatusCode >= http.StatusInternalServerError {
 		sending.errorBody = buffered.bytes
 		return balance.Failed, serverError
@@ -107,6 +108,7 @@
 		return r.noteIncomplete(err, choice)
 	}
 	sending.finish(r.call.ID)
+	r.noteEndedByClose(sending, choice)
 	r.noteEnded(sending.response.StatusCode, choice)
 	return balance.Served, served
 }
@@ -131,6 +133,13 @@
 	r.pipeline.options.Log.Served(r, status, choice)
 }
 
+// noteEndedByClose logs a response that ended with its connection.
+func (r *request) noteEndedByClose(sending *exchange, choice balance.Choice) {
+	if sending.endsByClose() {
+		r.pipeline.options.Log.EndedByClose(r, choice)
+	}
+}
+
 // noteIncomplete logs why a response that has begun can't be completed, and returns the outcome.
 func (r *request) noteIncomplete(err error, choice balance.Choice) (balance.Outcome, attemptResult) {
 	if r.incoming.Context().Err() != nil || errors.Is(err, errCallerGone) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -26,6 +26,7 @@
 	if err == nil {
 		r.pipeline.options.Table.StreamEnded(choice.Service, r.hadLongGap())
 		sending.finish(r.call.ID)
+		r.noteEndedByClose(sending, *choice)
 		r.noteEnded(sending.response.StatusCode, *choice)
 		return balance.Served, served
 	}
@@ -173,6 +174,7 @@
 		return false, err
 	}
 	sending.finish(r.call.ID)
+	r.noteEndedByClose(sending, choice)
 	r.pipeline.options.Table.Done(environment.Now(), choice, balance.Served)
 	r.noteEnded(http.StatusOK, choice)
 	return true, nil
