--- /dev/null
+++ b/internal/forward/closedends_test.go
@@ -0,0 +1,92 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/coordination/quarantine"
+)
+
+// closingEngine responds with neither a length nor chunks, and ends the response with its connection. With
+// crashes it also closes its listener, as a process that crashes does.
+func closingEngine(t *testing.T, body string, crashes bool) *scriptedEngine {
+	t.Helper()
+	var engine *scriptedEngine
+	engine = newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\n\r\n", request.Header.Get("Id"))
+		_, _ = io.WriteString(connection, body)
+		if crashes {
+			_ = engine.listener.Close()
+		}
+		_ = connection.Close()
+	})
+	return engine
+}
+
+// completionSink counts the requests that are reported as completed.
+type completionSink struct {
+	*trackerSink
+	completed int
+}
+
+func (s *completionSink) RequestCompleted(fingerprint quarantine.Fingerprint) {
+	s.mutex.Lock()
+	s.completed++
+	s.mutex.Unlock()
+	s.trackerSink.RequestCompleted(fingerprint)
+}
+
+// Guards against a run that crashed its engine and counts as completed: the response had neither a length
+// nor chunks, so the end of its connection looked like its end. It must neither clear what is recorded
+// against the request nor look complete to the caller.
+func TestResponseThatEndsWithACrashIsNotComplete(t *testing.T) {
+	const completeEvent = "id: 1\ndata: x\n\n"
+	for name, one := range map[string]struct{ path, body string }{
+		"stream before the first event":  {"/stream/x", ""},
+		"stream inside the first event":  {"/stream/x", "id: 1\ndata:"},
+		"stream inside a later event":    {"/stream/x", completeEvent + "id: 2\n"},
+		"stream after an event":          {"/stream/x", completeEvent},
+		"plain without a body":           {"/safe/x", ""},
+		"plain within the body":          {"/safe/x", "half of"},
+		"not repeatable, without a body": {"/once/x", ""},
+		"not repeatable, within it":      {"/once/x", "half of"},
+		"resumable, before an event":     {"/resumable/x", ""},
+		"resumable, after an event":      {"/resumable/x", completeEvent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, closingEngine(t, one.body, true))
+			sink := &completionSink{trackerSink: h.withTracker()}
+			sink.guard = quarantine.NewGuard(sink)
+			h.pipeline.options.Guard = sink.guard
+			sink.EnginesCrashed([]quarantine.CrashReport{{Fingerprint: h.fingerprint(one.path, "body"), Suspicion: quarantine.Likely}})
+			got := h.send(t, http.MethodPost, one.path, "r1", "body")
+			assert.Assert(t, got.err != nil || got.status != http.StatusOK, "status %d, body %q", got.status, got.body)
+			assert.Equal(t, sink.completed, 0)
+		})
+	}
+}
+
+// Guards against complete responses that are taken for broken ones because they have neither a length nor
+// chunks.
+func TestResponseThatEndsWithItsConnectionIsCompleteWhileItsEngineLives(t *testing.T) {
+	for name, one := range map[string]struct{ path, body string }{
+		"stream":         {"/stream/x", "id: 1\ndata: x\n\n"},
+		"resumable":      {"/resumable/x", "id: 1\ndata: x\n\n"},
+		"plain":          {"/safe/x", "whole"},
+		"not repeatable": {"/once/x", "whole"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, closingEngine(t, one.body, false))
+			got := h.send(t, http.MethodPost, one.path, "r1", "body")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, got.body, one.body)
+		})
+	}
+}
--- a/internal/forward/crashes_test.go
+++ b/internal/forward/crashes_test.go
@@ -65,6 +65,11 @@
 	return sink
 }
 
+// fingerprint returns the fingerprint of a request of the harness's tenant.
+func (h *harness) fingerprint(path, body string) quarantine.Fingerprint {
+	return quarantine.FingerprintOf(quarantine.ScopeOf(strings.TrimPrefix(h.server.URL, "http://")+path, "t"), []byte(body))
+}
+
 // trackerSink is the quarantine of a single node.
 type trackerSink struct {
 	mutex   sync.Mutex
@@ -193,7 +198,7 @@
 	engines := []*scriptedEngine{crashingEngine(t, true), crashingEngine(t, true), crashingEngine(t, true)}
 	h := newHarness(t, engines...)
 	sink := h.withTracker()
-	suspect := quarantine.FingerprintOf(quarantine.ScopeOf(strings.TrimPrefix(h.server.URL, "http://")+"/resumable/x", "t"), []byte("suspect"))
+	suspect := h.fingerprint("/resumable/x", "suspect")
 	for number := range 2 {
 		sink.EnginesCrashed([]quarantine.CrashReport{{
 			Fingerprint: suspect, Incarnation: registry.Incarnation{ID: fmt.Sprintf("before-%d", number)}, Suspicion: quarantine.Likely,
@@ -223,7 +228,7 @@
 	go func() { results <- h.send(t, http.MethodPost, "/resumable/x", "r1", "poison") }()
 	<-arrived
 	h.pipeline.CancelQuarantined(quarantine.FingerprintOf(quarantine.ScopeOf("elsewhere/resumable/x", "t"), []byte("poison")))
-	h.pipeline.CancelQuarantined(quarantine.FingerprintOf(quarantine.ScopeOf(strings.TrimPrefix(h.server.URL, "http://")+"/resumable/x", "t"), []byte("poison")))
+	h.pipeline.CancelQuarantined(h.fingerprint("/resumable/x", "poison"))
 	select {
 	case <-closed:
 	case <-time.After(2 * time.Second):
--- a/internal/lab/openfleet/callers.go
+++ b/internal/lab/openfleet/callers.go
@@ -29,7 +29,7 @@
 	Wait    time.Duration
 	Context context.Context
 	Body    string
-	// PromptPart identifies a part of the prompt that requests share, "" if there is none.
+	// PromptPart holds the ids of the parts of the prompt, separated by commas, "" if there are none.
 	PromptPart string
 	// After is the last event that the caller has of a stream that it takes up again, and Resumes the ID
 	// of its attempt that brought the first one; "" for a new stream.
--- a/internal/lab/openfleet/engine.go
+++ b/internal/lab/openfleet/engine.go
@@ -23,6 +23,8 @@
 	Instance string
 	Tenant   string
 	Body     string
+	// Parts are the ids of the parts of the prompt.
+	Parts []string
 	// Arrived and Ended are times since the fleet was made; Ended is 0 while the run is in progress.
 	Arrived, Ended time.Duration
 }
@@ -46,10 +48,10 @@
 // instanceAndNode identifies an instance and a node that sends requests to it.
 type instanceAndNode struct{ instance, node string }
 
-func (t *GroundTruth) beginRun(request, instance, tenant, body string) *Run {
+func (t *GroundTruth) beginRun(request, instance, tenant, body string, parts []string) *Run {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	run := &Run{Request: request, Instance: instance, Tenant: tenant, Body: body, Arrived: time.Since(t.startedAt)}
+	run := &Run{Request: request, Instance: instance, Tenant: tenant, Body: body, Parts: parts, Arrived: time.Since(t.startedAt)}
 	t.runs = append(t.runs, run)
 	return run
 }
@@ -156,6 +158,8 @@
 	// means that there are none. CrashesAfter is the time from the start of such a run to the crash.
 	CrashesOn    string
 	CrashesAfter time.Duration
+	// CrashesOnParts are parts of prompts that crash the engine as CrashesOn does.
+	CrashesOnParts []string
 	// RateLimit is the rate limit in requests per second that the engine's responses name; "" means
 	// that they name none.
 	RateLimit string
@@ -198,6 +202,7 @@
 	rejectsAll         bool
 	crashesOn          string
 	crashesAfter       time.Duration
+	crashesOnParts     []string
 	rateLimit          string
 	bareRejections     float64
 	pause              time.Duration
@@ -210,7 +215,7 @@
 	defer e.mutex.Unlock()
 	return behaviour{
 		workTime: e.WorkTime, events: e.Events, breakAfter: e.BreakAfter, status: e.Status, rejectsAll: e.RejectsAll,
-		crashesOn: e.CrashesOn, crashesAfter: e.CrashesAfter, rateLimit: e.RateLimit, bareRejections: e.BareRejections,
+		crashesOn: e.CrashesOn, crashesAfter: e.CrashesAfter, crashesOnParts: e.CrashesOnParts, rateLimit: e.RateLimit, bareRejections: e.BareRejections,
 		pause: e.Pause, isLeaving: e.IsLeaving, brittle: e.Brittle,
 	}
 }
@@ -252,9 +257,9 @@
 		return
 	}
 	defer e.leave()
-	run := e.truth.beginRun(id, e.ID, request.Header.Get(wire.HeaderTenant), string(body))
+	run := e.truth.beginRun(id, e.ID, request.Header.Get(wire.HeaderTenant), string(body), wire.Parts(request.Header))
 	defer e.truth.endRun(run)
-	if current.crashesOn != "" && current.crashesOn == string(body) {
+	if current.crashesOn != "" && current.crashesOn == string(body) || slices.ContainsFunc(run.Parts, func(part string) bool { return slices.Contains(current.crashesOnParts, part) }) {
 		e.crashDuring(writer, current)
 	}
 	if current.events == 0 {
--- a/internal/lab/openfleet/poison_test.go
+++ b/internal/lab/openfleet/poison_test.go
@@ -41,6 +41,8 @@
 	mutex sync.Mutex
 	// crashes are the times of the engines' crashes since the fleet was made.
 	crashes []time.Duration
+	// crashingParts are the parts of prompts on which the engines crash.
+	crashingParts []string
 }
 
 // addEngines adds engines that crash some time after they began to run the poison request.
@@ -51,9 +53,13 @@
 }
 
 func (p *poisonedFleet) addEngine(id, service, zone string, events int, after time.Duration) {
+	p.mutex.Lock()
+	crashingParts := p.crashingParts
+	p.mutex.Unlock()
 	engine := p.AddEngine(id, service, zone)
 	engine.Update(func(e *Engine) {
 		e.Events, e.CrashesOn, e.CrashesAfter, e.WorkTime = events, poison, after, 30*time.Millisecond
+		e.CrashesOnParts = crashingParts
 	})
 	engine.crash = func() {
 		p.mutex.Lock()
--- a/internal/lab/wire/wire.go
+++ b/internal/lab/wire/wire.go
@@ -20,8 +20,8 @@
 
 // Headers of the interface. HeaderWait is a caller's maximum wait, or what is left of it in a request
 // to an engine, as a Go duration. HeaderTokens holds the number of tokens of the prompt and the maximum
-// number of generated tokens, separated by a comma. HeaderPart is the id of the shared part of the
-// prompt, HeaderAfter the last event received of a stream that is to be resumed, and HeaderResumes the
+// number of generated tokens, separated by a comma. HeaderPart holds the ids of the parts of the
+// prompt in order, separated by commas, HeaderAfter the last event received of a stream that is to be resumed, and HeaderResumes the
 // id of the caller's attempt that brought its first event.
 const (
 	HeaderRequest  = "Lab-Request"
@@ -73,12 +73,21 @@
 		call.TokensOut, _ = strconv.ParseUint(out, 10, 64)
 		call.HasTokens = true
 	}
-	if part := header.Get(HeaderPart); part != "" {
-		call.Parts = []forward.PromptPart{{ID: part}}
+	for _, part := range Parts(header) {
+		call.Parts = append(call.Parts, forward.PromptPart{ID: part})
 	}
 	return call, nil
 }
 
+// Parts returns the ids of the parts of a request's prompt.
+func Parts(header http.Header) []string {
+	value := header.Get(HeaderPart)
+	if value == "" {
+		return nil
+	}
+	return strings.Split(value, ",")
+}
+
 // EngineHeader implements forward.Dialect.
 func (Dialect) EngineHeader(attempt forward.Attempt) http.Header {
 	header := forward.EndToEndHeader(attempt.Call.Header)
