A response that ends with the crash of its engine is not complete

What callers saw: a response with neither a length nor chunks whose engine crashed looked complete, and so did a stream that ended before its first event. The quarantine counted both as completed runs, which clear what is recorded against a request. Cause: the end of the connection was taken for the end of the response. Change: while such a response arrives, one further connection to its engine is kept open for all responses of that engine; it ends with the process. A stream without an event, and a response whose engine can't be watched, are not complete. An empty body clears nothing. The connection serves a later request.

--- a/internal/forward/closedends_test.go
+++ b/internal/forward/closedends_test.go
@@ -7,14 +7,15 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
 )
 
-// closingEngine responds with neither a length nor chunks, and ends the response with its connection. With
-// crashes it also closes its listener, as a process that crashes does.
+// closingEngine responds with neither a length nor chunks, and ends the response with its connection, or
+// crashes at that moment.
 func closingEngine(t *testing.T, body string, crashes bool) *scriptedEngine {
 	t.Helper()
 	var engine *scriptedEngine
@@ -22,7 +23,7 @@
 		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\n\r\n", request.Header.Get("Id"))
 		_, _ = io.WriteString(connection, body)
 		if crashes {
-			_ = engine.listener.Close()
+			engine.crash()
 		}
 		_ = connection.Close()
 	})
@@ -90,3 +91,44 @@
 		})
 	}
 }
+
+// Guards against taking the crash of an engine for the end of its response because another process listens
+// at its address a moment later.
+func TestResponseThatEndsWithACrashIsNotCompleteThoughTheEngineIsReplacedAtOnce(t *testing.T) {
+	var engine *scriptedEngine
+	engine = newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\n\r\nid: 1\ndata: x\n\n", request.Header.Get("Id"))
+		for engine.connections.Load() < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		engine.crash()
+		replacement, err := net.Listen("tcp", engine.listener.Addr().String())
+		if err == nil {
+			t.Cleanup(func() { _ = replacement.Close() })
+		}
+	})
+	h := newHarness(t, engine)
+	got := h.send(t, http.MethodPost, "/stream/x", "r1", "body")
+	assert.Assert(t, got.err != nil, "status %d, body %q", got.status, got.body)
+}
+
+// Guards against one connection for each response: the connection that shows whether an engine's process
+// ends is shared, and serves the next request.
+func TestConnectionsThatWatchAnEngineAreSharedAndUsedAgain(t *testing.T) {
+	engine := closingEngine(t, "whole", false)
+	h := newHarness(t, engine)
+	for number := range 3 {
+		got := h.send(t, http.MethodPost, "/safe/x", fmt.Sprint("r", number), "body")
+		assert.NilError(t, got.err)
+	}
+	for began := time.Now(); h.pipeline.witnesses.count() > 0 && time.Since(began) < time.Second; time.Sleep(time.Millisecond) {
+	}
+	assert.Equal(t, h.pipeline.witnesses.count(), 0)
+	assert.Assert(t, engine.connections.Load() <= 5, "%d connections for 3 responses", engine.connections.Load())
+}
+
+func (w *endWitnesses) count() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return len(w.newest)
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -53,6 +53,8 @@
 	slot Slot
 	// watch watches the exchange's path until its end.
 	watch *pathWatch
+	// witness shows whether the engine's process ends, if the response ends with its connection.
+	witness *endWitness
 	// isReplaced is set once a newer incarnation of the instance is known.
 	isReplaced atomic.Bool
 	// stop keeps the end of the request's context from closing the connection; it returns false if
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -106,6 +106,8 @@
 	options Options
 	pool    *pool
 	crashes *crashDetector
+	// witnesses watch engines whose responses end with their connection.
+	witnesses *endWitnesses
 	// waiting are the requests whose response has not begun.
 	waiting waitingRequests
 	// headers detects unknown response headers.
@@ -177,6 +179,7 @@
 		created.pool.meter = options.EngineMeter
 	}
 	created.crashes = newCrashDetector(created)
+	created.witnesses = newEndWitnesses(created.pool)
 	return created
 }
 
@@ -228,6 +231,9 @@
 	// isResponding indicates that a response is being relayed, isComplete that it was relayed to
 	// its end.
 	isResponding, isComplete bool
+	// isEndCertain indicates that the end of the response shows that its engine ran the request to
+	// completion.
+	isEndCertain bool
 	// tokenWait is how long the request waited for its tokens.
 	tokenWait time.Duration
 	// pace records when a stream's events arrived.
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -128,6 +128,18 @@
 	mutex       sync.Mutex
 	requests    []received
 	connections atomic.Int64
+	// open are the connections that were accepted.
+	open []net.Conn
+}
+
+// crash closes the listener and all connections, as the end of a process does.
+func (e *scriptedEngine) crash() {
+	_ = e.listener.Close()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, connection := range e.open {
+		_ = connection.Close()
+	}
 }
 
 func newEngine(t *testing.T, script func(connection net.Conn, reader *bufio.Reader, request received)) *scriptedEngine {
@@ -143,6 +155,9 @@
 				return
 			}
 			engine.connections.Add(1)
+			engine.mutex.Lock()
+			engine.open = append(engine.open, connection)
+			engine.mutex.Unlock()
 			go engine.serve(connection)
 		}
 	}()
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -41,21 +41,25 @@
 
 // relay relays a response, or returns why it can't be relayed.
 func (r *request) relay(ctx context.Context, sending *exchange, choice *balance.Choice) (balance.Outcome, attemptResult) {
+	defer r.watchEnd(sending, *choice)()
 	if r.route.Kind == document.Stream && sending.isSuccess() {
 		return r.relayStream(ctx, sending, choice)
 	}
 	buffered, isWhole, err := r.pipeline.readResponse(sending.response.Body)
 	defer buffered.release()
+	if err == nil && isWhole {
+		err = r.confirmEnd(ctx, sending, *choice)
+	}
 	if err != nil {
 		sending.abort()
 		r.noteInterrupted(ctx, sending.interruptedRun(r, *choice), "answer_broken", err)
 		return r.failureOutcome(*choice), outcomeUnknown
 	}
 	if !isWhole {
-		return r.relayLong(sending, buffered.bytes, *choice)
+		return r.relayLong(ctx, sending, buffered.bytes, *choice)
 	}
 	sending.finish(r.call.ID)
-	r.noteEndedByClose(sending, *choice)
+	r.isEndCertain = !sending.endsByClose() || len(buffered.bytes) > 0
 	if sending.response.StatusCode >= http.StatusInternalServerError {
 		sending.errorBody = buffered.bytes
 		return balance.Failed, serverError
@@ -92,7 +96,7 @@
 }
 
 // relayLong relays a response that is too long to be buffered completely first.
-func (r *request) relayLong(sending *exchange, prefix []byte, choice balance.Choice) (balance.Outcome, attemptResult) {
+func (r *request) relayLong(ctx context.Context, sending *exchange, prefix []byte, choice balance.Choice) (balance.Outcome, attemptResult) {
 	r.writeHead(sending)
 	if length := sending.response.ContentLength; length >= 0 {
 		r.writer.Header().Set("Content-Length", strconv.FormatInt(length, 10))
@@ -103,12 +107,15 @@
 	if err == nil {
 		_, err = io.Copy(callerWriter{r}, sending.response.Body)
 	}
+	if err == nil {
+		err = r.confirmEnd(ctx, sending, choice)
+	}
 	if err != nil {
 		sending.abort()
 		return r.noteIncomplete(err, choice)
 	}
 	sending.finish(r.call.ID)
-	r.noteEndedByClose(sending, choice)
+	r.isEndCertain = true
 	r.noteEnded(sending.response.StatusCode, choice)
 	return balance.Served, served
 }
@@ -129,15 +136,10 @@
 // noteEnded records that an instance's response was relayed to its end.
 func (r *request) noteEnded(status int, choice balance.Choice) {
 	r.isComplete = true
-	r.pipeline.options.Guard.Completed(r.content())
-	r.pipeline.options.Log.Served(r, status, choice)
-}
-
-// noteEndedByClose logs a response that ended with its connection.
-func (r *request) noteEndedByClose(sending *exchange, choice balance.Choice) {
-	if sending.endsByClose() {
-		r.pipeline.options.Log.EndedByClose(r, choice)
+	if r.isEndCertain {
+		r.pipeline.options.Guard.Completed(r.content())
 	}
+	r.pipeline.options.Log.Served(r, status, choice)
 }
 
 // noteIncomplete logs why a response that has begun can't be completed, and returns the outcome.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -22,11 +22,11 @@
 	if lastEvent != "" {
 		r.pipeline.options.Log.StreamTakenUp(r, *choice)
 	}
-	err := r.relayEvents(sending, &lastEvent, choice)
+	err := r.relayEvents(ctx, sending, &lastEvent, choice)
 	if err == nil {
 		r.pipeline.options.Table.StreamEnded(choice.Service, r.hadLongGap())
 		sending.finish(r.call.ID)
-		r.noteEndedByClose(sending, *choice)
+		r.isEndCertain = true
 		r.noteEnded(sending.response.StatusCode, *choice)
 		return balance.Served, served
 	}
@@ -82,9 +82,9 @@
 
 // relayEvents relays complete events until the end of the stream; nil means that the stream ended
 // cleanly.
-func (r *request) relayEvents(sending *exchange, lastEvent *string, choice *balance.Choice) error {
+func (r *request) relayEvents(ctx context.Context, sending *exchange, lastEvent *string, choice *balance.Choice) error {
 	reader := newEventReader(sending.response.Body)
-	isFirst := true
+	isFirst, isFirstEvent := true, true
 	for {
 		next, err := reader.next()
 		if isFirst {
@@ -93,12 +93,15 @@
 			r.releasePrompt()
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return r.streamEnded(ctx, sending, !isFirstEvent, *choice)
 		}
 		if err != nil {
 			return err
 		}
 		r.events++
+		if isFirstEvent {
+			isFirstEvent = false
+		}
 		r.pace.note(time.Since(r.arrived))
 		if next.id != "" {
 			*lastEvent = next.id
@@ -122,6 +125,15 @@
 	}
 }
 
+// streamEnded returns an error if a stream that ended after a complete event, or without any, was broken
+// off.
+func (r *request) streamEnded(ctx context.Context, sending *exchange, hasEvents bool, choice balance.Choice) error {
+	if sending.endsByClose() && !hasEvents {
+		return errNoEvent
+	}
+	return r.confirmEnd(ctx, sending, choice)
+}
+
 func (r *request) mayResume(service string) bool {
 	if !r.route.Resumable || !r.isStreamVersionCertain() || r.instancesReached >= max(1, r.route.MaximumAttempts) || r.quarantineStatus() >= quarantine.Suspected {
 		return false
@@ -167,14 +179,15 @@
 		return false, err
 	}
 	r.pipeline.options.Log.StreamResumed(r, choice)
-	if err := r.relayEvents(sending, lastEvent, &choice); err != nil {
+	defer r.watchEnd(sending, choice)()
+	if err := r.relayEvents(ctx, sending, lastEvent, &choice); err != nil {
 		sending.abort()
 		r.noteInterrupted(ctx, sending.interruptedRun(r, choice), "resumed_broken", err)
 		r.pipeline.options.Table.Done(environment.Now(), choice, r.failureOutcome(choice))
 		return false, err
 	}
 	sending.finish(r.call.ID)
-	r.noteEndedByClose(sending, choice)
+	r.isEndCertain = true
 	r.pipeline.options.Table.Done(environment.Now(), choice, balance.Served)
 	r.noteEnded(http.StatusOK, choice)
 	return true, nil
