--- a/internal/coordination/quarantine/crashreport.go
+++ b/internal/coordination/quarantine/crashreport.go
@@ -63,4 +63,9 @@
 	Suspicion   Suspicion
 	// Route and Tenant are shown to operators.
 	Route, Tenant string
+	// Part is the ID of the part and Depth its index in the prompt, if Fingerprint is that of a part.
+	Part  string
+	Depth uint16
+	// Request is the hash of the fingerprint of the request that the part was in.
+	Request uint64
 }
--- a/internal/coordination/quarantine/decide.go
+++ b/internal/coordination/quarantine/decide.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -64,18 +65,22 @@
 	highestSuspicion map[registry.Incarnation]Suspicion
 	// explained are the crashes at which a quarantined request was in flight.
 	explained map[registry.Incarnation]bool
-	settled   func(crash) bool
+	now       time.Duration
+}
+
+// settled reports whether a crash counts against a suspect yet.
+func (d *derivation) settled(one *suspect, recorded crash) bool {
+	return recorded.at+one.settleTime() <= d.now
 }
 
 // derive puts requests into quarantine one after the other, the most certain first. The crashes
 // that a quarantined request explains count against no other request.
 func (t *Tracker) derive(now time.Duration) *derivation {
 	found := &derivation{
-		present: map[registry.Incarnation][]*suspect{}, highestSuspicion: map[registry.Incarnation]Suspicion{}, explained: map[registry.Incarnation]bool{},
-		settled: func(recorded crash) bool { return recorded.at+settleTime <= now },
+		present: map[registry.Incarnation][]*suspect{}, highestSuspicion: map[registry.Incarnation]Suspicion{}, explained: map[registry.Incarnation]bool{}, now: now,
 	}
 	t.settlesAt = 0
-	// candidates are the requests that may be quarantined. Most recorded requests were in flight
+	// candidates are the suspects that may be quarantined. Most recorded requests were in flight
 	// at only one crash. They need no count, because a rival of a candidate has more crashes.
 	var candidates []*suspect
 	for _, one := range t.suspects {
@@ -83,7 +88,7 @@
 		for incarnation, recorded := range one.crashes {
 			found.present[incarnation] = append(found.present[incarnation], one)
 			found.highestSuspicion[incarnation] = max(found.highestSuspicion[incarnation], recorded.suspicion)
-			if due := recorded.at + settleTime; due > now && (t.settlesAt == 0 || due < t.settlesAt) {
+			if due := recorded.at + one.settleTime(); due > now && (t.settlesAt == 0 || due < t.settlesAt) {
 				t.settlesAt = due
 			}
 		}
@@ -91,6 +96,7 @@
 			candidates = append(candidates, one)
 		}
 	}
+	candidates = slices.DeleteFunc(candidates, func(one *suspect) bool { return !found.mayBeCause(one) })
 	slices.SortFunc(candidates, func(a, b *suspect) int { return a.compare(b.Fingerprint) })
 	for {
 		for _, one := range candidates {
@@ -98,6 +104,7 @@
 		}
 		position := found.mostCertain(candidates)
 		if position < 0 {
+			found.quarantineProvenElsewhere(t.suspects)
 			return found
 		}
 		chosen := candidates[position]
@@ -114,7 +121,7 @@
 func (d *derivation) counted(one *suspect) []registry.Incarnation {
 	var incarnations []registry.Incarnation
 	for incarnation, recorded := range one.crashes {
-		if d.settled(recorded) && !d.explained[incarnation] && d.isMostSuspicious(incarnation, recorded) {
+		if d.settled(one, recorded) && !d.explained[incarnation] && d.isMostSuspicious(incarnation, recorded) {
 			incarnations = append(incarnations, incarnation)
 		}
 	}
@@ -126,22 +133,33 @@
 // before others; then the proven ones, those that more crashes count against before others. The
 // crashes of a request that was the most suspicious at each of at least certainCrashes crashes are
 // not explained by other requests. Otherwise two poison requests at the same engines would
-// alternately explain each other's crashes.
+// alternately explain each other's crashes. Of suspects with equally many the narrowest comes first.
 func (d *derivation) mostCertain(candidates []*suspect) int {
-	best, bestCrashes, bestCounted := -1, 0, 0
+	best := -1
+	var bestRank certainty
 	for position, one := range candidates {
-		crashes := max(d.countUnexplained(one), d.countMostSuspicious(one))
-		if crashes < certainCrashes {
-			crashes = 0
+		rank := certainty{crashes: d.countMostSuspicious(one), counted: one.counted, narrowness: one.narrowness()}
+		if unexplained := d.countUnexplained(one); !one.IsPart() || unexplained >= presentPartCrashes {
+			rank.crashes = max(rank.crashes, unexplained)
 		}
-		if crashes < bestCrashes || crashes == bestCrashes && one.counted <= bestCounted || crashes == 0 && !d.isProven(one) {
+		if rank.crashes < certainCrashes {
+			rank.crashes = 0
+		}
+		if best >= 0 && rank.compare(bestRank) <= 0 || rank.crashes == 0 && !d.isProven(one) {
 			continue
 		}
-		best, bestCrashes, bestCounted = position, crashes, one.counted
+		best, bestRank = position, rank
 	}
 	return best
 }
 
+// certainty is how certain it is that a suspect caused its crashes.
+type certainty struct{ crashes, counted, narrowness int }
+
+func (c certainty) compare(other certainty) int {
+	return cmp.Or(cmp.Compare(c.crashes, other.crashes), cmp.Compare(c.counted, other.counted), cmp.Compare(c.narrowness, other.narrowness))
+}
+
 // isMostSuspicious reports whether no other request at a crash was more suspicious, and the request
 // was suspicious at all.
 func (d *derivation) isMostSuspicious(incarnation registry.Incarnation, recorded crash) bool {
@@ -175,10 +193,13 @@
 	})
 }
 
-// countMostSuspicious returns at how many crashes no other request was more suspicious.
+// countMostSuspicious returns at how many crashes no other request was more suspicious. What was in the same
+// request as a quarantined suspect does not count.
 func (d *derivation) countMostSuspicious(one *suspect) int {
 	return d.count(one, func(incarnation registry.Incarnation, recorded crash) bool {
-		return d.isMostSuspicious(incarnation, recorded)
+		return d.isMostSuspicious(incarnation, recorded) && !slices.ContainsFunc(d.present[incarnation], func(other *suspect) bool {
+			return other.isQuarantined && other != one && one.isInSameRequest(other, incarnation)
+		})
 	})
 }
 
@@ -186,7 +207,7 @@
 func (d *derivation) count(one *suspect, meets func(registry.Incarnation, crash) bool) int {
 	count := 0
 	for incarnation, recorded := range one.crashes {
-		if d.settled(recorded) && meets(incarnation, recorded) {
+		if d.settled(one, recorded) && meets(incarnation, recorded) {
 			count++
 		}
 	}
@@ -195,10 +216,11 @@
 
 // hasRival reports whether another request, not in quarantine, that was among the most suspicious at
 // a crash has at least as many crashes counted against it. Only a further crash can then distinguish
-// the two.
+// the two. A part and its request are not rivals, nor are two parts of one request: the narrowest of them
+// is chosen.
 func (d *derivation) hasRival(one *suspect, incarnation registry.Incarnation) bool {
 	return slices.ContainsFunc(d.present[incarnation], func(other *suspect) bool {
-		return other != one && !other.isQuarantined && other.counted >= one.counted && other.crashes[incarnation].suspicion == d.highestSuspicion[incarnation]
+		return other != one && !other.isQuarantined && !one.isInSameRequest(other, incarnation) && other.counted >= one.counted && other.crashes[incarnation].suspicion == d.highestSuspicion[incarnation]
 	})
 }
 
--- a/internal/coordination/quarantine/guard.go
+++ b/internal/coordination/quarantine/guard.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
@@ -26,6 +27,12 @@
 // readers.
 type View struct {
 	byScope map[uint64][]requestStatus
+	// parts holds the status of each part of prompts against which crashes are recorded.
+	parts map[Fingerprint]Status
+	// clearings holds how often each part was cleared, without those that never were.
+	clearings map[Fingerprint]uint32
+	// provenParts are the hashes of the IDs of the parts in quarantine, whichever caller's they are.
+	provenParts map[uint64]bool
 }
 
 type requestStatus struct {
@@ -35,9 +42,19 @@
 
 // View returns the status of each request against which crashes are recorded.
 func (t *Tracker) View() *View {
-	view := &View{byScope: map[uint64][]requestStatus{}}
+	view := &View{byScope: map[uint64][]requestStatus{}, parts: map[Fingerprint]Status{}, provenParts: map[uint64]bool{}, clearings: map[Fingerprint]uint32{}}
 	for _, one := range t.suspects {
-		if len(one.crashes) > 0 {
+		if one.IsPart() && one.generation > 0 {
+			view.clearings[one.Fingerprint] = one.generation
+		}
+		switch {
+		case len(one.crashes) == 0:
+		case one.IsPart():
+			view.parts[one.Fingerprint] = one.status()
+			if one.isQuarantined {
+				view.provenParts[one.Body] = true
+			}
+		default:
 			view.byScope[one.Scope] = append(view.byScope[one.Scope], requestStatus{one.Fingerprint, one.status()})
 		}
 	}
@@ -48,7 +65,7 @@
 	switch {
 	case s.isQuarantined:
 		return Quarantined
-	case s.counted >= suspectCrashes:
+	case s.counted >= suspectCrashes, s.IsPart() && len(s.crashes) >= suspectCrashes:
 		return Suspected
 	}
 	return Known
@@ -59,6 +76,14 @@
 type Request interface {
 	Scope() uint64
 	Body() []byte
+	// Parts are the parts of the request's prompt that other requests may share, in order.
+	Parts() []Part
+}
+
+// Part is a part of a request's prompt.
+type Part struct {
+	Fingerprint
+	ID string
 }
 
 // FingerprintOfRequest returns the fingerprint of a request.
@@ -66,9 +91,32 @@
 	return FingerprintOf(request.Scope(), request.Body())
 }
 
-// Status returns the status of a request.
+// Status returns the status of a request: its own, or that of the worst part of its prompt.
 func (v *View) Status(request Request) Status {
-	if v == nil || len(v.byScope) == 0 {
+	if v == nil {
+		return Unknown
+	}
+	status := v.requestStatus(request)
+	if len(v.parts) == 0 {
+		return status
+	}
+	for _, part := range request.Parts() {
+		status = max(status, v.partStatus(part.Fingerprint))
+	}
+	return status
+}
+
+// partStatus returns the status of a part. One that is in quarantine for another caller is Suspected.
+func (v *View) partStatus(part Fingerprint) Status {
+	status := v.parts[part]
+	if status < Suspected && v.provenParts[part.Body] {
+		return Suspected
+	}
+	return status
+}
+
+func (v *View) requestStatus(request Request) Status {
+	if len(v.byScope) == 0 {
 		return Unknown
 	}
 	known := v.byScope[request.Scope()]
@@ -91,6 +139,8 @@
 	EnginesCrashed(reports []CrashReport)
 	// RequestCompleted receives a request that ran to completion, which clears it.
 	RequestCompleted(fingerprint Fingerprint)
+	// PartWritten receives a part on which an engine wrote a response, which clears it.
+	PartWritten(fingerprint Fingerprint)
 }
 
 // minimumCompleted is the minimum number of the latest completed requests that a Guard remembers, at
@@ -107,6 +157,8 @@
 	// completed and completedBefore are the requests that recently ran to completion here.
 	// completed replaces completedBefore when it holds minimumCompleted requests.
 	completed, completedBefore map[Fingerprint]struct{}
+	// written are the parts on which engines recently wrote responses.
+	written writtenParts
 }
 
 // noSink drops all reports.
@@ -114,6 +166,7 @@
 
 func (noSink) EnginesCrashed([]CrashReport) {}
 func (noSink) RequestCompleted(Fingerprint) {}
+func (noSink) PartWritten(Fingerprint)      {}
 
 // NewGuard returns a guard without a view. With a nil sink it drops its reports.
 func NewGuard(sink Sink) *Guard {
@@ -123,8 +176,14 @@
 	return &Guard{sink: sink, completed: map[Fingerprint]struct{}{}, completedBefore: map[Fingerprint]struct{}{}}
 }
 
-// SetView replaces the view in which requests are looked up.
-func (g *Guard) SetView(view *View) { g.view.Store(view) }
+// SetView replaces the view in which requests are looked up. Parts in it on which engines wrote responses
+// at this node are cleared.
+func (g *Guard) SetView(now time.Duration, view *View) {
+	g.view.Store(view)
+	for _, fingerprint := range g.takeWritten(now, view) {
+		g.sink.PartWritten(fingerprint)
+	}
+}
 
 // Status returns the status of a request in the current view.
 func (g *Guard) Status(request Request) Status { return g.view.Load().Status(request) }
@@ -138,22 +197,30 @@
 		g.completed, g.completedBefore = map[Fingerprint]struct{}{}, g.completed
 	}
 	g.mutex.Unlock()
-	if g.Status(request) != Unknown {
+	if g.view.Load().isRecorded(request) {
 		g.sink.RequestCompleted(fingerprint)
 	}
 }
 
+// isRecorded reports whether crashes are recorded against the request itself.
+func (v *View) isRecorded(request Request) bool {
+	return v != nil && v.requestStatus(request) != Unknown
+}
+
 // InFlightRun is a run that was in flight at an engine when the engine crashed.
 type InFlightRun struct {
 	Fingerprint   Fingerprint
 	Run           Run
 	Route, Tenant string
+	// Parts are the parts of the request's prompt. They are left out if the engine had begun to write the
+	// response.
+	Parts []Part
 }
 
 // ReportCrash reports the runs that were in flight at an engine that has certainly crashed. Those
 // of a request that recently ran to completion here are Excused: identical requests that many
 // callers send are in flight at the crashes of many engines.
-func (g *Guard) ReportCrash(incarnation registry.Incarnation, runs []InFlightRun) {
+func (g *Guard) ReportCrash(now time.Duration, incarnation registry.Incarnation, runs []InFlightRun) {
 	reports := make([]CrashReport, 0, len(runs))
 	for _, one := range runs {
 		suspicion := one.Run.Suspicion()
@@ -161,6 +228,7 @@
 			suspicion = Excused
 		}
 		reports = append(reports, CrashReport{Fingerprint: one.Fingerprint, Incarnation: incarnation, Suspicion: suspicion, Route: one.Route, Tenant: one.Tenant})
+		reports = append(reports, g.partReports(now, incarnation, one)...)
 	}
 	if len(reports) > 0 {
 		g.sink.EnginesCrashed(reports)
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -59,9 +60,11 @@
 	Suspicion   Suspicion            `msgpack:"s"`
 	// Age is the time from the crash to the sending of the record, in nanoseconds.
 	Age time.Duration `msgpack:"a"`
+	// Request is the hash of the fingerprint of the request that a part was in, 0 for a request.
+	Request uint64 `msgpack:"q,omitempty"`
 }
 
-// Record is what one node sends another about a request.
+// Record is what one node sends another about a request or a part of prompts.
 type Record struct {
 	Fingerprint Fingerprint `msgpack:"f"`
 	// Generation is the number of times the request was cleared. A record replaces those with a
@@ -70,17 +73,25 @@
 	Route      string          `msgpack:"r"`
 	Tenant     string          `msgpack:"t"`
 	Crashes    []RecordedCrash `msgpack:"e"`
+	// Part is the ID of a part, shortened to maximumPartBytes, and Depth its largest index in a
+	// prompt.
+	Part  string `msgpack:"p,omitempty"`
+	Depth uint16 `msgpack:"d,omitempty"`
 }
 
-// suspect is a request that was in flight when some engine crashed.
+// suspect is a request, or a part of prompts, that was in flight when some engine crashed.
 type suspect struct {
 	Fingerprint
 	generation    uint32
 	route, tenant string
+	part          string
+	depth         uint16
 	crashes       map[registry.Incarnation]crash
 	// counted and isQuarantined are derived from the crashes of all suspects.
 	counted       int
 	isQuarantined bool
+	// isOnProbation reports whether a part has left quarantine because its crashes are old.
+	isOnProbation bool
 	// changedAt is the time of the last crash or clearing.
 	changedAt time.Duration
 }
@@ -88,6 +99,14 @@
 type crash struct {
 	suspicion Suspicion
 	at        time.Duration
+	// request is the hash of the fingerprint of the request that a part was in.
+	request uint64
+}
+
+// isLess orders what is recorded of one suspect at one crash. Nodes keep the greatest, so that they
+// agree.
+func (c crash) isLess(suspicion Suspicion, request uint64) bool {
+	return cmp.Or(cmp.Compare(c.suspicion, suspicion), cmp.Compare(c.request, request)) < 0
 }
 
 // Tracker records which requests were in flight when engines crashed, and derives which are in
@@ -108,7 +127,7 @@
 	// digest is the digest of the records that are sent to other nodes, valid while
 	// isDigestKnown. It is compared with each hello of a control node, some 40 per second from
 	// 25 control nodes, so it is computed again only after a change.
-	digest        uint64
+	digest        Digest
 	isDigestKnown bool
 }
 
@@ -128,7 +147,8 @@
 		return
 	}
 	one.route, one.tenant = report.Route, report.Tenant
-	if t.addCrash(one, RecordedCrash{Incarnation: report.Incarnation, Suspicion: report.Suspicion}, now) {
+	one.describePart(report.Part, report.Depth)
+	if t.addCrash(one, RecordedCrash{Incarnation: report.Incarnation, Suspicion: report.Suspicion, Request: report.Request}, now) {
 		t.pendingUpdates[report.Fingerprint] = struct{}{}
 	}
 }
@@ -142,7 +162,7 @@
 	}
 	one.generation++
 	clear(one.crashes)
-	one.changedAt = now
+	one.changedAt, one.isOnProbation = now, false
 	t.markOutdated()
 	t.pendingUpdates[fingerprint] = struct{}{}
 	return true
@@ -167,9 +187,11 @@
 	if record.Generation > one.generation {
 		one.generation = record.Generation
 		clear(one.crashes)
+		one.isOnProbation = false
 		t.markOutdated()
 	}
 	one.route, one.tenant = cmp.Or(one.route, record.Route), cmp.Or(one.tenant, record.Tenant)
+	one.describePart(record.Part, record.Depth)
 	for _, received := range record.Crashes {
 		if received.Suspicion >= Excused && received.Suspicion <= Likely {
 			t.addCrash(one, received, now-max(0, received.Age))
@@ -225,7 +247,7 @@
 func (s *suspect) compareRank(crashes int, other *suspect) int {
 	rank := func(one *suspect, crashes int) int {
 		if one.isQuarantined {
-			return maximumCrashes + 1
+			return maximumPartCrashes + 1
 		}
 		return crashes
 	}
@@ -247,13 +269,13 @@
 // addCrash records a crash and reports whether it changes the suspect.
 func (t *Tracker) addCrash(one *suspect, received RecordedCrash, at time.Duration) bool {
 	known, found := one.crashes[received.Incarnation]
-	if found && known.suspicion >= received.Suspicion || !found && len(one.crashes) >= maximumCrashes {
+	if found && !known.isLess(received.Suspicion, received.Request) || !found && len(one.crashes) >= one.maximumCrashes() {
 		return false
 	}
 	if found {
 		at = known.at
 	}
-	one.crashes[received.Incarnation] = crash{suspicion: received.Suspicion, at: at}
+	one.crashes[received.Incarnation] = crash{suspicion: received.Suspicion, at: at, request: received.Request}
 	one.changedAt = max(one.changedAt, at)
 	t.markOutdated()
 	return true
@@ -268,7 +290,7 @@
 	}
 	t.expiresAt = now + expireInterval
 	for fingerprint, one := range t.suspects {
-		if now-one.changedAt <= t.options.Retention {
+		if now-one.changedAt <= t.retentionOf(one) {
 			continue
 		}
 		if !one.isQuarantined {
@@ -276,11 +298,11 @@
 			continue
 		}
 		kept := one.latest(suspectCrashes)
-		clear(one.crashes)
+		maps.DeleteFunc(one.crashes, func(incarnation registry.Incarnation, _ crash) bool { return !slices.Contains(kept, incarnation) })
 		for _, incarnation := range kept {
-			one.crashes[incarnation] = crash{suspicion: Likely, at: now - settleTime}
+			one.crashes[incarnation] = crash{suspicion: Likely, at: now - settleTime, request: one.crashes[incarnation].request}
 		}
-		one.changedAt = now
+		one.changedAt, one.isOnProbation = now, one.IsPart()
 		t.markOutdated()
 	}
 }
@@ -326,10 +348,13 @@
 }
 
 func (s *suspect) record(now time.Duration) Record {
-	record := Record{Fingerprint: s.Fingerprint, Generation: s.generation, Route: s.route, Tenant: s.tenant, Crashes: make([]RecordedCrash, 0, len(s.crashes))}
+	record := Record{
+		Fingerprint: s.Fingerprint, Generation: s.generation, Route: s.route, Tenant: s.tenant, Part: s.part, Depth: s.depth,
+		Crashes: make([]RecordedCrash, 0, len(s.crashes)),
+	}
 	for _, incarnation := range s.incarnations() {
 		recorded := s.crashes[incarnation]
-		record.Crashes = append(record.Crashes, RecordedCrash{Incarnation: incarnation, Suspicion: recorded.suspicion, Age: now - recorded.at})
+		record.Crashes = append(record.Crashes, RecordedCrash{Incarnation: incarnation, Suspicion: recorded.suspicion, Age: now - recorded.at, Request: recorded.request})
 	}
 	return record
 }
@@ -381,19 +406,29 @@
 	return records
 }
 
-// Digest is equal on nodes that would send the same records, and 0 on nodes without any to send.
-func (t *Tracker) Digest() uint64 {
+// Digest identifies the records that a node would send to others.
+type Digest struct {
+	// Requests and Parts are 0 on nodes without a record of a request, or of a part.
+	Requests, Parts uint64
+}
+
+// Digest is equal on nodes that would send the same records.
+func (t *Tracker) Digest() Digest {
 	if !t.isDigestKnown {
 		t.digest, t.isDigestKnown = t.computeDigest(), true
 	}
 	return t.digest
 }
 
-func (t *Tracker) computeDigest() uint64 {
-	digest := uint64(0)
+func (t *Tracker) computeDigest() Digest {
+	var digest Digest
 	for _, one := range t.suspects {
-		if one.isShared() {
-			digest ^= one.stateHash()
+		switch {
+		case !one.isShared():
+		case one.IsPart():
+			digest.Parts ^= one.stateHash()
+		default:
+			digest.Requests ^= one.stateHash()
 		}
 	}
 	return digest
@@ -417,7 +452,7 @@
 	}
 	rank := func(one Summary) int {
 		if one.IsQuarantined {
-			return maximumCrashes + 1
+			return maximumPartCrashes + 1
 		}
 		return one.Counted
 	}
--- a/internal/coordination/quarantine/tracker_test.go
+++ b/internal/coordination/quarantine/tracker_test.go
@@ -171,7 +171,7 @@
 		report(one, 0, incarnation(reported.incarnation), reported.suspicion, testFingerprint(reported.request))
 		records = append(records, one.Records(0)...)
 	}
-	var digests []uint64
+	var digests []Digest
 	permute(records, func(order []Record) {
 		tracker := NewTracker(Options{})
 		for _, record := range order {
@@ -252,12 +252,15 @@
 }
 
 func (s sinkOf) RequestCompleted(fingerprint Fingerprint) { s.tracker.Clear(0, fingerprint) }
+func (s sinkOf) PartWritten(fingerprint Fingerprint)      { s.tracker.Clear(0, fingerprint) }
 
 type textRequest struct{ body string }
 
 func (textRequest) Scope() uint64  { return 7 }
 func (r textRequest) Body() []byte { return []byte(r.body) }
 
+func (textRequest) Parts() []Part { return nil }
+
 // Identical requests that many callers send are in flight at the crashes of many engines, and run
 // to completion all the time.
 func TestPopularRequestIsNotQuarantined(t *testing.T) {
@@ -267,9 +270,9 @@
 	runs := []InFlightRun{{Fingerprint: FingerprintOfRequest(popular), Run: Run{ResponseBegan: true, RespondsAtStart: true}}}
 	for number := range 6 {
 		guard.Completed(popular)
-		guard.ReportCrash(incarnation(number), runs)
+		guard.ReportCrash(0, incarnation(number), runs)
 		tracker.Decide(settleTime)
-		guard.SetView(tracker.View())
+		guard.SetView(0, tracker.View())
 		assert.Assert(t, guard.Status(popular) != Quarantined)
 	}
 }
@@ -279,10 +282,10 @@
 	guard := NewGuard(sinkOf{tracker})
 	poison := textRequest{"poison"}
 	for number := range 3 {
-		guard.ReportCrash(incarnation(number), []InFlightRun{{Fingerprint: FingerprintOfRequest(poison), Run: Run{}}})
+		guard.ReportCrash(0, incarnation(number), []InFlightRun{{Fingerprint: FingerprintOfRequest(poison), Run: Run{}}})
 	}
 	tracker.Decide(settleTime)
-	guard.SetView(tracker.View())
+	guard.SetView(0, tracker.View())
 	assert.Equal(t, guard.Status(poison), Quarantined)
 	assert.Equal(t, guard.Status(textRequest{"potion"}), Unknown)
 	assert.Equal(t, guard.Status(unhashable{}), Unknown)
@@ -293,6 +296,7 @@
 
 func (unhashable) Scope() uint64 { return 8 }
 func (unhashable) Body() []byte  { panic("the body of a request of another scope was read") }
+func (unhashable) Parts() []Part { return nil }
 
 // BenchmarkDecide decides on the maximum number of requests that a tracker keeps by default.
 func BenchmarkDecide(b *testing.B) {
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -66,6 +66,10 @@
 	dials := 0
 	var last errorResponse
 	for {
+		if r.quarantineStatus() == quarantine.Quarantined {
+			r.giveUp(last, ReasonQuarantined)
+			return
+		}
 		choice, found := r.choose(ctx, service)
 		if !found {
 			r.giveUp(last, r.reasonForNoChoice(service))
@@ -101,10 +105,6 @@
 			r.giveUp(last, r.reasonForFailedAttempts(result, service))
 			return
 		}
-		if r.quarantineStatus() == quarantine.Quarantined {
-			r.giveUp(last, ReasonQuarantined)
-			return
-		}
 		r.pipeline.options.Log.Retried(r, choice)
 	}
 }
--- a/internal/forward/closedends.go
+++ b/internal/forward/closedends.go
@@ -11,6 +11,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/state/document"
 )
 
 // The end of a response with neither a length nor chunks is the end of its connection, which is also what
@@ -19,11 +20,11 @@
 // the end of the response would not show a crash if another process listens at the address by then.
 
 const (
-	// closedEndQuietTime is how long after a response the witness must stay open: a crashing process closes
-	// its connections within this time. It delays the end of the response.
-	closedEndQuietTime = 5 * time.Millisecond
-	// relayedQuietTime is closedEndQuietTime through a relay, whose streams may end one after the other.
-	relayedQuietTime = 30 * time.Millisecond
+	// streamQuietTime is how long after a stream's last event the witness must stay open: a crashing process
+	// closes its connections in any order within this time. It delays the end of the stream, and no event.
+	streamQuietTime = aliveCheckTime
+	// wholeQuietTime is streamQuietTime for other responses, which it delays as a whole.
+	wholeQuietTime = 20 * time.Millisecond
 	// maximumWitnessAge is how old the witness of a further response may be.
 	maximumWitnessAge = 2 * time.Second
 	// maximumIdleAge is the age from which on the engine may have closed the witness because it is idle.
@@ -135,8 +136,9 @@
 	processMayRun
 )
 
-// process returns the state of the engine's process at the end of a response.
-func (w *endWitness) process(ctx context.Context) processState {
+// process returns the state of the engine's process at the end of a response, after it has been quiet for a
+// time.
+func (w *endWitness) process(ctx context.Context, quietTime time.Duration) processState {
 	select {
 	case <-w.opened:
 	case <-ctx.Done():
@@ -148,10 +150,6 @@
 	if w.err != nil {
 		return processUnknown
 	}
-	quietTime := closedEndQuietTime
-	if w.connection.relayed != nil {
-		quietTime = relayedQuietTime
-	}
 	quiet := time.NewTimer(quietTime)
 	defer quiet.Stop()
 	select {
@@ -182,7 +180,11 @@
 		return nil
 	}
 	r.pipeline.options.Log.EndedByClose(r, choice)
-	process := sending.witness.process(ctx)
+	quietTime := wholeQuietTime
+	if r.route.Kind == document.Stream {
+		quietTime = streamQuietTime
+	}
+	process := sending.witness.process(ctx, quietTime)
 	if process == processUnknown {
 		return errEndUnconfirmed
 	}
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -48,6 +50,7 @@
 	r.pipeline.options.Table.RunInterrupted(r.pipeline.options.Environment.Now(), interrupted.choice.Incarnation())
 	r.pipeline.crashes.runInterrupted(interrupted.choice, quarantine.InFlightRun{
 		Fingerprint: quarantine.FingerprintOfRequest(r.content()), Run: interrupted.run, Route: r.route.Name, Tenant: r.callerIdentity(),
+		Parts: r.suspectParts(),
 	})
 }
 
@@ -70,6 +73,7 @@
 type requestContent struct {
 	scope uint64
 	body  []byte
+	parts []quarantine.Part
 }
 
 // Scope implements quarantine.Request.
@@ -78,11 +82,42 @@
 // Body implements quarantine.Request.
 func (c requestContent) Body() []byte { return c.body }
 
+// Parts implements quarantine.Request.
+func (c requestContent) Parts() []quarantine.Part { return c.parts }
+
 func (r *request) content() requestContent {
 	if r.scope == 0 {
 		r.scope = quarantine.ScopeOf(r.incoming.Host+r.incoming.RequestURI, r.callerIdentity())
+		r.parts = sharedParts(r.call, r.callerIdentity())
+	}
+	return requestContent{scope: r.scope, body: r.body, parts: r.parts}
+}
+
+// sharedParts returns the parts of a prompt that other requests may share: all but the last.
+func sharedParts(call *Call, caller string) []quarantine.Part {
+	if len(call.Parts) < 2 {
+		return nil
+	}
+	scope := quarantine.PartScopeOf(call.Model, caller)
+	parts := make([]quarantine.Part, 0, len(call.Parts)-1)
+	for _, part := range call.Parts[:len(call.Parts)-1] {
+		parts = append(parts, quarantine.Part{Fingerprint: quarantine.PartFingerprintOf(scope, part.ID), ID: part.ID})
+	}
+	return parts
+}
+
+// suspectParts returns the parts of the request's prompt that may have crashed an engine: none once an
+// engine has written a part of the response.
+func (r *request) suspectParts() []quarantine.Part {
+	if r.events > 0 {
+		return nil
 	}
-	return requestContent{scope: r.scope, body: r.body}
+	return r.content().parts
+}
+
+// noteWritten records that an engine wrote a response to the request, or a part of one.
+func (r *request) noteWritten() {
+	r.pipeline.options.Guard.Written(r.pipeline.options.Environment.Now(), r.content())
 }
 
 // quarantineStatus returns the quarantine status of the request.
@@ -123,6 +158,19 @@
 	unreported []quarantine.InFlightRun
 }
 
+// addUnreported adds a run. Beyond maximumReportedRuns the least suspicious run is dropped.
+func (e *suspectedEngine) addUnreported(run quarantine.InFlightRun) {
+	if len(e.unreported) < maximumReportedRuns {
+		e.unreported = append(e.unreported, run)
+		return
+	}
+	bySuspicion := func(a, b quarantine.InFlightRun) int { return cmp.Compare(a.Run.Suspicion(), b.Run.Suspicion()) }
+	if least := slices.MinFunc(e.unreported, bySuspicion); bySuspicion(run, least) > 0 {
+		position := slices.IndexFunc(e.unreported, func(one quarantine.InFlightRun) bool { return bySuspicion(one, least) == 0 })
+		e.unreported[position] = run
+	}
+}
+
 func newCrashDetector(pipeline *Pipeline) *crashDetector {
 	return &crashDetector{pipeline: pipeline, engines: map[registry.Incarnation]*suspectedEngine{}}
 }
@@ -140,8 +188,8 @@
 	}
 	// A brittle engine crashes because of its rejections, and not because of a run.
 	isBrittle := d.pipeline.options.Slots.IsBrittle(choice.Instance)
-	if len(engine.unreported) < maximumReportedRuns && !isBrittle {
-		engine.unreported = append(engine.unreported, run)
+	if !isBrittle {
+		engine.addUnreported(run)
 	}
 	hasCrashed, isChecking := engine.hasCrashed, engine.isChecking
 	engine.isChecking = true
@@ -254,6 +302,6 @@
 	}
 	d.mutex.Unlock()
 	if len(runs) > 0 && !d.pipeline.options.Table.IsLeaving(incarnation) {
-		d.pipeline.options.Guard.ReportCrash(incarnation, runs)
+		d.pipeline.options.Guard.ReportCrash(d.pipeline.options.Environment.Now(), incarnation, runs)
 	}
 }
--- a/internal/forward/crashes_test.go
+++ b/internal/forward/crashes_test.go
@@ -92,13 +92,21 @@
 	s.change(func(now time.Duration) { s.tracker.Clear(now, fingerprint) })
 }
 
+func (s *trackerSink) PartWritten(fingerprint quarantine.Fingerprint) {
+	s.RequestCompleted(fingerprint)
+}
+
 func (s *trackerSink) change(change func(now time.Duration)) {
+	s.guard.SetView(time.Since(s.began), s.changedView(change))
+}
+
+func (s *trackerSink) changedView(change func(now time.Duration)) *quarantine.View {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	change(time.Since(s.began))
 	// One second later every crash counts.
 	s.tracker.Decide(time.Since(s.began) + time.Second)
-	s.guard.SetView(s.tracker.View())
+	return s.tracker.View()
 }
 
 func (s *trackerSink) reported() int {
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -39,6 +39,8 @@
 	// generated; HasTokens indicates that they are known.
 	TokensIn, TokensOut uint64
 	HasTokens           bool
+	// Model is the name of the model that is to respond, "" if the caller names none.
+	Model string
 	// Parts are the parts of the prompt in order.
 	Parts []PromptPart
 	// LastEvent is the event after which the caller resumes a stream, or "".
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -238,8 +238,10 @@
 	tokenWait time.Duration
 	// pace records when a stream's events arrived.
 	pace eventPace
-	// scope is part of the request's identity, 0 until it is first computed, see content.
+	// scope is part of the request's identity, and parts are those of its prompt that other requests may
+	// share. scope is 0 until both are first computed, see content.
 	scope uint64
+	parts []quarantine.Part
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -139,6 +139,9 @@
 	if r.isEndCertain {
 		r.pipeline.options.Guard.Completed(r.content())
 	}
+	if r.isEndCertain && r.route.Kind != document.Stream && status < http.StatusMultipleChoices {
+		r.noteWritten()
+	}
 	r.pipeline.options.Log.Served(r, status, choice)
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -101,6 +101,7 @@
 		r.events++
 		if isFirstEvent {
 			isFirstEvent = false
+			r.noteWritten()
 		}
 		r.pace.note(time.Since(r.arrived))
 		if next.id != "" {
--- a/internal/forward/waiting.go
+++ b/internal/forward/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
@@ -35,17 +36,24 @@
 	delete(w.cancels, waiting)
 }
 
-// CancelQuarantined applies a verdict: it cancels a request with the fingerprint that waits at an
-// engine before the engine starts it. In an overload such requests wait there for up to two
+// CancelQuarantined applies a verdict: it cancels a request with the fingerprint, or with the part of that
+// fingerprint in its prompt, that waits at an engine before the engine starts it. In an overload such requests wait there for up to two
 // seconds, several of one fingerprint at a time, and each would crash one more engine. A request
 // whose response has begun continues: if it completes, the verdict was wrong.
 func (p *Pipeline) CancelQuarantined(fingerprint quarantine.Fingerprint) {
 	p.waiting.mutex.Lock()
 	defer p.waiting.mutex.Unlock()
 	for waiting, cancel := range p.waiting.cancels {
-		content := waiting.content()
-		if content.scope == fingerprint.Scope && uint64(len(content.body)) == fingerprint.Length && quarantine.FingerprintOfRequest(content) == fingerprint {
+		if waiting.content().isMeantBy(fingerprint) {
 			cancel(errQuarantined)
 		}
 	}
 }
+
+// isMeantBy reports whether a fingerprint is that of the request or of a part of its prompt.
+func (c requestContent) isMeantBy(fingerprint quarantine.Fingerprint) bool {
+	if fingerprint.IsPart() {
+		return slices.ContainsFunc(c.parts, func(part quarantine.Part) bool { return part.Fingerprint == fingerprint })
+	}
+	return c.scope == fingerprint.Scope && uint64(len(c.body)) == fingerprint.Length && quarantine.FingerprintOfRequest(c) == fingerprint
+}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -340,8 +340,10 @@
 		Entry: current.HasRole(settings.RoleEntry), Control: f.isControl(), Stopping: f.node.isStopping(),
 		Version: f.node.documents.version(), InstancesSum: f.registry.Digest(),
 		AgeMS: uint64(f.node.now().Milliseconds()), Evacuated: f.node.zones.current(),
-		QuarantineDigest: f.node.quarantine.digest.Load(), ProtocolVersion: peer.OwnProtocol, Build: f.node.options.Build,
+		ProtocolVersion: peer.OwnProtocol, Build: f.node.options.Build,
 	}
+	digest := f.node.quarantine.digest.Load()
+	hello.QuarantineDigest, hello.QuarantinedPartsDigest = digest.Requests, digest.Parts
 	if f.hasOlderPeers() {
 		hello.InstancesDigest = f.registry.OrderedDigest()
 	}
@@ -380,7 +382,7 @@
 	if hello.Control {
 		f.node.zones.handleHello(hello)
 		f.node.rollouts.handleHello(hello)
-		f.node.quarantine.handleDigest(hello.Address, hello.QuarantineDigest, isNew)
+		f.node.quarantine.handleHello(hello, isNew)
 		f.node.documents.handleVersion(follow.Node{Address: hello.Address, Zone: hello.Zone}, hello.Version)
 	}
 	if hello.Control && (isNew || len(hello.Nodes) > 0) {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -39,6 +39,30 @@
 	IsList bool   `msgpack:"l,omitempty"`
 	// Request requests the receiver's full list.
 	Request bool `msgpack:"a,omitempty"`
+	// Parts are the records of parts of prompts, and PartsDigest is their digest as Digest is that of
+	// Records.
+	Parts       []quarantine.Record `msgpack:"p,omitempty"`
+	PartsDigest uint64              `msgpack:"pd,omitempty"`
+}
+
+// newQuarantineMessage returns a message with records of requests and parts.
+func newQuarantineMessage(records []quarantine.Record) quarantineMessage {
+	var message quarantineMessage
+	for _, record := range records {
+		if record.Fingerprint.IsPart() {
+			message.Parts = append(message.Parts, record)
+		} else {
+			message.Records = append(message.Records, record)
+		}
+	}
+	return message
+}
+
+// newQuarantineList returns a control node's message with all records that have changed, or all.
+func newQuarantineList(records []quarantine.Record, digest quarantine.Digest) quarantineMessage {
+	message := newQuarantineMessage(records)
+	message.IsList, message.Digest, message.PartsDigest = true, digest.Requests, digest.Parts
+	return message
 }
 
 // quarantineDuty owns this node's records of requests that crash their engines (poison requests).
@@ -49,9 +73,9 @@
 	guard   *quarantine.Guard
 	ticks   int
 	// digest is the digest of the tracker's list.
-	digest atomic.Uint64
+	digest atomic.Pointer[quarantine.Digest]
 	// knownDigest is the digest of the control nodes' list that was last merged here.
-	knownDigest uint64
+	knownDigest quarantine.Digest
 	// mismatches is the number of consecutive hellos that reported another digest.
 	mismatches int
 	// decidedAt is when the tracker last decided.
@@ -75,6 +99,7 @@
 		tracker: quarantine.NewTracker(quarantine.Options{Retention: bounds.Retention, MaximumRequests: bounds.MaximumRequests}),
 	}
 	created.guard = quarantine.NewGuard(created)
+	created.digest.Store(&quarantine.Digest{})
 	created.duty.Tick, created.duty.Flush = created.tick, created.flush
 	if node.isControlRole() {
 		created.hints = newHintFile[[]quarantine.Record](node, quarantineHintFile)
@@ -98,6 +123,11 @@
 	q.duty.Offer(func() { q.clear(fingerprint, "ran_to_its_end") })
 }
 
+// PartWritten implements quarantine.Sink.
+func (q *quarantineDuty) PartWritten(fingerprint quarantine.Fingerprint) {
+	q.duty.Offer(func() { q.clear(fingerprint, "response_written") })
+}
+
 func (q *quarantineDuty) clear(fingerprint quarantine.Fingerprint, why string) bool {
 	if !q.tracker.Clear(q.node.now(), fingerprint) {
 		return false
@@ -110,7 +140,8 @@
 func (q *quarantineDuty) tick() {
 	q.ticks++
 	if q.hints != nil && q.ticks%quarantineHintTicks == 0 {
-		q.hints.writeIfChanged(q.digest.Load(), func() []quarantine.Record { return q.tracker.SharedRecords(q.node.now()) })
+		digest := q.digest.Load()
+		q.hints.writeIfChanged(digest.Requests^digest.Parts, func() []quarantine.Record { return q.tracker.SharedRecords(q.node.now()) })
 	}
 }
 
@@ -125,7 +156,7 @@
 	q.decidedAt = now
 	verdicts := q.tracker.Decide(now)
 	// Rebuilding the view takes a sixth of a millisecond for a list of a thousand requests.
-	q.guard.SetView(q.tracker.View())
+	q.guard.SetView(now, q.tracker.View())
 	for _, verdict := range verdicts {
 		q.logVerdict(verdict)
 		if verdict.IsQuarantined && q.node.pipeline != nil {
@@ -133,16 +164,16 @@
 		}
 	}
 	digest := q.tracker.Digest()
-	q.digest.Store(digest)
+	q.digest.Store(&digest)
 	updates := q.tracker.TakeUpdates(now)
 	if len(updates) > 0 {
-		q.sendTo(q.controls(), quarantineMessage{Records: updates})
+		q.sendTo(q.controls(), newQuarantineMessage(updates))
 	}
 	if q.node.replica == nil {
 		return
 	}
 	if changed := q.tracker.TakeChanged(now); len(changed) > 0 {
-		q.sendTo(q.entriesOfZone(), quarantineMessage{Records: changed, Digest: digest, IsList: true})
+		q.sendTo(q.entriesOfZone(), newQuarantineList(changed, digest))
 	}
 }
 
@@ -198,53 +229,63 @@
 	q.duty.Offer(func() {
 		now := q.node.now()
 		q.tracker.Merge(now, message.Records)
+		q.tracker.Merge(now, message.Parts)
 		if message.IsList {
-			q.knownDigest, q.mismatches = message.Digest, 0
+			q.knownDigest, q.mismatches = quarantine.Digest{Requests: message.Digest, Parts: message.PartsDigest}, 0
 		}
 		if message.Request && q.node.replica != nil {
-			q.sendTo([]string{from}, quarantineMessage{Records: q.tracker.Records(now), Digest: q.tracker.Digest(), IsList: true})
+			q.sendTo([]string{from}, newQuarantineList(q.tracker.Records(now), q.tracker.Digest()))
 		}
 	})
 }
 
-// handleDigest compares a control node's digest with the known one, and requests its list if they
+// handleHello compares a control node's digest with the known one, and requests its list if they
 // differ. A control node that is new or reachable again is sent all records of this node:
 // it may have been partitioned, or have lost its state.
-func (q *quarantineDuty) handleDigest(from string, digest uint64, isNew bool) {
-	if digest == 0 && q.digest.Load() == 0 && !isNew {
+func (q *quarantineDuty) handleHello(hello peer.Hello, isNew bool) {
+	digest := quarantine.Digest{Requests: hello.QuarantineDigest, Parts: hello.QuarantinedPartsDigest}
+	if digest == (quarantine.Digest{}) && *q.digest.Load() == digest && !isNew {
 		return
 	}
 	q.duty.Offer(func() {
 		if isNew {
-			q.sendAllTo(from)
+			q.sendAllTo(hello.Address)
+		}
+		if hello.ProtocolVersion < peer.ProtocolPromptParts {
+			// The control node records no parts, so its list has none.
+			digest.Parts = q.tracker.Digest().Parts
+			if digest.Requests == q.knownDigest.Requests {
+				digest = q.knownDigest
+			}
 		}
-		q.compare(from, digest)
+		q.compare(hello.Address, digest)
 	})
 }
 
 // sendAllTo sends all records of this node to one node.
 func (q *quarantineDuty) sendAllTo(receiver string) {
 	if records := q.tracker.Records(q.node.now()); len(records) > 0 {
-		q.sendTo([]string{receiver}, quarantineMessage{Records: records})
+		q.sendTo([]string{receiver}, newQuarantineMessage(records))
 	}
 }
 
-func (q *quarantineDuty) compare(from string, digest uint64) {
+func (q *quarantineDuty) compare(from string, digest quarantine.Digest) {
 	if digest == q.knownDigest || digest == q.tracker.Digest() {
 		q.mismatches = 0
 		return
 	}
 	now := q.node.now()
-	isFirst := q.knownDigest == 0
+	isFirst := q.knownDigest == quarantine.Digest{}
 	q.mismatches++
 	if !isFirst && q.mismatches <= toleratedMismatches || q.hasRequested && now-q.requestedAt < quarantineRequestInterval {
 		return
 	}
 	q.requestedAt, q.hasRequested, q.mismatches = now, true, 0
-	request := quarantineMessage{Request: true}
+	request := quarantineMessage{}
 	if q.node.replica != nil {
-		request.Records = q.tracker.Records(now)
+		request = newQuarantineMessage(q.tracker.Records(now))
 	}
+	request.Request = true
 	q.sendTo([]string{from}, request)
 }
 
--- a/internal/lab/simulate/poison.go
+++ b/internal/lab/simulate/poison.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
@@ -28,6 +29,9 @@
 	// WeighCrashesWithoutRetries is WeighCrashes, but nodes don't retry a suspected request: its
 	// caller may.
 	WeighCrashesWithoutRetries
+	// WeighCrashesSacrificial is WeighCrashesWithoutRetries, and all nodes send the requests against which,
+	// or against whose parts, any crash is recorded to the same engine, so that they crash no other one.
+	WeighCrashesSacrificial
 )
 
 // usesTracker reports whether the policy uses the trackers.
@@ -49,6 +53,8 @@
 	Partition bool
 	// CrashesBeforeResponse makes engines crash before the head of the response to a poison request is received.
 	CrashesBeforeResponse bool
+	// Parts are the parts of prompts; none if it is the zero value.
+	Parts PoisonPartOptions
 }
 
 // PoisonResult counts the outcomes of the requests.
@@ -61,6 +67,11 @@
 	// Requests are those of other callers. Served ran to completion, Refused were taken for poison,
 	// InFlightAtThreeCrashes were in flight at three or more crashes.
 	Requests, Served, Refused, InFlightAtThreeCrashes int
+	// LatePartRuns counts the runs of requests with a crashing part that were sent later than
+	// poisonReactionTime after its fifth crash, the maximum over the crashing parts. SoundInTrouble are the
+	// requests of other callers that arrived while crashing parts arrived, from twice poisonReactionTime
+	// after the first one on, and ServedInTrouble those of them that were served at the first attempt.
+	LatePartRuns, SoundInTrouble, ServedInTrouble int
 }
 
 // The size and rates of the fleet in the incident that the simulation reproduces. maximumLateRuns
@@ -81,7 +92,9 @@
 	// minimumDowntime and maximumDowntime bound the time until a crashed engine has restarted.
 	minimumDowntime, maximumDowntime = 2500 * time.Millisecond, 6 * time.Second
 	maximumLateRuns                  = 3
-	popularBody                      = 10
+	// exchangeInterval is the minimum time between two decisions of a control node, as in a fleet.
+	exchangeInterval = 20 * time.Millisecond
+	popularBody      = 10
 )
 
 // poisonWorld is the state of one run.
@@ -98,6 +111,8 @@
 	presence   map[quarantine.Fingerprint]map[registry.Incarnation]bool
 	crashTimes map[quarantine.Fingerprint][]time.Duration
 	lateRuns   map[quarantine.Fingerprint]int
+	// sentWithParts is the number of requests with crashing parts that were sent.
+	sentWithParts int
 }
 
 // poisonNode is an entry node: its tracker and its guard.
@@ -106,8 +121,9 @@
 	number  int
 	tracker *quarantine.Tracker
 	guard   *quarantine.Guard
-	// sentDigests are the digests of the records that the control nodes last sent to this node.
-	sentDigests [poisonControls]uint64
+	// hasList reports for each control node whether it has sent its list to this node since it was last
+	// out of reach.
+	hasList [poisonControls]bool
 }
 
 // poisonEngine is an engine with its restarts.
@@ -121,17 +137,26 @@
 type poisonRequest struct {
 	body     poisonBody
 	isPoison bool
-	retries  int
-	crashes  int
+	// cause is the fingerprint of what makes the request poison: its own, or that of a part.
+	cause quarantine.Fingerprint
+	// isInTrouble reports whether the request counts in PoisonResult.SoundInTrouble.
+	isInTrouble bool
+	retries     int
+	crashes     int
 }
 
 // poisonBody is the identity of a request.
-type poisonBody struct{ scope uint64 }
+type poisonBody struct {
+	scope uint64
+	parts []quarantine.Part
+}
 
 func (b poisonBody) Scope() uint64 { return b.scope }
 
 func (poisonBody) Body() []byte { return nil }
 
+func (b poisonBody) Parts() []quarantine.Part { return b.parts }
+
 // poisonRun is one run at one engine.
 type poisonRun struct {
 	request  *poisonRequest
@@ -141,7 +166,9 @@
 	// hasBegun reports whether the head of the response was received.
 	hasBegun bool
 	beganAt  time.Duration
-	ended    bool
+	// hasEvents reports whether the first event of the response was received.
+	hasEvents bool
+	ended     bool
 }
 
 // RunPoison simulates poison requests and the quarantine that stops them. It runs one seed.
@@ -167,20 +194,25 @@
 	w.schedule()
 
 	w.RunUntil(poisonLength)
-	for fingerprint := range w.lateRuns {
-		w.result.LateRuns = max(w.result.LateRuns, w.lateRuns[fingerprint])
+	for fingerprint, late := range w.lateRuns {
+		if fingerprint.IsPart() {
+			w.result.LatePartRuns = max(w.result.LatePartRuns, late)
+			continue
+		}
+		w.result.LateRuns = max(w.result.LateRuns, late)
 	}
 	return *w.result
 }
 
 func (w *poisonWorld) schedule() {
 	w.generateRequest()
+	w.scheduleCrashingParts()
 	for number := range w.options.PoisonRequests {
 		poison := poisonBody{scope: uint64(1_000_000 + number)}
 		w.After(5*time.Second+w.between(0, 3*time.Second), func() { w.repeatPoison(poison) })
 	}
 	if w.options.Policy.usesTracker() {
-		w.Every(100*time.Millisecond, func() bool { w.exchange(); return true })
+		w.Every(exchangeInterval, func() bool { w.exchange(); return true })
 	}
 	if w.options.OtherCrashes {
 		w.Every(2*time.Second, func() bool { w.failEngine(w.engines[w.Random.IntN(len(w.engines))]); return true })
@@ -192,6 +224,7 @@
 			})
 		}
 	}
+	w.scheduleSeries()
 	if w.options.Partition {
 		w.After(6*time.Second, func() { w.isPartitioned = true })
 		w.After(14*time.Second, func() { w.isPartitioned = false })
@@ -209,8 +242,13 @@
 		if w.options.IdenticalRequests && w.Random.IntN(popularBody) == 0 {
 			body = poisonBody{scope: popularBody}
 		}
+		body.parts = w.ordinaryParts()
 		w.result.Requests++
-		w.sendToRandomNode(&poisonRequest{body: body})
+		request := &poisonRequest{body: body, isInTrouble: w.isInPartTrouble()}
+		if request.isInTrouble {
+			w.result.SoundInTrouble++
+		}
+		w.sendToRandomNode(request)
 		w.generateRequest()
 	})
 }
@@ -218,7 +256,7 @@
 // repeatPoison sends a poison request again and again, sometimes several copies at the same time.
 func (w *poisonWorld) repeatPoison(poison poisonBody) {
 	for range 1 + w.Random.IntN(3) {
-		w.sendToRandomNode(&poisonRequest{body: poison, isPoison: true, retries: maximumRetries})
+		w.sendToRandomNode(&poisonRequest{body: poison, isPoison: true, cause: quarantine.FingerprintOfRequest(poison), retries: maximumRetries})
 	}
 	w.After(w.between(50*time.Millisecond, 600*time.Millisecond), func() { w.repeatPoison(poison) })
 }
@@ -267,6 +305,9 @@
 	if len(up) == 0 {
 		return nil
 	}
+	if w.options.Policy == WeighCrashesSacrificial && node.guard.Status(request.body) >= quarantine.Known {
+		return slices.MinFunc(up, func(a, b *poisonEngine) int { return strings.Compare(a.incarnation.ID, b.incarnation.ID) })
+	}
 	if w.options.Policy == WeighCrashesIsolated && node.guard.Status(request.body) == quarantine.Suspected {
 		return slices.MinFunc(up, func(a, b *poisonEngine) int { return a.load(node) - b.load(node) })
 	}
@@ -298,14 +339,14 @@
 		w.After(w.between(34*time.Millisecond, 113*time.Millisecond), func() {
 			if !run.ended {
 				w.result.Crashes++
-				fingerprint := quarantine.FingerprintOfRequest(run.request.body)
-				w.crashTimes[fingerprint] = append(w.crashTimes[fingerprint], w.Now)
+				w.crashTimes[run.request.cause] = append(w.crashTimes[run.request.cause], w.Now)
 				w.crash(run.engine)
 			}
 		})
 		return
 	}
 	run.hasBegun, run.beganAt = true, w.Now
+	w.After(w.between(minimumFirstEvent, maximumFirstEvent), func() { w.writeFirstEvent(run) })
 	w.After(time.Duration((0.3+w.Random.ExpFloat64()*1.5)*float64(time.Second)), func() {
 		if run.ended {
 			return
@@ -313,6 +354,9 @@
 		run.ended = true
 		delete(run.engine.runs, run)
 		w.result.Served++
+		if run.request.isInTrouble && run.request.retries == 0 {
+			w.result.ServedInTrouble++
+		}
 		w.clear(run)
 	})
 }
@@ -323,6 +367,15 @@
 	run.node.guard.Completed(run.request.body)
 }
 
+// writeFirstEvent records that the first event of a response was received.
+func (w *poisonWorld) writeFirstEvent(run *poisonRun) {
+	if run.ended {
+		return
+	}
+	run.hasEvents = true
+	run.node.guard.Written(w.Now, run.request.body)
+}
+
 // failEngine crashes an engine for a reason other than a poison request.
 func (w *poisonWorld) failEngine(engine *poisonEngine) {
 	if engine.isUp {
@@ -345,14 +398,18 @@
 		if run.hasBegun {
 			broken.ResponseAge = w.Now - run.beganAt
 		}
-		present[run.node] = append(present[run.node], quarantine.InFlightRun{Fingerprint: fingerprint, Run: broken})
+		interrupted := quarantine.InFlightRun{Fingerprint: fingerprint, Run: broken}
+		if !run.hasEvents {
+			interrupted.Parts = run.request.body.parts
+		}
+		present[run.node] = append(present[run.node], interrupted)
 		if run.request.crashes++; run.request.crashes == 3 && !run.request.isPoison {
 			w.result.InFlightAtThreeCrashes++
 		}
 	}
 	for _, node := range w.nodes {
 		if len(present[node]) > 0 {
-			w.After(w.between(time.Millisecond, 15*time.Millisecond), func() { node.guard.ReportCrash(incarnation, present[node]) })
+			w.After(w.between(time.Millisecond, 15*time.Millisecond), func() { node.guard.ReportCrash(w.Now, incarnation, present[node]) })
 		}
 	}
 	for _, run := range runs {
@@ -374,7 +431,7 @@
 // caller.
 func (w *poisonWorld) retryAtNode(run *poisonRun) {
 	status := run.node.guard.Status(run.request.body)
-	mayRetry := w.options.Policy != WeighCrashesWithoutRetries || status != quarantine.Suspected
+	mayRetry := w.options.Policy < WeighCrashesWithoutRetries || status != quarantine.Suspected
 	if run.attempts < maximumAttempts && mayRetry && !w.refuses(run.node, run.request) {
 		w.send(run.node, run.request, run.attempts+1)
 		return
@@ -397,13 +454,16 @@
 // recordLateRun counts a run of a poison request that is sent too late after its third crash. It
 // checks the guarantee that without a partition there are at most three such runs.
 func (w *poisonWorld) recordLateRun(request *poisonRequest) {
-	fingerprint := quarantine.FingerprintOfRequest(request.body)
+	cause, proven := request.cause, 3
+	if cause.IsPart() {
+		proven = provenPartCrashes
+	}
 	w.Checks++
-	if crashes := w.crashTimes[fingerprint]; len(crashes) >= 3 && w.Now > crashes[2]+poisonReactionTime {
-		w.lateRuns[fingerprint]++
+	if crashes := w.crashTimes[cause]; len(crashes) >= proven && w.Now > crashes[proven-1]+poisonReactionTime {
+		w.lateRuns[cause]++
 	}
-	if w.options.Policy.usesTracker() && !w.options.Partition && w.lateRuns[fingerprint] > maximumLateRuns {
-		w.Violation = fmt.Errorf("a request that had crashed three engines was sent to engines %d more times", w.lateRuns[fingerprint])
+	if w.options.Policy.usesTracker() && !w.options.Partition && w.lateRuns[cause] > maximumLateRuns {
+		w.Violation = fmt.Errorf("what had crashed %d engines was sent to engines %d more times", proven, w.lateRuns[cause])
 	}
 }
 
@@ -424,10 +484,13 @@
 	n.decide()
 }
 
+// PartWritten implements quarantine.Sink.
+func (n *poisonNode) PartWritten(fingerprint quarantine.Fingerprint) { n.RequestCompleted(fingerprint) }
+
 // decide updates the node's verdicts and sends its updates to the reachable control nodes.
 func (n *poisonNode) decide() {
 	n.tracker.Decide(n.world.Now)
-	n.guard.SetView(n.tracker.View())
+	n.guard.SetView(n.world.Now, n.tracker.View())
 	updates := n.tracker.TakeUpdates(n.world.Now)
 	for number, control := range n.world.controls {
 		if len(updates) > 0 && n.world.isReachable(n.number, number) {
@@ -446,18 +509,26 @@
 // there is a partition, all its records to the other control nodes every two seconds.
 func (w *poisonWorld) exchange() {
 	for number, control := range w.controls {
-		control.Decide(w.Now)
-		digest := control.Digest()
+		var changed []quarantine.Record
+		if control.IsDue(w.Now) {
+			control.Decide(w.Now)
+			changed = control.TakeChanged(w.Now)
+		}
 		for position, node := range w.nodes {
-			if w.isReachable(position, number) && node.sentDigests[number] != digest {
-				node.sentDigests[number] = digest
-				node.tracker.Merge(w.Now, control.SharedRecords(w.Now))
+			records := changed
+			isReachable := w.isReachable(position, number)
+			if isReachable && !node.hasList[number] {
+				records = control.SharedRecords(w.Now)
+			}
+			node.hasList[number] = isReachable
+			if node.hasList[number] && len(records) > 0 {
+				node.tracker.Merge(w.Now, records)
 				node.tracker.Decide(w.Now)
-				node.guard.SetView(node.tracker.View())
+				node.guard.SetView(w.Now, node.tracker.View())
 			}
 		}
 		for other := range w.controls {
-			if !w.isPartitioned && other != number && w.Now%(2*time.Second) < 100*time.Millisecond {
+			if !w.isPartitioned && other != number && w.Now%(2*time.Second) < exchangeInterval {
 				w.controls[other].Merge(w.Now, control.Records(w.Now))
 			}
 		}
--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -103,7 +103,7 @@
 	for number := 0; ctx.Err() == nil; number++ {
 		kind, entry := kinds[random.IntN(len(kinds))], c.entries[random.IntN(len(c.entries))]
 		tenant := fmt.Sprintf("tenant-%d", random.IntN(tenantCount))
-		call := standin.Call{ID: fmt.Sprintf("%08x%08x", random.Uint32(), number), Key: keyPrefix + tenant, MaximumWait: callTimeout, PromptPart: "part-" + strconv.Itoa(random.IntN(20))}
+		call := standin.Call{ID: fmt.Sprintf("%08x%08x", random.Uint32(), number), Key: keyPrefix + tenant, MaximumWait: callTimeout, PromptParts: "part-" + strconv.Itoa(random.IntN(20))}
 		if kind == Stream || kind == Resumable {
 			call.TokensIn, call.TokensOut = 1+uint64(random.IntN(maximumPromptTokens)), maximumOutputTokens
 		}
--- a/internal/lab/soak/engine.go
+++ b/internal/lab/soak/engine.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,6 +21,8 @@
 	streamEvents  = 8
 	eventInterval = 40 * time.Millisecond
 	plainDuration = 15 * time.Millisecond
+	// One in closeDelimitedShare responses has neither a length nor chunks and ends with its connection.
+	closeDelimitedShare = 4
 )
 
 // GroundTruth records what the engines really ran and what the callers received, independently of
@@ -37,7 +38,8 @@
 	// event arrived, the prompt once and each event.
 	tokens map[string]uint64
 	// poisonCrashes counts the engines that each poison request crashed, by the kind that its body
-	// names. A poison request crashes each engine that starts it.
+	// names, and those that each crashing part of prompts crashed, by its id. Both crash each engine that
+	// starts a request with them.
 	poisonCrashes map[string]int
 	// senders maps each request to the entry node that sends it.
 	senders senders
@@ -122,8 +124,8 @@
 	brittle brittleRecord
 	// backoff holds the pauses that the engine requested, and the requests that it received.
 	backoff backoffRecord
-	// crashByPoison crashes the engine because of a poison request with this body.
-	crashByPoison func(ended *engine, body string)
+	// crashByPoison crashes the engine because of a request, and names the cause.
+	crashByPoison func(ended *engine, cause string)
 }
 
 // startEngine starts an engine that listens on the instance's address. If failsPlainCalls is set,
@@ -187,12 +189,16 @@
 	isFailure := e.failsPlainCalls && request.TokensIn == 0
 	e.recordArrival(writer.Header(), isFailure)
 	e.truth.recordRun(request)
-	if strings.HasPrefix(string(body), poisonBodyPrefix) {
+	if rand.IntN(closeDelimitedShare) == 0 {
+		// net/http then sends neither a length nor chunks.
+		writer.Header().Set("Transfer-Encoding", "identity")
+	}
+	if cause := crashCause(string(body), request); cause != "" {
 		writer.Header().Set("Content-Type", "text/event-stream")
 		writer.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(writer).Flush()
 		time.Sleep(minimumPoisonRun + rand.N(maximumPoisonRun-minimumPoisonRun))
-		e.crashByPoison(e, string(body))
+		e.crashByPoison(e, cause)
 		panic(http.ErrAbortHandler)
 	}
 	if request.TokensIn > 0 {
--- a/internal/lab/soak/poison.go
+++ b/internal/lab/soak/poison.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -44,7 +46,7 @@
 	for number := 0; ctx.Err() == nil; number++ {
 		entry := entries[random.IntN(len(entries))]
 		call := standin.Call{
-			ID: fmt.Sprintf("%08x%08x", random.Uint32(), number), Key: keyPrefix + "tenant-0", MaximumWait: callTimeout, PromptPart: "part-0", TokensIn: 1, TokensOut: maximumOutputTokens,
+			ID: fmt.Sprintf("%08x%08x", random.Uint32(), number), Key: keyPrefix + "tenant-0", MaximumWait: callTimeout, PromptParts: "part-0", TokensIn: 1, TokensOut: maximumOutputTokens,
 		}
 		c.running.Go(func() {
 			_, _, _ = c.sendBody(context.WithoutCancel(ctx), kind, entry, call, poisonBodyPrefix+string(kind))
@@ -53,9 +55,52 @@
 	}
 }
 
+const (
+	// crashingPartPrefix is the prefix of the ids of parts of prompts that crash engines. No two calls
+	// with such a part are alike.
+	crashingPartPrefix = "crashing-"
+	// crashingPartTime is how long calls come with one crashing part, until another one takes its place.
+	crashingPartTime = 6 * time.Second
+	// meanCrashingPartInterval is the mean time between two such calls.
+	meanCrashingPartInterval = 250 * time.Millisecond
+	// maximumPartCrashes is the maximum number of engines that one such part may crash: five until it must
+	// be known, and more as with maximumPoisonCrashes. Without a quarantine of parts it is above 20.
+	maximumPartCrashes = 14
+	// crashingPartRandomStream is the second seed of the random numbers for calls with crashing parts.
+	crashingPartRandomStream = 1100
+)
+
+// crashCause returns what makes a request crash its engine: the kind of a poison request, or a part of its
+// prompt; "" if it does not.
+func crashCause(body string, request standin.EngineRequest) string {
+	if kind, isPoison := strings.CutPrefix(body, poisonBodyPrefix); isPoison {
+		return kind
+	}
+	return crashingPart.FindString(request.Prompt)
+}
+
+var crashingPart = regexp.MustCompile(crashingPartPrefix + "[0-9]+")
+
+// sendCrashingParts sends calls with a part that crashes engines to random entry nodes until the context
+// ends, each with another last part and body, with one part after the other.
+func (c *callers) sendCrashingParts(ctx context.Context, random *rand.Rand) {
+	startedAt := time.Now()
+	for number := 0; ctx.Err() == nil; number++ {
+		entry, kind := c.entries[random.IntN(len(c.entries))], poisonKinds[random.IntN(len(poisonKinds))]
+		call := standin.Call{
+			ID: fmt.Sprintf("%08x%08x", random.Uint32(), number), Key: keyPrefix + "tenant-0", MaximumWait: callTimeout, TokensIn: 1, TokensOut: maximumOutputTokens,
+			PromptParts: fmt.Sprint("part-1,", crashingPartPrefix, int(time.Since(startedAt)/crashingPartTime)),
+		}
+		c.running.Go(func() {
+			_, _, _ = c.sendBody(context.WithoutCancel(ctx), kind, entry, call, "body of "+call.ID)
+		})
+		pause.For(ctx, time.Duration(random.Int64N(int64(2*meanCrashingPartInterval))))
+	}
+}
+
 // crashByPoison crashes an engine because of a request that it has started, and restarts it later,
 // under its id or under a new one.
-func (f *fleet) crashByPoison(ended *engine, place int, body string) {
+func (f *fleet) crashByPoison(ended *engine, place int, cause string) {
 	name := placeName(place)
 	f.mutex.Lock()
 	isCurrent := f.engines[name] == ended
@@ -68,7 +113,7 @@
 	if !isCurrent {
 		return
 	}
-	f.truth.recordPoisonCrash(strings.TrimPrefix(body, poisonBodyPrefix))
+	f.truth.recordPoisonCrash(cause)
 	f.recordCrash(down)
 	ended.crash()
 	time.AfterFunc(down, func() {
@@ -115,4 +160,26 @@
 			r.violationf("%d engines crashed by one request (%s), allowed %d", crashes, kind, maximumPoisonCrashes)
 		}
 	}
+	r.checkCrashingParts()
+}
+
+// checkCrashingParts compares the number of engines that each crashing part crashed with the bound. During
+// an upgrade some nodes have a build that knows no parts.
+func (r *run) checkCrashingParts() {
+	counts := r.fleet.truth.partCrashes()
+	r.reportf("engines crashed by parts of prompts: %v", counts)
+	for part, crashes := range counts {
+		if crashes > maximumPartCrashes && !r.isUpgraded {
+			r.violationf("%d engines crashed by one part of prompts (%s), allowed %d", crashes, part, maximumPartCrashes)
+		}
+	}
+}
+
+// partCrashes returns the number of engines that each crashing part crashed.
+func (t *GroundTruth) partCrashes() map[string]int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	counts := maps.Clone(t.poisonCrashes)
+	maps.DeleteFunc(counts, func(cause string, _ int) bool { return !strings.HasPrefix(cause, crashingPartPrefix) })
+	return counts
 }
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -173,6 +173,11 @@
 			r.callers.sendPoison(calling, kind, rand.New(rand.NewPCG(options.Seed, poisonRandomStream+uint64(number))))
 		})
 	}
+	if options.FaultDuration > 0 {
+		called.Go(func() {
+			r.callers.sendCrashingParts(calling, rand.New(rand.NewPCG(options.Seed, crashingPartRandomStream)))
+		})
+	}
 	faultContext, stopFaults := context.WithTimeout(ctx, options.FaultDuration)
 	defer stopFaults()
 	var injecting sync.WaitGroup
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -60,9 +60,10 @@
 	Key         string
 	MaximumWait time.Duration
 	// TokensIn and TokensOut are the number of tokens of the prompt and the maximum number of
-	// generated tokens; 0 for a plain call. PromptPart is the id of the shared part of the prompt.
+	// generated tokens; 0 for a plain call. PromptParts are the ids of the parts of the prompt that calls
+	// share, separated by commas.
 	TokensIn, TokensOut uint64
-	PromptPart          string
+	PromptParts         string
 	// LastEvent is the number of the last event that the caller has of a stream that it takes up again,
 	// and Resumes the id of its attempt that brought the first one; 0 and "" for a new stream.
 	LastEvent int
@@ -75,6 +76,8 @@
 	Tenant   string
 	Instance string
 	TokensIn uint64
+	// Prompt lists the parts of the prompt in the interface's own form.
+	Prompt string
 	// LastEvent is the number of the event after which a stream is resumed.
 	LastEvent int
 }
--- a/internal/protocol/peer/fleet.go
+++ b/internal/protocol/peer/fleet.go
@@ -78,6 +78,8 @@
 	// NeedsNodes reports that an entry node has the list of all nodes from no control node
 	// that it hears.
 	NeedsNodes bool `msgpack:"nn,omitempty"`
+	// QuarantinedPartsDigest is QuarantineDigest for records about parts of prompts.
+	QuarantinedPartsDigest uint64 `msgpack:"kp,omitempty"`
 }
 
 // NodeEntry is one node in a list of nodes. No field can be added to it: since lists have
--- a/internal/protocol/peer/protocol.go
+++ b/internal/protocol/peer/protocol.go
@@ -29,6 +29,8 @@
 	ProtocolSlots
 	// ProtocolStreamVersions nodes hold the versions on which streams began.
 	ProtocolStreamVersions
+	// ProtocolPromptParts nodes record crashes against parts of prompts.
+	ProtocolPromptParts
 	// protocolEnd is one above the newest version.
 	protocolEnd
 )
