An entry node uses the connections to an engine that other nodes leave unused

Cause: an engine's limit on connections is divided by the number of entry nodes. While the platform hands most new connections to one node, that node is refused its engines (no_instance) although the others leave nearly all connections unused. Change: beyond its equal part a node uses half of what neither the others' reports nor its part account for (balance.ConnectionLimit); nothing beyond it while the others' loads are not known. However many nodes are busy, their numbers settle below the limit.

--- a/internal/coordination/balance/choose.go
+++ b/internal/coordination/balance/choose.go
@@ -50,9 +50,8 @@
 	Bytes int
 	// Exclude holds the IDs of the instances that were already tried.
 	Exclude []string
-	// MaximumInFlight is the maximum number of requests that this node may have in flight at one
-	// instance; 0 means no bound.
-	MaximumInFlight int
+	// Connections bounds the requests that this node may have in flight at one instance.
+	Connections ConnectionLimit
 	// Cold limits the requests to the service's cold instances.
 	Cold ColdPolicy
 	// Regions are the regions in which the request may be served.
@@ -205,7 +204,7 @@
 func (t *Table) classifyCandidates(now time.Duration, request Request, isAmong func(*member) bool) (healthy, others candidateSet) {
 	average := t.averageFailureRate(request.Service)
 	for _, one := range t.byService[request.Service] {
-		if !isAmong(one) || !t.mayServe(one, request) || request.MaximumInFlight > 0 && one.inFlight >= request.MaximumInFlight || !t.acceptsWhileCold(now, one, request.Cold) {
+		if !isAmong(one) || !t.mayServe(one, request) || request.Connections.isReached(one.inFlight, t.others[one.key], t.others != nil) || !t.acceptsWhileCold(now, one, request.Cold) {
 			continue
 		}
 		status := t.backoff.Status(now, one.Incarnation())
--- a/internal/coordination/balance/versions_test.go
+++ b/internal/coordination/balance/versions_test.go
@@ -82,9 +82,9 @@
 			}
 		},
 		"maximum in flight": func(table *Table, request *Request) {
-			request.MaximumInFlight = 1
-			for range 3 {
-				_, _ = table.Choose(0, Request{Service: "llm", Version: BindVersion("v1"), MaximumInFlight: 1})
+			request.Connections = ConnectionLimit{Total: minimumConnections, Nodes: 1}
+			for range 3 * minimumConnections {
+				_, _ = table.Choose(0, Request{Service: "llm", Version: BindVersion("v1"), Connections: ConnectionLimit{Total: minimumConnections, Nodes: 1}})
 			}
 		},
 		"gone": func(table *Table, _ *Request) {
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -207,7 +207,7 @@
 		described.Cold = balance.ColdPolicy{Rate: configured.ColdRate, Time: configured.ColdTime}
 	}
 	if configured != nil && configured.MaximumConnections > 0 {
-		described.MaximumInFlight = max(2, configured.MaximumConnections/max(1, environment.EntryNodes()))
+		described.Connections = balance.ConnectionLimit{Total: configured.MaximumConnections, Nodes: environment.EntryNodes()}
 	}
 	return described
 }
