A response that was broken off is reset for a caller on HTTP/1.0

What callers saw: on HTTP/1.0 a broken stream ended like a complete one, with the end of its connection. Cause: the abort of net/http closes the connection; only chunks without their end, or a short body, show a caller on HTTP/1.1 that something is missing. Evidence: TestBrokenResponseIsResetForACallerOnHTTP10, which failed before: no error at the caller after one of two events. Change: the connection of such a caller is closed with a reset. TestResponseThatWasCutAnywhereIsNotComplete cuts responses with a length, with chunks and with neither at each of their bytes; it held before for the first two.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -80,8 +80,7 @@
 			return
 		}
 		if result == incomplete {
-			// Aborting the connection keeps the response from looking complete.
-			panic(http.ErrAbortHandler)
+			r.abortResponse()
 		}
 		if errorExchange != nil {
 			last = errorResponse{exchange: errorExchange, choice: choice}
--- a/internal/forward/closedends_test.go
+++ b/internal/forward/closedends_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -132,3 +135,61 @@
 	defer w.mutex.Unlock()
 	return len(w.newest)
 }
+
+// Guards against a broken response that looks complete to a caller on HTTP/1.0, for which the end of the
+// connection is the end of the response.
+func TestBrokenResponseIsResetForACallerOnHTTP10(t *testing.T) {
+	for name, isBroken := range map[string]bool{"complete": false, "broken": true} {
+		t.Run(name, func(t *testing.T) {
+			engine := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+				event := "id: 1\ndata: x\n\n"
+				_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", request.Header.Get("Id"), len(event), event)
+				if !isBroken {
+					_, _ = io.WriteString(connection, "0\r\n\r\n")
+				}
+				_ = connection.Close()
+			})
+			h := newHarness(t, engine)
+			caller, err := net.Dial("tcp", strings.TrimPrefix(h.server.URL, "http://"))
+			assert.NilError(t, err)
+			defer caller.Close()
+			_, err = io.WriteString(caller, "POST /stream/x HTTP/1.0\r\nHost: "+strings.TrimPrefix(h.server.URL, "http://")+"\r\nId: r1\r\nKey: k\r\nTokens: yes\r\nContent-Length: 4\r\n\r\nbody")
+			assert.NilError(t, err)
+			text, err := io.ReadAll(caller)
+			assert.Assert(t, strings.HasSuffix(string(text), "\r\n\r\nid: 1\ndata: x\n\n"), "%q", text)
+			assert.Equal(t, errors.Is(err, syscall.ECONNRESET), isBroken, "%v", err)
+		})
+	}
+}
+
+// Guards against a response that looks complete although it was cut at any position: one with a length or
+// chunks is complete only as a whole. Without both, a stream that was cut between two events can't be told
+// from a complete one while its engine lives, but one that was cut inside an event, or before the first, can.
+func TestResponseThatWasCutAnywhereIsNotComplete(t *testing.T) {
+	events := "id: 1\ndata: x\n\nid: 2\ndata: y\n\n"
+	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+	head := func(framing string) string { return "HTTP/1.1 200 OK\r\nId: r1\r\n" + framing + "\r\n\r\n" }
+	for name, whole := range map[string]string{
+		"length": head(fmt.Sprintf("Content-Length: %d", len(events))) + events,
+		"chunks": head("Transfer-Encoding: chunked") + chunk(events[:7]) + chunk(events[7:]) + "0\r\n\r\n",
+		"close":  head("Connection: close") + events,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for length := 1; length <= len(whole); length++ {
+				sent := whole[:length]
+				h := newHarness(t, newEngine(t, func(connection net.Conn, _ *bufio.Reader, _ received) {
+					_, _ = io.WriteString(connection, sent)
+					_ = connection.Close()
+				}))
+				got := h.send(t, http.MethodPost, "/stream/x", "r1", "body")
+				looksComplete := got.err == nil && got.status == http.StatusOK
+				mayLookComplete := length == len(whole)
+				if body, found := strings.CutPrefix(sent, head("Connection: close")); found {
+					mayLookComplete = body != "" && strings.HasSuffix(body, "\n\n")
+				}
+				assert.Equal(t, looksComplete, mayLookComplete, "%q", sent)
+			}
+		})
+	}
+}
