An entry node closes connections unread in a surge that it can't serve

Cause: a node to which the platform hands most new connections of a zone reads them all. What its link or processor can't carry then waits for seconds or is refused after it has been read, while other nodes have room; not being ready passes the same connections to the next node. Change: overload.ConnectionGate. While far more connections arrive than usual, the link or the processor is full and other nodes of the zone have room, a share of the new connections is closed before a byte is read; the share follows the load at each reading. Where callers' retries return to the node, nothing is refused.

--- a/internal/gateway/gate.go
+++ b/internal/gateway/gate.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"runtime"
 	"sync"
 	"time"
@@ -10,13 +11,14 @@
 	"github.com/ravenway/ravenway/internal/coordination/overload"
 )
 
-// callerGate is the entry node's admission gate, which bounds heavy callers under overload.
-// Requests and the loads duty share it.
+// callerGate is the entry node's admission gate, which bounds heavy callers under overload and refuses new
+// connections in a surge. Requests, connections and the loads duty share it.
 type callerGate struct {
-	node  *Node
-	key   overload.Key
-	mutex sync.Mutex
-	gate  *overload.Gate
+	node        *Node
+	key         overload.Key
+	mutex       sync.Mutex
+	gate        *overload.Gate
+	connections overload.ConnectionGate
 }
 
 func newCallerGate(node *Node) *callerGate {
@@ -31,6 +33,8 @@
 	callerBound     = metrics.GetOrCreateGauge("ravenway_caller_bound", nil)
 	callerBoundsSet = metrics.GetOrCreateCounter("ravenway_caller_bounds_total")
 	schedulerLag    = metrics.GetOrCreateHistogram("ravenway_scheduler_lag_seconds")
+	// connectionsRefused counts the callers' connections that were closed unread.
+	connectionsRefused = metrics.GetOrCreateCounter("ravenway_caller_connections_refused_total")
 )
 
 // update takes a reading of the node's load and updates the gate.
@@ -46,12 +50,39 @@
 	c.mutex.Lock()
 	changed := c.gate.Step(c.node.now(), pressure)
 	utilization, bound := c.gate.Utilization(), c.gate.Bound()
+	pressure.Lag = c.gate.Lag()
+	surgeChanged := c.connections.Step(c.node.now(), utilization, pressure, c.withRoom(pressure))
+	refused := c.connections.RefusedShare()
 	c.mutex.Unlock()
 	linkUtilization.Set(utilization)
 	callerBound.Set(bound)
 	if changed {
 		c.logChange(pressure)
 	}
+	if surgeChanged {
+		c.node.log.Warn().Str("event", "connection_surge").Bool("refusing", refused > 0).Float64("utilization", utilization).
+			Int64("lag_ms", pressure.Lag.Milliseconds()).Int64("frame_delay_ms", pressure.FrameDelay.Milliseconds()).Send()
+	}
+}
+
+// withRoom returns the number of other nodes of the zone that have room for connections that this one refuses:
+// none if callers' retries return to this node. The caller holds the mutex.
+func (c *callerGate) withRoom(pressure overload.Pressure) int {
+	if pressure.RetriesReturn {
+		return 0
+	}
+	return c.gate.Zone().WithRoom
+}
+
+// acceptsConnection records a caller's new connection and reports whether it is accepted.
+func (c *callerGate) acceptsConnection() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.connections.Arrived(c.node.now(), rand.Float64()) {
+		return true
+	}
+	connectionsRefused.Inc()
+	return false
 }
 
 // logChange logs that heavy callers are now bounded, or no longer bounded.
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -208,7 +208,7 @@
 			EngineMeter:        &node.meters.engines,
 			PromptReservations: node.prompts, EnginePaths: node.paths, Slots: node.slots, StreamVersions: node.streams,
 		})
-		node.callers = newCallerServer(options.Listeners.Callers, node.pipeline, &node.meters.callers)
+		node.callers = newCallerServer(options.Listeners.Callers, node.pipeline, &node.meters.callers, node.gate.acceptsConnection)
 		node.documents.onChange = node.callers.applyLimits
 	}
 	return node, nil
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -100,6 +100,8 @@
 	handler  http.Handler
 	// meter counts the bytes of the connections.
 	meter *transport.Meter
+	// accepts reports whether a new connection is served; otherwise it is closed unread.
+	accepts func() bool
 
 	mutex   sync.Mutex
 	limits  document.Limits
@@ -117,8 +119,8 @@
 	address     net.Addr
 }
 
-func newCallerServer(listener net.Listener, handler http.Handler, meter *transport.Meter) *callerServer {
-	callers := &callerServer{listener: listener, handler: handler, meter: meter}
+func newCallerServer(listener net.Listener, handler http.Handler, meter *transport.Meter, accepts func() bool) *callerServer {
+	callers := &callerServer{listener: listener, handler: handler, meter: meter, accepts: accepts}
 	callers.startServer(document.Limits{})
 	return callers
 }
@@ -166,6 +168,10 @@
 			time.Sleep(time.Millisecond)
 			continue
 		}
+		if !c.accepts() {
+			_ = connection.Close()
+			continue
+		}
 		c.mutex.Lock()
 		current := c.current
 		c.mutex.Unlock()
