quarantine: all nodes take the same explanation of a part's crashes

A part whose responses' heads are lost with the engine needed eight crashes. Change: the smallest hash decides; a part that no other suspect explains is quarantined at five crashes, like a request. Verdicts sort only what has changed.

--- a/internal/coordination/quarantine/decide.go
+++ b/internal/coordination/quarantine/decide.go
@@ -30,17 +30,14 @@
 	if !t.IsDue(now) {
 		return nil
 	}
-	before := map[Fingerprint]bool{}
-	for fingerprint, one := range t.suspects {
-		before[fingerprint] = one.isQuarantined
-	}
+	before := t.quarantined()
 	found := t.derive(now)
 	t.isOutdated, t.isDigestKnown = false, false
+	changed := slices.DeleteFunc(t.quarantined(), func(one *suspect) bool { return slices.Contains(before, one) })
+	changed = append(changed, slices.DeleteFunc(before, func(one *suspect) bool { return one.isQuarantined })...)
+	slices.SortFunc(changed, func(a, b *suspect) int { return a.compare(b.Fingerprint) })
 	var verdicts []Verdict
-	for _, one := range t.inOrder() {
-		if one.isQuarantined == before[one.Fingerprint] {
-			continue
-		}
+	for _, one := range changed {
 		verdicts = append(verdicts, Verdict{
 			Record: one.record(now), IsQuarantined: one.isQuarantined, Counted: one.counted, OtherRequests: found.countOthers(one),
 		})
@@ -48,12 +45,14 @@
 	return verdicts
 }
 
-func (t *Tracker) inOrder() []*suspect {
-	suspects := make([]*suspect, 0, len(t.suspects))
+// quarantined returns the suspects in quarantine.
+func (t *Tracker) quarantined() []*suspect {
+	var suspects []*suspect
 	for _, one := range t.suspects {
-		suspects = append(suspects, one)
+		if one.isQuarantined {
+			suspects = append(suspects, one)
+		}
 	}
-	slices.SortFunc(suspects, func(a, b *suspect) int { return a.compare(b.Fingerprint) })
 	return suspects
 }
 
@@ -138,10 +137,7 @@
 	best := -1
 	var bestRank certainty
 	for position, one := range candidates {
-		rank := certainty{crashes: d.countMostSuspicious(one), counted: one.counted, narrowness: one.narrowness()}
-		if unexplained := d.countUnexplained(one); !one.IsPart() || unexplained >= presentPartCrashes {
-			rank.crashes = max(rank.crashes, unexplained)
-		}
+		rank := certainty{crashes: max(d.countUnexplained(one), d.countMostSuspicious(one)), counted: one.counted, narrowness: one.narrowness()}
 		if rank.crashes < certainCrashes {
 			rank.crashes = 0
 		}
--- a/internal/coordination/quarantine/parts.go
+++ b/internal/coordination/quarantine/parts.go
@@ -15,9 +15,6 @@
 	// minimumCauses is the number of narrower suspects, such as requests, that it would take to explain a
 	// part's crashes in its place.
 	minimumCauses = 3
-	// presentPartCrashes is the number of crashes from which on a part is the cause even if other requests
-	// there were more suspicious: the heads of responses may be lost with the engine.
-	presentPartCrashes = 8
 	// maximumPartRetention bounds how long crashes count against a part. It is shorter than for a request,
 	// because a part that is in quarantine by mistake stops many requests.
 	maximumPartRetention = time.Minute
@@ -116,8 +113,12 @@
 // explains.
 func (d *derivation) removeExplained(one *suspect, left map[registry.Incarnation]crash) {
 	byCause := map[uint64][]registry.Incarnation{}
-	var best []registry.Incarnation
-	for incarnation, recorded := range left {
+	var best uint64
+	for _, incarnation := range one.incarnations() {
+		recorded, isLeft := left[incarnation]
+		if !isLeft {
+			continue
+		}
 		// The request that the part was in explains the crash, whether it is recorded or not.
 		causes := []uint64{recorded.request}
 		for _, other := range d.present[incarnation] {
@@ -127,12 +128,13 @@
 		}
 		for _, cause := range causes {
 			byCause[cause] = append(byCause[cause], incarnation)
-			if len(byCause[cause]) > len(best) {
-				best = byCause[cause]
+			// Of causes that explain equally many, all nodes must take the same one.
+			if more := len(byCause[cause]) - len(byCause[best]); more > 0 || more == 0 && cause < best {
+				best = cause
 			}
 		}
 	}
-	for _, incarnation := range best {
+	for _, incarnation := range byCause[best] {
 		delete(left, incarnation)
 	}
 }
--- a/internal/coordination/quarantine/writtenparts.go
+++ b/internal/coordination/quarantine/writtenparts.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/registry"
@@ -71,6 +72,7 @@
 			w.forget(now, fingerprint)
 		}
 	}
+	slices.SortFunc(written, Fingerprint.compare)
 	return written
 }
 
--- a/internal/lab/labcli/simulations.go
+++ b/internal/lab/labcli/simulations.go
@@ -29,6 +29,7 @@
 			Seed: seed, Policy: simulate.WeighCrashesWithoutRetries, PoisonRequests: 1 + int(seed%2), OtherCrashes: seed%3 == 0, IdenticalRequests: seed%3 == 0, CrashesBeforeResponse: seed%5 == 0,
 		}).World
 	},
+	"prompt-parts":     simulatePromptParts,
 	"backoff":          simulateBackoff,
 	"streams":          simulateStreams,
 	"rate-limits":      simulateLimits(false),
@@ -47,6 +48,16 @@
 	}
 }
 
+// simulatePromptParts simulates parts of prompts that crash engines. Consecutive seeds go through the numbers of
+// such parts, and through what else happens.
+func simulatePromptParts(seed uint64) *simulate.World {
+	parts := simulate.PoisonPartOptions{IsUsed: true, Crashing: 1 + int(seed%2), IsPopular: seed%3 > 0, HasFollowers: seed%5 == 0}
+	return simulate.RunPoison(simulate.PoisonOptions{
+		Seed: seed, Policy: simulate.WeighCrashesWithoutRetries, Parts: parts, PoisonRequests: int(seed / 2 % 2), OtherCrashes: seed%7 == 0,
+		CrashesBeforeResponse: seed%11 == 0, Partition: seed%13 == 0,
+	}).World
+}
+
 // simulateBackoff simulates engines that request pauses, with faults. Consecutive seeds go through
 // all scenarios and lengths of pauses.
 func simulateBackoff(seed uint64) *simulate.World {
