A stream is recorded as doubtful by the versions of ended incarnations too

Cause: whether an engine may have run another version than its heartbeats named was asked of the incarnation in the table only: a later restart with the first version, or the end of the instance, hid it. A run whose engine restarted before the first event was not asked about until a newer incarnation was told. Change: the table keeps the versions of the latest 8,192 incarnations that ended; a stream is asked about as it is recorded, too. Evidence: the tests of versions in balance and forward, with their new cases (restarted and back again, ended since, not told yet).

--- a/internal/coordination/balance/table.go
+++ b/internal/coordination/balance/table.go
@@ -98,6 +98,8 @@
 	senders coldSenders
 	// ended holds the latest incarnations that were replaced by newer ones.
 	ended []endedIncarnation
+	// endedVersions holds the versions of the latest incarnations that have ended.
+	endedVersions []endedVersion
 	// limits holds the rate limits that overloaded instances name; nil means that there are none.
 	limits *ratelimit.Limits
 	// backoff tracks the pauses that instances requested from this node; nil means that there are
@@ -190,6 +192,7 @@
 func (t *Table) remove(known *member) {
 	t.withdraw(known)
 	t.countVersion(known.Instance, -1)
+	t.noteEndedVersion(known)
 	delete(t.members, known.ID)
 }
 
--- a/internal/coordination/balance/versions.go
+++ b/internal/coordination/balance/versions.go
@@ -91,14 +91,37 @@
 	return slices.ContainsFunc(t.byService[service], func(one *member) bool { return one.Version == version && !t.isRolledBack(one) })
 }
 
-// IsVersionCertain reports whether a run at an instance certainly had the version that the instance's
-// heartbeats named when it was chosen. It may not have if the instance now runs another version: it can
-// have restarted before its first heartbeat of the new incarnation.
-func (t *Table) IsVersionCertain(chosen registry.Instance) bool {
+// endedVersion is the version of an incarnation that has ended.
+type endedVersion struct {
+	registry.Incarnation
+	version string
+}
+
+// maximumEndedVersions bounds the ended incarnations whose versions are kept: more than are replaced while
+// a stream lasts.
+const maximumEndedVersions = 8192
+
+func (t *Table) noteEndedVersion(one *member) {
+	t.endedVersions = append(t.endedVersions, endedVersion{Incarnation: one.Incarnation(), version: one.Version})
+	t.endedVersions = t.endedVersions[max(0, len(t.endedVersions)-maximumEndedVersions):]
+}
+
+// RunVersion returns the version of a run at an instance, which its heartbeats named when it was chosen. If
+// the instance has restarted with another version since, the run may have that one, because it can have
+// restarted before its first heartbeat said so: then it returns the other version and false.
+func (t *Table) RunVersion(chosen registry.Instance) (version string, isCertain bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	known := t.members[chosen.ID]
-	return known == nil || known.Version == chosen.Version
+	// An instance that reports no start time has the same incarnation after a restart.
+	if known := t.members[chosen.ID]; known != nil && known.Version != chosen.Version {
+		return known.Version, false
+	}
+	for _, ended := range t.endedVersions {
+		if ended.ID == chosen.ID && ended.StartedAt > chosen.StartedAt && ended.version != chosen.Version {
+			return ended.version, false
+		}
+	}
+	return chosen.Version, true
 }
 
 // ServiceVersion is a version of a service.
--- a/internal/coordination/balance/versions_test.go
+++ b/internal/coordination/balance/versions_test.go
@@ -163,20 +163,38 @@
 }
 
 // Guards against a stream that is joined to a run whose version was only believed: the instance had
-// restarted with another version before its first heartbeat said so.
+// restarted with another version before its first heartbeat said so, which later restarts and the end of
+// the instance do not change.
 func TestVersionOfAnInstanceThatRestartedWithAnotherIsNotCertain(t *testing.T) {
-	table := NewTable("zone-0")
-	instances := twoVersions(1)
-	table.Apply(instances)
-	chosen := instances[0]
-	assert.Assert(t, table.IsVersionCertain(chosen))
-	restarted := chosen
-	restarted.StartedAt = 2
-	table.Apply([]registry.Instance{restarted})
-	assert.Assert(t, table.IsVersionCertain(chosen), "it restarted with the same version")
-	restarted.StartedAt, restarted.Version = 3, "v3"
-	table.Apply([]registry.Instance{restarted})
-	assert.Assert(t, !table.IsVersionCertain(chosen))
+	incarnation := func(number int64, version string, state registry.State) registry.Instance {
+		instance := twoVersions(1)[0]
+		instance.StartedAt, instance.Sequence, instance.Version, instance.State = number, uint64(number), version, state
+		return instance
+	}
+	first, same, other := incarnation(1, "v1", registry.Ready), incarnation(2, "v1", registry.Ready), incarnation(3, "v3", registry.Ready)
+	otherEnded, back := incarnation(3, "v3", registry.Gone), incarnation(4, "v1", registry.Ready)
+	for name, one := range map[string]struct {
+		then []registry.Instance
+		want string
+	}{
+		"not restarted":                    {nil, "v1"},
+		"restarted with the same version":  {[]registry.Instance{same}, "v1"},
+		"restarted with another":           {[]registry.Instance{same, other}, "v3"},
+		"and back again":                   {[]registry.Instance{other, back}, "v3"},
+		"the other has ended":              {[]registry.Instance{other, otherEnded}, "v3"},
+		"the other has ended and is back":  {[]registry.Instance{other, otherEnded, back}, "v3"},
+		"ended before the other was known": {[]registry.Instance{incarnation(1, "v1", registry.Gone), other, back}, "v3"},
+		"without a new start time":         {[]registry.Instance{incarnation(1, "v3", registry.Ready)}, "v3"},
+	} {
+		table := NewTable("zone-0")
+		table.Apply([]registry.Instance{incarnation(0, "v0", registry.Ready)})
+		table.Apply([]registry.Instance{first})
+		for _, next := range one.then {
+			table.Apply([]registry.Instance{next})
+		}
+		version, isCertain := table.RunVersion(first)
+		assert.Assert(t, isCertain == (one.want == "v1") && (isCertain || version == one.want), "%s: %q, %v", name, version, isCertain)
+	}
 }
 
 // Guards against any state of instances and rollouts in which a bound request leaves its version.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -107,8 +107,7 @@
 		if next.id != "" {
 			*lastEvent = next.id
 		}
-		r.bindStream(choice.Instance)
-		if sending.isReplaced.Load() {
+		if r.bindStream(choice.Instance) || sending.isReplaced.Load() {
 			r.recordSecondOrigin(choice.Instance)
 		}
 		if r.stream.hasTwoOrigins && r.isContinuedAt(choice.Instance) {
--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -134,31 +134,33 @@
 
 // bindStream binds a stream to the version of the instance that sends its first event, and records
 // the origin before the event is relayed. If the instance may have restarted, the record is made at a
-// later event, once it is certain that it has not.
-func (r *request) bindStream(sender registry.Instance) {
+// later event, once it is certain that it has not. It reports whether the stream was recorded.
+func (r *request) bindStream(sender registry.Instance) (isRecorded bool) {
 	isFirst := r.stream.began.ID == ""
 	if !isFirst && !r.stream.isUnconfirmed {
-		return
+		return false
 	}
 	if isFirst {
 		r.stream.VersionBound, r.stream.began = balance.BindVersion(sender.Version), sender
 	}
 	r.stream.isUnconfirmed = r.pipeline.options.Table.IsVersionDoubtful(r.pipeline.options.Environment.Now(), r.stream.began.Incarnation())
-	if !r.stream.isUnconfirmed {
-		r.recordStream(r.stream.began)
+	if r.stream.isUnconfirmed {
+		return false
 	}
+	r.recordStream(r.stream.began)
+	return true
 }
 
 // recordSecondOrigin records a second origin of a stream whose sender runs another version than was believed,
 // so that no node joins it.
 func (r *request) recordSecondOrigin(sender registry.Instance) {
-	if r.stream.hasTwoOrigins || r.pipeline.options.Table.IsVersionCertain(sender) {
+	version, isCertain := r.pipeline.options.Table.RunVersion(sender)
+	if isCertain || r.stream.hasTwoOrigins {
 		return
 	}
 	r.stream.hasTwoOrigins = true
-	if successor, found := r.pipeline.options.Table.InstanceWithID(sender.ID); found {
-		r.recordStream(successor)
-	}
+	sender.Version = version
+	r.recordStream(sender)
 }
 
 // isContinuedAt reports whether an instance continues a stream that began elsewhere.
@@ -185,5 +187,9 @@
 
 // isStreamVersionCertain reports whether the version that began the stream is known for certain.
 func (r *request) isStreamVersionCertain() bool {
-	return r.stream.began.ID == "" || !r.stream.isUnconfirmed && !r.stream.hasTwoOrigins && r.pipeline.options.Table.IsVersionCertain(r.stream.began)
+	if r.stream.began.ID == "" {
+		return true
+	}
+	_, isCertain := r.pipeline.options.Table.RunVersion(r.stream.began)
+	return isCertain && !r.stream.isUnconfirmed && !r.stream.hasTwoOrigins
 }
--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -271,33 +271,59 @@
 }
 
 // Guards against a run that is joined although its engine turned out to have restarted with another
-// version while the events came.
+// version while the events came, or before the first one: also if the pipeline is not told of it yet, and
+// if the engine has ended since.
 func TestStreamWhoseEngineRunsAnotherVersionIsRecordedAsDoubtful(t *testing.T) {
-	var h *harness
-	restarted := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
-		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
-		for number := 1; number <= 3; number++ {
-			event := versionedEvent("v2", number)
-			_, _ = fmt.Fprintf(connection, "%x\r\n%s\r\n", len(event), event)
-			time.Sleep(30 * time.Millisecond)
-			if number == 1 {
+	for name, restart := range map[string]func(h *harness, after int){
+		"after the first event": func(h *harness, after int) {
+			if after == 1 {
 				h.restart(0, "v2")
 			}
-		}
-		_ = connection.Close()
-	})
-	h = newVersionedHarness(t, []string{"v1"}, restarted)
-	got := h.send(t, "POST", "/resumable/x", "began", "")
-	assert.Assert(t, got.err != nil)
-	// The second record makes the stream's key ambiguous at its holders.
-	assert.Equal(t, h.streams.records[streamversion.KeyOf("t", "began")].Origin.Version, "v2")
+		},
+		"before the first event, not told yet": func(h *harness, after int) {
+			if after == 0 {
+				h.table.Apply([]registry.Instance{h.successor(0, "v2")})
+			}
+		},
+		"before the first event, has ended": func(h *harness, after int) {
+			if after == 0 {
+				successor := h.successor(0, "v2")
+				h.table.Apply([]registry.Instance{successor})
+				successor.State = registry.Gone
+				h.table.Apply([]registry.Instance{successor})
+			}
+		},
+	} {
+		var h *harness
+		restarted := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+			restart(h, 0)
+			for number := 1; number <= 3; number++ {
+				event := versionedEvent("v2", number)
+				_, _ = fmt.Fprintf(connection, "%x\r\n%s\r\n", len(event), event)
+				time.Sleep(30 * time.Millisecond)
+				restart(h, number)
+			}
+			_ = connection.Close()
+		})
+		h = newVersionedHarness(t, []string{"v1"}, restarted)
+		got := h.send(t, "POST", "/resumable/x", "began", "")
+		assert.Assert(t, got.err != nil)
+		// The second record makes the stream's key ambiguous at its holders.
+		assert.Equal(t, h.streams.records[streamversion.KeyOf("t", "began")].Origin.Version, "v2", name)
+	}
 }
 
-// restart replaces an engine's incarnation by one of another version.
-func (h *harness) restart(number int, version string) {
+// successor returns the next incarnation of an engine, with another version.
+func (h *harness) successor(number int, version string) registry.Instance {
 	instance, _ := h.table.InstanceWithID(fmt.Sprintf("i-%d", number))
 	instance.Version, instance.StartedAt = version, instance.StartedAt+1
-	h.pipeline.IncarnationsReplaced(h.table.Apply([]registry.Instance{instance}))
+	return instance
+}
+
+// restart replaces an engine's incarnation by one of another version.
+func (h *harness) restart(number int, version string) {
+	h.pipeline.IncarnationsReplaced(h.table.Apply([]registry.Instance{h.successor(number, version)}))
 }
 
 // Guards against a record of a version that was only believed: the engine may have restarted before the
