--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -190,7 +190,11 @@
 		ages = append(ages, crash.Age.Milliseconds())
 		suspicions = append(suspicions, crash.Suspicion.String())
 	}
-	q.node.log.Warn().Str("event", event).Stringer("fingerprint", verdict.Fingerprint).Str("route", verdict.Route).
+	line := q.node.log.Warn().Str("event", event)
+	if verdict.Part != "" {
+		line = line.Str("part", verdict.Part)
+	}
+	line.Stringer("fingerprint", verdict.Fingerprint).Str("route", verdict.Route).
 		Str("tenant", verdict.Tenant).Int("counted", verdict.Counted).Int("beside", verdict.OtherRequests).
 		Strs("lives", incarnations).Ints64("ages_ms", ages).Strs("suspicions", suspicions).Uint32("generation", verdict.Generation).Send()
 }
