--- a/internal/coordination/quarantine/doc.go
+++ b/internal/coordination/quarantine/doc.go
@@ -18,6 +18,12 @@
 //     counts against no other one.
 //   - A request that ran to completion at any engine is cleared.
 //
+// Engines may also crash on a part of a prompt, whatever else the request holds. Such a part is a
+// suspect like a request, and is recorded, exchanged and weighed in the same way. A suspect is
+// narrower than another one if fewer requests contain it: a request is narrower than its parts, and a
+// later part of a prompt narrower than an earlier one. Of suspects that explain the same crashes the
+// narrowest is quarantined. A part on which an engine wrote any of a response is cleared.
+//
 // The package reads no clock and sends nothing. Guard is the interface to the request paths.
 // It alone is safe for concurrent use.
 package quarantine
