--- a/internal/lab/openfleet/crashingparts_test.go
+++ b/internal/lab/openfleet/crashingparts_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -131,3 +132,55 @@
 		})
 	}
 }
+
+// crashThreeByPart sends three different requests with the crashing part to three entry nodes, each of which
+// sees one engine crash.
+func (p *poisonedFleet) crashThreeByPart() {
+	for number, name := range []string{"entry-0", "entry-1", "entry-2"} {
+		_, _ = p.requestWithPart(name, fmt.Sprintf("crashes-%d", number), crashingPart)
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// requestWithPart sends a request unlike all others whose prompt has a part after the common one.
+func (p *poisonedFleet) requestWithPart(name, id, part string) (CallerResponse, error) {
+	return p.Request(name, CallerRequest{ID: id, Path: "/stream/x", Key: "key-one", Tokens: "1,1", Body: id, PromptPart: commonPart + "," + part + ",own-" + id})
+}
+
+// nodesRefusingPart returns how many entry nodes refuse a new request with the part as quarantined.
+func (p *poisonedFleet) nodesRefusingPart() int {
+	refusing := 0
+	for _, name := range p.MachineNames(false) {
+		response, err := p.requestWithPart(name, fmt.Sprintf("probe-%s-%d", name, time.Now().UnixNano()), crashingPart)
+		if err == nil && strings.Contains(response.Body, "quarantined") {
+			refusing++
+		}
+	}
+	return refusing
+}
+
+// Guards against a quarantine of a part that only the nodes that saw the crashes know, that a loss of all power
+// undoes, or that new nodes are not told.
+func TestQuarantineOfAPartReachesAllNodesAndSurvivesAPowerLossOfAllMachines(t *testing.T) {
+	withPoisonedFleet(t, 60*time.Millisecond, func(t *testing.T, p *poisonedFleet) {
+		p.crashOnParts(crashingPart)
+		p.crashThreeByPart()
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, p.nodesRefusingPart(), 6)
+		served, err := p.requestWithPart("entry-4", "sound", "sound")
+		assert.NilError(t, err)
+		assert.Equal(t, served.Status, 200)
+		p.PowerOffAll()
+		// One control node loses its disk, too.
+		p.Wipe("control-1")
+		time.Sleep(time.Second)
+		p.BootAll()
+		time.Sleep(propagationTime)
+		assert.Equal(t, p.nodesRefusingPart(), 6)
+		p.AddMachine("entry-new", "10.0.2.99", "a", false)
+		p.Boot("entry-new")
+		time.Sleep(propagationTime)
+		assert.Equal(t, p.nodesRefusingPart(), 7)
+		assert.Equal(t, p.crashCount(), 3)
+	})
+}
