A verdict holds a request that waits for its next engine, ends, and is told only where it matters

Found by reading the change again; three faults of the quarantine of parts. What callers would have seen, cause, evidence and change of each: - A stream that is resumed, and waits for a permit or a slot as the verdict comes, still reached an engine: a verdict withdraws only requests whose response has not begun. TestRequestThatWaitsForAPermitWhenTheVerdictComesIsNotSent had two sends where one is allowed. The last check before writing asks for the verdict, too. - A quarantine might never end: nodes find the end of its time up to a second apart, and the list of one that had not yet found it gave the old crashes back, which counted for the whole time again. TestQuarantineThatHasEndedIsNotRestoredByANodeThatHasNotSeenItsEnd. Records whose newest crash is older than the time add no crashes. - Each part that was beside one crash and cleared was told to all nodes: with several parts a crash, messages grew with parts times nodes. TestPartThatWasClearedAfterOneCrashIsNotSentToAllNodes: one record, now none. A part is told of as cleared only if all nodes were told of its crashes (a field of its record that nodes of earlier builds ignore). Measured: the three tests, which failed before; quarantine, forward and the tests of messages in gateway pass. Not measured: bytes on a whole fleet. Conclusion: the table of ways in design/quarantine.md holds for a resumed stream now.

--- a/internal/coordination/quarantine/parts.go
+++ b/internal/coordination/quarantine/parts.go
@@ -45,8 +45,8 @@
 }
 
 // retentionOf returns how long crashes count against a suspect.
-func (t *Tracker) retentionOf(one *suspect) time.Duration {
-	if one.IsPart() {
+func (t *Tracker) retentionOf(fingerprint Fingerprint) time.Duration {
+	if fingerprint.IsPart() {
 		return min(t.options.Retention, maximumPartRetention)
 	}
 	return t.options.Retention
@@ -153,6 +153,7 @@
 			continue
 		}
 		one.isQuarantined = d.hasUnexplainedCrash(one)
+		one.wasShared = one.wasShared || one.isQuarantined
 	}
 }
 
--- a/internal/coordination/quarantine/parts_test.go
+++ b/internal/coordination/quarantine/parts_test.go
@@ -328,3 +328,54 @@
 		f.guard.Status(request)
 	}
 }
+
+// Guards against a quarantine that never ends: nodes find the end of its time at different moments, and a node
+// that had not yet found it gave the old crashes back to one that had.
+func TestQuarantineThatHasEndedIsNotRestoredByANodeThatHasNotSeenItsEnd(t *testing.T) {
+	for name, subject := range map[string]Fingerprint{"request": testFingerprint(0), "part": PartFingerprintOf(PartScopeOf("m", "t"), "crashing")} {
+		first, second := NewTracker(Options{Retention: maximumPartRetention}), NewTracker(Options{Retention: maximumPartRetention})
+		for number := range provenCrashes {
+			first.Report(0, CrashReport{Fingerprint: subject, Incarnation: incarnation(number), Suspicion: Likely, Request: uint64(number) + 1})
+		}
+		second.Merge(0, first.Records(0))
+		second.Decide(partSettleTime)
+		assert.Equal(t, second.suspects[subject].status(), Quarantined, name)
+		first.Decide(partSettleTime)
+		assert.Equal(t, first.suspects[subject].status(), Quarantined, name)
+		ended := maximumPartRetention + time.Second
+		first.Decide(ended)
+		assert.Equal(t, first.suspects[subject].status(), Suspected, name)
+		first.Merge(ended+time.Second, second.Records(ended+time.Second))
+		first.Decide(ended + 2*time.Second)
+		assert.Equal(t, first.suspects[subject].status(), Suspected, name)
+	}
+}
+
+// Guards against messages to all nodes about each part that was beside one crash: only parts of which all nodes
+// were told are told of again when they are cleared.
+func TestPartThatWasClearedAfterOneCrashIsNotSentToAllNodes(t *testing.T) {
+	f := newFleetOfOne()
+	f.crash(f.request("t", "beside", "once"))
+	f.guard.Written(f.now, f.request("t", "served", "once"))
+	f.decide()
+	shared := func() (parts int) {
+		for _, record := range f.tracker.SharedRecords(f.now) {
+			if record.Fingerprint.IsPart() {
+				parts++
+			}
+		}
+		return parts
+	}
+	assert.Equal(t, shared(), 0)
+	assert.Equal(t, f.tracker.Digest().Parts, uint64(0))
+	// Two crashes are told to all nodes, and so is what clears them.
+	f.crash(f.request("t", "one", "twice"))
+	f.crash(f.request("t", "two", "twice"))
+	assert.Equal(t, shared(), 1)
+	f.guard.Written(f.now, f.request("t", "served", "twice"))
+	f.decide()
+	assert.Equal(t, shared(), 1)
+	other := NewTracker(Options{})
+	other.Merge(f.now, f.tracker.SharedRecords(f.now))
+	assert.Equal(t, len(other.SharedRecords(f.now)), 1, "the other node agrees")
+}
--- a/internal/coordination/quarantine/tracker.go
+++ b/internal/coordination/quarantine/tracker.go
@@ -77,6 +77,8 @@
 	// prompt.
 	Part  string `msgpack:"p,omitempty"`
 	Depth uint16 `msgpack:"d,omitempty"`
+	// WasShared reports whether the record of a part was sent to all nodes at any time.
+	WasShared bool `msgpack:"w,omitempty"`
 }
 
 // suspect is a request, or a part of prompts, that was in flight when some engine crashed.
@@ -90,6 +92,9 @@
 	// counted and isQuarantined are derived from the crashes of all suspects.
 	counted       int
 	isQuarantined bool
+	// wasShared reports whether the record of a part was sent to all nodes at any time, so that they must
+	// learn of its clearing.
+	wasShared bool
 	// isOnProbation reports whether a part has left quarantine because its crashes are old.
 	isOnProbation bool
 	// changedAt is the time of the last crash or clearing.
@@ -180,6 +185,11 @@
 	if known != nil && record.Generation < known.generation || known == nil && record.Generation == 0 && len(record.Crashes) == 0 {
 		return
 	}
+	// A node that has not yet found the end of the crashes' time must not give them back to one that has.
+	hasEnded := now-record.newest(now) > t.retentionOf(record.Fingerprint)
+	if known == nil && hasEnded {
+		return
+	}
 	one := t.findOrAdd(record.Fingerprint, record.newest(now), len(record.Crashes))
 	if one == nil {
 		return
@@ -192,6 +202,10 @@
 	}
 	one.route, one.tenant = cmp.Or(one.route, record.Route), cmp.Or(one.tenant, record.Tenant)
 	one.describePart(record.Part, record.Depth)
+	one.wasShared = one.wasShared || record.WasShared
+	if hasEnded {
+		return
+	}
 	for _, received := range record.Crashes {
 		if received.Suspicion >= Excused && received.Suspicion <= Likely {
 			t.addCrash(one, received, now-max(0, received.Age))
@@ -277,6 +291,7 @@
 	}
 	one.crashes[received.Incarnation] = crash{suspicion: received.Suspicion, at: at, request: received.Request}
 	one.changedAt = max(one.changedAt, at)
+	one.wasShared = one.wasShared || len(one.crashes) >= suspectCrashes
 	t.markOutdated()
 	return true
 }
@@ -290,7 +305,7 @@
 	}
 	t.expiresAt = now + expireInterval
 	for fingerprint, one := range t.suspects {
-		if now-one.changedAt <= t.retentionOf(one) {
+		if now-one.changedAt <= t.retentionOf(fingerprint) {
 			continue
 		}
 		if !one.isQuarantined {
@@ -330,8 +345,12 @@
 	return cmp.Or(cmp.Compare(f.Scope, other.Scope), cmp.Compare(f.Length, other.Length), cmp.Compare(f.Body, other.Body))
 }
 
-// isShared reports whether the request's record is sent to the other nodes.
+// isShared reports whether the suspect's record is sent to the other nodes.
 func (s *suspect) isShared() bool {
+	if s.IsPart() {
+		// Each crash has several parts, most of which are cleared at once.
+		return s.isQuarantined || s.wasShared
+	}
 	return s.isQuarantined || len(s.crashes) >= suspectCrashes || s.generation > 0
 }
 
@@ -349,7 +368,7 @@
 
 func (s *suspect) record(now time.Duration) Record {
 	record := Record{
-		Fingerprint: s.Fingerprint, Generation: s.generation, Route: s.route, Tenant: s.tenant, Part: s.part, Depth: s.depth,
+		Fingerprint: s.Fingerprint, Generation: s.generation, Route: s.route, Tenant: s.tenant, Part: s.part, Depth: s.depth, WasShared: s.IsPart() && s.wasShared,
 		Crashes: make([]RecordedCrash, 0, len(s.crashes)),
 	}
 	for _, incarnation := range s.incarnations() {
--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -55,6 +55,7 @@
 // admitWrite is the last check before a request is written to an instance. It repeats the checks
 // of the choice, which may no longer hold: the request has waited for its connection since, and
 // waits for its permit here. A brittle instance's slot is taken last, since it has to be freed.
+// The request may have been quarantined during any of this.
 func (r *request) admitWrite(ctx context.Context, choice balance.Choice) (Slot, error) {
 	environment, table := r.pipeline.options.Environment, r.pipeline.options.Table
 	if err := table.Admit(environment.Now(), choice); err != nil {
@@ -66,12 +67,19 @@
 	if err := table.Admit(environment.Now(), choice); err != nil {
 		return nil, err
 	}
-	return r.pipeline.options.Slots.Acquire(ctx, choice.Instance, time.Until(r.deadline))
+	slot, err := r.pipeline.options.Slots.Acquire(ctx, choice.Instance, time.Until(r.deadline))
+	if err == nil && r.quarantineStatus() == quarantine.Quarantined {
+		if slot != nil {
+			slot.Free(false)
+		}
+		return nil, errQuarantined
+	}
+	return slot, err
 }
 
 // isNotAdmitted reports whether the request was withheld from the instance: no byte reached it.
 func isNotAdmitted(err error) bool {
-	return errors.Is(err, ErrNoPermit) || errors.Is(err, ErrNoSlot) || errors.Is(err, balance.ErrNotAdmitted)
+	return errors.Is(err, ErrNoPermit) || errors.Is(err, ErrNoSlot) || errors.Is(err, balance.ErrNotAdmitted) || errors.Is(err, errQuarantined)
 }
 
 // noteNotAdmitted records that the request was withheld from an instance. The instance is removed
@@ -85,6 +93,9 @@
 	if errors.Is(err, ErrNoSlot) {
 		result = "no_slot"
 	}
+	if errors.Is(err, errQuarantined) {
+		result = "quarantined"
+	}
 	r.tried = r.tried[:len(r.tried)-1]
 	r.pipeline.options.Log.Attempt(r, choice, result, err)
 }
--- a/internal/forward/crashes_test.go
+++ b/internal/forward/crashes_test.go
@@ -10,12 +10,14 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
+	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 )
 
@@ -248,3 +250,51 @@
 	assert.Equal(t, engine.ids(), "r1")
 	assert.Equal(t, sink.reported(), 0)
 }
+
+// verdictDuringPermit is a rate limit whose second permit is granted only after a verdict on the request.
+type verdictDuringPermit struct {
+	noRateLimits
+	permits atomic.Int64
+	verdict func()
+}
+
+func (l *verdictDuringPermit) Permit(context.Context, registry.Instance, ratelimit.PermitNeeds) error {
+	if l.permits.Add(1) == 2 {
+		l.verdict()
+	}
+	return nil
+}
+
+// Guards against a verdict that misses a request which waits for the permit of its next engine: a stream that
+// is resumed is not among the requests that a verdict withdraws, because its response has begun.
+func TestRequestThatWaitsForAPermitWhenTheVerdictComesIsNotSent(t *testing.T) {
+	for name, head := range map[string]string{
+		"resumed stream": "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\ne\r\nid: 1\ndata: x\n\n\r\n",
+		"retry":          "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			script := func(connection net.Conn, _ *bufio.Reader, _ received) {
+				_, _ = io.WriteString(connection, head)
+				_ = connection.Close()
+			}
+			engines := []*scriptedEngine{newEngine(t, script), newEngine(t, script)}
+			h := newHarness(t, engines...)
+			sink := h.withTracker()
+			poison := h.fingerprint("/resumable/x", "poison")
+			h.pipeline.options.RateLimits = &verdictDuringPermit{verdict: func() {
+				for number := range 3 {
+					sink.EnginesCrashed([]quarantine.CrashReport{{
+						Fingerprint: poison, Incarnation: registry.Incarnation{ID: fmt.Sprintf("before-%d", number)}, Suspicion: quarantine.Likely,
+					}})
+				}
+			}}
+			got := h.send(t, http.MethodPost, "/resumable/x", "r1", "poison")
+			assert.Assert(t, got.err != nil || got.status != http.StatusOK)
+			requests := 0
+			for _, engine := range engines {
+				requests += len(strings.Fields(engine.ids()))
+			}
+			assert.Equal(t, requests, 1)
+		})
+	}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -32,7 +32,7 @@
 	}
 	sending.abort()
 	r.noteInterrupted(ctx, sending.interruptedRun(r, *choice), "stream_broken", err)
-	for ctx.Err() == nil && r.incoming.Context().Err() == nil && !errors.Is(err, errCallerGone) && !errors.Is(err, errNoOtherInstance) {
+	for ctx.Err() == nil && r.incoming.Context().Err() == nil && !errors.Is(err, errCallerGone) && !errors.Is(err, errNoOtherInstance) && !errors.Is(err, errQuarantined) {
 		// A request that was withheld from an instance was not sent, so another instance is
 		// chosen without counting an attempt.
 		if !isNotAdmitted(err) {
