--- a/internal/coordination/overload/accepting.go
+++ b/internal/coordination/overload/accepting.go
@@ -16,7 +16,7 @@
 // The gate performs no I/O, reads no clock and is not safe for concurrent use.
 type ConnectionGate struct {
 	// recent and usual are the rates of new connections, over short and long times.
-	recent, usual smoothedRate
+	recent, usual decayingRate
 	// refused is the share of the new connections that is refused.
 	refused float64
 	// firstAt and acceptedAt are when the first connection arrived and the last one was accepted.
@@ -45,18 +45,9 @@
 	longestPause = 400 * time.Millisecond
 )
 
-// smoothedRate is a rate with an exponentially decaying memory.
-type smoothedRate struct {
-	sum float64
-	at  time.Duration
-}
-
-func (r *smoothedRate) add(now, halfLife time.Duration) {
-	r.sum, r.at = r.sum*math.Exp2(-float64(now-r.at)/float64(halfLife))+1, now
-}
-
-func (r *smoothedRate) perSecond(now, halfLife time.Duration) float64 {
-	return r.sum * math.Exp2(-float64(now-r.at)/float64(halfLife)) * math.Ln2 / halfLife.Seconds()
+// NewConnectionGate returns a gate that accepts all connections.
+func NewConnectionGate() *ConnectionGate {
+	return &ConnectionGate{recent: decayingRate{halfLife: recentHalfLife}, usual: decayingRate{halfLife: usualHalfLife}}
 }
 
 // Arrived records a new connection and reports whether it is accepted. draw is a random number in [0, 1).
@@ -64,8 +55,8 @@
 	if g.usual.sum == 0 {
 		g.firstAt = now
 	}
-	g.recent.add(now, recentHalfLife)
-	g.usual.add(now, usualHalfLife)
+	g.recent.add(now, 1)
+	g.usual.add(now, 1)
 	if draw < g.refused && now-g.acceptedAt < longestPause {
 		return false
 	}
@@ -102,6 +93,6 @@
 	}
 	// The usual rate is that of the time in which it was counted, which may be shorter than its memory.
 	counted := 1 - math.Exp2(-float64(age)/float64(usualHalfLife))
-	recent, usual := g.recent.perSecond(now, recentHalfLife), g.usual.perSecond(now, usualHalfLife)/counted
+	recent, usual := g.recent.perSecond(now), g.usual.perSecond(now)/counted
 	return recent >= minimumSurge && recent >= surgeRatio*usual
 }
--- a/internal/coordination/overload/accepting_test.go
+++ b/internal/coordination/overload/accepting_test.go
@@ -28,7 +28,7 @@
 // surgeZone is the state of a simulated zone.
 type surgeZone struct {
 	random *rand.Rand
-	gates  []ConnectionGate
+	gates  []*ConnectionGate
 	// queued are the bytes that wait at each node's link, passed those that it has carried.
 	queued, passed []float64
 	utilization    []float64
@@ -43,9 +43,12 @@
 // runSurge plays the surge in a zone of some nodes, with or without gates.
 func runSurge(nodes int, isGated bool, seed uint64) *surgeZone {
 	z := &surgeZone{
-		random: rand.New(rand.NewPCG(seed, 1)), gates: make([]ConnectionGate, nodes), queued: make([]float64, nodes), passed: make([]float64, nodes),
+		random: rand.New(rand.NewPCG(seed, 1)), queued: make([]float64, nodes), passed: make([]float64, nodes),
 		utilization: make([]float64, nodes),
 	}
+	for range nodes {
+		z.gates = append(z.gates, NewConnectionGate())
+	}
 	perNode := usualShare * linkBytes / requestBytes
 	for now := time.Duration(0); now < surgeUntil; now += simulationStep {
 		rate := perNode * float64(nodes) * simulationStep.Seconds()
@@ -144,7 +147,7 @@
 func TestConnectionsAreRefusedOnlyInASurgeThatOthersHaveRoomFor(t *testing.T) {
 	full := Pressure{FrameDelay: time.Second}
 	run := func(rates [2]float64, changeAt time.Duration, withRoom int) float64 {
-		var gate ConnectionGate
+		gate := NewConnectionGate()
 		for now := time.Duration(0); now < 20*time.Second; now += simulationStep {
 			rate := rates[0]
 			if now >= changeAt {
--- a/internal/coordination/overload/gate.go
+++ b/internal/coordination/overload/gate.go
@@ -121,20 +121,24 @@
 type decayingRate struct {
 	sum float64
 	at  time.Duration
+	// halfLife is rateHalfLife if it is 0.
+	halfLife time.Duration
 }
 
+func (r *decayingRate) memory() time.Duration { return cmp.Or(r.halfLife, rateHalfLife) }
+
 func (r *decayingRate) add(now time.Duration, amount float64) {
 	r.sum = r.decayed(now) + amount
 	r.at = now
 }
 
 func (r *decayingRate) decayed(now time.Duration) float64 {
-	return r.sum * math.Exp2(-float64(now-r.at)/float64(rateHalfLife))
+	return r.sum * math.Exp2(-float64(now-r.at)/float64(r.memory()))
 }
 
 // perSecond returns the rate per second.
 func (r *decayingRate) perSecond(now time.Duration) float64 {
-	return r.decayed(now) * math.Ln2 / rateHalfLife.Seconds()
+	return r.decayed(now) * math.Ln2 / r.memory().Seconds()
 }
 
 // NewGate returns a gate without a bound, which admits all requests.
--- a/internal/gateway/gate.go
+++ b/internal/gateway/gate.go
@@ -18,11 +18,11 @@
 	key         overload.Key
 	mutex       sync.Mutex
 	gate        *overload.Gate
-	connections overload.ConnectionGate
+	connections *overload.ConnectionGate
 }
 
 func newCallerGate(node *Node) *callerGate {
-	return &callerGate{node: node, key: overload.KeyOf(node.address), gate: overload.NewGate()}
+	return &callerGate{node: node, key: overload.KeyOf(node.address), gate: overload.NewGate(), connections: overload.NewConnectionGate()}
 }
 
 // callerBoundsSet counts how often heavy callers were bounded. schedulerLag is how long a goroutine
