forward: a verdict on a part withdraws what waits at engines, tested

Cause: the test of withdrawn requests had a poison request only; that a verdict on a part withdraws the requests with it, of its tenant and no others, was shown by no test. Change: TestRequestWithAQuarantinedPartThatWaitsAtAnEngineIsCanceled; the tests' dialect reads parts of prompts. Measured: passes; the request without the part, at the same engine, is served.

--- a/internal/forward/crashes_test.go
+++ b/internal/forward/crashes_test.go
@@ -251,6 +251,42 @@
 	assert.Equal(t, sink.reported(), 0)
 }
 
+// Guards against engines that crash after the verdict on a part: requests with it that wait at engines are
+// canceled like a poison request, those with its other parts are not.
+func TestRequestWithAQuarantinedPartThatWaitsAtAnEngineIsCanceled(t *testing.T) {
+	arrived, goOn := make(chan string, 2), make(chan struct{})
+	engine := newEngine(t, func(connection net.Conn, reader *bufio.Reader, request received) {
+		arrived <- request.Header.Get("Id")
+		if request.Header.Get("Id") == "with" {
+			_, _ = reader.ReadByte()
+			close(goOn)
+			return
+		}
+		<-goOn
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nId: without\r\nContent-Length: 15\r\n\r\nid: 1\ndata: x\n\n")
+	})
+	h := newHarness(t, engine)
+	h.withTracker()
+	results := map[string]chan result{}
+	for id, parts := range map[string]string{"with": "common crashing own", "without": "common own"} {
+		request := h.request(t, http.MethodPost, "/resumable/x", id, "body of "+id)
+		request.Header.Set("Parts", parts)
+		results[id] = make(chan result, 1)
+		go func() { results[id] <- h.do(request) }()
+	}
+	<-arrived
+	<-arrived
+	h.pipeline.CancelQuarantined(quarantine.PartFingerprintOf(quarantine.PartScopeOf("", "another tenant"), "crashing"))
+	h.pipeline.CancelQuarantined(quarantine.PartFingerprintOf(quarantine.PartScopeOf("", "t"), "crashing"))
+	select {
+	case <-goOn:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the engine still has the request")
+	}
+	assert.Assert(t, strings.Contains((<-results["with"]).body, "quarantined"))
+	assert.Equal(t, (<-results["without"]).status, http.StatusOK)
+}
+
 // verdictDuringPermit is a rate limit whose second permit is granted only after a verdict on the request.
 type verdictDuringPermit struct {
 	noRateLimits
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -37,6 +37,9 @@
 	if call.ID == "" {
 		return nil, errors.New("no id")
 	}
+	for _, part := range strings.Fields(request.Header.Get("Parts")) {
+		call.Parts = append(call.Parts, PromptPart{ID: part})
+	}
 	if request.Header.Get("Tokens") != "" {
 		call.TokensIn, call.TokensOut, call.HasTokens = 100, 50, true
 	}
