--- a/internal/coordination/quarantine/parts_test.go
+++ b/internal/coordination/quarantine/parts_test.go
@@ -379,3 +379,24 @@
 	other.Merge(f.now, f.tracker.SharedRecords(f.now))
 	assert.Equal(t, len(other.SharedRecords(f.now)), 1, "the other node agrees")
 }
+
+// Guards against a crashing part against which no further crash is recorded: it waited at engines that another
+// one crashed, and the crashes of that one had filled its record.
+func TestCrashesThatAnotherPartExplainsLeaveRoomForAPartsOwn(t *testing.T) {
+	f := newFleetOfOne()
+	waiting := f.request("t", "waiting", "common,other")
+	for number := range 2 * maximumCrashes {
+		one := f.request("t", fmt.Sprint("one ", number), "common,one")
+		f.guard.ReportCrash(f.now, incarnation(f.crashes), []InFlightRun{
+			{Fingerprint: FingerprintOfRequest(one), Run: Run{ResponseBegan: true, RespondsAtStart: true}, Tenant: "t", Parts: one.parts},
+			{Fingerprint: testFingerprint(number), Tenant: "t", Parts: waiting.parts},
+		})
+		f.crashes++
+		f.decide()
+	}
+	assert.DeepEqual(t, f.quarantined(), []string{"t/one"})
+	for number := range provenCrashes {
+		f.crash(f.request("t", fmt.Sprint("other ", number), "common,other"))
+	}
+	assert.DeepEqual(t, f.quarantined(), []string{"t/one", "t/other"})
+}
--- a/internal/coordination/quarantine/writtenparts.go
+++ b/internal/coordination/quarantine/writtenparts.go
@@ -69,7 +69,6 @@
 	for fingerprint, status := range view.parts {
 		if _, found := w.last(fingerprint); found && (status >= Suspected || w.isRecent(now, fingerprint)) {
 			written = append(written, fingerprint)
-			w.forget(now, fingerprint)
 		}
 	}
 	slices.SortFunc(written, Fingerprint.compare)
--- a/internal/lab/openfleet/rollout_test.go
+++ b/internal/lab/openfleet/rollout_test.go
@@ -40,14 +40,15 @@
 }
 
 // stageOf returns the stage of the service app's rollout, as any control node reports it.
-func stageOf(f *Fleet) rollout.Stage {
-	var stage rollout.Stage
-	_ = f.tryControls(2*time.Second, func(ctx context.Context, node *gateway.Node) error {
-		found, err := node.Rollout(ctx, "app")
-		stage = found.Stage
+func stageOf(f *Fleet) rollout.Stage { return rolloutOf(f).Stage }
+
+// rolloutOf returns the service app's rollout, as any control node reports it.
+func rolloutOf(f *Fleet) (found rollout.Rollout) {
+	_ = f.tryControls(2*time.Second, func(ctx context.Context, node *gateway.Node) (err error) {
+		found, err = node.Rollout(ctx, "app")
 		return err
 	})
-	return stage
+	return found
 }
 
 // startNewVersion starts engines of the new version in addition to the old ones.
@@ -262,7 +263,8 @@
 				err := f.WaitFor(rolloutTime, "the rollout to end", func() bool { return !stageOf(f).IsRunning() })
 				stop()
 				assert.NilError(t, err)
-				assert.Equal(t, stageOf(f), rollout.Done)
+				ended := rolloutOf(f)
+				assert.Equal(t, ended.Stage, rollout.Done, ended.Reason)
 			})
 		})
 	}
