--- a/internal/forward/crashes_test.go
+++ b/internal/forward/crashes_test.go
@@ -267,13 +267,13 @@
 	})
 	h := newHarness(t, engine)
 	h.withTracker()
-	results := map[string]chan result{}
-	for id, parts := range map[string]string{"with": "common crashing own", "without": "common own"} {
-		request := h.request(t, http.MethodPost, "/resumable/x", id, "body of "+id)
+	send := func(id, parts string) <-chan result {
+		request, results := h.request(t, http.MethodPost, "/resumable/x", id, "body of "+id), make(chan result, 1)
 		request.Header.Set("Parts", parts)
-		results[id] = make(chan result, 1)
-		go func() { results[id] <- h.do(request) }()
+		go func() { results <- h.do(request) }()
+		return results
 	}
+	with, without := send("with", "common crashing own"), send("without", "common own")
 	<-arrived
 	<-arrived
 	h.pipeline.CancelQuarantined(quarantine.PartFingerprintOf(quarantine.PartScopeOf("", "another tenant"), "crashing"))
@@ -283,8 +283,8 @@
 	case <-time.After(2 * time.Second):
 		t.Fatal("the engine still has the request")
 	}
-	assert.Assert(t, strings.Contains((<-results["with"]).body, "quarantined"))
-	assert.Equal(t, (<-results["without"]).status, http.StatusOK)
+	assert.Assert(t, strings.Contains((<-with).body, "quarantined"))
+	assert.Equal(t, (<-without).status, http.StatusOK)
 }
 
 // verdictDuringPermit is a rate limit whose second permit is granted only after a verdict on the request.
--- a/internal/lab/openfleet/onenode_test.go
+++ b/internal/lab/openfleet/onenode_test.go
@@ -54,6 +54,13 @@
 	c.reasons[strconv.Itoa(response.Status)+" "+refusal.Error]++
 }
 
+// servedRequests returns how many requests were served.
+func (c *callerTally) servedRequests() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.served
+}
+
 func (c *callerTally) share() float64 {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -129,7 +136,7 @@
 						l.sendAt(arrivals, oneNodeRate, spreadTime, 0, func() string { return entries[nodes.IntN(len(entries))] })
 						tally := l.sendAt(arrivals, oneNodeRate, oneNodeTime, shareFollowsWithin, func() string { return entries[nodes.IntN(one.nodes)] })
 						time.Sleep(5 * time.Second)
-						one.served.Add(int64(tally.served))
+						one.served.Add(int64(tally.servedRequests()))
 					})
 				})
 			}
