Failing test: most new connections come to a node with a small link

The in-memory network of the lab has links with a bandwidth now, on which bytes wait behind earlier ones, and a closed connection still delivers what was written before. With them a whole fleet of nine entry nodes is played whose balancer, which polls readiness once a second and takes a node out at the second miss, hands all new connections of the region to one node for 10 s.

--- a/internal/lab/fleet/network.go
+++ b/internal/lab/fleet/network.go
@@ -10,6 +10,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +38,24 @@
 	bytes map[[2]string]int
 	// delays is the time that bytes to a machine take.
 	delays map[string]time.Duration
+	// links are the links of the machines that have a limited bandwidth.
+	links map[string]*link
+}
+
+// link is the network link of a machine with a limited bandwidth in each direction.
+type link struct {
+	bytesPerSecond float64
+	// outgoingFreeAt and incomingFreeAt are when the link will have carried all bytes so far.
+	outgoingFreeAt, incomingFreeAt time.Time
+}
+
+// carry adds bytes that reach one direction of the link at a time, and returns when it will have carried them.
+func (l *link) carry(freeAt *time.Time, at time.Time, bytes int) time.Time {
+	if freeAt.Before(at) {
+		*freeAt = at
+	}
+	*freeAt = freeAt.Add(time.Duration(float64(bytes) / l.bytesPerSecond * float64(time.Second)))
+	return *freeAt
 }
 
 // NewNetwork returns a network without partitions or delays.
@@ -44,7 +63,7 @@
 	return &Network{
 		listeners: map[string]*memoryListener{}, partitions: map[[2]string]bool{}, refusals: map[[2]string]bool{}, healed: make(chan struct{}),
 		connections: map[string]map[*memoryConnection]struct{}{}, bytes: map[[2]string]int{},
-		delays: map[string]time.Duration{},
+		delays: map[string]time.Duration{}, links: map[string]*link{},
 	}
 }
 
@@ -83,7 +102,7 @@
 			return nil, err
 		}
 	}
-	if delay := n.delayTo(listener.machine); delay > 0 && !pause.For(ctx, delay) {
+	if delay := time.Until(n.arrival(from, listener.machine, 0)); delay > 0 && !pause.For(ctx, delay) {
 		return nil, ctx.Err()
 	}
 	dialerEnd, listenerEnd := net.Pipe()
@@ -94,9 +113,9 @@
 		return dialerConnection, nil
 	case <-listener.closed:
 		err := fmt.Errorf("%w: %s", errConnectionRefused, address)
-		return nil, errors.Join(err, dialerConnection.Close(), listenerConnection.Close())
+		return nil, errors.Join(err, dialerConnection.abort(), listenerConnection.abort())
 	case <-ctx.Done():
-		return nil, errors.Join(ctx.Err(), dialerConnection.Close(), listenerConnection.Close())
+		return nil, errors.Join(ctx.Err(), dialerConnection.abort(), listenerConnection.abort())
 	}
 }
 
@@ -170,7 +189,7 @@
 	}
 	n.mutex.Unlock()
 	for _, connection := range broken {
-		_ = connection.Close()
+		_ = connection.abort()
 	}
 }
 
@@ -181,10 +200,27 @@
 	n.delays[machine] = delay
 }
 
-func (n *Network) delayTo(machine string) time.Duration {
+// SetBandwidth limits the bandwidth of a machine's link in each direction. Bytes that it can't carry yet wait
+// behind earlier ones.
+func (n *Network) SetBandwidth(machine string, bytesPerSecond float64) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.delays[machine]
+	n.links[machine] = &link{bytesPerSecond: bytesPerSecond}
+}
+
+// arrival returns when bytes that are sent now arrive: after the links of both machines have carried them, and
+// the delay.
+func (n *Network) arrival(from, to string, bytes int) time.Time {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	at := time.Now()
+	if sender := n.links[from]; sender != nil {
+		at = sender.carry(&sender.outgoingFreeAt, at, bytes)
+	}
+	if receiver := n.links[to]; receiver != nil {
+		at = receiver.carry(&receiver.incomingFreeAt, at, bytes)
+	}
+	return at.Add(n.delays[to])
 }
 
 // Heal ends all partitions.
@@ -216,7 +252,7 @@
 		_ = listener.Close()
 	}
 	for _, connection := range broken {
-		_ = connection.Close()
+		_ = connection.abort()
 	}
 }
 
@@ -229,7 +265,7 @@
 	}
 	n.mutex.Unlock()
 	for _, connection := range broken {
-		_ = connection.Close()
+		_ = connection.abort()
 	}
 }
 
@@ -285,16 +321,19 @@
 	from, to string
 	once     sync.Once
 	closed   chan struct{}
-	// inTransit is nil until the other end's machine first has a delay. From then on it holds the writes
-	// in transit, whose delivery startDelivery starts.
-	inTransit     chan delayedWrite
+	// inTransit is nil until a write first takes time. From then on it holds the writes in transit, whose
+	// delivery startDelivery starts.
+	inTransit     atomic.Pointer[chan delayedWrite]
 	startDelivery sync.Once
+	// isClosing is set once Close was called while the delivery goes on.
+	isClosing atomic.Bool
 }
 
-// delayedWrite is one write in transit, due at a time.
+// delayedWrite is one write in transit, or the end of the connection, due at a time.
 type delayedWrite struct {
-	data []byte
-	at   time.Time
+	data  []byte
+	at    time.Time
+	isEnd bool
 }
 
 // inTransitCapacity is the maximum number of writes in transit on a connection.
@@ -311,21 +350,26 @@
 	return written, err
 }
 
-// write passes bytes to the other end, immediately or after the delay. Once there was a delay, all later
-// bytes are queued after those in transit, so that they stay in order.
+// write passes bytes to the other end, immediately or when they arrive. Once bytes took time, all later ones
+// are queued after those in transit, so that they stay in order.
 func (c *memoryConnection) write(data []byte) (int, error) {
-	delay := c.network.delayTo(c.to)
-	if delay > 0 {
+	if c.isClosing.Load() {
+		return 0, net.ErrClosed
+	}
+	at := c.network.arrival(c.from, c.to, len(data))
+	if time.Until(at) > 0 {
 		c.startDelivery.Do(func() {
-			c.inTransit = make(chan delayedWrite, inTransitCapacity)
-			go c.deliver()
+			inTransit := make(chan delayedWrite, inTransitCapacity)
+			c.inTransit.Store(&inTransit)
+			go c.deliver(inTransit)
 		})
 	}
-	if c.inTransit == nil {
+	inTransit := c.inTransit.Load()
+	if inTransit == nil {
 		return c.Conn.Write(data)
 	}
 	select {
-	case c.inTransit <- delayedWrite{data: slices.Clone(data), at: time.Now().Add(delay)}:
+	case *inTransit <- delayedWrite{data: slices.Clone(data), at: at}:
 		return len(data), nil
 	case <-c.closed:
 		return 0, net.ErrClosed
@@ -333,17 +377,21 @@
 }
 
 // deliver passes each write in transit to the other end when it is due, until the connection closes.
-func (c *memoryConnection) deliver() {
+func (c *memoryConnection) deliver(inTransit <-chan delayedWrite) {
 	for {
 		select {
 		case <-c.closed:
 			return
-		case next := <-c.inTransit:
+		case next := <-inTransit:
 			if !c.waitUntil(next.at) {
 				return
 			}
+			if next.isEnd {
+				_ = c.abort()
+				return
+			}
 			if _, err := c.Conn.Write(next.data); err != nil {
-				_ = c.Close()
+				_ = c.abort()
 				return
 			}
 		}
@@ -364,7 +412,29 @@
 	}
 }
 
+// Close closes the connection. What was written before still arrives, as in TCP, and the end with it.
 func (c *memoryConnection) Close() error {
+	inTransit := c.inTransit.Load()
+	if inTransit == nil {
+		return c.abort()
+	}
+	if c.isClosing.Swap(true) {
+		return nil
+	}
+	// Reads in progress end, as they do on a closed connection.
+	_ = c.Conn.SetReadDeadline(time.Now())
+	select {
+	case *inTransit <- delayedWrite{at: time.Now(), isEnd: true}:
+		return nil
+	case <-c.closed:
+		return net.ErrClosed
+	default:
+		return c.abort()
+	}
+}
+
+// abort closes the connection, and what is in transit is lost.
+func (c *memoryConnection) abort() error {
 	c.once.Do(func() {
 		close(c.closed)
 		c.network.mutex.Lock()
--- a/internal/lab/openfleet/openfleet.go
+++ b/internal/lab/openfleet/openfleet.go
@@ -37,6 +37,8 @@
 	readyPort     = 7003
 	operatorsPort = 7004
 	pollInterval  = 20 * time.Millisecond
+	// bytesPerMegabit converts megabits to bytes.
+	bytesPerMegabit = 1e6 / 8
 )
 
 // zones are assigned to the machines in turn.
@@ -97,6 +99,10 @@
 	hasStarted bool
 	// reservesPrompts is whether the nodes reserve long prompts, regardless of the fleet's size.
 	reservesPrompts bool
+	// linkMbps is the bandwidth of the entry nodes' links in megabits per second; 0 means no limit.
+	linkMbps float64
+	// retriesReturn is the nodes' setting of that name.
+	retriesReturn bool
 	// lost are the machines that never start again; nodes booted later don't have them as seeds.
 	lost map[string]bool
 }
@@ -165,7 +171,7 @@
 	nodeSettings := &settings.Settings{
 		Node:   settings.Node{Name: name, Zone: machine.Zone, Roles: []string{settings.RoleEntry}},
 		Listen: settings.Listen{Peers: machine.Peer()},
-		Fleet:  settings.Fleet{Dialect: "lab", PeerPort: peerPort, FirstStart: !f.hasStarted, PromptReservations: f.reservesPrompts, PromptReservationsFromEntries: 1},
+		Fleet:  settings.Fleet{Dialect: "lab", PeerPort: peerPort, FirstStart: !f.hasStarted, PromptReservations: f.reservesPrompts, PromptReservationsFromEntries: 1, RetriesReturn: f.retriesReturn},
 		Bounds: settings.Bounds{StopGrace: settings.DefaultStopGrace, RetryWindow: settings.DefaultRetryWindow, RetryRatio: 0.2, RetrySlack: 50, ExposureShare: settings.DefaultExposureShare},
 	}
 	nodeSettings.Fleet.Seeds = f.seeds()
@@ -183,6 +189,10 @@
 		options.Listeners.Control = listen(controlPort)
 	} else {
 		options.Listeners.Callers, options.Listeners.Ready = listen(callersPort), listen(readyPort)
+		nodeSettings.Limits.LinkMbps = f.linkMbps
+		if f.linkMbps > 0 {
+			f.Network.SetBandwidth(name, f.linkMbps*bytesPerMegabit)
+		}
 	}
 	started, err := gateway.New(options)
 	if err != nil {
