lab: a closed connection takes nothing of the links; retries meet no node twice

Two faults of the new test's surroundings made it harsher than a real network. The bytes that a caller had not sent yet when its connection was closed unread still filled the node's link, and its second retry could meet the node of the surge again, while the balancer that is modelled sends retries to other nodes.

--- a/internal/lab/fleet/network.go
+++ b/internal/lab/fleet/network.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -108,6 +109,7 @@
 	dialerEnd, listenerEnd := net.Pipe()
 	dialerConnection := n.track(dialerEnd, from, listener.machine)
 	listenerConnection := n.track(listenerEnd, listener.machine, from)
+	dialerConnection.peerClosed, listenerConnection.peerClosed = listenerConnection.closed, dialerConnection.closed
 	select {
 	case listener.accepted <- listenerConnection:
 		return dialerConnection, nil
@@ -321,6 +323,8 @@
 	from, to string
 	once     sync.Once
 	closed   chan struct{}
+	// peerClosed is closed once the other end is.
+	peerClosed <-chan struct{}
 	// inTransit is nil until a write first takes time. From then on it holds the writes in transit, whose
 	// delivery startDelivery starts.
 	inTransit     atomic.Pointer[chan delayedWrite]
@@ -353,6 +357,12 @@
 // write passes bytes to the other end, immediately or when they arrive. Once bytes took time, all later ones
 // are queued after those in transit, so that they stay in order.
 func (c *memoryConnection) write(data []byte) (int, error) {
+	select {
+	case <-c.peerClosed:
+		// A closed connection takes nothing of the links.
+		return 0, io.ErrClosedPipe
+	default:
+	}
 	if c.isClosing.Load() {
 		return 0, net.ErrClosed
 	}
--- a/internal/lab/openfleet/surge_test.go
+++ b/internal/lab/openfleet/surge_test.go
@@ -73,15 +73,15 @@
 	return listed
 }
 
-// choose returns the node of a new connection, other than the one that a retry has met.
-func (b *balancer) choose(met string) string {
+// choose returns the node of a new connection, other than those that a retry has met.
+func (b *balancer) choose(met []string) string {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	listed := b.listed()
-	if b.isSurge && met == "" {
+	if b.isSurge && len(met) == 0 {
 		return listed[0]
 	}
-	listed = slices.DeleteFunc(slices.Clone(listed), func(name string) bool { return name == met })
+	listed = slices.DeleteFunc(slices.Clone(listed), func(name string) bool { return slices.Contains(met, name) })
 	return listed[b.random.IntN(len(listed))]
 }
 
@@ -117,11 +117,12 @@
 
 // send sends a request, and again while its connections are closed unread.
 func (b *balancer) send(id, path string, tally *surgeTally) {
-	met := ""
+	var met []string
 	for unread := 0; unread <= surgeRetries; unread++ {
-		met = b.choose(met)
+		node := b.choose(met)
+		met = append(met, node)
 		sentAt, attempt := time.Now(), fmt.Sprintf("%s-%d", id, unread)
-		response, err := b.fleet.Request(met, CallerRequest{ID: attempt, Path: path, Key: "key-one", Tokens: "1000,5", Body: strings.Repeat("x", surgeBodyBytes)})
+		response, err := b.fleet.Request(node, CallerRequest{ID: attempt, Path: path, Key: "key-one", Tokens: "1000,5", Body: strings.Repeat("x", surgeBodyBytes)})
 		if err != nil && !b.hasRun(attempt) {
 			continue
 		}
