In a surge an entry node limits connections before their bytes arrive, and stays ready

Four causes, from the log of the failing test: (1) the gate took the word of fleet.retries_return and refused nothing while the balancer listed the node, which it does in a surge; the setting is about requests that have been read, and a connection that is closed unread has cost the link next to nothing. (2) It took silence of the other nodes for want of room, and their reports are late behind a full link, so refusing ended after a second. (3) It went by readings of the link, which show what was accepted only once the link is full. (4) A node whose link asked for no more connections went out and handed the surge to the next one.

TestConnectionsAreAcceptedSoonAfterASurge fails on the old one.

--- a/internal/coordination/overload/accepting_test.go
+++ b/internal/coordination/overload/accepting_test.go
@@ -17,6 +17,8 @@
 	linkBytes      = 1.25e6
 	requestBytes   = 25_000
 	usualShare     = 0.2
+	// reportLifetime is the delay from which other nodes' reports of their room are too old when they arrive.
+	reportLifetime = 400 * time.Millisecond
 	// usefulWait is the longest time that a request may wait behind the link to be served in time.
 	usefulWait = 500 * time.Millisecond
 	surgeFrom  = 20 * time.Second
@@ -119,7 +121,11 @@
 	}
 	for node := range z.gates {
 		delay := time.Duration(z.queued[node] / linkBytes * float64(time.Second))
-		z.gates[node].Step(now, z.utilization[node], Pressure{FrameDelay: delay}, withRoom)
+		known := withRoom
+		if delay > reportLifetime {
+			known = 0
+		}
+		z.gates[node].Step(now, z.utilization[node], Pressure{FrameDelay: delay}, known)
 	}
 }
 
@@ -142,6 +148,51 @@
 	}
 }
 
+// Guards against a node that takes itself for another one that has room, and refuses connections that nobody else
+// could accept.
+func TestNodeIsNotAmongTheOthersThatHaveRoom(t *testing.T) {
+	gate := NewGate()
+	assert.Equal(t, gate.OthersWithRoom(), 0, "nothing is known")
+	gate.SetZone(1, ZoneState{Nodes: 1, WithRoom: 1})
+	assert.Equal(t, gate.OthersWithRoom(), 0, "the only node of its zone")
+	gate.SetZone(1, ZoneState{Nodes: 3, WithRoom: 3})
+	assert.Equal(t, gate.OthersWithRoom(), 2)
+	gate.Step(0, Pressure{FrameDelay: time.Second})
+	gate.SetZone(1, ZoneState{Nodes: 3, WithRoom: 2})
+	assert.Equal(t, gate.OthersWithRoom(), 2, "this node has no room itself")
+	gate.SetZone(1, ZoneState{Nodes: 3, WithRoom: 3})
+	assert.Equal(t, gate.OthersWithRoom(), 2, "its last report is older")
+}
+
+// Guards against a surge that has ended at a node and goes on refusing the retries of the node at which it
+// continues.
+func TestConnectionsAreAcceptedSoonAfterASurge(t *testing.T) {
+	gate, accepted, arrived := NewConnectionGate(), 0, 0
+	for now := time.Duration(0); now < 20*time.Second; now += simulationStep {
+		rate, utilization := 5.0, 0.2
+		if now >= 12*time.Second && now < 15*time.Second {
+			rate, utilization = 80, 0.9
+		}
+		if int64(now.Seconds()*rate) != int64((now+simulationStep).Seconds()*rate) {
+			isAccepted := gate.Arrived(now, 0.1)
+			if now >= 15800*time.Millisecond {
+				arrived++
+			}
+			if now >= 15800*time.Millisecond && isAccepted {
+				accepted++
+			}
+		}
+		if now%gateInterval == 0 {
+			gate.Step(now, utilization, Pressure{}, 5)
+		}
+		if now == 14*time.Second {
+			assert.Assert(t, gate.IsRefusing())
+		}
+	}
+	assert.Equal(t, accepted, arrived)
+	assert.Assert(t, !gate.IsRefusing())
+}
+
 // Guards against refusing connections for other reasons than a surge: a heavy caller, a node that takes over
 // for a lost one, or a node that has just started.
 func TestConnectionsAreRefusedOnlyInASurgeThatOthersHaveRoomFor(t *testing.T) {
--- a/internal/coordination/overload/zone.go
+++ b/internal/coordination/overload/zone.go
@@ -259,6 +259,15 @@
 // Zone returns what is known of the zone.
 func (g *Gate) Zone() ZoneState { return g.zone }
 
+// OthersWithRoom returns how many of the other nodes of the zone tell that they have room.
+func (g *Gate) OthersWithRoom() int {
+	others := g.zone.WithRoom
+	if own := (NodeState{Utilization: g.utilization, HasBound: g.bound > 0}); own.HasRoom() {
+		others--
+	}
+	return max(0, min(others, g.zone.Nodes-1))
+}
+
 // minimumShare returns the share of a heavy caller's work that is admitted regardless of the load.
 // This node has a bound, so it is not among those that tell that they have room.
 func (g *Gate) minimumShare(known elsewhere) float64 {
--- a/internal/gateway/entry.go
+++ b/internal/gateway/entry.go
@@ -73,9 +73,13 @@
 // Now implements forward.Environment.
 func (e *entryEnvironment) Now() time.Duration { return e.node.now() }
 
+// asksForNoConnections reports whether the node's link asks for new connections to go to other nodes. In a surge
+// the next node would get all of them; there the node refuses what it can't serve.
+func (n *Node) asksForNoConnections() bool { return n.link.busy.Load() && !n.gate.refusesConnections() }
+
 // ready reports whether callers should be sent to this entry node.
 func (n *Node) ready() bool {
-	if n.isStopping() || n.documents.version() == 0 || n.link.shedding.Load() || n.link.busy.Load() || n.paths.IsIsolated() {
+	if n.isStopping() || n.documents.version() == 0 || n.link.shedding.Load() || n.asksForNoConnections() || n.paths.IsIsolated() {
 		return false
 	}
 	return n.fleet.instanceCount.Load() > 0 || n.now() > instancesTimeout
--- a/internal/gateway/gate.go
+++ b/internal/gateway/gate.go
@@ -51,8 +51,8 @@
 	changed := c.gate.Step(c.node.now(), pressure)
 	utilization, bound := c.gate.Utilization(), c.gate.Bound()
 	pressure.Lag = c.gate.Lag()
-	surgeChanged := c.connections.Step(c.node.now(), utilization, pressure, c.withRoom(pressure))
-	refused := c.connections.RefusedShare()
+	surgeChanged := c.connections.Step(c.node.now(), utilization, pressure, c.gate.OthersWithRoom())
+	isRefusing, refused, others := c.connections.IsRefusing(), c.connections.RefusedShare(), c.gate.OthersWithRoom()
 	c.mutex.Unlock()
 	linkUtilization.Set(utilization)
 	callerBound.Set(bound)
@@ -60,20 +60,12 @@
 		c.logChange(pressure)
 	}
 	if surgeChanged {
-		c.node.log.Warn().Str("event", "connection_surge").Bool("refusing", refused > 0).Float64("utilization", utilization).
+		c.node.log.Warn().Str("event", "connection_surge").Bool("refusing", isRefusing).Float64("refused_share", refused).
+			Int("others_with_room", others).Float64("utilization", utilization).
 			Int64("lag_ms", pressure.Lag.Milliseconds()).Int64("frame_delay_ms", pressure.FrameDelay.Milliseconds()).Send()
 	}
 }
 
-// withRoom returns the number of other nodes of the zone that have room for connections that this one refuses:
-// none if callers' retries return to this node. The caller holds the mutex.
-func (c *callerGate) withRoom(pressure overload.Pressure) int {
-	if pressure.RetriesReturn {
-		return 0
-	}
-	return c.gate.Zone().WithRoom
-}
-
 // acceptsConnection records a caller's new connection and reports whether it is accepted.
 func (c *callerGate) acceptsConnection() bool {
 	c.mutex.Lock()
@@ -85,6 +77,13 @@
 	return false
 }
 
+// refusesConnections reports whether new connections are refused in a surge.
+func (c *callerGate) refusesConnections() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.connections.IsRefusing()
+}
+
 // logChange logs that heavy callers are now bounded, or no longer bounded.
 func (c *callerGate) logChange(pressure overload.Pressure) {
 	c.mutex.Lock()
