forward: the ends of responses by route and framing, tested, and a fuzz test of them

What a caller sees and is charged at each end of a response, whether the request is sent again and what clears or accuses it was tested end by end, and not written down. No fault was found.

--- /dev/null
+++ b/internal/forward/responseends_test.go
@@ -0,0 +1,234 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/coordination/quarantine"
+)
+
+// framing is how a response tells its end.
+type framing string
+
+const (
+	byLength framing = "length"
+	byChunks framing = "chunks"
+	byClose  framing = "close"
+)
+
+// responseEnd is how the first response to a request ends.
+type responseEnd string
+
+const (
+	endsComplete      responseEnd = "complete"
+	endsBeforeBody    responseEnd = "closed before the body"
+	endsInside        responseEnd = "closed inside the body or an event"
+	endsBetween       responseEnd = "closed between events"
+	endsReset         responseEnd = "reset inside the body or an event"
+	endsWithCrash     responseEnd = "crash inside the body or between events"
+	completeThenCrash responseEnd = "complete, then a crash"
+)
+
+// endOutcome is what a response's end leads to.
+type endOutcome struct {
+	// seen is what the caller sees: "complete", "broken", "short" if a part looks complete, or a status.
+	seen string
+	// charged is the tokens that the caller is charged, and attempts the number of engines that got the request.
+	charged  int64
+	attempts int
+	// completed counts the reports that clear the request, and accused those of crashes.
+	completed, accused int
+}
+
+// unsettled is the charge of a request that has not been settled.
+const unsettled = -1
+
+const twoEvents = "id: 1\ndata: x\n\nid: 2\ndata: y\n\n"
+
+// writeEnding writes a response from an event on, of which only a part is sent.
+func writeEnding(connection net.Conn, id, whole string, sent int, how framing) {
+	header := map[framing]string{
+		byLength: fmt.Sprintf("Content-Length: %d", len(whole)), byChunks: "Transfer-Encoding: chunked", byClose: "Connection: close",
+	}[how]
+	_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\n%s\r\n\r\n", id, header)
+	switch {
+	case how != byChunks:
+		_, _ = io.WriteString(connection, whole[:sent])
+	case sent == len(whole):
+		_, _ = fmt.Fprintf(connection, "%x\r\n%s\r\n0\r\n\r\n", sent, whole)
+	case sent > 0:
+		_, _ = fmt.Fprintf(connection, "%x\r\n%s\r\n", sent, whole[:sent])
+	}
+}
+
+// endOf sends a request whose first response ends in some way, while another engine would answer it whole. It
+// returns a function that reads the outcome so far.
+func endOf(t *testing.T, path string, how framing, end responseEnd) func() endOutcome {
+	t.Helper()
+	var requests atomic.Int64
+	whole := twoEvents
+	if path == "/safe/x" || path == "/once/x" {
+		whole = "the whole body"
+	}
+	sent := map[responseEnd]int{
+		endsComplete: len(whole), endsInside: 7, endsBetween: len(whole) / 2, endsReset: 7, endsWithCrash: len(whole) / 2, completeThenCrash: len(whole),
+	}[end]
+	var engines []*scriptedEngine
+	for number := range 2 {
+		engines = append(engines, newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+			id := request.Header.Get("Id")
+			if requests.Add(1) > 1 {
+				rest := whole
+				if after, err := strconv.Atoi(request.Header.Get("After")); err == nil {
+					rest = whole[after*len(whole)/2:]
+				}
+				writeEnding(connection, id, rest, len(rest), byLength)
+				return
+			}
+			writeEnding(connection, id, whole, sent, how)
+			switch end {
+			case endsReset:
+				// Bytes that have not been read are lost in a reset.
+				time.Sleep(100 * time.Millisecond)
+				_ = connection.(*net.TCPConn).SetLinger(0)
+			case endsWithCrash, completeThenCrash:
+				engines[number].crash()
+			}
+			_ = connection.Close()
+		}))
+	}
+	h := newHarness(t, engines...)
+	sink := &completionSink{trackerSink: h.withTracker()}
+	sink.guard = quarantine.NewGuard(sink)
+	h.pipeline.options.Guard = sink.guard
+	sink.EnginesCrashed([]quarantine.CrashReport{{Fingerprint: h.fingerprint(path, "body"), Suspicion: quarantine.Likely}})
+	h.environment.settled.Store(unsettled)
+	got := h.send(t, http.MethodPost, path, "r1", "body")
+	seen := strconv.Itoa(got.status)
+	switch {
+	case got.err != nil:
+		seen = "broken"
+	case got.status == http.StatusOK && got.body == whole:
+		seen = "complete"
+	case got.status == http.StatusOK:
+		seen = "short"
+	}
+	// A crash is noticed, and reported, after the response.
+	time.Sleep(3 * aliveCheckTime)
+	return func() endOutcome {
+		sink.mutex.Lock()
+		defer sink.mutex.Unlock()
+		return endOutcome{seen: seen, charged: h.environment.settled.Load(), attempts: int(requests.Load()), completed: sink.completed, accused: sink.reports - 1}
+	}
+}
+
+// Guards against a response whose end is taken for another one: what its caller sees and is charged, whether the
+// request is sent again, and what clears or accuses it. By its connection's end alone a response that was cut
+// can't be told from a complete one while its engine lives, unless it is a stream that was cut inside an event.
+func TestEndsOfResponsesByRouteAndFraming(t *testing.T) {
+	complete, again := endOutcome{"complete", 150, 1, 1, 0}, endOutcome{"complete", 150, 2, 1, 0}
+	for _, one := range []struct {
+		path string
+		end  responseEnd
+		// want is the outcome with a length or chunks, and wantByClose that without, if it is another one.
+		want, wantByClose endOutcome
+	}{
+		{"/safe/x", endsComplete, complete, complete},
+		{"/safe/x", endsBeforeBody, again, endOutcome{"short", 150, 1, 0, 0}},
+		{"/safe/x", endsInside, again, endOutcome{"short", 150, 1, 1, 0}},
+		{"/safe/x", endsReset, again, again},
+		{"/safe/x", endsWithCrash, endOutcome{"complete", 150, 2, 1, 1}, endOutcome{"complete", 150, 2, 1, 1}},
+		{"/safe/x", completeThenCrash, complete, endOutcome{"complete", 150, 2, 1, 1}},
+		{"/once/x", endsComplete, complete, complete},
+		{"/once/x", endsBeforeBody, endOutcome{"502", 0, 1, 0, 0}, endOutcome{"short", 150, 1, 0, 0}},
+		{"/once/x", endsInside, endOutcome{"502", 0, 1, 0, 0}, endOutcome{"short", 150, 1, 1, 0}},
+		{"/once/x", endsReset, endOutcome{"502", 0, 1, 0, 0}, endOutcome{"502", 0, 1, 0, 0}},
+		{"/once/x", endsWithCrash, endOutcome{"502", 0, 1, 0, 1}, endOutcome{"502", 0, 1, 0, 1}},
+		{"/once/x", completeThenCrash, complete, endOutcome{"502", 0, 1, 0, 1}},
+		{"/stream/x", endsComplete, endOutcome{"complete", 106, 1, 1, 0}, endOutcome{"complete", 106, 1, 1, 0}},
+		{"/stream/x", endsBeforeBody, endOutcome{"broken", 100, 1, 0, 0}, endOutcome{"broken", 100, 1, 0, 0}},
+		{"/stream/x", endsInside, endOutcome{"broken", 100, 1, 0, 0}, endOutcome{"broken", 100, 1, 0, 0}},
+		{"/stream/x", endsBetween, endOutcome{"broken", 103, 1, 0, 0}, endOutcome{"short", 103, 1, 1, 0}},
+		{"/stream/x", endsReset, endOutcome{"broken", 100, 1, 0, 0}, endOutcome{"broken", 100, 1, 0, 0}},
+		{"/stream/x", endsWithCrash, endOutcome{"broken", 103, 1, 0, 1}, endOutcome{"broken", 103, 1, 0, 1}},
+		{"/stream/x", completeThenCrash, endOutcome{"complete", 106, 1, 1, 0}, endOutcome{"broken", 106, 1, 0, 1}},
+		{"/resumable/x", endsComplete, endOutcome{"complete", 106, 1, 1, 0}, endOutcome{"complete", 106, 1, 1, 0}},
+		{"/resumable/x", endsBeforeBody, endOutcome{"complete", 106, 2, 1, 0}, endOutcome{"complete", 106, 2, 1, 0}},
+		{"/resumable/x", endsInside, endOutcome{"complete", 106, 2, 1, 0}, endOutcome{"complete", 106, 2, 1, 0}},
+		{"/resumable/x", endsBetween, endOutcome{"complete", 106, 2, 1, 0}, endOutcome{"short", 103, 1, 1, 0}},
+		{"/resumable/x", endsReset, endOutcome{"complete", 106, 2, 1, 0}, endOutcome{"complete", 106, 2, 1, 0}},
+		{"/resumable/x", endsWithCrash, endOutcome{"complete", 106, 2, 1, 1}, endOutcome{"complete", 106, 2, 1, 1}},
+		{"/resumable/x", completeThenCrash, endOutcome{"complete", 106, 1, 1, 0}, endOutcome{"complete", 106, 2, 1, 1}},
+	} {
+		for how, want := range map[framing]endOutcome{byLength: one.want, byChunks: one.want, byClose: one.wantByClose} {
+			t.Run(fmt.Sprintf("%s/%s/%s", one.path, one.end, how), func(t *testing.T) {
+				t.Parallel()
+				outcome := endOf(t, one.path, how, one.end)
+				for began := time.Now(); outcome() != want && time.Since(began) < 3*time.Second; time.Sleep(time.Millisecond) {
+				}
+				assert.Equal(t, outcome(), want)
+			})
+		}
+	}
+}
+
+// Guards against a response that is passed on as complete, or with another body, where it is neither by HTTP's
+// rules; http.ReadResponse is the reference.
+func FuzzResponseIsCompleteOnlyByTheRulesOfHTTP(f *testing.F) {
+	head := "HTTP/1.1 200 OK\r\nId: r1\r\n"
+	for _, response := range []string{
+		head + "Content-Length: 4\r\n\r\nbody", head + "Content-Length: 5\r\n\r\nbody", head + "Content-Length: +4\r\n\r\nbody",
+		head + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody", head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody!",
+		head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n",
+		head + "Transfer-Encoding: chunked\r\n\r\n4;x=y\r\nbody\r\n0\r\nTrailer: z\r\n\r\n", head + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\nbody",
+		head + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\nbody\r\n0\r\n\r\n", head + "Transfer-Encoding: gzip\r\n\r\nbody",
+		head + "Connection: close\r\n\r\n" + twoEvents, head + "\r\n", head + "Connection: close\r\n\r\nid: 1\ndata:", "HTTP/1.0 200 OK\r\nId: r1\r\n\r\nbody",
+		"HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 0\r\n\r\n", "HTTP/1.1 204 None\r\nId: r1\r\n\r\n", "",
+	} {
+		f.Add(response, false)
+		f.Add(response, true)
+	}
+	f.Fuzz(func(t *testing.T, response string, isStream bool) {
+		h := newHarness(t, newEngine(t, func(connection net.Conn, _ *bufio.Reader, _ received) {
+			_, _ = io.WriteString(connection, response)
+			_ = connection.Close()
+		}))
+		path := "/once/x"
+		if isStream {
+			path = "/stream/x"
+		}
+		got := h.send(t, http.MethodPost, path, "r1", "body")
+		if got.err != nil || got.status != http.StatusOK {
+			return
+		}
+		body, err := referenceBody(response)
+		assert.NilError(t, err, "%q looks complete, with the body %q", response, got.body)
+		assert.Equal(t, got.body, body, "%q", response)
+	})
+}
+
+// referenceBody returns the body of the first response that isn't an interim one, and the error with which it or its
+// end can't be read.
+func referenceBody(text string) (string, error) {
+	reader := bufio.NewReader(strings.NewReader(text))
+	for {
+		response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodPost})
+		if err != nil {
+			return "", err
+		}
+		if response.StatusCode >= http.StatusOK {
+			body, err := io.ReadAll(response.Body)
+			return string(body), err
+		}
+	}
+}
