A response of an engine that was silent is not broken because its witness could not be opened

Callers got 502, or a stream without its end, for complete responses with neither a length nor chunks. Such a response is confirmed by a further connection to its engine, the witness, which shows whether the process ends. While an engine sends and accepts nothing for a second, the witness can't be opened within 250 ms, and at the end of the response that counted as unconfirmed, which is broken.

Now a new connection at the end of the response decides in this case: one that is refused, or that doesn't stay open, shows a crash or nothing, as before; one that stays open shows that the engine lives. That another process could listen at the address by then is the same risk as with a witness that the engine has closed as idle; a newer incarnation that is known, or a crash that was seen, still breaks the response.

TestResponseOfAnEngineThatWasSilentIsCompleteUnlessItCrashed fails on the code before for the two live cases.

--- a/internal/forward/closedends.go
+++ b/internal/forward/closedends.go
@@ -185,29 +185,36 @@
 		quietTime = streamQuietTime
 	}
 	process := sending.witness.process(ctx, quietTime)
-	if process == processUnknown {
-		return errEndUnconfirmed
-	}
 	if process == processEnded || sending.isReplaced.Load() || r.pipeline.crashes.hasCrashed(choice.Incarnation()) {
 		return errEngineEnded
 	}
 	if process == processRuns {
 		return nil
 	}
-	return r.confirmByConnecting(ctx, choice)
+	err := r.confirmByConnecting(ctx, choice, quietTime)
+	if process == processMayRun && errors.Is(err, errEndUnconfirmed) {
+		return nil
+	}
+	return err
 }
 
-// confirmByConnecting returns an error if an engine refuses a new connection.
-func (r *request) confirmByConnecting(ctx context.Context, choice balance.Choice) error {
+// confirmByConnecting returns an error unless a new connection to an engine stays open for a time. An engine
+// whose witness could not be opened may have been silent while the response arrived.
+func (r *request) confirmByConnecting(ctx context.Context, choice balance.Choice, quietTime time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	opened, err := r.pipeline.pool.open(ctx, choice.Address, choice.Incarnation())
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		return fmt.Errorf("%w: %w", errEngineEnded, err)
+	case err != nil:
+		return fmt.Errorf("%w: %w", errEndUnconfirmed, err)
+	case !opened.staysQuiet(quietTime):
+		opened.close()
+		return errEndUnconfirmed
 	}
-	if err == nil {
-		r.pipeline.pool.putUnused(choice.Address, opened)
-	}
+	_ = opened.network.SetReadDeadline(time.Time{})
+	r.pipeline.pool.putUnused(choice.Address, opened)
 	return nil
 }
 
--- a/internal/forward/closedends_test.go
+++ b/internal/forward/closedends_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -115,6 +117,41 @@
 	assert.Assert(t, got.err != nil, "status %d, body %q", got.status, got.body)
 }
 
+// Guards against a complete response that is taken for a broken one because its engine was silent: the connection
+// that shows whether its process ends could not be opened. It is broken if the engine has crashed by its end.
+func TestResponseOfAnEngineThatWasSilentIsCompleteUnlessItCrashed(t *testing.T) {
+	for name, crashes := range map[string]bool{"alive": false, "crashed": true} {
+		for path, body := range map[string]string{"/once/x": "whole", "/stream/x": "id: 1\ndata: x\n\n"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				var engine *scriptedEngine
+				engine = newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+					_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\n\r\n", request.Header.Get("Id"))
+					time.Sleep(DialTimeout + 100*time.Millisecond)
+					_, _ = io.WriteString(connection, body)
+					if crashes {
+						engine.crash()
+					}
+					_ = connection.Close()
+				})
+				h := newHarness(t, engine)
+				var dials atomic.Int64
+				dial := h.pipeline.pool.dial
+				h.pipeline.pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+					if dials.Add(1) == 2 {
+						<-ctx.Done()
+						return nil, ctx.Err()
+					}
+					return dial(ctx, address)
+				}
+				got := h.send(t, http.MethodPost, path, "r1", "body")
+				assert.Equal(t, got.err == nil && got.status == http.StatusOK, !crashes, "status %d, body %q, %v", got.status, got.body, got.err)
+				assert.Assert(t, dials.Load() >= 2)
+			})
+		}
+	}
+}
+
 // Guards against one connection for each response: the connection that shows whether an engine's process
 // ends is shared, and serves the next request.
 func TestConnectionsThatWatchAnEngineAreSharedAndUsedAgain(t *testing.T) {
