An entry node closes callers' connections unread before its file descriptors run out

Found by reading: with no descriptor left, Accept failed once a millisecond without a word, and the node could not reach engines for the requests that it had read. Callers saw their connections hang in the accept queue and 502 on the others. A surge that brings eight times the connections comes nearer to that than anything before it.

A failure to accept is logged, once a second at most.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/ravenway/ravenway/internal/gateway"
 	"github.com/ravenway/ravenway/internal/settings"
 	"github.com/ravenway/ravenway/internal/state/disk"
@@ -42,7 +44,7 @@
 	build := ReadBuild()
 	logger.Info().Str("event", "build").Str("commit", build.Commit).Bool("modified", build.IsModified).Str("go", build.Go).
 		Uint8("dialect", uint8(build.Protocol)).Send()
-	options := gateway.Options{Settings: loaded, Dialect: dialect, Logger: logger, Build: build.ShortCommit(), DialEngine: DialEngine}
+	options := gateway.Options{Settings: loaded, Dialect: dialect, Logger: logger, Build: build.ShortCommit(), DialEngine: DialEngine, FileDescriptors: fileDescriptors(logger)}
 	var err error
 	if options.PeerKey, err = settings.ReadSecret(loaded.Security.PeerKeyFile); err != nil {
 		return err
@@ -162,3 +164,13 @@
 	}
 	return opened, nil
 }
+
+// fileDescriptors returns the number of file descriptors that the process may open, 0 if it can't be read.
+func fileDescriptors(logger zerolog.Logger) uint64 {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		logger.Warn().Str("event", "file_descriptors_unknown").Err(err).Send()
+		return 0
+	}
+	return limit.Cur
+}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -113,6 +113,8 @@
 	Logger     zerolog.Logger
 	// Build is the commit that the program was built from, "" if it is not known.
 	Build string
+	// FileDescriptors is the number of file descriptors that the process may open; 0 if it is not known.
+	FileDescriptors uint64
 }
 
 // Node is one process of the fleet, with the duties of its roles.
@@ -208,7 +210,9 @@
 			EngineMeter:        &node.meters.engines,
 			PromptReservations: node.prompts, EnginePaths: node.paths, Slots: node.slots, StreamVersions: node.streams,
 		})
-		node.callers = newCallerServer(options.Listeners.Callers, node.pipeline, &node.meters.callers, node.gate.acceptsConnection)
+		node.callers = newCallerServer(options.Listeners.Callers, node.pipeline, &node.meters.callers, callerAdmission{
+			accepts: node.gate.acceptsConnection, maximumConnections: maximumCallerConnections(options.FileDescriptors), log: node.log,
+		})
 		node.documents.onChange = node.callers.applyLimits
 	}
 	return node, nil
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -8,10 +8,12 @@
 	"net/http"
 	"net/http/pprof"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
+	"github.com/rs/zerolog"
 
 	"github.com/ravenway/ravenway/internal/state/document"
 	"github.com/ravenway/ravenway/internal/transport"
@@ -99,9 +101,12 @@
 	listener net.Listener
 	handler  http.Handler
 	// meter counts the bytes of the connections.
-	meter *transport.Meter
-	// accepts reports whether a new connection is served; otherwise it is closed unread.
-	accepts func() bool
+	meter     *transport.Meter
+	admission callerAdmission
+	// open is the number of open connections.
+	open atomic.Int64
+	// acceptFailedAt is when a failure to accept a connection was last logged.
+	acceptFailedAt time.Time
 
 	mutex   sync.Mutex
 	limits  document.Limits
@@ -110,6 +115,19 @@
 	closed  bool
 }
 
+// callerAdmission decides which of callers' new connections are served; the others are closed unread.
+type callerAdmission struct {
+	// accepts reports whether a new connection is served.
+	accepts func() bool
+	// maximumConnections is the maximum number of open connections; 0 means no limit. A process without file
+	// descriptors could neither accept connections nor reach engines for those that it has.
+	maximumConnections int64
+	log                zerolog.Logger
+}
+
+// acceptFailureInterval is the minimum time between log lines of connections that could not be accepted.
+const acceptFailureInterval = time.Second
+
 // limitedServer is an http.Server that receives its connections through a channel.
 type limitedServer struct {
 	http        *http.Server
@@ -119,8 +137,8 @@
 	address     net.Addr
 }
 
-func newCallerServer(listener net.Listener, handler http.Handler, meter *transport.Meter, accepts func() bool) *callerServer {
-	callers := &callerServer{listener: listener, handler: handler, meter: meter, accepts: accepts}
+func newCallerServer(listener net.Listener, handler http.Handler, meter *transport.Meter, admission callerAdmission) *callerServer {
+	callers := &callerServer{listener: listener, handler: handler, meter: meter, admission: admission}
 	callers.startServer(document.Limits{})
 	return callers
 }
@@ -139,7 +157,7 @@
 	started := &limitedServer{
 		http: &http.Server{
 			Handler: c.handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-			MaxHeaderBytes: defaultHeaderBytes, DisableGeneralOptionsHandler: true,
+			MaxHeaderBytes: defaultHeaderBytes, DisableGeneralOptionsHandler: true, ConnState: c.connectionChanged,
 		},
 		connections: make(chan net.Conn), closed: make(chan struct{}), address: c.listener.Addr(),
 	}
@@ -165,24 +183,51 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			c.logAcceptFailure(err)
 			time.Sleep(time.Millisecond)
 			continue
 		}
-		if !c.accepts() {
+		if !c.admits() {
 			_ = connection.Close()
 			continue
 		}
 		c.mutex.Lock()
 		current := c.current
 		c.mutex.Unlock()
+		c.open.Add(1)
 		select {
 		case current.connections <- c.meter.Wrap(connection):
 		case <-current.closed:
+			c.open.Add(-1)
 			_ = connection.Close()
 		}
 	}
 }
 
+// admits reports whether a new connection is served.
+func (c *callerServer) admits() bool {
+	if maximum := c.admission.maximumConnections; maximum > 0 && c.open.Load() >= maximum {
+		connectionsRefused.Inc()
+		return false
+	}
+	return c.admission.accepts()
+}
+
+// connectionChanged implements http.Server's ConnState.
+func (c *callerServer) connectionChanged(_ net.Conn, state http.ConnState) {
+	if state == http.StateClosed || state == http.StateHijacked {
+		c.open.Add(-1)
+	}
+}
+
+func (c *callerServer) logAcceptFailure(err error) {
+	if time.Since(c.acceptFailedAt) < acceptFailureInterval {
+		return
+	}
+	c.acceptFailedAt = time.Now()
+	c.admission.log.Error().Str("event", "accept_failed").Int64("open", c.open.Load()).Err(err).Send()
+}
+
 // shutdown stops accepting connections, closes idle ones, and waits for the requests in flight.
 func (c *callerServer) shutdown(ctx context.Context) {
 	c.mutex.Lock()
