openfleet: the retry budget is measured while all requests come at one node

Two more cases of TestRequestsAreServedWhileTheyAllComeAtOneNode: engines that reject a sixth and a third of the requests, so that nodes need their retries.

--- a/internal/lab/openfleet/onenode_test.go
+++ b/internal/lab/openfleet/onenode_test.go
@@ -93,6 +93,12 @@
 		"brittle engines": func(l *rateLimitedFleet, _ *document.Document) {
 			l.setEngines(func(e *Engine) { e.Room, e.Brittle = brittleSlots, "2" })
 		},
+		"engines that reject a sixth of the requests": func(l *rateLimitedFleet, _ *document.Document) {
+			l.setEngines(func(e *Engine) { e.BareRejections = 1.0 / 6 })
+		},
+		"engines that reject a third of the requests": func(l *rateLimitedFleet, _ *document.Document) {
+			l.setEngines(func(e *Engine) { e.BareRejections = 1.0 / 3 })
+		},
 		"a budget that is used up within minutes": func(_ *rateLimitedFleet, changed *document.Document) {
 			changed.Tenants[0].Prepaid = oneNodeRate * 1005 * 60
 		},
