soak: all new connections at one node, as a fault and as a check

Now one of the faults in the series sends all calls to one entry node, each over a new connection and more often, beside all other faults. A check without other faults compares the share that is served there from 4 s on with that of the 3 s before: it may not be under three quarters, the users' rule.

--- a/internal/lab/soak/callers.go
+++ b/internal/lab/soak/callers.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ravenway/ravenway/internal/lab/standin"
@@ -75,6 +76,10 @@
 	// entries are the machines of the entry nodes.
 	entries []*machine
 	running sync.WaitGroup
+	// surgeNode gets all calls, each over a new connection, which surgeClient opens; nil while there is no
+	// surge.
+	surgeNode   atomic.Pointer[machine]
+	surgeClient *http.Client
 }
 
 const (
@@ -87,7 +92,8 @@
 	created := &callers{
 		fleet: of, startedAt: startedAt,
 		// Idle connections are kept until the peer's process is gone.
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, DisableCompression: true}},
+		client:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, DisableCompression: true}},
+		surgeClient: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
 	}
 	for _, one := range of.members {
 		if !one.isControl {
@@ -97,11 +103,14 @@
 	return created
 }
 
-// run sends a call every callInterval until the context ends, and waits for the last responses.
+// run sends a call every callInterval, more often in a surge, until the context ends, and waits for the last responses.
 func (c *callers) run(ctx context.Context, random *rand.Rand) {
 	kinds := []Kind{Safe, Once, Stream, Resumable}
 	for number := 0; ctx.Err() == nil; number++ {
-		kind, entry := kinds[random.IntN(len(kinds))], c.entries[random.IntN(len(c.entries))]
+		kind, entry, interval := kinds[random.IntN(len(kinds))], c.entries[random.IntN(len(c.entries))], callInterval
+		if target := c.surgeNode.Load(); target != nil {
+			entry, interval = target, surgeCallInterval
+		}
 		tenant := fmt.Sprintf("tenant-%d", random.IntN(tenantCount))
 		call := standin.Call{ID: fmt.Sprintf("%08x%08x", random.Uint32(), number), Key: keyPrefix + tenant, MaximumWait: callTimeout, PromptParts: "part-" + strconv.Itoa(random.IntN(20))}
 		if kind == Stream || kind == Resumable {
@@ -114,7 +123,7 @@
 			defer c.mutex.Unlock()
 			c.results = append(c.results, ended)
 		})
-		pause.For(ctx, callInterval)
+		pause.For(ctx, interval)
 	}
 	c.running.Wait()
 }
@@ -171,7 +180,11 @@
 	}
 	request.Header, request.Host = c.fleet.wire.CallerHeader(call), callHost
 	c.fleet.truth.senders.record(call.ID, entry)
-	response, err := c.client.Do(request)
+	client := c.client
+	if c.surgeNode.Load() == entry {
+		client = c.surgeClient
+	}
+	response, err := client.Do(request)
 	if err != nil {
 		return Cut, err.Error(), sent{}
 	}
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -76,6 +76,9 @@
 		r.replaceEngine(ctx, random.IntN(6), drainTime, true)
 	}},
 	{partitionFault, func(ctx context.Context, r *run, random *rand.Rand) { r.partitionEntry(ctx, random) }},
+	{surgeFault, func(ctx context.Context, r *run, random *rand.Rand) {
+		r.surge(ctx, random, randomFaultDuration(random))
+	}},
 	{"configuration", func(ctx context.Context, r *run, random *rand.Rand) {
 		r.fleet.changeConfiguration(random.IntN(100))
 		_ = r.fleet.waitFor(ctx, 15*time.Second, "an acknowledgement", func() bool { return r.fleet.sendConfiguration(ctx) })
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -42,5 +42,6 @@
 	assert.Assert(t, summary.Reservations["granted"] > 0, "%v", summary.Reservations)
 	assert.Assert(t, summary.Streams["began"] > 100 && summary.Streams["joined"] == 0 && summary.StreamVersions > 1, "%v of %d versions", summary.Streams, summary.StreamVersions)
 	assert.Assert(t, strings.Contains(string(timeline), "partitioned nodes served"), "%s", timeline)
+	assert.Assert(t, strings.Contains(string(timeline), "while all new connections went to one node"), "%s", timeline)
 	assert.Assert(t, strings.Contains(string(timeline), "kill 6 processes at the same time"), "%s", timeline)
 }
