overload: connections cost what their requests use of the link, not other nodes' messages

Found in the read-through: the credit took the whole utilization of the link for the cost of connections. On a quiet node most of that is other nodes' messages, so its few connections looked dear, and of some that came together all but one would have been closed unread. Only the bytes of requests count now (callers', engines' and relayed), and half a second of the allowed rate may come at once in place of 0.3 s.

TestQuietNodeAcceptsConnectionsThatArriveTogether fails on the code before.

--- a/internal/coordination/overload/accepting.go
+++ b/internal/coordination/overload/accepting.go
@@ -20,10 +20,10 @@
 // The gate performs no I/O, reads no clock and is not safe for concurrent use.
 type ConnectionGate struct {
 	// recent is the rate of new connections over a short time. accepted is the rate of those that were accepted,
-	// and load the average utilization of the link, both over a long time.
+	// and load the utilization of the link by requests, both over a long time.
 	recent, accepted, load decayingRate
-	// steppedAt is the time of the last reading.
-	steppedAt time.Duration
+	// incomingBytes and outgoingBytes are those of requests at the last reading.
+	incomingBytes, outgoingBytes int64
 	// credit is the number of connections that the link could take now in a surge, as of creditedAt.
 	credit     float64
 	creditedAt time.Duration
@@ -56,7 +56,7 @@
 	fullAccepting = 0.6
 	calmAccepting = 0.45
 	// acceptBurst is the time whose connections may be accepted at once.
-	acceptBurst = 300 * time.Millisecond
+	acceptBurst = 500 * time.Millisecond
 	// The accepted share is multiplied by acceptDecrease at each reading of overload, and acceptIncrease is
 	// added to it at each calm one.
 	acceptDecrease = 0.7
@@ -122,8 +122,7 @@
 // Step processes a reading of the node's load and reports whether refusing has begun or ended. Utilization is
 // that of the link, and withRoom the number of other nodes of the zone that have room.
 func (g *ConnectionGate) Step(now time.Duration, utilization float64, pressure Pressure, withRoom int) (changed bool) {
-	g.load.add(now, utilization*(now-g.steppedAt).Seconds())
-	g.steppedAt = now
+	g.addLoad(now, pressure)
 	if withRoom > 0 {
 		g.roomSeenAt = now
 	}
@@ -145,6 +144,15 @@
 	return before != g.isRefusing
 }
 
+// addLoad adds what requests have used of the link since the last reading.
+func (g *ConnectionGate) addLoad(now time.Duration, pressure Pressure) {
+	used := max(pressure.RequestIncomingBytes-g.incomingBytes, pressure.RequestOutgoingBytes-g.outgoingBytes)
+	g.incomingBytes, g.outgoingBytes = pressure.RequestIncomingBytes, pressure.RequestOutgoingBytes
+	if pressure.LinkBytes > 0 {
+		g.load.add(now, float64(used)/pressure.LinkBytes)
+	}
+}
+
 // IsRefusing reports whether connections were being refused at the last reading.
 func (g *ConnectionGate) IsRefusing() bool { return g.isRefusing }
 
--- a/internal/coordination/overload/accepting_test.go
+++ b/internal/coordination/overload/accepting_test.go
@@ -110,6 +110,7 @@
 	for node := range z.queued {
 		bytes := min(z.queued[node], linkBytes*simulationStep.Seconds())
 		z.queued[node] -= bytes
+		z.passed[node] += bytes
 		const weight = float64(simulationStep) / float64(250*time.Millisecond)
 		z.utilization[node] += weight * (bytes/(linkBytes*simulationStep.Seconds()) - z.utilization[node])
 		if z.utilization[node] < roomUtilization {
@@ -125,7 +126,7 @@
 		if delay > reportLifetime {
 			known = 0
 		}
-		z.gates[node].Step(now, z.utilization[node], Pressure{FrameDelay: delay}, known)
+		z.gates[node].Step(now, z.utilization[node], Pressure{FrameDelay: delay, LinkBytes: linkBytes, RequestIncomingBytes: int64(z.passed[node])}, known)
 	}
 }
 
@@ -193,6 +194,25 @@
 	assert.Assert(t, !gate.IsRefusing())
 }
 
+// Guards against a quiet node that takes the messages of other nodes for the cost of its few connections, and refuses
+// some that arrive together.
+func TestQuietNodeAcceptsConnectionsThatArriveTogether(t *testing.T) {
+	gate := NewConnectionGate()
+	for now := time.Duration(0); now < 60*time.Second; now += simulationStep {
+		if now%(10*time.Second) == 0 {
+			assert.Assert(t, gate.Arrived(now, 0))
+		}
+		if now%gateInterval == 0 {
+			// Each connection has brought one request, and the rest of the load is other nodes' messages.
+			requests := int64(now/(10*time.Second)) * requestBytes
+			gate.Step(now, 0.1, Pressure{LinkBytes: linkBytes, RequestIncomingBytes: requests, IncomingBytes: int64(0.1 * linkBytes * now.Seconds())}, 5)
+		}
+	}
+	for range 8 {
+		assert.Assert(t, gate.Arrived(60*time.Second, 0))
+	}
+}
+
 // Guards against refusing connections for other reasons than a surge: a heavy caller, a node that takes over
 // for a lost one, or a node that has just started.
 func TestConnectionsAreRefusedOnlyInASurgeThatOthersHaveRoomFor(t *testing.T) {
--- a/internal/coordination/overload/gate.go
+++ b/internal/coordination/overload/gate.go
@@ -166,6 +166,9 @@
 	// start. LinkBytes is the capacity of each direction in bytes per second; 0 if unknown.
 	IncomingBytes, OutgoingBytes int64
 	LinkBytes                    float64
+	// RequestIncomingBytes and RequestOutgoingBytes are those of them that are of callers' requests, without
+	// the messages of other nodes.
+	RequestIncomingBytes, RequestOutgoingBytes int64
 	// RetriesReturn is set while the balancer sends a caller's new connections to this node, and so
 	// the retries of what it refuses. Refusing then only adds to the load.
 	RetriesReturn bool
--- a/internal/gateway/gate.go
+++ b/internal/gateway/gate.go
@@ -41,10 +41,11 @@
 func (c *callerGate) update() {
 	lag := measureLag()
 	schedulerLag.Update(lag.Seconds())
-	passed := c.node.linkBytes()
+	passed, requests := c.node.linkBytes(), c.node.requestBytes()
 	pressure := overload.Pressure{
 		Lag: lag, FrameDelay: time.Duration(c.node.link.currentDelay.Load()),
 		IncomingBytes: passed.incoming, OutgoingBytes: passed.outgoing, LinkBytes: c.node.settings.Load().Limits.LinkMbps * bytesPerMegabit,
+		RequestIncomingBytes: requests.incoming, RequestOutgoingBytes: requests.outgoing,
 		RetriesReturn: c.node.settings.Load().Fleet.RetriesReturn && c.node.polls.isListed(c.node.now()),
 	}
 	c.mutex.Lock()
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -17,12 +17,17 @@
 // linkBytes is the number of bytes in each direction of a node's link since the start.
 type linkBytes struct{ incoming, outgoing int64 }
 
-// linkBytes returns the bytes of callers' and engines' connections, of streams and of messages of other
-// nodes.
+// linkBytes returns the bytes of requests and of messages of other nodes.
 func (n *Node) linkBytes() linkBytes {
+	requests := n.requestBytes()
+	return linkBytes{incoming: requests.incoming + n.received.allBytes.Load(), outgoing: requests.outgoing + n.sent.allBytes.Load()}
+}
+
+// requestBytes returns the bytes of callers' and engines' connections and of streams.
+func (n *Node) requestBytes() linkBytes {
 	return linkBytes{
-		incoming: n.meters.callers.Received() + n.meters.engines.Received() + n.meters.relays.Received() + n.received.allBytes.Load(),
-		outgoing: n.meters.callers.Sent() + n.meters.engines.Sent() + n.meters.relays.Sent() + n.sent.allBytes.Load(),
+		incoming: n.meters.callers.Received() + n.meters.engines.Received() + n.meters.relays.Received(),
+		outgoing: n.meters.callers.Sent() + n.meters.engines.Sent() + n.meters.relays.Sent(),
 	}
 }
 
