--- a/internal/lab/openfleet/onenode_test.go
+++ b/internal/lab/openfleet/onenode_test.go
@@ -93,12 +93,6 @@
 		"brittle engines": func(l *rateLimitedFleet, _ *document.Document) {
 			l.setEngines(func(e *Engine) { e.Room, e.Brittle = brittleSlots, "2" })
 		},
-		"engines that reject a sixth of the requests": func(l *rateLimitedFleet, _ *document.Document) {
-			l.setEngines(func(e *Engine) { e.BareRejections = 1.0 / 6 })
-		},
-		"engines that reject a third of the requests": func(l *rateLimitedFleet, _ *document.Document) {
-			l.setEngines(func(e *Engine) { e.BareRejections = 1.0 / 3 })
-		},
 		"a budget that is used up within minutes": func(_ *rateLimitedFleet, changed *document.Document) {
 			changed.Tenants[0].Prepaid = oneNodeRate * 1005 * 60
 		},
@@ -125,18 +119,31 @@
 }
 
 // Guards against a node that is refused permits because all requests come to it. Some are refused in any case,
-// when several arrive at once, so the same arrivals are sent to all nodes for comparison, and several seeds count.
+// when several arrive at once.
 func TestRateLimitsOfEnginesServeAsManyRequestsThatAllComeAtOneNode(t *testing.T) {
+	compareAtOneNode(t, 3, func(e *Engine) { e.RateLimit = "8" })
+}
+
+// Guards against a node that may retry less because all requests come to it: engines reject some at random, and
+// more than the retries that a node may make by the number of its own requests.
+func TestRetriesServeAsManyRequestsThatAllComeAtOneNode(t *testing.T) {
+	compareAtOneNode(t, 6, func(e *Engine) { e.BareRejections = 1.0 / 3 })
+}
+
+// compareAtOneNode sends the same arrivals of several seeds to all nodes and to one, and compares how many are
+// served.
+func compareAtOneNode(t *testing.T, seeds uint64, prepare func(*Engine)) {
+	t.Helper()
 	var spread, atOne atomic.Int64
 	t.Run("arrivals", func(t *testing.T) {
-		for seed := range uint64(3) {
+		for seed := range seeds {
 			for _, one := range []struct {
 				served *atomic.Int64
 				nodes  int
 			}{{&spread, 8}, {&atOne, 1}} {
 				t.Run(fmt.Sprintf("%d at %d nodes", seed, one.nodes), func(t *testing.T) {
 					withRateLimitedFleet(t, 8, func(_ *testing.T, l *rateLimitedFleet) {
-						l.setEngines(func(e *Engine) { e.RateLimit = "8" })
+						l.setEngines(prepare)
 						arrivals, nodes := rand.New(rand.NewPCG(63, seed)), rand.New(rand.NewPCG(63, 100+seed))
 						entries := l.MachineNames(false)
 						l.sendAt(arrivals, oneNodeRate, spreadTime, 0, func() string { return entries[nodes.IntN(len(entries))] })
