Review, case 1: an evacuation that was taken back by a frozen machine's late call

Tried: a core machine that does not lead is frozen for 4 s while the operator takes an evacuation back and orders it again. The frozen machine applies the first call, which another machine had acknowledged meanwhile, after the later order, and requests reach the zone's engine again. Conclusion: orders for zones carry nothing that tells a late repetition from a new order.

--- /dev/null
+++ b/review/stand/engine.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// engine is a plain engine: it registers itself, and answers each request after its work.
+type engine struct {
+	deployment  *deployment
+	id, service string
+	zone        string
+	address     string
+	work        time.Duration
+	server      *http.Server
+	sequence    atomic.Uint64
+	stop        context.CancelFunc
+
+	mutex sync.Mutex
+	runs  map[string]int
+}
+
+const heartbeatInterval = 1200 * time.Millisecond
+
+// startEngine starts an engine on a port of its own and its heartbeats.
+func (d *deployment) startEngine(id, service, zone string, work time.Duration) (*engine, error) {
+	listener, err := net.Listen("tcp", d.network+".200:0")
+	if err != nil {
+		return nil, err
+	}
+	started := &engine{deployment: d, id: id, service: service, zone: zone, address: listener.Addr().String(), work: work, runs: map[string]int{}}
+	started.server = &http.Server{Handler: started, ReadHeaderTimeout: time.Minute}
+	go func() { _ = started.server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	started.stop = cancel
+	go started.beat(ctx)
+	return started, nil
+}
+
+// arrived returns the number of runs that began.
+func (e *engine) arrived() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return len(e.runs)
+}
+
+func (e *engine) close() {
+	e.stop()
+	_ = e.server.Close()
+}
+
+func (e *engine) beat(ctx context.Context) {
+	cores := e.deployment.cores()
+	for number := 0; ctx.Err() == nil; {
+		body, _ := json.Marshal(map[string]any{
+			"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 64, "state": "ready",
+			"cold_left_ms": 0, "seq": e.sequence.Add(1),
+		})
+		status, _, err := call(ctx, http.MethodPut, cores[number%len(cores)].address(controlPort), "/ravenway/instances/"+e.id, body)
+		wait := heartbeatInterval
+		if err != nil || status/100 != 2 {
+			number++
+			wait = 100 * time.Millisecond
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+// ServeHTTP runs a request.
+func (e *engine) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	id := request.Header.Get("X-Request-Id")
+	writer.Header().Set("X-Request-Id", id)
+	if expected := request.Header.Get("X-Expect-Instance"); expected != "" && expected != e.id {
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	size, err := io.Copy(io.Discard, request.Body)
+	if err != nil {
+		return
+	}
+	e.mutex.Lock()
+	e.runs[id]++
+	e.mutex.Unlock()
+	e.deployment.record.event("engine %s runs %s of %d bytes", e.id, id, size)
+	select {
+	case <-request.Context().Done():
+		return
+	case <-time.After(e.work):
+	}
+	writer.Header().Set("X-Server-Stamp", fmt.Sprintf("%s.%s", e.id, id))
+	_, _ = fmt.Fprintf(writer, "done %s", id)
+}
