Review, case 2: no answer to requests that end more than 8 s after their arrival

Tried: one of seven engines works five times as long for 6.5 s, so that its requests reach their route's timeout of 12 s. Conclusion: the write deadline that is set at a request's arrival is not renewed before ravenway's own answers.

--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -18,10 +18,11 @@
 	id, service string
 	zone        string
 	address     string
-	work        time.Duration
-	server      *http.Server
-	sequence    atomic.Uint64
-	stop        context.CancelFunc
+	// work is how long a request takes, in nanoseconds.
+	work     atomic.Int64
+	server   *http.Server
+	sequence atomic.Uint64
+	stop     context.CancelFunc
 
 	mutex sync.Mutex
 	runs  map[string]int
@@ -35,7 +36,8 @@
 	if err != nil {
 		return nil, err
 	}
-	started := &engine{deployment: d, id: id, service: service, zone: zone, address: listener.Addr().String(), work: work, runs: map[string]int{}}
+	started := &engine{deployment: d, id: id, service: service, zone: zone, address: listener.Addr().String(), runs: map[string]int{}}
+	started.work.Store(int64(work))
 	started.server = &http.Server{Handler: started, ReadHeaderTimeout: time.Minute}
 	go func() { _ = started.server.Serve(listener) }()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -95,7 +97,7 @@
 	select {
 	case <-request.Context().Done():
 		return
-	case <-time.After(e.work):
+	case <-time.After(time.Duration(e.work.Load())):
 	}
 	writer.Header().Set("X-Server-Stamp", fmt.Sprintf("%s.%s", e.id, id))
 	_, _ = fmt.Fprintf(writer, "done %s", id)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,6 +21,7 @@
 // cases are the functions that play the cases. Each returns its result.
 var cases = map[string]func(log *record, trouble bool) (int, error){
 	"evacuation": playEvacuation,
+	"silence":    playSilence,
 }
 
 func main() { os.Exit(run()) }
