--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(log *record, trouble bool) (int, error){
 	"evacuation": playEvacuation,
 	"silence":    playSilence,
+	"uploads":    playUploads,
 }
 
 func main() { os.Exit(run()) }
