--- a/review/stand/upload.go
+++ b/review/stand/upload.go
@@ -22,8 +22,8 @@
 	uploadTime   = 3 * time.Second
 	// usualClients is the number of clients that upload at the same time at each front machine. burstClients
 	// more, 1.7 times as many in all, do so in a burst, for burstTime. burstPause lies between two bursts.
-	usualClients = 18
-	burstClients = 12
+	usualClients = 22
+	burstClients = 15
 	burstTime    = 3 * time.Second
 	burstPause   = 9 * time.Second
 	bursts       = 3
