Review: the stand-in engine keeps to the deadline that it is handed

Tried: case 2 with an engine that never answers a part of its requests, in place of a slow one, since a sound slow engine answers 504 itself at the deadline.

--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,10 +20,12 @@
 	zone        string
 	address     string
 	// work is how long a request takes, in nanoseconds.
-	work     atomic.Int64
-	server   *http.Server
-	sequence atomic.Uint64
-	stop     context.CancelFunc
+	work atomic.Int64
+	// hangsInTwenty of twenty requests are never answered; begun counts the requests.
+	hangsInTwenty, begun atomic.Int64
+	server               *http.Server
+	sequence             atomic.Uint64
+	stop                 context.CancelFunc
 
 	mutex sync.Mutex
 	runs  map[string]int
@@ -94,11 +97,27 @@
 	e.runs[id]++
 	e.mutex.Unlock()
 	e.deployment.record.event("engine %s runs %s of %d bytes", e.id, id, size)
+	writer.Header().Set("X-Server-Stamp", fmt.Sprintf("%s.%s", e.id, id))
+	work := time.Duration(e.work.Load())
+	if hangs := e.hangsInTwenty.Load(); e.begun.Add(1)*hangs%20 < hangs {
+		e.deployment.record.event("engine %s hangs on %s", e.id, id)
+		<-request.Context().Done()
+		return
+	}
+	// An engine stops work at the deadline that it is handed.
+	isLate := false
+	if left, err := strconv.ParseInt(request.Header.Get("X-Deadline-Ms"), 10, 64); err == nil {
+		deadline := time.Duration(left) * time.Millisecond
+		isLate, work = work > deadline, min(work, deadline)
+	}
 	select {
 	case <-request.Context().Done():
 		return
-	case <-time.After(time.Duration(e.work.Load())):
+	case <-time.After(work):
+	}
+	if isLate {
+		writer.WriteHeader(http.StatusGatewayTimeout)
+		return
 	}
-	writer.Header().Set("X-Server-Stamp", fmt.Sprintf("%s.%s", e.id, id))
 	_, _ = fmt.Fprintf(writer, "done %s", id)
 }
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -43,6 +44,8 @@
 	machines []*machine
 	// first is whether the whole system starts for the first time.
 	first bool
+	// isClosed is set once no process may start any more.
+	isClosed atomic.Bool
 }
 
 // machine is one machine of the deployment with its one process.
@@ -133,6 +136,7 @@
 
 // close ends all processes and removes the folder.
 func (d *deployment) close() {
+	d.isClosed.Store(true)
 	for _, one := range d.machines {
 		one.signal(syscall.SIGCONT)
 		one.kill()
@@ -212,10 +216,16 @@
 	return m.deployment.memoryMB
 }
 
+// errClosed means that the deployment has ended.
+var errClosed = errors.New("the deployment has ended")
+
 // start starts the machine's process with the command of the deploy file.
 func (m *machine) start() error {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if m.deployment.isClosed.Load() {
+		return errClosed
+	}
 	path := filepath.Join(m.deployment.folder, m.name+".toml")
 	if err := os.WriteFile(path, []byte(m.settings()), 0o600); err != nil {
 		return err
--- a/review/stand/silence.go
+++ b/review/stand/silence.go
@@ -12,17 +12,17 @@
 )
 
 const (
-	// reportTime is the work of a request. One of reportEngines is slow for slowTime: it works slowFactor times
-	// as long on the requests that begin then.
+	// reportTime is the work of a request. One of reportEngines fails for failTime: it never answers hangsInTwenty
+	// of twenty requests that begin then.
 	reportTime    = 3 * time.Second
-	reportEngines = 7
-	slowFactor    = 5
-	slowTime      = 6500 * time.Millisecond
+	reportEngines = 8
+	hangsInTwenty = 9
+	failTime      = 6500 * time.Millisecond
 	// reportTimeout is the route's timeout_ms, reportDeadline what the clients wait.
 	reportTimeout  = 12 * time.Second
 	reportDeadline = 15 * time.Second
 	// keptClients is the number of clients; each keeps one connection for two requests.
-	keptClients = 126
+	keptClients = 300
 	// answerSlack is by how much a final answer may be later than the route's timeout.
 	answerSlack = 500 * time.Millisecond
 )
@@ -43,7 +43,7 @@
 	return response.StatusCode, err
 }
 
-// playSilence makes engines slow, so that requests reach their route's timeout.
+// playSilence lets one engine hang on a part of its requests, so that these reach their route's timeout.
 func playSilence(log *record, trouble bool) (int, error) {
 	d, err := newDeployment(log, 3, 1)
 	if err != nil {
@@ -99,17 +99,16 @@
 			result.add(status, took)
 		})
 	}
-	for number, one := range engines {
-		work := reportTime
-		if trouble && number == 0 {
-			work *= slowFactor
-		}
-		one.work.Store(int64(work))
+	for _, one := range engines {
+		one.work.Store(int64(reportTime))
+	}
+	if trouble {
+		engines[0].hangsInTwenty.Store(hangsInTwenty)
+		log.event("engine %s hangs on %d of 20 requests for %.1f s", engines[0].id, hangsInTwenty, failTime.Seconds())
 	}
-	log.event("engine %s works %.1f s on a request from now on", engines[0].id, time.Duration(engines[0].work.Load()).Seconds())
 	close(begin)
-	time.Sleep(slowTime)
-	engines[0].work.Store(int64(reportTime))
+	time.Sleep(failTime)
+	engines[0].hangsInTwenty.Store(0)
 	clients.Wait()
 	log.event("of %d requests, %d were unanswered at their route's timeout_ms, and %d of these 0.5 s later", keptClients, result.late, result.silent)
 	// More than half of them, and of eight or more over a quarter.
@@ -128,7 +127,7 @@
 
 // add counts a request whose client got an answer, or with status 0 the end of its connection, after a time.
 func (t *tally) add(status int, took time.Duration) {
-	if status != 0 && took < reportTimeout {
+	if took < reportTimeout {
 		return
 	}
 	t.late++
--- a/review/stand/upload.go
+++ b/review/stand/upload.go
@@ -30,6 +30,9 @@
 	// restartDelay is how long the platform takes to start an ended process again.
 	restartDelay = 500 * time.Millisecond
 	sampleTime   = 50 * time.Millisecond
+	// minimumEnds ends of a process on each of minimumMachines machines break the rule.
+	minimumEnds     = 3
+	minimumMachines = 2
 )
 
 // residentMB returns the anonymous memory of a machine's process that is resident, in MB; 0 if it does not run.
@@ -161,7 +164,9 @@
 				mutex.Lock()
 				defer mutex.Unlock()
 				total += count
-				machines += min(1, count)
+				if count >= minimumEnds {
+					machines++
+				}
 			})
 		})
 		for number := range usualClients {
@@ -190,8 +195,8 @@
 	stopLoad()
 	clients.Wait()
 	watches.Wait()
-	log.event("%d ends for lack of memory on %d machines", total, machines)
-	if total >= 3 && machines >= 2 {
+	log.event("%d ends for lack of memory, %d or more on each of %d machines", total, minimumEnds, machines)
+	if machines >= minimumMachines {
 		return broken, nil
 	}
 	return held, nil
