--- a/review/stand/evacuation.go
+++ b/review/stand/evacuation.go
@@ -172,6 +172,11 @@
 	time.Sleep(time.Until(frozenAt.Add(freezeTime + contactTime)))
 	time.Sleep(time.Until(acknowledgedAt.Add(evacuateBound + maximumStretch)))
 	before := engines[evacuatedZone].arrived()
+	for line := range strings.SplitSeq(follower.log(), "\n") {
+		if strings.Contains(line, "event=zone_order ") {
+			log.event("%s wrote: %s", follower.name, line)
+		}
+	}
 	log.event("requests that reach an engine of %s count from now on", evacuatedZone)
 	time.Sleep(10 * time.Second)
 	late := engines[evacuatedZone].arrived() - before
