--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -63,16 +63,26 @@
 
 func (e *engine) beat(ctx context.Context) {
 	cores := e.deployment.cores()
+	address := ""
 	for number := 0; ctx.Err() == nil; {
+		if address == "" {
+			address = cores[number%len(cores)].address(controlPort)
+		}
 		body, _ := json.Marshal(map[string]any{
 			"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 64, "state": "ready",
 			"cold_left_ms": 0, "seq": e.sequence.Add(1),
 		})
-		status, _, err := call(ctx, http.MethodPut, cores[number%len(cores)].address(controlPort), "/ravenway/instances/"+e.id, body)
+		status, answer, err := call(ctx, http.MethodPut, address, "/ravenway/instances/"+e.id, body)
 		wait := heartbeatInterval
-		if err != nil || status/100 != 2 {
+		var acknowledged struct {
+			Address string `json:"beat_addr"`
+		}
+		switch {
+		case err != nil || status/100 != 2:
 			number++
-			wait = 100 * time.Millisecond
+			address, wait = "", 100*time.Millisecond
+		case json.Unmarshal(answer, &acknowledged) == nil && acknowledged.Address != "":
+			address = acknowledged.Address
 		}
 		select {
 		case <-ctx.Done():
@@ -83,6 +93,10 @@
 
 // ServeHTTP runs a request.
 func (e *engine) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path == healthPath {
+		writer.Header().Set("X-Instance-Id", e.id)
+		return
+	}
 	id := request.Header.Get("X-Request-Id")
 	writer.Header().Set("X-Request-Id", id)
 	if expected := request.Header.Get("X-Expect-Instance"); expected != "" && expected != e.id {
--- a/review/stand/evacuation.go
+++ b/review/stand/evacuation.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -19,8 +18,8 @@
 	evacuateBound  = 5 * time.Second
 	contactTime    = 4 * time.Second
 	maximumStretch = 6 * time.Second
-	// operatorTimeout is how long the operator waits for the answer to an order.
-	operatorTimeout = time.Second
+	// orderTime is ack_ms, the longest time for which the operator sends an order again.
+	orderTime = 5 * time.Second
 )
 
 const evacuatedZone = "zone-b"
@@ -63,6 +62,7 @@
 	request.Host = "portal.example"
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Deadline-Ms", "1500")
+	d.record.event("client: %s sent to %s", id, front.name)
 	response, err := client.Do(request)
 	if err != nil {
 		d.record.event("client: %s got no answer: %v", id, err)
@@ -73,31 +73,6 @@
 	d.record.event("client: %s got %d of %q", id, response.StatusCode, response.Header.Get("X-Server-Stamp"))
 }
 
-// tryOrder sends an order once, to one machine.
-func (d *deployment) tryOrder(to *machine, method, path string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
-	defer cancel()
-	status, _, err := call(ctx, method, to.address(controlPort), path, nil)
-	d.record.event("operator: %s %s to %s: %d %v", method, path, to.name, status, err)
-	return err == nil && status/100 == 2
-}
-
-// orderFrom sends an order to one machine after the other, beginning with the given one, until it is
-// acknowledged.
-func (d *deployment) orderFrom(first *machine, method, path string) error {
-	if d.tryOrder(first, method, path) {
-		return nil
-	}
-	cores := d.cores()
-	for number := rand.IntN(len(cores)); number < 12; number++ {
-		if one := cores[number%len(cores)]; one != first && d.tryOrder(one, method, path) {
-			return nil
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	return errNotAcknowledged
-}
-
 var errNoFollower = errors.New("no core machine follows")
 
 // playEvacuation freezes a core machine that does not lead, while the operator takes an evacuation back
@@ -121,9 +96,7 @@
 		defer started.close()
 		engines[zone] = started
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	defer cancel()
-	if err := d.order(ctx, http.MethodPut, "/ravenway/config", configuration(1)); err != nil {
+	if err := d.configure(); err != nil {
 		return cantRun, err
 	}
 	d.first = false
@@ -145,7 +118,7 @@
 	if follower == nil || other == nil {
 		return cantRun, errNoFollower
 	}
-	if err := d.orderFrom(other, http.MethodPost, zonePath()); err != nil {
+	if err := d.order(other, http.MethodPost, zonePath(), nil, orderTime); err != nil {
 		return cantRun, err
 	}
 	time.Sleep(2 * time.Second)
@@ -155,11 +128,11 @@
 		log.event("machine %s freezes", follower.name)
 	}
 	// The zone is taken back, and evacuated again.
-	if err := d.orderFrom(follower, http.MethodDelete, zonePath()); err != nil {
+	if err := d.order(follower, http.MethodDelete, zonePath(), nil, orderTime); err != nil {
 		return cantRun, err
 	}
 	time.Sleep(500 * time.Millisecond)
-	if err := d.orderFrom(other, http.MethodPost, zonePath()); err != nil {
+	if err := d.order(other, http.MethodPost, zonePath(), nil, orderTime); err != nil {
 		return cantRun, err
 	}
 	acknowledgedAt := time.Now()
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -59,6 +59,8 @@
 	command *exec.Cmd
 	ended   chan struct{}
 	starts  int
+	// isOut is whether the platform hands the machine no new connections.
+	isOut atomic.Bool
 }
 
 // newDeployment lays out a deployment with some core machines and some front machines in each zone.
@@ -72,19 +74,20 @@
 		return nil, fmt.Errorf("the project is not built: %w", err)
 	}
 	created.network = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
-	for range 50 {
-		created.port = 20000 + 10*rand.IntN(1200)
-		if created.portsAreFree() {
-			break
-		}
-	}
 	for number := range cores {
 		created.machines = append(created.machines, &machine{deployment: created, name: fmt.Sprintf("core-%d", number+1), zone: zones[number%len(zones)], isCore: true, ip: fmt.Sprintf("%s.%d", created.network, 10+number)})
 	}
 	for number := range frontsPerZone * len(zones) {
 		created.machines = append(created.machines, &machine{deployment: created, name: fmt.Sprintf("front-%d", number+1), zone: zones[number%len(zones)], ip: fmt.Sprintf("%s.%d", created.network, 40+number)})
 	}
-	return created, nil
+	for range 50 {
+		created.port = 20000 + 10*rand.IntN(1200)
+		if created.portsAreFree() {
+			return created, nil
+		}
+	}
+	_ = os.RemoveAll(folder)
+	return nil, errNoPorts
 }
 
 // startAll starts all machines within 0.3 s of each other and checks that their processes keep running.
@@ -103,13 +106,21 @@
 	return nil
 }
 
+var errNoPorts = errors.New("no free ports")
+
 func (d *deployment) portsAreFree() bool {
-	for offset := range portCount {
-		listener, err := net.Listen("tcp", fmt.Sprintf("%s.10:%d", d.network, d.port+offset))
-		if err != nil {
-			return false
+	for _, one := range d.machines {
+		addresses := []string{fmt.Sprintf("127.0.0.1:%d", one.operatorPort())}
+		for port := range portCount {
+			addresses = append(addresses, one.address(port))
+		}
+		for _, address := range addresses {
+			listener, err := net.Listen("tcp", address)
+			if err != nil {
+				return false
+			}
+			_ = listener.Close()
 		}
-		_ = listener.Close()
 	}
 	return true
 }
@@ -306,29 +317,48 @@
 	return response.StatusCode, read, err
 }
 
-var controlClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+// maximumRedirects is how often callers of the control interface follow a 307.
+const maximumRedirects = 2
+
+var controlClient = &http.Client{
+	Transport: &http.Transport{DisableKeepAlives: true},
+	CheckRedirect: func(_ *http.Request, via []*http.Request) error {
+		if len(via) > maximumRedirects {
+			return http.ErrUseLastResponse
+		}
+		return nil
+	},
+}
 
 // errNotAcknowledged means that an order got no clear answer in time.
 var errNotAcknowledged = errors.New("the order was not acknowledged")
 
-// order sends an order of the operator to one control node after the other until it is acknowledged.
-func (d *deployment) order(ctx context.Context, method, path string, body []byte) error {
+// tryOrder sends an order once, to one machine.
+func (d *deployment) tryOrder(to *machine, method, path string, body []byte) bool {
+	status, answer, err := call(context.Background(), method, to.address(controlPort), path, body)
+	d.record.event("operator: %s %s to %s: %d %s %v", method, path, to.name, status, answer, err)
+	return err == nil && status/100 == 2
+}
+
+// order sends an order of the operator to one core machine after the other, beginning with the given one, with a
+// growing backoff, until it is acknowledged or the time is over.
+func (d *deployment) order(first *machine, method, path string, body []byte, limit time.Duration) error {
 	cores := d.cores()
 	wait := 50 * time.Millisecond
-	for number := rand.IntN(len(cores)); ctx.Err() == nil; number++ {
-		status, answer, err := call(ctx, method, cores[number%len(cores)].address(controlPort), path, body)
-		switch {
-		case err == nil && status/100 == 2:
-			d.record.event("operator: %s %s acknowledged by %s", method, path, cores[number%len(cores)].name)
+	to := first
+	for began := time.Now(); time.Since(began) < limit; wait = min(2*wait, 400*time.Millisecond) {
+		if d.tryOrder(to, method, path, body) {
 			return nil
-		case err == nil && status/100 == 4 && status != 408 && status != 429:
-			return fmt.Errorf("%s %s: %d %s", method, path, status, answer)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
+		time.Sleep(wait)
+		for next := to; next == to; {
+			to = cores[rand.IntN(len(cores))]
 		}
-		wait = min(2*wait, 400*time.Millisecond)
 	}
 	return errNotAcknowledged
 }
+
+// configure sends the configuration until it is taken.
+func (d *deployment) configure() error {
+	return d.order(d.cores()[0], http.MethodPut, "/ravenway/config", configuration(1), 20*time.Second)
+}
--- a/review/stand/silence.go
+++ b/review/stand/silence.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -64,9 +63,7 @@
 		defer started.close()
 		engines = append(engines, started)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	defer cancel()
-	if err := d.order(ctx, http.MethodPut, "/ravenway/config", configuration(1)); err != nil {
+	if err := d.configure(); err != nil {
 		return cantRun, err
 	}
 	time.Sleep(5 * time.Second)
@@ -83,6 +80,7 @@
 		defer connection.Close()
 		reader := bufio.NewReader(connection)
 		id := fmt.Sprintf("r-%d", number)
+		log.event("client: %s-first sent to %s", id, front.name)
 		status, err := keptRequest(connection, reader, id+"-first")
 		log.event("client: %s-first got %d %v from %s", id, status, err, front.name)
 		if status != http.StatusOK {
@@ -90,6 +88,7 @@
 		}
 		clients.Go(func() {
 			<-begin
+			log.event("client: %s-second sent to %s", id, front.name)
 			sentAt := time.Now()
 			status, err := keptRequest(connection, reader, id+"-second")
 			took := time.Since(sentAt)
--- a/review/stand/upload.go
+++ b/review/stand/upload.go
@@ -1,16 +1,17 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,13 +21,16 @@
 	uploadBytes  = 4 << 20
 	uploadPieces = 128
 	uploadTime   = 3 * time.Second
-	// usualClients is the number of clients that upload at the same time at each front machine. burstClients
-	// more, 1.7 times as many in all, do so in a burst, for burstTime. burstPause lies between two bursts.
-	usualClients = 22
-	burstClients = 15
-	burstTime    = 3 * time.Second
-	burstPause   = 9 * time.Second
-	bursts       = 3
+	// uploadDeadline is how long a user waits, in uploadAttempts attempts at most.
+	uploadDeadline = 20 * time.Second
+	uploadAttempts = 3
+	// usualUsers is the number of users that come to each front machine within uploadTime, burstUsers that in a
+	// burst, 1.7 times as many at most, for burstTime. burstPause lies between two bursts.
+	usualUsers = 28
+	burstUsers = 47
+	burstTime  = 3 * time.Second
+	burstPause = 9 * time.Second
+	bursts     = 4
 	// restartDelay is how long the platform takes to start an ended process again.
 	restartDelay = 500 * time.Millisecond
 	sampleTime   = 50 * time.Millisecond
@@ -55,52 +59,122 @@
 	return 0
 }
 
-// upload sends one request with a chunked body and returns the status.
-func upload(address, id string) (int, error) {
-	connection, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return 0, err
-	}
-	defer connection.Close()
-	_ = connection.SetDeadline(time.Now().Add(20 * time.Second))
-	_, err = fmt.Fprintf(connection, "POST /upload/1 HTTP/1.1\r\nHost: portal.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 20000\r\nTransfer-Encoding: chunked\r\n\r\n", id)
-	piece := make([]byte, uploadBytes/uploadPieces)
-	for range uploadPieces {
-		if err != nil {
-			return 0, err
-		}
-		time.Sleep(uploadTime / uploadPieces)
-		_, err = fmt.Fprintf(connection, "%x\r\n%s\r\n", len(piece), piece)
-	}
-	if err == nil {
-		_, err = io.WriteString(connection, "0\r\n\r\n")
+// pacedBody is the body of an upload, sent in uploadPieces pieces over uploadTime.
+type pacedBody struct {
+	began time.Time
+	sent  atomic.Int64
+}
+
+func (b *pacedBody) Read(piece []byte) (int, error) {
+	sent := b.sent.Load()
+	if sent == uploadBytes {
+		return 0, io.EOF
 	}
+	size := min(int64(len(piece)), uploadBytes/uploadPieces, uploadBytes-sent)
+	time.Sleep(time.Until(b.began.Add(time.Duration(float64(uploadTime) * float64(sent+size) / uploadBytes))))
+	clear(piece[:size])
+	b.sent.Add(size)
+	return int(size), nil
+}
+
+func (b *pacedBody) isWhole() bool { return b.sent.Load() == uploadBytes }
+
+// uploadTransport opens a new connection for each attempt, which gets one second to come up.
+var uploadTransport = &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+
+// upload sends one attempt with a chunked body. It returns the status, the time of Retry-After, and whether
+// the attempt may be sent again: after a promise, or where the body wasn't sent whole.
+func (d *deployment) upload(to *machine, id string, left time.Duration) (status int, after time.Duration, mayRepeat bool, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	body := &pacedBody{began: time.Now()}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.address(callersPort)+"/upload/1", body)
 	if err != nil {
-		return 0, err
+		return 0, 0, false, err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	request.Host, request.ContentLength = "portal.example", -1
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	response, err := uploadTransport.RoundTrip(request)
 	if err != nil {
-		return 0, err
+		return 0, 0, !body.isWhole(), err
 	}
 	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, err
+	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	after = time.Duration(seconds * float64(time.Second))
+	switch response.StatusCode {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		mayRepeat = true
+	}
+	return response.StatusCode, after, mayRepeat, err
 }
 
-// uploadClient uploads one body after the other to a front machine until the context ends.
-func (d *deployment) uploadClient(ctx context.Context, front *machine, name string) {
-	for number := 0; ctx.Err() == nil; number++ {
-		id := fmt.Sprintf("%s-%d", name, number)
-		d.record.event("client: %s sent to %s", id, front.name)
-		status, err := upload(front.address(callersPort), id)
-		if err != nil {
-			d.record.event("client: %s got no answer: %v", id, err)
-			time.Sleep(300 * time.Millisecond)
-			continue
+// user uploads one body, in a few attempts within its deadline. It honours Retry-After up to a third of the time
+// that it has left, and waits longer each time otherwise.
+func (d *deployment) user(front *machine, name string) {
+	deadline := time.Now().Add(uploadDeadline)
+	wait := 300 * time.Millisecond
+	for attempt := range uploadAttempts {
+		left := time.Until(deadline)
+		if left < uploadTime {
+			return
+		}
+		id := fmt.Sprintf("%s-%d", name, attempt)
+		to := d.balanced(front)
+		d.record.event("client: %s sent to %s", id, to.name)
+		status, after, mayRepeat, err := d.upload(to, id, left)
+		d.record.event("client: %s got %d %v", id, status, err)
+		if !mayRepeat {
+			return
+		}
+		pause := max(min(after, time.Until(deadline)/3), wait/2+rand.N(wait))
+		wait *= 2
+		time.Sleep(pause)
+	}
+}
+
+// arrivals lets users come to a front machine at even intervals until the context ends, more of them in a burst.
+func (d *deployment) arrivals(ctx context.Context, front *machine, isBurst *atomic.Bool, users *sync.WaitGroup) {
+	for number, next := 0, time.Now(); ctx.Err() == nil; number++ {
+		time.Sleep(time.Until(next))
+		coming := usualUsers
+		if isBurst.Load() {
+			coming = burstUsers
 		}
-		d.record.event("client: %s got %d", id, status)
-		if status == http.StatusServiceUnavailable {
-			time.Sleep(500 * time.Millisecond)
+		next = next.Add(uploadTime / time.Duration(coming))
+		users.Go(func() { d.user(front, fmt.Sprintf("%s-%d", front.name, number)) })
+	}
+}
+
+// balanced returns the machine to which the platform hands a new connection: the zone's own, or that of another
+// zone if the zone's is out and another is in.
+func (d *deployment) balanced(front *machine) *machine {
+	if !front.isOut.Load() {
+		return front
+	}
+	for _, other := range d.fronts() {
+		if !other.isOut.Load() {
+			return other
+		}
+	}
+	return front
+}
+
+// watchReadiness asks a front machine once a second whether it is ready. One that misses twice is out until it
+// answers 200 again.
+func (m *machine) watchReadiness(ctx context.Context) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for misses := 0; ctx.Err() == nil; time.Sleep(time.Second) {
+		response, err := client.Get("http://" + m.address(readyPort) + "/ravenway/ready")
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		if misses++; err == nil && response.StatusCode == http.StatusOK {
+			misses = 0
+		}
+		if isOut := misses >= 2; m.isOut.Swap(isOut) != isOut {
+			m.deployment.record.event("platform: %s is out: %v", m.name, isOut)
 		}
 	}
 }
@@ -148,14 +222,13 @@
 		}
 		defer started.close()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	defer cancel()
-	if err := d.order(ctx, http.MethodPut, "/ravenway/config", configuration(1)); err != nil {
+	if err := d.configure(); err != nil {
 		return cantRun, err
 	}
 	time.Sleep(4 * time.Second)
 	load, stopLoad := context.WithCancel(context.Background())
-	var clients, watches sync.WaitGroup
+	var arrivals, users, watches sync.WaitGroup
+	var isBurst atomic.Bool
 	var mutex sync.Mutex
 	machines, total := 0, 0
 	for _, front := range d.fronts() {
@@ -169,31 +242,22 @@
 				}
 			})
 		})
-		for number := range usualClients {
-			clients.Go(func() {
-				// The usual clients come one after the other.
-				time.Sleep(time.Duration(number) * uploadTime / usualClients)
-				d.uploadClient(load, front, fmt.Sprintf("%s-usual-%d", front.name, number))
-			})
-		}
+		watches.Go(func() { front.watchReadiness(load) })
+		arrivals.Go(func() { d.arrivals(load, front, &isBurst, &users) })
 	}
 	time.Sleep(10 * time.Second)
 	for range bursts {
-		log.event("%d clients at each front machine in place of %d for %.1f s", usualClients+burstClients, usualClients, burstTime.Seconds())
-		burst, stopBurst := context.WithTimeout(context.Background(), burstTime)
-		for _, front := range d.fronts() {
-			for number := range burstClients {
-				if trouble {
-					clients.Go(func() { d.uploadClient(burst, front, fmt.Sprintf("%s-more-%d", front.name, number)) })
-				}
-			}
+		if trouble {
+			log.event("%d users at each front machine in place of %d within %.1f s", burstUsers, usualUsers, burstTime.Seconds())
 		}
+		isBurst.Store(trouble)
 		time.Sleep(burstTime)
-		stopBurst()
+		isBurst.Store(false)
 		time.Sleep(burstPause)
 	}
 	stopLoad()
-	clients.Wait()
+	arrivals.Wait()
+	users.Wait()
 	watches.Wait()
 	log.event("%d ends for lack of memory, %d or more on each of %d machines", total, minimumEnds, machines)
 	if machines >= minimumMachines {
