Review case 5: a relayed request leaves the regions in which it may be served

Tried: requests of a route with one allowed region, while the opening packets to their engine are lost for 12 ms.

--- a/review/stand-2/control.go
+++ b/review/stand-2/control.go
@@ -69,6 +69,8 @@
 	Sticky      bool   `json:"sticky"`
 	Resumable   bool   `json:"resumable"`
 	GapTargetMS int    `json:"gap_target_ms"`
+	// AllowedRegions are the regions in which requests may be served; none means any.
+	AllowedRegions []string `json:"allowed_regions,omitempty"`
 }
 
 type service struct {
--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -36,6 +36,7 @@
 	service string
 	address string
 	zone    string
+	stall   *stallable
 	server  *http.Server
 	seq     atomic.Uint64
 	state   atomic.Pointer[string]
@@ -49,15 +50,16 @@
 func (f *fleet) startEngine(ctx context.Context, place int, service string) (*standIn, error) {
 	started := &standIn{
 		fleet: f, id: fmt.Sprintf("i-%04x%04x", place+1, time.Now().UnixNano()&0xffff), service: service,
-		address: f.engineAddress(place), zone: zoneNames[place%len(zoneNames)],
+		address: f.engineAddress(place), zone: f.zones[place%len(f.zones)].name,
 	}
 	started.setState("ready")
 	listener, err := net.Listen("tcp", started.address)
 	if err != nil {
 		return nil, err
 	}
-	started.server = &http.Server{Handler: http.HandlerFunc(started.serve), IdleTimeout: 20 * time.Second}
-	go func() { _ = started.server.Serve(listener) }()
+	started.server = &http.Server{Handler: http.HandlerFunc(started.serve), IdleTimeout: f.engineIdle()}
+	started.stall = &stallable{Listener: listener}
+	go func() { _ = started.server.Serve(started.stall) }()
 	beating, stop := context.WithCancel(ctx)
 	started.stopped = stop
 	go func() {
@@ -128,11 +130,11 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	via, _, _ := net.SplitHostPort(request.RemoteAddr)
+	via := s.fleet.ownerOf(request.RemoteAddr)
 	s.mutex.Lock()
 	s.runs = append(s.runs, run{at: time.Now(), id: id, engine: s.id, via: via, tenant: request.Header.Get("X-Tenant")})
 	s.mutex.Unlock()
-	s.fleet.record.linef("run", "%s runs %s %s", s.id, id, request.URL.Path)
+	s.fleet.record.linef("run", "%s in %s runs %s %s, which came from %s", s.id, s.zone, id, request.URL.Path, via)
 	writer.Header().Set("X-Server-Stamp", s.id+"."+id)
 	if s.service == modelService {
 		s.stream(writer, request)
--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -44,15 +44,27 @@
 	heartbeatTime = 1200 * time.Millisecond
 )
 
-var zoneNames = []string{"lhr-a", "lhr-b", "lhr-c"}
+// zone is a zone with its region.
+type zone struct{ name, region string }
+
+// lahore are the zones of a small deployment in one region, sicily those of one in three.
+var (
+	lahore = []zone{{"lhr-a", "lhr"}, {"lhr-b", "lhr"}, {"lhr-c", "lhr"}}
+	sicily = []zone{
+		{"pa-ballaro", "palermo"}, {"ct-borgo", "catania"}, {"tp-mazara", "trapani"},
+		{"pa-kalsa", "palermo"}, {"ct-sanberillo", "catania"}, {"tp-marsala", "trapani"},
+	}
+)
 
 // machine is one machine of the system with its daemon.
 type machine struct {
-	name, zone, ip string
-	isControl      bool
-	folder         string
-	command        *exec.Cmd
-	ended          chan struct{}
+	name      string
+	zone      zone
+	ip        string
+	isControl bool
+	folder    string
+	command   *exec.Cmd
+	ended     chan struct{}
 }
 
 func (m *machine) address(port int) string { return net.JoinHostPort(m.ip, strconv.Itoa(port)) }
@@ -62,13 +74,16 @@
 	record *record
 	// network begins the loopback addresses of the run.
 	network  string
+	zones    []zone
 	machines []*machine
-	client   *http.Client
+	// shortIdle is how long engines keep idle connections, if it is set.
+	shortIdle time.Duration
+	client    *http.Client
 }
 
 // newFleet makes the machines of a deployment: three of the core, and fronts.
-func newFleet(stage *stage, fronts int) (*fleet, error) {
-	made := &fleet{record: stage.record, client: &http.Client{Timeout: controlWait, Transport: &http.Transport{DisableKeepAlives: true}}}
+func newFleet(stage *stage, zones []zone, fronts int) (*fleet, error) {
+	made := &fleet{record: stage.record, zones: zones, client: &http.Client{Timeout: controlWait, Transport: &http.Transport{DisableKeepAlives: true}}}
 	if _, err := os.Stat(daemonProgram); err != nil {
 		return nil, fmt.Errorf("the daemon is not built: %w", err)
 	}
@@ -76,10 +91,13 @@
 		return nil, err
 	}
 	for number := range controlCount + fronts {
-		one := &machine{zone: zoneNames[number%len(zoneNames)], ip: fmt.Sprintf("%s.%d", made.network, number+1), isControl: number < controlCount}
-		one.name = fmt.Sprintf("front-%s-%d", one.zone, number-controlCount+1)
+		one := &machine{zone: zones[number%len(zones)], ip: fmt.Sprintf("%s.%d", made.network, number+1), isControl: number < controlCount}
+		if !one.isControl {
+			one.zone = zones[(number-controlCount)%len(zones)]
+		}
+		one.name = fmt.Sprintf("front-%s-%d", one.zone.name, number-controlCount+1)
 		if one.isControl {
-			one.name = fmt.Sprintf("core-%s-1", one.zone)
+			one.name = fmt.Sprintf("core-%s-1", one.zone.name)
 		}
 		one.folder = filepath.Join(stage.folder, one.name)
 		if err := os.MkdirAll(one.folder, 0o700); err != nil {
@@ -131,7 +149,7 @@
 	if one.isControl {
 		role, memory = "control", 280
 	}
-	fmt.Fprintf(&text, "[node]\nname = %q\nzone = %q\nroles = [%q]\n\n[listen]\npeers = %q\nhealth = %q\noperators = %q\n", one.name, one.zone, role,
+	fmt.Fprintf(&text, "[node]\nname = %q\nzone = %q\nroles = [%q]\n\n[listen]\npeers = %q\nhealth = %q\noperators = %q\n", one.name, one.zone.name, role,
 		one.address(peerPort), one.address(healthPort), one.address(operatorsPort))
 	if one.isControl {
 		fmt.Fprintf(&text, "control = %q\n\n[control]\ndata_dir = %q\n", one.address(controlPort), filepath.Join(one.folder, "data"))
@@ -142,13 +160,13 @@
 	for _, seed := range f.controls() {
 		seeds = append(seeds, strconv.Quote(seed.address(controlPort)))
 	}
-	for _, zone := range zoneNames {
-		zones = append(zones, strconv.Quote(zone))
+	for _, known := range f.zones {
+		zones = append(zones, strconv.Quote(known.name))
 	}
 	fmt.Fprintf(&text, "\n[fleet]\ndialect = \"platform\"\nseeds = [%s]\npeer_port = %d\nzones = [%s]\nfirst_start = %v\nretries_return = true\n[fleet.regions]\n",
 		strings.Join(seeds, ","), peerPort, strings.Join(zones, ","), isFirst)
-	for _, zone := range zones {
-		fmt.Fprintf(&text, "%s = \"lhr\"\n", zone)
+	for _, known := range f.zones {
+		fmt.Fprintf(&text, "%q = %q\n", known.name, known.region)
 	}
 	fmt.Fprintf(&text, "\n[security]\npeer_key_file = \"deploy/peer.key\"\n\n[limits]\nmemory_mb = %d\nlink_mbps = 1000.0\n\n"+
 		"[bounds]\nstop_grace = \"8s\"\nretry_window = \"10s\"\nretry_ratio = 0.2\nretry_slack = 54\n", memory)
--- a/review/stand-2/founder.go
+++ b/review/stand-2/founder.go
@@ -18,7 +18,7 @@
 // playFounderKilled plays a core process that is killed right after the first start of the whole system, and
 // starts again. Fault: no request is served.
 func playFounderKilled(ctx context.Context, stage *stage) (bool, error) {
-	fleet, err := newFleet(stage, 4)
+	fleet, err := newFleet(stage, lahore, 4)
 	if err != nil {
 		return false, err
 	}
--- a/review/stand-2/leave.go
+++ b/review/stand-2/leave.go
@@ -18,7 +18,7 @@
 // playLeaveForgotten plays an engine that says that it leaves, right before all processes are killed. DRAIN:
 // later than drain_ms after the acknowledgement, no request reaches it from machines in touch.
 func playLeaveForgotten(ctx context.Context, stage *stage) (bool, error) {
-	fleet, err := newFleet(stage, 4)
+	fleet, err := newFleet(stage, lahore, 4)
 	if err != nil {
 		return false, err
 	}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -33,6 +33,7 @@
 var cases = map[string]func(ctx context.Context, stage *stage) (broken bool, err error){
 	"founder-killed":  playFounderKilled,
 	"slow-reader":     playSlowReader,
+	"home":            playHome,
 	"leave-forgotten": playLeaveForgotten,
 	"prepaid-lowered": playPrepaidLowered,
 }
--- a/review/stand-2/prepaid.go
+++ b/review/stand-2/prepaid.go
@@ -24,7 +24,7 @@
 )
 
 func playPrepaidLowered(ctx context.Context, stage *stage) (bool, error) {
-	fleet, err := newFleet(stage, 6)
+	fleet, err := newFleet(stage, lahore, 6)
 	if err != nil {
 		return false, err
 	}
--- a/review/stand-2/slow.go
+++ b/review/stand-2/slow.go
@@ -28,7 +28,7 @@
 // touch doesn't hand a request from a kept connection on to a sound engine and then close the connection
 // without an answer, more than three times.
 func playSlowReader(ctx context.Context, stage *stage) (bool, error) {
-	fleet, err := newFleet(stage, 4)
+	fleet, err := newFleet(stage, lahore, 4)
 	if err != nil {
 		return false, err
 	}
