Review case 8: cold engines get too much after all processes were killed

Tried: engines that are cold while all processes are killed and started again, with 48 fronts and 300 requests a second. Conclusion: FAILBACK is broken; fronts choose the senders by a list of fronts that is not whole yet.

--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -16,14 +16,13 @@
 
 // call is one client attempt.
 type call struct {
-	path, key  string
-	deadline   time.Duration
-	in, out    int
-	retries    int
-	isStream   bool
-	isUnsafe   bool
-	onlyFront  *machine
-	afterEvent string
+	path, key string
+	deadline  time.Duration
+	in, out   int
+	retries   int
+	isStream  bool
+	isUnsafe  bool
+	onlyFront *machine
 }
 
 // outcome is how a client attempt ended.
@@ -61,6 +60,8 @@
 	}
 	for _, one := range fleet.fronts() {
 		made.isIn[one] = true
+	}
+	for _, one := range fleet.fronts() {
 		go func() {
 			for ctx.Err() == nil {
 				made.noteReady(one, fleet.isReady(ctx, one))
--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -40,6 +40,10 @@
 	server  *http.Server
 	seq     atomic.Uint64
 	state   atomic.Pointer[string]
+	// coldUntil is when the engine stops being cold.
+	coldUntil time.Time
+	// coldFrom is when the system was told that it is cold.
+	coldFrom time.Time
 	// stopped ends the heartbeats.
 	stopped context.CancelFunc
 	mutex   sync.Mutex
@@ -71,13 +75,28 @@
 	return started, nil
 }
 
+// coldTold is how long after its heartbeat the nodes may learn that an engine is cold.
+const coldTold = 500 * time.Millisecond
+
+// becomeCold makes the engine cold for a time, and says so.
+func (s *standIn) becomeCold(ctx context.Context, lasting time.Duration) {
+	s.mutex.Lock()
+	s.coldUntil = time.Now().Add(lasting)
+	s.mutex.Unlock()
+	s.beat(ctx)
+	s.coldFrom = time.Now().Add(coldTold)
+}
+
 func (s *standIn) setState(state string) { s.state.Store(&state) }
 
 // beat sends one heartbeat.
 func (s *standIn) beat(ctx context.Context) int {
+	s.mutex.Lock()
+	coldLeft := max(0, time.Until(s.coldUntil).Milliseconds())
+	s.mutex.Unlock()
 	body, _ := json.Marshal(map[string]any{
 		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 64, "state": *s.state.Load(),
-		"cold_left_ms": 0, "stage": "unified", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}, "seq": s.seq.Add(1),
+		"cold_left_ms": coldLeft, "stage": "unified", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}, "seq": s.seq.Add(1),
 	})
 	status, _, node := s.fleet.callControl(ctx, http.MethodPut, "/ravenway/instances/"+s.id, body)
 	if ctx.Err() == nil {
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -34,8 +34,8 @@
 	"founder-killed":  playFounderKilled,
 	"slow-reader":     playSlowReader,
 	"home":            playHome,
+	"cold":            playCold,
 	"leave-forgotten": playLeaveForgotten,
-	"prepaid-lowered": playPrepaidLowered,
 }
 
 // stage is what a case plays on.
--- a/review/stand-2/stall.go
+++ b/review/stand-2/stall.go
@@ -27,14 +27,9 @@
 
 // Accept implements net.Listener.
 func (s *stallable) Accept() (net.Conn, error) {
-	for {
-		connection, err := s.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		s.awaitResume()
-		return connection, nil
-	}
+	connection, err := s.Listener.Accept()
+	s.awaitResume()
+	return connection, err
 }
 
 // awaitResume waits for the end of a stall.
