Review case 8: a version that fails a third of one route's answers is done

Tried: a rollout of a version that fails every third answer on a route with 3 of 153 requests a second. Conclusion: EXPOSURE is broken; a route with few requests is not judged before all requests move.

--- a/review/stand-2/control.go
+++ b/review/stand-2/control.go
@@ -80,8 +80,6 @@
 	Protocol   string  `json:"protocol"`
 	TLS        bool    `json:"tls"`
 	Engine     *engine `json:"engine,omitempty"`
-	ColdStartS float64 `json:"cold_start_s,omitempty"`
-	ColdPerS   float64 `json:"cold_per_s,omitempty"`
 }
 
 type engine struct {
--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -26,7 +26,10 @@
 type run struct {
 	at              time.Time
 	id, engine, via string
-	tenant          string
+	path            string
+	// failed is set if the engine answered with a failure.
+	failed bool
+	tenant string
 }
 
 // standIn is an engine.
@@ -34,16 +37,17 @@
 	fleet   *fleet
 	id      string
 	service string
-	address string
-	zone    string
-	stall   *stallable
-	server  *http.Server
-	seq     atomic.Uint64
-	state   atomic.Pointer[string]
-	// coldUntil is when the engine stops being cold.
-	coldUntil time.Time
-	// coldFrom is when the system was told that it is cold.
-	coldFrom time.Time
+	version string
+	// failPath makes the engine fail every third request whose path begins with it, if it is set.
+	failPath string
+	// onFailPath counts these requests.
+	onFailPath int
+	address    string
+	zone       string
+	stall      *stallable
+	server     *http.Server
+	seq        atomic.Uint64
+	state      atomic.Pointer[string]
 	// stopped ends the heartbeats.
 	stopped context.CancelFunc
 	mutex   sync.Mutex
@@ -52,8 +56,13 @@
 
 // startEngine starts an engine at a place and sends its heartbeats.
 func (f *fleet) startEngine(ctx context.Context, place int, service string) (*standIn, error) {
+	return f.startVersion(ctx, place, service, "v1")
+}
+
+// startVersion starts an engine of a version.
+func (f *fleet) startVersion(ctx context.Context, place int, service, version string) (*standIn, error) {
 	started := &standIn{
-		fleet: f, id: fmt.Sprintf("i-%04x%04x", place+1, time.Now().UnixNano()&0xffff), service: service,
+		fleet: f, id: fmt.Sprintf("i-%04x%04x", place+1, time.Now().UnixNano()&0xffff), service: service, version: version,
 		address: f.engineAddress(place), zone: f.zones[place%len(f.zones)].name,
 	}
 	started.setState("ready")
@@ -75,28 +84,13 @@
 	return started, nil
 }
 
-// coldTold is how long after its heartbeat the nodes may learn that an engine is cold.
-const coldTold = 500 * time.Millisecond
-
-// becomeCold makes the engine cold for a time, and says so.
-func (s *standIn) becomeCold(ctx context.Context, lasting time.Duration) {
-	s.mutex.Lock()
-	s.coldUntil = time.Now().Add(lasting)
-	s.mutex.Unlock()
-	s.beat(ctx)
-	s.coldFrom = time.Now().Add(coldTold)
-}
-
 func (s *standIn) setState(state string) { s.state.Store(&state) }
 
 // beat sends one heartbeat.
 func (s *standIn) beat(ctx context.Context) int {
-	s.mutex.Lock()
-	coldLeft := max(0, time.Until(s.coldUntil).Milliseconds())
-	s.mutex.Unlock()
 	body, _ := json.Marshal(map[string]any{
-		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 64, "state": *s.state.Load(),
-		"cold_left_ms": coldLeft, "stage": "unified", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}, "seq": s.seq.Add(1),
+		"service": s.service, "address": s.address, "zone": s.zone, "version": s.version, "slots": 64, "state": *s.state.Load(),
+		"cold_left_ms": 0, "stage": "unified", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}, "seq": s.seq.Add(1),
 	})
 	status, _, node := s.fleet.callControl(ctx, http.MethodPut, "/ravenway/instances/"+s.id, body)
 	if ctx.Err() == nil {
@@ -125,6 +119,15 @@
 	s.fleet.record.linef("engine", "%s ends", s.id)
 }
 
+// takeFailure reports whether the engine fails a request. The caller holds the mutex.
+func (s *standIn) takeFailure(path string) bool {
+	if s.failPath == "" || !strings.HasPrefix(path, s.failPath) {
+		return false
+	}
+	s.onFailPath++
+	return s.onFailPath%3 == 0
+}
+
 // runsSince returns what the engine ran since a moment.
 func (s *standIn) runsSince(moment time.Time) []run {
 	s.mutex.Lock()
@@ -151,7 +154,8 @@
 	}
 	arrivedAt, via := time.Now(), s.fleet.ownerOf(request.RemoteAddr)
 	s.mutex.Lock()
-	s.runs = append(s.runs, run{at: arrivedAt, id: id, engine: s.id, via: via, tenant: request.Header.Get("X-Tenant")})
+	fails := s.takeFailure(request.URL.Path)
+	s.runs = append(s.runs, run{failed: fails, path: request.URL.Path, at: arrivedAt, id: id, engine: s.id, via: via, tenant: request.Header.Get("X-Tenant")})
 	s.mutex.Unlock()
 	s.fleet.record.linef("run", "%s in %s runs %s %s, which came from %s", s.id, s.zone, id, request.URL.Path, via)
 	writer.Header().Set("X-Server-Stamp", s.id+"."+id)
@@ -169,6 +173,10 @@
 		length = documentBytes
 	}
 	body := strings.Repeat("x", length)
+	if fails {
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = writer.Write([]byte(body))
 }
--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -80,7 +80,9 @@
 	shortIdle time.Duration
 	// findsSenders makes engines find out from which machine a request comes, which takes time.
 	findsSenders bool
-	client       *http.Client
+	// exposureShare is the bound on what a bad version gets, if the deployment has one.
+	exposureShare float64
+	client        *http.Client
 }
 
 // newFleet makes the machines of a deployment: three of the core, and fronts.
@@ -172,6 +174,9 @@
 	}
 	fmt.Fprintf(&text, "\n[security]\npeer_key_file = \"deploy/peer.key\"\n\n[limits]\nmemory_mb = %d\nlink_mbps = 1000.0\n\n"+
 		"[bounds]\nstop_grace = \"8s\"\nretry_window = \"10s\"\nretry_ratio = 0.2\nretry_slack = 54\n", memory)
+	if f.exposureShare > 0 {
+		fmt.Fprintf(&text, "exposure_share = %v\n", f.exposureShare)
+	}
 	path := filepath.Join(one.folder, "local.toml")
 	return path, os.WriteFile(path, []byte(text.String()), 0o600)
 }
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -34,7 +34,7 @@
 	"founder-killed":  playFounderKilled,
 	"slow-reader":     playSlowReader,
 	"home":            playHome,
-	"cold":            playCold,
+	"rollout":         playRollout,
 	"leave-forgotten": playLeaveForgotten,
 }
 
