--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -31,7 +31,6 @@
 
 // cases are the cases by name.
 var cases = map[string]func(ctx context.Context, stage *stage) (broken bool, err error){
-	"founder-killed":  playFounderKilled,
 	"slow-reader":     playSlowReader,
 	"home":            playHome,
 	"rollout":         playRollout,
