--- a/review/stand-2/engine.go
+++ b/review/stand-2/engine.go
@@ -168,11 +168,7 @@
 	case <-request.Context().Done():
 		return
 	}
-	length := 800
-	if strings.HasSuffix(request.URL.Path, "/document") {
-		length = documentBytes
-	}
-	body := strings.Repeat("x", length)
+	body := strings.Repeat("x", plainBytes)
 	if fails {
 		writer.WriteHeader(http.StatusInternalServerError)
 		return
@@ -181,6 +177,9 @@
 	_, _ = writer.Write([]byte(body))
 }
 
+// plainBytes is the length of a plain answer, the mean of the site sheets.
+const plainBytes = 800
+
 // stream sends the events of a stream that the client lacks.
 func (s *standIn) stream(writer http.ResponseWriter, request *http.Request) {
 	writer.Header().Set("Content-Type", "text/event-stream")
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -14,7 +14,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -31,7 +33,6 @@
 
 // cases are the cases by name.
 var cases = map[string]func(ctx context.Context, stage *stage) (broken bool, err error){
-	"slow-reader":     playSlowReader,
 	"home":            playHome,
 	"rollout":         playRollout,
 	"leave-forgotten": playLeaveForgotten,
@@ -71,7 +72,10 @@
 		return exitNotRun
 	}
 	defer os.RemoveAll(temporary)
-	ctx, cancel := context.WithTimeout(context.Background(), maximumTime)
+	// A signal ends the case like its time limit does, so that the daemons are ended too.
+	signalled, release := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer release()
+	ctx, cancel := context.WithTimeout(signalled, maximumTime)
 	defer cancel()
 	broken, err := play(ctx, &stage{record: written, trouble: os.Getenv(troubleName) != withoutValue, folder: temporary})
 	if err == nil {
