A response that is cut during an upload is not complete

Callers saw: an engine answered an upload of 4 MB at once with a 200 without a length, sent a part of its body and reset the connection, or closed it with the upload unread. The part was delivered as a complete response.

Cause: a socket reports a reset once, to the read or the write that comes first. While an upload is being written, the write takes the error, and the read sees a regular end, which is what ends a response without a length. When the engine closes the connection while more of the upload is on its way, the end does come first, and the reset only later. The witness connection shows that the process lives, so the end was confirmed. A relay has the same two directions and passed such an end on.

Change: ConfirmedConnection owns the first error of an engine's connection. The end of a response without a length counts once the whole request was written without an error and acknowledged, on a connection that was not reset. A relay confirms the end before it passes it on, and reports how many bytes the engine had received, so that the node that knows the length of the request can tell. Without a report, by a relay of an earlier build, short requests only are confirmed. Counter ravenway_engine_responses_cut_total, and the error in the attempt's line.

--- a/internal/forward/closedends.go
+++ b/internal/forward/closedends.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 	"github.com/ravenway/ravenway/internal/state/document"
@@ -37,6 +39,9 @@
 	// errEndUnconfirmed means that a response ended with its connection, and whether its engine crashed can't
 	// be found out.
 	errEndUnconfirmed = errors.New("forward: it is not known whether the engine ended with the response's connection")
+	// errRequestUnread means that a response ended with its connection although its engine may not have received the
+	// whole request: the connection was reset, or the engine has ended it early.
+	errRequestUnread = errors.New("forward: the response's connection ended before the whole request was received")
 	// errNoEvent means that a stream ended with its connection before its first event.
 	errNoEvent = errors.New("forward: the stream ended before its first event")
 )
@@ -173,13 +178,34 @@
 	return func() { r.pipeline.witnesses.release(sending.witness, choice) }
 }
 
+// responsesCut counts responses that ended with their connection while their request was not received as a whole.
+var responsesCut = metrics.GetOrCreateCounter("ravenway_engine_responses_cut_total")
+
+// confirmRequestRead returns an error unless the engine's machine has received the whole request. An engine that
+// ends its connection before has not responded to it, and a reset may look like a regular end to the reader.
+func (e *exchange) confirmRequestRead(ctx context.Context) error {
+	select {
+	case <-e.written:
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	if e.writeErr != nil {
+		return e.writeErr
+	}
+	return e.connection.network.ConfirmEnd(ctx)
+}
+
 // confirmEnd returns an error if a response that was read to its end may have been broken off by the crash
-// of its engine.
+// of its engine, or by a reset of its connection.
 func (r *request) confirmEnd(ctx context.Context, sending *exchange, choice balance.Choice) error {
 	if !sending.endsByClose() {
 		return nil
 	}
 	r.pipeline.options.Log.EndedByClose(r, choice)
+	if err := sending.confirmRequestRead(ctx); err != nil {
+		responsesCut.Inc()
+		return fmt.Errorf("%w: %w", errRequestUnread, err)
+	}
 	quietTime := wholeQuietTime
 	if r.route.Kind == document.Stream {
 		quietTime = streamQuietTime
--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -51,7 +51,7 @@
 
 // connection is one HTTP/1.1 connection to an engine. It serves one request at a time.
 type connection struct {
-	network net.Conn
+	network transport.EndConfirmer
 	reader  *bufio.Reader
 	// source is what reader reads from.
 	source *boundedSource
@@ -67,7 +67,7 @@
 }
 
 // newConnection wraps a network connection to an engine.
-func newConnection(network net.Conn) *connection {
+func newConnection(network transport.EndConfirmer) *connection {
 	opened := &connection{network: network}
 	opened.source = &boundedSource{network: network, last: &opened.lastRead}
 	opened.reader = bufio.NewReaderSize(opened.source, readBufferBytes)
@@ -110,16 +110,12 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	system, isSystem := c.network.(syscall.Conn)
+	raw, isSystem := transport.RawConnection(c.network)
 	if !isSystem {
 		return true
 	}
-	raw, err := system.SyscallConn()
-	if err != nil {
-		return false
-	}
 	quiet := false
-	err = raw.Read(func(descriptor uintptr) bool {
+	err := raw.Read(func(descriptor uintptr) bool {
 		var probe [1]byte
 		_, _, failure := syscall.Recvfrom(int(descriptor), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(failure, syscall.EAGAIN)
--- a/internal/forward/enginepaths.go
+++ b/internal/forward/enginepaths.go
@@ -12,6 +12,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/enginepath"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/transport"
 )
 
 // relayTimeout bounds the opening of a connection through relays: one of them may be gone, and the
@@ -52,7 +53,7 @@
 
 // RelayedConnection is a connection to an engine through another node, the relay.
 type RelayedConnection interface {
-	net.Conn
+	transport.EndConfirmer
 	// Relay returns the relay's address.
 	Relay() string
 	// ReportSignal reports to the relay what the engine's response to a request asks of its machine.
@@ -93,13 +94,18 @@
 }
 
 // DialEngine opens a direct connection to the engine at an address, whose bytes are counted.
-func (p *Pipeline) DialEngine(ctx context.Context, address string) (net.Conn, error) {
+func (p *Pipeline) DialEngine(ctx context.Context, address string) (transport.EndConfirmer, error) {
 	network, err := p.pool.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	return p.pool.adopt(network), nil
+}
+
+// adopt counts a new direct connection and its bytes.
+func (p *pool) adopt(network net.Conn) transport.EndConfirmer {
 	connectionsOpened.Inc()
-	return p.pool.meter.Wrap(network), nil
+	return transport.WithConfirmedEnd(p.meter.Wrap(network))
 }
 
 // pathRace opens one connection to an engine by the direct way and through a relay, whichever
@@ -225,8 +231,7 @@
 			r.deliver(pathResult{err: err})
 			return
 		}
-		connectionsOpened.Inc()
-		opened := newConnection(r.pool.meter.Wrap(network))
+		opened := newConnection(r.pool.adopt(network))
 		if !r.deliver(pathResult{connection: opened}) {
 			r.pool.putUnused(r.address, opened)
 		}
--- a/internal/forward/enginepaths_test.go
+++ b/internal/forward/enginepaths_test.go
@@ -15,6 +15,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/backoff"
 	"github.com/ravenway/ravenway/internal/coordination/enginepath"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/transport"
 )
 
 // testPaths implements EnginePaths with a fixed plan and a relay that takes a time.
@@ -50,7 +51,7 @@
 		return nil, p.relayErr
 	}
 	local, _ := net.Pipe()
-	opened := &testRelayed{Conn: local}
+	opened := &testRelayed{EndConfirmer: transport.WithConfirmedEnd(local)}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.relayed = append(p.relayed, opened)
@@ -58,13 +59,13 @@
 }
 
 type testRelayed struct {
-	net.Conn
+	transport.EndConfirmer
 	isClosed bool
 }
 
 func (r *testRelayed) Close() error {
 	r.isClosed = true
-	return r.Conn.Close()
+	return r.EndConfirmer.Close()
 }
 
 func (r *testRelayed) Relay() string { return "relay" }
--- a/internal/forward/unbounded_test.go
+++ b/internal/forward/unbounded_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/transport"
 )
 
 // maximumUnboundedBytes is how much an engine may write of a response that never ends before its connection is
@@ -244,7 +246,7 @@
 			return
 		}
 		network := &bytesConnection{source: io.MultiReader(bytes.NewReader(begins), &endless{piece: goesOn})}
-		sending := &exchange{connection: newConnection(network)}
+		sending := &exchange{connection: newConnection(transport.WithConfirmedEnd(network))}
 		response, err := sending.readFinalHead(http.MethodGet)
 		assert.Assert(t, response != nil || err != nil)
 		assert.Assert(t, network.read <= maximumHeadBytes+readBufferBytes, "%d bytes", network.read)
--- a/internal/gateway/relaysearch.go
+++ b/internal/gateway/relaysearch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -125,7 +126,7 @@
 	response, err := peer.DecodeStreamMessage[peer.RelayResponse](encodedResponse)
 	if err == nil && response.Refusal == peer.RelayAccepted {
 		s.paths.peers.Prove(node.now(), address)
-		return relayAnswer{connection: &relayedConnection{Stream: stream, paths: s.paths, relay: address}}
+		return relayAnswer{connection: newRelayedConnection(stream, s.paths, address)}
 	}
 	_ = stream.Close()
 	if err != nil {
@@ -191,6 +192,49 @@
 	relay string
 	// closed releases the connection at the peers once.
 	closed sync.Once
+	// written is the number of bytes that were written, and received how many of them the engine's machine had received
+	// at the end of its data; unreported before the relay reports it.
+	written, received atomic.Int64
+}
+
+const (
+	// unreported stands for a number of received bytes that the relay has not reported.
+	unreported = -1
+	// maximumUnconfirmedBytes bounds a request whose engine may have ended the connection without the relay's report,
+	// which earlier builds don't send: so few bytes are written at once, and no write takes the error of a reset from
+	// the relay's read.
+	maximumUnconfirmedBytes = 4 << 10
+)
+
+// newRelayedConnection returns the connection that a peer has opened.
+func newRelayedConnection(stream *transport.Stream, paths *enginePaths, relay string) *relayedConnection {
+	opened := &relayedConnection{Stream: stream, paths: paths, relay: relay}
+	opened.received.Store(unreported)
+	stream.OnSignal(opened.noteEnd)
+	return opened
+}
+
+// noteEnd records the relay's report on the end of the engine's data.
+func (c *relayedConnection) noteEnd(encoded []byte) {
+	if end, err := peer.DecodeStreamMessage[peer.RelayEnd](encoded); err == nil {
+		c.received.Store(end.Received)
+	}
+}
+
+// Write implements net.Conn.
+func (c *relayedConnection) Write(from []byte) (int, error) {
+	written, err := c.Stream.Write(from)
+	c.written.Add(int64(written))
+	return written, err
+}
+
+// ConfirmEnd implements transport.EndConfirmer.
+func (c *relayedConnection) ConfirmEnd(context.Context) error {
+	written, received := c.written.Load(), c.received.Load()
+	if received == written || received == unreported && written <= maximumUnconfirmedBytes {
+		return nil
+	}
+	return fmt.Errorf("%w: the relay reports %d of %d bytes", transport.ErrUnread, received, written)
 }
 
 // Close implements net.Conn.
--- a/internal/gateway/relayserver.go
+++ b/internal/gateway/relayserver.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -120,7 +119,7 @@
 }
 
 // dial connects to an engine directly.
-func (s *relayServer) dial(address string) (net.Conn, peer.RelayResponse) {
+func (s *relayServer) dial(address string) (transport.EndConfirmer, peer.RelayResponse) {
 	ctx, cancel := context.WithTimeout(context.Background(), forward.DialTimeout)
 	defer cancel()
 	startedAt := time.Now()
@@ -180,27 +179,65 @@
 }
 
 // relayBytes copies the bytes between a node and an engine until one of them closes the connection.
-func relayBytes(stream *transport.Stream, engine net.Conn) {
+func relayBytes(stream *transport.Stream, engine transport.EndConfirmer) {
 	var copying sync.WaitGroup
+	offered := &offeredBytes{to: engine}
 	copying.Go(func() {
-		if err := copyCounted(engine, stream, relayBytesToEngine); err == nil || !isWriteError(err) {
+		if err := copyCounted(offered, stream, relayBytesToEngine); err == nil || !isWriteError(err) {
 			// The node has ended the connection or is gone: closing it frees the engine.
 			_ = engine.Close()
 			return
 		}
 		_, _ = io.Copy(io.Discard, onlyReader{stream})
 	})
-	if err := copyCounted(stream, engine, relayBytesToNode); err != nil {
+	err := copyCounted(stream, engine, relayBytesToNode)
+	if err == nil {
+		err = confirmRelayedEnd(stream, engine, &offered.count)
+	}
+	if err == nil {
+		err = stream.CloseWrite()
+	} else {
 		// Without an end, the response does not look complete at the other node.
-		_ = stream.Close()
-		_ = engine.Close()
-	} else if stream.CloseWrite() != nil || stream.SetReadDeadline(time.Now().Add(relayLingerTime)) != nil {
+		err = errors.Join(stream.Close(), engine.Close())
+	}
+	if err != nil || stream.SetReadDeadline(time.Now().Add(relayLingerTime)) != nil {
 		_ = stream.Close()
 	}
 	copying.Wait()
 	_ = stream.Close()
 }
 
+// offeredBytes counts the bytes that are written to an engine, before they are.
+type offeredBytes struct {
+	to    io.Writer
+	count atomic.Int64
+}
+
+// Write implements io.Writer.
+func (o *offeredBytes) Write(from []byte) (int, error) {
+	o.count.Add(int64(len(from)))
+	return o.to.Write(from)
+}
+
+// confirmRelayedEnd tells the other node how many bytes an engine received before it ended the connection, or returns
+// an error if it has not received all that were offered. The other node knows whether more were on the way.
+func confirmRelayedEnd(stream *transport.Stream, engine transport.EndConfirmer, offered *atomic.Int64) error {
+	received := int64(-1)
+	// An engine may have ended only its own direction, and still receive.
+	for received != offered.Load() {
+		received = offered.Load()
+		// The wait ends when either machine closes its connection, or acknowledges nothing.
+		if err := engine.ConfirmEnd(context.Background()); err != nil {
+			return err
+		}
+	}
+	encoded, err := peer.EncodeStreamMessage(&peer.RelayEnd{Received: received})
+	if err != nil {
+		return err
+	}
+	return stream.Signal(encoded)
+}
+
 // writeError is the error of the receiving side of a copy.
 type writeError struct{ error }
 
--- a/internal/protocol/peer/relay.go
+++ b/internal/protocol/peer/relay.go
@@ -60,6 +60,13 @@
 	HasRun    bool `msgpack:"h,omitempty"`
 }
 
+// RelayEnd reports to the node that opened a relayed connection that the engine has ended it. The relay sends it before
+// the end of its data.
+type RelayEnd struct {
+	// Received is the number of bytes that the engine's machine received over the connection.
+	Received int64 `msgpack:"r"`
+}
+
 // EncodeStreamMessage encodes a message of a stream with field names, so that builds with other
 // fields can read it.
 func EncodeStreamMessage(message any) ([]byte, error) {
--- a/internal/transport/acknowledged.go
+++ b/internal/transport/acknowledged.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -11,18 +10,11 @@
 // has not acknowledged, if some of them are in flight: bytes that only wait for a receiver that does
 // not read are not counted. It returns false if the connection can't tell.
 func Unacknowledged(connection net.Conn) (bytes int, isKnown bool) {
-	if carrier, isCarried := connection.(interface{ NetConn() net.Conn }); isCarried {
-		return Unacknowledged(carrier.NetConn())
-	}
-	system, isSystem := connection.(syscall.Conn)
+	raw, isSystem := RawConnection(connection)
 	if !isSystem {
 		return 0, false
 	}
-	raw, err := system.SyscallConn()
-	if err != nil {
-		return 0, false
-	}
-	err = raw.Control(func(descriptor uintptr) {
+	err := raw.Control(func(descriptor uintptr) {
 		information, failure := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
 		if failure != nil {
 			return
