A relay delivers all that an engine sent before it reset the connection

Callers saw (by test only): a complete response with a length, behind which the engine resets its connection while the upload is still on its way, is cut on its way through a relay.

Cause: the relay closed its connection to the other node at once. More of the request was unread there, so that closing reset the connection, and what the other node had not taken yet was dropped.

Change: the relay ends its direction of the connection without the frame that ends a response, and reads on for a second as it does after a regular end. The other node reads all that was sent, and then an error.

--- a/internal/gateway/relayends_test.go
+++ b/internal/gateway/relayends_test.go
@@ -131,3 +131,18 @@
 		}
 	}
 }
+
+// Guards against the end of a complete response that is lost because its relay resets the connection on which more of
+// the request arrives.
+func TestRelayDeliversWhatAnEngineSentBeforeAReset(t *testing.T) {
+	const sent = 256 << 10
+	for range 5 {
+		response, err := exchangeThroughRelay(t, 4<<20, 100*time.Millisecond, func(connection *net.TCPConn) {
+			_, _ = connection.Write(make([]byte, sent))
+			time.Sleep(50 * time.Millisecond)
+			_ = connection.SetLinger(0)
+		})
+		assert.Assert(t, err != nil)
+		assert.Equal(t, len(response), sent)
+	}
+}
--- a/internal/gateway/relayserver.go
+++ b/internal/gateway/relayserver.go
@@ -198,7 +198,7 @@
 		err = stream.CloseWrite()
 	} else {
 		// Without an end, the response does not look complete at the other node.
-		err = errors.Join(stream.Close(), engine.Close())
+		err = errors.Join(stream.AbortWrite(), engine.Close())
 	}
 	if err != nil || stream.SetReadDeadline(time.Now().Add(relayLingerTime)) != nil {
 		_ = stream.Close()
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -99,6 +99,15 @@
 // CloseWrite ends this node's data.
 func (s *Stream) CloseWrite() error { return s.writeFrame(endFrame, nil) }
 
+// AbortWrite ends this node's data so that it does not look complete: the other node reads all that was written before,
+// and then an error.
+func (s *Stream) AbortWrite() error {
+	if one, canCloseWrite := s.connection.(closeWriter); canCloseWrite {
+		return one.CloseWrite()
+	}
+	return s.connection.Close()
+}
+
 func (s *Stream) writeFrame(kind frameKind, data []byte) error {
 	s.writing.Lock()
 	defer s.writing.Unlock()
