A response whose status is none is not passed on

Callers saw: an engine in trouble sent the status 000, 001, 099 or +20. Their connection was closed without an answer, and no sound engine was tried. The status 600 or 999 was passed on.

Cause: net/http's reader accepts any three digits, and its writer panics below 100 ('invalid WriteHeader code'). The dialect, the signals and the rollout's samples used the head before anything looked at its status.

Change: a head is checked line by line as it arrives, before anything reads it, against RFC 9112: the version is HTTP/1.x, the status has three digits from 100 to 599, lines end with CR LF. A response that is not valid is a failure of its engine, not a crash: the request is served elsewhere where its route allows it, and else answered with 502, the connection is closed, and no signal of the response is learnt. Counter ravenway_engine_responses_invalid_total{part}, and the reason with the line in the attempt's log line.

Evidence: TestResponseThatIsNotValidHTTPIsNotUsed, on all routes; on the code before, 000, 001, 099, +20, 600, 999, a version 2.0 and bare line feeds failed on every route. Sound heads are read byte by byte and up to 14 KB (TestSoundHeadsAreReadHoweverTheyArrive).

--- a/internal/forward/connection.go
+++ b/internal/forward/connection.go
@@ -89,6 +89,9 @@
 	if s.isHead && s.headLeft <= 0 {
 		return 0, errHeadTooLong
 	}
+	if s.isHead {
+		into = into[:min(len(into), s.headLeft)]
+	}
 	read, err := s.network.Read(into)
 	if read > 0 {
 		s.last.Store(time.Now().UnixNano())
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -44,7 +44,7 @@
 // crashed, and the request may be the cause.
 func (r *request) noteInterrupted(ctx context.Context, interrupted interruptedRun, result string, err error) {
 	r.pipeline.options.Log.RunInterrupted(r, interrupted, result, err)
-	if countExceeded(err) {
+	if countExceeded(err) || countInvalid(err) {
 		// The engine is alive, and sends bytes that are no response.
 		return
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -193,7 +193,7 @@
 	e.connection.source.beginHead()
 	defer e.connection.source.endHead()
 	for range maximumInformationalHeads + 1 {
-		response, err := http.ReadResponse(e.connection.reader, &http.Request{Method: method})
+		response, err := e.connection.readCheckedHead(method)
 		if err != nil && e.connection.source.headLeft <= 0 {
 			// The head was cut off, whatever its last line was taken for.
 			return nil, errors.Join(errHeadTooLong, err)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -33,7 +33,7 @@
 // discard reads a response that is not relayed, and keeps the connection.
 func (e *exchange) discard(id string) {
 	if _, err := drain(e.response.Body); err != nil {
-		countExceeded(err)
+		_ = countExceeded(err) || countInvalid(err)
 		e.abort()
 		return
 	}
