A response with a field name that is none is not passed on

Callers saw: a blank inside a field's name or behind it was accepted on all routes and the line passed on. Behind 'Content-Length : 2' or 'Transfer-Encoding : chunked' the caller got another body than the engine's, with the sizes of the chunks in the text. The same in a 103 before the response, and in trailers.

Cause: net/http's reader keeps a name with blanks as it is, so that a field that frames the body is not recognized. It also accepts a length beside chunks and ignores chunks on HTTP/1.0.

Change: the check of heads covers names, values, and the fields that frame the body; the end of chunks is an error if a trailer is not valid. What was refused already (control bytes and 8-bit bytes in names, no name, no colon, a fold in the first line, lengths that differ) is counted and logged with the same reason.

Callers' heads that are not valid reached no engine before either: the test stays.

--- a/internal/forward/badheads_test.go
+++ b/internal/forward/badheads_test.go
@@ -42,13 +42,28 @@
 		}
 	}
 	statusLine := func(line string) string { return line + "\r\n" + signals + badBody }
+	field := func(line string) string { return "HTTP/1.1 200 OK\r\n" + signals + line + "\r\n" + badBody }
 	for _, status := range []string{"000", "001", "099", "+20", "-20", "600", "999", "20", "2000", "20x", "0x1", " 200"} {
 		add(invalidStatus, statusLine("HTTP/1.1 "+status+" OK"))
 	}
 	add(invalidStatusLine, statusLine("HTTP/2.0 200 OK"), statusLine("HTTP/0.9 200 OK"), statusLine("HTTP/1 200 OK"), statusLine("http/1.1 200 OK"),
 		statusLine("HTTP/1.1\t200 OK"), statusLine("HTTP/1.10 200 OK"), statusLine("bytes that are no response"), statusLine(""))
+	add(invalidFieldValue, statusLine("HTTP/1.1 200 O\x00K"), statusLine("HTTP/1.1 200 O\rK"))
+	for _, name := range []string{"Bad Name", "Name ", "Name\t", "Bad\x01Name", "Bad\x7fName", "Bad\xe4Name", "", "Bad(Name", "Content-Length ", "Transfer-Encoding "} {
+		add(invalidFieldName, field(name+": chunked"))
+	}
+	add(invalidFieldName, field("no colon"), "HTTP/1.1 200 OK\r\n folded: first\r\n"+signals+badBody,
+		"HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length : 2\r\n\r\n"+twoEvents, "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding : chunked\r\n\r\n1e\r\n"+twoEvents+"\r\n0\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\n"+signals+badBody)
+	add(invalidFieldValue, field("A: b\x00"), field("A: b\rc"), field("A: b\x7f"), field("A: b\r\n c\x01"))
 	add(invalidStatus, "HTTP/1.1 099 Early\r\n\r\nHTTP/1.1 200 OK\r\n"+signals+badBody)
 	add(invalidLineEnd, "HTTP/1.1 200 OK\n"+signals+badBody, "HTTP/1.1 200 OK\r\n"+signals+"A: b\n"+badBody, "HTTP/1.1 200 OK\r\n"+signals+"Content-Length: 15\r\n\n"+firstEvent)
+	add(invalidFraming, field("Content-Length: 16"), field("Content-Length: 15, 15"), field("Transfer-Encoding: chunked"), field("Transfer-Encoding: gzip"),
+		"HTTP/1.0 200 OK\r\n"+signals+"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\n"+signals+"Content-Length: +15\r\n\r\n"+firstEvent,
+		"HTTP/1.1 200 OK\r\n"+signals+"Content-Length: x\r\n\r\n"+firstEvent)
+	for _, trailer := range []string{"Bad Name: x", "Name : x", "A: b\x01"} {
+		add(invalidTrailer, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n\r\n", len(firstEvent), firstEvent, trailer))
+	}
 	return all
 }
 
@@ -104,11 +119,14 @@
 	got := h.send(t, http.MethodPost, path, "r1", "body")
 	explained := strings.Join(h.log.Explain("r1"), "\n")
 	assert.Assert(t, !strings.Contains(explained, "panicked"), explained)
+	isBegun := b.part == invalidTrailer && strings.HasPrefix(path, "/stream/")
 	switch {
 	case path == "/safe/x", path == "/resumable/x":
 		assert.NilError(t, got.err, explained)
 		assert.Equal(t, strconv.Itoa(got.status)+got.body, "200"+twoEvents, explained)
 		assert.Equal(t, requests.Load(), int64(2))
+	case isBegun:
+		assert.Assert(t, got.err != nil, "looks complete: %q", got.body)
 	default:
 		assert.NilError(t, got.err, explained)
 		assert.Equal(t, got.status, http.StatusBadGateway, explained)
@@ -165,3 +183,33 @@
 		}
 	}
 }
+
+// Guards against a caller's head that engines would understand in another way: it is refused, and no engine gets it.
+func TestCallersHeadThatIsNotValidReachesNoEngine(t *testing.T) {
+	engine := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = io.WriteString(connection, responseOf(request.Header.Get("Id"), "whole"))
+	})
+	h := newHarness(t, engine)
+	head := func(line string) string {
+		return "POST /once/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: k\r\n" + line + "\r\n"
+	}
+	for _, text := range []string{
+		head("Bad Name: x\r\nContent-Length: 0\r\n"), head("Content-Length : 4\r\n") + "body", head("Transfer-Encoding : chunked\r\n") + "4\r\nbody\r\n0\r\n\r\n",
+		head("Bad\x01Name: x\r\nContent-Length: 0\r\n"), head("Bad\xe4Name: x\r\nContent-Length: 0\r\n"), head(": x\r\nContent-Length: 0\r\n"), head("no colon\r\nContent-Length: 0\r\n"),
+		head("A: b\x00\r\nContent-Length: 0\r\n"), head("A: b\rc\r\nContent-Length: 0\r\n"), head("Content-Length: 4\r\nContent-Length: 5\r\n") + "body!",
+		head("Content-Length: +4\r\n") + "body", head("Transfer-Encoding: gzip\r\n") + "body", "POST /once/x HTTP/2.0\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: k\r\n\r\n",
+		"POST /once/x\x01 HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: k\r\n\r\n", "PO ST /once/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: k\r\n\r\n",
+		"POST /once/x HTTP/1.1\r\n Folded: first\r\nHost: 127.0.0.1\r\nId: r1\r\nKey: k\r\n\r\n",
+	} {
+		connection, err := net.Dial("tcp", h.server.Listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(connection, text)
+		assert.NilError(t, err)
+		_ = connection.SetReadDeadline(time.Now().Add(2 * time.Second))
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		assert.NilError(t, err, "%q", text)
+		assert.Assert(t, response.StatusCode >= 400, "%q: %d", text, response.StatusCode)
+		_ = connection.Close()
+	}
+	assert.Equal(t, engine.ids(), "")
+}
--- a/internal/forward/responseends_test.go
+++ b/internal/forward/responseends_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
+	"github.com/ravenway/ravenway/internal/transport"
 )
 
 // framing is how a response tells its end.
@@ -186,19 +187,27 @@
 	}
 }
 
+const fuzzedHead = "HTTP/1.1 200 OK\r\nId: r1\r\n"
+
+// fuzzedResponses are valid responses, and others that are not.
+var fuzzedResponses = []string{
+	fuzzedHead + "Content-Length: 4\r\n\r\nbody", fuzzedHead + "Content-Length: 5\r\n\r\nbody", fuzzedHead + "Content-Length: +4\r\n\r\nbody",
+	fuzzedHead + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody", fuzzedHead + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody!",
+	fuzzedHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", fuzzedHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n",
+	fuzzedHead + "Transfer-Encoding: chunked\r\n\r\n4;x=y\r\nbody\r\n0\r\nTrailer: z\r\n\r\n", fuzzedHead + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\nbody",
+	fuzzedHead + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\nbody\r\n0\r\n\r\n", fuzzedHead + "Transfer-Encoding: gzip\r\n\r\nbody",
+	fuzzedHead + "Connection: close\r\n\r\n" + twoEvents, fuzzedHead + "\r\n", fuzzedHead + "Connection: close\r\n\r\nid: 1\ndata:", "HTTP/1.0 200 OK\r\nId: r1\r\n\r\nbody",
+	"HTTP/1.1 000 OK\r\nId: r1\r\nContent-Length: 4\r\n\r\nbody", "HTTP/1.1 999 OK\r\nId: r1\r\nContent-Length: 4\r\n\r\nbody", fuzzedHead + "Content-Length : 2\r\n\r\nbody",
+	fuzzedHead + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", fuzzedHead + "Bad Name: x\r\nContent-Length: 4\r\n\r\nbody", fuzzedHead + "A: b\nContent-Length: 4\r\n\r\nbody",
+	"HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\n" + fuzzedHead + "Content-Length: 4\r\n\r\nbody", fuzzedHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nBad Name: x\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "HTTP/2.0 200 OK\r\nId: r1\r\nContent-Length: 4\r\n\r\nbody",
+	"HTTP/1.1 100 Continue\r\n\r\n" + fuzzedHead + "Content-Length: 0\r\n\r\n", "HTTP/1.1 204 None\r\nId: r1\r\n\r\n", "",
+}
+
 // Guards against a response that is passed on as complete, or with another body, where it is neither by HTTP's
-// rules; http.ReadResponse is the reference.
+// rules.
 func FuzzResponseIsCompleteOnlyByTheRulesOfHTTP(f *testing.F) {
-	head := "HTTP/1.1 200 OK\r\nId: r1\r\n"
-	for _, response := range []string{
-		head + "Content-Length: 4\r\n\r\nbody", head + "Content-Length: 5\r\n\r\nbody", head + "Content-Length: +4\r\n\r\nbody",
-		head + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody", head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody!",
-		head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n",
-		head + "Transfer-Encoding: chunked\r\n\r\n4;x=y\r\nbody\r\n0\r\nTrailer: z\r\n\r\n", head + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\nbody",
-		head + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\nbody\r\n0\r\n\r\n", head + "Transfer-Encoding: gzip\r\n\r\nbody",
-		head + "Connection: close\r\n\r\n" + twoEvents, head + "\r\n", head + "Connection: close\r\n\r\nid: 1\ndata:", "HTTP/1.0 200 OK\r\nId: r1\r\n\r\nbody",
-		"HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 0\r\n\r\n", "HTTP/1.1 204 None\r\nId: r1\r\n\r\n", "",
-	} {
+	for _, response := range fuzzedResponses {
 		f.Add(response, false)
 		f.Add(response, true)
 	}
@@ -221,18 +230,22 @@
 	})
 }
 
-// referenceBody returns the body of the first response that isn't an interim one, and the error with which it or its
-// end can't be read.
-func referenceBody(text string) (string, error) {
-	reader := bufio.NewReader(strings.NewReader(text))
-	for {
-		response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodPost})
-		if err != nil {
-			return "", err
+// Guards against a reader of responses that is more lenient than HTTP's rules.
+func FuzzResponsesAreReadByTheRulesOfHTTP(f *testing.F) {
+	for _, response := range fuzzedResponses {
+		f.Add(response)
+	}
+	f.Fuzz(func(t *testing.T, response string) {
+		sending := &exchange{connection: newConnection(transport.WithConfirmedEnd(&bytesConnection{source: strings.NewReader(response)}))}
+		var body []byte
+		head, err := sending.readFinalHead(http.MethodPost)
+		if err == nil {
+			body, err = io.ReadAll(head.Body)
 		}
-		if response.StatusCode >= http.StatusOK {
-			body, err := io.ReadAll(response.Body)
-			return string(body), err
+		want, wantErr := referenceBody(response)
+		if err == nil {
+			assert.NilError(t, wantErr, "%q is read as %q", response, body)
+			assert.Equal(t, string(body), want, "%q", response)
 		}
-	}
+	})
 }
--- a/internal/forward/responsehead.go
+++ b/internal/forward/responsehead.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/textproto"
+	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -18,7 +20,10 @@
 	invalidStatusLine invalidPart = "status_line"
 	invalidStatus     invalidPart = "status"
 	invalidLineEnd    invalidPart = "line_end"
+	invalidFieldName  invalidPart = "field_name"
+	invalidFieldValue invalidPart = "field_value"
 	invalidFraming    invalidPart = "framing"
+	invalidTrailer    invalidPart = "trailer"
 )
 
 // maximumQuotedBytes bounds the part of an invalid line that its error quotes.
@@ -55,9 +60,14 @@
 	return true
 }
 
-// headChecker checks the lines of the head of a response, in order. It is stricter than net/http, which accepts any three
-// digits as a status, and lines without a carriage return.
-type headChecker struct{ lines int }
+// headChecker checks the lines of the head of a response, in order. It is stricter than net/http, which accepts a blank
+// in a field's name, any three digits as a status, and lines without a carriage return.
+type headChecker struct {
+	lines       int
+	isHTTP10    bool
+	hasLength   bool
+	hasEncoding bool
+}
 
 // check checks a line with its end. isLast reports whether the head ends with it.
 func (c *headChecker) check(line []byte) (isLast bool, err error) {
@@ -68,11 +78,14 @@
 	c.lines++
 	switch {
 	case c.lines == 1:
-		return false, checkStatusLine(content)
+		return false, c.checkStatusLine(content)
 	case len(content) == 0:
-		return true, nil
+		return true, c.checkFraming()
+	case c.lines > 2 && (content[0] == ' ' || content[0] == '\t'):
+		// The line continues the value of the previous one.
+		return false, checkFieldText(content)
 	}
-	return false, nil
+	return false, c.checkField(content)
 }
 
 const (
@@ -82,19 +95,66 @@
 	statusLength = 3
 )
 
-func checkStatusLine(line []byte) error {
+func (c *headChecker) checkStatusLine(line []byte) error {
 	if len(line) < statusStart+statusLength || !bytes.HasPrefix(line, []byte(httpVersionPrefix)) || !isDigit(line[statusStart-2]) || line[statusStart-1] != ' ' {
 		return &invalidResponseError{part: invalidStatusLine, text: line}
 	}
+	c.isHTTP10 = line[statusStart-2] == '0'
 	status, reason := line[statusStart:statusStart+statusLength], line[statusStart+statusLength:]
 	if status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) || len(reason) > 0 && reason[0] != ' ' {
 		return &invalidResponseError{part: invalidStatus, text: line}
 	}
+	return checkFieldText(reason)
+}
+
+func (c *headChecker) checkField(line []byte) error {
+	name, value, hasColon := bytes.Cut(line, []byte(":"))
+	if !hasColon || !isToken(name) {
+		return &invalidResponseError{part: invalidFieldName, text: line}
+	}
+	switch strings.ToLower(string(name)) {
+	case "content-length":
+		c.hasLength = true
+	case "transfer-encoding":
+		c.hasEncoding = true
+	}
+	return checkFieldText(value)
+}
+
+// checkFraming refuses what different readers may understand as different bodies.
+func (c *headChecker) checkFraming() error {
+	switch {
+	case c.hasEncoding && c.hasLength:
+		return &invalidResponseError{part: invalidFraming, text: []byte("a length beside a transfer encoding")}
+	case c.hasEncoding && c.isHTTP10:
+		return &invalidResponseError{part: invalidFraming, text: []byte("a transfer encoding on HTTP/1.0")}
+	}
+	return nil
+}
+
+// checkFieldText returns an error if a field's value or a reason contains a control byte other than a tab.
+func checkFieldText(text []byte) error {
+	for _, character := range text {
+		if character < ' ' && character != '\t' || character == 0x7f {
+			return &invalidResponseError{part: invalidFieldValue, text: text}
+		}
+	}
 	return nil
 }
 
 func isDigit(character byte) bool { return '0' <= character && character <= '9' }
 
+// isToken reports whether a name consists of the characters of a token, at least one.
+func isToken(name []byte) bool {
+	for _, character := range name {
+		isLetter := 'a' <= character|0x20 && character|0x20 <= 'z'
+		if !isLetter && !isDigit(character) && strings.IndexByte("!#$%&'*+-.^_`|~", character) < 0 {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
 // checkHead waits for the whole head of a response, without consuming it, and checks each line as it arrives.
 func (c *connection) checkHead() error {
 	checker := &headChecker{}
@@ -136,5 +196,43 @@
 	if err != nil {
 		return nil, &invalidResponseError{part: invalidFraming, err: err}
 	}
+	if isChunked(response) {
+		response.Body = &checkedTrailerBody{ReadCloser: response.Body, response: response}
+	}
 	return response, nil
 }
+
+// checkedTrailerBody is a body in chunks whose end is an error if a trailer field is not valid.
+type checkedTrailerBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *checkedTrailerBody) Read(into []byte) (int, error) {
+	read, err := b.ReadCloser.Read(into)
+	var malformed textproto.ProtocolError
+	switch {
+	case errors.As(err, &malformed):
+		err = &invalidResponseError{part: invalidTrailer, err: err}
+	case errors.Is(err, io.EOF):
+		if invalid := checkTrailer(b.response.Trailer); invalid != nil {
+			err = invalid
+		}
+	}
+	return read, err
+}
+
+func checkTrailer(trailer http.Header) error {
+	for name, values := range trailer {
+		if !isToken([]byte(name)) {
+			return &invalidResponseError{part: invalidTrailer, text: []byte(name)}
+		}
+		for _, value := range values {
+			if checkFieldText([]byte(value)) != nil {
+				return &invalidResponseError{part: invalidTrailer, text: []byte(value)}
+			}
+		}
+	}
+	return nil
+}
