A panic of a handler is answered and logged with its request

Callers saw: a handler that panics closed the connection without an answer; the log had a stack of net/http without the request's id, and the connection to the engine stayed among those in use.

Cause: net/http recovers panics of handlers and closes the connection. Nothing ended the exchange.

Change: the pipeline recovers, ends the exchange, counts (ravenway_forward_panics_total), logs event=panic with the id, the route and the stack, and answers 502 unless a response has begun, which is cut.

Evidence: TestPanicOfAHandlerIsAnsweredAndLogged failed before (end of file in place of an answer). Of the ways to make a handler panic that were looked for, statuses below 100 were the only one that a response reached: names and values of headers are replaced by net/http's writer, not refused.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -49,6 +49,7 @@
 	}
 	isLast := r.instancesReached+1 >= max(1, r.route.MaximumAttempts)
 	prepared.mayRunAgain = r.route.Idempotent() && !isLast && r.quarantineStatus() < quarantine.Suspected
+	prepared.began = func(sending *exchange) { r.sending = sending }
 	return r.pipeline.pool.send(ctx, options.Dialect, choice.Address, prepared)
 }
 
--- a/internal/forward/badheads_test.go
+++ b/internal/forward/badheads_test.go
@@ -184,6 +184,38 @@
 	}
 }
 
+// panickingDialect panics when it reads the response to one request.
+type panickingDialect struct{ testDialect }
+
+func (d panickingDialect) ReadResponse(status int, header http.Header) ResponseHead {
+	if header.Get("Id") == "panics" {
+		panic("a fault of the dialect")
+	}
+	return d.testDialect.ReadResponse(status, header)
+}
+
+// Guards against a panic that costs its caller the response, occupies its engine, and is logged without the request's id.
+func TestPanicOfAHandlerIsAnsweredAndLogged(t *testing.T) {
+	engine := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+		_, _ = io.WriteString(connection, responseOf(request.Header.Get("Id"), "whole"))
+	})
+	h := newHarness(t, engine)
+	h.pipeline.options.Dialect = panickingDialect{}
+	before := handlerPanics.Get()
+	got := h.send(t, http.MethodPost, "/once/x", "panics", "body")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, handlerPanics.Get(), before+1)
+	explained := strings.Join(h.log.Explain("panics"), "\n")
+	assert.Assert(t, strings.Contains(explained, "a fault of the dialect"), explained)
+	h.pipeline.pool.mutex.Lock()
+	assert.Equal(t, len(h.pipeline.pool.active), 0)
+	h.pipeline.pool.mutex.Unlock()
+	assert.Equal(t, h.environment.settled.Load(), int64(0))
+	got = h.send(t, http.MethodPost, "/once/x", "sound", "body")
+	assert.Equal(t, got.body, "whole")
+}
+
 // Guards against a caller's head that engines would understand in another way: it is refused, and no engine gets it.
 func TestCallersHeadThatIsNotValidReachesNoEngine(t *testing.T) {
 	engine := newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -145,6 +145,12 @@
 	}
 }
 
+// Panicked logs that the handling of a request panicked.
+func (l *DecisionLog) Panicked(r *request, cause any, stack []byte) {
+	l.remember(r, fmt.Sprintf("its handling panicked: %v", cause))
+	l.line(r, "panic").Str("error", fmt.Sprint(cause)).Bytes("stack", stack).Bool("response_begun", r.hasBegun).Send()
+}
+
 // Attempt logs an attempt that did not end with a response for the caller.
 func (l *DecisionLog) Attempt(r *request, choice balance.Choice, result string, err error) {
 	text := fmt.Sprintf("instance %s at %s, one of %d: %s %v", choice.ID, choice.Address, choice.Candidates, result, err)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -55,6 +55,8 @@
 	watch *pathWatch
 	// witness shows whether the engine's process ends, if the response ends with its connection.
 	witness *endWitness
+	// isOver is set when the exchange has ended, and its connection may serve another one.
+	isOver bool
 	// isReplaced is set once a newer incarnation of the instance is known.
 	isReplaced atomic.Bool
 	// stop keeps the end of the request's context from closing the connection; it returns false if
@@ -78,6 +80,8 @@
 	admit func(ctx context.Context) (Slot, error)
 	// opened is called with the connection before the request is written.
 	opened func(connection *connection)
+	// began is called with the exchange before the request is written.
+	began func(sending *exchange)
 	// mayRunAgain is whether the request may be sent again if this exchange fails.
 	mayRunAgain bool
 	// learn applies the signals in the head of a response; the zero time means that the response
@@ -117,6 +121,7 @@
 	sending.stop = context.AfterFunc(ctx, opened.close)
 	p.track(sending)
 	sending.watchPath(request.mayRunAgain)
+	request.began(sending)
 	if err := sending.write(request); err != nil {
 		sending.abort()
 		return nil, sent, fmt.Errorf("writing to %s: %w", address, err)
@@ -227,6 +232,7 @@
 // finish ends an exchange whose response was read completely, and keeps the connection if it can
 // serve another request.
 func (e *exchange) finish(id string) {
+	e.isOver = true
 	e.pool.untrack(e)
 	e.watch.stop()
 	e.freeSlot()
@@ -256,6 +262,7 @@
 
 // abort closes the connection, which makes the engine drop the request.
 func (e *exchange) abort() {
+	e.isOver = true
 	e.pool.untrack(e)
 	e.watch.stop()
 	e.freeSlot()
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -219,6 +219,10 @@
 	events uint64
 	// stream is the version that a stream is bound to.
 	stream streamBound
+	// sending is the last exchange with an engine.
+	sending *exchange
+	// hasBegun indicates that the head of the caller's response was written.
+	hasBegun bool
 	// isResponding indicates that a response is being relayed, isComplete that it was relayed to
 	// its end.
 	isResponding, isComplete bool
@@ -250,6 +254,7 @@
 	current := &request{pipeline: p, writer: writer, controller: http.NewResponseController(writer), incoming: incoming, arrived: time.Now()}
 	// Runs last, so that the caller has its response only once all else is done.
 	defer current.confirmSent()
+	defer current.recoverPanic()
 	defer requestSeconds.UpdateDuration(current.arrived)
 	defer current.releaseBody()
 	if refused := current.admit(); refused != nil {
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -54,6 +54,8 @@
 	ReasonOutcomeUnknown Reason = "outcome_unknown"
 	ReasonCallerLeft     Reason = "caller_left"
 	ReasonBrokenStream   Reason = "broken_stream"
+	// ReasonInternal: the handling of the request panicked.
+	ReasonInternal Reason = "internal_error"
 	// ReasonQuarantined: the request crashed engines, so it is sent to no further one.
 	ReasonQuarantined Reason = "quarantined"
 )
@@ -139,6 +141,6 @@
 	}
 	body, _ := json.Marshal(refusalBody{Error: refused.Reason, NotRun: notRun(refused.Status), Detail: refused.Detail})
 	header.Set("Content-Length", strconv.Itoa(len(body)))
-	r.writer.WriteHeader(refused.Status)
+	r.writeStatus(refused.Status)
 	r.finishResponse(body)
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -93,7 +93,7 @@
 	if r.incoming.Method != http.MethodHead {
 		r.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	r.writer.WriteHeader(sending.response.StatusCode)
+	r.writeStatus(sending.response.StatusCode)
 	r.finishResponse(body)
 	r.noteEnded(sending.response.StatusCode, choice)
 }
@@ -104,7 +104,7 @@
 	if length := sending.response.ContentLength; length >= 0 {
 		r.writer.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	r.writer.WriteHeader(sending.response.StatusCode)
+	r.writeStatus(sending.response.StatusCode)
 	r.isResponding = sending.isSuccess()
 	_, err := r.writer.Write(prefix)
 	if err == nil {
@@ -214,6 +214,12 @@
 	return kept
 }
 
+// writeStatus writes the status and the header of the caller's response.
+func (r *request) writeStatus(status int) {
+	r.hasBegun = true
+	r.writer.WriteHeader(status)
+}
+
 func (r *request) writeHead(sending *exchange) {
 	headSeconds.UpdateDuration(r.arrived)
 	r.pipeline.waiting.remove(r)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -16,7 +16,7 @@
 // instance of its version if the route allows it, and otherwise ends so that it does not look complete.
 func (r *request) relayStream(ctx context.Context, sending *exchange, choice *balance.Choice) (balance.Outcome, attemptResult) {
 	r.writeHead(sending)
-	r.writer.WriteHeader(sending.response.StatusCode)
+	r.writeStatus(sending.response.StatusCode)
 	r.isResponding = true
 	lastEvent := r.call.LastEvent
 	if lastEvent != "" {
