A response of a plain service that the deadline cuts is not complete

Callers saw: a response that was still arriving at the caller's deadline ended there as if it were whole. The claim of the request was settled as completed, and a retry with its key got the stored part as the whole response.

Cause: an error of the copy counted only while the request's context was alive, and both the deadline and a caller that leaves end it first.

Change: any error aborts the response, and the claim's outcome is unknown. The back end does not count as failing if the context has ended.

Evidence: TestPlainResponseThatIsCutByTheDeadlineIsNotComplete got 'part' as a complete response before.

--- /dev/null
+++ b/internal/lab/fleet/badresponses_test.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+	"github.com/ravenway/ravenway/internal/lab/deployment"
+	"github.com/ravenway/ravenway/internal/protocol/caller"
+)
+
+// replacePlainBackends makes a function respond to all requests to plain services, and counts them.
+func replacePlainBackends(f *Fleet, respond func(connection net.Conn)) *atomic.Int64 {
+	count := &atomic.Int64{}
+	plain := map[string]bool{}
+	for _, service := range f.Plan.Catalog().GetServices() {
+		plain[service.GetName()] = service.GetKind() == ravenwayv1.ServiceKind_SERVICE_KIND_PLAIN
+	}
+	for _, backend := range f.Plan.Catalog().GetBackends() {
+		if !plain[backend.GetService()] {
+			continue
+		}
+		listener := f.Network.Listen(zoneMachine(backend.GetZone()), backend.GetAddress())
+		f.goroutines.Go(func() {
+			for {
+				connection, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				f.goroutines.Go(func() {
+					defer connection.Close()
+					request, err := http.ReadRequest(bufio.NewReader(connection))
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					count.Add(1)
+					respond(connection)
+				})
+			}
+		})
+		f.goroutines.Go(func() {
+			<-f.ctx.Done()
+			_ = listener.Close()
+		})
+	}
+	return count
+}
+
+// callPlain sends a call to the plain service, and returns the response with its whole body.
+func callPlain(f *Fleet, method, deadline string) (*http.Response, string, error) {
+	request, err := http.NewRequest(method, "http://"+f.EntryAddress("lhr-a-2")+f.Plan.PlainPrefix+"/case/1", strings.NewReader("body"))
+	if err != nil {
+		return nil, "", err
+	}
+	request.Header.Set("Authorization", "Bearer "+f.Plan.APIKey("tenant-04"))
+	request.Header.Set(caller.HeaderDeadline, deadline)
+	response, err := f.callers.RoundTrip(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+// Guards against a response of a plain service that is cut by the caller's deadline and looks complete.
+func TestPlainResponseThatIsCutByTheDeadlineIsNotComplete(t *testing.T) {
+	withFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		replacePlainBackends(f, func(connection net.Conn) {
+			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n")
+			// The rest comes too late.
+			time.Sleep(10 * time.Second)
+			_, _ = io.WriteString(connection, "4\r\nrest\r\n0\r\n\r\n")
+		})
+		_, body, err := callPlain(f, http.MethodGet, "2s")
+		assert.Assert(t, err != nil, "looks complete: %q", body)
+	})
+}
--- a/internal/node/plain.go
+++ b/internal/node/plain.go
@@ -202,8 +202,13 @@
 	}
 	writer.WriteHeader(response.StatusCode)
 	_, err := io.Copy(flushingWriter{writer}, source)
-	if err != nil && ctx.Err() == nil {
-		p.node.backends.release(placement.backend.Name, routing.Failed)
+	if err != nil {
+		result := routing.Failed
+		if ctx.Err() != nil {
+			// The caller left, or its deadline passed.
+			result = routing.Neutral
+		}
+		p.node.backends.release(placement.backend.Name, result)
 		p.settle(claims.OutcomeUnknown)
 		p.node.log.Warn().Str("event", "stream_failed").Str("request", p.request.id).Err(err).Send()
 		// The status code is already sent. Aborting the connection shows the caller that the response
