A request that a plain service may have run is not refused as not run

Callers saw (by test only): if all attempts of a request that may be repeated reached a back end and failed there, the refusal said not_run.

Cause: the loop over the attempts forgot whether one of them had been offered.

Change: it remembers that, and the outcome is unknown then.

--- a/internal/node/plain.go
+++ b/internal/node/plain.go
@@ -82,8 +82,13 @@
 // need no claim, so a node that reaches no other node serves them too.
 func (p *plainRun) serve(ctx context.Context, writer http.ResponseWriter) *refusal {
 	var tried []string
+	// mayHaveRun indicates that a back end may have got the request, and lastErr is why it has no response from it.
+	mayHaveRun, lastErr := false, error(nil)
 	for range maximumAttempts {
 		placement, err := p.acquire(ctx, tried)
+		if err != nil && mayHaveRun {
+			break
+		}
 		if err != nil {
 			return p.request.refusePlacement(err)
 		}
@@ -106,8 +111,13 @@
 		if offered && (p.request.notRepeatable || !isRepeatable(p.httpRequest.Method, p.request.callerKey)) {
 			return outcomeUnknown("it was lost: %v", err)
 		}
+		mayHaveRun, lastErr = mayHaveRun || offered, err
 		tried = append(tried, placement.backend.Name)
 	}
+	if mayHaveRun {
+		p.settle(claims.OutcomeUnknown)
+		return outcomeUnknown("it was lost: %v", lastErr)
+	}
 	p.settle(claims.NotRun)
 	return refuseNotRun(http.StatusBadGateway, caller.CodeNoBackend, retrySoon, "no back end of service %q could be reached", p.request.service.GetName())
 }
