The OpenAI-style path does not pass on responses that are not valid HTTP

Callers saw (by test): a plain service that answered with status 000 closed its caller's connection without an answer, by a panic; 999 and fields with a blank in their names were passed on.

Cause: the path reads back ends with net/http's client, which accepts them as the pipeline's reader did.

Change: the check of heads and trailers moves to package httpcheck. Its Transport checks what net/http's client has read, for all that the node asks of back ends: calls of plain services, engines' streams and reports, the platform's list. Such a response fails the attempt, which reached the back end. What the client has normalized away can't be seen there: bare line feeds, and a length beside chunks, which it ignores in favour of the chunks.

--- a/internal/forward/badheads_test.go
+++ b/internal/forward/badheads_test.go
@@ -18,11 +18,12 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/ratelimit"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/httpcheck"
 )
 
 // badResponse is a response that is not valid HTTP; "ID" stands for the request's id.
 type badResponse struct {
-	part invalidPart
+	part httpcheck.Part
 	text string
 }
 
@@ -36,7 +37,7 @@
 // badResponses returns responses of each kind.
 func badResponses() []badResponse {
 	var all []badResponse
-	add := func(part invalidPart, texts ...string) {
+	add := func(part httpcheck.Part, texts ...string) {
 		for _, text := range texts {
 			all = append(all, badResponse{part, text})
 		}
@@ -44,25 +45,25 @@
 	statusLine := func(line string) string { return line + "\r\n" + signals + badBody }
 	field := func(line string) string { return "HTTP/1.1 200 OK\r\n" + signals + line + "\r\n" + badBody }
 	for _, status := range []string{"000", "001", "099", "+20", "-20", "600", "999", "20", "2000", "20x", "0x1", " 200"} {
-		add(invalidStatus, statusLine("HTTP/1.1 "+status+" OK"))
+		add(httpcheck.Status, statusLine("HTTP/1.1 "+status+" OK"))
 	}
-	add(invalidStatusLine, statusLine("HTTP/2.0 200 OK"), statusLine("HTTP/0.9 200 OK"), statusLine("HTTP/1 200 OK"), statusLine("http/1.1 200 OK"),
+	add(httpcheck.StatusLine, statusLine("HTTP/2.0 200 OK"), statusLine("HTTP/0.9 200 OK"), statusLine("HTTP/1 200 OK"), statusLine("http/1.1 200 OK"),
 		statusLine("HTTP/1.1\t200 OK"), statusLine("HTTP/1.10 200 OK"), statusLine("bytes that are no response"), statusLine(""))
-	add(invalidFieldValue, statusLine("HTTP/1.1 200 O\x00K"), statusLine("HTTP/1.1 200 O\rK"))
+	add(httpcheck.FieldValue, statusLine("HTTP/1.1 200 O\x00K"), statusLine("HTTP/1.1 200 O\rK"))
 	for _, name := range []string{"Bad Name", "Name ", "Name\t", "Bad\x01Name", "Bad\x7fName", "Bad\xe4Name", "", "Bad(Name", "Content-Length ", "Transfer-Encoding "} {
-		add(invalidFieldName, field(name+": chunked"))
+		add(httpcheck.FieldName, field(name+": chunked"))
 	}
-	add(invalidFieldName, field("no colon"), "HTTP/1.1 200 OK\r\n folded: first\r\n"+signals+badBody,
+	add(httpcheck.FieldName, field("no colon"), "HTTP/1.1 200 OK\r\n folded: first\r\n"+signals+badBody,
 		"HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length : 2\r\n\r\n"+twoEvents, "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding : chunked\r\n\r\n1e\r\n"+twoEvents+"\r\n0\r\n\r\n",
 		"HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\n"+signals+badBody)
-	add(invalidFieldValue, field("A: b\x00"), field("A: b\rc"), field("A: b\x7f"), field("A: b\r\n c\x01"))
-	add(invalidStatus, "HTTP/1.1 099 Early\r\n\r\nHTTP/1.1 200 OK\r\n"+signals+badBody)
-	add(invalidLineEnd, "HTTP/1.1 200 OK\n"+signals+badBody, "HTTP/1.1 200 OK\r\n"+signals+"A: b\n"+badBody, "HTTP/1.1 200 OK\r\n"+signals+"Content-Length: 15\r\n\n"+firstEvent)
-	add(invalidFraming, field("Content-Length: 16"), field("Content-Length: 15, 15"), field("Transfer-Encoding: chunked"), field("Transfer-Encoding: gzip"),
+	add(httpcheck.FieldValue, field("A: b\x00"), field("A: b\rc"), field("A: b\x7f"), field("A: b\r\n c\x01"))
+	add(httpcheck.Status, "HTTP/1.1 099 Early\r\n\r\nHTTP/1.1 200 OK\r\n"+signals+badBody)
+	add(httpcheck.LineEnd, "HTTP/1.1 200 OK\n"+signals+badBody, "HTTP/1.1 200 OK\r\n"+signals+"A: b\n"+badBody, "HTTP/1.1 200 OK\r\n"+signals+"Content-Length: 15\r\n\n"+firstEvent)
+	add(httpcheck.Framing, field("Content-Length: 16"), field("Content-Length: 15, 15"), field("Transfer-Encoding: chunked"), field("Transfer-Encoding: gzip"),
 		"HTTP/1.0 200 OK\r\n"+signals+"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\n"+signals+"Content-Length: +15\r\n\r\n"+firstEvent,
 		"HTTP/1.1 200 OK\r\n"+signals+"Content-Length: x\r\n\r\n"+firstEvent)
 	for _, trailer := range []string{"Bad Name: x", "Name : x", "A: b\x01"} {
-		add(invalidTrailer, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n\r\n", len(firstEvent), firstEvent, trailer))
+		add(httpcheck.Trailer, fmt.Sprintf("HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n\r\n", len(firstEvent), firstEvent, trailer))
 	}
 	return all
 }
@@ -119,7 +120,7 @@
 	got := h.send(t, http.MethodPost, path, "r1", "body")
 	explained := strings.Join(h.log.Explain("r1"), "\n")
 	assert.Assert(t, !strings.Contains(explained, "panicked"), explained)
-	isBegun := b.part == invalidTrailer && strings.HasPrefix(path, "/stream/")
+	isBegun := b.part == httpcheck.Trailer && strings.HasPrefix(path, "/stream/")
 	switch {
 	case path == "/safe/x", path == "/resumable/x":
 		assert.NilError(t, got.err, explained)
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -16,6 +16,7 @@
 	"github.com/ravenway/ravenway/internal/coordination/balance"
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
 	"github.com/ravenway/ravenway/internal/coordination/registry"
+	"github.com/ravenway/ravenway/internal/httpcheck"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
 
@@ -44,7 +45,7 @@
 // crashed, and the request may be the cause.
 func (r *request) noteInterrupted(ctx context.Context, interrupted interruptedRun, result string, err error) {
 	r.pipeline.options.Log.RunInterrupted(r, interrupted, result, err)
-	if countExceeded(err) || countInvalid(err) {
+	if countExceeded(err) || httpcheck.Count(err) {
 		// The engine is alive, and sends bytes that are no response.
 		return
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/ravenway/ravenway/internal/coordination/balance"
+	"github.com/ravenway/ravenway/internal/httpcheck"
 	"github.com/ravenway/ravenway/internal/state/document"
 )
 
@@ -33,7 +34,7 @@
 // discard reads a response that is not relayed, and keeps the connection.
 func (e *exchange) discard(id string) {
 	if _, err := drain(e.response.Body); err != nil {
-		_ = countExceeded(err) || countInvalid(err)
+		_ = countExceeded(err) || httpcheck.Count(err)
 		e.abort()
 		return
 	}
--- a/internal/lab/fleet/badresponses_test.go
+++ b/internal/lab/fleet/badresponses_test.go
@@ -72,6 +72,28 @@
 	return response, string(body), err
 }
 
+// Guards against a response of a plain service that is not valid HTTP: its status made the handler panic, so that the
+// caller got no answer, or it was passed on.
+func TestPlainResponseThatIsNotValidHTTPIsNotPassedOn(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 999 OK\r\n", "HTTP/1.1 200 OK\r\nBad Name: x\r\n"} {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(head+method, func(t *testing.T) {
+				withFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+					requests := replacePlainBackends(f, func(connection net.Conn) {
+						_, _ = io.WriteString(connection, head+"Content-Length: 4\r\n\r\nbody")
+					})
+					response, body, err := callPlain(f, method, "5s")
+					assert.NilError(t, err)
+					assert.Assert(t, response.StatusCode >= 400, "status %d: %s", response.StatusCode, body)
+					assert.Assert(t, strings.Contains(body, string(caller.CodeOutcomeUnknown)), body)
+					assert.Assert(t, !strings.Contains(body, `"not_run":true`), body)
+					assert.Assert(t, requests.Load() == 1 || method == http.MethodGet, "%d requests", requests.Load())
+				})
+			})
+		}
+	}
+}
+
 // Guards against a response of a plain service that is cut by the caller's deadline and looks complete.
 func TestPlainResponseThatIsCutByTheDeadlineIsNotComplete(t *testing.T) {
 	withFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/ravenway/ravenway/internal/coordination/membership"
+	"github.com/ravenway/ravenway/internal/httpcheck"
 	"github.com/ravenway/ravenway/internal/protocol/engine"
 	"github.com/ravenway/ravenway/internal/protocol/peer"
 	"github.com/ravenway/ravenway/internal/settings"
@@ -119,6 +120,7 @@
 	if node.backendHTTP == nil {
 		node.backendHTTP = newBackendTransport()
 	}
+	node.backendHTTP = httpcheck.NewTransport(node.backendHTTP)
 	node.engines = engine.NewClient(node.backendHTTP)
 	members := make([]membership.Node, 0, len(node.settings.Peers))
 	addresses := map[string]string{}
