The OpenAI-style path does not take a cut response for a complete one

Callers saw (by test): a response of a back end with neither a length nor chunks that is reset, or closed with the upload unread, while the upload is being written, looks complete. Only plain services can send such a response; streams of engines have an end mark, and all else is JSON, which has an end of its own.

Cause: as in the forwarding pipeline: the write takes the error of the reset, and net/http's client reads an end.

Change: connections to back ends confirm their end before the client sees it, and the end of a body that ends with its connection is an error unless the request was written as a whole.

--- a/internal/httpcheck/client.go
+++ b/internal/httpcheck/client.go
@@ -1,13 +1,21 @@
 package httpcheck
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync"
 )
 
-// Transport is a client that refuses the responses that are not valid HTTP. It implements http.RoundTripper.
+// ErrRequestUnread means that a response ended with its connection before its request was written as a whole.
+var ErrRequestUnread = errors.New("httpcheck: the response's connection ended before the whole request was written")
+
+// Transport is a client that refuses the responses that are not valid HTTP, and those with neither a length nor chunks
+// whose connection ended before their request was written. It implements http.RoundTripper.
 type Transport struct{ next http.RoundTripper }
 
 // NewTransport returns a client that checks the responses of another one.
@@ -15,7 +23,10 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	write := &requestWrite{}
 	trace := &httptrace.ClientTrace{
+		GotConn:      func(httptrace.GotConnInfo) { write.begin() },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { write.end(info.Err) },
 		Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
 			return checkRead(code, http.Header(header))
 		},
@@ -30,8 +41,11 @@
 		_ = response.Body.Close()
 		return nil, err
 	}
-	if len(response.TransferEncoding) > 0 {
+	switch {
+	case len(response.TransferEncoding) > 0:
 		response.Body = WithCheckedTrailer(response)
+	case response.ContentLength < 0 && request.Method != http.MethodHead:
+		response.Body = &endCheckedBody{ReadCloser: response.Body, request: request, write: write}
 	}
 	return response, nil
 }
@@ -54,3 +68,57 @@
 	}
 	return checkFields(header)
 }
+
+// requestWrite is the writing of a request. net/http may write one again on another connection; the last time counts.
+type requestWrite struct {
+	mutex sync.Mutex
+	// done is closed at the end of the writing, whose error is err.
+	done chan struct{}
+	err  error
+}
+
+func (w *requestWrite) begin() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.done, w.err = make(chan struct{}), nil
+}
+
+func (w *requestWrite) end(err error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.err = err
+	close(w.done)
+}
+
+// wait returns the error of the writing once it has ended.
+func (w *requestWrite) wait(ctx context.Context) error {
+	w.mutex.Lock()
+	done := w.done
+	w.mutex.Unlock()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.err
+}
+
+// endCheckedBody is a body that ends with its connection. Its end is an error unless the request was written.
+type endCheckedBody struct {
+	io.ReadCloser
+	request *http.Request
+	write   *requestWrite
+}
+
+// Read implements io.Reader.
+func (b *endCheckedBody) Read(into []byte) (int, error) {
+	read, err := b.ReadCloser.Read(into)
+	if errors.Is(err, io.EOF) {
+		if failure := b.write.wait(b.request.Context()); failure != nil {
+			err = fmt.Errorf("%w: %w", ErrRequestUnread, failure)
+		}
+	}
+	return read, err
+}
--- a/internal/httpcheck/client_test.go
+++ b/internal/httpcheck/client_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/ravenway/ravenway/internal/transport"
 )
 
 // newServer returns the address of a server that calls respond once it has read the head of a request.
@@ -40,7 +43,14 @@
 // post sends a body to a server, and returns the status and the body of the response.
 func post(t *testing.T, address, body string) (int, string, error) {
 	t.Helper()
-	next := &http.Transport{}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		opened, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return transport.WithConfirmedReads(opened), nil
+	}
+	next := &http.Transport{DialContext: dial}
 	defer next.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
@@ -74,6 +84,35 @@
 	}
 }
 
+// Guards against a part of a response that net/http's client takes for a whole one: it has neither a length nor chunks,
+// and its connection ends while the request is being written.
+func TestTransportRefusesResponsesThatAreCutDuringAnUpload(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n"} {
+		for _, sent := range []string{"", "b", strings.Repeat("b", 100<<10)} {
+			for _, wait := range []time.Duration{0, 50 * time.Millisecond} {
+				for _, size := range []int{64 << 10, 4 << 20} {
+					for _, isReset := range []bool{false, true} {
+						t.Run(fmt.Sprintf("%.30q/%d/%s/%d/%v", head, len(sent), wait, size, isReset), func(t *testing.T) {
+							t.Parallel()
+							address := newServer(t, func(connection *net.TCPConn, _ *http.Request) {
+								_, _ = io.WriteString(connection, head+sent)
+								time.Sleep(wait)
+								if isReset {
+									_ = connection.SetLinger(0)
+								}
+							})
+							for range 3 {
+								status, body, err := post(t, address, strings.Repeat("u", size))
+								assert.Assert(t, err != nil, "status %d with %d bytes looks complete", status, len(body))
+							}
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
 // Guards against complete responses that are refused.
 func TestTransportPassesCompleteResponses(t *testing.T) {
 	for _, text := range []string{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -157,7 +157,7 @@
 // under load.
 func newBackendTransport() http.RoundTripper {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: backendDialTimeout}).DialContext,
+		DialContext:         dialBackend,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     90 * time.Second,
 		DisableCompression:  true,
@@ -166,6 +166,15 @@
 	}
 }
 
+// dialBackend opens a connection to a back end. net/http takes any end of it for that of a response without a length.
+func dialBackend(ctx context.Context, network, address string) (net.Conn, error) {
+	opened, err := (&net.Dialer{Timeout: backendDialTimeout}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return transport.WithConfirmedReads(opened), nil
+}
+
 // errStopped is the cancellation cause of the work that still runs when the node stops.
 var errStopped = errors.New("the node has stopped")
 
--- a/internal/transport/confirmedend.go
+++ b/internal/transport/confirmedend.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -89,6 +90,26 @@
 	}
 }
 
+// WithConfirmedReads returns a connection whose reads end regularly only if the end is confirmed, for readers that take
+// any end for a regular one.
+func WithConfirmedReads(connection net.Conn) net.Conn {
+	return &confirmedReader{ConfirmedConnection: WithConfirmedEnd(connection)}
+}
+
+type confirmedReader struct{ *ConfirmedConnection }
+
+// Read implements net.Conn.
+func (c *confirmedReader) Read(into []byte) (int, error) {
+	read, err := c.Conn.Read(into)
+	if errors.Is(err, io.EOF) {
+		// The wait ends at the latest when the connection is closed.
+		if failure := c.ConfirmEnd(context.Background()); failure != nil {
+			err = failure
+		}
+	}
+	return read, err
+}
+
 // writeState returns whether a write is in progress, and the first error of a write.
 func (c *ConfirmedConnection) writeState() (isWriting bool, failure error) {
 	c.mutex.Lock()
