A node that has just started does not deny that a service had one version

Callers saw (by test): after all entry nodes were lost, streams that name no attempt were refused for good on a service that had one version only, for two timeouts of the route.

Cause: a node that starts is told of all instances, also of those that ended in the last two minutes, and recorded each of them as listed now. It then told the others that it knew of several versions, which outweighs the control nodes that had been informed all the time. One engine of an earlier version that crashed a minute ago was enough.

Change: an instance that has ended when a node first hears of it counts only at nodes that were informed until then. The others can't tell when it ended; the control nodes that confirm the only version can.

--- a/internal/coordination/streamversion/history.go
+++ b/internal/coordination/streamversion/history.go
@@ -40,6 +40,17 @@
 	h.listedAt[service][version] = now
 }
 
+// Ended records that this node learned of an instance that has ended. Unless the node was informed until then, the
+// instance may have ended long ago: nodes that have just started learn of all that have ended in the last minutes.
+func (h *History) Ended(now time.Duration, service, version string) {
+	h.mutex.Lock()
+	isInformed := h.isInformed
+	h.mutex.Unlock()
+	if isInformed {
+		h.Listed(now, service, version)
+	}
+}
+
 // Prune forgets versions that were last listed longer than the longest lifetime of a stream ago.
 func (h *History) Prune(now time.Duration) {
 	h.mutex.Lock()
--- a/internal/coordination/streamversion/streamversion_test.go
+++ b/internal/coordination/streamversion/streamversion_test.go
@@ -444,3 +444,19 @@
 		})
 	}
 }
+
+// Guards against a node that has just started, learns of an instance that ended minutes ago, and denies that the service
+// has had one version since.
+func TestVersionThatEndedBeforeTheNodeStartedIsNotListed(t *testing.T) {
+	const period = 10 * time.Second
+	started := NewHistory()
+	started.Ended(0, "s", "v1")
+	started.Listed(0, "s", "v2")
+	assert.Assert(t, !started.HasSeveralVersions(time.Second, "s", period))
+	informed := NewHistory()
+	informed.SetInformed(0, true)
+	informed.Listed(20*time.Second, "s", "v2")
+	informed.Ended(20*time.Second, "s", "v1")
+	_, isOnly := informed.OnlyVersion(21*time.Second, "s", period)
+	assert.Assert(t, !isOnly, "an informed node learns of an instance only when it has ended")
+}
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -244,7 +244,11 @@
 	now := f.node.now()
 	for _, changed := range changes {
 		f.unapplied[changed.ID] = struct{}{}
-		if changed.Service != "" {
+		switch {
+		case changed.Service == "":
+		case changed.HasEnded():
+			f.node.streams.history.Ended(now, changed.Service, changed.Version)
+		default:
 			f.node.streams.history.Listed(now, changed.Service, changed.Version)
 		}
 	}
--- a/internal/lab/openfleet/heartbeats.go
+++ b/internal/lab/openfleet/heartbeats.go
@@ -58,6 +58,13 @@
 	engine.sendsNoHeartbeats = true
 }
 
+// startHeartbeatsOf starts the heartbeats of one engine again.
+func (f *Fleet) startHeartbeatsOf(engine *Engine) {
+	f.enginesMutex.Lock()
+	defer f.enginesMutex.Unlock()
+	engine.sendsNoHeartbeats = false
+}
+
 // heartbeats periodically sends the heartbeat of each engine to a running control node.
 func (f *Fleet) heartbeats() {
 	for f.ctx.Err() == nil {
--- a/internal/lab/openfleet/versions_test.go
+++ b/internal/lab/openfleet/versions_test.go
@@ -1,6 +1,7 @@
 package openfleet
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -21,6 +22,10 @@
 type versionedFleet struct {
 	*Fleet
 	engines []*Engine
+	// namesNoAttempt indicates that callers do not name the attempt that brought a stream's first event.
+	namesNoAttempt bool
+	// patience is how long a caller follows its stream, 0 for followDeadline.
+	patience time.Duration
 }
 
 const (
@@ -36,13 +41,19 @@
 // withVersionedFleet runs a test in virtual time against a fleet with two engines of each of the versions
 // v1 and v2 in each zone.
 func withVersionedFleet(t *testing.T, entries int, test func(t *testing.T, v *versionedFleet)) {
+	t.Helper()
+	withFleetOfVersions(t, entries, []string{"v1", "v2"}, test)
+}
+
+// withFleetOfVersions is withVersionedFleet with the given versions.
+func withFleetOfVersions(t *testing.T, entries int, versions []string, test func(t *testing.T, v *versionedFleet)) {
 	t.Helper()
 	withFleet(t, entries, func(t *testing.T, f *Fleet) {
 		v := &versionedFleet{Fleet: f}
 		for _, zone := range zones {
 			f.CrashEngine(f.engines["llm-"+zone])
 			for number := range 2 {
-				for _, version := range []string{"v1", "v2"} {
+				for _, version := range versions {
 					v.addEngine(fmt.Sprintf("%s-%s-%d", version, zone, number), zone, version)
 				}
 			}
@@ -86,14 +97,14 @@
 	stream := &followedStream{id: id}
 	resumes, node := "", first
 	startedAt := time.Now()
-	for attempt := 0; attempt < maximumAttempts && time.Since(startedAt) < followDeadline; attempt++ {
+	for attempt := 0; attempt < maximumAttempts && time.Since(startedAt) < cmp.Or(v.patience, followDeadline); attempt++ {
 		call := CallerRequest{ID: fmt.Sprintf("%s-%d", id, attempt), Path: "/resumable/x", Key: "key-one", Tokens: "10,30", Body: id, Resumes: resumes}
 		if len(stream.events) > 0 {
 			call.After = strconv.Itoa(stream.events[len(stream.events)-1])
 		}
 		response, err := v.Request(node, call)
 		stream.nodes, stream.statuses = append(stream.nodes, node), append(stream.statuses, response.Status)
-		if response.Status == http.StatusOK && stream.add(response.Body) && resumes == "" {
+		if response.Status == http.StatusOK && stream.add(response.Body) && resumes == "" && !v.namesNoAttempt {
 			resumes = call.ID
 		}
 		if err == nil && response.BodyError == nil && response.Status == http.StatusOK {
