A node that has just started refuses no stream for good

Cause: it asked the nodes that it knew so far, one control node for example, and all of those responded; and it took its list of instances, which was still arriving, for the whole one.

Change: a node whose list of instances was never equal to a control node's, or that knows fewer control nodes than hold a record, answers stream_version_not_confirmed, which names a time to retry.

--- a/internal/coordination/streamversion/holders.go
+++ b/internal/coordination/streamversion/holders.go
@@ -47,6 +47,12 @@
 	return unique(slices.Concat(addresses(inZone, zoneAsked), addresses(remote, remoteAsked), m.controlNodes(key, controlAsked)))
 }
 
+// KnowsControlHolders reports whether as many control nodes are known as hold a record, of those that the settings
+// name. A node that has just started knows one after the other.
+func (m Members) KnowsControlHolders(configured int) bool {
+	return len(m.Controls) >= min(controlHolders, configured)
+}
+
 // unique drops the repeated addresses: a node may have both roles.
 func unique(addresses []string) []string {
 	slices.Sort(addresses)
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -123,6 +123,9 @@
 		return ReasonNoRegion
 	}
 	if r.stream.IsBound && !r.pipeline.options.Table.HasVersion(service, r.stream.Version) {
+		if !r.pipeline.options.StreamVersions.KnowsInstances() {
+			return ReasonVersionNotConfirmed
+		}
 		return ReasonVersionGone
 	}
 	if next, isExcluded := r.nextAvailable(service); isExcluded {
@@ -349,7 +352,7 @@
 			status = http.StatusGatewayTimeout
 		}
 		switch reason {
-		case ReasonNoInstance, ReasonNoRegion, ReasonVersionGone, ReasonRejected, ReasonRateLimited, ReasonPaused, ReasonFull:
+		case ReasonNoInstance, ReasonNoRegion, ReasonVersionGone, ReasonVersionNotConfirmed, ReasonRejected, ReasonRateLimited, ReasonPaused, ReasonFull:
 			reason = ReasonOutcomeUnknown
 		}
 		r.refuse(Refusal{Status: status, Reason: reason})
--- a/internal/forward/streamversions.go
+++ b/internal/forward/streamversions.go
@@ -64,6 +64,9 @@
 	// Find returns the origin of a stream. The errors are ErrStreamUnknown, ErrStreamNotConfirmed and
 	// the context's.
 	Find(ctx context.Context, query StreamQuery) (FoundStream, error)
+	// KnowsInstances reports whether this node has had the complete list of instances since its start. Before, it can't
+	// tell that no instance runs a version.
+	KnowsInstances() bool
 }
 
 type noStreamVersions struct{}
@@ -74,6 +77,8 @@
 	return FoundStream{}, ErrStreamUnknown
 }
 
+func (noStreamVersions) KnowsInstances() bool { return true }
+
 // streamBound is the version that a stream is bound to. A stream that has no event yet is bound to
 // none: an attempt that ends before its first event leaves nothing that could not be joined.
 type streamBound struct {
--- a/internal/forward/versions_test.go
+++ b/internal/forward/versions_test.go
@@ -79,8 +79,12 @@
 	records map[streamversion.Key]streamversion.Record
 	// failure is returned for every stream, if it is not nil.
 	failure error
+	// isIncomplete indicates that the node does not know all instances yet.
+	isIncomplete bool
 }
 
+func (s *testStreamVersions) KnowsInstances() bool { return !s.isIncomplete }
+
 func (s *testStreamVersions) Began(record streamversion.Record) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -232,14 +236,17 @@
 		failure error
 		reason  Reason
 		retries bool
+		// isIncomplete indicates that the node does not know all instances yet.
+		isIncomplete bool
 	}{
 		{failure: ErrStreamUnknown, reason: ReasonVersionUnknown},
 		{failure: ErrStreamNotConfirmed, reason: ReasonVersionNotConfirmed, retries: true},
 		{origin: streamversion.Origin{Service: "s", Version: "v3"}, reason: ReasonVersionGone},
+		{origin: streamversion.Origin{Service: "s", Version: "v3"}, reason: ReasonVersionNotConfirmed, retries: true, isIncomplete: true},
 		{origin: streamversion.Origin{Service: "other", Version: "v1"}, reason: ReasonVersionGone},
 	} {
 		h := newVersionedHarness(t, []string{"v1", "v2"}, newVersionedEngine(t, "v1", 0), newVersionedEngine(t, "v2", 0))
-		h.streams.failure = one.failure
+		h.streams.failure, h.streams.isIncomplete = one.failure, one.isIncomplete
 		h.streams.put("began", one.origin)
 		got := h.takeUp(t, "/resumable/x", "r-1", "began", "4")
 		assert.Equal(t, got.status, 503)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -84,6 +84,8 @@
 	view atomic.Pointer[fleetView]
 	// hints is nil on nodes without a disk.
 	hints *hintFile[[]registry.Instance]
+	// knowsInstances is set once this node's list of instances was equal to a control node's, and not empty.
+	knowsInstances atomic.Bool
 	// instanceCount is the number of live instances known.
 	instanceCount atomic.Int64
 }
--- a/internal/gateway/instances.go
+++ b/internal/gateway/instances.go
@@ -114,6 +114,9 @@
 	if hello.ProtocolVersion < peer.ProtocolSums {
 		own, other = f.registry.OrderedDigest(), hello.InstancesDigest
 	}
+	if other == own && hello.Control && f.registry.LiveCount() > 0 {
+		f.knowsInstances.Store(true)
+	}
 	if other == own || !hello.Control && !f.isControl() {
 		delete(f.mismatches, hello.Address)
 		return
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -203,7 +203,8 @@
 	if !s.lookups.Allow(s.node.now(), streamversion.OwnerOf(query.Tenant)) {
 		return forward.FoundStream{}, fmt.Errorf("%w: the tenant takes up too many streams at this node", forward.ErrStreamNotConfirmed)
 	}
-	asked := s.members().Asked(key)
+	members := s.members()
+	asked := members.Asked(key)
 	question := streamversion.Ask(key, query.Services, query.Lifetime)
 	survey := streamversion.Survey{Asked: len(asked)}
 	survey.AddOwn(own)
@@ -220,9 +221,13 @@
 		}
 		survey.Add(answer.Answer, answer.err == nil)
 	}
-	return conclude(query, survey)
+	knowsFleet := s.KnowsInstances() && members.KnowsControlHolders(len(s.node.settings.Load().Fleet.Seeds))
+	return conclude(query, survey, knowsFleet)
 }
 
+// KnowsInstances implements forward.StreamVersions.
+func (s *streamVersions) KnowsInstances() bool { return s.node.fleet.knowsInstances.Load() }
+
 // answer returns what this node knows of a stream.
 func (s *streamVersions) answer(key streamversion.Key, services []string, lifetime time.Duration) streamversion.Answer {
 	now := s.node.now()
@@ -258,12 +263,15 @@
 	return forward.FoundStream{Origin: answer.Origin(), Source: source, Node: holder, Age: answer.Age()}, nil
 }
 
-// conclude decides on a stream of which no node that responded has a record.
-func conclude(query forward.StreamQuery, survey streamversion.Survey) (forward.FoundStream, error) {
+// conclude decides on a stream of which no node that responded has a record. A node that has just started may not know
+// the nodes that hold the record yet.
+func conclude(query forward.StreamQuery, survey streamversion.Survey, knowsFleet bool) (forward.FoundStream, error) {
 	if version, isOnly := survey.OnlyVersion(); isOnly {
 		return forward.FoundStream{Origin: streamversion.Origin{Service: query.Services[0], Version: version}, Source: forward.OnlyVersion, Age: query.Lifetime}, nil
 	}
 	switch {
+	case !knowsFleet:
+		return forward.FoundStream{}, fmt.Errorf("%w: this node does not know the fleet yet, %d nodes asked", forward.ErrStreamNotConfirmed, survey.Asked)
 	case !survey.IsComplete():
 		return forward.FoundStream{}, fmt.Errorf("%w: %d of %d nodes did not respond", forward.ErrStreamNotConfirmed, survey.Asked-survey.Answered, survey.Asked)
 	case query.Attempt == "":
--- a/internal/lab/openfleet/rejoined_test.go
+++ b/internal/lab/openfleet/rejoined_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -125,6 +126,8 @@
 					if stream.isComplete {
 						wentOn++
 					}
+					// A node that knows only a part of the fleet can't refuse a stream for good.
+					assert.Check(t, !strings.Contains(stream.refusal, "stream_version_gone") && !strings.Contains(stream.refusal, "began: 1 nodes asked"), "%s: %s", stream.id, stream.refusal)
 				}
 				t.Logf("%d streams were taken up that have to go on, %d did", takenUp, wentOn)
 				assert.Check(t, float64(wentOn) >= ownGoal*float64(takenUp), "%d of %d streams went on", wentOn, takenUp)
