A request that can't end before a planned stop is not passed on, and others are answered

Cause, two: whether a request can end in time was checked once, when its head arrived. And a request of a route whose timeout is longer than the grace was at its engine when the node closed its connections.

Change: the check is repeated once the body is read, before each choice of an instance, and as the last step before the first byte is written, unless an engine may have the request already. 200 ms before the end of the stop the requests whose response has not begun are ended, and their callers get 502, or 503 if no engine had them.

Not changed: a stream that has begun ends with the node and can be resumed; a body that is still arriving at the end has not been passed on and gets no answer.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -69,18 +69,33 @@
 		return nil, err
 	}
 	slot, err := r.pipeline.options.Slots.Acquire(ctx, choice.Instance, time.Until(r.deadline))
-	if err == nil && r.quarantineStatus() == quarantine.Quarantined {
+	if err != nil {
+		return nil, err
+	}
+	if err := r.checkAfterWaits(); err != nil {
 		if slot != nil {
 			slot.Free(false)
 		}
-		return nil, errQuarantined
+		return nil, err
 	}
-	return slot, err
+	return slot, nil
+}
+
+// checkAfterWaits repeats the checks of the request itself, which no longer wait for anything.
+func (r *request) checkAfterWaits() error {
+	switch {
+	case r.quarantineStatus() == quarantine.Quarantined:
+		return errQuarantined
+	case !r.mayHaveRun && !r.endsBeforeStop():
+		return errStopping
+	}
+	return nil
 }
 
 // isNotAdmitted reports whether the request was withheld from the instance: no byte reached it.
 func isNotAdmitted(err error) bool {
-	return errors.Is(err, ErrNoPermit) || errors.Is(err, ErrNoSlot) || errors.Is(err, balance.ErrNotAdmitted) || errors.Is(err, errQuarantined)
+	return errors.Is(err, ErrNoPermit) || errors.Is(err, ErrNoSlot) || errors.Is(err, balance.ErrNotAdmitted) ||
+		errors.Is(err, errQuarantined) || errors.Is(err, errStopping)
 }
 
 // noteNotAdmitted records that the request was withheld from an instance. The instance is removed
@@ -97,6 +112,9 @@
 	if errors.Is(err, errQuarantined) {
 		result = "quarantined"
 	}
+	if errors.Is(err, errStopping) {
+		result = "stopping"
+	}
 	r.tried = r.tried[:len(r.tried)-1]
 	r.pipeline.options.Log.Attempt(r, choice, result, err)
 }
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -70,6 +70,10 @@
 			r.giveUp(last, ReasonQuarantined)
 			return
 		}
+		if !r.mayHaveRun && !r.endsBeforeStop() {
+			r.giveUp(last, ReasonStopping)
+			return
+		}
 		choice, found := r.choose(ctx, service)
 		if !found {
 			r.giveUp(last, r.reasonForNoChoice(service))
@@ -136,8 +140,11 @@
 
 // reasonForNoTime returns the reason why a request has no more time.
 func reasonForNoTime(ctx context.Context) Reason {
-	if errors.Is(context.Cause(ctx), errQuarantined) {
+	switch {
+	case errors.Is(context.Cause(ctx), errQuarantined):
 		return ReasonQuarantined
+	case errors.Is(context.Cause(ctx), errStopping):
+		return ReasonStopping
 	}
 	return ReasonTimeout
 }
@@ -258,7 +265,7 @@
 	}
 	if err != nil {
 		r.mayHaveRun = true
-		if r.incoming.Context().Err() == nil {
+		if r.incoming.Context().Err() == nil && !errors.Is(context.Cause(ctx), errStopping) {
 			outcome = r.failureOutcome(choice)
 		}
 		r.noteInterrupted(ctx, interruptedRun{choice: choice}, "no_answer", err)
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -73,12 +73,14 @@
 	newestVersion uint64
 	began         time.Time
 	stop          StopState
-	linkDelay     time.Duration
-	shedding      bool
-	overloaded    bool
-	settled       atomic.Int64
-	maximumWait   atomic.Int64
-	refusal       error
+	// stopNow replaces stop while requests are in progress.
+	stopNow     atomic.Pointer[StopState]
+	linkDelay   time.Duration
+	shedding    bool
+	overloaded  bool
+	settled     atomic.Int64
+	maximumWait atomic.Int64
+	refusal     error
 	// tokensAvailable ends the wait for tokens; nil means that there is no wait.
 	tokensAvailable chan struct{}
 }
@@ -88,8 +90,13 @@
 func (e *testEnvironment) NewestKnown() (uint64, time.Duration) { return e.newestVersion, time.Second }
 func (e *testEnvironment) LinkDelay() time.Duration             { return e.linkDelay }
 func (e *testEnvironment) EntryNodes() int                      { return 1 }
-func (e *testEnvironment) Stop() StopState                      { return e.stop }
-func (e *testEnvironment) Shedding() bool                       { return e.shedding }
+func (e *testEnvironment) Stop() StopState {
+	if changed := e.stopNow.Load(); changed != nil {
+		return *changed
+	}
+	return e.stop
+}
+func (e *testEnvironment) Shedding() bool { return e.shedding }
 func (e *testEnvironment) Admit(_ string, _ int64, mustServe bool) bool {
 	return !e.overloaded || mustServe
 }
--- a/internal/forward/pipeline.go
+++ b/internal/forward/pipeline.go
@@ -309,7 +309,7 @@
 	if call.Wait > 0 && call.Wait < r.route.Timeout {
 		r.deadline = r.arrived.Add(call.Wait)
 	}
-	if !environment.Stop().accepts(time.Until(r.deadline)) {
+	if !r.endsBeforeStop() {
 		return refuse(http.StatusServiceUnavailable, ReasonStopping)
 	}
 	if !environment.Admit(r.callerName(), r.incoming.ContentLength, r.route.Objective < minimumRedirectObjective) {
@@ -320,12 +320,21 @@
 	if refused := r.readBody(); refused != nil {
 		return refused
 	}
+	if !r.endsBeforeStop() {
+		return refuse(http.StatusServiceUnavailable, ReasonStopping)
+	}
 	if r.quarantineStatus() == quarantine.Quarantined {
 		return refuse(http.StatusServiceUnavailable, ReasonQuarantined)
 	}
 	return nil
 }
 
+// endsBeforeStop reports whether the request may be sent to an engine now: in a planned stop, a request that might be
+// aborted is refused before.
+func (r *request) endsBeforeStop() bool {
+	return r.pipeline.options.Environment.Stop().accepts(time.Until(r.deadline))
+}
+
 // callerName returns the name under which the request is counted: the tenant's, regardless of the
 // machine, or the machine's address without a tenant.
 func (r *request) callerName() string {
--- a/internal/forward/waiting.go
+++ b/internal/forward/waiting.go
@@ -9,8 +9,12 @@
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
 )
 
-// errQuarantined means that a request was canceled because it crashes engines.
-var errQuarantined = errors.New("forward: the request crashes engines")
+var (
+	// errQuarantined means that a request was canceled because it crashes engines.
+	errQuarantined = errors.New("forward: the request crashes engines")
+	// errStopping means that a request was withheld or canceled because the node stops before it can end.
+	errStopping = errors.New("forward: the node stops")
+)
 
 // waitingRequests are the requests whose response has not begun, with their cancel functions.
 // Safe for concurrent use.
@@ -50,6 +54,16 @@
 	}
 }
 
+// CancelWaiting ends the requests whose response has not begun, so that their callers get an answer before the node
+// closes their connections.
+func (p *Pipeline) CancelWaiting() {
+	p.waiting.mutex.Lock()
+	defer p.waiting.mutex.Unlock()
+	for _, cancel := range p.waiting.cancels {
+		cancel(errStopping)
+	}
+}
+
 // isMeantBy reports whether a fingerprint is that of the request or of a part of its prompt.
 func (c requestContent) isMeantBy(fingerprint quarantine.Fingerprint) bool {
 	if fingerprint.IsPart() {
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -18,6 +18,9 @@
 	// defaultRequestsWait is the maximum wait for requests in flight if the context has no
 	// deadline.
 	defaultRequestsWait = time.Minute
+	// finalAnswersTime is the time before the end of a stop in which the callers of requests whose response has not begun
+	// are answered.
+	finalAnswersTime = 200 * time.Millisecond
 	// stopPollInterval is the interval at which the number of requests in flight is checked.
 	stopPollInterval = 20 * time.Millisecond
 )
@@ -36,7 +39,7 @@
 // that it holds. It returns the number of requests that are aborted.
 func (n *Node) Stop(ctx context.Context) int64 {
 	startedAt := n.now()
-	n.stop.Store(&plannedStop{began: startedAt, abortsAt: startedAt + time.Until(n.requestsDeadline(ctx))})
+	n.stop.Store(&plannedStop{began: startedAt, abortsAt: startedAt + time.Until(n.requestsDeadline(ctx).Add(-finalAnswersTime))})
 	n.log.Info().Str("event", "stopping").Int64("requests", n.active()).Send()
 	n.fleet.duty.Offer(n.fleet.sendHelloToAll)
 	if n.replica != nil {
@@ -67,6 +70,11 @@
 	serving, cancel := context.WithDeadline(ctx, n.requestsDeadline(ctx))
 	defer cancel()
 	pause.For(serving, notReadyWait)
+	waiting, cancelWaiting := context.WithDeadline(serving, n.requestsDeadline(ctx).Add(-finalAnswersTime))
+	defer cancelWaiting()
+	for n.active() > 0 && pause.For(waiting, stopPollInterval) {
+	}
+	n.pipeline.CancelWaiting()
 	for n.active() > 0 && pause.For(serving, stopPollInterval) {
 	}
 	n.callers.shutdown(serving)
