--- a/internal/forward/unbounded_test.go
+++ b/internal/forward/unbounded_test.go
@@ -186,6 +186,66 @@
 	}
 }
 
+// Guards against a node that successes without end fill while their callers read them: they are relayed at the callers'
+// pace until the route's timeout, and then look cut.
+func TestManySuccessesThatNeverEndUseLittleMemory(t *testing.T) {
+	const simultaneous, maximumHeap, timeout = 45, 94 << 20, 2 * time.Second
+	defer debug.SetGCPercent(debug.SetGCPercent(100))
+	for _, unbounded := range []unboundedResponse{
+		{name: "chunks", path: "/once/", begins: soundHead, goesOn: "5\r\nwhole\r\n"}, {name: "until its connection ends", path: "/once/", begins: streamHead, goesOn: "whole"},
+		{name: "events", path: "/stream/", begins: streamHead, goesOn: "data: x\n\n"}, {name: "events in chunks", path: "/stream/", begins: soundHead, goesOn: "9\r\ndata: x\n\n\r\n"},
+	} {
+		t.Run(unbounded.name, func(t *testing.T) {
+			h := newHarness(t, newEngine(t, func(connection net.Conn, _ *bufio.Reader, request received) {
+				unbounded.writeUntilClosed(connection, request.Header.Get("Id"))
+			}))
+			for position := range h.environment.index.Document.Routes {
+				h.environment.index.Document.Routes[position].Timeout = timeout
+			}
+			before := heapNow()
+			stop := make(chan struct{})
+			maximum := make(chan uint64, 1)
+			go func() { maximum <- watchHeap(stop) }()
+			startedAt := time.Now()
+			var calls sync.WaitGroup
+			for number := range simultaneous {
+				calls.Go(func() {
+					status, err := h.sendAndDiscard(t, unbounded.path+"x", fmt.Sprint("unbounded-", number))
+					assert.Check(t, err != nil || status >= http.StatusInternalServerError, "looks complete")
+				})
+			}
+			calls.Wait()
+			close(stop)
+			grown := int64(<-maximum) - int64(before)
+			t.Logf("%d bytes", grown)
+			assert.Assert(t, grown < maximumHeap, "%d bytes", grown)
+			assert.Assert(t, time.Since(startedAt) < timeout+3*time.Second)
+			assert.Equal(t, h.pipeline.buffered.Load(), int64(0))
+		})
+	}
+}
+
+// writeUntilClosed writes the response until its connection is closed.
+func (u unboundedResponse) writeUntilClosed(connection net.Conn, id string) {
+	_, err := io.WriteString(connection, strings.ReplaceAll(u.begins, "%s", id))
+	piece := []byte(strings.Repeat(u.goesOn, 1+(16<<10)/len(u.goesOn)))
+	for err == nil {
+		_, err = connection.Write(piece)
+	}
+}
+
+// sendAndDiscard sends a request and discards the body of the response as it arrives.
+func (h *harness) sendAndDiscard(t *testing.T, path, id string) (status int, err error) {
+	t.Helper()
+	response, err := h.client.Do(h.request(t, http.MethodPost, path, id, "b"))
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
 // watchHeap returns the largest heap until stop is closed.
 func watchHeap(stop <-chan struct{}) uint64 {
 	maximum := uint64(0)
