Soak and emulator: responses that are cut or not valid HTTP, and losses of all entry nodes

The soak's engines and the emulator's plain services send, when a call asks for it, a response that is reset or closed while an upload of 4 MB is being written, statuses 000 and 999, blanks and a control byte in field names, a blank behind the name of the length, and a bad trailer. Each entry node gets one of each on a route that may be repeated and one that may not; all have to be answered with a failure. The soak also loses all entry nodes within 2 s, twice, while versions are released, and sends SIGHUP behind the SIGTERM of planned stops; its check of joined streams judges what follows.

--- a/internal/lab/emulator/server.go
+++ b/internal/lab/emulator/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/ravenway/ravenway/internal/lab/badresponse"
 	"github.com/ravenway/ravenway/internal/protocol/engine"
 )
 
@@ -220,7 +221,8 @@
 	writeJSON(writer, http.StatusOK, struct{}{})
 }
 
-// Plain is a plain service that responds to any call and records the run in the ground truth.
+// Plain is a plain service that responds to any call and records the run in the ground truth. A call may ask for a bad
+// response, see package badresponse.
 type Plain struct {
 	Name  string
 	Truth *GroundTruth
@@ -239,6 +241,11 @@
 
 // ServeHTTP implements http.Handler.
 func (p *Plain) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if kind, isAsked := badresponse.IsAsked(request); isAsked {
+		p.Truth.Add(GroundTruthEvent{Backend: p.Name, RequestID: request.Header.Get("Ravenway-Request-Id"), Kind: EventCall, Method: request.Method, Path: request.URL.Path})
+		badresponse.Write(writer, kind)
+		return
+	}
 	body, err := io.ReadAll(io.LimitReader(request.Body, maximumRequestBytes))
 	if err != nil {
 		// The call is incomplete, so it is not run.
--- a/internal/lab/fleet/badresponses_test.go
+++ b/internal/lab/fleet/badresponses_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	ravenwayv1 "github.com/ravenway/ravenway/api/ravenway/v1"
+	"github.com/ravenway/ravenway/internal/lab/badresponse"
 	"github.com/ravenway/ravenway/internal/lab/deployment"
 	"github.com/ravenway/ravenway/internal/protocol/caller"
 )
@@ -61,6 +62,10 @@
 	if err != nil {
 		return nil, "", err
 	}
+	return sendPlain(f, request, deadline)
+}
+
+func sendPlain(f *Fleet, request *http.Request, deadline string) (*http.Response, string, error) {
 	request.Header.Set("Authorization", "Bearer "+f.Plan.APIKey("tenant-04"))
 	request.Header.Set(caller.HeaderDeadline, deadline)
 	response, err := f.callers.RoundTrip(request)
@@ -107,3 +112,21 @@
 		assert.Assert(t, err != nil, "looks complete: %q", body)
 	})
 }
+
+// Guards against bad responses of an emulated service that are passed on, one kind after the other.
+func TestBadResponsesOfAnEmulatedServiceAreNotPassedOn(t *testing.T) {
+	withFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+		for _, kind := range badresponse.Kinds() {
+			request, err := http.NewRequest(http.MethodPost, "http://"+f.EntryAddress("lhr-a-2")+f.Plan.PlainPrefix+"/case/1", strings.NewReader(strings.Repeat("u", 100<<10)))
+			assert.NilError(t, err)
+			request.Header.Set(badresponse.Header, string(kind))
+			response, body, err := sendPlain(f, request, "5s")
+			if kind == badresponse.BadTrailer {
+				// The relay of the response has begun when its end arrives.
+				assert.Assert(t, err != nil, "%s: status %d: %s", kind, response.StatusCode, body)
+				continue
+			}
+			assert.Assert(t, err != nil || response.StatusCode >= 400 && !strings.Contains(body, `"not_run":true`), "%s: status %d: %s", kind, response.StatusCode, body)
+		}
+	})
+}
--- a/internal/lab/soak/badresponses.go
+++ b/internal/lab/soak/badresponses.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/ravenway/ravenway/internal/lab/badresponse"
 	"github.com/ravenway/ravenway/internal/lab/standin"
 )
 
@@ -23,12 +24,16 @@
 	// endlessHeadBody and endlessErrorBody are those of calls whose response never ends.
 	endlessHeadBody  = "endless head "
 	endlessErrorBody = "endless error "
+	// cutUploadBytes is the size of the bodies of calls whose response is cut while they are being written: more than
+	// the buffers of a socket hold.
+	cutUploadBytes = 4 << 20
 	// callsOfEachKind is the number of such calls at each entry node.
 	callsOfEachKind = 4
-	// hangSlack is how much later than the timeout a call may be answered, and endlessWait how long a call
-	// whose response never ends may take.
+	// hangSlack is how much later than the timeout a call may be answered, endlessWait how long a call
+	// whose response never ends may take, and brokenWait one with a response that is cut or not valid HTTP.
 	hangSlack   = time.Second
 	endlessWait = 3 * time.Second
+	brokenWait  = 3 * time.Second
 	// maximumEndlessBytes is how much an engine writes at most of a response that never ends: more than
 	// the memory of a small entry node.
 	maximumEndlessBytes = 300 << 20
@@ -51,6 +56,7 @@
 	}
 	calls.Wait()
 	r.reportf("%d calls without a response, or with one that never ends, were sent", 3*callsOfEachKind*len(r.callers.entries))
+	r.checkBrokenResponses(ctx)
 	for _, entry := range r.callers.entries {
 		if used := entry.peakMemory(); used > maximumNodeMemory {
 			r.violationf("%s took %d kB of memory", entry.name, used)
@@ -58,6 +64,36 @@
 	}
 }
 
+// checkBrokenResponses sends calls to which engines send a response that is cut, or that is not valid HTTP, to routes
+// that may be repeated and others. None of them may look complete.
+func (r *run) checkBrokenResponses(ctx context.Context) {
+	var calls sync.WaitGroup
+	body := strings.Repeat("u", cutUploadBytes)
+	for _, entry := range r.callers.entries {
+		calls.Go(func() {
+			for _, kind := range badresponse.Kinds() {
+				for number, route := range []string{hangRoute, string(Safe)} {
+					r.checkBrokenResponse(ctx, entry, route, fmt.Sprintf("bad-%s-%s-%d", entry.name, kind, number), body, kind)
+				}
+			}
+		})
+	}
+	calls.Wait()
+	r.reportf("%d calls with a response that is cut or not valid HTTP were sent", 2*len(badresponse.Kinds())*len(r.callers.entries))
+}
+
+// checkBrokenResponse sends one such call, which must be answered with a failure.
+func (r *run) checkBrokenResponse(ctx context.Context, entry *machine, route, id, body string, kind badresponse.Kind) {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	sentAt := time.Now()
+	status, err := r.sendPlain(ctx, client, entry, route, id, body, kind)
+	took := time.Since(sentAt)
+	if err != nil || status < http.StatusInternalServerError || took > brokenWait {
+		r.violationf("call %s at %s ended after %s with status %d: %v", id, entry.name, took, status, err)
+	}
+}
+
 // checkBadResponse sends one call, which must be answered with a failure within a time.
 func (r *run) checkBadResponse(ctx context.Context, entry *machine, route, id, body string, within time.Duration) {
 	client := &http.Client{Transport: &http.Transport{}}
@@ -75,7 +111,7 @@
 }
 
 // sendPlain sends a plain call and returns the status of the response.
-func (r *run) sendPlain(ctx context.Context, client *http.Client, entry *machine, route, id, body string) (int, error) {
+func (r *run) sendPlain(ctx context.Context, client *http.Client, entry *machine, route, id, body string, asked ...badresponse.Kind) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*hangTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.address(callersPort)+"/"+route+"/x", strings.NewReader(body))
@@ -84,6 +120,9 @@
 	}
 	request.Host = callHost
 	request.Header = r.fleet.wire.CallerHeader(standin.Call{ID: id, Key: keyPrefix + "tenant-0", MaximumWait: 2 * hangTimeout})
+	for _, kind := range asked {
+		request.Header.Set(badresponse.Header, string(kind))
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, err
--- a/internal/lab/soak/engine.go
+++ b/internal/lab/soak/engine.go
@@ -11,6 +11,7 @@
 
 	"github.com/ravenway/ravenway/internal/coordination/registry"
 
+	"github.com/ravenway/ravenway/internal/lab/badresponse"
 	"github.com/ravenway/ravenway/internal/lab/standin"
 )
 
@@ -175,12 +176,16 @@
 
 // ServeHTTP implements http.Handler.
 func (e *engine) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
-	body, _ := io.ReadAll(incoming.Body)
 	request := e.wire.ReadRequest(incoming.Header)
 	isHere := request.Instance == e.ID
 	for name, values := range e.wire.ResponseHeader(request.ID, e.ID, !isHere) {
 		writer.Header()[name] = values
 	}
+	if kind, isAsked := badresponse.IsAsked(incoming); isAsked && isHere {
+		badresponse.Write(writer, kind)
+		return
+	}
+	body, _ := io.ReadAll(incoming.Body)
 	if !isHere {
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -175,6 +175,8 @@
 	defer r.release(one)
 	r.reportf("planned stop of %s", one.name)
 	one.signal(syscall.SIGTERM)
+	// A reload within the grace period must not disturb the stop.
+	one.signal(syscall.SIGHUP)
 	if !one.waitForExit(stopGrace) {
 		r.reportf("%s did not exit within its grace period; killing it", one.name)
 		one.kill()
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -133,7 +133,7 @@
 	patient := route(hangRoute, servicePlain, document.NotRepeatable, false)
 	patient.Timeout = hangTimeout
 	desired := &document.Document{
-		Version: 1, Limits: document.Limits{MaximumHeaderBytes: 16 << 10, MaximumBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Version: 1, Limits: document.Limits{MaximumHeaderBytes: 16 << 10, MaximumBodyBytes: 2 * cutUploadBytes, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 		Routes: []document.Route{
 			route("safe", servicePlain, document.Repeatable, false), route("once", servicePlain, document.NotRepeatable, false),
 			route("stream", serviceModel, document.Stream, false), route("resumable", serviceModel, document.Stream, true),
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -201,6 +201,7 @@
 		checking.Go(func() { r.checkBadResponses(ctx) })
 		r.recordSpan(func() { r.checkLateOrders(ctx, options.Seed) }, &r.unstableSpans, contactTime)
 		checking.Wait()
+		r.loseAllEntries(ctx, options.Seed)
 	}
 	if r.canPartition && options.FaultDuration > 0 {
 		pause.For(ctx, settlingTime)
