Requests of the OpenAI-style path that outlast a planned stop are answered

Callers saw (by test): a call that was at its back end when limits.stop_timeout ended was cut with no answer.

Cause: the node closed the connections of the callers while handlers were waiting.

Change: 200 ms before the end of the stop the contexts of requests in progress end; the handlers answer that the outcome is unknown, or end a stream with an error event.

--- a/internal/lab/fleet/badresponses_test.go
+++ b/internal/lab/fleet/badresponses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -130,3 +131,29 @@
 		}
 	})
 }
+
+// Guards against calls that are at a back end when a planned stop runs out of time, and get no answer before the node closes
+// their connections.
+func TestCallsThatOutlastAPlannedStopAreAnswered(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			withFleet(t, deployment.ZameenHaq(), func(t *testing.T, f *Fleet) {
+				replacePlainBackends(f, func(connection net.Conn) {
+					time.Sleep(20 * time.Second)
+					_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+				})
+				answered := make(chan struct{})
+				f.goroutines.Go(func() {
+					defer close(answered)
+					response, body, err := callPlain(f, method, "30s")
+					assert.Check(t, err == nil && response.StatusCode >= 400 && strings.Contains(body, string(caller.CodeOutcomeUnknown)), "%v: %s", err, body)
+				})
+				time.Sleep(500 * time.Millisecond)
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				_ = f.StopGracefully(ctx, "lhr-a-2")
+				<-answered
+			})
+		})
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -119,7 +119,10 @@
 			n.refuse(writer, request, err)
 			return
 		}
-		serve(writer, httpRequest, request)
+		ctx, cancel := context.WithCancelCause(httpRequest.Context())
+		defer cancel(nil)
+		defer context.AfterFunc(n.answersDue, func() { cancel(errStopped) })()
+		serve(writer, httpRequest.WithContext(ctx), request)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,9 @@
 	view     atomic.Pointer[catalogView]
 	stopping atomic.Bool
 	streams  streamTracker
+	// answersDue ends when requests in progress have to be answered because the node stops, which endAnswers causes.
+	answersDue context.Context
+	endAnswers context.CancelFunc
 	// callers is the HTTP server of the callers' listener; nil without such a listener.
 	callers atomic.Pointer[http.Server]
 	// runContext is canceled when Run ends. Work that outlives its request runs under it.
@@ -116,6 +119,7 @@
 		peers: map[string]settings.Peer{}, log: options.Logger, failure: make(chan error, 1), background: newBackground(),
 	}
 	node.runContext, node.cancelRun = context.WithCancelCause(context.Background())
+	node.answersDue, node.endAnswers = context.WithCancel(context.Background())
 	node.backendHTTP = options.BackendTransport
 	if node.backendHTTP == nil {
 		node.backendHTTP = newBackendTransport()
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -13,6 +13,8 @@
 	// probe has begun to fail.
 	balancerDelay    = 2 * time.Second
 	stopPollInterval = 50 * time.Millisecond
+	// finalAnswersTime is the time before the end of a stop in which the callers of requests in progress are answered.
+	finalAnswersTime = 200 * time.Millisecond
 )
 
 // Stop prepares a graceful stop. The readiness probe fails, leadership moves to another voter,
@@ -24,6 +26,9 @@
 	n.log.Info().Str("event", "stopping").Int64("streams", n.streams.active.Load()).Send()
 	n.transferLeadership(ctx)
 	pause.For(ctx, balancerDelay)
+	if deadline, found := ctx.Deadline(); found {
+		defer time.AfterFunc(time.Until(deadline.Add(-finalAnswersTime)), n.endAnswers).Stop()
+	}
 	// The listener and idle connections are closed first, so that no stream can begin between the
 	// last check of the count and the end of the process.
 	if callers := n.callers.Load(); callers != nil {
