A panic in the OpenAI-style path is logged with its request

Callers saw: nothing new; a panic closes the connection without an answer, as before. net/http logged it without the id of the request.

The response is aborted: its writer may have begun it. No way to make these handlers panic is left that a response reaches.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -101,6 +101,7 @@
 func (n *Node) admit(serve func(http.ResponseWriter, *http.Request, *callerRequest)) http.HandlerFunc {
 	return func(writer http.ResponseWriter, httpRequest *http.Request) {
 		request := &callerRequest{id: uuid.NewString()}
+		defer n.logPanic(request)
 		writer.Header().Set(caller.HeaderRequestID, request.id)
 		writer.Header().Set(caller.HeaderNode, n.name)
 		if n.stopping.Load() {
