Emulator: the stream of a request that is lost with its process has no end mark

Cause: the stand-in's restart ended a lost request as canceled and woke the handler of its stream, which sent the event that marks the end before the test broke the connection. A process that is killed sends none.

--- a/internal/lab/emulator/engine.go
+++ b/internal/lab/emulator/engine.go
@@ -74,6 +74,8 @@
 	prefilledTokens uint64
 	outputTokens    uint64
 	targetTokens    uint64
+	// isLost indicates that the process ended with the request: its stream breaks and has no end mark.
+	isLost bool
 	// progress is closed and replaced at each change.
 	progress chan struct{}
 }
@@ -440,7 +442,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	for _, lost := range slices.Concat(e.waiting, e.running) {
-		lost.promptTokens = lost.prefilledTokens
+		lost.promptTokens, lost.isLost = lost.prefilledTokens, true
 		e.endSequence(lost, engine.StateCancelled)
 		lost.signalProgress()
 	}
--- a/internal/lab/emulator/server.go
+++ b/internal/lab/emulator/server.go
@@ -79,7 +79,10 @@
 	flusher := http.NewResponseController(writer)
 	_ = flusher.Flush()
 	for {
-		event, progress := e.nextEvent(source, offset)
+		event, progress, isLost := e.nextEvent(source, offset)
+		if isLost {
+			panic(http.ErrAbortHandler)
+		}
 		if event.Tokens > 0 || event.Done {
 			if err := writeEvent(writer, event); err != nil {
 				return
@@ -99,19 +102,21 @@
 	}
 }
 
-// nextEvent returns the output beyond an offset, and a channel that closes when there is more.
-func (e *Engine) nextEvent(source *sequence, offset uint64) (engine.Event, <-chan struct{}) {
+// nextEvent returns the output beyond an offset, and a channel that closes when there is more. isLost reports whether the
+// process has ended.
+func (e *Engine) nextEvent(source *sequence, offset uint64) (event engine.Event, progress <-chan struct{}, isLost bool) {
 	e.mutex.Lock()
-	output, ended, usage, state, progress := source.outputTokens, source.hasEnded(), source.usage(), source.state, source.progress
+	output, ended, usage, state := source.outputTokens, source.hasEnded(), source.usage(), source.state
+	progress, isLost = source.progress, source.isLost
 	e.mutex.Unlock()
-	event := engine.Event{RequestID: source.request.RequestID, Offset: offset}
+	event = engine.Event{RequestID: source.request.RequestID, Offset: offset}
 	if output > offset {
 		var text strings.Builder
 		for position := offset; position < output; position++ {
 			text.WriteString(TokenText(event.RequestID, position))
 		}
 		event.Text, event.Tokens = text.String(), output-offset
-		return event, progress
+		return event, progress, isLost
 	}
 	if ended {
 		event.Done, event.Usage, event.FinishReason = true, &usage, "stop"
@@ -119,7 +124,7 @@
 			event.FinishReason = "cancelled"
 		}
 	}
-	return event, progress
+	return event, progress, isLost
 }
 
 func writeEvent(writer io.Writer, event engine.Event) error {
