Soak: a status 999 that is passed on is no failure

The check of calls with broken responses took any status from 500 on for an answer of the node, so that the status 999 of a bad response passed.

--- a/internal/lab/soak/badresponses.go
+++ b/internal/lab/soak/badresponses.go
@@ -89,7 +89,8 @@
 	sentAt := time.Now()
 	status, err := r.sendPlain(ctx, client, entry, route, id, body, kind)
 	took := time.Since(sentAt)
-	if err != nil || status < http.StatusInternalServerError || took > brokenWait {
+	isFailure := http.StatusInternalServerError <= status && status < 600
+	if err != nil || !isFailure || took > brokenWait {
 		r.violationf("call %s at %s ended after %s with status %d: %v", id, entry.name, took, status, err)
 	}
 }
