Soak: an engine that has crashed keeps no connection

By reading: http.Server keeps a connection that it accepts while it is being closed, so that the stand-in's process lived on with that one. A connection that is accepted after the crash has begun is closed now.

--- a/internal/lab/soak/engine.go
+++ b/internal/lab/soak/engine.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ravenway/ravenway/internal/coordination/registry"
@@ -125,8 +126,10 @@
 	wire   standin.Wire
 	truth  *GroundTruth
 	server *http.Server
-	mutex  sync.Mutex
-	state  registry.State
+	// hasCrashed is set before the server is closed.
+	hasCrashed atomic.Bool
+	mutex      sync.Mutex
+	state      registry.State
 	// failsPlainCalls makes the engine fail each plain call.
 	failsPlainCalls bool
 	// limit holds the rate limits that the engine named, and the requests that it received.
@@ -147,14 +150,23 @@
 		return nil, fmt.Errorf("starting engine %s: %w", instance.ID, err)
 	}
 	made := &engine{Instance: instance, wire: wire, truth: truth, state: registry.Ready, failsPlainCalls: failsPlainCalls, crashByPoison: crashByPoison, limit: limitRecord{startedAt: time.Now()}}
-	made.server = &http.Server{Handler: made}
+	made.server = &http.Server{Handler: made, ConnState: made.closeAfterCrash}
 	go func() { _ = made.server.Serve(listener) }()
 	return made, nil
 }
 
+// closeAfterCrash closes a connection that the server accepted while it was being closed, and would keep: no connection
+// outlasts a process.
+func (e *engine) closeAfterCrash(connection net.Conn, state http.ConnState) {
+	if state == http.StateNew && e.hasCrashed.Load() {
+		_ = connection.Close()
+	}
+}
+
 // crash ends the engine without a drain.
 func (e *engine) crash() {
 	e.endLimit()
+	e.hasCrashed.Store(true)
 	_ = e.server.Close()
 }
 
