Names and steps that stopped a reader of the change

The check of a head is two functions; the errors of an end that is not confirmed say what was not received, not what was not read; a panic whose head could not be written is answered, and its cause does not go to the caller; a trace of net/http that reports the end of a write twice closes nothing twice.

The engine resets once the caller has its first byte; the check is stricter, since it wants the status 200.

--- a/internal/forward/closedends.go
+++ b/internal/forward/closedends.go
@@ -39,9 +39,9 @@
 	// errEndUnconfirmed means that a response ended with its connection, and whether its engine crashed can't
 	// be found out.
 	errEndUnconfirmed = errors.New("forward: it is not known whether the engine ended with the response's connection")
-	// errRequestUnread means that a response ended with its connection although its engine may not have received the
+	// errRequestNotReceived means that a response ended with its connection although its engine may not have received the
 	// whole request: the connection was reset, or the engine has ended it early.
-	errRequestUnread = errors.New("forward: the response's connection ended before the whole request was received")
+	errRequestNotReceived = errors.New("forward: the response's connection ended before the whole request was received")
 	// errNoEvent means that a stream ended with its connection before its first event.
 	errNoEvent = errors.New("forward: the stream ended before its first event")
 )
@@ -181,9 +181,9 @@
 // responsesCut counts responses that ended with their connection while their request was not received as a whole.
 var responsesCut = metrics.GetOrCreateCounter("ravenway_engine_responses_cut_total")
 
-// confirmRequestRead returns an error unless the engine's machine has received the whole request. An engine that
+// confirmRequestReceived returns an error unless the engine's machine has received the whole request. An engine that
 // ends its connection before has not responded to it, and a reset may look like a regular end to the reader.
-func (e *exchange) confirmRequestRead(ctx context.Context) error {
+func (e *exchange) confirmRequestReceived(ctx context.Context) error {
 	select {
 	case <-e.written:
 	case <-ctx.Done():
@@ -202,9 +202,9 @@
 		return nil
 	}
 	r.pipeline.options.Log.EndedByClose(r, choice)
-	if err := sending.confirmRequestRead(ctx); err != nil {
+	if err := sending.confirmRequestReceived(ctx); err != nil {
 		responsesCut.Inc()
-		return fmt.Errorf("%w: %w", errRequestUnread, err)
+		return fmt.Errorf("%w: %w", errRequestNotReceived, err)
 	}
 	quietTime := wholeQuietTime
 	if r.route.Kind == document.Stream {
--- a/internal/forward/cutcallers_test.go
+++ b/internal/forward/cutcallers_test.go
@@ -41,14 +41,21 @@
 
 func (localRelay) ReportSilence() {}
 
-// looksCut reports whether a response that a caller reads from its connection does not look complete.
-func looksCut(connection net.Conn, method string) (bool, string) {
-	response, err := http.ReadResponse(bufio.NewReader(connection), &http.Request{Method: method})
+// looksCut reports whether a response that a caller reads from its connection does not look complete. begun is closed once
+// its first byte has arrived.
+func looksCut(connection net.Conn, begun chan<- struct{}) (bool, string) {
+	reader := bufio.NewReader(connection)
+	_, err := reader.Peek(1)
+	close(begun)
+	if err != nil {
+		return true, "no response"
+	}
+	response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodPost})
 	if err != nil {
 		return true, ""
 	}
 	body, err := io.ReadAll(response.Body)
-	return err != nil, fmt.Sprintf("status %d with %d bytes", response.StatusCode, len(body))
+	return err != nil && response.StatusCode == http.StatusOK, fmt.Sprintf("status %d with %d bytes", response.StatusCode, len(body))
 }
 
 // Guards against a response that is cut after its relay to the caller has begun, and that looks complete to some callers.
@@ -65,6 +72,7 @@
 				} {
 					t.Run(fmt.Sprintf("%s%s/%v/%s", name, path, isRelayed, caller), func(t *testing.T) {
 						t.Parallel()
+						begun := make(chan struct{})
 						engine := newEarlyEngine(t, func(connection *net.TCPConn, request *http.Request) {
 							text := cutBody
 							if name == "chunks" {
@@ -72,7 +80,7 @@
 							}
 							_, _ = io.WriteString(connection, head+"Id: "+request.Header.Get("Id")+"\r\n\r\n"+text)
 							_, _ = io.Copy(io.Discard, request.Body)
-							time.Sleep(20 * time.Millisecond)
+							<-begun
 							_ = connection.SetLinger(0)
 						})
 						h := newHarness(t, engine)
@@ -86,7 +94,7 @@
 						_, err = fmt.Fprintf(connection, "POST %s %s\r\nId: r1\r\nKey: k\r\nContent-Length: %d\r\n\r\n%s", path, line, len(upload), upload)
 						assert.NilError(t, err)
 						_ = connection.SetReadDeadline(time.Now().Add(5 * time.Second))
-						isCut, seen := looksCut(connection, http.MethodPost)
+						isCut, seen := looksCut(connection, begun)
 						assert.Assert(t, isCut, "%s looks complete", seen)
 						// The connection carries no further response.
 						_, err = connection.Read(make([]byte, 1))
--- a/internal/forward/panics.go
+++ b/internal/forward/panics.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"fmt"
 	"net/http"
 	"runtime/debug"
 
@@ -34,5 +33,5 @@
 	}
 	clear(r.writer.Header())
 	r.writer.Header().Set("Connection", "close")
-	r.refuse(Refusal{Status: http.StatusBadGateway, Reason: ReasonInternal, Detail: fmt.Sprint(cause)})
+	r.refuse(Refusal{Status: http.StatusBadGateway, Reason: ReasonInternal})
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -34,7 +34,9 @@
 // discard reads a response that is not relayed, and keeps the connection.
 func (e *exchange) discard(id string) {
 	if _, err := drain(e.response.Body); err != nil {
-		_ = countExceeded(err) || httpcheck.Count(err)
+		if !countExceeded(err) {
+			httpcheck.Count(err)
+		}
 		e.abort()
 		return
 	}
@@ -217,8 +219,8 @@
 
 // writeStatus writes the status and the header of the caller's response.
 func (r *request) writeStatus(status int) {
-	r.hasBegun = true
 	r.writer.WriteHeader(status)
+	r.hasBegun = true
 }
 
 func (r *request) writeHead(sending *exchange) {
--- a/internal/forward/responsehead.go
+++ b/internal/forward/responsehead.go
@@ -15,17 +15,11 @@
 	checked := 0
 	for {
 		buffered, _ := c.reader.Peek(c.reader.Buffered())
-		for {
-			length := bytes.IndexByte(buffered[checked:], '\n') + 1
-			if length == 0 {
-				break
-			}
-			isLast, err := checker.Check(buffered[checked : checked+length])
-			if isLast || err != nil {
-				return err
-			}
-			checked += length
+		length, isWhole, err := checkLines(checker, buffered[checked:])
+		if isWhole || err != nil {
+			return err
 		}
+		checked += length
 		if len(buffered) == c.reader.Size() {
 			c.enlargeBuffer(buffered)
 		}
@@ -35,6 +29,21 @@
 	}
 }
 
+// checkLines checks the complete lines at the beginning of a text, and returns their length. isWhole reports whether the
+// head ends with them.
+func checkLines(checker *httpcheck.HeadChecker, text []byte) (length int, isWhole bool, err error) {
+	for {
+		end := bytes.IndexByte(text[length:], '\n') + 1
+		if end == 0 {
+			return length, false, nil
+		}
+		if isWhole, err = checker.Check(text[length : length+end]); isWhole || err != nil {
+			return length, isWhole, err
+		}
+		length += end
+	}
+}
+
 // enlargeBuffer makes the read buffer large enough for the heads of a response.
 func (c *connection) enlargeBuffer(buffered []byte) {
 	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.source), readBufferBytes+maximumHeadBytes)
--- a/internal/gateway/relaysearch.go
+++ b/internal/gateway/relaysearch.go
@@ -234,7 +234,7 @@
 	if received == written || received == unreported && written <= maximumUnconfirmedBytes {
 		return nil
 	}
-	return fmt.Errorf("%w: the relay reports %d of %d bytes", transport.ErrUnread, received, written)
+	return fmt.Errorf("%w: the relay reports %d of %d bytes", transport.ErrUnacknowledged, received, written)
 }
 
 // Close implements net.Conn.
--- a/internal/httpcheck/client.go
+++ b/internal/httpcheck/client.go
@@ -11,8 +11,8 @@
 	"sync"
 )
 
-// ErrRequestUnread means that a response ended with its connection before its request was written as a whole.
-var ErrRequestUnread = errors.New("httpcheck: the response's connection ended before the whole request was written")
+// ErrRequestNotWritten means that a response ended with its connection before its request was written as a whole.
+var ErrRequestNotWritten = errors.New("httpcheck: the response's connection ended before the whole request was written")
 
 // Transport is a client that refuses the responses that are not valid HTTP, and those with neither a length nor chunks
 // whose connection ended before their request was written. It implements http.RoundTripper.
@@ -72,21 +72,25 @@
 // requestWrite is the writing of a request. net/http may write one again on another connection; the last time counts.
 type requestWrite struct {
 	mutex sync.Mutex
-	// done is closed at the end of the writing, whose error is err.
-	done chan struct{}
-	err  error
+	// done is closed at the end of the writing, whose error is err; nil before the writing begins.
+	done     chan struct{}
+	hasEnded bool
+	err      error
 }
 
 func (w *requestWrite) begin() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.done, w.err = make(chan struct{}), nil
+	w.done, w.hasEnded, w.err = make(chan struct{}), false, nil
 }
 
 func (w *requestWrite) end(err error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.err = err
+	if w.done == nil || w.hasEnded {
+		return
+	}
+	w.err, w.hasEnded = err, true
 	close(w.done)
 }
 
@@ -117,7 +121,7 @@
 	read, err := b.ReadCloser.Read(into)
 	if errors.Is(err, io.EOF) {
 		if failure := b.write.wait(b.request.Context()); failure != nil {
-			err = fmt.Errorf("%w: %w", ErrRequestUnread, failure)
+			err = fmt.Errorf("%w: %w", ErrRequestNotWritten, failure)
 		}
 	}
 	return read, err
--- a/internal/httpcheck/head.go
+++ b/internal/httpcheck/head.go
@@ -17,6 +17,7 @@
 // Part is the part of a response that is not valid by RFC 9110 or RFC 9112.
 type Part string
 
+// Parts.
 const (
 	StatusLine Part = "status_line"
 	Status     Part = "status"
--- a/internal/transport/confirmedend.go
+++ b/internal/transport/confirmedend.go
@@ -24,9 +24,9 @@
 var (
 	// ErrReset means that the other machine has reset the connection.
 	ErrReset = errors.New("transport: the connection was reset")
-	// ErrUnread means that the other machine ended its data, and that it is not known whether it received all that
+	// ErrUnacknowledged means that the other machine ended its data, and that it is not known whether it received all that
 	// was written.
-	ErrUnread = errors.New("transport: the connection ended while written bytes were not acknowledged")
+	ErrUnacknowledged = errors.New("transport: the connection ended while written bytes were not acknowledged")
 )
 
 // EndConfirmer is a connection that can tell a regular end of the other machine's data from a reset.
@@ -85,7 +85,7 @@
 		select {
 		case <-time.After(endCheckInterval):
 		case <-ctx.Done():
-			return fmt.Errorf("%w: %w", ErrUnread, context.Cause(ctx))
+			return fmt.Errorf("%w: %w", ErrUnacknowledged, context.Cause(ctx))
 		}
 	}
 }
