A complete response without a length is not cut after a silence of all engines

Cause: its end is confirmed by a connection that shows that the engine lives. The one that is opened with the head timed out in the silence; at the end a new one was not even attempted, since both ways had failed a moment ago ('unreachable a moment ago, directly and through relays').

Change: the confirmation then attempts a direct connection, within the same time.

Evidence: TestResponseThatEndsAfterASilenceOfAllEnginesIsComplete failed on all four routes before; a crashed engine's response is cut as before.

--- a/internal/forward/closedends.go
+++ b/internal/forward/closedends.go
@@ -230,6 +230,10 @@
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	opened, err := r.pipeline.pool.open(ctx, choice.Address, choice.Incarnation())
+	if errors.Is(err, errNoPath) {
+		// The response has just ended, so the engine may be reachable again.
+		opened, err = r.pipeline.pool.openDirect(ctx, choice.Address)
+	}
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return fmt.Errorf("%w: %w", errEngineEnded, err)
--- a/internal/forward/closedends_test.go
+++ b/internal/forward/closedends_test.go
@@ -16,6 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ravenway/ravenway/internal/coordination/enginepath"
 	"github.com/ravenway/ravenway/internal/coordination/quarantine"
 )
 
@@ -240,3 +241,29 @@
 		})
 	}
 }
+
+// lostPaths excludes both ways to engines once a request was sent, as after a silence of all engines.
+type lostPaths struct {
+	noEnginePaths
+	opened atomic.Int64
+}
+
+func (p *lostPaths) Plan(string) enginepath.Plan {
+	return enginepath.Plan{WithoutRelay: true, WithoutDirect: p.opened.Add(1) > 1}
+}
+
+// Guards against a complete response without a length that is cut because all engines were silent while it arrived: its
+// witness could not be opened, and no further connection was attempted.
+func TestResponseThatEndsAfterASilenceOfAllEnginesIsComplete(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/once/x", "/stream/x", "/resumable/x"} {
+		for name, isCrashed := range map[string]bool{"lives": false, "crashed": true} {
+			t.Run(path+name, func(t *testing.T) {
+				h := newHarness(t, closingEngine(t, "id: 1\ndata: x\n\n", isCrashed))
+				h.pipeline.pool.paths = &lostPaths{}
+				got := h.send(t, http.MethodPost, path, "r1", "body")
+				isWhole := got.err == nil && got.status == http.StatusOK
+				assert.Equal(t, isWhole, !isCrashed, "status %d: %v\n%s", got.status, got.err, strings.Join(h.log.Explain("r1"), "\n"))
+			})
+		}
+	}
+}
--- a/internal/forward/enginepaths.go
+++ b/internal/forward/enginepaths.go
@@ -108,6 +108,17 @@
 	return transport.WithConfirmedEnd(p.meter.Wrap(network))
 }
 
+// openDirect opens a direct connection even if it is not worth an attempt by the results so far.
+func (p *pool) openDirect(ctx context.Context, address string) (*connection, error) {
+	startedAt := time.Now()
+	network, err := p.dial(ctx, address)
+	p.recordDial(address, DialOutcome(err), time.Since(startedAt))
+	if err != nil {
+		return nil, err
+	}
+	return newConnection(p.adopt(network)), nil
+}
+
 // pathRace opens one connection to an engine by the direct way and through a relay, whichever
 // succeeds first.
 type pathRace struct {
